--- /dev/null
+++ b/toucanrail-daemons/src/agents.rs
@@ -0,0 +1,495 @@
+//! The agent: the only way to its backend server.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use http_types::Response;
+use serde::{Deserialize, Serialize};
+use smol::net::TcpListener;
+use toucanrail::codetable;
+use toucanrail::frames;
+use toucanrail::ids::{AgentId, ServiceName};
+use toucanrail::ledgers::UsageLedger;
+use toucanrail::messages::{AckOrder, AgentReply, AskMode, AskOrder, EngineOrder, FenceOrder};
+use toucanrail::messages::{LoadReport, MirrorOrder, RunFrame, RunOrder};
+use toucanrail::paths;
+use toucanrail::servers::{NodeEntry, NodeRole};
+use toucanrail::settings::{SettingRow, SettingValues};
+use toucanrail::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
+use toucanrail_wire::clients::{ClientLimits, ConnectionPool, OutboundCall};
+use toucanrail_wire::listeners::{self, ReceivedCall, ServerLimits};
+use toucanrail_wire::pipes;
+use toucanrail_wire::replies::{self, RefusalNote};
+use toucanrail_wire::stores::{HttpStore, ObjectStore};
+
+use crate::fleets::{FleetClient, routes};
+use crate::mirroring::{self, MirrorSet};
+use crate::observing::MetricBoard;
+use crate::running;
+use crate::starting::{self, CommonSettings};
+
+/// Largest order, in bytes.
+const ORDER_LIMIT: usize = 4 * 1024 * 1024;
+/// Time between two looks at the backend server.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+const PROBE_BOUND: Duration = Duration::from_millis(800);
+/// Failed looks in a row that mark the backend server as not answering.
+const PROBE_FAILURES: u32 = 3;
+/// How long a stopping agent waits for its last runs to be settled.
+const SETTLE_WAIT: Duration = Duration::from_secs(5);
+const STOP_STEP: Duration = Duration::from_millis(50);
+const REGISTER_PAUSE: Duration = Duration::from_millis(500);
+
+/// Settings of the agent alone.
+pub const SETTINGS: [SettingRow; 4] = [
+    SettingRow {
+        name: "backend",
+        default: None,
+        help: "Address of the backend server.",
+    },
+    SettingRow {
+        name: "service",
+        default: None,
+        help: "Service of the backend server.",
+    },
+    SettingRow {
+        name: "probe-path",
+        default: Some("/engine/load"),
+        help: "Path to look at.",
+    },
+    SettingRow {
+        name: "slots",
+        default: Some("8"),
+        help: "Calls at once, if it does not say.",
+    },
+];
+
+/// The agent's settings.
+#[derive(Debug, Clone)]
+pub struct AgentSettings {
+    /// Those that entries have too.
+    pub common: CommonSettings,
+    /// The backend server.
+    pub backend: SocketAddr,
+    /// Its service.
+    pub service: ServiceName,
+    /// Calls that it takes at once, where it does not report it.
+    pub slots: u64,
+    /// Path on which the backend server is looked at; a model engine reports its load there.
+    pub probe_path: String,
+}
+
+impl AgentSettings {
+    /// Reads the settings, noting faults.
+    pub fn read(values: &mut SettingValues) -> Self {
+        let address = |text: &str| text.parse().ok().map(Some);
+        Self {
+            common: CommonSettings::read(values),
+            backend: values
+                .parse_with("backend", "an address like 127.0.0.1:8000", address)
+                .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
+            service: Arc::from(values.text("service")),
+            slots: values.parse("slots", "a number"),
+            probe_path: values.text("probe-path").to_owned(),
+        }
+    }
+}
+
+/// Load as a model engine reports it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendLoad {
+    /// Requests that it runs at once.
+    pub slots: u64,
+    /// Requests that run.
+    pub running: u64,
+    /// Requests that wait.
+    pub waiting: u64,
+}
+
+#[derive(Debug, Default)]
+struct BackendView {
+    load: Option<BackendLoad>,
+    failures: u32,
+    fence: u64,
+}
+
+/// One run of the agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// Its incarnation.
+    pub id: AgentId,
+    /// Its settings.
+    pub settings: AgentSettings,
+    /// Connections to its backend server.
+    pub pool: ConnectionPool,
+    /// Its metrics.
+    pub board: MetricBoard,
+    address: SocketAddr,
+    client: FleetClient,
+    store: HttpStore,
+    mirrors: MirrorSet,
+    ledger: Mutex<UsageLedger>,
+    view: Mutex<BackendView>,
+}
+
+impl Agent {
+    /// Makes an agent that listens at `address`.
+    ///
+    /// # Errors
+    /// If its metrics cannot be set up.
+    pub fn new(settings: AgentSettings, address: SocketAddr) -> io::Result<Self> {
+        let id = starting::new_incarnation(&settings.common.name);
+        let limits = ClientLimits {
+            connect: PROBE_BOUND,
+            ..ClientLimits::default()
+        };
+        Ok(Self {
+            ledger: Mutex::new(UsageLedger::new(Arc::clone(&id))),
+            id,
+            pool: ConnectionPool::new(limits),
+            board: MetricBoard::new("agent").map_err(io::Error::other)?,
+            address: settings.common.advertise.unwrap_or(address),
+            client: FleetClient::new(&settings.common.fleet_key),
+            store: HttpStore::new(settings.common.store),
+            mirrors: MirrorSet::new(),
+            view: Mutex::default(),
+            settings,
+        })
+    }
+
+    /// Locks the ledger.
+    pub fn lock_ledger(&self) -> MutexGuard<'_, UsageLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_view(&self) -> MutexGuard<'_, BackendView> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether the backend server answered lately.
+    pub fn is_backend_healthy(&self) -> bool {
+        self.lock_view().failures < PROBE_FAILURES
+    }
+
+    async fn answer(self: Arc<Self>, call: ReceivedCall) -> Response {
+        match call.path() {
+            "/health" => self.answer_health(),
+            "/metrics" => self.board.answer(),
+            "/state" => self.answer_state(),
+            routes::RUN => self.take_run(&call),
+            routes::LOAD => self.sealed(&call, |_: MirrorOrder| replies::message(&self.report())),
+            routes::FENCE => self.sealed(&call, |order: FenceOrder| {
+                self.board.count_event("fences");
+                replies::message(&self.lock_ledger().fence(&order.shard, order.epoch))
+            }),
+            routes::ACK => self.sealed(&call, |order: AckOrder| {
+                self.lock_ledger().acknowledge(&order.runs);
+                replies::message(&AgentReply {
+                    agent: Arc::clone(&self.id),
+                    fate: None,
+                })
+            }),
+            routes::ASK => self.answer_ask(&call).await,
+            routes::ORDER => self.answer_order(&call).await,
+            _ => replies::refusal(&RefusalNote::new(codetable::NO_SUCH_ROUTE)),
+        }
+    }
+
+    fn sealed<Message, Answer>(&self, call: &ReceivedCall, answer: Answer) -> Response
+    where
+        Message: serde::de::DeserializeOwned,
+        Answer: FnOnce(Message) -> Response,
+    {
+        match self.client.read(call) {
+            Ok(message) => answer(message),
+            Err(refusal) => *refusal,
+        }
+    }
+
+    fn answer_health(&self) -> Response {
+        if self.lock_ledger().leaving || !self.is_backend_healthy() {
+            replies::text(503, "not taking work\n")
+        } else {
+            replies::text(200, "ok\n")
+        }
+    }
+
+    fn answer_state(&self) -> Response {
+        let mirrors = self.mirrors.lock();
+        let dump = serde_json::json!({
+            "role": "agent",
+            "id": self.id,
+            "service": self.settings.service,
+            "backend": self.settings.backend,
+            "report": self.report_with(mirrors.objects.seen()),
+            "catalogue": mirrors.catalogue,
+            "catalogue_version": mirrors.objects.seen(),
+            "ledger": *self.lock_ledger(),
+        });
+        replies::json(200, &dump)
+    }
+
+    fn report(&self) -> LoadReport {
+        let in_force = self.mirrors.lock().objects.seen();
+        self.report_with(in_force)
+    }
+
+    fn report_with(&self, in_force: u64) -> LoadReport {
+        let ledger = self.lock_ledger();
+        let view = self.lock_view();
+        let counted = BackendLoad {
+            slots: self.settings.slots,
+            running: ledger.running() as u64,
+            waiting: 0,
+        };
+        let load = view.load.unwrap_or(counted);
+        LoadReport {
+            agent: Arc::clone(&self.id),
+            service: Arc::clone(&self.settings.service),
+            slots: load.slots,
+            running: load.running,
+            waiting: load.waiting,
+            healthy: view.failures < PROBE_FAILURES,
+            leaving: ledger.leaving,
+            in_force,
+        }
+    }
+
+    fn take_run(self: &Arc<Self>, call: &ReceivedCall) -> Response {
+        let order: RunOrder = match self.client.read(call) {
+            Ok(order) => order,
+            Err(refusal) => return *refusal,
+        };
+        if let Err(code) = self.lock_ledger().admit(&order) {
+            self.board.count_result(code);
+            let request = Arc::clone(&order.request);
+            let frame = RunFrame::Refused {
+                request,
+                code,
+                retry_after: 1_000,
+            };
+            return replies::bytes(200, frames::encode_frame(&frame));
+        }
+        self.board.count_result(codetable::OK);
+        self.board.in_flight.inc();
+        let (writer, body) = pipes::make_pipe();
+        smol::spawn(running::run_order(Arc::clone(self), order, writer)).detach();
+        replies::stream(200, body)
+    }
+
+    async fn answer_ask(&self, call: &ReceivedCall) -> Response {
+        let order: AskOrder = match self.client.read(call) {
+            Ok(order) => order,
+            Err(refusal) => return *refusal,
+        };
+        let fate = self.lock_ledger().ask(&order.run, order.mode);
+        if fate == toucanrail::messages::RunFate::Running && order.mode == AskMode::Cancel {
+            let call = OutboundCall::get(format!("/engine/cancel/{}", order.run)).on_fresh();
+            // The run's own task sees its stream end and notes what was used.
+            self.pool
+                .fetch(self.settings.backend, call, PROBE_BOUND)
+                .await
+                .ok();
+        }
+        replies::message(&AgentReply {
+            agent: Arc::clone(&self.id),
+            fate: Some(fate),
+        })
+    }
+
+    /// Passes an order on to the model engine unless its fencing number is old.
+    ///
+    /// Guards against an order of a holder that was replaced while paused: some engines take any
+    /// order, so the agent, their only way in, refuses numbers lower than it has seen.
+    async fn answer_order(&self, call: &ReceivedCall) -> Response {
+        let order: EngineOrder = match self.client.read(call) {
+            Ok(order) => order,
+            Err(refusal) => return *refusal,
+        };
+        {
+            let mut view = self.lock_view();
+            if order.fence < view.fence {
+                return replies::refusal(&RefusalNote::new(codetable::STALE_ORDER));
+            }
+            view.fence = order.fence;
+        }
+        let body = serde_json::json!({ "action": order.action, "subject": order.subject });
+        let call = OutboundCall::post("/engine/order", body.to_string().into_bytes())
+            .field("engine-fence", order.fence.to_string());
+        match self
+            .pool
+            .fetch(self.settings.backend, call, PROBE_BOUND)
+            .await
+        {
+            Ok(answer) if answer.status == 200 => replies::message(&true),
+            Ok(_) => replies::refusal(&RefusalNote::new(codetable::STALE_ORDER)),
+            Err(_) => replies::refusal(&RefusalNote::new(codetable::BACKEND_FAILED)),
+        }
+    }
+
+    /// Looks at the backend server again and again.
+    async fn probe(self: Arc<Self>) {
+        loop {
+            self.probe_once().await;
+            smol::Timer::after(PROBE_INTERVAL).await;
+        }
+    }
+
+    async fn probe_once(&self) {
+        let call = OutboundCall::get(self.settings.probe_path.as_str());
+        let answer = self
+            .pool
+            .fetch(self.settings.backend, call, PROBE_BOUND)
+            .await;
+        let mut view = self.lock_view();
+        let was_healthy = view.failures < PROBE_FAILURES;
+        match answer {
+            Ok(answer) if answer.status < 500 => {
+                view.load = serde_json::from_slice(&answer.body)
+                    .ok()
+                    .filter(|_| answer.status == 200);
+                view.failures = 0;
+            }
+            _ => {
+                view.failures += 1;
+                self.pool.forget(self.settings.backend);
+            }
+        }
+        let healthy = view.failures < PROBE_FAILURES;
+        if healthy != was_healthy {
+            tracing::info!(healthy, backend = %self.settings.backend, "backend server changed");
+        }
+    }
+
+    /// Keeps the catalogue in force: from entries, or from the platform if no entry answers.
+    async fn mirror(self: Arc<Self>) {
+        loop {
+            let common = &self.settings.common;
+            let entries = self
+                .mirrors
+                .entries_to_ask(&common.data_centre, &common.peers);
+            if !self
+                .mirrors
+                .ask_entries(&self.client, &self.id, &entries)
+                .await
+            {
+                self.mirrors.read_platform(&self.store).await;
+            }
+            self.board
+                .in_force
+                .set(self.mirrors.lock().objects.seen().cast_signed());
+            smol::Timer::after(mirroring::ASK_INTERVAL).await;
+        }
+    }
+
+    /// Writes the registration; empty to end it.
+    async fn register(&self, present: bool) -> bool {
+        let common = &self.settings.common;
+        let node = NodeEntry {
+            id: Arc::clone(&self.id),
+            role: NodeRole::Agent,
+            address: self.address,
+            data_centre: Arc::clone(&common.data_centre),
+            vm: Arc::clone(&common.vm),
+            service: Some(Arc::clone(&self.settings.service)),
+        };
+        let value = if present {
+            storecalls::encode_value(&node)
+        } else {
+            Vec::new()
+        };
+        write_node(&self.store, &self.id, value).await
+    }
+
+    /// Takes no new work, lets what runs finish and be settled, then ends the registration.
+    async fn drain(&self) {
+        self.lock_ledger().leaving = true;
+        tracing::info!(id = %self.id, "stopping");
+        let start = Instant::now();
+        while self.lock_ledger().running() > 0 && start.elapsed() < self.settings.common.drain {
+            smol::Timer::after(STOP_STEP).await;
+        }
+        let settling = Instant::now();
+        while self.lock_ledger().unsettled() > 0 && settling.elapsed() < SETTLE_WAIT {
+            smol::Timer::after(STOP_STEP).await;
+        }
+        self.register(false).await;
+        tracing::info!(id = %self.id, left = self.lock_ledger().running(), "stopped");
+    }
+}
+
+/// Writes a registration whatever its version is: only its own process and those that found it
+/// gone write it.
+pub async fn write_node<Store>(store: &Store, id: &Arc<str>, value: Vec<u8>) -> bool
+where
+    Store: ObjectStore,
+{
+    let path: Arc<str> = Arc::from(format!("{}/{id}", paths::NODES));
+    let found = store
+        .call(&StoreCall::Get {
+            path: Arc::clone(&path),
+        })
+        .await;
+    let expect = match found {
+        StoreReply::Found { version, .. } => WriteExpectation::At(version),
+        StoreReply::Missing if value.is_empty() => return true,
+        StoreReply::Missing => WriteExpectation::Absent,
+        _ => return false,
+    };
+    let put = StoreCall::Put {
+        path,
+        expect,
+        value,
+    };
+    matches!(store.call(&put).await, StoreReply::Written { .. })
+}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct AgentHandle {
+    agent: Arc<Agent>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl AgentHandle {
+    /// Returns the incarnation.
+    pub fn id(&self) -> &AgentId {
+        &self.agent.id
+    }
+
+    /// Stops gracefully.
+    pub async fn stop(self) {
+        self.agent.drain().await;
+    }
+}
+
+/// Starts an agent on the present executor.
+pub fn start(settings: AgentSettings) -> io::Result<AgentHandle> {
+    let listener = listeners::bind(&settings.common.listen)?;
+    let address = listener.local_addr()?;
+    let agent = Arc::new(Agent::new(settings, address)?);
+    smol::spawn(serve(Arc::clone(&agent), listener)).detach();
+    smol::spawn(Arc::clone(&agent).probe()).detach();
+    smol::spawn(Arc::clone(&agent).mirror()).detach();
+    let registering = Arc::clone(&agent);
+    smol::spawn(async move {
+        while !registering.register(true).await {
+            smol::Timer::after(REGISTER_PAUSE).await;
+        }
+    })
+    .detach();
+    tracing::info!(id = %agent.id, %address, service = %agent.settings.service, "agent started");
+    Ok(AgentHandle { agent, address })
+}
+
+async fn serve(agent: Arc<Agent>, listener: TcpListener) {
+    let limits = ServerLimits {
+        body: ORDER_LIMIT,
+        ..ServerLimits::default()
+    };
+    let handler = move |call| Arc::clone(&agent).answer(call);
+    listeners::serve(listener, limits, handler).await;
+}
--- /dev/null
+++ b/toucanrail-daemons/src/bin/toucanrail-agent.rs
@@ -0,0 +1,37 @@
+//! The agent as a process.
+
+use std::process::ExitCode;
+
+use toucanrail_daemons::agents::{self, AgentSettings};
+use toucanrail_daemons::starting;
+
+fn main() -> ExitCode {
+    let rows: Vec<_> = starting::COMMON_SETTINGS
+        .into_iter()
+        .chain(agents::SETTINGS)
+        .collect();
+    let about = "stands beside one backend server";
+    let mut values = match starting::read_settings("toucanrail-agent", about, &rows) {
+        Ok(values) => values,
+        Err(code) => return code,
+    };
+    let settings = AgentSettings::read(&mut values);
+    if starting::print_faults(&values) {
+        return ExitCode::from(starting::EXIT_USAGE);
+    }
+    starting::start_logs(values.text("log"));
+    smol::block_on(async {
+        match agents::start(settings) {
+            Ok(handle) => {
+                println!("listening on {}", handle.address);
+                starting::wait_stop().await;
+                handle.stop().await;
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("5003: cannot start: {error}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
--- /dev/null
+++ b/toucanrail-daemons/src/bin/toucanrail-entry.rs
@@ -0,0 +1,37 @@
+//! The entry as a process.
+
+use std::process::ExitCode;
+
+use toucanrail_daemons::entries::{self, EntrySettings};
+use toucanrail_daemons::starting;
+
+fn main() -> ExitCode {
+    let rows: Vec<_> = starting::COMMON_SETTINGS
+        .into_iter()
+        .chain(entries::SETTINGS)
+        .collect();
+    let about = "takes callers' requests for the fleet";
+    let mut values = match starting::read_settings("toucanrail-entry", about, &rows) {
+        Ok(values) => values,
+        Err(code) => return code,
+    };
+    let settings = EntrySettings::read(&mut values);
+    if starting::print_faults(&values) {
+        return ExitCode::from(starting::EXIT_USAGE);
+    }
+    starting::start_logs(values.text("log"));
+    smol::block_on(async {
+        match entries::start(settings) {
+            Ok(handle) => {
+                println!("listening on {} inner {}", handle.address, handle.inner);
+                starting::wait_stop().await;
+                handle.stop().await;
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("5003: cannot start: {error}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
--- /dev/null
+++ b/toucanrail-daemons/src/bin/toucanrail.rs
@@ -0,0 +1,7 @@
+//! The operator's command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    toucanrail_daemons::operators::main()
+}
--- /dev/null
+++ b/toucanrail-daemons/src/callers.rs
@@ -0,0 +1,320 @@
+//! Reads a caller's request into a plan: who pays, which service, what it may use at most.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Map, Value, json};
+use toucanrail::catalogue::{CatalogueTable, CustomerEntry, ServiceEntry, ServiceKind};
+use toucanrail::codes::ResultCode;
+use toucanrail::codetable;
+use toucanrail::ids::{RequestId, Tokens};
+use toucanrail::messages::{HeaderField, UsageRule};
+use toucanrail::paths;
+use toucanrail::routing;
+use toucanrail_wire::listeners::ReceivedCall;
+use toucanrail_wire::replies::RefusalNote;
+
+use crate::running;
+
+/// Tokens that an engine's chat template may add to each message.
+const TEMPLATE_TOKENS: Tokens = 8;
+/// Bytes of a prompt that stand for its prefix when a server is chosen.
+const PREFIX_BYTES: usize = 256;
+const KEY_LIMIT: usize = 256;
+/// Fields of the caller that backend servers do not get.
+const OWN_FIELDS: [&str; 3] = ["authorization", "expect", "toucanrail-deadline-ms"];
+
+/// One request, read and checked.
+#[derive(Debug, Clone)]
+pub struct CallPlan {
+    /// Its id.
+    pub request: RequestId,
+    /// Whether the caller gave a key.
+    pub keyed: bool,
+    /// Who pays.
+    pub customer: CustomerEntry,
+    /// What it is for.
+    pub service: ServiceEntry,
+    /// The method.
+    pub method: Arc<str>,
+    /// Path and query at the backend server.
+    pub path: Arc<str>,
+    /// Fields passed on.
+    pub fields: Vec<HeaderField>,
+    /// What is sent on.
+    pub body: CallBody,
+    /// Whether the answer streams as events.
+    pub streamed: bool,
+    /// How usage is counted.
+    pub usage: UsageRule,
+    /// The most that one run uses.
+    pub hold: Tokens,
+    /// Hash of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Time from its arrival to its end.
+    pub deadline: Duration,
+    /// Digest of method, path and body.
+    pub digest: Arc<str>,
+}
+
+/// The body to send on.
+#[derive(Debug, Clone)]
+pub enum CallBody {
+    /// As the caller sent it.
+    Plain(Vec<u8>),
+    /// A completion, with its limit.
+    Completion {
+        /// The fields of the JSON body.
+        fields: Map<String, Value>,
+        /// The output limit.
+        output: Tokens,
+    },
+}
+
+impl CallBody {
+    /// Encodes the body for a run that goes on behind the first `resumed` tokens.
+    pub fn encode(&self, resumed: Tokens) -> Vec<u8> {
+        match self {
+            Self::Plain(bytes) => bytes.clone(),
+            Self::Completion { fields, output } if resumed == 0 => {
+                debug_assert_eq!(fields.get("max_tokens"), Some(&json!(output)));
+                // Text and numbers that were read as JSON are written as JSON again.
+                serde_json::to_vec(fields).unwrap_or_default()
+            }
+            Self::Completion { fields, output } => {
+                let mut fields = fields.clone();
+                let left = output.saturating_sub(resumed);
+                fields.insert("max_tokens".to_owned(), json!(left));
+                serde_json::to_vec(&fields).unwrap_or_default()
+            }
+        }
+    }
+}
+
+type PlanResult<Value> = Result<Value, Box<RefusalNote>>;
+
+fn refuse<Value>(code: ResultCode, detail: &str) -> PlanResult<Value> {
+    Err(Box::new(RefusalNote::new(code).detail(detail)))
+}
+
+/// Finds the customer of a call's bearer key.
+pub fn read_customer<'table>(
+    table: &'table CatalogueTable,
+    call: &ReceivedCall,
+) -> PlanResult<&'table CustomerEntry> {
+    let bearer = call
+        .field("authorization")
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let customer = bearer.and_then(|key| table.customer_of(&paths::hash_text(key.trim())));
+    customer.map_or_else(|| refuse(codetable::UNKNOWN_KEY, ""), Ok)
+}
+
+/// Reads a call into a plan.
+pub fn read_plan(table: &CatalogueTable, call: &ReceivedCall) -> PlanResult<CallPlan> {
+    let customer = read_customer(table, call)?.clone();
+    match call.path() {
+        "/v1/chat/completions" | "/v1/completions" => read_completion(table, customer, call),
+        _ => read_plain(table, customer, call),
+    }
+}
+
+fn read_completion(
+    table: &CatalogueTable,
+    customer: CustomerEntry,
+    call: &ReceivedCall,
+) -> PlanResult<CallPlan> {
+    let fields: Result<Map<String, Value>, _> = serde_json::from_slice(&call.body);
+    let Ok(mut fields) = fields else {
+        return refuse(codetable::BAD_REQUEST, "The body is not a JSON object.");
+    };
+    let model = fields
+        .get("model")
+        .and_then(Value::as_str)
+        .unwrap_or_default();
+    let Some(service) = table
+        .service_of_model(model)
+        .filter(|found| may_use(&customer, found))
+    else {
+        return refuse(codetable::NO_SUCH_MODEL, "See GET /v1/models.");
+    };
+    let service = service.clone();
+    let chat = call.path() == "/v1/chat/completions";
+    let Some((prompt, messages)) = read_prompt(&fields, chat) else {
+        return refuse(
+            codetable::BAD_REQUEST,
+            "It has no messages, or no prompt text.",
+        );
+    };
+    if fields.get("n").and_then(Value::as_u64).unwrap_or(1) != 1 {
+        return refuse(codetable::BAD_REQUEST, "Only n = 1 is supported.");
+    }
+    let asked = fields
+        .get("max_tokens")
+        .or_else(|| fields.get("max_completion_tokens"));
+    let output = asked.and_then(Value::as_u64).unwrap_or(service.max_output);
+    let output = output.clamp(1, service.max_output);
+    fields.remove("max_completion_tokens");
+    fields.insert("max_tokens".to_owned(), json!(output));
+    let streamed = fields
+        .get("stream")
+        .and_then(Value::as_bool)
+        .unwrap_or(false);
+    let hidden = streamed && !wants_usage(&fields);
+    if streamed {
+        fields.insert(
+            "stream_options".to_owned(),
+            json!({ "include_usage": true }),
+        );
+    }
+    let body = CallBody::Completion { fields, output };
+    let prompt_bytes = body.encode(0).len() as u64;
+    let prompt_bound =
+        prompt_bytes.div_ceil(service.least_bytes_per_token) + messages * TEMPLATE_TOKENS;
+    let plan = base_plan(customer, service, call, call.path(), body)?;
+    Ok(CallPlan {
+        streamed,
+        usage: UsageRule::Reported { hidden },
+        hold: prompt_bound + output,
+        prefix: Some(routing::hash_prefix(prompt.as_bytes(), PREFIX_BYTES)),
+        ..plan
+    })
+}
+
+/// Returns the prompt's text and the number of its messages.
+fn read_prompt(fields: &Map<String, Value>, chat: bool) -> Option<(String, u64)> {
+    if !chat {
+        return fields
+            .get("prompt")?
+            .as_str()
+            .map(|prompt| (prompt.to_owned(), 1));
+    }
+    let messages = fields
+        .get("messages")?
+        .as_array()
+        .filter(|messages| !messages.is_empty())?;
+    let contents = messages.iter().filter_map(|message| message.get("content"));
+    let texts = contents.map(|content| match content.as_str() {
+        Some(text) => text.to_owned(),
+        None => content.to_string(),
+    });
+    Some((texts.collect::<Vec<_>>().join("\n"), messages.len() as u64))
+}
+
+fn wants_usage(fields: &Map<String, Value>) -> bool {
+    let options = fields.get("stream_options");
+    let wanted = options.and_then(|options| options.get("include_usage"));
+    wanted.and_then(Value::as_bool).unwrap_or(false)
+}
+
+fn may_use(customer: &CustomerEntry, service: &ServiceEntry) -> bool {
+    customer.services.is_empty() || customer.services.contains(&service.name)
+}
+
+fn read_plain(
+    table: &CatalogueTable,
+    customer: CustomerEntry,
+    call: &ReceivedCall,
+) -> PlanResult<CallPlan> {
+    let found = table
+        .service_of_path(call.path())
+        .filter(|found| may_use(&customer, found));
+    let Some(service) = found.filter(|found| found.kind == ServiceKind::Plain) else {
+        return refuse(codetable::NO_SUCH_ROUTE, "");
+    };
+    let service = service.clone();
+    let route = service.route.as_deref().unwrap_or_default();
+    let below = call.path().strip_prefix(route).unwrap_or_default();
+    let below = if below.is_empty() { "/" } else { below };
+    let repeatable = service.is_repeatable(call.request.method().as_ref(), below);
+    let path = match call.request.url().query() {
+        Some(query) => format!("{below}?{query}"),
+        None => below.to_owned(),
+    };
+    let price = service.price;
+    let plan = base_plan(
+        customer,
+        service,
+        call,
+        &path,
+        CallBody::Plain(call.body.clone()),
+    )?;
+    if !repeatable && !plan.keyed {
+        return refuse(codetable::KEY_REQUIRED, "");
+    }
+    Ok(CallPlan {
+        usage: UsageRule::Fixed(price),
+        hold: price,
+        repeatable,
+        ..plan
+    })
+}
+
+fn base_plan(
+    customer: CustomerEntry,
+    service: ServiceEntry,
+    call: &ReceivedCall,
+    path: &str,
+    body: CallBody,
+) -> PlanResult<CallPlan> {
+    let key = call.field("idempotency-key").filter(|key| !key.is_empty());
+    if key.is_some_and(|key| key.len() > KEY_LIMIT) {
+        return refuse(codetable::BAD_REQUEST, "The Idempotency-Key is too long.");
+    }
+    let request = match key {
+        Some(key) => paths::keyed_request(&customer.name, key),
+        None => Arc::from(format!("{:032x}", fastrand::u128(..))),
+    };
+    let method: Arc<str> = Arc::from(call.request.method().as_ref());
+    let longest = Duration::from_secs(service.deadline_seconds);
+    let asked = call
+        .field("toucanrail-deadline-ms")
+        .and_then(|text| text.parse().ok());
+    let deadline = asked.map_or(longest, |millis| Duration::from_millis(millis).min(longest));
+    let digest = key.map_or_else(String::new, |_| {
+        let body = paths::hash_bytes(&call.body);
+        paths::hash_text(&format!("{method} {path} {body}"))
+    });
+    Ok(CallPlan {
+        request,
+        keyed: key.is_some(),
+        customer,
+        service,
+        method,
+        path: Arc::from(path),
+        fields: passed_fields(call),
+        body,
+        streamed: false,
+        usage: UsageRule::Fixed(0),
+        hold: 0,
+        prefix: None,
+        repeatable: true,
+        deadline,
+        digest: Arc::from(digest),
+    })
+}
+
+fn passed_fields(call: &ReceivedCall) -> Vec<HeaderField> {
+    let fields = call.request.iter().filter(|(name, _)| {
+        let name = name.as_str();
+        running::is_passed(name) && !OWN_FIELDS.contains(&name) && !name.starts_with("engine-")
+    });
+    let fields = fields.map(|(name, values)| HeaderField {
+        name: Arc::from(name.as_str()),
+        value: Arc::from(values.last().as_str()),
+    });
+    fields.collect()
+}
+
+/// Returns the body of `GET /v1/models`: the models that a customer may use.
+pub fn list_models(table: &CatalogueTable, customer: &CustomerEntry) -> Value {
+    let services = table
+        .services()
+        .filter(|service| may_use(customer, service));
+    let models = services.filter_map(|service| {
+        let model = service.model.as_deref()?;
+        Some(json!({ "id": model, "object": "model", "created": 0, "owned_by": service.owner }))
+    });
+    json!({ "object": "list", "data": models.collect::<Vec<_>>() })
+}
--- /dev/null
+++ b/toucanrail-daemons/src/demos.rs
@@ -0,0 +1,223 @@
+//! The whole path in one process on loopback: platform, engine, agent and entry, then a streamed
+//! answer, its bill and how it came about.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::settings::{self, SettingsCall};
+use toucanrail_standins::engines::{self, EngineSpeed};
+use toucanrail_standins::{plains, platforms};
+use toucanrail_wire::clients::{ClientLimits, ConnectionPool, OutboundCall};
+
+use crate::agents::{self, AgentSettings};
+use crate::entries::{self, EntrySettings};
+use crate::operators::{self, OperatorTools};
+use crate::starting;
+
+const FLEET_KEY: &str = "demo-fleet";
+const CALLER_KEY: &str = "demo-key";
+const READY_STEP: Duration = Duration::from_millis(20);
+const READY_TRIES: u32 = 500;
+const CALL_BOUND: Duration = Duration::from_secs(10);
+
+/// The demo's catalogue; the key is `demo-key`.
+pub const CATALOGUE: &str = r#"
+[[service]]
+name = "levy-llm"
+owner = "demo"
+kind = "engine"
+model = "levy-llm"
+max-output = 256
+least-bytes-per-token = 4
+resumes = true
+honours-fencing = true
+
+[[service]]
+name = "filing-app"
+owner = "demo"
+kind = "plain"
+route = "/filing"
+price = 5
+not-repeatable = ["POST /returns"]
+
+[[customer]]
+name = "acme"
+owner = "demo"
+class = "standard"
+key-digests = ["DIGEST"]
+opening-budget = 100000
+"#;
+
+/// Addresses of a fleet started in this process.
+#[derive(Debug)]
+pub struct DemoFleet {
+    /// The platform's object API.
+    pub store: SocketAddr,
+    /// The entry, towards callers.
+    pub entry: SocketAddr,
+    /// The entry, towards the fleet.
+    pub inner: SocketAddr,
+}
+
+fn read_args(rows: &[settings::SettingRow], args: &[(&str, String)]) -> settings::SettingValues {
+    let words: Vec<_> = args
+        .iter()
+        .map(|(name, value)| format!("--{name}={value}").into())
+        .collect();
+    match settings::read("demo", "", rows, words, |_| None) {
+        SettingsCall::Run(values) => values,
+        SettingsCall::Print(_) => unreachable!("no demo argument prints"),
+    }
+}
+
+fn common_args(name: &str, store: SocketAddr) -> Vec<(&'static str, String)> {
+    vec![
+        ("name", name.to_owned()),
+        ("listen", "127.0.0.1:0".to_owned()),
+        ("store", store.to_string()),
+        ("fleet-key", FLEET_KEY.to_owned()),
+    ]
+}
+
+/// Starts an agent for a backend server.
+pub fn start_agent(
+    name: &str,
+    store: SocketAddr,
+    service: &str,
+    backend: SocketAddr,
+) -> io::Result<agents::AgentHandle> {
+    let mut args = common_args(name, store);
+    args.push(("service", service.to_owned()));
+    args.push(("backend", backend.to_string()));
+    let rows: Vec<_> = starting::COMMON_SETTINGS
+        .into_iter()
+        .chain(agents::SETTINGS)
+        .collect();
+    agents::start(AgentSettings::read(&mut read_args(&rows, &args)))
+}
+
+/// Starts an entry.
+pub fn start_entry(
+    name: &str,
+    store: SocketAddr,
+    extra: &[(&'static str, String)],
+) -> io::Result<entries::EntryHandle> {
+    let mut args = common_args(name, store);
+    args.extend(extra.iter().cloned());
+    let rows: Vec<_> = starting::COMMON_SETTINGS
+        .into_iter()
+        .chain(entries::SETTINGS)
+        .collect();
+    entries::start(EntrySettings::read(&mut read_args(&rows, &args)))
+}
+
+/// Returns the tools of an operator.
+pub fn operator_tools(store: SocketAddr) -> OperatorTools {
+    let args = [
+        ("store", store.to_string()),
+        ("fleet-key", FLEET_KEY.to_owned()),
+    ];
+    OperatorTools::read(&mut read_args(&operators::SETTINGS, &args))
+}
+
+/// Writes a text to a file of this run and applies it.
+async fn apply_text(tools: &OperatorTools, text: &str) -> io::Result<String> {
+    let path = std::env::temp_dir().join(format!("toucanrail-{:016x}.toml", fastrand::u64(..)));
+    std::fs::write(&path, text)?;
+    let words = ["apply".to_owned(), path.to_string_lossy().into_owned()];
+    let applied = operators::run_command(tools, &words).await;
+    std::fs::remove_file(&path)?;
+    applied.map_err(|error| io::Error::other(error.to_string()))
+}
+
+/// Starts all parts and waits until a request can be served.
+pub async fn start() -> io::Result<DemoFleet> {
+    let (_, store) = platforms::start("127.0.0.1:0", Duration::ZERO)?;
+    let (_, engine) = engines::start("127.0.0.1:0", EngineSpeed::default(), true)?;
+    let (_, plain) = plains::start("127.0.0.1:0")?;
+    let tools = operator_tools(store);
+    let digest = toucanrail::paths::hash_text(CALLER_KEY);
+    apply_text(&tools, &CATALOGUE.replace("DIGEST", &digest)).await?;
+    start_agent("agent-1", store, "levy-llm", engine)?;
+    start_agent("agent-2", store, "filing-app", plain)?;
+    let entry = start_entry("entry-1", store, &[])?;
+    let fleet = DemoFleet {
+        store,
+        entry: entry.address,
+        inner: entry.inner,
+    };
+    wait_ready(&fleet).await?;
+    Ok(fleet)
+}
+
+async fn wait_ready(fleet: &DemoFleet) -> io::Result<()> {
+    let pool = ConnectionPool::new(ClientLimits::default());
+    for _ in 0..READY_TRIES {
+        let call = OutboundCall::get("/filing/ready")
+            .field("authorization", format!("Bearer {CALLER_KEY}"));
+        let answer = pool.fetch(fleet.entry, call, CALL_BOUND).await?;
+        if answer.status == 200 {
+            return Ok(());
+        }
+        smol::Timer::after(READY_STEP).await;
+    }
+    Err(io::Error::other("the demo's fleet did not get ready"))
+}
+
+/// Runs the demo and prints what it shows.
+pub async fn run() -> io::Result<()> {
+    let fleet = start().await?;
+    println!(
+        "entry http://{}  key {CALLER_KEY}  object API {}",
+        fleet.entry, fleet.store
+    );
+    println!("\nPOST /v1/chat/completions, streamed:");
+    let request = stream_answer(&fleet).await?;
+    let tools = operator_tools(fleet.store);
+    println!("\n\nwaiting for the bill ...");
+    let explain = ["explain".to_owned(), request.to_string()];
+    for _ in 0..READY_TRIES {
+        let text = operators::run_command(&tools, &explain)
+            .await
+            .unwrap_or_default();
+        if text.contains("billed ") && text.contains("written off") {
+            println!("\ntoucanrail explain {request}:\n{text}");
+            break;
+        }
+        smol::Timer::after(READY_STEP).await;
+    }
+    for command in ["bills", "budget"] {
+        let shown = operators::run_command(&tools, &[command.to_owned()]).await;
+        println!(
+            "toucanrail {command}:\n{}",
+            shown.map_err(|error| io::Error::other(error.to_string()))?
+        );
+    }
+    Ok(())
+}
+
+async fn stream_answer(fleet: &DemoFleet) -> io::Result<Arc<str>> {
+    let pool = ConnectionPool::new(ClientLimits::default());
+    let body = serde_json::json!({
+        "model": "levy-llm", "stream": true, "max_tokens": 24, "standin_tokens": 24,
+        "messages": [{"role": "user", "content": "Draft the sugar levy return for May."}],
+    });
+    let call = OutboundCall::post("/v1/chat/completions", body.to_string().into_bytes())
+        .field("content-type", "application/json")
+        .field("authorization", format!("Bearer {CALLER_KEY}"));
+    let mut answer = pool.open(fleet.entry, call, CALL_BOUND).await?;
+    let request = answer
+        .response
+        .header("toucanrail-request")
+        .map(|id| id.last().to_string());
+    loop {
+        let chunk = answer.read_chunk(CALL_BOUND).await?;
+        if chunk.is_empty() {
+            break;
+        }
+        print!("{}", String::from_utf8_lossy(&chunk).replace("\n\n", "\n"));
+    }
+    Ok(Arc::from(request.unwrap_or_default()))
+}
--- /dev/null
+++ b/toucanrail-daemons/src/inspecting.rs
@@ -0,0 +1,251 @@
+//! Commands that show and change budgets, and show bills, states and requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use toucanrail::budgets::{BillBatch, BillRow, BudgetShard};
+use toucanrail::ids::{CustomerId, RequestId, ShardName};
+use toucanrail::messages::EngineOrder;
+use toucanrail::paths;
+use toucanrail::servers::{NodeEntry, NodeRole};
+use toucanrail::storecalls;
+use toucanrail::traces::TraceStep;
+use toucanrail_wire::clients::OutboundCall;
+use toucanrail_wire::stores::ObjectStore;
+
+use crate::editing;
+use crate::fleets::{FleetClient, routes};
+use crate::operators::{OperatorError, OperatorTools};
+
+const CALL_BOUND: Duration = Duration::from_secs(2);
+
+type Outcome<Value> = Result<Value, OperatorError>;
+
+fn unavailable() -> OperatorError {
+    OperatorError::Unavailable("the object API".to_owned())
+}
+
+/// Returns the registrations of all processes.
+pub async fn list_nodes(tools: &OperatorTools) -> Outcome<Vec<NodeEntry>> {
+    let listed = tools
+        .store
+        .list(paths::NODES, 0)
+        .await
+        .ok_or_else(unavailable)?;
+    let objects = listed.objects.iter();
+    Ok(objects
+        .filter_map(|object| storecalls::decode_value(&object.value))
+        .collect())
+}
+
+async fn list_shards(tools: &OperatorTools) -> Outcome<Vec<(ShardName, BudgetShard)>> {
+    let listed = tools
+        .store
+        .list(paths::BUDGETS, 0)
+        .await
+        .ok_or_else(unavailable)?;
+    let rows = listed.objects.into_iter().filter_map(|object| {
+        storecalls::decode_value(&object.value).map(|shard| (object.name, shard))
+    });
+    Ok(rows.collect())
+}
+
+/// Changes a budget if asked to, then shows it, or all.
+pub async fn budgets(tools: &OperatorTools, customer: Option<&str>) -> Outcome<String> {
+    if tools.top_up > 0 || tools.lower > 0 || tools.release > 0 {
+        let Some(customer) = customer else {
+            return Err(OperatorError::Usage(
+                "name the customer to change".to_owned(),
+            ));
+        };
+        change_budget(tools, customer).await?;
+    }
+    let shards = list_shards(tools).await?;
+    let accounts = shards.iter().flat_map(|(_, shard)| &shard.accounts);
+    let shown: Vec<_> = accounts
+        .filter(|(name, _)| customer.is_none_or(|wanted| wanted == &***name))
+        .collect();
+    if let (Some(customer), true) = (customer, shown.is_empty()) {
+        return Err(OperatorError::Missing(format!("budget of {customer}")));
+    }
+    if tools.json {
+        let rows: std::collections::BTreeMap<_, _> = shown.into_iter().collect();
+        return Ok(format!("{}\n", serde_json::json!(rows)));
+    }
+    let mut text = format!(
+        "{:<20}{:>12}{:>12}{:>12}{:>12}{:>12}{:>12}\n",
+        "customer", "prepaid", "billed", "written off", "granted", "frozen", "free"
+    );
+    for (name, account) in shown {
+        let granted: u64 = account.grants.values().sum();
+        let frozen: u64 = account.frozen.values().sum();
+        let (billed, off) = (account.billed, account.written_off);
+        let (prepaid, free) = (account.prepaid, account.unallocated());
+        text += &format!(
+            "{name:<20}{prepaid:>12}{billed:>12}{off:>12}{granted:>12}{frozen:>12}{free:>12}\n"
+        );
+        for (epoch, tokens) in &account.frozen {
+            text += &format!("  epoch {epoch}: {tokens} frozen; --release {epoch} frees them\n");
+        }
+    }
+    Ok(text)
+}
+
+async fn change_budget(tools: &OperatorTools, customer: &str) -> Outcome<()> {
+    let name: CustomerId = Arc::from(customer);
+    editing::edit_shard(tools, customer, |shard| {
+        let account = shard.accounts.get_mut(&name);
+        let account = account.ok_or(toucanrail::budgets::BudgetError::NoAccount)?;
+        if tools.top_up > 0 {
+            account.top_up(tools.top_up)?;
+        }
+        if tools.lower > 0 {
+            account.lower(tools.lower)?;
+        }
+        if tools.release > 0 {
+            account.release_frozen(tools.release)?;
+        }
+        Ok(true)
+    })
+    .await
+}
+
+/// Returns the bills that count: those that their holder applied, and those of reclaims.
+async fn list_bills(tools: &OperatorTools) -> Outcome<Vec<BillRow>> {
+    let shards: std::collections::BTreeMap<_, _> = list_shards(tools).await?.into_iter().collect();
+    let listed = tools
+        .store
+        .list(paths::BILLS, 0)
+        .await
+        .ok_or_else(unavailable)?;
+    let mut rows = Vec::new();
+    for object in listed.objects {
+        let Some(batch) = storecalls::decode_value::<BillBatch>(&object.value) else {
+            continue;
+        };
+        let Some(shard) = shards.get(&batch.shard) else {
+            continue;
+        };
+        if is_counted(shard, &batch, &object.name) {
+            rows.extend(batch.rows);
+        }
+    }
+    Ok(rows)
+}
+
+/// A batch counts if the shard says so: its sequence was applied, or it is the reclaim's.
+fn is_counted(shard: &BudgetShard, batch: &BillBatch, name: &str) -> bool {
+    if let Some(closed) = shard.closed.get(&batch.epoch) {
+        let reclaim = paths::reclaim_path(&batch.shard, batch.epoch, &closed.by);
+        return reclaim.ends_with(name) || batch.sequence <= closed.settled;
+    }
+    let holder = shard.holders.values().find(|row| row.epoch == batch.epoch);
+    holder.is_none_or(|row| batch.sequence <= row.settled)
+}
+
+/// Shows the last bills.
+pub async fn bills(tools: &OperatorTools, customer: Option<&str>) -> Outcome<String> {
+    let mut rows = list_bills(tools).await?;
+    rows.retain(|row| customer.is_none_or(|wanted| *row.customer == *wanted));
+    let shown = &rows[rows.len().saturating_sub(tools.last)..];
+    if tools.json {
+        return Ok(format!("{}\n", serde_json::json!(shown)));
+    }
+    let mut text = format!(
+        "{:<34}{:<16}{:<16}{:>10}{:>12}{:>6}\n",
+        "request", "customer", "service", "billed", "written off", "runs"
+    );
+    for row in shown {
+        let (request, customer, service) = (&row.request, &row.customer, &row.service);
+        let (billed, off, runs) = (row.billed, row.written_off, row.runs.len());
+        text +=
+            &format!("{request:<34}{customer:<16}{service:<16}{billed:>10}{off:>12}{runs:>6}\n");
+    }
+    Ok(text + &format!("{} of {} bills\n", shown.len(), rows.len()))
+}
+
+async fn fetch_json(tools: &OperatorTools, address: SocketAddr, path: &str) -> Option<Value> {
+    let answer = tools
+        .pool
+        .fetch(address, OutboundCall::get(path), CALL_BOUND)
+        .await
+        .ok()?;
+    serde_json::from_slice(&answer.body)
+        .ok()
+        .filter(|_| answer.status == 200)
+}
+
+fn read_address(text: &str) -> Outcome<SocketAddr> {
+    text.parse()
+        .map_err(|_| OperatorError::Usage(format!("'{text}' is no address")))
+}
+
+/// Dumps a process's state.
+pub async fn state(tools: &OperatorTools, address: &str) -> Outcome<String> {
+    let found = fetch_json(tools, read_address(address)?, "/state").await;
+    let dump = found.ok_or_else(|| OperatorError::Unavailable(address.to_owned()))?;
+    Ok(format!("{dump:#}\n"))
+}
+
+/// Tells what happened to a request: the steps that entries saw, and its bill.
+pub async fn explain(tools: &OperatorTools, request: &str) -> Outcome<String> {
+    let mut text = String::new();
+    let nodes = list_nodes(tools).await?;
+    for node in nodes.iter().filter(|node| node.role == NodeRole::Entry) {
+        let path = format!("/state/requests/{request}");
+        let Some(found) = fetch_json(tools, node.address, &path).await else {
+            continue;
+        };
+        let steps: Vec<TraceStep> = serde_json::from_value(found).unwrap_or_default();
+        for step in steps {
+            let millis = step.after.as_secs_f64() * 1000.0;
+            text += &format!("{:<24}{millis:>10.2} ms  {}\n", node.id, step.event);
+        }
+    }
+    let request: RequestId = Arc::from(request);
+    for row in list_bills(tools)
+        .await?
+        .into_iter()
+        .filter(|row| row.request == request)
+    {
+        let (billed, off, epoch) = (row.billed, row.written_off, row.epoch);
+        let customer = &row.customer;
+        text += &format!("billed {billed} to {customer} in tenure {epoch}; {off} written off\n");
+        for note in row.runs {
+            text += &format!("  run {} at {} used {}\n", note.run, note.agent, note.used);
+        }
+    }
+    if text.is_empty() {
+        Err(OperatorError::Missing(format!("request {request}")))
+    } else {
+        Ok(text)
+    }
+}
+
+/// Orders a model engine through its agent.
+pub async fn order(
+    tools: &OperatorTools,
+    address: &str,
+    action: &str,
+    subject: &str,
+) -> Outcome<String> {
+    let client = FleetClient::new(&tools.fleet_key);
+    let (action, subject) = (Arc::from(action), Arc::from(subject));
+    let order = EngineOrder {
+        fence: tools.fence,
+        action,
+        subject,
+    };
+    let address = read_address(address)?;
+    let done: std::io::Result<bool> = client
+        .send(address, routes::ORDER, &order, CALL_BOUND)
+        .await;
+    match done {
+        Ok(_) => Ok("done\n".to_owned()),
+        Err(error) => Err(OperatorError::Conflict(format!(
+            "the order was refused: {error}"
+        ))),
+    }
+}
--- /dev/null
+++ b/toucanrail-daemons/src/observing.rs
@@ -0,0 +1,92 @@
+//! Metrics of a daemon.
+
+use http_types::Response;
+use prometheus::TextEncoder;
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use toucanrail::codes::ResultCode;
+use toucanrail_wire::replies;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 11] = [
+    0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
+];
+
+/// The metrics of one daemon.
+#[derive(Debug, Clone)]
+pub struct MetricBoard {
+    registry: Registry,
+    results: IntCounterVec,
+    events: IntCounterVec,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Time to the first byte of an answer.
+    pub first_byte: Histogram,
+    /// Version of the catalogue in force.
+    pub in_force: IntGauge,
+}
+
+impl MetricBoard {
+    /// Makes the board of a daemon; `prefix` is the daemon's role.
+    ///
+    /// # Errors
+    /// Only if `prefix` is no metric name.
+    pub fn new(prefix: &str) -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let name = |end: &str| format!("toucanrail_{prefix}_{end}");
+        let results = Opts::new(name("results_total"), "Requests by result code.");
+        let results = IntCounterVec::new(results, &["code"])?;
+        let events = Opts::new(name("events_total"), "Events by kind.");
+        let events = IntCounterVec::new(events, &["kind"])?;
+        let in_flight = IntGauge::new(name("in_flight"), "Requests in flight.")?;
+        let bounds = HistogramOpts::new(name("first_byte_seconds"), "Time to the first byte.")
+            .buckets(LATENCY_BOUNDS.to_vec());
+        let first_byte = Histogram::with_opts(bounds)?;
+        let in_force = IntGauge::new(name("catalogue_version"), "Catalogue version in force.")?;
+        registry.register(Box::new(results.clone()))?;
+        registry.register(Box::new(events.clone()))?;
+        registry.register(Box::new(in_flight.clone()))?;
+        registry.register(Box::new(first_byte.clone()))?;
+        registry.register(Box::new(in_force.clone()))?;
+        Ok(Self {
+            registry,
+            results,
+            events,
+            in_flight,
+            first_byte,
+            in_force,
+        })
+    }
+
+    /// Counts a request's result.
+    pub fn count_result(&self, code: ResultCode) {
+        self.results.with_label_values(&[code.row().name]).inc();
+    }
+
+    /// Counts an event.
+    pub fn count_event(&self, kind: &str) {
+        self.events.with_label_values(&[kind]).inc();
+    }
+
+    /// Adds to an event's count.
+    pub fn add_events(&self, kind: &str, count: u64) {
+        self.events.with_label_values(&[kind]).inc_by(count);
+    }
+
+    /// Returns how often an event was counted.
+    pub fn event_count(&self, kind: &str) -> u64 {
+        self.events.with_label_values(&[kind]).get()
+    }
+
+    /// Answers `/metrics`.
+    pub fn answer(&self) -> Response {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => {
+                let mut response = replies::bytes(200, text);
+                response.insert_header("content-type", "text/plain; version=0.0.4");
+                response
+            }
+            Err(error) => replies::text(500, error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/toucanrail-daemons/src/reclaiming.rs
@@ -0,0 +1,165 @@
+//! Brings back what dead entries held.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::ids::{AgentId, EntryId, RunId, ShardName};
+use toucanrail::members;
+use toucanrail::messages::{AckOrder, AgentReply, FenceOrder, FenceReply};
+use toucanrail::reclaims::{ReclaimCall, ReclaimMachine, ReclaimOutcome, ReclaimReply};
+use toucanrail::servers::{self, NodeEntry};
+use toucanrail::storecalls;
+use toucanrail_wire::stores::ObjectStore;
+
+use crate::agents;
+use crate::entries::Entry;
+use crate::fleets::routes;
+
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+const FENCE_BOUND: Duration = Duration::from_millis(800);
+/// Head start of each entry over the next in rank, so that one does the work.
+const RANK_DELAY: Duration = Duration::from_secs(2);
+
+/// Looks for lost peers and reclaims their tenures, again and again.
+pub async fn watch_lost(entry: Arc<Entry>) {
+    let mut lost_since: BTreeMap<EntryId, Duration> = BTreeMap::new();
+    loop {
+        smol::Timer::after(LOOK_INTERVAL).await;
+        let now = entry.now();
+        let lost = entry.lock().members.lost_peers(now);
+        lost_since.retain(|peer, _| lost.contains(peer));
+        for peer in lost {
+            let since = *lost_since.entry(Arc::clone(&peer)).or_insert(now);
+            if now.saturating_sub(since) >= head_start(&entry, &peer) && may_reclaim(&entry, &peer)
+            {
+                reclaim_all(&entry, &peer).await;
+            }
+        }
+    }
+}
+
+/// Ranks the live entries for a dead one; the first begins at once.
+fn head_start(entry: &Entry, dead: &EntryId) -> Duration {
+    let tables = entry.lock();
+    let lost = tables.members.lost_peers(entry.now());
+    let peers = tables.members.peers().map(|peer| Arc::clone(&peer.node.id));
+    let live: Vec<EntryId> = peers
+        .filter(|peer| !lost.contains(peer))
+        .chain([Arc::clone(&entry.id)])
+        .collect();
+    let ring = members::pick_heartbeats(dead, &live);
+    let rank = ring
+        .iter()
+        .position(|peer| *peer == entry.id)
+        .unwrap_or(ring.len());
+    RANK_DELAY * rank as u32
+}
+
+/// A peer that is only silent may be on the other side of a cut. It is left alone unless this
+/// entry reaches every agent: revoking it could not return its money before all have fenced it.
+fn may_reclaim(entry: &Entry, dead: &EntryId) -> bool {
+    let tables = entry.lock();
+    let now = entry.now();
+    let gone = tables
+        .members
+        .peers()
+        .any(|peer| peer.node.id == *dead && peer.gone);
+    gone || tables.servers.rows().all(|row| {
+        let silent = row
+            .heard_at
+            .is_none_or(|at| now.saturating_sub(at) > servers::SILENCE_LIMIT);
+        !silent || tables.members.is_gone_vm(&row.vm)
+    })
+}
+
+async fn reclaim_all(entry: &Arc<Entry>, dead: &EntryId) {
+    let shards: BTreeSet<ShardName> = entry.lock().grants.shards().into_iter().collect();
+    let mut finished = true;
+    for shard in shards {
+        match reclaim(entry, &shard, dead).await {
+            ReclaimOutcome::Closed {
+                proved,
+                bills,
+                runs,
+            } => {
+                entry.board.count_event("tenures_reclaimed");
+                tracing::info!(%dead, %shard, proved, bills, "tenure reclaimed");
+                drop_runs(entry, runs).await;
+            }
+            ReclaimOutcome::Nothing => {}
+            ReclaimOutcome::Waiting | ReclaimOutcome::Unavailable => finished = false,
+        }
+    }
+    if finished {
+        agents::write_node(&entry.store, dead, Vec::new()).await;
+    }
+}
+
+async fn reclaim(entry: &Arc<Entry>, shard: &ShardName, dead: &EntryId) -> ReclaimOutcome {
+    let (shard, dead) = (Arc::clone(shard), Arc::clone(dead));
+    let mut machine = ReclaimMachine::new(shard, dead, Arc::clone(&entry.id), true);
+    while let Some(call) = machine.next_call() {
+        let reply = match call {
+            ReclaimCall::Store(call) => ReclaimReply::Store(entry.store.call(&call).await),
+            ReclaimCall::Fence {
+                agent,
+                shard,
+                epoch,
+            } => fence(entry, &agent, FenceOrder { shard, epoch }).await,
+        };
+        machine.take_reply(reply);
+    }
+    machine.into_outcome()
+}
+
+async fn fence(entry: &Arc<Entry>, agent: &AgentId, order: FenceOrder) -> ReclaimReply {
+    if is_gone(entry, agent) {
+        return ReclaimReply::Gone;
+    }
+    let Some(address) = find_agent(entry, agent) else {
+        return ReclaimReply::Unreachable;
+    };
+    let reply: std::io::Result<FenceReply> = entry
+        .client
+        .send(address, routes::FENCE, &order, FENCE_BOUND)
+        .await;
+    reply.map_or(ReclaimReply::Unreachable, ReclaimReply::Fenced)
+}
+
+/// Returns where a registered agent is reached.
+pub fn find_agent(entry: &Entry, agent: &AgentId) -> Option<SocketAddr> {
+    let state = entry.mirrors.lock();
+    let node: NodeEntry = storecalls::decode_value(state.nodes.get(agent)?)?;
+    Some(node.address)
+}
+
+/// Tells whether an incarnation of an agent is provably gone: its registration was ended, or its
+/// VM left the list. One that was never seen may only be new.
+pub fn is_gone(entry: &Entry, agent: &AgentId) -> bool {
+    let node: Option<NodeEntry> = {
+        let state = entry.mirrors.lock();
+        if state.nodes.version(agent).is_none() {
+            return false;
+        }
+        state.nodes.get(agent).and_then(storecalls::decode_value)
+    };
+    node.is_none_or(|node| entry.lock().members.is_gone_vm(&node.vm))
+}
+
+async fn drop_runs(entry: &Arc<Entry>, runs: BTreeMap<AgentId, Vec<RunId>>) {
+    for (agent, runs) in runs.into_iter().filter(|(_, runs)| !runs.is_empty()) {
+        let Some(address) = find_agent(entry, &agent) else {
+            continue;
+        };
+        let order = AckOrder { runs };
+        let reply: std::io::Result<AgentReply> = entry
+            .client
+            .send(address, routes::ACK, &order, FENCE_BOUND)
+            .await;
+        if reply.is_err() {
+            entry.board.count_event("acks_lost");
+        }
+    }
+}
--- /dev/null
+++ b/toucanrail-daemons/src/recording.rs
@@ -0,0 +1,103 @@
+//! The entry's side of the records of runs that may not be repeated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::ids::{AgentId, Version};
+use toucanrail::messages::{AgentReply, AskMode, AskOrder};
+use toucanrail::paths;
+use toucanrail::records::RunRecord;
+use toucanrail::records::{RecordCall, RecordMachine, RecordOutcome, RecordReply, RecordState};
+use toucanrail::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
+use toucanrail_wire::stores::ObjectStore;
+
+use crate::callers::CallPlan;
+use crate::entries::Entry;
+use crate::fleets::routes;
+use crate::reclaiming;
+
+const ASK_BOUND: Duration = Duration::from_secs(1);
+const WRITE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Opens the record of a request for a try at `agent`, or finds what became of an earlier one.
+pub async fn open_record(entry: &Arc<Entry>, plan: &CallPlan, agent: &AgentId) -> RecordOutcome {
+    let mut machine = RecordMachine::new(RunRecord {
+        request: Arc::clone(&plan.request),
+        customer: Arc::clone(&plan.customer.name),
+        digest: Arc::clone(&plan.digest),
+        writer: Arc::clone(&entry.id),
+        nonce: fastrand::u64(..),
+        attempt: 1,
+        agent: Arc::clone(agent),
+        state: RecordState::Started,
+    });
+    while let Some(call) = machine.next_call() {
+        let reply = match call {
+            RecordCall::Store(call) => RecordReply::Store(entry.store.call(&call).await),
+            RecordCall::Ask { agent, run, mode } => {
+                ask(entry, &agent, AskOrder { run, mode }).await
+            }
+        };
+        machine.take_reply(reply);
+    }
+    machine.into_outcome()
+}
+
+async fn ask(entry: &Arc<Entry>, agent: &AgentId, order: AskOrder) -> RecordReply {
+    if reclaiming::is_gone(entry, agent) {
+        return RecordReply::Gone;
+    }
+    let Some(address) = reclaiming::find_agent(entry, agent) else {
+        return RecordReply::Unreachable;
+    };
+    debug_assert_ne!(order.mode, AskMode::Cancel);
+    let reply: std::io::Result<AgentReply> = entry
+        .client
+        .send(address, routes::ASK, &order, ASK_BOUND)
+        .await;
+    match reply {
+        Ok(reply) if reply.agent != *agent => RecordReply::Gone,
+        Ok(AgentReply {
+            fate: Some(fate), ..
+        }) => RecordReply::Fate(fate),
+        _ => RecordReply::Unreachable,
+    }
+}
+
+/// Writes how a recorded try ended; false if the platform did not take it.
+pub async fn close_record(
+    entry: &Arc<Entry>,
+    record: &RunRecord,
+    version: Version,
+    state: RecordState,
+) -> bool {
+    let closed = RunRecord {
+        state,
+        ..record.clone()
+    };
+    let put = StoreCall::Put {
+        path: paths::record_path(&record.request),
+        expect: WriteExpectation::At(version),
+        value: storecalls::encode_value(&closed),
+    };
+    // After a conflict another entry has found out and written how it ended.
+    matches!(
+        entry.store.call(&put).await,
+        StoreReply::Written { .. } | StoreReply::Conflict
+    )
+}
+
+/// Writes how a recorded try ended until the platform takes it.
+///
+/// The run stays in its agent's ledger meanwhile, so that a retry learns its end from there.
+pub async fn close_surely(
+    entry: &Arc<Entry>,
+    record: &RunRecord,
+    version: Version,
+    state: RecordState,
+) {
+    while !close_record(entry, record, version, state.clone()).await {
+        entry.board.count_event("records_delayed");
+        smol::Timer::after(WRITE_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/toucanrail-daemons/src/serving.rs
@@ -0,0 +1,810 @@
+//! Serves one caller's request: admits it, runs it, streams its answer and bills it once.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_types::Response;
+use toucanrail::budgets::{BillRow, RunNote};
+use toucanrail::codes::{ResultCode, RunState};
+use toucanrail::codetable;
+use toucanrail::grants::GrantHold;
+use toucanrail::ids::{AgentId, RunId, Tokens, Version};
+use toucanrail::limits::ServiceLoad;
+use toucanrail::messages::{HeaderField, KeptAnswer, RunOrder};
+use toucanrail::records::{self, RecordOutcome, RecordState, RunRecord};
+use toucanrail::retries;
+use toucanrail::routing::{self, RouteQuery};
+use toucanrail::traces::TraceStep;
+use toucanrail_wire::listeners::ReceivedCall;
+use toucanrail_wire::pipes::{self, PipeWriter};
+use toucanrail_wire::replies::{self, RefusalNote};
+
+use crate::attempts::{self, AnswerSink, AttemptEnd, AttemptTarget};
+use crate::callers::{self, CallPlan};
+use crate::entries::Entry;
+use crate::recording;
+use crate::settling;
+
+/// Tries of one request, the first included.
+const TRY_LIMIT: u32 = 4;
+/// When to come back after a refusal that nothing better is known for.
+const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+/// Bytes of an answer that does not stream which are held back until it is whole, so that a cut
+/// one can be tried again unseen.
+const HELD_BYTES: usize = 1024 * 1024;
+/// Largest answer kept in the record of a request that may not be repeated.
+const RECORD_BYTES: usize = 512 * 1024;
+/// Largest answer kept for a retry of a keyed request.
+const KEPT_BYTES: usize = 256 * 1024;
+
+/// Serves one call.
+pub async fn serve(entry: Arc<Entry>, call: ReceivedCall) -> Response {
+    let plan = callers::read_plan(&entry.mirrors.lock().catalogue, &call);
+    let plan = match plan {
+        Ok(plan) => plan,
+        Err(note) => return entry.refuse(&note),
+    };
+    let (reply, replied) = async_channel::bounded(1);
+    let request = Arc::clone(&plan.request);
+    // On its own: what was begun is settled even if the caller goes away.
+    smol::spawn(RequestTask::new(Arc::clone(&entry), plan, reply).run()).detach();
+    let mut response = match replied.recv().await {
+        Ok(response) => response,
+        Err(_) => entry.refuse(&RefusalNote::new(codetable::BACKEND_FAILED)),
+    };
+    response.insert_header(replies::REQUEST_HEADER, &*request);
+    response
+}
+
+/// The caller's side of a request: its answer, sent once its head is due.
+#[derive(Debug)]
+struct CallerSide {
+    reply: async_channel::Sender<Response>,
+    writer: Option<PipeWriter>,
+    streamed: bool,
+    head: Option<(u16, Vec<HeaderField>)>,
+    held: Vec<u8>,
+    kept: Option<Vec<u8>>,
+    tokens: Tokens,
+    passed: bool,
+}
+
+impl CallerSide {
+    /// Tells whether the caller has part of the answer.
+    fn is_begun(&self) -> bool {
+        self.writer.is_some()
+    }
+
+    async fn begin(&mut self) {
+        let (status, fields) = self.head.clone().unwrap_or((200, Vec::new()));
+        let (writer, body) = pipes::make_pipe();
+        let mut response = replies::stream(status, body);
+        dress(&mut response, &fields);
+        self.writer = Some(writer);
+        self.reply.send(response).await.ok();
+    }
+
+    fn keep(&mut self, bytes: &[u8]) {
+        if let Some(kept) = &mut self.kept {
+            kept.extend_from_slice(bytes);
+        }
+        if self
+            .kept
+            .as_ref()
+            .is_some_and(|kept| kept.len() > KEPT_BYTES)
+        {
+            self.kept = None;
+        }
+    }
+
+    /// Ends a whole answer.
+    async fn finish(&mut self) {
+        if self.writer.is_none() && self.held.len() <= HELD_BYTES {
+            let (status, fields) = self.head.clone().unwrap_or((200, Vec::new()));
+            let mut response = replies::bytes(status, std::mem::take(&mut self.held));
+            dress(&mut response, &fields);
+            self.reply.send(response).await.ok();
+            return;
+        }
+        if let Some(writer) = self.writer.take() {
+            writer.finish().await;
+        }
+    }
+
+    /// Forgets what a failed try brought, none of which the caller has.
+    fn reset(&mut self) {
+        self.head = None;
+        self.held.clear();
+        self.tokens = 0;
+        self.kept = self.kept.take().map(|_| Vec::new());
+    }
+}
+
+fn dress(response: &mut Response, fields: &[HeaderField]) {
+    for field in fields {
+        response.insert_header(&*field.name, &*field.value);
+    }
+    response.insert_header(replies::RESULT_HEADER, codetable::OK.number().to_string());
+    response.insert_header(replies::RUN_HEADER, RunState::Ran.as_str());
+}
+
+impl AnswerSink for CallerSide {
+    fn take_head(&mut self, status: u16, fields: Vec<HeaderField>) {
+        if !self.is_begun() {
+            self.streamed &= status == 200;
+            self.head = Some((status, fields));
+        }
+    }
+
+    async fn take_body(&mut self, bytes: Vec<u8>, tokens: Tokens) -> bool {
+        self.tokens = tokens;
+        self.passed = true;
+        self.keep(&bytes);
+        if !self.streamed && self.writer.is_none() {
+            self.held.extend_from_slice(&bytes);
+            if self.held.len() <= HELD_BYTES {
+                return true;
+            }
+            self.begin().await;
+            let held = std::mem::take(&mut self.held);
+            return self.pass(held).await;
+        }
+        if self.writer.is_none() {
+            self.begin().await;
+        }
+        self.pass(bytes).await
+    }
+
+    async fn wait_gone(&self) {
+        if let Some(writer) = &self.writer {
+            writer.wait_closed().await;
+        } else {
+            let reply = self.reply.clone();
+            reply.closed().await;
+        }
+    }
+}
+
+impl CallerSide {
+    async fn pass(&self, bytes: Vec<u8>) -> bool {
+        match &self.writer {
+            Some(writer) => writer.send(bytes).await,
+            None => false,
+        }
+    }
+}
+
+/// What a request has used so far.
+#[derive(Debug, Default)]
+struct UsageSum {
+    billed: Tokens,
+    written_off: Tokens,
+    unproved: Tokens,
+    runs: Vec<RunNote>,
+}
+
+/// One request under way.
+#[derive(Debug)]
+struct RequestTask {
+    entry: Arc<Entry>,
+    plan: CallPlan,
+    caller: CallerSide,
+    arrived: Instant,
+    steps: Vec<TraceStep>,
+    hold: Option<GrantHold>,
+    sum: UsageSum,
+    tried: BTreeSet<AgentId>,
+    attempt: u32,
+    record: Option<(RunRecord, Version)>,
+    _guard: Arc<()>,
+}
+
+/// How a request ends.
+#[derive(Debug)]
+enum RequestEnd {
+    Whole,
+    Refused(RefusalNote),
+    Replayed(KeptAnswer),
+    CallerGone,
+}
+
+impl RequestTask {
+    fn new(entry: Arc<Entry>, plan: CallPlan, reply: async_channel::Sender<Response>) -> Self {
+        let guard = entry.begin_request();
+        let caller = CallerSide {
+            reply,
+            writer: None,
+            streamed: plan.streamed,
+            head: None,
+            held: Vec::new(),
+            kept: plan.keyed.then(Vec::new),
+            tokens: 0,
+            passed: false,
+        };
+        Self {
+            entry,
+            plan,
+            caller,
+            arrived: Instant::now(),
+            steps: Vec::new(),
+            hold: None,
+            sum: UsageSum::default(),
+            tried: BTreeSet::new(),
+            attempt: 0,
+            record: None,
+            _guard: guard,
+        }
+    }
+
+    async fn run(mut self) {
+        self.note(format!("arrived at {}", self.entry.id));
+        let end = match self.begin_keyed() {
+            Ok(None) => self.run_begun().await,
+            Ok(Some(answer)) => RequestEnd::Replayed(answer),
+            Err(code) => RequestEnd::Refused(self.refusal(code)),
+        };
+        self.reply_end(end).await;
+        let steps = std::mem::take(&mut self.steps);
+        self.entry.lock().traces.keep(&self.plan.request, steps);
+    }
+
+    fn note(&mut self, event: String) {
+        let after = self.arrived.elapsed();
+        self.steps.push(TraceStep {
+            after,
+            event: Arc::from(event),
+        });
+    }
+
+    fn refusal(&self, code: ResultCode) -> RefusalNote {
+        let note = RefusalNote::new(code);
+        let later = [
+            codetable::IN_FLIGHT,
+            codetable::BUDGET_UNCONFIRMED,
+            codetable::NO_BACKEND_SERVER,
+            codetable::STORE_UNAVAILABLE,
+            codetable::STOPPING,
+        ];
+        let ran = !self.sum.runs.is_empty();
+        let note = note.run(attempts::run_state(code, ran));
+        if later.contains(&code) {
+            note.retry_after(DEFAULT_RETRY)
+        } else {
+            note
+        }
+    }
+
+    /// A keyed request that may be repeated is remembered here; one that may not, in its record.
+    fn begin_keyed(&mut self) -> Result<Option<KeptAnswer>, ResultCode> {
+        if !self.plan.keyed || !self.plan.repeatable {
+            return Ok(None);
+        }
+        self.entry
+            .lock()
+            .replays
+            .begin(&self.plan.request, &self.plan.digest)
+    }
+
+    async fn run_begun(&mut self) -> RequestEnd {
+        let end = match self.admit().await {
+            Ok(()) => {
+                let end = self.run_admitted().await;
+                let mut tables = self.entry.lock();
+                tables
+                    .limits
+                    .release(&self.plan.service.name, &self.plan.customer.name);
+                end
+            }
+            Err(note) => RequestEnd::Refused(*note),
+        };
+        self.end_keyed(&end);
+        end
+    }
+
+    fn end_keyed(&mut self, end: &RequestEnd) {
+        if !self.plan.keyed || !self.plan.repeatable {
+            return;
+        }
+        let whole = matches!(end, RequestEnd::Whole);
+        let body = self.caller.kept.take().filter(|_| whole);
+        let answer = body.zip(self.caller.head.clone());
+        let answer = answer.map(|(body, (status, fields))| KeptAnswer {
+            status,
+            fields,
+            body,
+        });
+        self.entry.lock().replays.end(&self.plan.request, answer);
+    }
+
+    async fn admit(&mut self) -> Result<(), Box<RefusalNote>> {
+        let service = Arc::clone(&self.plan.service.name);
+        let customer = self.plan.customer.clone();
+        let admitted = {
+            let now = self.entry.now();
+            let mut tables = self.entry.lock();
+            let (slots, load) = tables.servers.capacity(&service, now);
+            let entries = tables.members.peers().count() as u64 + 1;
+            let known = ServiceLoad {
+                slots,
+                load,
+                entries,
+            };
+            if slots == 0 {
+                return Err(Box::new(self.refusal(codetable::NO_BACKEND_SERVER)));
+            }
+            tables.retries.note_fresh();
+            let (class, weight) = (customer.class, customer.weight);
+            tables
+                .limits
+                .admit(&service, &customer.name, class, weight, known)
+        };
+        admitted.map_err(|refusal| {
+            let note = RefusalNote::new(refusal.code).retry_after(refusal.retry_after);
+            Box::new(note)
+        })?;
+        match self.take_hold(self.plan.hold).await {
+            Ok(hold) => {
+                self.note(format!("holds {} in tenure {}", hold.amount, hold.epoch));
+                self.hold = Some(hold);
+                Ok(())
+            }
+            Err(code) => {
+                self.entry.lock().limits.release(&service, &customer.name);
+                Err(Box::new(self.refusal(code)))
+            }
+        }
+    }
+
+    async fn take_hold(&self, amount: Tokens) -> Result<GrantHold, ResultCode> {
+        settling::take_hold(&self.entry, &self.plan.customer.name, amount).await
+    }
+
+    async fn run_admitted(&mut self) -> RequestEnd {
+        let end = self.run_tries().await;
+        self.settle();
+        end
+    }
+
+    async fn run_tries(&mut self) -> RequestEnd {
+        let mut last = codetable::NO_BACKEND_SERVER;
+        let mut wait = DEFAULT_RETRY;
+        while self.attempt < TRY_LIMIT {
+            if self.time_left().is_zero() {
+                last = codetable::DEADLINE_PASSED;
+                break;
+            }
+            let Some(target) = self.pick_server() else {
+                break;
+            };
+            self.attempt += 1;
+            let run = match self.open_record(&target).await {
+                Ok(run) => run,
+                Err(end) => return end,
+            };
+            let end = self.try_server(&target, run).await;
+            match end {
+                AttemptEnd::Whole { .. } => {
+                    self.caller.finish().await;
+                    return RequestEnd::Whole;
+                }
+                AttemptEnd::NotRun { code, retry_after } => {
+                    last = code;
+                    wait = retry_after;
+                }
+                AttemptEnd::Lost {
+                    answer: Some(answer),
+                    ..
+                } if !self.plan.repeatable => {
+                    return RequestEnd::Replayed(answer);
+                }
+                AttemptEnd::Lost { code, .. } | AttemptEnd::Open { code } => {
+                    if code == codetable::CANCELLED {
+                        return RequestEnd::CallerGone;
+                    }
+                    last = code;
+                    if !self.may_retry().await {
+                        break;
+                    }
+                }
+            }
+        }
+        let note = self.refusal(last);
+        let later = note.run == RunState::NotRun;
+        RequestEnd::Refused(if later { note.retry_after(wait) } else { note })
+    }
+
+    fn time_left(&self) -> Duration {
+        self.plan.deadline.saturating_sub(self.arrived.elapsed())
+    }
+
+    /// Tells whether a request whose try was lost may go again: it is repeatable, the caller has
+    /// nothing that could not be continued, and the retry budget and its own hold allow it.
+    async fn may_retry(&mut self) -> bool {
+        let resumable = self.plan.service.resumes && self.plan.streamed;
+        if !self.plan.repeatable || (self.caller.is_begun() && !resumable) {
+            return false;
+        }
+        if !self.entry.lock().retries.try_spend() {
+            self.entry.board.count_event("retries_refused");
+            return false;
+        }
+        if !self.caller.is_begun() {
+            self.caller.reset();
+        }
+        let pause = retries::backoff(self.attempt, fastrand::f64());
+        smol::Timer::after(pause.min(self.time_left())).await;
+        if self.hold.is_none() {
+            self.hold = self.take_hold(self.plan.hold).await.ok();
+        }
+        self.entry.board.count_event("retries");
+        self.hold.is_some()
+    }
+
+    fn pick_server(&mut self) -> Option<AttemptTarget> {
+        let now = self.entry.now();
+        let query = RouteQuery {
+            prefix: self.plan.prefix,
+            dice: [fastrand::f64(), fastrand::f64()],
+            now,
+        };
+        let mut tables = self.entry.lock();
+        tables.servers.turn = tables.servers.turn.wrapping_add(1);
+        let usable = tables.grants.usable_agents(&self.plan.customer.name)?;
+        let service = &self.plan.service.name;
+        let eligible = tables
+            .servers
+            .eligible(service, usable, &self.tried, now, fastrand::f64());
+        let policy = self.entry.settings.routing;
+        let row = routing::pick_server(policy, &tables.servers, &eligible, &query)?;
+        Some(AttemptTarget {
+            agent: Arc::clone(&row.agent),
+            address: row.address,
+        })
+    }
+
+    /// Names the try: of a request that may not be repeated, as its record allows.
+    async fn open_record(&mut self, target: &AttemptTarget) -> Result<RunId, RequestEnd> {
+        if self.plan.repeatable {
+            // A keyed request may be under way at another entry too: the tries must differ.
+            let nonce = fastrand::u32(..);
+            return Ok(Arc::from(format!(
+                "{}.{}-{nonce:08x}",
+                self.plan.request, self.attempt
+            )));
+        }
+        match recording::open_record(&self.entry, &self.plan, &target.agent).await {
+            RecordOutcome::Run { record, version } => {
+                self.note(format!(
+                    "recorded as try {} at {}",
+                    record.attempt, record.agent
+                ));
+                let run = record.run();
+                self.record = Some((record, version));
+                Ok(run)
+            }
+            RecordOutcome::Replay(answer) => Err(RequestEnd::Replayed(answer)),
+            RecordOutcome::Refuse(code) => Err(RequestEnd::Refused(self.refusal(code))),
+        }
+    }
+
+    async fn try_server(&mut self, target: &AttemptTarget, run: RunId) -> AttemptEnd {
+        self.tried.insert(Arc::clone(&target.agent));
+        let Some(hold) = self.hold.clone() else {
+            let code = codetable::BUDGET_UNCONFIRMED;
+            return AttemptEnd::NotRun {
+                code,
+                retry_after: DEFAULT_RETRY,
+            };
+        };
+        let order = self.build_order(target, &run, &hold);
+        self.note(format!("sent to {} as {run}", target.agent));
+        {
+            let mut tables = self.entry.lock();
+            tables.servers.note_sent(&target.agent);
+            tables.grants.mark_agent(&hold.shard, &target.agent, true);
+        }
+        let entry = Arc::clone(&self.entry);
+        let end = attempts::run_attempt(&entry, target, &order, &mut self.caller).await;
+        self.take_end(target, &run, &hold, &end).await;
+        end
+    }
+
+    fn build_order(&self, target: &AttemptTarget, run: &RunId, hold: &GrantHold) -> RunOrder {
+        let plan = &self.plan;
+        let resumed = if self.caller.is_begun() {
+            self.caller.tokens
+        } else {
+            0
+        };
+        RunOrder {
+            request: Arc::clone(&plan.request),
+            run: Arc::clone(run),
+            agent: Arc::clone(&target.agent),
+            entry: Arc::clone(&self.entry.id),
+            customer: Arc::clone(&plan.customer.name),
+            service: Arc::clone(&plan.service.name),
+            shard: Arc::clone(&hold.shard),
+            epoch: hold.epoch,
+            hold: hold.amount,
+            keyed: plan.keyed,
+            repeatable: plan.repeatable,
+            priority: plan.customer.class.priority(),
+            time_left: self.time_left().as_millis() as u64,
+            resume_from: resumed,
+            usage: plan.usage,
+            streamed: plan.streamed,
+            method: Arc::clone(&plan.method),
+            path: Arc::clone(&plan.path),
+            fields: plan.fields.clone(),
+            body: plan.body.encode(resumed),
+        }
+    }
+
+    /// Books how a try ended: its usage, its server's standing and its record.
+    async fn take_end(
+        &mut self,
+        target: &AttemptTarget,
+        run: &RunId,
+        hold: &GrantHold,
+        end: &AttemptEnd,
+    ) {
+        let delivered = self.caller.is_begun();
+        let open = matches!(end, AttemptEnd::Open { .. });
+        {
+            let now = self.entry.now();
+            let mut tables = self.entry.lock();
+            tables.servers.note_ended(&target.agent);
+            match end {
+                AttemptEnd::NotRun { code, .. } if *code == codetable::STOPPING => {
+                    tables.servers.note_leaving(&target.agent);
+                }
+                AttemptEnd::Whole { .. } => {}
+                AttemptEnd::Lost { code, .. } | AttemptEnd::Open { code }
+                    if *code == codetable::CANCELLED => {}
+                _ => tables.servers.note_failure(&target.agent, now),
+            }
+            if !open {
+                tables.grants.mark_agent(&hold.shard, &target.agent, false);
+            }
+        }
+        match end {
+            AttemptEnd::Whole { used } => {
+                self.note(format!("whole, used {used}"));
+                self.add_run(target, run, *used);
+                self.sum.billed += used;
+            }
+            AttemptEnd::NotRun { code, .. } => {
+                self.note(format!("not run: {}", code.row().name));
+            }
+            AttemptEnd::Lost {
+                code,
+                used,
+                unproved,
+                answer,
+            } => {
+                self.note(format!(
+                    "lost: {}, used {used}, unproved {unproved}",
+                    code.row().name
+                ));
+                self.add_run(target, run, *used);
+                self.sum.unproved += unproved;
+                let charged = delivered || answer.is_some() || !self.plan.repeatable;
+                let gone = *code == codetable::CANCELLED;
+                if charged || gone {
+                    self.sum.billed += used;
+                } else {
+                    self.sum.written_off += used;
+                }
+            }
+            AttemptEnd::Open { code } => {
+                self.note(format!("not known yet: {}", code.row().name));
+                self.leave_open(target, run, hold);
+            }
+        }
+        // Each further try holds its own worst case.
+        if !matches!(end, AttemptEnd::NotRun { .. }) && !open && self.plan.repeatable {
+            self.shrink_hold();
+        }
+        self.close_record(end).await;
+    }
+
+    fn add_run(&mut self, target: &AttemptTarget, run: &RunId, used: Tokens) {
+        let (run, agent) = (Arc::clone(run), Arc::clone(&target.agent));
+        self.sum.runs.push(RunNote { run, agent, used });
+    }
+
+    /// Settles what a try that is over used, so that another try holds its worst case anew.
+    fn shrink_hold(&mut self) {
+        if let Some(hold) = self.hold.take() {
+            let bill = self.take_bill(&hold);
+            self.entry.lock().grants.finish(&hold, bill);
+        }
+    }
+
+    /// Follows a try whose agent does not answer: its hold stays until its end is known.
+    fn leave_open(&mut self, target: &AttemptTarget, run: &RunId, hold: &GrantHold) {
+        self.hold = None;
+        let open = OpenTry {
+            entry: Arc::clone(&self.entry),
+            target: target.clone(),
+            run: Arc::clone(run),
+            hold: hold.clone(),
+            row: self.empty_row(hold),
+            record: self.record.take(),
+            charged: self.caller.is_begun() || !self.plan.repeatable,
+        };
+        smol::spawn(open.follow()).detach();
+    }
+
+    async fn close_record(&mut self, end: &AttemptEnd) {
+        let Some((record, version)) = self.record.take() else {
+            return;
+        };
+        let state = match end {
+            // Too large to be kept: a retry is told that it ran, not what it answered.
+            AttemptEnd::Whole { .. } if self.caller.is_begun() => RecordState::Unknown,
+            AttemptEnd::Whole { .. } if self.caller.held.len() > RECORD_BYTES => {
+                RecordState::Unknown
+            }
+            AttemptEnd::Whole { .. } => {
+                let body = self.caller.held.clone();
+                let (status, fields) = self.caller.head.clone().unwrap_or((200, Vec::new()));
+                records::finished_state(KeptAnswer {
+                    status,
+                    fields,
+                    body,
+                })
+            }
+            AttemptEnd::Lost {
+                answer: Some(answer),
+                ..
+            } => records::finished_state(answer.clone()),
+            AttemptEnd::NotRun { .. } => RecordState::NotRun,
+            AttemptEnd::Lost { .. } | AttemptEnd::Open { .. } => RecordState::Unknown,
+        };
+        if recording::close_record(&self.entry, &record, version, state.clone()).await {
+            return;
+        }
+        // The caller is answered now; until the record is written, the agent knows the end.
+        let entry = Arc::clone(&self.entry);
+        let bill = self.hold.take().map(|hold| (self.take_bill(&hold), hold));
+        smol::spawn(async move {
+            recording::close_surely(&entry, &record, version, state).await;
+            if let Some((bill, hold)) = bill {
+                entry.lock().grants.finish(&hold, bill);
+            }
+        })
+        .detach();
+    }
+
+    fn empty_row(&self, hold: &GrantHold) -> BillRow {
+        BillRow {
+            request: Arc::clone(&self.plan.request),
+            customer: Arc::clone(&self.plan.customer.name),
+            service: Arc::clone(&self.plan.service.name),
+            epoch: hold.epoch,
+            keyed: self.plan.keyed,
+            billed: 0,
+            written_off: 0,
+            unproved: 0,
+            runs: Vec::new(),
+        }
+    }
+
+    /// Returns the bill of what was used since the last one, never more than its hold covers.
+    fn take_bill(&mut self, hold: &GrantHold) -> Option<BillRow> {
+        let sum = std::mem::take(&mut self.sum);
+        if sum.runs.is_empty() {
+            return None;
+        }
+        if sum.billed + sum.written_off + sum.unproved > hold.amount {
+            self.entry.board.count_event("usage_over_hold");
+        }
+        Some(BillRow {
+            billed: sum.billed,
+            written_off: sum.written_off,
+            unproved: sum.unproved,
+            runs: sum.runs,
+            ..self.empty_row(hold)
+        })
+    }
+
+    fn settle(&mut self) {
+        if let Some(hold) = self.hold.take() {
+            let bill = self.take_bill(&hold);
+            if let Some(row) = &bill {
+                self.note(format!("to be billed {}", row.billed));
+            }
+            self.entry.lock().grants.finish(&hold, bill);
+        }
+    }
+
+    async fn reply_end(&mut self, end: RequestEnd) {
+        match end {
+            RequestEnd::Whole => {
+                self.entry.board.count_result(codetable::OK);
+                self.entry
+                    .board
+                    .first_byte
+                    .observe(self.arrived.elapsed().as_secs_f64());
+            }
+            RequestEnd::CallerGone => self.entry.board.count_result(codetable::CANCELLED),
+            RequestEnd::Replayed(answer) => {
+                self.note("answered as the first time".to_owned());
+                self.entry.board.count_event("answers_replayed");
+                let mut response = replies::bytes(answer.status, answer.body);
+                dress(&mut response, &answer.fields);
+                self.caller.reply.send(response).await.ok();
+            }
+            RequestEnd::Refused(note) => {
+                self.note(format!(
+                    "refused: {} {}",
+                    note.code.number(),
+                    note.run.as_str()
+                ));
+                let response = self.entry.refuse(&note);
+                // With part of the answer out, dropping the writer cuts it visibly.
+                if !self.caller.is_begun() {
+                    self.caller.reply.send(response).await.ok();
+                }
+            }
+        }
+    }
+}
+
+/// A try whose end is not known, and the money that it holds.
+#[derive(Debug)]
+struct OpenTry {
+    entry: Arc<Entry>,
+    target: AttemptTarget,
+    run: RunId,
+    hold: GrantHold,
+    row: BillRow,
+    record: Option<(RunRecord, Version)>,
+    charged: bool,
+}
+
+impl OpenTry {
+    async fn follow(mut self) {
+        let fate = attempts::find_fate(&self.entry, &self.target, &self.run, self.hold.amount);
+        let end = fate.await;
+        let state = match &end {
+            AttemptEnd::NotRun { .. } => RecordState::NotRun,
+            AttemptEnd::Lost {
+                answer: Some(answer),
+                ..
+            } => records::finished_state(answer.clone()),
+            _ => RecordState::Unknown,
+        };
+        if let Some((record, version)) = &self.record {
+            recording::close_surely(&self.entry, record, *version, state).await;
+        }
+        let bill = self.read_bill(&end);
+        let mut tables = self.entry.lock();
+        tables
+            .grants
+            .mark_agent(&self.hold.shard, &self.target.agent, false);
+        tables.grants.finish(&self.hold, bill);
+    }
+
+    fn read_bill(&mut self, end: &AttemptEnd) -> Option<BillRow> {
+        let AttemptEnd::Lost { used, unproved, .. } = end else {
+            return None;
+        };
+        let mut row = self.row.clone();
+        if self.charged {
+            row.billed = *used;
+        } else {
+            row.written_off = *used;
+        }
+        row.unproved = *unproved;
+        let (run, agent) = (Arc::clone(&self.run), Arc::clone(&self.target.agent));
+        row.runs.push(RunNote {
+            run,
+            agent,
+            used: *used,
+        });
+        Some(row)
+    }
+}
--- /dev/null
+++ b/toucanrail-daemons/src/settling.rs
@@ -0,0 +1,258 @@
+//! The entry's side of the budgets: holds, syncs, acknowledgements and recalls.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::future::FutureExt;
+use toucanrail::codes::ResultCode;
+use toucanrail::codetable;
+use toucanrail::grants::{GrantHold, HoldRefusal};
+use toucanrail::ids::{AgentId, CustomerId, RunId, ShardName, Tokens};
+use toucanrail::messages::{AckOrder, AgentReply, RecallOrder, RecallReply};
+use toucanrail::syncs::{SyncMachine, SyncOutcome};
+use toucanrail_wire::clocks;
+use toucanrail_wire::stores::ObjectStore;
+
+use crate::entries::Entry;
+use crate::fleets::routes;
+
+/// Time for which an account found exhausted is refused without asking again.
+const EXHAUSTED_TIME: Duration = Duration::from_millis(300);
+/// Longest wait for a peer to give back unused grant.
+const RECALL_BOUND: Duration = Duration::from_millis(400);
+/// Longest wait of a recall for its own sync.
+const GIVE_BACK_BOUND: Duration = Duration::from_millis(300);
+const ACK_BOUND: Duration = Duration::from_millis(500);
+/// Longest wait of a stopping entry for its settlements.
+const LEAVE_BOUND: Duration = Duration::from_secs(10);
+const LEAVE_STEP: Duration = Duration::from_millis(50);
+
+/// Starts the loops that settle.
+pub fn start(entry: &Arc<Entry>) {
+    smol::spawn(run_syncs(Arc::clone(entry))).detach();
+}
+
+/// Runs due syncs every flush, and at once while requests wait; one at a time a shard.
+async fn run_syncs(entry: Arc<Entry>) {
+    let running: Arc<std::sync::Mutex<BTreeSet<ShardName>>> = Arc::default();
+    loop {
+        let wanted = entry.wanted.listen();
+        let shards = entry.lock().grants.shards();
+        for shard in shards {
+            let free = running
+                .lock()
+                .is_ok_and(|mut running| running.insert(Arc::clone(&shard)));
+            if free {
+                let entry = Arc::clone(&entry);
+                let running = Arc::clone(&running);
+                smol::spawn(async move {
+                    sync_shard(&entry, &shard, false).await;
+                    if let Ok(mut running) = running.lock() {
+                        running.remove(&shard);
+                    }
+                })
+                .detach();
+            }
+        }
+        let flush = async {
+            smol::Timer::after(entry.settings.flush).await;
+        };
+        wanted.or(flush).await;
+    }
+}
+
+/// Runs one sync of a shard if one is due; true if it took effect.
+pub async fn sync_shard(entry: &Arc<Entry>, shard: &ShardName, leave: bool) -> bool {
+    let started = {
+        let mut tables = entry.lock();
+        let plan = tables.grants.plan_sync(shard, leave);
+        plan.map(|plan| (plan, tables.grants.take_cached(shard)))
+    };
+    let Some((plan, cached)) = started else {
+        return false;
+    };
+    let mut machine = SyncMachine::new(plan, entry.settings.policy, cached);
+    while let Some(call) = machine.next_call() {
+        machine.take_reply(entry.store.call(&call).await);
+    }
+    let outcome = machine.into_outcome();
+    let applied = matches!(outcome, SyncOutcome::Applied { .. });
+    match outcome {
+        SyncOutcome::Applied { .. } => entry.board.count_event("syncs"),
+        SyncOutcome::Unavailable => entry.board.count_event("syncs_unanswered"),
+        SyncOutcome::Revoked => {
+            entry.board.count_event("tenures_lost");
+            tracing::warn!(id = %entry.id, %shard, "tenure was revoked");
+        }
+    }
+    entry.lock().grants.apply_sync(shard, outcome);
+    entry.synced.notify(usize::MAX);
+    send_acks(entry).await;
+    applied
+}
+
+/// Tells agents which runs are settled.
+async fn send_acks(entry: &Arc<Entry>) {
+    let due = entry.lock().grants.due_acks();
+    for (agent, runs) in due {
+        send_ack(entry, &agent, runs).await;
+    }
+}
+
+async fn send_ack(entry: &Arc<Entry>, agent: &AgentId, runs: Vec<RunId>) {
+    let known = entry
+        .lock()
+        .servers
+        .get(agent)
+        .map(|row| (row.address, Arc::clone(&row.vm)));
+    let Some((address, vm)) = known else {
+        // Its registration has ended, so its process has.
+        entry
+            .lock()
+            .grants
+            .note_acked(agent, &BTreeSet::new(), true);
+        return;
+    };
+    let order = AckOrder { runs };
+    let reply: std::io::Result<AgentReply> = entry
+        .client
+        .send(address, routes::ACK, &order, ACK_BOUND)
+        .await;
+    let mut tables = entry.lock();
+    let gone = match &reply {
+        Ok(reply) => reply.agent != *agent,
+        Err(_) => tables.members.is_gone_vm(&vm),
+    };
+    if gone || reply.is_ok() {
+        let dropped: BTreeSet<RunId> = order.runs.into_iter().collect();
+        tables.grants.note_acked(agent, &dropped, gone);
+    }
+}
+
+/// Takes a hold, waiting for a sync and recalling from peers if the grant is short.
+pub async fn take_hold(
+    entry: &Arc<Entry>,
+    customer: &CustomerId,
+    amount: Tokens,
+) -> Result<GrantHold, ResultCode> {
+    if let Ok(hold) = entry.lock().grants.hold(customer, amount) {
+        return Ok(hold);
+    }
+    let exhausted = entry.lock().exhausted.get(customer).copied();
+    if exhausted.is_some_and(|until| until > entry.now()) {
+        return Err(codetable::BUDGET_EXHAUSTED);
+    }
+    entry.lock().grants.add_shortage(customer, amount);
+    let waited = clocks::bounded(
+        entry.settings.budget_wait,
+        wait_hold(entry, customer, amount),
+    );
+    let waited = waited.await.unwrap_or(Err(codetable::BUDGET_UNCONFIRMED));
+    let mut tables = entry.lock();
+    tables.grants.drop_shortage(customer, amount);
+    if waited == Err(codetable::BUDGET_EXHAUSTED) {
+        tables
+            .exhausted
+            .insert(Arc::clone(customer), entry.now() + EXHAUSTED_TIME);
+    }
+    waited
+}
+
+/// Only a shard read after the request came may refuse it, and only after peers gave back what
+/// they do not use.
+async fn wait_hold(
+    entry: &Arc<Entry>,
+    customer: &CustomerId,
+    amount: Tokens,
+) -> Result<GrantHold, ResultCode> {
+    let mut fresh = false;
+    let mut recalled = !entry.settings.policy.recalls();
+    loop {
+        let synced = entry.synced.listen();
+        let tried = entry.lock().grants.hold(customer, amount);
+        match tried {
+            Ok(hold) => return Ok(hold),
+            Err(HoldRefusal::Exhausted(_)) if fresh && recalled => {
+                return Err(codetable::BUDGET_EXHAUSTED);
+            }
+            Err(HoldRefusal::Exhausted(missing)) if fresh => {
+                recall(entry, customer, missing).await;
+                recalled = true;
+                fresh = false;
+                continue;
+            }
+            Err(HoldRefusal::Exhausted(_) | HoldRefusal::Short(_)) => {}
+        }
+        let shard = entry.shard_of(customer);
+        let before = entry.lock().grants.applied(&shard);
+        entry.wanted.notify(usize::MAX);
+        synced.await;
+        fresh = entry.lock().grants.applied(&shard) > before;
+    }
+}
+
+/// Asks all peers at once for unused grant.
+async fn recall(entry: &Arc<Entry>, customer: &CustomerId, wanted: Tokens) {
+    entry.board.count_event("recalls");
+    let peers: Vec<_> = entry
+        .lock()
+        .members
+        .peers()
+        .map(|peer| peer.node.address)
+        .collect();
+    let order = RecallOrder {
+        customer: Arc::clone(customer),
+        wanted,
+    };
+    let asked: Vec<_> = peers
+        .into_iter()
+        .map(|address| {
+            let (entry, order) = (Arc::clone(entry), order.clone());
+            smol::spawn(async move {
+                let reply: std::io::Result<RecallReply> = entry
+                    .client
+                    .send(address, routes::RECALL, &order, RECALL_BOUND)
+                    .await;
+                reply.map_or(0, |reply| reply.returned)
+            })
+        })
+        .collect();
+    let mut returned = 0;
+    for task in asked {
+        returned += task.await;
+    }
+    entry.board.add_events("recalled_tokens", returned);
+}
+
+/// Gives unused grant back to the shard for a peer; returns how much was reserved for it.
+pub async fn give_back(entry: &Arc<Entry>, order: &RecallOrder) -> Tokens {
+    let synced = entry.synced.listen();
+    let given = entry.lock().grants.recall(&order.customer, order.wanted);
+    if given > 0 {
+        entry.wanted.notify(usize::MAX);
+        clocks::bounded(GIVE_BACK_BOUND, synced).await;
+    }
+    given
+}
+
+/// Settles everything, has agents drop it, and ends all tenures.
+pub async fn leave(entry: &Arc<Entry>) {
+    let settling = async {
+        while !entry.lock().grants.is_settled() {
+            entry.wanted.notify(usize::MAX);
+            smol::Timer::after(LEAVE_STEP).await;
+        }
+        send_acks(entry).await;
+        let shards = entry.lock().grants.shards();
+        for shard in shards {
+            while entry.lock().grants.is_open(&shard) && !sync_shard(entry, &shard, true).await {
+                smol::Timer::after(LEAVE_STEP).await;
+            }
+            entry.lock().grants.end_tenure(&shard);
+        }
+    };
+    if clocks::bounded(LEAVE_BOUND, settling).await.is_none() {
+        tracing::warn!(id = %entry.id, "stopped with bills that peers will settle");
+    }
+}
--- /dev/null
+++ b/toucanrail-standins/src/bin/toucanrail-standin.rs
@@ -0,0 +1,105 @@
+//! Stand-ins for the outside systems, each as a process of its own.
+
+use std::process::ExitCode;
+
+use toucanrail::settings::{self, SettingRow, SettingValues, SettingsCall};
+use toucanrail_standins::engines::{self, EngineSpeed};
+use toucanrail_standins::{plains, platforms};
+
+const SETTINGS: [SettingRow; 9] = [
+    SettingRow {
+        name: "listen",
+        default: Some("127.0.0.1:0"),
+        help: "Address to listen on.",
+    },
+    SettingRow {
+        name: "vm-lag",
+        default: Some("1s"),
+        help: "Lag of the VM list.",
+    },
+    SettingRow {
+        name: "slots",
+        default: Some("8"),
+        help: "Sequences an engine runs at once.",
+    },
+    SettingRow {
+        name: "step",
+        default: Some("4ms"),
+        help: "Time of an engine's step.",
+    },
+    SettingRow {
+        name: "per-sequence",
+        default: Some("0.1ms"),
+        help: "Added by each sequence.",
+    },
+    SettingRow {
+        name: "per-prompt-token",
+        default: Some("0.05ms"),
+        help: "Added by prefill.",
+    },
+    SettingRow {
+        name: "cache-tokens",
+        default: Some("4000"),
+        help: "Size of the prefix cache.",
+    },
+    SettingRow {
+        name: "load-lag",
+        default: Some("300ms"),
+        help: "Age of the load reported.",
+    },
+    SettingRow {
+        name: "honours-fencing",
+        default: Some("true"),
+        help: "Refuses old orders.",
+    },
+];
+
+fn main() -> ExitCode {
+    let about = "a stand-in; words: platform, engine or plain";
+    let env = |name: &str| std::env::var(name).ok();
+    let args = std::env::args_os().skip(1);
+    let mut values = match settings::read("toucanrail-standin", about, &SETTINGS, args, env) {
+        SettingsCall::Print(text) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        SettingsCall::Run(values) => values,
+    };
+    let started = start(&mut values);
+    for fault in &values.faults {
+        eprintln!("{fault}");
+    }
+    match started {
+        _ if !values.faults.is_empty() => ExitCode::from(2),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+        Ok(address) => {
+            println!("listening on {address}");
+            smol::block_on(std::future::pending())
+        }
+    }
+}
+
+fn start(values: &mut SettingValues) -> std::io::Result<std::net::SocketAddr> {
+    let listen = values.text("listen").to_owned();
+    let speed = EngineSpeed {
+        slots: values.parse("slots", "a number"),
+        step: values.duration("step"),
+        per_sequence: values.duration("per-sequence"),
+        per_prompt_token: values.duration("per-prompt-token"),
+        cache_tokens: values.parse("cache-tokens", "a number"),
+        load_lag: values.duration("load-lag"),
+    };
+    let vm_lag = values.duration("vm-lag");
+    let honours = values.parse("honours-fencing", "true or false");
+    match values.words.first().map(String::as_str) {
+        Some("platform") => platforms::start(&listen, vm_lag).map(|(_, address)| address),
+        Some("engine") => engines::start(&listen, speed, honours).map(|(_, address)| address),
+        Some("plain") => plains::start(&listen).map(|(_, address)| address),
+        _ => Err(std::io::Error::other(
+            "5003: name a stand-in: platform, engine or plain",
+        )),
+    }
+}
--- /dev/null
+++ b/toucanrail-standins/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for the outside systems, and the load tool: fakes for tests and demos only.
+//!
+//! # Examples
+//! ```
+//! let text = toucanrail_standins::texts::answer_text("hello", 0, 3);
+//! assert_eq!(text.split_whitespace().count(), 3);
+//! ```
+
+pub mod engines;
+pub mod faults;
+pub mod plains;
+pub mod platforms;
+pub mod texts;
--- /dev/null
+++ b/toucanrail-wire/src/clients.rs
@@ -0,0 +1,386 @@
+//! The calling side: one exchange at a time on a connection, and a pool that trusts none blindly.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_h1::client;
+use http_types::{Method, Request, Response, Url};
+use quick_error::quick_error;
+use smol::future::FutureExt;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
+use toucanrail::scanners::{self, BodyLength, HeadFacts};
+
+use crate::clocks;
+use crate::replays::ReplayStream;
+
+const READ_SIZE: usize = 16 * 1024;
+const NO_BODY_STATUSES: [u16; 2] = [204, 304];
+
+/// Bounds of calls through one pool.
+#[derive(Debug, Clone)]
+pub struct ClientLimits {
+    /// Largest head of an answer, in bytes.
+    pub head: usize,
+    /// Longest wait for a connection.
+    pub connect: Duration,
+    /// Oldest idle connection that is used again.
+    pub idle: Duration,
+    /// Most idle connections kept an address.
+    pub kept: usize,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            head: 16 * 1024,
+            connect: Duration::from_secs(1),
+            idle: Duration::from_secs(30),
+            kept: 64,
+        }
+    }
+}
+
+quick_error! {
+    /// Why a call has no answer.
+    #[derive(Debug)]
+    pub enum OpenFailure {
+        /// No connection: nothing was sent, so the call provably did not arrive.
+        NotSent(error: io::Error) {
+            display("not sent: {error}")
+        }
+        /// The connection failed after the call, or part of it, was sent.
+        Sent(error: io::Error) {
+            display("sent, then: {error}")
+        }
+    }
+}
+
+impl From<OpenFailure> for io::Error {
+    fn from(failure: OpenFailure) -> Self {
+        match failure {
+            OpenFailure::NotSent(error) | OpenFailure::Sent(error) => error,
+        }
+    }
+}
+
+/// One call to make.
+#[derive(Debug, Clone)]
+pub struct OutboundCall {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Fields, by name.
+    pub fields: Vec<(String, String)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+    /// Whether to open a connection for this call alone.
+    pub fresh: bool,
+}
+
+impl OutboundCall {
+    /// Makes a call without a body.
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            fields: Vec::new(),
+            body: Vec::new(),
+            fresh: false,
+        }
+    }
+
+    /// Makes a `GET`.
+    pub fn get(path: impl Into<String>) -> Self {
+        Self::new(Method::Get, path)
+    }
+
+    /// Makes a `POST` with a body.
+    pub fn post(path: impl Into<String>, body: Vec<u8>) -> Self {
+        let mut call = Self::new(Method::Post, path);
+        call.body = body;
+        call
+    }
+
+    /// Adds a field.
+    #[must_use]
+    pub fn field(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.fields.push((name.to_owned(), value.into()));
+        self
+    }
+
+    /// Asks for a connection of its own.
+    #[must_use]
+    pub fn on_fresh(mut self) -> Self {
+        self.fresh = true;
+        self
+    }
+}
+
+/// An answer whose body is read as it comes.
+///
+/// Its connection goes back to the pool only after [`OpenAnswer::close_whole`]; dropped before,
+/// it is closed, so that late bytes of a cancelled exchange can reach nobody.
+#[derive(Debug)]
+pub struct OpenAnswer {
+    /// Status and fields.
+    pub response: Response,
+    replay: Option<ReplayStream>,
+    stream: TcpStream,
+    reusable: bool,
+    address: SocketAddr,
+    pool: ConnectionPool,
+}
+
+/// An answer read to its end.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// The status number.
+    pub status: u16,
+    /// Status and fields, the body taken out.
+    pub response: Response,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+impl WholeAnswer {
+    /// Returns a field's last value.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.response
+            .header(name)
+            .map(|values| values.last().as_str())
+    }
+}
+
+impl OpenAnswer {
+    /// Returns the status number.
+    pub fn status(&self) -> u16 {
+        self.response.status().into()
+    }
+
+    /// Reads the next bytes of the body; empty at its proved end.
+    pub async fn read_chunk(&mut self, idle: Duration) -> io::Result<Vec<u8>> {
+        let mut chunk = vec![0; READ_SIZE];
+        let count = clocks::within(idle, self.response.read(&mut chunk)).await?;
+        if count == 0 && !self.replay.as_ref().is_none_or(ReplayStream::is_whole) {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        chunk.truncate(count);
+        Ok(chunk)
+    }
+
+    /// Gives the connection back to the pool if the answer was read to its end.
+    pub fn close_whole(self) {
+        let whole = self
+            .replay
+            .as_ref()
+            .is_none_or(|replay| replay.is_whole() && replay.take_rest().is_empty());
+        if whole && self.reusable {
+            self.pool.keep(self.address, self.stream);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    stream: TcpStream,
+    since: Instant,
+}
+
+/// Idle connections by address.
+#[derive(Debug, Clone)]
+pub struct ConnectionPool {
+    limits: Arc<ClientLimits>,
+    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
+}
+
+impl ConnectionPool {
+    /// Makes an empty pool.
+    pub fn new(limits: ClientLimits) -> Self {
+        Self {
+            limits: Arc::new(limits),
+            idle: Arc::default(),
+        }
+    }
+
+    /// Makes a call and reads its answer whole, all within `bound`.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        call: OutboundCall,
+        bound: Duration,
+    ) -> io::Result<WholeAnswer> {
+        let fetching = async {
+            let mut answer = self.open(address, call, bound).await?;
+            let mut body = Vec::new();
+            loop {
+                let chunk = answer.read_chunk(bound).await?;
+                if chunk.is_empty() {
+                    break;
+                }
+                body.extend_from_slice(&chunk);
+            }
+            let status = answer.status();
+            let response = Response::new(answer.response.status());
+            let response = std::mem::replace(&mut answer.response, response);
+            answer.close_whole();
+            Ok(WholeAnswer {
+                status,
+                response,
+                body,
+            })
+        };
+        clocks::within(bound, fetching).await
+    }
+
+    /// Makes a call and waits at most `bound` for the head of its answer.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        call: OutboundCall,
+        bound: Duration,
+    ) -> Result<OpenAnswer, OpenFailure> {
+        let connected = self.connect(address, call.fresh).await;
+        let stream = connected.map_err(OpenFailure::NotSent)?;
+        let exchange = self.exchange(address, stream, call);
+        clocks::within(bound, exchange)
+            .await
+            .map_err(OpenFailure::Sent)
+    }
+
+    /// Takes a checked idle connection or opens one.
+    ///
+    /// Guards against a connection that died or turned silent while idle: one that is too old, has
+    /// ended, or holds bytes nobody asked for is dropped.
+    pub async fn connect(&self, address: SocketAddr, fresh: bool) -> io::Result<TcpStream> {
+        while let Some(kept) = self.take(address).filter(|_| !fresh) {
+            if kept.since.elapsed() < self.limits.idle && is_quiet(&kept.stream).await {
+                return Ok(kept.stream);
+            }
+        }
+        let stream = clocks::within(self.limits.connect, TcpStream::connect(address)).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    /// Drops all idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        stream: TcpStream,
+        call: OutboundCall,
+    ) -> io::Result<OpenAnswer> {
+        let head_only = call.method == Method::Head;
+        send_call(&stream, address, call).await?;
+        let (bytes, end, facts) = read_answer_head(&stream, self.limits.head).await?;
+        let bodiless = head_only || is_bodiless(&bytes);
+        if facts.length == BodyLength::Absent && !bodiless {
+            return Err(invalid("an answer with neither length nor chunks"));
+        }
+        let length = if bodiless {
+            BodyLength::Absent
+        } else {
+            facts.length
+        };
+        let replay = ReplayStream::new(bytes, end, length, stream.clone());
+        let response = client::decode(replay.clone())
+            .await
+            .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, format!("{error}")))?;
+        Ok(OpenAnswer {
+            response,
+            replay: Some(replay).filter(|_| !bodiless),
+            stream,
+            reusable: !facts.close,
+            address,
+            pool: self.clone(),
+        })
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<IdleConnection> {
+        self.lock().get_mut(&address).and_then(Vec::pop)
+    }
+
+    /// Puts a connection that nothing is due on back.
+    pub fn keep(&self, address: SocketAddr, stream: TcpStream) {
+        let mut idle = self.lock();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < self.limits.kept {
+            kept.push(IdleConnection {
+                stream,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<IdleConnection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Tells whether a connection is open and holds no unread bytes.
+async fn is_quiet(stream: &TcpStream) -> bool {
+    let mut probe = [0; 1];
+    let peeked = async { Some(stream.peek(&mut probe).await) };
+    peeked.or(async { None }).await.is_none()
+}
+
+fn is_bodiless(head: &[u8]) -> bool {
+    let status = head.split(|byte| *byte == b' ').nth(1);
+    let status = status.and_then(|word| std::str::from_utf8(word).ok());
+    let status = status
+        .and_then(|word| word.get(..3))
+        .and_then(|word| word.parse().ok());
+    status.is_some_and(|number: u16| NO_BODY_STATUSES.contains(&number))
+}
+
+fn invalid(reason: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, reason)
+}
+
+async fn send_call(stream: &TcpStream, address: SocketAddr, call: OutboundCall) -> io::Result<()> {
+    let url = Url::parse(&format!("http://{address}{}", call.path))
+        .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+    let mut request = Request::new(call.method, url);
+    for (name, value) in &call.fields {
+        request.insert_header(name.as_str(), value.as_str());
+    }
+    request.set_body(call.body);
+    if let Some((_, kind)) = call.fields.iter().find(|(name, _)| name == "content-type") {
+        request.insert_header("content-type", kind.as_str());
+    }
+    let mut encoder = client::Encoder::new(request);
+    let mut bytes = Vec::new();
+    encoder.read_to_end(&mut bytes).await?;
+    stream.clone().write_all(&bytes).await
+}
+
+async fn read_answer_head(
+    stream: &TcpStream,
+    limit: usize,
+) -> io::Result<(Vec<u8>, usize, HeadFacts)> {
+    let mut reader = stream.clone();
+    let mut bytes = Vec::new();
+    let mut chunk = vec![0; READ_SIZE];
+    loop {
+        if let Some(end) = scanners::scan_head_end(&bytes) {
+            let facts =
+                scanners::scan_head(&bytes[..end]).map_err(|code| invalid(code.row().text))?;
+            return Ok((bytes, end, facts));
+        }
+        if bytes.len() > limit {
+            return Err(invalid("an answer's head over the limit"));
+        }
+        match reader.read(&mut chunk).await? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            count => bytes.extend_from_slice(&chunk[..count]),
+        }
+    }
+}
--- /dev/null
+++ b/toucanrail/src/grants.rs
@@ -0,0 +1,562 @@
+//! What an entry may spend: its confirmed grants, the holds against them and the bills to settle.
+//!
+//! An entry spends only against its own confirmed grant, so nothing here depends on the platform's
+//! service being up or on a clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::budgets::{BillRow, BudgetShard};
+use crate::ids::{
+    AgentId, CustomerId, EntryId, Epoch, RunId, Sequence, ShardName, Tokens, Version,
+};
+use crate::policies::{GrantChange, GrantPolicy, GrantView};
+use crate::syncs::{GrantDemand, SyncOutcome, SyncPlan};
+
+/// Time constant of the smoothed burn rate.
+const BURN_WINDOW: Duration = Duration::from_secs(10);
+/// Most bills in one batch; keeps its object well under a megabyte.
+const BATCH_LIMIT: usize = 1_500;
+
+/// A reservation of the worst case of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GrantHold {
+    /// Who pays.
+    pub customer: CustomerId,
+    /// The shard of the account.
+    pub shard: ShardName,
+    /// The tenure that holds the money.
+    pub epoch: Epoch,
+    /// The worst case.
+    pub amount: Tokens,
+}
+
+/// Why a hold was not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HoldRefusal {
+    /// The grant is short by this much; a sync may help.
+    Short(Tokens),
+    /// Known from the shard: not even all that is unallocated would cover it.
+    Exhausted(Tokens),
+}
+
+/// One account at this entry.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct GrantAccount {
+    /// Granted, as the shard confirmed it.
+    pub granted: Tokens,
+    /// Held by requests in flight.
+    pub held: Tokens,
+    /// Bills that no sync carries yet.
+    pub unsettled: Vec<BillRow>,
+    /// The sum of the bills that a running sync carries.
+    pub settling: Tokens,
+    /// Reserved to be given back.
+    pub returning: Tokens,
+    /// Wanted by waiting requests.
+    pub shortage: Tokens,
+    /// Usage a second, smoothed.
+    pub burn: f64,
+    used: Tokens,
+}
+
+impl GrantAccount {
+    fn unsettled_total(&self) -> Tokens {
+        self.unsettled.iter().map(BillRow::total).sum()
+    }
+
+    /// Returns what a new request may hold.
+    pub fn available(&self) -> Tokens {
+        let taken = self.held + self.unsettled_total() + self.settling + self.returning;
+        self.granted.saturating_sub(taken)
+    }
+}
+
+/// One shard at this entry.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct ShardTenure {
+    /// The tenure; 0 while there is none.
+    pub epoch: Epoch,
+    /// The last sequence known as applied.
+    pub applied: Sequence,
+    /// The last sequence whose rows all agents dropped.
+    pub acked: Sequence,
+    /// Agents written in the shard as in use.
+    pub agents: BTreeSet<AgentId>,
+    /// Runs settled and not yet dropped, by sequence and agent.
+    pub unacked: BTreeMap<Sequence, BTreeMap<AgentId, Vec<RunId>>>,
+    #[serde(skip)]
+    plan: Option<SyncPlan>,
+    #[serde(skip)]
+    cached: Option<(Version, BudgetShard)>,
+    /// Bills of earlier tenures.
+    late: Vec<BillRow>,
+    /// Holds in flight by agent, so that an agent in use stays named in the shard.
+    busy_agents: BTreeMap<AgentId, u64>,
+}
+
+/// All grants of one entry.
+#[derive(Debug, Serialize)]
+pub struct GrantTable {
+    entry: EntryId,
+    #[serde(skip)]
+    policy: GrantPolicy,
+    shards: BTreeMap<ShardName, ShardTenure>,
+    accounts: BTreeMap<CustomerId, GrantAccount>,
+    homes: BTreeMap<CustomerId, ShardName>,
+    wanted_agents: BTreeSet<AgentId>,
+}
+
+impl GrantTable {
+    /// Makes an empty table.
+    pub fn new(entry: EntryId, policy: GrantPolicy) -> Self {
+        Self {
+            entry,
+            policy,
+            shards: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            wanted_agents: BTreeSet::new(),
+        }
+    }
+
+    /// Names the shard of a customer's account.
+    pub fn add_account(&mut self, customer: &CustomerId, shard: &ShardName) {
+        self.homes.insert(Arc::clone(customer), Arc::clone(shard));
+        self.accounts.entry(Arc::clone(customer)).or_default();
+        self.shards.entry(Arc::clone(shard)).or_default();
+    }
+
+    /// Names the agents that this entry wants to use.
+    pub fn want_agents(&mut self, agents: BTreeSet<AgentId>) {
+        self.wanted_agents = agents;
+    }
+
+    /// Returns the shards in use.
+    pub fn shards(&self) -> Vec<ShardName> {
+        self.shards.keys().map(Arc::clone).collect()
+    }
+
+    /// Returns one account.
+    pub fn account(&self, customer: &CustomerId) -> Option<&GrantAccount> {
+        self.accounts.get(customer)
+    }
+
+    /// Returns the agents that a customer's requests may be sent to.
+    ///
+    /// Guards against an agent that no reclaim would ask: only agents named in the shard before
+    /// the first order are used, so the fence of a dead holder reaches all that may have served it.
+    pub fn usable_agents(&self, customer: &CustomerId) -> Option<&BTreeSet<AgentId>> {
+        let shard = self.homes.get(customer)?;
+        self.shards.get(shard).map(|tenure| &tenure.agents)
+    }
+
+    /// Reserves the worst case of a request.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::sync::Arc;
+    /// use toucanrail::{grants::{GrantTable, HoldRefusal}, policies::GrantPolicy};
+    /// let mut table = GrantTable::new(Arc::from("entry-1"), GrantPolicy::default());
+    /// table.add_account(&Arc::from("acme"), &Arc::from("acme"));
+    /// assert_eq!(table.hold(&Arc::from("acme"), 10), Err(HoldRefusal::Short(10)));
+    /// ```
+    pub fn hold(
+        &mut self,
+        customer: &CustomerId,
+        amount: Tokens,
+    ) -> Result<GrantHold, HoldRefusal> {
+        let Some(shard) = self.homes.get(customer).map(Arc::clone) else {
+            return Err(HoldRefusal::Exhausted(amount));
+        };
+        let epoch = self.shards.get(&shard).map_or(0, |tenure| tenure.epoch);
+        let unallocated = self.unallocated(customer);
+        let Some(account) = self.accounts.get_mut(customer) else {
+            return Err(HoldRefusal::Exhausted(amount));
+        };
+        let available = account.available();
+        if epoch == 0 || available < amount {
+            let missing = amount - available.min(amount);
+            return match unallocated {
+                Some(left) if left < missing => Err(HoldRefusal::Exhausted(missing)),
+                _ => Err(HoldRefusal::Short(missing)),
+            };
+        }
+        account.held += amount;
+        Ok(GrantHold {
+            customer: Arc::clone(customer),
+            shard,
+            epoch,
+            amount,
+        })
+    }
+
+    fn unallocated(&self, customer: &CustomerId) -> Option<Tokens> {
+        let (_, shard) = self
+            .shards
+            .get(self.homes.get(customer)?)?
+            .cached
+            .as_ref()?;
+        shard
+            .accounts
+            .get(customer)
+            .map(super::budgets::BudgetAccount::unallocated)
+    }
+
+    /// Notes that a request waits for so much more.
+    pub fn add_shortage(&mut self, customer: &CustomerId, amount: Tokens) {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.shortage += amount;
+        }
+    }
+
+    /// Notes that a request no longer waits.
+    pub fn drop_shortage(&mut self, customer: &CustomerId, amount: Tokens) {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.shortage = account.shortage.saturating_sub(amount);
+        }
+    }
+
+    /// Notes that a hold's order goes to an agent, or has ended there.
+    pub fn mark_agent(&mut self, shard: &ShardName, agent: &AgentId, busy: bool) {
+        let Some(tenure) = self.shards.get_mut(shard) else {
+            return;
+        };
+        let count = tenure.busy_agents.entry(Arc::clone(agent)).or_default();
+        *count = if busy {
+            *count + 1
+        } else {
+            count.saturating_sub(1)
+        };
+        if *count == 0 {
+            tenure.busy_agents.remove(agent);
+        }
+    }
+
+    /// Ends a hold: its bill waits for the next sync, the rest is free at once.
+    pub fn finish(&mut self, hold: &GrantHold, bill: Option<BillRow>) {
+        let Some(tenure) = self.shards.get_mut(&hold.shard) else {
+            return;
+        };
+        // The tenure was revoked meanwhile: its money is no longer in this entry's account.
+        if tenure.epoch != hold.epoch {
+            tenure.late.extend(bill);
+            return;
+        }
+        if let Some(account) = self.accounts.get_mut(&hold.customer) {
+            account.held = account.held.saturating_sub(hold.amount);
+            account.used += bill.as_ref().map_or(0, BillRow::total);
+            account.unsettled.extend(bill);
+        }
+    }
+
+    /// Updates the burn rates; once a tick.
+    pub fn smooth_burn(&mut self, elapsed: Duration) {
+        let seconds = elapsed.as_secs_f64().max(0.001);
+        let weight = 1.0 - (-seconds / BURN_WINDOW.as_secs_f64()).exp();
+        for account in self.accounts.values_mut() {
+            let rate = account.used as f64 / seconds;
+            account.burn += (rate - account.burn) * weight;
+            account.used = 0;
+        }
+    }
+
+    /// Reserves unused grant to give back to a peer that would otherwise refuse.
+    pub fn recall(&mut self, customer: &CustomerId, wanted: Tokens) -> Tokens {
+        let Some(account) = self.accounts.get_mut(customer) else {
+            return 0;
+        };
+        let given = account.available().min(wanted);
+        account.returning += given;
+        given
+    }
+
+    /// Returns the plan of the next sync of a shard, or none if nothing calls for one.
+    ///
+    /// A plan whose outcome is unknown is returned again, unchanged, until it is known.
+    pub fn plan_sync(&mut self, shard: &ShardName, leave: bool) -> Option<SyncPlan> {
+        let tenure = self.shards.get(shard)?;
+        if let Some(plan) = &tenure.plan {
+            return Some(plan.clone());
+        }
+        let agents = self.agents_for(tenure);
+        let named = agents == tenure.agents;
+        let customers = self.customers_of(shard);
+        let changed = self.plan_returns(&customers);
+        let open = self.shards.get(shard)?.epoch != 0;
+        let calls = changed || self.has_rows(shard, &customers) || (open && (leave || !named));
+        if !calls {
+            return None;
+        }
+        let plan = self.build_plan(shard, &customers, agents, leave)?;
+        self.shards.get_mut(shard)?.plan = Some(plan.clone());
+        Some(plan)
+    }
+
+    /// Returns a cached copy of a shard; none after an unknown outcome, so that it is read anew.
+    pub fn take_cached(&mut self, shard: &ShardName) -> Option<(Version, BudgetShard)> {
+        self.shards.get_mut(shard)?.cached.take()
+    }
+
+    fn agents_for(&self, tenure: &ShardTenure) -> BTreeSet<AgentId> {
+        let unacked = tenure.unacked.values().flat_map(BTreeMap::keys);
+        let mut agents: BTreeSet<AgentId> = unacked.map(Arc::clone).collect();
+        agents.extend(tenure.busy_agents.keys().map(Arc::clone));
+        agents.extend(self.wanted_agents.iter().map(Arc::clone));
+        agents
+    }
+
+    fn customers_of(&self, shard: &ShardName) -> Vec<CustomerId> {
+        let homes = self.homes.iter().filter(|(_, home)| *home == shard);
+        homes.map(|(customer, _)| Arc::clone(customer)).collect()
+    }
+
+    fn has_rows(&self, shard: &ShardName, customers: &[CustomerId]) -> bool {
+        let late = self
+            .shards
+            .get(shard)
+            .is_some_and(|tenure| !tenure.late.is_empty());
+        let accounts = customers
+            .iter()
+            .filter_map(|customer| self.accounts.get(customer));
+        late || accounts
+            .into_iter()
+            .any(|account| !account.unsettled.is_empty())
+    }
+
+    /// Tells whether any account asks or gives back, and reserves what is given back.
+    fn plan_returns(&mut self, customers: &[CustomerId]) -> bool {
+        let mut changed = false;
+        for customer in customers {
+            let Some(view) = self.view(customer) else {
+                continue;
+            };
+            let change = self.policy.adjust(&view);
+            let Some(account) = self.accounts.get_mut(customer) else {
+                continue;
+            };
+            if let GrantChange::Return(amount) = change {
+                account.returning += amount.min(account.available());
+            }
+            changed |= account.returning > 0 || account.shortage > 0;
+            changed |= matches!(change, GrantChange::Ask(amount) if amount > 0);
+        }
+        changed
+    }
+
+    fn view(&self, customer: &CustomerId) -> Option<GrantView> {
+        let tenure = self.shards.get(self.homes.get(customer)?)?;
+        let account = self.accounts.get(customer)?;
+        let cached = tenure.cached.as_ref().map(|(_, shard)| shard);
+        let known = cached.and_then(|shard| shard.accounts.get(customer));
+        Some(GrantView {
+            burn: account.burn,
+            busy: account.held + account.unsettled_total(),
+            granted: account.granted.saturating_sub(account.returning),
+            shortage: account.shortage,
+            unallocated: known.map_or(0, super::budgets::BudgetAccount::unallocated),
+            prepaid: known.map_or(0, |account| account.prepaid),
+            holders: cached.map_or(1, |shard| shard.holders.len() as u64),
+        })
+    }
+
+    fn build_plan(
+        &mut self,
+        shard: &ShardName,
+        customers: &[CustomerId],
+        agents: BTreeSet<AgentId>,
+        leave: bool,
+    ) -> Option<SyncPlan> {
+        let tenure = self.shards.get_mut(shard)?;
+        let mut rows = std::mem::take(&mut tenure.late);
+        let mut demands = BTreeMap::new();
+        for customer in customers {
+            let Some(account) = self.accounts.get_mut(customer) else {
+                continue;
+            };
+            let room = BATCH_LIMIT
+                .saturating_sub(rows.len())
+                .min(account.unsettled.len());
+            let taken: Vec<BillRow> = account.unsettled.drain(..room).collect();
+            account.settling = taken.iter().map(BillRow::total).sum();
+            rows.extend(taken);
+            let demand = GrantDemand {
+                burn: account.burn,
+                busy: account.held + account.unsettled_total(),
+                shortage: account.shortage,
+                returning: account.returning,
+            };
+            demands.insert(Arc::clone(customer), demand);
+        }
+        Some(SyncPlan {
+            shard: Arc::clone(shard),
+            entry: Arc::clone(&self.entry),
+            epoch: tenure.epoch,
+            sequence: tenure.applied + 1,
+            rows,
+            demands,
+            acked: tenure.acked,
+            agents,
+            leave,
+        })
+    }
+
+    /// Takes the outcome of the shard's sync.
+    pub fn apply_sync(&mut self, shard: &ShardName, outcome: SyncOutcome) {
+        let Some(tenure) = self.shards.get_mut(shard) else {
+            return;
+        };
+        match outcome {
+            // The plan stays: whether it took effect is read from the shard next time.
+            SyncOutcome::Unavailable => tenure.cached = None,
+            SyncOutcome::Revoked => self.drop_tenure(shard),
+            SyncOutcome::Applied {
+                shard: content,
+                version,
+                epoch,
+                deferred,
+            } => {
+                tenure.late.extend(deferred);
+                tenure.epoch = epoch;
+                if let Some(plan) = tenure.plan.take() {
+                    tenure.note_applied(&plan);
+                    self.confirm(&plan, &content);
+                }
+                if let Some(tenure) = self.shards.get_mut(shard) {
+                    tenure.cached = Some((version, content));
+                }
+            }
+        }
+    }
+
+    /// Takes a newer copy of a shard, seen without a sync.
+    pub fn refresh(&mut self, shard: &ShardName, version: Version, content: BudgetShard) {
+        if let Some(tenure) = self.shards.get_mut(shard)
+            && tenure
+                .cached
+                .as_ref()
+                .is_none_or(|(known, _)| *known < version)
+        {
+            tenure.cached = Some((version, content));
+        }
+    }
+
+    fn confirm(&mut self, plan: &SyncPlan, content: &BudgetShard) {
+        for (customer, demand) in &plan.demands {
+            let Some(account) = self.accounts.get_mut(customer) else {
+                continue;
+            };
+            let grants = content
+                .accounts
+                .get(customer)
+                .map(|account| &account.grants);
+            account.granted = grants
+                .and_then(|grants| grants.get(&self.entry))
+                .copied()
+                .unwrap_or(0);
+            account.settling = 0;
+            account.returning -= demand.returning.min(account.returning);
+        }
+    }
+
+    /// The tenure is another's to settle now: nothing of it may be spent or settled here.
+    fn drop_tenure(&mut self, shard: &ShardName) {
+        for customer in self.customers_of(shard) {
+            let unsettled = self.accounts.insert(customer, GrantAccount::default());
+            let rows = unsettled
+                .map(|account| account.unsettled)
+                .unwrap_or_default();
+            if let Some(tenure) = self.shards.get_mut(shard) {
+                tenure.late.extend(rows);
+            }
+        }
+        if let Some(tenure) = self.shards.get_mut(shard) {
+            let rows = tenure.plan.take().map(|plan| plan.rows).unwrap_or_default();
+            let mut late = std::mem::take(&mut tenure.late);
+            late.extend(rows);
+            *tenure = ShardTenure {
+                late,
+                ..ShardTenure::default()
+            };
+        }
+    }
+
+    /// Returns the runs that agents may drop, by agent.
+    pub fn due_acks(&self) -> BTreeMap<AgentId, Vec<RunId>> {
+        let mut due: BTreeMap<AgentId, Vec<RunId>> = BTreeMap::new();
+        for batches in self
+            .shards
+            .values()
+            .flat_map(|tenure| tenure.unacked.values())
+        {
+            for (agent, runs) in batches {
+                due.entry(Arc::clone(agent))
+                    .or_default()
+                    .extend(runs.iter().map(Arc::clone));
+            }
+        }
+        due
+    }
+
+    /// Notes that an agent dropped runs, or that its incarnation is gone with all it knew.
+    pub fn note_acked(&mut self, agent: &AgentId, dropped: &BTreeSet<RunId>, gone: bool) {
+        for tenure in self.shards.values_mut() {
+            for batch in tenure.unacked.values_mut() {
+                if let Some(runs) = batch.get_mut(agent) {
+                    runs.retain(|run| !gone && !dropped.contains(run));
+                }
+                batch.retain(|_, runs| !runs.is_empty());
+            }
+            tenure.unacked.retain(|_, batch| !batch.is_empty());
+            let oldest = tenure.unacked.keys().next().copied();
+            tenure.acked = oldest.map_or(tenure.applied, |sequence| sequence - 1);
+        }
+    }
+
+    /// Tells whether nothing waits to be settled.
+    pub fn is_settled(&self) -> bool {
+        let idle = |account: &GrantAccount| account.unsettled.is_empty() && account.settling == 0;
+        self.accounts.values().all(idle) && self.shards.values().all(|tenure| tenure.plan.is_none())
+    }
+
+    /// Returns the last sequence known as applied in a shard.
+    pub fn applied(&self, shard: &ShardName) -> Sequence {
+        self.shards.get(shard).map_or(0, |tenure| tenure.applied)
+    }
+
+    /// Tells whether there is a tenure in a shard.
+    pub fn is_open(&self, shard: &ShardName) -> bool {
+        self.shards
+            .get(shard)
+            .is_some_and(|tenure| tenure.epoch != 0)
+    }
+
+    /// Forgets a tenure that ended by a leaving sync.
+    pub fn end_tenure(&mut self, shard: &ShardName) {
+        self.drop_tenure(shard);
+    }
+}
+
+impl ShardTenure {
+    fn note_applied(&mut self, plan: &SyncPlan) {
+        self.applied = plan.sequence;
+        self.agents.clone_from(&plan.agents);
+        let mut batch: BTreeMap<AgentId, Vec<RunId>> = BTreeMap::new();
+        for note in plan.rows.iter().flat_map(|row| &row.runs) {
+            batch
+                .entry(Arc::clone(&note.agent))
+                .or_default()
+                .push(Arc::clone(&note.run));
+        }
+        if batch.is_empty() {
+            if self.unacked.is_empty() {
+                self.acked = self.applied;
+            }
+            return;
+        }
+        self.unacked.insert(plan.sequence, batch);
+    }
+}
--- /dev/null
+++ b/toucanrail/src/lib.rs
@@ -0,0 +1,68 @@
+//! Decisions of a router fleet for prepaid token budgets, as plain data and functions.
+//!
+//! Nothing here opens a socket, reads a clock or draws a random number: the daemons feed events and
+//! the time in, and carry calls out. Systems that talk to the platform's object API are step
+//! machines, driven by whoever holds them.
+//!
+//! # Examples
+//! A grant is opened by driving a sync against an object API that is a map:
+//! ```
+//! use std::sync::Arc;
+//! use toucanrail::budgets::BudgetShard;
+//! use toucanrail::grants::GrantTable;
+//! use toucanrail::policies::GrantPolicy;
+//! use toucanrail::storecalls::{self, StoreCall, StoreReply};
+//! use toucanrail::syncs::SyncMachine;
+//!
+//! let customer = Arc::from("acme");
+//! let mut shard = BudgetShard::default();
+//! shard.accounts.entry(Arc::clone(&customer)).or_default().top_up(10_000)?;
+//!
+//! let policy = GrantPolicy::default();
+//! let mut table = GrantTable::new(Arc::from("entry-1"), policy);
+//! table.add_account(&customer, &customer);
+//! table.add_shortage(&customer, 100);
+//! let plan = table.plan_sync(&customer, false).expect("a request waits");
+//! let mut machine = SyncMachine::new(plan, policy, None);
+//! while let Some(call) = machine.next_call() {
+//!     machine.take_reply(match call {
+//!         StoreCall::Get { .. } => {
+//!             StoreReply::Found { version: 1, value: storecalls::encode_value(&shard) }
+//!         }
+//!         StoreCall::Put { .. } => StoreReply::Written { version: 2 },
+//!     });
+//! }
+//! table.apply_sync(&customer, machine.into_outcome());
+//! assert!(table.hold(&customer, 100).is_ok());
+//! # Ok::<(), toucanrail::budgets::BudgetError>(())
+//! ```
+
+pub mod budgets;
+pub mod catalogue;
+pub mod codes;
+pub mod codetable;
+pub mod files;
+pub mod frames;
+pub mod grants;
+pub mod ids;
+pub mod ledgers;
+pub mod limits;
+pub mod members;
+pub mod messages;
+pub mod meters;
+pub mod mirrors;
+pub mod paths;
+pub mod policies;
+pub mod reclaims;
+pub mod records;
+pub mod replays;
+pub mod retries;
+pub mod routing;
+pub mod scanners;
+pub mod seals;
+pub mod servers;
+pub mod settings;
+pub mod storecalls;
+pub mod syncs;
+pub mod traces;
+pub mod usages;
--- /dev/null
+++ b/toucanrail/src/paths.rs
@@ -0,0 +1,106 @@
+//! Paths of the object kinds, and the digests that stand in for secrets and long keys in them.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3;
+
+use crate::ids::{CustomerId, EntryId, Epoch, RequestId, Sequence, ShardName};
+use crate::storecalls::ObjectPath;
+
+/// Kind of the catalogue's objects.
+pub const CATALOGUE: &str = "catalogue";
+/// Kind of the registrations of processes.
+pub const NODES: &str = "nodes";
+/// Kind of the budget shards.
+pub const BUDGETS: &str = "budgets";
+/// Kind of the settlement batches.
+pub const BILLS: &str = "bills";
+/// Kind of the records of runs that may not be repeated.
+pub const RECORDS: &str = "records";
+/// Kind of the archives of keyed requests.
+pub const ARCHIVES: &str = "archives";
+
+const REQUEST_DIGITS: usize = 32;
+const BUCKET_DIGITS: usize = 2;
+
+/// Returns a SHA-256 digest in hexadecimal.
+///
+/// # Examples
+/// ```
+/// assert!(toucanrail::paths::hash_text("key").starts_with("2c70e12b7a06"));
+/// ```
+pub fn hash_text(text: &str) -> String {
+    hash_bytes(text.as_bytes())
+}
+
+/// Returns the SHA-256 digest of bytes in hexadecimal.
+pub fn hash_bytes(bytes: &[u8]) -> String {
+    hex_digits(&Sha256::digest(bytes))
+}
+
+/// Writes bytes in hexadecimal.
+///
+/// # Examples
+/// ```
+/// assert_eq!(toucanrail::paths::hex_digits(&[10, 255]), "0aff");
+/// ```
+pub fn hex_digits(bytes: &[u8]) -> String {
+    let mut digits = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        // Writing to a String cannot fail.
+        let _ = write!(digits, "{byte:02x}");
+    }
+    digits
+}
+
+/// Derives the id of a keyed request: the same on every entry that sees the key.
+///
+/// # Examples
+/// ```
+/// use toucanrail::paths;
+/// assert_eq!(paths::keyed_request("a", "k"), paths::keyed_request("a", "k"));
+/// assert_ne!(paths::keyed_request("a", "k"), paths::keyed_request("b", "k"));
+/// ```
+pub fn keyed_request(customer: &str, key: &str) -> RequestId {
+    let digits = hash_text(&format!("{}:{customer}:{key}", customer.len()));
+    Arc::from(&digits[..REQUEST_DIGITS])
+}
+
+/// Returns the shard that holds a customer's account; with `shards` 0, a shard of its own.
+pub fn shard_of(customer: &CustomerId, shards: u64) -> ShardName {
+    match shards {
+        0 => Arc::clone(customer),
+        _ => Arc::from(format!(
+            "shard-{}",
+            xxh3::xxh3_64(customer.as_bytes()) % shards
+        )),
+    }
+}
+
+/// Returns the path of a budget shard.
+pub fn budget_path(shard: &ShardName) -> ObjectPath {
+    Arc::from(format!("{BUDGETS}/{shard}"))
+}
+
+/// Returns the path of a settlement batch.
+pub fn bill_path(shard: &ShardName, epoch: Epoch, sequence: Sequence) -> ObjectPath {
+    Arc::from(format!("{BILLS}/{shard}.{epoch:08}.{sequence:08}"))
+}
+
+/// Returns the path of the batch with which `by` reclaims a tenure.
+pub fn reclaim_path(shard: &ShardName, epoch: Epoch, by: &EntryId) -> ObjectPath {
+    Arc::from(format!("{BILLS}/{shard}.{epoch:08}.reclaim.{by}"))
+}
+
+/// Returns the path of the record of a run that may not be repeated.
+pub fn record_path(request: &RequestId) -> ObjectPath {
+    Arc::from(format!("{RECORDS}/{request}"))
+}
+
+/// Returns the path of the archive bucket of a keyed request.
+pub fn archive_path(shard: &ShardName, request: &RequestId) -> ObjectPath {
+    let bucket = request.get(..BUCKET_DIGITS).unwrap_or(request);
+    Arc::from(format!("{ARCHIVES}/{shard}.{bucket}"))
+}
--- /dev/null
+++ b/toucanrail/src/policies.rs
@@ -0,0 +1,157 @@
+//! Policies for the size of a grant: pure functions of what an entry knows of one account.
+
+use std::time::Duration;
+
+use crate::ids::Tokens;
+
+/// Usage a second under which an account counts as idle and keeps nothing ahead.
+const IDLE_BURN: f64 = 0.01;
+
+/// What a policy sees of one account at one entry.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct GrantView {
+    /// Usage a second, smoothed.
+    pub burn: f64,
+    /// Held by requests in flight, or waiting to be settled.
+    pub busy: Tokens,
+    /// Granted and not spent.
+    pub granted: Tokens,
+    /// Wanted by a request that waits right now.
+    pub shortage: Tokens,
+    /// Not granted to anyone.
+    pub unallocated: Tokens,
+    /// All that was prepaid.
+    pub prepaid: Tokens,
+    /// Entries that hold a grant of this account, this one included.
+    pub holders: u64,
+}
+
+/// How much an entry keeps granted ahead of its need.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum GrantPolicy {
+    /// An equal split of the prepaid total, taken at first use: the naive way.
+    EqualSplit,
+    /// A fixed amount ahead.
+    FixedAmount {
+        /// The amount.
+        ahead: Tokens,
+    },
+    /// What the entry burns in a horizon, shrinking near exhaustion.
+    BurnRate {
+        /// How long the grant should last.
+        horizon: Duration,
+        /// The least amount ahead.
+        floor: Tokens,
+        /// Whether unused grants are recalled from other entries before a refusal.
+        recall: bool,
+    },
+}
+
+impl Default for GrantPolicy {
+    fn default() -> Self {
+        Self::BurnRate {
+            horizon: Duration::from_secs(60),
+            floor: 2_000,
+            recall: true,
+        }
+    }
+}
+
+impl GrantPolicy {
+    /// Reads a policy as settings write it: `split`, `fixed:TOKENS`, `burn:SECONDS` or
+    /// `recall:SECONDS`.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::policies::GrantPolicy;
+    /// assert_eq!(GrantPolicy::parse("fixed:500"), Some(GrantPolicy::FixedAmount { ahead: 500 }));
+    /// assert_eq!(GrantPolicy::parse("guess"), None);
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let (name, figure) = text.split_once(':').unwrap_or((text, "0"));
+        let figure = figure.parse().ok()?;
+        let horizon = Duration::from_secs(figure);
+        match name {
+            "split" => Some(Self::EqualSplit),
+            "fixed" => Some(Self::FixedAmount { ahead: figure }),
+            "burn" => Some(Self::BurnRate {
+                horizon,
+                floor: 2_000,
+                recall: false,
+            }),
+            "recall" => Some(Self::BurnRate {
+                horizon,
+                floor: 2_000,
+                recall: true,
+            }),
+            _ => None,
+        }
+    }
+
+    /// Tells whether other entries are asked for unused grants before a refusal.
+    pub fn recalls(&self) -> bool {
+        matches!(self, Self::BurnRate { recall: true, .. })
+    }
+
+    /// Returns the total that the entry should have granted.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::policies::{GrantPolicy, GrantView};
+    /// let view = GrantView { busy: 10, unallocated: 1_000, ..GrantView::default() };
+    /// assert_eq!(GrantPolicy::FixedAmount { ahead: 100 }.target(&view), 110);
+    /// ```
+    pub fn target(&self, view: &GrantView) -> Tokens {
+        let needed = view.busy + view.shortage;
+        let reach = view.granted + view.unallocated;
+        let wanted = match *self {
+            Self::EqualSplit => needed.max(view.prepaid / view.holders.max(1)),
+            Self::FixedAmount { ahead } => needed + ahead,
+            Self::BurnRate { horizon, floor, .. } => needed + Self::ahead(view, horizon, floor),
+        };
+        wanted.min(reach)
+    }
+
+    /// Near exhaustion a long horizon would strand the last tokens at one entry while another
+    /// refuses, so that no entry keeps ahead more than its share of what is left.
+    fn ahead(view: &GrantView, horizon: Duration, floor: Tokens) -> Tokens {
+        if view.shortage == 0 && view.burn < IDLE_BURN {
+            return 0;
+        }
+        let steady = (view.burn * horizon.as_secs_f64()) as Tokens;
+        let idle = view.granted.saturating_sub(view.busy);
+        let share = (view.unallocated + idle) / (2 * view.holders.max(1));
+        steady.max(floor).min(share)
+    }
+
+    /// Returns what to ask for or give back, or none if the grant is near enough to its target.
+    ///
+    /// The band between half and twice the target keeps a steady load from writing every tick.
+    pub fn adjust(&self, view: &GrantView) -> GrantChange {
+        if view.granted == 0 && view.shortage == 0 {
+            return GrantChange::Keep;
+        }
+        let target = self.target(view);
+        let needed = view.busy + view.shortage;
+        let ahead = target.saturating_sub(needed);
+        if view.granted < needed + ahead / 2 {
+            return GrantChange::Ask(target.saturating_sub(view.granted));
+        }
+        let returns = matches!(self, Self::BurnRate { .. });
+        if returns && view.granted > needed + ahead.saturating_mul(2) {
+            return GrantChange::Return(view.granted - target);
+        }
+        GrantChange::Keep
+    }
+}
+
+/// A change of a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GrantChange {
+    /// More of it.
+    Ask(Tokens),
+    /// Less of it.
+    Return(Tokens),
+    /// None.
+    Keep,
+}
