A bill settled before its tenure's revocation is not settled again

Cause: a sync took effect, its answer was lost, and the tenure was revoked before the entry read the shard again. The entry took the plan's bills for late ones and settled them a second time out of what the reclaim had frozen. The same plan, run again after a lost answer, also forgot the late bills that it had put off.

Ruled out: the reclaim (its batch holds each run once), the archive.

Change: a revoked sync says whether it had taken effect; late bills are planned only once their tenure is closed, and never by the sync that opens a tenure. The load tool, with faults and the truth from the stand-ins, comes in too.

--- a/toucanrail-daemons/src/settling.rs
+++ b/toucanrail-daemons/src/settling.rs
@@ -81,7 +81,7 @@
     match outcome {
         SyncOutcome::Applied { .. } => entry.board.count_event("syncs"),
         SyncOutcome::Unavailable => entry.board.count_event("syncs_unanswered"),
-        SyncOutcome::Revoked => {
+        SyncOutcome::Revoked { .. } => {
             entry.board.count_event("tenures_lost");
             tracing::warn!(id = %entry.id, %shard, "tenure was revoked");
         }
--- a/toucanrail-standins/src/lib.rs
+++ b/toucanrail-standins/src/lib.rs
@@ -8,6 +8,9 @@
 
 pub mod engines;
 pub mod faults;
+pub mod loads;
 pub mod plains;
 pub mod platforms;
+pub mod reports;
+pub mod senders;
 pub mod texts;
--- /dev/null
+++ b/toucanrail-standins/src/reports.rs
@@ -0,0 +1,464 @@
+//! Compares what callers saw with what truly ran and what was billed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use toucanrail::budgets::{BillBatch, BillRow, BudgetShard};
+use toucanrail::paths;
+use toucanrail::storecalls;
+use toucanrail_wire::clients::{ClientLimits, ConnectionPool, OutboundCall};
+use toucanrail_wire::stores::{HttpStore, ObjectStore};
+
+use crate::loads::LoadPlan;
+use crate::platforms::CallCounts;
+use crate::senders::{TryEnd, TryReport};
+
+const TRUTH_BOUND: Duration = Duration::from_secs(3);
+const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+const SAMPLE_STEP: Duration = Duration::from_millis(500);
+/// Largest latency told apart, in microseconds.
+const LONGEST_MICROS: u64 = 120_000_000;
+
+/// What an engine's stand-in truly did.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct EngineTruth {
+    spent: BTreeMap<String, u64>,
+    starts: BTreeMap<String, u64>,
+    cached_tokens: u64,
+    prompt_tokens: u64,
+}
+
+/// Latencies of one kind, in milliseconds.
+#[derive(Debug, Default, Serialize)]
+pub struct LatencyRow {
+    /// Half of all.
+    pub p50: f64,
+    /// 95 in 100.
+    pub p95: f64,
+    /// 99 in 100.
+    pub p99: f64,
+}
+
+/// The report of one load.
+#[derive(Debug, Default, Serialize)]
+pub struct LoadReport {
+    /// Requests sent, retries not counted.
+    pub requests: usize,
+    /// Tries, retries counted.
+    pub tries: usize,
+    /// Tries that brought the whole right answer.
+    pub right: usize,
+    /// Refusals by result code.
+    pub refusals: BTreeMap<u16, usize>,
+    /// Answers cut visibly.
+    pub cut: usize,
+    /// Tries without an answer.
+    pub lost: usize,
+    /// Tokens spent over the prepaid budgets; must be 0.
+    pub overspend: u64,
+    /// Whole answers that were not the right one; must be 0.
+    pub foreign: usize,
+    /// Keys whose call ran more than once though it may not; must be 0.
+    pub duplicate_runs: usize,
+    /// Requests with more than one bill; must be 0.
+    pub duplicate_bills: usize,
+    /// Requests said not to have run that ran; must be 0.
+    pub false_not_run: usize,
+    /// Keyed calls whose retries got another answer; must be 0.
+    pub changed_answers: usize,
+    /// Right answers without a bill once all is settled; must be 0.
+    pub unbilled: usize,
+    /// Refusals for budget though the money was there at the end.
+    pub false_refusals: usize,
+    /// All refusals for budget.
+    pub budget_refusals: usize,
+    /// Tokens that engines spent.
+    pub spent: u64,
+    /// Tokens billed.
+    pub billed: u64,
+    /// Tokens written off.
+    pub written_off: u64,
+    /// Tokens frozen at the end.
+    pub frozen: u64,
+    /// Most tokens of revoked tenures and frozen at once, and for how many seconds any were.
+    pub stuck_peak: u64,
+    /// Seconds during which any were.
+    pub stuck_seconds: f64,
+    /// Prompt tokens found cached, as a share.
+    pub prefix_hits: f64,
+    /// Store calls by kind.
+    pub store: CallCounts,
+    /// Store writes a request.
+    pub writes_per_request: f64,
+    /// Times to the first byte.
+    pub first_token: LatencyRow,
+    /// Times between tokens.
+    pub between_tokens: LatencyRow,
+    /// Right answers by the second in which they ended.
+    pub goodput: Vec<usize>,
+}
+
+/// Where the truth is read.
+#[derive(Debug, Clone)]
+pub struct TruthSources {
+    /// The platform's stand-in.
+    pub store: SocketAddr,
+    /// The engines' stand-ins.
+    pub engines: Vec<SocketAddr>,
+    /// The plain services' stand-ins.
+    pub plains: Vec<SocketAddr>,
+}
+
+/// Money that nobody can spend, sampled over time.
+#[derive(Debug, Clone, Default)]
+pub struct StuckWatch {
+    state: Arc<Mutex<(u64, f64)>>,
+}
+
+impl StuckWatch {
+    /// Samples until dropped.
+    pub async fn run(self, store: SocketAddr) {
+        let store = HttpStore::new(store);
+        let mut last = Instant::now();
+        loop {
+            smol::Timer::after(SAMPLE_STEP).await;
+            let stuck: u64 = list_shards(&store).await.values().map(stuck_tokens).sum();
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.0 = state.0.max(stuck);
+            if stuck > 0 {
+                state.1 += last.elapsed().as_secs_f64();
+            }
+            last = Instant::now();
+        }
+    }
+}
+
+fn stuck_tokens(shard: &BudgetShard) -> u64 {
+    let revoked = |entry: &Arc<str>| {
+        let live = toucanrail::budgets::HolderState::Live;
+        shard
+            .holders
+            .get(entry)
+            .is_some_and(|row| row.state != live)
+    };
+    let accounts = shard.accounts.values();
+    accounts
+        .map(|account| {
+            let held = account.grants.iter().filter(|(entry, _)| revoked(entry));
+            let held: u64 = held.map(|(_, tokens)| tokens).sum();
+            held + account.frozen.values().sum::<u64>()
+        })
+        .sum()
+}
+
+async fn list_shards(store: &HttpStore) -> BTreeMap<Arc<str>, BudgetShard> {
+    let listed = store.list(paths::BUDGETS, 0).await;
+    let objects = listed.map(|listed| listed.objects).unwrap_or_default();
+    let rows = objects.into_iter().filter_map(|object| {
+        storecalls::decode_value(&object.value).map(|shard| (object.name, shard))
+    });
+    rows.collect()
+}
+
+async fn list_bills(store: &HttpStore, shards: &BTreeMap<Arc<str>, BudgetShard>) -> Vec<BillRow> {
+    let listed = store.list(paths::BILLS, 0).await;
+    let objects = listed.map(|listed| listed.objects).unwrap_or_default();
+    let mut rows = Vec::new();
+    for object in objects {
+        let batch: Option<BillBatch> = storecalls::decode_value(&object.value);
+        let counted = batch.filter(|batch| {
+            let shard = shards.get(&batch.shard);
+            shard.is_some_and(|shard| shard.counts_batch(batch, &object.name))
+        });
+        rows.extend(counted.map(|batch| batch.rows).unwrap_or_default());
+    }
+    rows
+}
+
+async fn fetch<Body>(pool: &ConnectionPool, address: SocketAddr, path: &str) -> Option<Body>
+where
+    Body: for<'body> Deserialize<'body>,
+{
+    let answer = pool
+        .fetch(address, OutboundCall::get(path), TRUTH_BOUND)
+        .await
+        .ok()?;
+    serde_json::from_slice(&answer.body).ok()
+}
+
+/// Reads the store's calls so far.
+pub async fn read_counts(store: SocketAddr) -> CallCounts {
+    let pool = ConnectionPool::new(ClientLimits::default());
+    fetch(&pool, store, "/control/counts")
+        .await
+        .unwrap_or_default()
+}
+
+/// Waits until all that ran is billed, or it takes too long, then makes the report.
+pub async fn make_report(
+    plan: &LoadPlan,
+    tries: &[TryReport],
+    sources: &TruthSources,
+    before: CallCounts,
+    stuck: &StuckWatch,
+) -> LoadReport {
+    let pool = ConnectionPool::new(ClientLimits::default());
+    let after = read_counts(sources.store).await;
+    let mut engines: Vec<EngineTruth> = Vec::new();
+    for address in &sources.engines {
+        engines.extend(fetch(&pool, *address, "/control/truth").await);
+    }
+    let mut runs: BTreeMap<String, u64> = BTreeMap::new();
+    for address in &sources.plains {
+        let found: Option<BTreeMap<String, u64>> = fetch(&pool, *address, "/control/runs").await;
+        for (key, count) in found.unwrap_or_default() {
+            *runs.entry(key).or_default() += count;
+        }
+    }
+    let store = HttpStore::new(sources.store);
+    let start = Instant::now();
+    let (mut shards, mut bills);
+    loop {
+        shards = list_shards(&store).await;
+        bills = list_bills(&store, &shards).await;
+        let open = count_unbilled(tries, &bills);
+        if open == 0 || start.elapsed() > SETTLE_LIMIT {
+            break;
+        }
+        smol::Timer::after(SAMPLE_STEP).await;
+    }
+    let mut report = summarize(tries);
+    report.unbilled = count_unbilled(tries, &bills);
+    compare_money(&mut report, plan, tries, &engines, &shards);
+    compare_runs(&mut report, tries, &engines, &runs, &bills);
+    report.store = CallCounts {
+        reads: after.reads - before.reads,
+        writes: after.writes - before.writes,
+        watches: after.watches - before.watches,
+    };
+    report.writes_per_request = report.store.writes as f64 / report.requests.max(1) as f64;
+    (report.stuck_peak, report.stuck_seconds) =
+        *stuck.state.lock().unwrap_or_else(PoisonError::into_inner);
+    report
+}
+
+fn count_unbilled(tries: &[TryReport], bills: &[BillRow]) -> usize {
+    let billed: BTreeSet<&str> = bills
+        .iter()
+        .filter(|row| row.billed > 0)
+        .map(|row| &*row.request)
+        .collect();
+    let right = tries.iter().filter(|report| report.end == TryEnd::Right);
+    let ids: BTreeSet<&str> = right
+        .filter_map(|report| report.request.as_deref())
+        .collect();
+    ids.difference(&billed).count()
+}
+
+fn latency_row(times: impl Iterator<Item = Duration>) -> LatencyRow {
+    let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, LONGEST_MICROS, 3) else {
+        return LatencyRow::default();
+    };
+    times.for_each(|time| histogram.saturating_record((time.as_micros() as u64).max(1)));
+    let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+    LatencyRow {
+        p50: millis(0.5),
+        p95: millis(0.95),
+        p99: millis(0.99),
+    }
+}
+
+fn summarize(tries: &[TryReport]) -> LoadReport {
+    let mut report = LoadReport {
+        tries: tries.len(),
+        ..LoadReport::default()
+    };
+    let numbers: BTreeSet<usize> = tries.iter().map(|report| report.number).collect();
+    report.requests = numbers.len();
+    for row in tries {
+        match &row.end {
+            TryEnd::Right => {
+                report.right += 1;
+                let second = (row.sent + row.total).as_secs() as usize;
+                if report.goodput.len() <= second {
+                    report.goodput.resize(second + 1, 0);
+                }
+                report.goodput[second] += 1;
+            }
+            TryEnd::Foreign => report.foreign += 1,
+            TryEnd::Cut => report.cut += 1,
+            TryEnd::Lost => report.lost += 1,
+            TryEnd::Refused { code, .. } => *report.refusals.entry(*code).or_default() += 1,
+        }
+    }
+    let right = || tries.iter().filter(|row| row.end == TryEnd::Right);
+    report.first_token = latency_row(right().filter_map(|row| row.first));
+    report.between_tokens = latency_row(right().flat_map(|row| row.gaps.iter().copied()));
+    report
+}
+
+fn compare_money(
+    report: &mut LoadReport,
+    plan: &LoadPlan,
+    tries: &[TryReport],
+    engines: &[EngineTruth],
+    shards: &BTreeMap<Arc<str>, BudgetShard>,
+) {
+    let mut left: BTreeMap<&str, u64> = BTreeMap::new();
+    for (name, account) in shards.values().flat_map(|shard| &shard.accounts) {
+        let spent: u64 = engines
+            .iter()
+            .filter_map(|engine| engine.spent.get(&**name))
+            .sum();
+        report.spent += spent;
+        report.billed += account.billed;
+        report.written_off += account.written_off;
+        report.frozen += account.frozen.values().sum::<u64>();
+        report.overspend += spent.saturating_sub(account.prepaid);
+        let gone = account.billed + account.written_off + account.frozen.values().sum::<u64>();
+        left.insert(name, account.prepaid.saturating_sub(spent.max(gone)));
+    }
+    for row in tries {
+        let TryEnd::Refused {
+            code: 3001 | 3002, ..
+        } = row.end
+        else {
+            continue;
+        };
+        report.budget_refusals += 1;
+        let name = plan.customers[row.customer].name.as_str();
+        if left.get(name).is_some_and(|left| *left >= row.worst) {
+            report.false_refusals += 1;
+        }
+    }
+    let cached: u64 = engines.iter().map(|engine| engine.cached_tokens).sum();
+    let prompts: u64 = engines.iter().map(|engine| engine.prompt_tokens).sum();
+    report.prefix_hits = cached as f64 / prompts.max(1) as f64;
+}
+
+fn compare_runs(
+    report: &mut LoadReport,
+    tries: &[TryReport],
+    engines: &[EngineTruth],
+    runs: &BTreeMap<String, u64>,
+    bills: &[BillRow],
+) {
+    let started: BTreeSet<&str> = engines
+        .iter()
+        .flat_map(|engine| engine.starts.keys())
+        .filter_map(|run| run.split('.').next())
+        .collect();
+    let mut answers: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for row in tries {
+        if let (Some(key), Some(body)) = (&row.key, &row.body) {
+            answers.entry(key).or_default().insert(body);
+        }
+        let TryEnd::Refused { run, .. } = &row.end else {
+            continue;
+        };
+        // A keyed request may have run in another try; the plain service counts those.
+        let single = row.key.is_none() && run == "not-run";
+        let ran = row
+            .request
+            .as_deref()
+            .is_some_and(|id| started.contains(id));
+        report.false_not_run += usize::from(single && ran);
+    }
+    let plain_keys: BTreeSet<&str> = answers.keys().copied().collect();
+    let doubled = runs
+        .iter()
+        .filter(|(key, count)| key.starts_with("load-") && **count > 1);
+    report.duplicate_runs = doubled.count();
+    report.changed_answers = answers.values().filter(|bodies| bodies.len() > 1).count();
+    for key in plain_keys {
+        let only_refused = !runs.contains_key(key);
+        report.false_not_run += usize::from(only_refused);
+    }
+    let mut billed: BTreeMap<&str, usize> = BTreeMap::new();
+    for row in bills.iter().filter(|row| row.billed > 0) {
+        *billed.entry(&row.request).or_default() += 1;
+    }
+    report.duplicate_bills = billed.values().filter(|count| **count > 1).count();
+}
+
+impl LoadReport {
+    /// Tells whether every promise held.
+    pub fn holds(&self) -> bool {
+        let broken = self.foreign
+            + self.duplicate_runs
+            + self.duplicate_bills
+            + self.false_not_run
+            + self.changed_answers
+            + self.unbilled;
+        self.overspend == 0 && broken == 0
+    }
+
+    /// Returns the report as a table for people.
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+        let mut row = |name: &str, value: String| text += &format!("{name:<28}{value}\n");
+        row(
+            "requests / tries",
+            format!("{} / {}", self.requests, self.tries),
+        );
+        row("right answers", self.right.to_string());
+        row("refusals by code", format!("{:?}", self.refusals));
+        row("cut / lost", format!("{} / {}", self.cut, self.lost));
+        row("overspend", self.overspend.to_string());
+        row("foreign answers", self.foreign.to_string());
+        row(
+            "duplicate runs / bills",
+            format!("{} / {}", self.duplicate_runs, self.duplicate_bills),
+        );
+        row("'not run' that ran", self.false_not_run.to_string());
+        row(
+            "changed / unbilled answers",
+            format!("{} / {}", self.changed_answers, self.unbilled),
+        );
+        let (wrong, all) = (self.false_refusals, self.budget_refusals);
+        row("false / budget refusals", format!("{wrong} / {all}"));
+        row(
+            "spent / billed / off",
+            format!("{} / {} / {}", self.spent, self.billed, self.written_off),
+        );
+        row("frozen at the end", self.frozen.to_string());
+        row(
+            "stuck peak / seconds",
+            format!("{} / {:.1}", self.stuck_peak, self.stuck_seconds),
+        );
+        row("prefix hits", format!("{:.1} %", self.prefix_hits * 100.0));
+        row(
+            "store reads / writes",
+            format!("{} / {}", self.store.reads, self.store.writes),
+        );
+        row(
+            "writes a request",
+            format!("{:.4}", self.writes_per_request),
+        );
+        for (name, times) in [
+            ("first token ms", &self.first_token),
+            ("between tokens ms", &self.between_tokens),
+        ] {
+            let shown = format!(
+                "p50 {:.2}  p95 {:.2}  p99 {:.2}",
+                times.p50, times.p95, times.p99
+            );
+            row(name, shown);
+        }
+        row("goodput by second", format!("{:?}", self.goodput));
+        row(
+            "promises",
+            if self.holds() {
+                "held".to_owned()
+            } else {
+                "BROKEN".to_owned()
+            },
+        );
+        text
+    }
+}
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -371,7 +371,7 @@
         leave: bool,
     ) -> Option<SyncPlan> {
         let tenure = self.shards.get_mut(shard)?;
-        let mut rows = std::mem::take(&mut tenure.late);
+        let mut rows = tenure.take_reclaimed_rows();
         let mut demands = BTreeMap::new();
         for customer in customers {
             let Some(account) = self.accounts.get_mut(customer) else {
@@ -412,14 +412,12 @@
         match outcome {
             // The plan stays: whether it took effect is read from the shard next time.
             SyncOutcome::Unavailable => tenure.cached = None,
-            SyncOutcome::Revoked => self.drop_tenure(shard),
+            SyncOutcome::Revoked { applied } => self.drop_tenure(shard, applied),
             SyncOutcome::Applied {
                 shard: content,
                 version,
                 epoch,
-                deferred,
             } => {
-                tenure.late.extend(deferred);
                 tenure.epoch = epoch;
                 if let Some(plan) = tenure.plan.take() {
                     tenure.note_applied(&plan);
@@ -463,7 +461,7 @@
     }
 
     /// The tenure is another's to settle now: nothing of it may be spent or settled here.
-    fn drop_tenure(&mut self, shard: &ShardName) {
+    fn drop_tenure(&mut self, shard: &ShardName, applied: bool) {
         for customer in self.customers_of(shard) {
             let unsettled = self.accounts.insert(customer, GrantAccount::default());
             let rows = unsettled
@@ -474,7 +472,8 @@
             }
         }
         if let Some(tenure) = self.shards.get_mut(shard) {
-            let rows = tenure.plan.take().map(|plan| plan.rows).unwrap_or_default();
+            let plan = tenure.plan.take().filter(|_| !applied);
+            let rows = plan.map(|plan| plan.rows).unwrap_or_default();
             let mut late = std::mem::take(&mut tenure.late);
             late.extend(rows);
             *tenure = ShardTenure {
@@ -536,11 +535,27 @@
 
     /// Forgets a tenure that ended by a leaving sync.
     pub fn end_tenure(&mut self, shard: &ShardName) {
-        self.drop_tenure(shard);
+        self.drop_tenure(shard, false);
     }
 }
 
 impl ShardTenure {
+    /// Returns the late bills whose tenure is known to be closed. Until it is, its reclaim decides
+    /// what is billed; and a sync that opens a tenure carries none, since after a lost answer it
+    /// could not be told from one that never took effect.
+    fn take_reclaimed_rows(&mut self) -> Vec<BillRow> {
+        let closed = self.cached.as_ref().map(|(_, shard)| &shard.closed);
+        let Some(closed) = closed.filter(|_| self.epoch != 0) else {
+            return Vec::new();
+        };
+        let late = std::mem::take(&mut self.late);
+        let (ready, waiting) = late
+            .into_iter()
+            .partition(|row| closed.contains_key(&row.epoch));
+        self.late = waiting;
+        ready
+    }
+
     fn note_applied(&mut self, plan: &SyncPlan) {
         self.applied = plan.sequence;
         self.agents.clone_from(&plan.agents);
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -64,11 +64,12 @@
         version: Version,
         /// The tenure's epoch.
         epoch: Epoch,
-        /// Late rows whose old tenure is not reclaimed yet.
-        deferred: Vec<BillRow>,
     },
-    /// The tenure was revoked; nothing of this sync took effect.
-    Revoked,
+    /// The tenure was revoked.
+    Revoked {
+        /// Whether this sync had taken effect before, its answer lost.
+        applied: bool,
+    },
     /// No answer: the same plan must be tried again.
     Unavailable,
 }
@@ -97,7 +98,6 @@
     billed_late: BTreeSet<RequestId>,
     archived: BTreeSet<RequestId>,
     rows: Vec<BillRow>,
-    deferred: Vec<BillRow>,
     bill: Option<Vec<u8>>,
     bill_expect: WriteExpectation,
     written: BudgetShard,
@@ -123,7 +123,6 @@
             billed_late: BTreeSet::new(),
             archived: BTreeSet::new(),
             rows: Vec::new(),
-            deferred: Vec::new(),
             bill: None,
             bill_expect: WriteExpectation::Absent,
             written: BudgetShard::default(),
@@ -229,7 +228,7 @@
                 return if owned && self.shard.live_tenure(&self.plan.entry, epoch).is_some() {
                     self.end_applied(epoch, version);
                 } else {
-                    self.end(SyncOutcome::Revoked);
+                    self.end_revoked();
                 };
             }
             Some((epoch, _)) if self.plan.epoch == 0 => self.epoch = epoch,
@@ -243,22 +242,34 @@
                 .live_tenure(&self.plan.entry, self.epoch)
                 .is_none()
         {
-            return self.end(SyncOutcome::Revoked);
+            return self.end_revoked();
         }
         self.start_reclaim_reads();
     }
 
     fn end_applied(&mut self, epoch: Epoch, version: Version) {
         let shard = std::mem::take(&mut self.shard);
-        let deferred = std::mem::take(&mut self.deferred);
         self.end(SyncOutcome::Applied {
             shard,
             version,
             epoch,
-            deferred,
         });
     }
 
+    /// Tells a sync that never took effect from one whose answer was lost before the revocation:
+    /// the bills of the latter are settled, and must not be settled again as late ones.
+    fn end_revoked(&mut self) {
+        let epoch = self.plan.epoch;
+        let holder = self.shard.holders.get(&self.plan.entry);
+        let held = holder.filter(|row| row.epoch == epoch);
+        let closed = self.shard.closed.get(&epoch);
+        let settled = held
+            .map(|row| row.settled)
+            .or(closed.map(|closed| closed.settled));
+        let applied = settled.is_some_and(|settled| settled >= self.plan.sequence);
+        self.end(SyncOutcome::Revoked { applied });
+    }
+
     /// Late rows are billed only where their tenure's reclaim did not bill them.
     fn start_reclaim_reads(&mut self) {
         let epochs: BTreeSet<Epoch> = self.late_rows().map(|row| row.epoch).collect();
@@ -342,17 +353,13 @@
 
     fn decide_rows(&mut self) {
         let (epoch, shard) = (self.epoch, &self.shard);
-        let (ready, deferred): (Vec<_>, Vec<_>) = self
+        self.rows = self
             .plan
             .rows
             .iter()
-            .cloned()
-            .partition(|row| row.epoch == epoch || shard.closed.contains_key(&row.epoch));
-        self.deferred = deferred;
-        self.rows = ready
-            .into_iter()
             .filter(|row| row.epoch == epoch || !self.billed_late.contains(&row.request))
             .filter(|row| row.epoch == epoch || has_frozen(shard, row))
+            .cloned()
             .collect();
         self.shard.decide_rows(&mut self.rows, &self.archived);
     }
--- a/toucanrail/tests/world/mod.rs
+++ b/toucanrail/tests/world/mod.rs
@@ -396,6 +396,16 @@
         }
     }
 
+    /// Opens a tenure with some grant at every entry.
+    pub fn open_tenures(&mut self) {
+        for at in 0..self.entries.len() {
+            for customer in self.customers.clone() {
+                self.entries[at].table.add_shortage(&customer, 100);
+            }
+            self.run_sync(at, false);
+        }
+    }
+
     /// One step of moving old keys to the archive.
     pub fn step_archive(&mut self, at: usize, mood: StoreMood) {
         let shard = Arc::clone(&self.shard);
