Tests with real processes: at most once, dead holders, the whole path

Causes found and mended, each by a test that failed first: - dead_writer: an agent whose entry died cancelled a call that may not be repeated, so its answer was lost for good. Such a call now goes on to its end, at the agent and at the entry; the retry gets its answer. - dead_agent: a caller whose call was cut by its agent's death was told 'ran'; nothing proves that. Tries whose end is open now say 'unknown'. - A holder taken for dead that lives again finishes its own reclaim, so that its money does not stay revoked if the peer that began never comes back.

Ruled out for dead_writer: the record (it named the right agent and try).

--- a/toucanrail-daemons/src/attempts.rs
+++ b/toucanrail-daemons/src/attempts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use smol::future::FutureExt;
-use toucanrail::codes::{ResultCode, RunState};
+use toucanrail::codes::ResultCode;
 use toucanrail::codetable;
 use toucanrail::frames::FrameScanner;
 use toucanrail::ids::{AgentId, RunId, Tokens};
@@ -335,12 +335,3 @@
         answer: None,
     }
 }
-
-/// Returns what a refusal with this code may say about the run.
-pub fn run_state(code: ResultCode, known_ran: bool) -> RunState {
-    if known_ran {
-        RunState::Ran
-    } else {
-        code.row().run
-    }
-}
--- a/toucanrail-daemons/src/reclaiming.rs
+++ b/toucanrail-daemons/src/reclaiming.rs
@@ -20,6 +20,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
 const FENCE_BOUND: Duration = Duration::from_millis(800);
 /// Head start of each entry over the next in rank, so that one does the work.
+/// Time that peers have to finish what they began.
+const OWN_DELAY: Duration = Duration::from_secs(3);
 const RANK_DELAY: Duration = Duration::from_secs(2);
 
 /// Looks for lost peers and reclaims their tenures, again and again.
@@ -97,6 +99,23 @@
     }
 }
 
+/// Finishes the reclaim of this entry's own lost tenure if nobody else does.
+///
+/// Guards against money that stays revoked: an entry that seemed dead and lives is no longer
+/// lost, so the peer that began may never come back to it.
+pub async fn finish_own(entry: Arc<Entry>, shard: ShardName) {
+    loop {
+        smol::Timer::after(OWN_DELAY).await;
+        let outcome = reclaim(&entry, &shard, &entry.id).await;
+        if !matches!(
+            outcome,
+            ReclaimOutcome::Waiting | ReclaimOutcome::Unavailable
+        ) {
+            return;
+        }
+    }
+}
+
 async fn reclaim(entry: &Arc<Entry>, shard: &ShardName, dead: &EntryId) -> ReclaimOutcome {
     let (shard, dead) = (Arc::clone(shard), Arc::clone(dead));
     let mut machine = ReclaimMachine::new(shard, dead, Arc::clone(&entry.id), true);
--- a/toucanrail-daemons/src/running.rs
+++ b/toucanrail-daemons/src/running.rs
@@ -80,6 +80,7 @@
     offset: u64,
     heard_at: Instant,
     deadline: Instant,
+    orphaned: bool,
 }
 
 /// Tells whether a field is passed on.
@@ -100,9 +101,10 @@
         head: None,
         offset: 0,
         heard_at: Instant::now(),
+        orphaned: false,
     };
     loop {
-        let event = next_event(&events, &task.writer).await;
+        let event = next_event(&events, &task.writer, task.orphaned).await;
         if !task.take_event(event).await {
             break;
         }
@@ -111,12 +113,19 @@
     reading.cancel().await;
 }
 
-async fn next_event(events: &async_channel::Receiver<ReadEvent>, writer: &PipeWriter) -> RunEvent {
+async fn next_event(
+    events: &async_channel::Receiver<ReadEvent>,
+    writer: &PipeWriter,
+    orphaned: bool,
+) -> RunEvent {
     let read = async {
         let broken = || ReadEvent::Broken(io::ErrorKind::BrokenPipe.into());
         RunEvent::Read(events.recv().await.unwrap_or_else(|_| broken()))
     };
     let gone = async {
+        if orphaned {
+            std::future::pending::<()>().await;
+        }
         writer.wait_closed().await;
         RunEvent::EntryGone
     };
@@ -212,6 +221,11 @@
                 self.take_read(event).await
             }
             RunEvent::Tick => self.take_tick().await,
+            // What may not be repeated goes on to its end: a retry must get its answer.
+            RunEvent::EntryGone if !self.order.repeatable => {
+                self.orphaned = true;
+                true
+            }
             RunEvent::EntryGone => self.fail(codetable::CANCELLED, RunState::Ran).await,
         }
     }
--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -67,7 +67,7 @@
     held: Vec<u8>,
     kept: Option<Vec<u8>>,
     tokens: Tokens,
-    passed: bool,
+    repeatable: bool,
 }
 
 impl CallerSide {
@@ -139,7 +139,6 @@
 
     async fn take_body(&mut self, bytes: Vec<u8>, tokens: Tokens) -> bool {
         self.tokens = tokens;
-        self.passed = true;
         self.keep(&bytes);
         if !self.streamed && self.writer.is_none() {
             self.held.extend_from_slice(&bytes);
@@ -157,6 +156,10 @@
     }
 
     async fn wait_gone(&self) {
+        // What may not be repeated goes on to its end: a retry must get its answer.
+        if !self.repeatable {
+            return std::future::pending().await;
+        }
         if let Some(writer) = &self.writer {
             writer.wait_closed().await;
         } else {
@@ -197,6 +200,8 @@
     tried: BTreeSet<AgentId>,
     attempt: u32,
     record: Option<(RunRecord, Version)>,
+    /// What earlier tries say about the run; none while all were provably not run.
+    ran: Option<RunState>,
     _guard: Arc<()>,
 }
 
@@ -220,7 +225,7 @@
             held: Vec::new(),
             kept: plan.keyed.then(Vec::new),
             tokens: 0,
-            passed: false,
+            repeatable: plan.repeatable,
         };
         Self {
             entry,
@@ -233,6 +238,7 @@
             tried: BTreeSet::new(),
             attempt: 0,
             record: None,
+            ran: None,
             _guard: guard,
         }
     }
@@ -266,8 +272,10 @@
             codetable::STORE_UNAVAILABLE,
             codetable::STOPPING,
         ];
-        let ran = !self.sum.runs.is_empty();
-        let note = note.run(attempts::run_state(code, ran));
+        let note = match self.ran {
+            Some(run) => note.run(run),
+            None => note,
+        };
         if later.contains(&code) {
             note.retry_after(DEFAULT_RETRY)
         } else {
@@ -588,6 +596,7 @@
                     code.row().name
                 ));
                 self.add_run(target, run, *used);
+                self.note_ran(*used);
                 self.sum.unproved += unproved;
                 let charged = delivered || answer.is_some() || !self.plan.repeatable;
                 let gone = *code == codetable::CANCELLED;
@@ -599,6 +608,7 @@
             }
             AttemptEnd::Open { code } => {
                 self.note(format!("not known yet: {}", code.row().name));
+                self.note_ran(0);
                 self.leave_open(target, run, hold);
             }
         }
@@ -609,6 +619,15 @@
         self.close_record(end).await;
     }
 
+    /// Notes what a lost try says about the run: any use proves that it ran.
+    fn note_ran(&mut self, used: Tokens) {
+        if used > 0 {
+            self.ran = Some(RunState::Ran);
+        } else if self.ran.is_none() {
+            self.ran = Some(RunState::Unknown);
+        }
+    }
+
     fn add_run(&mut self, target: &AttemptTarget, run: &RunId, used: Tokens) {
         let (run, agent) = (Arc::clone(run), Arc::clone(&target.agent));
         self.sum.runs.push(RunNote { run, agent, used });
--- a/toucanrail-daemons/src/settling.rs
+++ b/toucanrail-daemons/src/settling.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use smol::future::FutureExt;
+use toucanrail::archives::ArchiveMachine;
+use toucanrail::budgets::RECENT_LIMIT;
 use toucanrail::codes::ResultCode;
 use toucanrail::codetable;
 use toucanrail::grants::{GrantHold, HoldRefusal};
@@ -16,6 +18,7 @@
 
 use crate::entries::Entry;
 use crate::fleets::routes;
+use crate::reclaiming;
 
 /// Time for which an account found exhausted is refused without asking again.
 const EXHAUSTED_TIME: Duration = Duration::from_millis(300);
@@ -84,14 +87,30 @@
         SyncOutcome::Revoked { .. } => {
             entry.board.count_event("tenures_lost");
             tracing::warn!(id = %entry.id, %shard, "tenure was revoked");
+            let finish = reclaiming::finish_own(Arc::clone(entry), Arc::clone(shard));
+            smol::spawn(finish).detach();
         }
     }
     entry.lock().grants.apply_sync(shard, outcome);
     entry.synced.notify(usize::MAX);
     send_acks(entry).await;
+    if applied && entry.lock().grants.is_crowded(shard) {
+        archive_keys(entry, shard).await;
+    }
     applied
 }
 
+/// Moves old keyed requests of a shard to its archive.
+async fn archive_keys(entry: &Arc<Entry>, shard: &ShardName) {
+    let mut machine = ArchiveMachine::new(Arc::clone(shard), RECENT_LIMIT);
+    while let Some(call) = machine.next_call() {
+        machine.take_reply(entry.store.call(&call).await);
+    }
+    if machine.has_moved() {
+        entry.board.count_event("archives");
+    }
+}
+
 /// Tells agents which runs are settled.
 async fn send_acks(entry: &Arc<Entry>) {
     let due = entry.lock().grants.due_acks();
--- /dev/null
+++ b/toucanrail-daemons/tests/fleet/mod.rs
@@ -0,0 +1,288 @@
+//! A fleet for tests: entries and agents as processes of their own, the outside systems as
+//! stand-ins inside the test, so that it can look at the truth.
+
+// Each test file uses its own part of this.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use smol::net::TcpStream;
+use toucanrail::budgets::BudgetAccount;
+use toucanrail_daemons::demos;
+use toucanrail_daemons::operators::{self, OperatorError, OperatorTools};
+use toucanrail_standins::engines::{self, EngineSpeed, EngineStandin};
+use toucanrail_standins::plains::{self, PlainStandin};
+use toucanrail_standins::platforms::{self, PlatformStandin};
+use toucanrail_standins::texts;
+use toucanrail_wire::clients::{ClientLimits, ConnectionPool, OutboundCall, WholeAnswer};
+
+/// The bearer key of the customer `acme`.
+pub const KEY: &str = "demo-key";
+const FLEET_KEY: &str = "demo-fleet";
+/// Longest wait for anything that a test waits for; a failure, not a pace.
+pub const BOUND: Duration = Duration::from_secs(30);
+const LOOK_STEP: Duration = Duration::from_millis(20);
+
+/// A process of the fleet; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+    pub inner: Option<SocketAddr>,
+}
+
+impl Process {
+    fn start(program: &str, args: &[(&str, String)]) -> Self {
+        let mut child = Command::new(program)
+            .args(args.iter().map(|(name, value)| format!("--{name}={value}")))
+            .env("RUST_LOG", "warn")
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        let stdout = child.stdout.take().unwrap();
+        BufReader::new(stdout).read_line(&mut line).unwrap();
+        let words: Vec<&str> = line.split_whitespace().collect();
+        Self {
+            child,
+            address: words[2].parse().unwrap(),
+            inner: words.get(4).map(|word| word.parse().unwrap()),
+        }
+    }
+
+    /// Sends a signal by name, like `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
+        assert!(sent.unwrap().success());
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits until the process has ended by itself.
+    pub async fn wait_end(&mut self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < BOUND {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            smol::Timer::after(LOOK_STEP).await;
+        }
+        false
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// The stand-ins, the operator's tools and the pool of a caller.
+#[derive(Debug)]
+pub struct Fleet {
+    pub platform: PlatformStandin,
+    pub store: SocketAddr,
+    pub tools: OperatorTools,
+    pub pool: ConnectionPool,
+}
+
+impl Fleet {
+    /// Starts the platform with the demo's catalogue and the given opening budget.
+    pub async fn start(budget: u64) -> Self {
+        let (platform, store) = platforms::start("127.0.0.1:0", Duration::ZERO).unwrap();
+        let fleet = Self {
+            platform,
+            store,
+            tools: demos::operator_tools(store),
+            pool: ConnectionPool::new(ClientLimits::default()),
+        };
+        let digest = toucanrail::paths::hash_text(KEY);
+        let text = demos::CATALOGUE.replace("DIGEST", &digest);
+        let text = text.replace(
+            "opening-budget = 100000",
+            &format!("opening-budget = {budget}"),
+        );
+        fleet.apply(&text).await.unwrap();
+        fleet
+    }
+
+    pub async fn apply(&self, text: &str) -> Result<String, OperatorError> {
+        let path = std::env::temp_dir().join(format!("toucanrail-{:016x}.toml", fastrand::u64(..)));
+        std::fs::write(&path, text).unwrap();
+        let ran = self.operate(&["apply", path.to_str().unwrap()]).await;
+        std::fs::remove_file(&path).unwrap();
+        ran
+    }
+
+    pub async fn operate(&self, words: &[&str]) -> Result<String, OperatorError> {
+        let words: Vec<String> = words.iter().map(ToString::to_string).collect();
+        operators::run_command(&self.tools, &words).await
+    }
+
+    fn args(&self, name: &str) -> Vec<(&'static str, String)> {
+        vec![
+            ("name", name.to_owned()),
+            ("listen", "127.0.0.1:0".to_owned()),
+            ("store", self.store.to_string()),
+            ("fleet-key", FLEET_KEY.to_owned()),
+        ]
+    }
+
+    pub fn entry(&self, name: &str, extra: &[(&'static str, &str)]) -> Process {
+        let mut args = self.args(name);
+        args.extend(
+            extra
+                .iter()
+                .map(|(name, value)| (*name, (*value).to_owned())),
+        );
+        Process::start(env!("CARGO_BIN_EXE_toucanrail-entry"), &args)
+    }
+
+    pub fn agent(&self, name: &str, service: &str, backend: SocketAddr) -> Process {
+        self.agent_at(
+            name,
+            service,
+            backend,
+            SocketAddr::from(([127, 0, 0, 1], 0)),
+        )
+    }
+
+    /// Starts an agent at an address, as one that is replaced in its place.
+    pub fn agent_at(
+        &self,
+        name: &str,
+        service: &str,
+        backend: SocketAddr,
+        address: SocketAddr,
+    ) -> Process {
+        let mut args = self.args(name);
+        args.push(("listen", address.to_string()));
+        args.push(("service", service.to_owned()));
+        args.push(("backend", backend.to_string()));
+        if service == "filing-app" {
+            args.push(("probe-path", "/health".to_owned()));
+        }
+        Process::start(env!("CARGO_BIN_EXE_toucanrail-agent"), &args)
+    }
+
+    pub fn engine(&self) -> (EngineStandin, SocketAddr) {
+        engines::start("127.0.0.1:0", EngineSpeed::default(), false).unwrap()
+    }
+
+    pub fn plain(&self) -> (PlainStandin, SocketAddr) {
+        plains::start("127.0.0.1:0").unwrap()
+    }
+
+    /// Waits until an entry can use so many backend servers.
+    pub async fn wait_servers(&self, entry: &Process, count: usize) {
+        self.wait("backend servers", async || {
+            let state = self.state(entry).await;
+            let rows = state["servers"]["rows"]
+                .as_object()
+                .cloned()
+                .unwrap_or_default();
+            let ready = |row: &Value| row["heard_at"].is_object() && row["leaving"] == json!(false);
+            rows.values().filter(|row| ready(row)).count() >= count
+        })
+        .await;
+    }
+
+    pub async fn state(&self, process: &Process) -> Value {
+        let address = process.inner.unwrap_or(process.address);
+        let answer = self
+            .pool
+            .fetch(address, OutboundCall::get("/state"), BOUND)
+            .await;
+        answer.map_or(Value::Null, |answer| {
+            serde_json::from_slice(&answer.body).unwrap()
+        })
+    }
+
+    /// Waits until a condition holds.
+    pub async fn wait(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
+        let start = Instant::now();
+        while !holds().await {
+            assert!(start.elapsed() < BOUND, "waited in vain for {what}");
+            smol::Timer::after(LOOK_STEP).await;
+        }
+    }
+
+    pub fn chat(&self, prompt: &str, tokens: u64) -> OutboundCall {
+        let body = json!({
+            "model": "levy-llm", "stream": true, "max_tokens": 200, "standin_tokens": tokens,
+            "messages": [{"role": "user", "content": prompt}],
+        });
+        authorized("/v1/chat/completions", &body)
+    }
+
+    pub async fn fetch(
+        &self,
+        process: &Process,
+        call: OutboundCall,
+    ) -> std::io::Result<WholeAnswer> {
+        self.pool.fetch(process.address, call, BOUND).await
+    }
+
+    pub async fn account(&self) -> BudgetAccount {
+        let shard = self.platform.read_object("budgets/acme").unwrap();
+        let shard: toucanrail::budgets::BudgetShard = serde_json::from_slice(&shard).unwrap();
+        shard.accounts[&Arc::from("acme")].clone()
+    }
+
+    /// Waits until all that engines spent is billed, written off or frozen, and returns the account.
+    pub async fn wait_billed(&self, spent: impl Fn() -> u64) -> BudgetAccount {
+        self.wait("the bills", async || {
+            let account = self.account().await;
+            account.billed + account.written_off + account.frozen.values().sum::<u64>() >= spent()
+        })
+        .await;
+        self.account().await
+    }
+}
+
+/// Makes a call with the key of `acme`.
+pub fn authorized(path: &str, body: &Value) -> OutboundCall {
+    OutboundCall::post(path, body.to_string().into_bytes())
+        .field("content-type", "application/json")
+        .field("authorization", format!("Bearer {KEY}"))
+}
+
+/// Returns the text that a stream's events carry, and whether it ended whole.
+pub fn stream_text(body: &[u8]) -> (String, bool) {
+    let text = String::from_utf8_lossy(body);
+    let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    let bodies = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    let contents = bodies.filter_map(|body| {
+        body["choices"][0]["delta"]["content"]
+            .as_str()
+            .map(str::to_owned)
+    });
+    (contents.collect(), text.ends_with("data: [DONE]\n\n"))
+}
+
+/// Returns the right text of a prompt's answer.
+pub fn right_text(prompt: &str, tokens: u64) -> String {
+    texts::answer_text(prompt, 0, tokens)
+}
+
+/// Returns the number in the result header.
+pub fn result_of(answer: &WholeAnswer) -> u16 {
+    answer.field("toucanrail-result").unwrap().parse().unwrap()
+}
+
+/// Opens a connection that a test writes raw bytes to.
+pub async fn raw(address: SocketAddr) -> TcpStream {
+    TcpStream::connect(address).await.unwrap()
+}
--- a/toucanrail-standins/src/platforms.rs
+++ b/toucanrail-standins/src/platforms.rs
@@ -70,6 +70,28 @@
         listeners::serve(listener, limits, handler).await;
     }
 
+    /// Returns an object's value.
+    pub fn read_object(&self, name: &str) -> Option<Vec<u8>> {
+        let state = self.lock();
+        state.objects.get(name).map(|(_, value)| value.clone())
+    }
+
+    /// Returns the calls made so far.
+    pub fn counts(&self) -> CallCounts {
+        self.lock().counts
+    }
+
+    /// Puts a VM on the list, or changes its row.
+    pub fn set_vm(&self, vm: &str, leaving: bool) {
+        let row = (leaving, Instant::now());
+        self.lock().vms.insert(Arc::from(vm), row);
+    }
+
+    /// Takes a VM off the list.
+    pub fn remove_vm(&self, vm: &str) {
+        self.lock().vms.remove(vm);
+    }
+
     fn lock(&self) -> MutexGuard<'_, PlatformState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -9,7 +9,7 @@
 
 use serde::Serialize;
 
-use crate::budgets::{BillRow, BudgetShard};
+use crate::budgets::{BillRow, BudgetShard, RECENT_LIMIT};
 use crate::ids::{
     AgentId, CustomerId, EntryId, Epoch, RunId, Sequence, ShardName, Tokens, Version,
 };
@@ -526,6 +526,18 @@
         self.shards.get(shard).map_or(0, |tenure| tenure.applied)
     }
 
+    /// Tells whether an account of a shard remembers too many keyed requests.
+    pub fn is_crowded(&self, shard: &ShardName) -> bool {
+        let cached = self
+            .shards
+            .get(shard)
+            .and_then(|tenure| tenure.cached.as_ref());
+        cached.is_some_and(|(_, content)| {
+            let mut accounts = content.accounts.values();
+            accounts.any(|account| account.recent.len() > RECENT_LIMIT)
+        })
+    }
+
     /// Tells whether there is a tenure in a shard.
     pub fn is_open(&self, shard: &ShardName) -> bool {
         self.shards
