--- a/toucanrail-daemons/src/agents.rs
+++ b/toucanrail-daemons/src/agents.rs
@@ -44,26 +44,10 @@
 
 /// Settings of the agent alone.
 pub const SETTINGS: [SettingRow; 4] = [
-    SettingRow {
-        name: "backend",
-        default: None,
-        help: "Address of the backend server.",
-    },
-    SettingRow {
-        name: "service",
-        default: None,
-        help: "Service of the backend server.",
-    },
-    SettingRow {
-        name: "probe-path",
-        default: Some("/engine/load"),
-        help: "Path to look at.",
-    },
-    SettingRow {
-        name: "slots",
-        default: Some("8"),
-        help: "Calls at once, if it does not say.",
-    },
+    SettingRow { name: "backend", default: None, help: "Address of the backend server." },
+    SettingRow { name: "service", default: None, help: "Service of the backend server." },
+    SettingRow { name: "probe-path", default: Some("/engine/load"), help: "Path to look at." },
+    SettingRow { name: "slots", default: Some("8"), help: "Calls at once, if it does not say." },
 ];
 
 /// The agent's settings.
@@ -141,10 +125,7 @@
     /// If its metrics cannot be set up.
     pub fn new(settings: AgentSettings, address: SocketAddr) -> io::Result<Self> {
         let id = starting::new_incarnation(&settings.common.name);
-        let limits = ClientLimits {
-            connect: PROBE_BOUND,
-            ..ClientLimits::default()
-        };
+        let limits = ClientLimits { connect: PROBE_BOUND, ..ClientLimits::default() };
         Ok(Self {
             ledger: Mutex::new(UsageLedger::new(Arc::clone(&id))),
             id,
@@ -189,10 +170,7 @@
             }),
             routes::ACK => self.sealed(&call, |order: AckOrder| {
                 self.lock_ledger().acknowledge(&order.runs);
-                replies::message(&AgentReply {
-                    agent: Arc::clone(&self.id),
-                    fate: None,
-                })
+                replies::message(&AgentReply { agent: Arc::clone(&self.id), fate: None })
             }),
             routes::ASK => self.answer_ask(&call).await,
             routes::ORDER => self.answer_order(&call).await,
@@ -268,11 +246,7 @@
         if let Err(code) = self.lock_ledger().admit(&order) {
             self.board.count_result(code);
             let request = Arc::clone(&order.request);
-            let frame = RunFrame::Refused {
-                request,
-                code,
-                retry_after: 1_000,
-            };
+            let frame = RunFrame::Refused { request, code, retry_after: 1_000 };
             return replies::bytes(200, frames::encode_frame(&frame));
         }
         self.board.count_result(codetable::OK);
@@ -291,15 +265,9 @@
         if fate == toucanrail::messages::RunFate::Running && order.mode == AskMode::Cancel {
             let call = OutboundCall::get(format!("/engine/cancel/{}", order.run)).on_fresh();
             // The run's own task sees its stream end and notes what was used.
-            self.pool
-                .fetch(self.settings.backend, call, PROBE_BOUND)
-                .await
-                .ok();
+            self.pool.fetch(self.settings.backend, call, PROBE_BOUND).await.ok();
         }
-        replies::message(&AgentReply {
-            agent: Arc::clone(&self.id),
-            fate: Some(fate),
-        })
+        replies::message(&AgentReply { agent: Arc::clone(&self.id), fate: Some(fate) })
     }
 
     /// Passes an order on to the model engine unless its fencing number is old.
@@ -321,11 +289,7 @@
         let body = serde_json::json!({ "action": order.action, "subject": order.subject });
         let call = OutboundCall::post("/engine/order", body.to_string().into_bytes())
             .field("engine-fence", order.fence.to_string());
-        match self
-            .pool
-            .fetch(self.settings.backend, call, PROBE_BOUND)
-            .await
-        {
+        match self.pool.fetch(self.settings.backend, call, PROBE_BOUND).await {
             Ok(answer) if answer.status == 200 => replies::message(&true),
             Ok(_) => replies::refusal(&RefusalNote::new(codetable::STALE_ORDER)),
             Err(_) => replies::refusal(&RefusalNote::new(codetable::BACKEND_FAILED)),
@@ -342,17 +306,13 @@
 
     async fn probe_once(&self) {
         let call = OutboundCall::get(self.settings.probe_path.as_str());
-        let answer = self
-            .pool
-            .fetch(self.settings.backend, call, PROBE_BOUND)
-            .await;
+        let answer = self.pool.fetch(self.settings.backend, call, PROBE_BOUND).await;
         let mut view = self.lock_view();
         let was_healthy = view.failures < PROBE_FAILURES;
         match answer {
             Ok(answer) if answer.status < 500 => {
-                view.load = serde_json::from_slice(&answer.body)
-                    .ok()
-                    .filter(|_| answer.status == 200);
+                view.load =
+                    serde_json::from_slice(&answer.body).ok().filter(|_| answer.status == 200);
                 view.failures = 0;
             }
             _ => {
@@ -370,15 +330,11 @@
     async fn mirror(self: Arc<Self>) {
         loop {
             let common = &self.settings.common;
-            let entries = self
-                .mirrors
-                .entries_to_ask(&common.data_centre, &common.peers);
+            let entries = self.mirrors.entries_to_ask(&common.data_centre, &common.peers);
             if !self.mirrors.ask_entries(&self.client, None, &entries).await {
                 self.mirrors.read_platform(&self.store).await;
             }
-            self.board
-                .in_force
-                .set(self.mirrors.lock().objects.seen().cast_signed());
+            self.board.in_force.set(self.mirrors.lock().objects.seen().cast_signed());
             smol::Timer::after(mirroring::ASK_INTERVAL).await;
         }
     }
@@ -394,11 +350,7 @@
             vm: Arc::clone(&common.vm),
             service: Some(Arc::clone(&self.settings.service)),
         };
-        let value = if present {
-            storecalls::encode_value(&node)
-        } else {
-            Vec::new()
-        };
+        let value = if present { storecalls::encode_value(&node) } else { Vec::new() };
         write_node(&self.store, &self.id, value).await
     }
 
@@ -426,22 +378,14 @@
     Store: ObjectStore,
 {
     let path: Arc<str> = Arc::from(format!("{}/{id}", paths::NODES));
-    let found = store
-        .call(&StoreCall::Get {
-            path: Arc::clone(&path),
-        })
-        .await;
+    let found = store.call(&StoreCall::Get { path: Arc::clone(&path) }).await;
     let expect = match found {
         StoreReply::Found { version, .. } => WriteExpectation::At(version),
         StoreReply::Missing if value.is_empty() => return true,
         StoreReply::Missing => WriteExpectation::Absent,
         _ => return false,
     };
-    let put = StoreCall::Put {
-        path,
-        expect,
-        value,
-    };
+    let put = StoreCall::Put { path, expect, value };
     matches!(store.call(&put).await, StoreReply::Written { .. })
 }
 
@@ -485,10 +429,7 @@
 }
 
 async fn serve(agent: Arc<Agent>, listener: TcpListener) {
-    let limits = ServerLimits {
-        body: ORDER_LIMIT,
-        ..ServerLimits::default()
-    };
+    let limits = ServerLimits { body: ORDER_LIMIT, ..ServerLimits::default() };
     let handler = move |call| Arc::clone(&agent).answer(call);
     listeners::serve(listener, limits, handler).await;
 }
--- a/toucanrail-daemons/src/answering.rs
+++ b/toucanrail-daemons/src/answering.rs
@@ -68,11 +68,7 @@
         if let Some(kept) = &mut self.kept {
             kept.extend_from_slice(bytes);
         }
-        if self
-            .kept
-            .as_ref()
-            .is_some_and(|kept| kept.len() > KEPT_BYTES)
-        {
+        if self.kept.as_ref().is_some_and(|kept| kept.len() > KEPT_BYTES) {
             self.kept = None;
         }
     }
--- a/toucanrail-daemons/src/attempts.rs
+++ b/toucanrail-daemons/src/attempts.rs
@@ -114,12 +114,7 @@
     let started = Instant::now();
     let opened = async {
         let bound = FRAME_SILENCE;
-        Some(
-            entry
-                .client
-                .open(target.address, routes::RUN, order, bound)
-                .await,
-        )
+        Some(entry.client.open(target.address, routes::RUN, order, bound).await)
     };
     let gone = async {
         sink.wait_gone().await;
@@ -133,10 +128,7 @@
         Some(Err(OpenFailure::NotSent(error))) => {
             tracing::debug!(%error, agent = %target.agent, "agent not reached");
             let code = codetable::NO_BACKEND_SERVER;
-            return AttemptEnd::NotRun {
-                code,
-                retry_after: Duration::from_secs(1),
-            };
+            return AttemptEnd::NotRun { code, retry_after: Duration::from_secs(1) };
         }
         Some(Err(OpenFailure::Sent(error))) if error.kind() == io::ErrorKind::TimedOut => {
             FrameFault::Silent
@@ -148,17 +140,9 @@
     entry.client.forget(target.address);
     let waited = clocks::bounded(FATE_WAIT, find_fate(entry, target, &order.run, order.hold)).await;
     match waited {
-        Some(AttemptEnd::Lost {
-            used,
-            unproved,
-            answer,
-            ..
-        }) => AttemptEnd::Lost {
-            code: fault.code(),
-            used,
-            unproved,
-            answer,
-        },
+        Some(AttemptEnd::Lost { used, unproved, answer, .. }) => {
+            AttemptEnd::Lost { code: fault.code(), used, unproved, answer }
+        }
         Some(end) => end,
         None => AttemptEnd::Open { code: fault.code() },
     }
@@ -187,22 +171,14 @@
             match frame {
                 RunFrame::Alive { .. } => {}
                 RunFrame::Head { status, fields, .. } => sink.take_head(status, fields),
-                RunFrame::Data {
-                    offset,
-                    bytes,
-                    tokens,
-                    ..
-                } => {
+                RunFrame::Data { offset, bytes, tokens, .. } => {
                     if offset != received {
                         return Err(FrameFault::Cut);
                     }
                     received += bytes.len() as u64;
                     if std::mem::take(&mut first) {
                         let now = entry.now();
-                        entry
-                            .lock()
-                            .servers
-                            .note_first(&target.agent, started.elapsed(), now);
+                        entry.lock().servers.note_first(&target.agent, started.elapsed(), now);
                     }
                     if !sink.take_body(bytes, tokens).await {
                         return Err(FrameFault::Gone);
@@ -213,9 +189,7 @@
                     return Ok(AttemptEnd::Whole { used });
                 }
                 RunFrame::End { .. } => return Err(FrameFault::Cut),
-                RunFrame::Refused {
-                    code, retry_after, ..
-                } => {
+                RunFrame::Refused { code, retry_after, .. } => {
                     finish_reading(answer).await;
                     let retry_after = Duration::from_millis(retry_after);
                     // It came before: what became of it must be asked.
@@ -225,30 +199,17 @@
                         Ok(AttemptEnd::NotRun { code, retry_after })
                     };
                 }
-                RunFrame::Failed {
-                    code,
-                    used,
-                    unproved,
-                    ..
-                } => {
+                RunFrame::Failed { code, used, unproved, .. } => {
                     finish_reading(answer).await;
-                    return Ok(AttemptEnd::Lost {
-                        code,
-                        used,
-                        unproved,
-                        answer: None,
-                    });
+                    return Ok(AttemptEnd::Lost { code, used, unproved, answer: None });
                 }
             }
         }
         let read = async {
-            answer
-                .read_chunk(FRAME_SILENCE)
-                .await
-                .map_err(|error| match error.kind() {
-                    io::ErrorKind::TimedOut => FrameFault::Silent,
-                    _ => FrameFault::Cut,
-                })
+            answer.read_chunk(FRAME_SILENCE).await.map_err(|error| match error.kind() {
+                io::ErrorKind::TimedOut => FrameFault::Silent,
+                _ => FrameFault::Cut,
+            })
         };
         let gone = async {
             sink.wait_gone().await;
@@ -264,11 +225,7 @@
 
 /// Reads the end of the last chunk, so that the connection can be used again.
 async fn finish_reading(mut answer: OpenAnswer) {
-    if answer
-        .read_chunk(ASK_BOUND)
-        .await
-        .is_ok_and(|bytes| bytes.is_empty())
-    {
+    if answer.read_chunk(ASK_BOUND).await.is_ok_and(|bytes| bytes.is_empty()) {
         answer.close_whole();
     }
 }
@@ -280,44 +237,21 @@
     run: &RunId,
     hold: Tokens,
 ) -> AttemptEnd {
-    let order = AskOrder {
-        run: Arc::clone(run),
-        mode: AskMode::Cancel,
-    };
+    let order = AskOrder { run: Arc::clone(run), mode: AskMode::Cancel };
     loop {
-        let reply: io::Result<AgentReply> = entry
-            .client
-            .send(target.address, routes::ASK, &order, ASK_BOUND)
-            .await;
+        let reply: io::Result<AgentReply> =
+            entry.client.send(target.address, routes::ASK, &order, ASK_BOUND).await;
         match reply {
             Ok(reply) if reply.agent != target.agent => return vanished(hold),
-            Ok(AgentReply {
-                fate: Some(RunFate::NeverCame),
-                ..
-            }) => {
+            Ok(AgentReply { fate: Some(RunFate::NeverCame), .. }) => {
                 let code = codetable::VOIDED;
-                return AttemptEnd::NotRun {
-                    code,
-                    retry_after: Duration::from_secs(1),
-                };
+                return AttemptEnd::NotRun { code, retry_after: Duration::from_secs(1) };
             }
             Ok(AgentReply {
-                fate:
-                    Some(RunFate::Ended {
-                        used,
-                        unproved,
-                        answer,
-                        ..
-                    }),
-                ..
+                fate: Some(RunFate::Ended { used, unproved, answer, .. }), ..
             }) => {
                 let code = codetable::ANSWER_CUT;
-                return AttemptEnd::Lost {
-                    code,
-                    used,
-                    unproved,
-                    answer,
-                };
+                return AttemptEnd::Lost { code, used, unproved, answer };
             }
             Err(_) if reclaiming::is_gone(entry, &target.agent) => return vanished(hold),
             Ok(_) | Err(_) => {}
@@ -328,10 +262,5 @@
 
 fn vanished(hold: Tokens) -> AttemptEnd {
     let code = codetable::BACKEND_FAILED;
-    AttemptEnd::Lost {
-        code,
-        used: 0,
-        unproved: hold,
-        answer: None,
-    }
+    AttemptEnd::Lost { code, used: 0, unproved: hold, answer: None }
 }
--- a/toucanrail-daemons/src/billing.rs
+++ b/toucanrail-daemons/src/billing.rs
@@ -80,10 +80,7 @@
 pub fn make_mark() -> (BillMarker, BillMark) {
     let billed = Arc::new(AtomicBool::new(false));
     let (sender, ended) = async_channel::bounded(1);
-    let marker = BillMarker {
-        billed: Arc::clone(&billed),
-        _ended: sender,
-    };
+    let marker = BillMarker { billed: Arc::clone(&billed), _ended: sender };
     (marker, BillMark { billed, ended })
 }
 
@@ -148,10 +145,7 @@
         let AttemptEnd::Lost { used, unproved, .. } = end else {
             return None;
         };
-        let mut sum = UsageSum {
-            unproved: *unproved,
-            ..UsageSum::default()
-        };
+        let mut sum = UsageSum { unproved: *unproved, ..UsageSum::default() };
         sum.add_run(&self.target, &self.run, *used);
         if self.charged && *used > 0 && self.mark.take().await {
             sum.billed = *used;
@@ -166,10 +160,7 @@
 pub fn record_state(end: &AttemptEnd) -> RecordState {
     match end {
         AttemptEnd::NotRun { .. } => RecordState::NotRun,
-        AttemptEnd::Lost {
-            answer: Some(answer),
-            ..
-        } => records::finished_state(answer.clone()),
+        AttemptEnd::Lost { answer: Some(answer), .. } => records::finished_state(answer.clone()),
         _ => RecordState::Unknown,
     }
 }
--- a/toucanrail-daemons/src/bin/toucanrail-agent.rs
+++ b/toucanrail-daemons/src/bin/toucanrail-agent.rs
@@ -6,10 +6,7 @@
 use toucanrail_daemons::starting;
 
 fn main() -> ExitCode {
-    let rows: Vec<_> = starting::COMMON_SETTINGS
-        .into_iter()
-        .chain(agents::SETTINGS)
-        .collect();
+    let rows: Vec<_> = starting::COMMON_SETTINGS.into_iter().chain(agents::SETTINGS).collect();
     let about = "stands beside one backend server";
     let mut values = match starting::read_settings("toucanrail-agent", about, &rows) {
         Ok(values) => values,
--- a/toucanrail-daemons/src/bin/toucanrail-entry.rs
+++ b/toucanrail-daemons/src/bin/toucanrail-entry.rs
@@ -6,10 +6,7 @@
 use toucanrail_daemons::starting;
 
 fn main() -> ExitCode {
-    let rows: Vec<_> = starting::COMMON_SETTINGS
-        .into_iter()
-        .chain(entries::SETTINGS)
-        .collect();
+    let rows: Vec<_> = starting::COMMON_SETTINGS.into_iter().chain(entries::SETTINGS).collect();
     let about = "takes callers' requests for the fleet";
     let mut values = match starting::read_settings("toucanrail-entry", about, &rows) {
         Ok(values) => values,
--- a/toucanrail-daemons/src/callers.rs
+++ b/toucanrail-daemons/src/callers.rs
@@ -104,9 +104,7 @@
     table: &'table CatalogueTable,
     call: &ReceivedCall,
 ) -> PlanResult<&'table CustomerEntry> {
-    let bearer = call
-        .field("authorization")
-        .and_then(|value| value.strip_prefix("Bearer "));
+    let bearer = call.field("authorization").and_then(|value| value.strip_prefix("Bearer "));
     let customer = bearer.and_then(|key| table.customer_of(&paths::hash_text(key.trim())));
     customer.map_or_else(|| refuse(codetable::UNKNOWN_KEY, ""), Ok)
 }
@@ -129,44 +127,28 @@
     let Ok(mut fields) = fields else {
         return refuse(codetable::BAD_REQUEST, "The body is not a JSON object.");
     };
-    let model = fields
-        .get("model")
-        .and_then(Value::as_str)
-        .unwrap_or_default();
-    let Some(service) = table
-        .service_of_model(model)
-        .filter(|found| may_use(&customer, found))
+    let model = fields.get("model").and_then(Value::as_str).unwrap_or_default();
+    let Some(service) = table.service_of_model(model).filter(|found| may_use(&customer, found))
     else {
         return refuse(codetable::NO_SUCH_MODEL, "See GET /v1/models.");
     };
     let service = service.clone();
     let chat = call.path() == "/v1/chat/completions";
     let Some((prompt, messages)) = read_prompt(&fields, chat) else {
-        return refuse(
-            codetable::BAD_REQUEST,
-            "It has no messages, or no prompt text.",
-        );
+        return refuse(codetable::BAD_REQUEST, "It has no messages, or no prompt text.");
     };
     if fields.get("n").and_then(Value::as_u64).unwrap_or(1) != 1 {
         return refuse(codetable::BAD_REQUEST, "Only n = 1 is supported.");
     }
-    let asked = fields
-        .get("max_tokens")
-        .or_else(|| fields.get("max_completion_tokens"));
+    let asked = fields.get("max_tokens").or_else(|| fields.get("max_completion_tokens"));
     let output = asked.and_then(Value::as_u64).unwrap_or(service.max_output);
     let output = output.clamp(1, service.max_output);
     fields.remove("max_completion_tokens");
     fields.insert("max_tokens".to_owned(), json!(output));
-    let streamed = fields
-        .get("stream")
-        .and_then(Value::as_bool)
-        .unwrap_or(false);
+    let streamed = fields.get("stream").and_then(Value::as_bool).unwrap_or(false);
     let hidden = streamed && !wants_usage(&fields);
     if streamed {
-        fields.insert(
-            "stream_options".to_owned(),
-            json!({ "include_usage": true }),
-        );
+        fields.insert("stream_options".to_owned(), json!({ "include_usage": true }));
     }
     let body = CallBody::Completion { fields, output };
     let prompt_bytes = body.encode(0).len() as u64;
@@ -185,15 +167,9 @@
 /// Returns the prompt's text and the number of its messages.
 fn read_prompt(fields: &Map<String, Value>, chat: bool) -> Option<(String, u64)> {
     if !chat {
-        return fields
-            .get("prompt")?
-            .as_str()
-            .map(|prompt| (prompt.to_owned(), 1));
+        return fields.get("prompt")?.as_str().map(|prompt| (prompt.to_owned(), 1));
     }
-    let messages = fields
-        .get("messages")?
-        .as_array()
-        .filter(|messages| !messages.is_empty())?;
+    let messages = fields.get("messages")?.as_array().filter(|messages| !messages.is_empty())?;
     let contents = messages.iter().filter_map(|message| message.get("content"));
     let texts = contents.map(|content| match content.as_str() {
         Some(text) => text.to_owned(),
@@ -217,9 +193,7 @@
     customer: CustomerEntry,
     call: &ReceivedCall,
 ) -> PlanResult<CallPlan> {
-    let found = table
-        .service_of_path(call.path())
-        .filter(|found| may_use(&customer, found));
+    let found = table.service_of_path(call.path()).filter(|found| may_use(&customer, found));
     let Some(service) = found.filter(|found| found.kind == ServiceKind::Plain) else {
         return refuse(codetable::NO_SUCH_ROUTE, "");
     };
@@ -233,22 +207,11 @@
         None => below.to_owned(),
     };
     let price = service.price;
-    let plan = base_plan(
-        customer,
-        service,
-        call,
-        &path,
-        CallBody::Plain(call.body.clone()),
-    )?;
+    let plan = base_plan(customer, service, call, &path, CallBody::Plain(call.body.clone()))?;
     if !repeatable && !plan.keyed {
         return refuse(codetable::KEY_REQUIRED, "");
     }
-    Ok(CallPlan {
-        usage: UsageRule::Fixed(price),
-        hold: price,
-        repeatable,
-        ..plan
-    })
+    Ok(CallPlan { usage: UsageRule::Fixed(price), hold: price, repeatable, ..plan })
 }
 
 fn base_plan(
@@ -268,9 +231,7 @@
     };
     let method: Arc<str> = Arc::from(call.request.method().as_ref());
     let longest = Duration::from_secs(service.deadline_seconds);
-    let asked = call
-        .field("toucanrail-deadline-ms")
-        .and_then(|text| text.parse().ok());
+    let asked = call.field("toucanrail-deadline-ms").and_then(|text| text.parse().ok());
     let deadline = asked.map_or(longest, |millis| Duration::from_millis(millis).min(longest));
     let digest = key.map_or_else(String::new, |_| {
         let body = paths::hash_bytes(&call.body);
@@ -309,9 +270,7 @@
 
 /// Returns the body of `GET /v1/models`: the models that a customer may use.
 pub fn list_models(table: &CatalogueTable, customer: &CustomerEntry) -> Value {
-    let services = table
-        .services()
-        .filter(|service| may_use(customer, service));
+    let services = table.services().filter(|service| may_use(customer, service));
     let models = services.filter_map(|service| {
         let model = service.model.as_deref()?;
         Some(json!({ "id": model, "object": "model", "created": 0, "owned_by": service.owner }))
--- a/toucanrail-daemons/src/demos.rs
+++ b/toucanrail-daemons/src/demos.rs
@@ -62,10 +62,8 @@
 }
 
 fn read_args(rows: &[settings::SettingRow], args: &[(&str, String)]) -> settings::SettingValues {
-    let words: Vec<_> = args
-        .iter()
-        .map(|(name, value)| format!("--{name}={value}").into())
-        .collect();
+    let words: Vec<_> =
+        args.iter().map(|(name, value)| format!("--{name}={value}").into()).collect();
     match settings::read("demo", "", rows, words, |_| None) {
         SettingsCall::Run(values) => values,
         SettingsCall::Print(_) => unreachable!("no demo argument prints"),
@@ -91,10 +89,7 @@
     let mut args = common_args(name, store);
     args.push(("service", service.to_owned()));
     args.push(("backend", backend.to_string()));
-    let rows: Vec<_> = starting::COMMON_SETTINGS
-        .into_iter()
-        .chain(agents::SETTINGS)
-        .collect();
+    let rows: Vec<_> = starting::COMMON_SETTINGS.into_iter().chain(agents::SETTINGS).collect();
     agents::start(AgentSettings::read(&mut read_args(&rows, &args)))
 }
 
@@ -106,19 +101,13 @@
 ) -> io::Result<entries::EntryHandle> {
     let mut args = common_args(name, store);
     args.extend(extra.iter().cloned());
-    let rows: Vec<_> = starting::COMMON_SETTINGS
-        .into_iter()
-        .chain(entries::SETTINGS)
-        .collect();
+    let rows: Vec<_> = starting::COMMON_SETTINGS.into_iter().chain(entries::SETTINGS).collect();
     entries::start(EntrySettings::read(&mut read_args(&rows, &args)))
 }
 
 /// Returns the tools of an operator.
 pub fn operator_tools(store: SocketAddr) -> OperatorTools {
-    let args = [
-        ("store", store.to_string()),
-        ("fleet-key", FLEET_KEY.to_owned()),
-    ];
+    let args = [("store", store.to_string()), ("fleet-key", FLEET_KEY.to_owned())];
     OperatorTools::read(&mut read_args(&operators::SETTINGS, &args))
 }
 
@@ -143,11 +132,7 @@
     start_agent("agent-1", store, "levy-llm", engine)?;
     start_agent("agent-2", store, "filing-app", plain)?;
     let entry = start_entry("entry-1", store, &[])?;
-    let fleet = DemoFleet {
-        store,
-        entry: entry.address,
-        inner: entry.inner,
-    };
+    let fleet = DemoFleet { store, entry: entry.address, inner: entry.inner };
     wait_ready(&fleet).await?;
     Ok(fleet)
 }
@@ -169,19 +154,14 @@
 /// Runs the demo and prints what it shows.
 pub async fn run() -> io::Result<()> {
     let fleet = start().await?;
-    println!(
-        "entry http://{}  key {CALLER_KEY}  object API {}",
-        fleet.entry, fleet.store
-    );
+    println!("entry http://{}  key {CALLER_KEY}  object API {}", fleet.entry, fleet.store);
     println!("\nPOST /v1/chat/completions, streamed:");
     let request = stream_answer(&fleet).await?;
     let tools = operator_tools(fleet.store);
     println!("\n\nwaiting for the bill ...");
     let explain = ["explain".to_owned(), request.to_string()];
     for _ in 0..READY_TRIES {
-        let text = operators::run_command(&tools, &explain)
-            .await
-            .unwrap_or_default();
+        let text = operators::run_command(&tools, &explain).await.unwrap_or_default();
         if text.contains("billed ") && text.contains("written off") {
             println!("\ntoucanrail explain {request}:\n{text}");
             break;
@@ -208,10 +188,7 @@
         .field("content-type", "application/json")
         .field("authorization", format!("Bearer {CALLER_KEY}"));
     let mut answer = pool.open(fleet.entry, call, CALL_BOUND).await?;
-    let request = answer
-        .response
-        .header("toucanrail-request")
-        .map(|id| id.last().to_string());
+    let request = answer.response.header("toucanrail-request").map(|id| id.last().to_string());
     loop {
         let chunk = answer.read_chunk(CALL_BOUND).await?;
         if chunk.is_empty() {
--- a/toucanrail-daemons/src/editing.rs
+++ b/toucanrail-daemons/src/editing.rs
@@ -33,14 +33,9 @@
     let text = std::fs::read_to_string(path)
         .map_err(|error| OperatorError::File(path.to_owned(), error))?;
     let rows = files::read_items(&text).map_err(OperatorError::Faults)?;
-    let mark = text
-        .lines()
-        .find_map(|line| line.strip_prefix(VERSION_MARK));
+    let mark = text.lines().find_map(|line| line.strip_prefix(VERSION_MARK));
     let base = mark.and_then(|version| version.trim().parse().ok());
-    Ok(CatalogueFile {
-        items: rows.into_iter().map(|row| row.item).collect(),
-        base,
-    })
+    Ok(CatalogueFile { items: rows.into_iter().map(|row| row.item).collect(), base })
 }
 
 /// Checks a file.
@@ -54,10 +49,7 @@
 ) -> Outcome<(BTreeMap<Arc<str>, MirrorObject>, Version)> {
     let listed = tools.store.list(paths::CATALOGUE, 0).await;
     let listed = listed.ok_or_else(|| OperatorError::Unavailable("the object API".to_owned()))?;
-    let rows = listed
-        .objects
-        .into_iter()
-        .map(|object| (Arc::clone(&object.name), object));
+    let rows = listed.objects.into_iter().map(|object| (Arc::clone(&object.name), object));
     Ok((rows.collect(), listed.seen))
 }
 
@@ -73,39 +65,23 @@
             text += &format!("{name}: {change}\n");
         }
     }
-    Ok(if text.is_empty() {
-        "no changes\n".to_owned()
-    } else {
-        text
-    })
+    Ok(if text.is_empty() { "no changes\n".to_owned() } else { text })
 }
 
 /// Returns a line for each field that differs.
 fn describe_changes(old: &[u8], new: &[u8]) -> Vec<String> {
     let fields = |bytes: &[u8]| -> BTreeMap<String, Value> {
         let value: Value = serde_json::from_slice(bytes).unwrap_or_default();
-        let inner = value
-            .as_object()
-            .and_then(|item| item.values().next())
-            .cloned();
-        let inner = inner
-            .as_ref()
-            .and_then(Value::as_object)
-            .cloned()
-            .unwrap_or_default();
-        inner
-            .into_iter()
-            .filter(|(_, value)| !value.is_null())
-            .collect()
+        let inner = value.as_object().and_then(|item| item.values().next()).cloned();
+        let inner = inner.as_ref().and_then(Value::as_object).cloned().unwrap_or_default();
+        inner.into_iter().filter(|(_, value)| !value.is_null()).collect()
     };
     let (old, new) = (fields(old), fields(new));
     let mut names: Vec<&String> = old.keys().chain(new.keys()).collect();
     names.sort();
     names.dedup();
     let show = |value: Option<&Value>| value.map_or("nothing".to_owned(), ToString::to_string);
-    let changed = names
-        .into_iter()
-        .filter(|name| old.get(*name) != new.get(*name));
+    let changed = names.into_iter().filter(|name| old.get(*name) != new.get(*name));
     changed
         .map(|name| format!("{name}: {} -> {}", show(old.get(name)), show(new.get(name))))
         .collect()
@@ -159,11 +135,7 @@
             }),
         );
     }
-    if changes.is_empty() {
-        Ok(())
-    } else {
-        Err(OperatorError::Conflict(changes.join("\n")))
-    }
+    if changes.is_empty() { Ok(()) } else { Err(OperatorError::Conflict(changes.join("\n"))) }
 }
 
 async fn write_item(
@@ -174,23 +146,13 @@
 ) -> Outcome<Version> {
     let path: Arc<str> = Arc::from(format!("{}/{name}", paths::CATALOGUE));
     let expect = version.map_or(WriteExpectation::Absent, WriteExpectation::At);
-    let put = StoreCall::Put {
-        path: Arc::clone(&path),
-        expect,
-        value: value.clone(),
-    };
+    let put = StoreCall::Put { path: Arc::clone(&path), expect, value: value.clone() };
     match tools.store.call(&put).await {
         StoreReply::Written { version } => Ok(version),
         // The answer may be lost, or another operator was first: reading tells which.
         _ => match tools.store.call(&StoreCall::Get { path }).await {
-            StoreReply::Found {
-                version,
-                value: found,
-            } if found == value => Ok(version),
-            StoreReply::Found {
-                version,
-                value: found,
-            } => {
+            StoreReply::Found { version, value: found } if found == value => Ok(version),
+            StoreReply::Found { version, value: found } => {
                 let changes = describe_changes(&value, &found).join("; ");
                 let what = format!("{name} was changed meanwhile, at version {version}: {changes}");
                 Err(OperatorError::Conflict(what))
@@ -207,11 +169,7 @@
         if shard.accounts.contains_key(&name) {
             return Ok(false);
         }
-        shard
-            .accounts
-            .entry(Arc::clone(&name))
-            .or_default()
-            .top_up(customer.opening_budget)?;
+        shard.accounts.entry(Arc::clone(&name)).or_default().top_up(customer.opening_budget)?;
         Ok(true)
     })
     .await
@@ -228,12 +186,7 @@
     let shard = paths::shard_of(&Arc::from(customer), tools.shards);
     let path = paths::budget_path(&shard);
     for _ in 0..CONFLICT_LIMIT {
-        let found = tools
-            .store
-            .call(&StoreCall::Get {
-                path: Arc::clone(&path),
-            })
-            .await;
+        let found = tools.store.call(&StoreCall::Get { path: Arc::clone(&path) }).await;
         let (expect, mut content) = match found {
             StoreReply::Found { version, value } => {
                 let content = storecalls::decode_value(&value)
@@ -247,15 +200,7 @@
             return Ok(());
         }
         let value = storecalls::encode_value(&content);
-        match tools
-            .store
-            .call(&StoreCall::Put {
-                path: Arc::clone(&path),
-                expect,
-                value,
-            })
-            .await
-        {
+        match tools.store.call(&StoreCall::Put { path: Arc::clone(&path), expect, value }).await {
             StoreReply::Written { .. } => return Ok(()),
             StoreReply::Conflict => {}
             _ => {
@@ -264,9 +209,7 @@
             }
         }
     }
-    Err(OperatorError::Conflict(format!(
-        "{path} changes too often; try again"
-    )))
+    Err(OperatorError::Conflict(format!("{path} changes too often; try again")))
 }
 
 /// Waits until every registered process has a version in force.
@@ -295,9 +238,7 @@
             let answer = pool.fetch(node.address, call, bound).await.ok();
             let state: Option<Value> =
                 answer.and_then(|answer| serde_json::from_slice(&answer.body).ok());
-            let seen = state
-                .as_ref()
-                .and_then(|state| state["catalogue_version"].as_u64());
+            let seen = state.as_ref().and_then(|state| state["catalogue_version"].as_u64());
             (node.id, seen.unwrap_or(0))
         })
     });
@@ -314,20 +255,14 @@
 /// Prints the catalogue, or one entry of it, as a file.
 pub async fn get(tools: &OperatorTools, name: Option<&str>) -> Outcome<String> {
     let (known, seen) = list_catalogue(tools).await?;
-    let wanted = known
-        .values()
-        .filter(|object| name.is_none_or(|name| &*object.name == name));
-    let items: Vec<CatalogueItem> = wanted
-        .filter_map(|object| storecalls::decode_value(&object.value))
-        .collect();
+    let wanted = known.values().filter(|object| name.is_none_or(|name| &*object.name == name));
+    let items: Vec<CatalogueItem> =
+        wanted.filter_map(|object| storecalls::decode_value(&object.value)).collect();
     if items.is_empty() && name.is_some() {
         return Err(OperatorError::Missing(name.unwrap_or_default().to_owned()));
     }
     if tools.json {
-        return Ok(format!(
-            "{}\n",
-            serde_json::json!({ "version": seen, "entries": items })
-        ));
+        return Ok(format!("{}\n", serde_json::json!({ "version": seen, "entries": items })));
     }
     let mut text = format!("{VERSION_MARK}{seen}\n");
     for item in &items {
@@ -335,9 +270,7 @@
             CatalogueItem::Service(service) => ("service", toml::to_string(service)),
             CatalogueItem::Customer(customer) => ("customer", toml::to_string(customer)),
         };
-        let fields = block
-            .1
-            .map_err(|error| OperatorError::Usage(error.to_string()))?;
+        let fields = block.1.map_err(|error| OperatorError::Usage(error.to_string()))?;
         text += &format!("\n[[{}]]\n{fields}", block.0);
     }
     Ok(text)
--- a/toucanrail-daemons/src/entries.rs
+++ b/toucanrail-daemons/src/entries.rs
@@ -48,61 +48,21 @@
 
 /// Settings of the entry alone.
 pub const SETTINGS: [SettingRow; 11] = [
-    SettingRow {
-        name: "inner",
-        default: Some("127.0.0.1:0"),
-        help: "Address for the fleet.",
-    },
+    SettingRow { name: "inner", default: Some("127.0.0.1:0"), help: "Address for the fleet." },
     SettingRow {
         name: "shards",
         default: Some("1"),
         help: "Budget shards; the same at all entries.",
     },
-    SettingRow {
-        name: "grants",
-        default: Some("recall:60"),
-        help: "Grant policy.",
-    },
-    SettingRow {
-        name: "routing",
-        default: Some("balanced"),
-        help: "Routing policy.",
-    },
-    SettingRow {
-        name: "flush",
-        default: Some("2s"),
-        help: "Time between settlements.",
-    },
-    SettingRow {
-        name: "budget-wait",
-        default: Some("1500ms"),
-        help: "Longest wait for a grant.",
-    },
-    SettingRow {
-        name: "max-head",
-        default: Some("8192"),
-        help: "Largest head, in bytes.",
-    },
-    SettingRow {
-        name: "max-body",
-        default: Some("1048576"),
-        help: "Largest body, in bytes.",
-    },
-    SettingRow {
-        name: "max-connections",
-        default: Some("4096"),
-        help: "Most connections.",
-    },
-    SettingRow {
-        name: "arrival",
-        default: Some("10s"),
-        help: "Longest arrival of a request.",
-    },
-    SettingRow {
-        name: "write-idle",
-        default: Some("20s"),
-        help: "Longest stall of a reader.",
-    },
+    SettingRow { name: "grants", default: Some("recall:60"), help: "Grant policy." },
+    SettingRow { name: "routing", default: Some("balanced"), help: "Routing policy." },
+    SettingRow { name: "flush", default: Some("2s"), help: "Time between settlements." },
+    SettingRow { name: "budget-wait", default: Some("1500ms"), help: "Longest wait for a grant." },
+    SettingRow { name: "max-head", default: Some("8192"), help: "Largest head, in bytes." },
+    SettingRow { name: "max-body", default: Some("1048576"), help: "Largest body, in bytes." },
+    SettingRow { name: "max-connections", default: Some("4096"), help: "Most connections." },
+    SettingRow { name: "arrival", default: Some("10s"), help: "Longest arrival of a request." },
+    SettingRow { name: "write-idle", default: Some("20s"), help: "Longest stall of a reader." },
 ];
 
 /// The entry's settings.
@@ -276,11 +236,7 @@
 
     /// Writes or ends this entry's registration.
     pub async fn register(&self, present: bool) -> bool {
-        let value = if present {
-            storecalls::encode_value(&self.node())
-        } else {
-            Vec::new()
-        };
+        let value = if present { storecalls::encode_value(&self.node()) } else { Vec::new() };
         agents::write_node(&self.store, &self.id, value).await
     }
 
@@ -420,19 +376,10 @@
     smol::spawn(listeners::serve(callers, limits, caller_handler)).detach();
     let fleet_entry = Arc::clone(&entry);
     let fleet_handler = move |call| Arc::clone(&fleet_entry).answer_inner(call);
-    smol::spawn(listeners::serve(
-        fleet,
-        ServerLimits::default(),
-        fleet_handler,
-    ))
-    .detach();
+    smol::spawn(listeners::serve(fleet, ServerLimits::default(), fleet_handler)).detach();
     watching::start(&entry);
     settling::start(&entry);
     smol::spawn(reclaiming::watch_lost(Arc::clone(&entry))).detach();
     tracing::info!(id = %entry.id, %address, %inner, "entry started");
-    Ok(EntryHandle {
-        entry,
-        address,
-        inner,
-    })
+    Ok(EntryHandle { entry, address, inner })
 }
--- a/toucanrail-daemons/src/fleets.rs
+++ b/toucanrail-daemons/src/fleets.rs
@@ -44,14 +44,9 @@
 impl FleetClient {
     /// Makes a client with the fleet's secret.
     pub fn new(secret: &str) -> Self {
-        let limits = ClientLimits {
-            connect: Duration::from_millis(500),
-            ..ClientLimits::default()
-        };
-        Self {
-            pool: ConnectionPool::new(limits),
-            key: FleetKey::new(secret),
-        }
+        let limits =
+            ClientLimits { connect: Duration::from_millis(500), ..ClientLimits::default() };
+        Self { pool: ConnectionPool::new(limits), key: FleetKey::new(secret) }
     }
 
     fn call<Message>(&self, path: &str, message: &Message) -> io::Result<OutboundCall>
--- a/toucanrail-daemons/src/inspecting.rs
+++ b/toucanrail-daemons/src/inspecting.rs
@@ -29,23 +29,13 @@
 
 /// Returns the registrations of all processes.
 pub async fn list_nodes(tools: &OperatorTools) -> Outcome<Vec<NodeEntry>> {
-    let listed = tools
-        .store
-        .list(paths::NODES, 0)
-        .await
-        .ok_or_else(unavailable)?;
+    let listed = tools.store.list(paths::NODES, 0).await.ok_or_else(unavailable)?;
     let objects = listed.objects.iter();
-    Ok(objects
-        .filter_map(|object| storecalls::decode_value(&object.value))
-        .collect())
+    Ok(objects.filter_map(|object| storecalls::decode_value(&object.value)).collect())
 }
 
 async fn list_shards(tools: &OperatorTools) -> Outcome<Vec<(ShardName, BudgetShard)>> {
-    let listed = tools
-        .store
-        .list(paths::BUDGETS, 0)
-        .await
-        .ok_or_else(unavailable)?;
+    let listed = tools.store.list(paths::BUDGETS, 0).await.ok_or_else(unavailable)?;
     let rows = listed.objects.into_iter().filter_map(|object| {
         storecalls::decode_value(&object.value).map(|shard| (object.name, shard))
     });
@@ -56,17 +46,14 @@
 pub async fn budgets(tools: &OperatorTools, customer: Option<&str>) -> Outcome<String> {
     if tools.top_up > 0 || tools.lower > 0 || tools.release > 0 {
         let Some(customer) = customer else {
-            return Err(OperatorError::Usage(
-                "name the customer to change".to_owned(),
-            ));
+            return Err(OperatorError::Usage("name the customer to change".to_owned()));
         };
         change_budget(tools, customer).await?;
     }
     let shards = list_shards(tools).await?;
     let accounts = shards.iter().flat_map(|(_, shard)| &shard.accounts);
-    let shown: Vec<_> = accounts
-        .filter(|(name, _)| customer.is_none_or(|wanted| wanted == &***name))
-        .collect();
+    let shown: Vec<_> =
+        accounts.filter(|(name, _)| customer.is_none_or(|wanted| wanted == &***name)).collect();
     if let (Some(customer), true) = (customer, shown.is_empty()) {
         return Err(OperatorError::Missing(format!("budget of {customer}")));
     }
@@ -115,11 +102,7 @@
 /// Returns the bills that count: those that their holder applied, and those of reclaims.
 async fn list_bills(tools: &OperatorTools) -> Outcome<Vec<BillRow>> {
     let shards: std::collections::BTreeMap<_, _> = list_shards(tools).await?.into_iter().collect();
-    let listed = tools
-        .store
-        .list(paths::BILLS, 0)
-        .await
-        .ok_or_else(unavailable)?;
+    let listed = tools.store.list(paths::BILLS, 0).await.ok_or_else(unavailable)?;
     let mut rows = Vec::new();
     for object in listed.objects {
         let Some(batch) = storecalls::decode_value::<BillBatch>(&object.value) else {
@@ -157,19 +140,12 @@
 }
 
 async fn fetch_json(tools: &OperatorTools, address: SocketAddr, path: &str) -> Option<Value> {
-    let answer = tools
-        .pool
-        .fetch(address, OutboundCall::get(path), CALL_BOUND)
-        .await
-        .ok()?;
-    serde_json::from_slice(&answer.body)
-        .ok()
-        .filter(|_| answer.status == 200)
+    let answer = tools.pool.fetch(address, OutboundCall::get(path), CALL_BOUND).await.ok()?;
+    serde_json::from_slice(&answer.body).ok().filter(|_| answer.status == 200)
 }
 
 fn read_address(text: &str) -> Outcome<SocketAddr> {
-    text.parse()
-        .map_err(|_| OperatorError::Usage(format!("'{text}' is no address")))
+    text.parse().map_err(|_| OperatorError::Usage(format!("'{text}' is no address")))
 }
 
 /// Dumps a process's state.
@@ -195,11 +171,7 @@
         }
     }
     let request: RequestId = Arc::from(request);
-    for row in list_bills(tools)
-        .await?
-        .into_iter()
-        .filter(|row| row.request == request)
-    {
+    for row in list_bills(tools).await?.into_iter().filter(|row| row.request == request) {
         let (billed, off, epoch) = (row.billed, row.written_off, row.epoch);
         let customer = &row.customer;
         text += &format!("billed {billed} to {customer} in tenure {epoch}; {off} written off\n");
@@ -223,19 +195,11 @@
 ) -> Outcome<String> {
     let client = FleetClient::new(&tools.fleet_key);
     let (action, subject) = (Arc::from(action), Arc::from(subject));
-    let order = EngineOrder {
-        fence: tools.fence,
-        action,
-        subject,
-    };
+    let order = EngineOrder { fence: tools.fence, action, subject };
     let address = read_address(address)?;
-    let done: std::io::Result<bool> = client
-        .send(address, routes::ORDER, &order, CALL_BOUND)
-        .await;
+    let done: std::io::Result<bool> = client.send(address, routes::ORDER, &order, CALL_BOUND).await;
     match done {
         Ok(_) => Ok("done\n".to_owned()),
-        Err(error) => Err(OperatorError::Conflict(format!(
-            "the order was refused: {error}"
-        ))),
+        Err(error) => Err(OperatorError::Conflict(format!("the order was refused: {error}"))),
     }
 }
--- a/toucanrail-daemons/src/mirroring.rs
+++ b/toucanrail-daemons/src/mirroring.rs
@@ -65,11 +65,7 @@
     pub fn order(&self, address: Option<SocketAddr>) -> MirrorOrder {
         let state = self.lock();
         let (catalogue, nodes) = (state.objects.seen(), state.nodes.seen());
-        MirrorOrder {
-            address,
-            catalogue,
-            nodes,
-        }
+        MirrorOrder { address, catalogue, nodes }
     }
 
     /// Remembers an entry that asked.
@@ -125,8 +121,7 @@
     pub fn node_entries(&self) -> Vec<NodeEntry> {
         let state = self.lock();
         let live = state.nodes.live();
-        live.filter_map(|(_, _, value)| storecalls::decode_value(value))
-            .collect()
+        live.filter_map(|(_, _, value)| storecalls::decode_value(value)).collect()
     }
 
     /// Reads the platform once; false if it does not answer.
@@ -163,9 +158,7 @@
     ) -> bool {
         for address in entries {
             let order = self.order(own);
-            let answer = client
-                .send(*address, routes::MIRROR, &order, PEER_BOUND)
-                .await;
+            let answer = client.send(*address, routes::MIRROR, &order, PEER_BOUND).await;
             if let Ok(news) = answer {
                 self.take_news(news);
                 return true;
@@ -179,10 +172,8 @@
     pub fn entries_to_ask(&self, data_centre: &str, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
         const ASKED: usize = 3;
         let nodes = self.node_entries();
-        let mut entries: Vec<&NodeEntry> = nodes
-            .iter()
-            .filter(|node| node.role == NodeRole::Entry)
-            .collect();
+        let mut entries: Vec<&NodeEntry> =
+            nodes.iter().filter(|node| node.role == NodeRole::Entry).collect();
         fastrand::shuffle(&mut entries);
         entries.sort_by_key(|node| &*node.data_centre != data_centre);
         let known = entries.into_iter().map(|node| node.address).take(ASKED);
--- a/toucanrail-daemons/src/observing.rs
+++ b/toucanrail-daemons/src/observing.rs
@@ -7,9 +7,7 @@
 use toucanrail_wire::replies;
 
 /// Bounds of the latency histograms, in seconds.
-const LATENCY_BOUNDS: [f64; 11] = [
-    0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
-];
+const LATENCY_BOUNDS: [f64; 11] = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
 
 /// The metrics of one daemon.
 #[derive(Debug, Clone)]
@@ -47,14 +45,7 @@
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
         registry.register(Box::new(in_force.clone()))?;
-        Ok(Self {
-            registry,
-            results,
-            events,
-            in_flight,
-            first_byte,
-            in_force,
-        })
+        Ok(Self { registry, results, events, in_flight, first_byte, in_force })
     }
 
     /// Counts a request's result.
--- a/toucanrail-daemons/src/operators.rs
+++ b/toucanrail-daemons/src/operators.rs
@@ -19,61 +19,17 @@
 
 /// Settings of the operator's command.
 pub const SETTINGS: [SettingRow; 11] = [
-    SettingRow {
-        name: "store",
-        default: Some("127.0.0.1:7001"),
-        help: "Platform's object API.",
-    },
-    SettingRow {
-        name: "fleet-key",
-        default: Some(""),
-        help: "Secret of the fleet, for order.",
-    },
-    SettingRow {
-        name: "shards",
-        default: Some("1"),
-        help: "Budget shards, as the entries have.",
-    },
-    SettingRow {
-        name: "json",
-        default: Some("false"),
-        help: "Print JSON instead of tables.",
-    },
-    SettingRow {
-        name: "wait",
-        default: Some("false"),
-        help: "apply: wait until in force.",
-    },
-    SettingRow {
-        name: "wait-limit",
-        default: Some("10s"),
-        help: "Longest such wait.",
-    },
-    SettingRow {
-        name: "top-up",
-        default: Some("0"),
-        help: "budget: add so many tokens.",
-    },
-    SettingRow {
-        name: "lower",
-        default: Some("0"),
-        help: "budget: take so many tokens back.",
-    },
-    SettingRow {
-        name: "release",
-        default: Some("0"),
-        help: "budget: free what an epoch froze.",
-    },
-    SettingRow {
-        name: "fence",
-        default: Some("0"),
-        help: "order: the fencing number.",
-    },
-    SettingRow {
-        name: "last",
-        default: Some("20"),
-        help: "bills: how many.",
-    },
+    SettingRow { name: "store", default: Some("127.0.0.1:7001"), help: "Platform's object API." },
+    SettingRow { name: "fleet-key", default: Some(""), help: "Secret of the fleet, for order." },
+    SettingRow { name: "shards", default: Some("1"), help: "Budget shards, as the entries have." },
+    SettingRow { name: "json", default: Some("false"), help: "Print JSON instead of tables." },
+    SettingRow { name: "wait", default: Some("false"), help: "apply: wait until in force." },
+    SettingRow { name: "wait-limit", default: Some("10s"), help: "Longest such wait." },
+    SettingRow { name: "top-up", default: Some("0"), help: "budget: add so many tokens." },
+    SettingRow { name: "lower", default: Some("0"), help: "budget: take so many tokens back." },
+    SettingRow { name: "release", default: Some("0"), help: "budget: free what an epoch froze." },
+    SettingRow { name: "fence", default: Some("0"), help: "order: the fencing number." },
+    SettingRow { name: "last", default: Some("20"), help: "bills: how many." },
 ];
 
 /// What the commands are, for `--help`.
@@ -135,11 +91,7 @@
 }
 
 fn list_faults(faults: &[FileFault]) -> String {
-    faults
-        .iter()
-        .map(ToString::to_string)
-        .collect::<Vec<_>>()
-        .join("\n")
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
 }
 
 impl OperatorError {
@@ -225,9 +177,7 @@
         ["order", address, action, subject] => {
             inspecting::order(tools, address, action, subject).await
         }
-        _ => Err(OperatorError::Usage(
-            "name a command; see --help".to_owned(),
-        )),
+        _ => Err(OperatorError::Usage("name a command; see --help".to_owned())),
     }
 }
 
@@ -248,10 +198,7 @@
     let demo = values.words.first().is_some_and(|word| word == "demo");
     let ran = smol::block_on(async {
         if demo {
-            demos::run()
-                .await
-                .map(|()| String::new())
-                .map_err(|error| demo_failed(&error))
+            demos::run().await.map(|()| String::new()).map_err(|error| demo_failed(&error))
         } else {
             run_command(&tools, &values.words).await
         }
--- a/toucanrail-daemons/src/reclaiming.rs
+++ b/toucanrail-daemons/src/reclaiming.rs
@@ -47,15 +47,10 @@
     let tables = entry.lock();
     let lost = tables.members.lost_peers(entry.now());
     let peers = tables.members.peers().map(|peer| Arc::clone(&peer.node.id));
-    let live: Vec<EntryId> = peers
-        .filter(|peer| !lost.contains(peer))
-        .chain([Arc::clone(&entry.id)])
-        .collect();
+    let live: Vec<EntryId> =
+        peers.filter(|peer| !lost.contains(peer)).chain([Arc::clone(&entry.id)]).collect();
     let ring = members::pick_heartbeats(dead, &live);
-    let rank = ring
-        .iter()
-        .position(|peer| *peer == entry.id)
-        .unwrap_or(ring.len());
+    let rank = ring.iter().position(|peer| *peer == entry.id).unwrap_or(ring.len());
     RANK_DELAY * rank as u32
 }
 
@@ -64,14 +59,9 @@
 fn may_reclaim(entry: &Entry, dead: &EntryId) -> bool {
     let tables = entry.lock();
     let now = entry.now();
-    let gone = tables
-        .members
-        .peers()
-        .any(|peer| peer.node.id == *dead && peer.gone);
+    let gone = tables.members.peers().any(|peer| peer.node.id == *dead && peer.gone);
     gone || tables.servers.rows().all(|row| {
-        let silent = row
-            .heard_at
-            .is_none_or(|at| now.saturating_sub(at) > servers::SILENCE_LIMIT);
+        let silent = row.heard_at.is_none_or(|at| now.saturating_sub(at) > servers::SILENCE_LIMIT);
         !silent || tables.members.is_gone_vm(&row.vm)
     })
 }
@@ -81,11 +71,7 @@
     let mut finished = true;
     for shard in shards {
         match reclaim(entry, &shard, dead).await {
-            ReclaimOutcome::Closed {
-                proved,
-                bills,
-                runs,
-            } => {
+            ReclaimOutcome::Closed { proved, bills, runs } => {
                 entry.board.count_event("tenures_reclaimed");
                 tracing::info!(%dead, %shard, proved, bills, "tenure reclaimed");
                 drop_runs(entry, runs).await;
@@ -107,10 +93,7 @@
     loop {
         smol::Timer::after(OWN_DELAY).await;
         let outcome = reclaim(&entry, &shard, &entry.id).await;
-        if !matches!(
-            outcome,
-            ReclaimOutcome::Waiting | ReclaimOutcome::Unavailable
-        ) {
+        if !matches!(outcome, ReclaimOutcome::Waiting | ReclaimOutcome::Unavailable) {
             return;
         }
     }
@@ -122,11 +105,9 @@
     while let Some(call) = machine.next_call() {
         let reply = match call {
             ReclaimCall::Store(call) => ReclaimReply::Store(entry.store.call(&call).await),
-            ReclaimCall::Fence {
-                agent,
-                shard,
-                epoch,
-            } => fence(entry, &agent, FenceOrder { shard, epoch }).await,
+            ReclaimCall::Fence { agent, shard, epoch } => {
+                fence(entry, &agent, FenceOrder { shard, epoch }).await
+            }
         };
         machine.take_reply(reply);
     }
@@ -140,10 +121,8 @@
     let Some(address) = find_agent(entry, agent) else {
         return ReclaimReply::Unreachable;
     };
-    let reply: std::io::Result<FenceReply> = entry
-        .client
-        .send(address, routes::FENCE, &order, FENCE_BOUND)
-        .await;
+    let reply: std::io::Result<FenceReply> =
+        entry.client.send(address, routes::FENCE, &order, FENCE_BOUND).await;
     reply.map_or(ReclaimReply::Unreachable, ReclaimReply::Fenced)
 }
 
@@ -173,10 +152,8 @@
             continue;
         };
         let order = AckOrder { runs };
-        let reply: std::io::Result<AgentReply> = entry
-            .client
-            .send(address, routes::ACK, &order, FENCE_BOUND)
-            .await;
+        let reply: std::io::Result<AgentReply> =
+            entry.client.send(address, routes::ACK, &order, FENCE_BOUND).await;
         if reply.is_err() {
             entry.board.count_event("acks_lost");
         }
--- a/toucanrail-daemons/src/recording.rs
+++ b/toucanrail-daemons/src/recording.rs
@@ -51,15 +51,11 @@
         return RecordReply::Unreachable;
     };
     debug_assert_ne!(order.mode, AskMode::Cancel);
-    let reply: std::io::Result<AgentReply> = entry
-        .client
-        .send(address, routes::ASK, &order, ASK_BOUND)
-        .await;
+    let reply: std::io::Result<AgentReply> =
+        entry.client.send(address, routes::ASK, &order, ASK_BOUND).await;
     match reply {
         Ok(reply) if reply.agent != *agent => RecordReply::Gone,
-        Ok(AgentReply {
-            fate: Some(fate), ..
-        }) => RecordReply::Fate(fate),
+        Ok(AgentReply { fate: Some(fate), .. }) => RecordReply::Fate(fate),
         _ => RecordReply::Unreachable,
     }
 }
@@ -71,20 +67,14 @@
     version: Version,
     state: RecordState,
 ) -> bool {
-    let closed = RunRecord {
-        state,
-        ..record.clone()
-    };
+    let closed = RunRecord { state, ..record.clone() };
     let put = StoreCall::Put {
         path: paths::record_path(&record.request),
         expect: WriteExpectation::At(version),
         value: storecalls::encode_value(&closed),
     };
     // After a conflict another entry has found out and written how it ended.
-    matches!(
-        entry.store.call(&put).await,
-        StoreReply::Written { .. } | StoreReply::Conflict
-    )
+    matches!(entry.store.call(&put).await, StoreReply::Written { .. } | StoreReply::Conflict)
 }
 
 /// Writes how a recorded try ended until the platform takes it.
--- a/toucanrail-daemons/src/running.rs
+++ b/toucanrail-daemons/src/running.rs
@@ -64,11 +64,7 @@
 enum ReadEvent {
     NotSent(io::Error),
     Broken(io::Error),
-    Head {
-        status: u16,
-        fields: Vec<HeaderField>,
-        foreign: bool,
-    },
+    Head { status: u16, fields: Vec<HeaderField>, foreign: bool },
     Bytes(Vec<u8>),
     End,
 }
@@ -162,10 +158,7 @@
             return;
         }
     };
-    let named = answer
-        .response
-        .header("engine-request-id")
-        .map(|values| values.last().as_str());
+    let named = answer.response.header("engine-request-id").map(|values| values.last().as_str());
     let foreign = named.is_some_and(|id| id != &*order.run);
     let head = ReadEvent::Head {
         status: answer.status(),
@@ -208,11 +201,7 @@
     }
     call.body.clone_from(&order.body);
     // A kept connection that dies under a call leaves its end unknown; not worth it here.
-    if order.repeatable {
-        call
-    } else {
-        call.on_fresh()
-    }
+    if order.repeatable { call } else { call.on_fresh() }
 }
 
 fn passed_fields(response: &http_types::Response) -> Vec<HeaderField> {
@@ -257,19 +246,13 @@
                 self.fail(code, RunState::Unknown).await
             }
             ReadEvent::Head { foreign: true, .. } => {
-                self.fail(codetable::FOREIGN_ANSWER, RunState::Unknown)
-                    .await
+                self.fail(codetable::FOREIGN_ANSWER, RunState::Unknown).await
             }
             ReadEvent::Head { status, fields, .. } => {
                 self.meter.take_status(status);
                 self.head = Some((status, fields.clone()));
                 let request = Arc::clone(&self.order.request);
-                self.send(&RunFrame::Head {
-                    request,
-                    status,
-                    fields,
-                })
-                .await;
+                self.send(&RunFrame::Head { request, status, fields }).await;
                 true
             }
             ReadEvent::Bytes(bytes) => self.pass_bytes(&bytes).await,
@@ -291,13 +274,7 @@
         self.offset += bytes.len() as u64;
         let request = Arc::clone(&self.order.request);
         let tokens = self.meter.tokens;
-        self.send(&RunFrame::Data {
-            request,
-            offset,
-            tokens,
-            bytes,
-        })
-        .await;
+        self.send(&RunFrame::Data { request, offset, tokens, bytes }).await;
         true
     }
 
@@ -323,8 +300,7 @@
         if works {
             return true;
         }
-        self.fail(codetable::SILENT_CONNECTION, RunState::Unknown)
-            .await
+        self.fail(codetable::SILENT_CONNECTION, RunState::Unknown).await
     }
 
     fn is_behind(&self, word: ServerWord) -> bool {
@@ -334,11 +310,7 @@
     async fn ask_server(&self, question: &str) -> ServerReply {
         let path = format!("/engine/{question}/{}", self.order.run);
         let call = OutboundCall::get(path).on_fresh();
-        let answer = self
-            .agent
-            .pool
-            .fetch(self.agent.settings.backend, call, WORD_BOUND)
-            .await;
+        let answer = self.agent.pool.fetch(self.agent.settings.backend, call, WORD_BOUND).await;
         match answer {
             Ok(answer) if answer.status == UNKNOWN_STATUS => ServerReply::Unknown,
             Ok(answer) => {
@@ -352,12 +324,7 @@
         self.agent.lock_ledger().withdraw(&self.order.run);
         let request = Arc::clone(&self.order.request);
         let code = codetable::NO_BACKEND_SERVER;
-        self.send(&RunFrame::Refused {
-            request,
-            code,
-            retry_after: 1_000,
-        })
-        .await;
+        self.send(&RunFrame::Refused { request, code, retry_after: 1_000 }).await;
         false
     }
 
@@ -368,12 +335,7 @@
         };
         self.note_end(true, used, unproved);
         let request = Arc::clone(&self.order.request);
-        self.send(&RunFrame::End {
-            request,
-            bytes: self.offset,
-            used: used + unproved,
-        })
-        .await;
+        self.send(&RunFrame::End { request, bytes: self.offset, used: used + unproved }).await;
         false
     }
 
@@ -382,14 +344,7 @@
         self.note_end(false, used, unproved);
         self.agent.board.count_event("runs_failed");
         let request = Arc::clone(&self.order.request);
-        self.send(&RunFrame::Failed {
-            request,
-            code,
-            run,
-            used,
-            unproved,
-        })
-        .await;
+        self.send(&RunFrame::Failed { request, code, run, used, unproved }).await;
         false
     }
 
@@ -417,16 +372,12 @@
     fn note_end(&mut self, whole: bool, used: Tokens, unproved: Tokens) {
         let empty = RunMeter::new(self.order.usage, false, 0);
         let meter = std::mem::replace(&mut self.meter, empty);
-        let kept = meter
-            .into_kept()
-            .filter(|_| whole && !self.order.repeatable);
-        let answer = kept
-            .zip(self.head.clone())
-            .map(|(body, (status, fields))| KeptAnswer {
-                status,
-                fields,
-                body,
-            });
+        let kept = meter.into_kept().filter(|_| whole && !self.order.repeatable);
+        let answer = kept.zip(self.head.clone()).map(|(body, (status, fields))| KeptAnswer {
+            status,
+            fields,
+            body,
+        });
         let mut ledger = self.agent.lock_ledger();
         ledger.finish(&self.order.run, whole, used, unproved, answer);
     }
--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -120,10 +120,7 @@
 
     fn note(&mut self, event: String) {
         let after = self.arrived.elapsed();
-        self.steps.push(TraceStep {
-            after,
-            event: Arc::from(event),
-        });
+        self.steps.push(TraceStep { after, event: Arc::from(event) });
     }
 
     fn refusal(&self, code: ResultCode) -> RefusalNote {
@@ -139,11 +136,7 @@
             Some(run) => note.run(run),
             None => note,
         };
-        if later.contains(&code) {
-            note.retry_after(DEFAULT_RETRY)
-        } else {
-            note
-        }
+        if later.contains(&code) { note.retry_after(DEFAULT_RETRY) } else { note }
     }
 
     /// A keyed request that may be repeated is remembered here; one that may not, in its record.
@@ -151,10 +144,7 @@
         if !self.plan.keyed || !self.plan.repeatable {
             return Ok(None);
         }
-        self.entry
-            .lock()
-            .replays
-            .begin(&self.plan.request, &self.plan.digest)
+        self.entry.lock().replays.begin(&self.plan.request, &self.plan.digest)
     }
 
     async fn run_begun(&mut self) -> RequestEnd {
@@ -162,9 +152,7 @@
             Ok(()) => {
                 let end = self.run_admitted().await;
                 let mut tables = self.entry.lock();
-                tables
-                    .limits
-                    .release(&self.plan.service.name, &self.plan.customer.name);
+                tables.limits.release(&self.plan.service.name, &self.plan.customer.name);
                 end
             }
             Err(note) => RequestEnd::Refused(*note),
@@ -180,11 +168,7 @@
         let whole = matches!(end, RequestEnd::Whole);
         let body = self.caller.kept.take().filter(|_| whole);
         let answer = body.zip(self.caller.head.clone());
-        let answer = answer.map(|(body, (status, fields))| KeptAnswer {
-            status,
-            fields,
-            body,
-        });
+        let answer = answer.map(|(body, (status, fields))| KeptAnswer { status, fields, body });
         self.entry.lock().replays.end(&self.plan.request, answer);
     }
 
@@ -196,19 +180,13 @@
             let mut tables = self.entry.lock();
             let (slots, load) = tables.servers.capacity(&service, now);
             let entries = tables.members.peers().count() as u64 + 1;
-            let known = ServiceLoad {
-                slots,
-                load,
-                entries,
-            };
+            let known = ServiceLoad { slots, load, entries };
             if slots == 0 {
                 return Err(Box::new(self.refusal(codetable::NO_BACKEND_SERVER)));
             }
             tables.retries.note_fresh();
             let (class, weight) = (customer.class, customer.weight);
-            tables
-                .limits
-                .admit(&service, &customer.name, class, weight, known)
+            tables.limits.admit(&service, &customer.name, class, weight, known)
         };
         admitted.map_err(|refusal| {
             let note = RefusalNote::new(refusal.code).retry_after(refusal.retry_after);
@@ -263,10 +241,7 @@
                     last = code;
                     wait = retry_after;
                 }
-                AttemptEnd::Lost {
-                    answer: Some(answer),
-                    ..
-                } if !self.plan.repeatable => {
+                AttemptEnd::Lost { answer: Some(answer), .. } if !self.plan.repeatable => {
                     return RequestEnd::Replayed(answer);
                 }
                 AttemptEnd::Lost { code, .. } | AttemptEnd::Open { code } => {
@@ -342,24 +317,16 @@
 
     fn pick_server(&mut self) -> Option<AttemptTarget> {
         let now = self.entry.now();
-        let query = RouteQuery {
-            prefix: self.plan.prefix,
-            dice: [fastrand::f64(), fastrand::f64()],
-            now,
-        };
+        let query =
+            RouteQuery { prefix: self.plan.prefix, dice: [fastrand::f64(), fastrand::f64()], now };
         let mut tables = self.entry.lock();
         tables.servers.turn = tables.servers.turn.wrapping_add(1);
         let usable = tables.grants.usable_agents(&self.plan.customer.name)?;
         let service = &self.plan.service.name;
-        let eligible = tables
-            .servers
-            .eligible(service, usable, &self.tried, now, fastrand::f64());
+        let eligible = tables.servers.eligible(service, usable, &self.tried, now, fastrand::f64());
         let policy = self.entry.settings.routing;
         let row = routing::pick_server(policy, &tables.servers, &eligible, &query)?;
-        Some(AttemptTarget {
-            agent: Arc::clone(&row.agent),
-            address: row.address,
-        })
+        Some(AttemptTarget { agent: Arc::clone(&row.agent), address: row.address })
     }
 
     /// Names the try: of a request that may not be repeated, as its record allows.
@@ -367,17 +334,11 @@
         if self.plan.repeatable {
             // A keyed request may be under way at another entry too: the tries must differ.
             let nonce = fastrand::u32(..);
-            return Ok(Arc::from(format!(
-                "{}.{}-{nonce:08x}",
-                self.plan.request, self.attempt
-            )));
+            return Ok(Arc::from(format!("{}.{}-{nonce:08x}", self.plan.request, self.attempt)));
         }
         match recording::open_record(&self.entry, &self.plan, &target.agent).await {
             RecordOutcome::Run { record, version } => {
-                self.note(format!(
-                    "recorded as try {} at {}",
-                    record.attempt, record.agent
-                ));
+                self.note(format!("recorded as try {} at {}", record.attempt, record.agent));
                 let run = record.run();
                 self.record = Some((record, version));
                 Ok(run)
@@ -391,10 +352,7 @@
         self.tried.insert(Arc::clone(&target.agent));
         let Some(hold) = self.hold.clone() else {
             let code = codetable::BUDGET_UNCONFIRMED;
-            return AttemptEnd::NotRun {
-                code,
-                retry_after: DEFAULT_RETRY,
-            };
+            return AttemptEnd::NotRun { code, retry_after: DEFAULT_RETRY };
         };
         let order = self.build_order(target, &run, &hold);
         self.note(format!("sent to {} as {run}", target.agent));
@@ -411,11 +369,7 @@
 
     fn build_order(&self, target: &AttemptTarget, run: &RunId, hold: &GrantHold) -> RunOrder {
         let plan = &self.plan;
-        let resumed = if self.caller.is_begun() {
-            self.caller.tokens
-        } else {
-            0
-        };
+        let resumed = if self.caller.is_begun() { self.caller.tokens } else { 0 };
         RunOrder {
             request: Arc::clone(&plan.request),
             run: Arc::clone(run),
@@ -476,16 +430,8 @@
             AttemptEnd::NotRun { code, .. } => {
                 self.note(format!("not run: {}", code.row().name));
             }
-            AttemptEnd::Lost {
-                code,
-                used,
-                unproved,
-                answer,
-            } => {
-                self.note(format!(
-                    "lost: {}, used {used}, unproved {unproved}",
-                    code.row().name
-                ));
+            AttemptEnd::Lost { code, used, unproved, answer } => {
+                self.note(format!("lost: {}, used {used}, unproved {unproved}", code.row().name));
                 self.sum.add_run(target, run, *used);
                 self.note_ran(*used);
                 self.sum.unproved += unproved;
@@ -520,10 +466,7 @@
         let Some(hold) = &mut self.hold else {
             return;
         };
-        let part = GrantHold {
-            amount: self.plan.hold,
-            ..hold.clone()
-        };
+        let part = GrantHold { amount: self.plan.hold, ..hold.clone() };
         hold.amount = hold.amount.saturating_sub(part.amount);
         let open = OpenTry {
             entry: Arc::clone(&self.entry),
@@ -551,11 +494,7 @@
             AttemptEnd::Whole { .. } => {
                 let body = self.caller.held.clone();
                 let (status, fields) = self.caller.head.clone().unwrap_or((200, Vec::new()));
-                records::finished_state(KeptAnswer {
-                    status,
-                    fields,
-                    body,
-                })
+                records::finished_state(KeptAnswer { status, fields, body })
             }
             _ => billing::record_state(end),
         };
@@ -599,10 +538,7 @@
         match end {
             RequestEnd::Whole => {
                 self.entry.board.count_result(codetable::OK);
-                self.entry
-                    .board
-                    .first_byte
-                    .observe(self.arrived.elapsed().as_secs_f64());
+                self.entry.board.first_byte.observe(self.arrived.elapsed().as_secs_f64());
             }
             RequestEnd::CallerGone => self.entry.board.count_result(codetable::CANCELLED),
             RequestEnd::Replayed(answer) => {
@@ -613,11 +549,7 @@
                 self.caller.reply.send(response).await.ok();
             }
             RequestEnd::Refused(note) => {
-                self.note(format!(
-                    "refused: {} {}",
-                    note.code.number(),
-                    note.run.as_str()
-                ));
+                self.note(format!("refused: {} {}", note.code.number(), note.run.as_str()));
                 let response = self.entry.refuse(&note);
                 // With part of the answer out, dropping the writer cuts it visibly.
                 if !self.caller.is_begun() {
--- a/toucanrail-daemons/src/settling.rs
+++ b/toucanrail-daemons/src/settling.rs
@@ -47,9 +47,7 @@
         let wanted = entry.wanted.listen();
         let shards = entry.lock().grants.shards();
         for shard in shards {
-            let free = running
-                .lock()
-                .is_ok_and(|mut running| running.insert(Arc::clone(&shard)));
+            let free = running.lock().is_ok_and(|mut running| running.insert(Arc::clone(&shard)));
             if free {
                 let entry = Arc::clone(&entry);
                 let running = Arc::clone(&running);
@@ -62,7 +60,7 @@
                     }
                     // A request that began to wait during this sync found it running, and
                     // would otherwise wait for the next flush.
-                    if entry.lock().grants.has_waiting(&shard) {
+                    if entry.lock().grants.has_unseen(&shard) {
                         entry.wanted.notify(usize::MAX);
                     }
                 })
@@ -91,9 +89,10 @@
         machine.take_reply(entry.store.call(&call).await);
     }
     let outcome = machine.into_outcome();
-    let applied = matches!(outcome, SyncOutcome::Applied { .. });
+    let applied = matches!(outcome, SyncOutcome::Applied { .. } | SyncOutcome::Unchanged { .. });
     match outcome {
         SyncOutcome::Applied { .. } => entry.board.count_event("syncs"),
+        SyncOutcome::Unchanged { .. } => entry.board.count_event("syncs_idle"),
         SyncOutcome::Unavailable => entry.board.count_event("syncs_unanswered"),
         SyncOutcome::Revoked { .. } => {
             entry.board.count_event("tenures_lost");
@@ -131,24 +130,15 @@
 }
 
 async fn send_ack(entry: &Arc<Entry>, agent: &AgentId, runs: Vec<RunId>) {
-    let known = entry
-        .lock()
-        .servers
-        .get(agent)
-        .map(|row| (row.address, Arc::clone(&row.vm)));
+    let known = entry.lock().servers.get(agent).map(|row| (row.address, Arc::clone(&row.vm)));
     let Some((address, vm)) = known else {
         // Its registration has ended, so its process has.
-        entry
-            .lock()
-            .grants
-            .note_acked(agent, &BTreeSet::new(), true);
+        entry.lock().grants.note_acked(agent, &BTreeSet::new(), true);
         return;
     };
     let order = AckOrder { runs };
-    let reply: std::io::Result<AgentReply> = entry
-        .client
-        .send(address, routes::ACK, &order, ACK_BOUND)
-        .await;
+    let reply: std::io::Result<AgentReply> =
+        entry.client.send(address, routes::ACK, &order, ACK_BOUND).await;
     let mut tables = entry.lock();
     let gone = match &reply {
         Ok(reply) => reply.agent != *agent,
@@ -175,17 +165,12 @@
         return Err(codetable::BUDGET_EXHAUSTED);
     }
     entry.lock().grants.add_shortage(customer, amount);
-    let waited = clocks::bounded(
-        entry.settings.budget_wait,
-        wait_hold(entry, customer, amount),
-    );
+    let waited = clocks::bounded(entry.settings.budget_wait, wait_hold(entry, customer, amount));
     let waited = waited.await.unwrap_or(Err(codetable::BUDGET_UNCONFIRMED));
     let mut tables = entry.lock();
     tables.grants.drop_shortage(customer, amount);
     if waited == Err(codetable::BUDGET_EXHAUSTED) {
-        tables
-            .exhausted
-            .insert(Arc::clone(customer), (entry.now() + EXHAUSTED_TIME, amount));
+        tables.exhausted.insert(Arc::clone(customer), (entry.now() + EXHAUSTED_TIME, amount));
     }
     waited
 }
@@ -217,36 +202,25 @@
             Err(HoldRefusal::Exhausted(_) | HoldRefusal::Short(_)) => {}
         }
         let shard = entry.shard_of(customer);
-        let before = entry.lock().grants.applied(&shard);
+        let before = entry.lock().grants.looks(&shard);
         entry.wanted.notify(usize::MAX);
         synced.await;
-        fresh = entry.lock().grants.applied(&shard) > before;
+        fresh = entry.lock().grants.looks(&shard) > before;
     }
 }
 
 /// Asks all peers at once for unused grant; returns how much they gave back.
 async fn recall(entry: &Arc<Entry>, customer: &CustomerId, wanted: Tokens) -> Tokens {
     entry.board.count_event("recalls");
-    let peers: Vec<_> = entry
-        .lock()
-        .members
-        .peers()
-        .map(|peer| peer.node.address)
-        .collect();
-    let order = RecallOrder {
-        from: Arc::clone(&entry.id),
-        customer: Arc::clone(customer),
-        wanted,
-    };
+    let peers: Vec<_> = entry.lock().members.peers().map(|peer| peer.node.address).collect();
+    let order = RecallOrder { from: Arc::clone(&entry.id), customer: Arc::clone(customer), wanted };
     let asked: Vec<_> = peers
         .into_iter()
         .map(|address| {
             let (entry, order) = (Arc::clone(entry), order.clone());
             smol::spawn(async move {
-                let reply: std::io::Result<RecallReply> = entry
-                    .client
-                    .send(address, routes::RECALL, &order, RECALL_BOUND)
-                    .await;
+                let reply: std::io::Result<RecallReply> =
+                    entry.client.send(address, routes::RECALL, &order, RECALL_BOUND).await;
                 reply.map_or(0, |reply| reply.returned)
             })
         })
@@ -262,10 +236,7 @@
 /// Gives unused grant back to the shard for a peer; returns how much was reserved for it.
 pub async fn give_back(entry: &Arc<Entry>, order: &RecallOrder) -> Tokens {
     let synced = entry.synced.listen();
-    let given = entry
-        .lock()
-        .grants
-        .recall(&order.customer, order.wanted, &order.from);
+    let given = entry.lock().grants.recall(&order.customer, order.wanted, &order.from);
     if given > 0 {
         entry.wanted.notify(usize::MAX);
         clocks::bounded(GIVE_BACK_BOUND, synced).await;
--- a/toucanrail-daemons/src/starting.rs
+++ b/toucanrail-daemons/src/starting.rs
@@ -16,41 +16,13 @@
 
 /// Settings that entries and agents have in common.
 pub const COMMON_SETTINGS: [SettingRow; 10] = [
-    SettingRow {
-        name: "name",
-        default: None,
-        help: "Name of this process; its VM's by default.",
-    },
-    SettingRow {
-        name: "listen",
-        default: None,
-        help: "Address to listen on.",
-    },
-    SettingRow {
-        name: "advertise",
-        default: Some(""),
-        help: "Address others use, if another.",
-    },
-    SettingRow {
-        name: "store",
-        default: None,
-        help: "Address of the platform's object API.",
-    },
-    SettingRow {
-        name: "fleet-key",
-        default: None,
-        help: "Secret shared by the fleet.",
-    },
-    SettingRow {
-        name: "data-centre",
-        default: Some("local"),
-        help: "Data centre of this VM.",
-    },
-    SettingRow {
-        name: "vm",
-        default: Some(""),
-        help: "VM of this process; its name by default.",
-    },
+    SettingRow { name: "name", default: None, help: "Name of this process; its VM's by default." },
+    SettingRow { name: "listen", default: None, help: "Address to listen on." },
+    SettingRow { name: "advertise", default: Some(""), help: "Address others use, if another." },
+    SettingRow { name: "store", default: None, help: "Address of the platform's object API." },
+    SettingRow { name: "fleet-key", default: None, help: "Secret shared by the fleet." },
+    SettingRow { name: "data-centre", default: Some("local"), help: "Data centre of this VM." },
+    SettingRow { name: "vm", default: Some(""), help: "VM of this process; its name by default." },
     SettingRow {
         name: "peers",
         default: Some(""),
@@ -61,11 +33,7 @@
         default: Some("30s"),
         help: "Longest wait for requests at a stop.",
     },
-    SettingRow {
-        name: "log",
-        default: Some("text"),
-        help: "Form of the logs: text or json.",
-    },
+    SettingRow { name: "log", default: Some("text"), help: "Form of the logs: text or json." },
 ];
 
 /// The common settings as read.
@@ -105,10 +73,7 @@
             text => text.parse().ok().map(Some),
         };
         let peers = |text: &str| {
-            let items = text
-                .split(',')
-                .map(str::trim)
-                .filter(|item| !item.is_empty());
+            let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
             items.map(|item| item.parse().ok()).collect()
         };
         let log = |text: &str| matches!(text, "text" | "json").then_some(());
@@ -142,9 +107,7 @@
 impl ProcessClock {
     /// Starts the clock.
     pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Returns the time since the start.
@@ -185,9 +148,7 @@
 /// Starts the logs on standard error.
 pub fn start_logs(form: &str) {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     // A second start, as in tests, keeps the first logs.
     match form {
         "json" => builder.json().try_init().ok(),
--- a/toucanrail-daemons/src/watching.rs
+++ b/toucanrail-daemons/src/watching.rs
@@ -53,18 +53,12 @@
         let reached = entry.mirrors.read_platform(&entry.store).await;
         if !reached {
             entry.board.count_event("platform_silent");
-            let seeds = entry.mirrors.entries_to_ask(
-                &entry.settings.common.data_centre,
-                &entry.settings.common.peers,
-            );
-            let others: Vec<SocketAddr> = seeds
-                .into_iter()
-                .filter(|address| *address != entry.node().address)
-                .collect();
-            entry
+            let seeds = entry
                 .mirrors
-                .ask_entries(&entry.client, Some(entry.node().address), &others)
-                .await;
+                .entries_to_ask(&entry.settings.common.data_centre, &entry.settings.common.peers);
+            let others: Vec<SocketAddr> =
+                seeds.into_iter().filter(|address| *address != entry.node().address).collect();
+            entry.mirrors.ask_entries(&entry.client, Some(entry.node().address), &others).await;
         }
     }
     take_mirrors(entry).await;
@@ -76,16 +70,10 @@
         let data_centre = &entry.settings.common.data_centre;
         let alive = tables.members.alive_in(&entry.id, data_centre, entry.now());
         let watchers = members::pick_watchers(&alive, data_centre);
-        let peers = tables
-            .members
-            .peers()
-            .filter(|peer| watchers.contains(&peer.node.id));
+        let peers = tables.members.peers().filter(|peer| watchers.contains(&peer.node.id));
         peers.map(|peer| peer.node.address).collect()
     };
-    entry
-        .mirrors
-        .ask_entries(&entry.client, Some(entry.node().address), &watchers)
-        .await
+    entry.mirrors.ask_entries(&entry.client, Some(entry.node().address), &watchers).await
 }
 
 /// Brings what the mirrors say into the tables.
@@ -93,20 +81,15 @@
     let nodes = entry.mirrors.node_entries();
     let (customers, vms, version) = {
         let state = entry.mirrors.lock();
-        let customers: Vec<_> = state
-            .catalogue
-            .customers()
-            .map(|customer| Arc::clone(&customer.name))
-            .collect();
+        let customers: Vec<_> =
+            state.catalogue.customers().map(|customer| Arc::clone(&customer.name)).collect();
         (customers, state.vms.clone(), state.objects.seen())
     };
     entry.board.in_force.set(version.cast_signed());
     {
         let mut tables = entry.lock();
         tables.servers.take_nodes(nodes.iter());
-        tables
-            .members
-            .take_nodes(&entry.id, nodes.iter(), entry.now());
+        tables.members.take_nodes(&entry.id, nodes.iter(), entry.now());
         tables.members.take_vms(vms);
         let leaving = tables.members.leaving_vms();
         tables.servers.take_leaving_vms(&leaving);
@@ -163,10 +146,7 @@
                 .collect();
             let ids: Vec<_> = peers.keys().map(Arc::clone).collect();
             let chosen = members::pick_heartbeats(&entry.id, &ids);
-            chosen
-                .into_iter()
-                .filter_map(|id| peers.get(&id).map(|at| (id, *at)))
-                .collect()
+            chosen.into_iter().filter_map(|id| peers.get(&id).map(|at| (id, *at))).collect()
         };
         for (peer, address) in targets {
             smol::spawn(send_heartbeat(Arc::clone(&entry), peer, address)).detach();
@@ -177,18 +157,13 @@
 
 async fn send_heartbeat(entry: Arc<Entry>, peer: Arc<str>, address: SocketAddr) {
     let order = entry.mirrors.order(Some(entry.node().address));
-    let answer: std::io::Result<MirrorNews> = entry
-        .client
-        .send(address, routes::MIRROR, &order, PEER_BOUND)
-        .await;
+    let answer: std::io::Result<MirrorNews> =
+        entry.client.send(address, routes::MIRROR, &order, PEER_BOUND).await;
     let Ok(news) = answer else {
         entry.board.count_event("heartbeats_lost");
         return;
     };
-    entry
-        .lock()
-        .members
-        .note_answer(&peer, &news.id, entry.now());
+    entry.lock().members.note_answer(&peer, &news.id, entry.now());
     entry.mirrors.take_news(news);
 }
 
@@ -197,8 +172,7 @@
         let targets: Vec<(AgentId, SocketAddr, u64)> = {
             let tables = entry.lock();
             let rows = tables.servers.rows();
-            rows.map(|row| (Arc::clone(&row.agent), row.address, row.own))
-                .collect()
+            rows.map(|row| (Arc::clone(&row.agent), row.address, row.own)).collect()
         };
         for (agent, address, own) in targets {
             smol::spawn(probe_agent(Arc::clone(&entry), agent, address, own)).detach();
@@ -210,10 +184,8 @@
 async fn probe_agent(entry: Arc<Entry>, agent: AgentId, address: SocketAddr, own: u64) {
     let asked = entry.now();
     let order = entry.mirrors.order(Some(entry.node().address));
-    let answer: std::io::Result<LoadReport> = entry
-        .client
-        .send(address, routes::LOAD, &order, PEER_BOUND)
-        .await;
+    let answer: std::io::Result<LoadReport> =
+        entry.client.send(address, routes::LOAD, &order, PEER_BOUND).await;
     let Ok(report) = answer else {
         entry.board.count_event("reports_lost");
         return;
--- a/toucanrail-daemons/tests/at_most_once.rs
+++ b/toucanrail-daemons/tests/at_most_once.rs
@@ -41,10 +41,7 @@
             assert_eq!((again.status, &again.body), (200, &answer.body));
         }
         let other = authorized("/filing/returns", &json!({"month": "June"}));
-        let other = fleet
-            .fetch(&second, other.field("idempotency-key", "k1"))
-            .await
-            .unwrap();
+        let other = fleet.fetch(&second, other.field("idempotency-key", "k1")).await.unwrap();
         assert_eq!((other.status, result_of(&other)), (422, 2202));
         assert_eq!(plain.runs()["k1"], 1);
         assert_eq!(fleet.wait_billed(|| 5).await.billed, 5);
@@ -68,10 +65,7 @@
                 let fits = answer.status == 200 || [2203, 4204].contains(&result_of(&answer));
                 assert!(fits, "{} {}", answer.status, result_of(&answer));
             }
-            assert!(
-                plain.runs().get(&key).is_none_or(|runs| *runs == 1),
-                "{key}"
-            );
+            assert!(plain.runs().get(&key).is_none_or(|runs| *runs == 1), "{key}");
         }
     });
 }
@@ -121,11 +115,7 @@
         fleet
             .wait("the answer of the first run", async || {
                 let again = fleet.fetch(&second, returns("k1")).await.unwrap();
-                assert!(
-                    again.status == 200 || result_of(&again) == 2203,
-                    "{}",
-                    again.status
-                );
+                assert!(again.status == 200 || result_of(&again) == 2203, "{}", again.status);
                 let done = again.status == 200;
                 answer = done.then_some(again);
                 done
@@ -147,9 +137,7 @@
         let address = agent.address;
         let call = returns("k1").field("plain-delay-ms", "2000");
         let killing = async {
-            fleet
-                .wait("the run", async || plain.runs().contains_key("k1"))
-                .await;
+            fleet.wait("the run", async || plain.runs().contains_key("k1")).await;
             agent.kill();
             std::future::pending().await
         };
--- a/toucanrail-daemons/tests/configuration.rs
+++ b/toucanrail-daemons/tests/configuration.rs
@@ -18,9 +18,8 @@
 async fn start(fleet: &Fleet) -> (Process, Vec<Process>) {
     let (_, backend) = fleet.engine();
     let agent = fleet.agent("agent-1", "levy-llm", backend);
-    let entries: Vec<Process> = (0..3)
-        .map(|number| fleet.entry(&format!("entry-{number}"), &[]))
-        .collect();
+    let entries: Vec<Process> =
+        (0..3).map(|number| fleet.entry(&format!("entry-{number}"), &[])).collect();
     for entry in &entries {
         fleet.wait_servers(entry, 1).await;
     }
@@ -113,11 +112,7 @@
         let path = "/v1/objects/catalogue/service.levy-llm";
         let mut call = authorized(path, &json!({"service": {"name": "levy-llm"}}));
         call.method = toucanrail_wire::clients::Method::Put;
-        let answer = fleet
-            .pool
-            .fetch(fleet.store, call, FORCE_BOUND)
-            .await
-            .unwrap();
+        let answer = fleet.pool.fetch(fleet.store, call, FORCE_BOUND).await.unwrap();
         assert_eq!(answer.status, 200);
         fleet
             .wait("the fault", async || {
@@ -126,14 +121,7 @@
             })
             .await;
         assert_eq!(output_at(&fleet, &entries[0]).await, 256);
-        assert_eq!(
-            fleet
-                .fetch(&entries[0], fleet.chat("on", 2))
-                .await
-                .unwrap()
-                .status,
-            200
-        );
+        assert_eq!(fleet.fetch(&entries[0], fleet.chat("on", 2)).await.unwrap().status, 200);
     });
 }
 
@@ -143,14 +131,7 @@
     smol::block_on(async {
         let fleet = Fleet::start(10_000).await;
         let (_agent, entries) = start(&fleet).await;
-        assert_eq!(
-            fleet
-                .fetch(&entries[0], fleet.chat("on", 2))
-                .await
-                .unwrap()
-                .status,
-            200
-        );
+        assert_eq!(fleet.fetch(&entries[0], fleet.chat("on", 2)).await.unwrap().status, 200);
         fleet.operate(&["remove", "customer.acme"]).await.unwrap();
         let begun = Instant::now();
         for entry in &entries {
@@ -161,11 +142,7 @@
                 })
                 .await;
         }
-        assert!(
-            begun.elapsed() < FORCE_BOUND,
-            "it took {:?}",
-            begun.elapsed()
-        );
+        assert!(begun.elapsed() < FORCE_BOUND, "it took {:?}", begun.elapsed());
     });
 }
 
@@ -185,16 +162,8 @@
             }
             other => panic!("{other}"),
         }
-        assert!(
-            fleet
-                .operate(&["get"])
-                .await
-                .unwrap()
-                .contains("max-output = 100")
-        );
-        let faulty = got
-            .replace("price = 5", "price = 0")
-            .replace("kind = \"engine\"", "kind = 7");
+        assert!(fleet.operate(&["get"]).await.unwrap().contains("max-output = 100"));
+        let faulty = got.replace("price = 5", "price = 0").replace("kind = \"engine\"", "kind = 7");
         let said = fleet.apply(&faulty).await.unwrap_err().to_string();
         assert!(said.contains("price: ") && said.contains("line "), "{said}");
     });
@@ -208,9 +177,6 @@
         let fleet = Fleet::start(10_000).await;
         fleet.platform.faults.change(|plan| plan.lose_answers = 1);
         let said = fleet.apply(&catalogue(96)).await.unwrap();
-        assert!(
-            said.contains("service.levy-llm: in the catalogue"),
-            "{said}"
-        );
+        assert!(said.contains("service.levy-llm: in the catalogue"), "{said}");
     });
 }
--- a/toucanrail-daemons/tests/dead_holders.rs
+++ b/toucanrail-daemons/tests/dead_holders.rs
@@ -20,10 +20,7 @@
 
 fn granted(account: &toucanrail::budgets::BudgetAccount, name: &str) -> u64 {
     let grants = account.grants.iter();
-    grants
-        .filter(|(entry, _)| entry.starts_with(name))
-        .map(|(_, tokens)| tokens)
-        .sum()
+    grants.filter(|(entry, _)| entry.starts_with(name)).map(|(_, tokens)| tokens).sum()
 }
 
 /// An entry is killed with streams open. What the engine spent for them is billed once by the
@@ -85,11 +82,7 @@
             let answer = fleet.fetch(&first, call).await.unwrap();
             refused += u64::from(answer.status != 200);
         }
-        assert!(
-            engine.spent()["acme"] <= 3_000,
-            "spent {}",
-            engine.spent()["acme"]
-        );
+        assert!(engine.spent()["acme"] <= 3_000, "spent {}", engine.spent()["acme"]);
         assert_eq!(refused, 10, "nothing was left for it");
         let account = fleet.wait_billed(|| engine.spent()["acme"]).await;
         assert_eq!(account.billed, engine.spent()["acme"]);
@@ -123,10 +116,7 @@
         let (epoch, frozen) = account.frozen.iter().next().unwrap();
         assert!(account.billed + frozen >= engine.spent()["acme"]);
         let shown = fleet.operate(&["budget", "acme"]).await.unwrap();
-        assert!(
-            shown.contains(&format!("epoch {epoch}: {frozen} frozen")),
-            "{shown}"
-        );
+        assert!(shown.contains(&format!("epoch {epoch}: {frozen} frozen")), "{shown}");
     });
 }
 
@@ -154,21 +144,11 @@
                 other => panic!("{other}"),
             }
         }
-        assert!(
-            served >= 3 && refused == 1,
-            "{served} served, {refused} refused"
-        );
+        assert!(served >= 3 && refused == 1, "{served} served, {refused} refused");
         fleet.platform.faults.change(|plan| plan.down = false);
         let account = fleet.wait_billed(|| engine.spent()["acme"]).await;
         assert_eq!(account.billed, engine.spent()["acme"]);
-        assert_eq!(
-            fleet
-                .fetch(&first, fleet.chat("after", 5))
-                .await
-                .unwrap()
-                .status,
-            200
-        );
+        assert_eq!(fleet.fetch(&first, fleet.chat("after", 5)).await.unwrap().status, 200);
     });
 }
 
@@ -187,9 +167,6 @@
         }
         let spent = engine.spent()["acme"];
         // The worst case of one request is about 260.
-        assert!(
-            spent <= 1_600 && spent > 1_600 - 270,
-            "{spent} spent in {right} requests"
-        );
+        assert!(spent <= 1_600 && spent > 1_600 - 270, "{spent} spent in {right} requests");
     });
 }
--- a/toucanrail-daemons/tests/fleet/mod.rs
+++ b/toucanrail-daemons/tests/fleet/mod.rs
@@ -58,9 +58,7 @@
     /// Sends a signal by name, like `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let sent = Command::new("kill")
-            .args([&format!("-{name}"), &pid])
-            .status();
+        let sent = Command::new("kill").args([&format!("-{name}"), &pid]).status();
         assert!(sent.unwrap().success());
     }
 
@@ -110,10 +108,7 @@
         };
         let digest = toucanrail::paths::hash_text(KEY);
         let text = demos::CATALOGUE.replace("DIGEST", &digest);
-        let text = text.replace(
-            "opening-budget = 100000",
-            &format!("opening-budget = {budget}"),
-        );
+        let text = text.replace("opening-budget = 100000", &format!("opening-budget = {budget}"));
         fleet.apply(&text).await.unwrap();
         fleet
     }
@@ -142,21 +137,12 @@
 
     pub fn entry(&self, name: &str, extra: &[(&'static str, &str)]) -> Process {
         let mut args = self.args(name);
-        args.extend(
-            extra
-                .iter()
-                .map(|(name, value)| (*name, (*value).to_owned())),
-        );
+        args.extend(extra.iter().map(|(name, value)| (*name, (*value).to_owned())));
         Process::start(env!("CARGO_BIN_EXE_toucanrail-entry"), &args)
     }
 
     pub fn agent(&self, name: &str, service: &str, backend: SocketAddr) -> Process {
-        self.agent_at(
-            name,
-            service,
-            backend,
-            SocketAddr::from(([127, 0, 0, 1], 0)),
-        )
+        self.agent_at(name, service, backend, SocketAddr::from(([127, 0, 0, 1], 0)))
     }
 
     /// Starts an agent at an address, as one that is replaced in its place.
@@ -189,10 +175,7 @@
     pub async fn wait_servers(&self, entry: &Process, count: usize) {
         self.wait("backend servers", async || {
             let state = self.state(entry).await;
-            let rows = state["servers"]["rows"]
-                .as_object()
-                .cloned()
-                .unwrap_or_default();
+            let rows = state["servers"]["rows"].as_object().cloned().unwrap_or_default();
             let ready = |row: &Value| row["heard_at"].is_object() && row["leaving"] == json!(false);
             rows.values().filter(|row| ready(row)).count() >= count
         })
@@ -201,13 +184,8 @@
 
     pub async fn state(&self, process: &Process) -> Value {
         let address = process.inner.unwrap_or(process.address);
-        let answer = self
-            .pool
-            .fetch(address, OutboundCall::get("/state"), BOUND)
-            .await;
-        answer.map_or(Value::Null, |answer| {
-            serde_json::from_slice(&answer.body).unwrap()
-        })
+        let answer = self.pool.fetch(address, OutboundCall::get("/state"), BOUND).await;
+        answer.map_or(Value::Null, |answer| serde_json::from_slice(&answer.body).unwrap())
     }
 
     /// Waits until a condition holds.
@@ -277,11 +255,8 @@
     let text = String::from_utf8_lossy(body);
     let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
     let bodies = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
-    let contents = bodies.filter_map(|body| {
-        body["choices"][0]["delta"]["content"]
-            .as_str()
-            .map(str::to_owned)
-    });
+    let contents = bodies
+        .filter_map(|body| body["choices"][0]["delta"]["content"].as_str().map(str::to_owned));
     (contents.collect(), text.ends_with("data: [DONE]\n\n"))
 }
 
--- a/toucanrail-daemons/tests/leaving_servers.rs
+++ b/toucanrail-daemons/tests/leaving_servers.rs
@@ -41,11 +41,7 @@
             at_bound = Some(engine.starts());
         }
     }
-    assert_eq!(
-        at_bound,
-        Some(engine.starts()),
-        "it got new work after the bound"
-    );
+    assert_eq!(at_bound, Some(engine.starts()), "it got new work after the bound");
 }
 
 /// An agent is told to stop with a stream running: the stream ends whole, nothing new comes, and
@@ -58,10 +54,7 @@
         let call = fleet.chat("running", 150);
         let mut answer = fleet.pool.open(entry.address, call, BOUND).await.unwrap();
         let mut body = answer.read_chunk(BOUND).await.unwrap();
-        let at = engines
-            .iter()
-            .position(|engine| engine.running() > 0)
-            .unwrap();
+        let at = engines.iter().position(|engine| engine.running() > 0).unwrap();
         agents[at].signal("TERM");
         check_left(&fleet, &entry, &engines[at]).await;
         loop {
--- a/toucanrail-daemons/tests/whole_answers.rs
+++ b/toucanrail-daemons/tests/whole_answers.rs
@@ -25,9 +25,7 @@
 }
 
 fn spent(engines: &[EngineStandin]) -> u64 {
-    let spent = engines
-        .iter()
-        .filter_map(|engine| engine.spent().get("acme").copied());
+    let spent = engines.iter().filter_map(|engine| engine.spent().get("acme").copied());
     spent.sum()
 }
 
@@ -45,16 +43,10 @@
                     plan.cut_answers = 0;
                 });
             }
-            engines[cut as usize % 2]
-                .faults
-                .change(|plan| plan.cut_answers = 1);
+            engines[cut as usize % 2].faults.change(|plan| plan.cut_answers = 1);
             let prompt = format!("cut {cut}");
             let answer = fleet.fetch(&entry, fleet.chat(&prompt, 12)).await.unwrap();
-            assert_eq!(
-                stream_text(&answer.body),
-                (right_text(&prompt, 12), true),
-                "cut {cut}"
-            );
+            assert_eq!(stream_text(&answer.body), (right_text(&prompt, 12), true), "cut {cut}");
         }
         let account = fleet.wait_billed(|| spent(&engines)).await;
         assert_eq!(account.billed + account.written_off, spent(&engines));
@@ -96,11 +88,7 @@
         let begun = Instant::now();
         let answer = fleet.fetch(&entry, fleet.chat("silent", 30)).await.unwrap();
         assert_eq!(stream_text(&answer.body), (right_text("silent", 30), true));
-        assert!(
-            begun.elapsed() < BOUND / 2,
-            "it waited {:?}",
-            begun.elapsed()
-        );
+        assert!(begun.elapsed() < BOUND / 2, "it waited {:?}", begun.elapsed());
         let account = fleet.wait_billed(|| spent(&engines)).await;
         assert_eq!(account.billed + account.written_off, spent(&engines));
     });
@@ -133,10 +121,7 @@
         let call = fleet.chat("killed", 120);
         let mut answer = fleet.pool.open(entry.address, call, BOUND).await.unwrap();
         let mut body = answer.read_chunk(BOUND).await.unwrap();
-        let at = engines
-            .iter()
-            .position(|engine| engine.spent().contains_key("acme"))
-            .unwrap();
+        let at = engines.iter().position(|engine| engine.spent().contains_key("acme")).unwrap();
         agents[at].kill();
         while let Ok(chunk) = answer.read_chunk(BOUND).await {
             if chunk.is_empty() {
@@ -159,9 +144,7 @@
         let mut answer = fleet.pool.open(entry.address, call, BOUND).await.unwrap();
         answer.read_chunk(BOUND).await.unwrap();
         drop(answer);
-        fleet
-            .wait("the engine to stop", async || engines[0].running() == 0)
-            .await;
+        fleet.wait("the engine to stop", async || engines[0].running() == 0).await;
         assert!(spent(&engines) < 150, "it ran on to {}", spent(&engines));
         let account = fleet.wait_billed(|| spent(&engines)).await;
         assert_eq!(account.billed, spent(&engines));
@@ -186,10 +169,7 @@
         let mut first = fleet.pool.open(entry.address, call(), BOUND).await.unwrap();
         first.read_chunk(BOUND).await.unwrap();
         let during = fleet.fetch(&entry, call()).await.unwrap();
-        assert_eq!(
-            (during.status, during.field("retry-after")),
-            (409, Some("1"))
-        );
+        assert_eq!((during.status, during.field("retry-after")), (409, Some("1")));
         while !first.read_chunk(BOUND).await.unwrap().is_empty() {}
         for process in [&entry, &other, &entry] {
             let again = fleet.fetch(process, call()).await.unwrap();
@@ -198,14 +178,8 @@
         let account = fleet.wait_billed(|| spent(&engines)).await;
         let once = spent(&engines) / 2;
         assert_eq!((account.billed, account.written_off), (once, once));
-        let reused = authorized(
-            "/v1/completions",
-            &json!({"model": "levy-llm", "prompt": "x"}),
-        );
-        let reused = fleet
-            .fetch(&entry, reused.field("idempotency-key", "k1"))
-            .await
-            .unwrap();
+        let reused = authorized("/v1/completions", &json!({"model": "levy-llm", "prompt": "x"}));
+        let reused = fleet.fetch(&entry, reused.field("idempotency-key", "k1")).await.unwrap();
         assert_eq!(reused.status, 422);
     });
 }
@@ -220,10 +194,7 @@
         let call = fleet.chat("frozen", 150);
         let mut answer = fleet.pool.open(entry.address, call, BOUND).await.unwrap();
         let mut body = answer.read_chunk(BOUND).await.unwrap();
-        let at = engines
-            .iter()
-            .position(|engine| engine.spent().contains_key("acme"))
-            .unwrap();
+        let at = engines.iter().position(|engine| engine.spent().contains_key("acme")).unwrap();
         agents[at].signal("STOP");
         loop {
             let chunk = answer.read_chunk(BOUND).await.unwrap();
@@ -254,12 +225,8 @@
         let call = fleet.chat("late", 100);
         let answer = fleet.pool.open(entry.address, call, patience).await;
         assert!(answer.is_err(), "it was to be late");
-        fleet
-            .wait("the engine to get it", async || spent(&engines) > before)
-            .await;
-        fleet
-            .wait("the engine to stop", async || engines[0].running() == 0)
-            .await;
+        fleet.wait("the engine to get it", async || spent(&engines) > before).await;
+        fleet.wait("the engine to stop", async || engines[0].running() == 0).await;
         let account = fleet.wait_billed(|| spent(&engines)).await;
         assert_eq!(account.billed + account.written_off, spent(&engines));
     });
--- a/toucanrail-daemons/tests/whole_path.rs
+++ b/toucanrail-daemons/tests/whole_path.rs
@@ -18,14 +18,8 @@
         let entry = fleet.entry("entry-1", &[]);
         fleet.wait_servers(&entry, 1).await;
 
-        let answer = fleet
-            .fetch(&entry, fleet.chat("May return", 20))
-            .await
-            .unwrap();
-        assert_eq!(
-            stream_text(&answer.body),
-            (right_text("May return", 20), true)
-        );
+        let answer = fleet.fetch(&entry, fleet.chat("May return", 20)).await.unwrap();
+        assert_eq!(stream_text(&answer.body), (right_text("May return", 20), true));
         assert_eq!(answer.field("toucanrail-run"), Some("ran"));
         let request = answer.field("toucanrail-request").unwrap().to_owned();
 
@@ -34,13 +28,7 @@
         let bills = fleet.operate(&["bills", "acme"]).await.unwrap();
         assert!(bills.contains(&request), "{bills}");
         let steps = fleet.operate(&["explain", &request]).await.unwrap();
-        for step in [
-            "arrived",
-            "holds",
-            "sent to agent-1",
-            "whole, used",
-            "billed",
-        ] {
+        for step in ["arrived", "holds", "sent to agent-1", "whole, used", "billed"] {
             assert!(steps.contains(step), "{steps}");
         }
     });
@@ -55,10 +43,7 @@
         let entry = fleet.entry("entry-1", &[]);
         fleet.wait_servers(&entry, 1).await;
         let body = json!({"model": "levy-llm", "prompt": "sugar", "standin_tokens": 5});
-        let answer = fleet
-            .fetch(&entry, authorized("/v1/completions", &body))
-            .await
-            .unwrap();
+        let answer = fleet.fetch(&entry, authorized("/v1/completions", &body)).await.unwrap();
         let found: Value = serde_json::from_slice(&answer.body).unwrap();
         assert_eq!(found["choices"][0]["text"], right_text("sugar", 5));
         assert_eq!(found["usage"]["completion_tokens"], 5);
@@ -96,10 +81,7 @@
         let entry = fleet.entry("entry-1", &[]);
         fleet.wait_servers(&entry, 1).await;
         let nobody = OutboundCall::get("/v1/models");
-        let unknown = authorized(
-            "/v1/chat/completions",
-            &json!({"model": "none", "messages": []}),
-        );
+        let unknown = authorized("/v1/chat/completions", &json!({"model": "none", "messages": []}));
         let no_route = authorized("/elsewhere", &json!({}));
         let returns = authorized("/filing/returns", &json!({}));
         let broken = authorized("/v1/completions", &json!([1]));
@@ -115,11 +97,7 @@
         for (call, status, code) in cases {
             let path = call.path.clone();
             let answer = fleet.fetch(&entry, call).await.unwrap();
-            assert_eq!(
-                (answer.status, result_of(&answer)),
-                (status, code),
-                "{path}"
-            );
+            assert_eq!((answer.status, result_of(&answer)), (status, code), "{path}");
             assert_eq!(answer.field("toucanrail-run"), Some("not-run"), "{path}");
             let body: Value = serde_json::from_slice(&answer.body).unwrap();
             assert_eq!(body["error"]["result"], code, "{path}");
@@ -151,9 +129,6 @@
         assert!(entry.wait_end().await, "the entry did not stop well");
         let account = fleet.account().await;
         assert_eq!(account.billed, engine.spent()["acme"]);
-        assert!(
-            account.grants.values().all(|grant| *grant == 0),
-            "grants stayed behind"
-        );
+        assert!(account.grants.values().all(|grant| *grant == 0), "grants stayed behind");
     });
 }
--- a/toucanrail-standins/src/bin/toucanrail-load.rs
+++ b/toucanrail-standins/src/bin/toucanrail-load.rs
@@ -82,9 +82,5 @@
             eprintln!("{json}: {error}");
         }
     }
-    if report.holds() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    if report.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/toucanrail-standins/src/bin/toucanrail-standin.rs
+++ b/toucanrail-standins/src/bin/toucanrail-standin.rs
@@ -7,51 +7,15 @@
 use toucanrail_standins::{plains, platforms};
 
 const SETTINGS: [SettingRow; 9] = [
-    SettingRow {
-        name: "listen",
-        default: Some("127.0.0.1:0"),
-        help: "Address to listen on.",
-    },
-    SettingRow {
-        name: "vm-lag",
-        default: Some("1s"),
-        help: "Lag of the VM list.",
-    },
-    SettingRow {
-        name: "slots",
-        default: Some("8"),
-        help: "Sequences an engine runs at once.",
-    },
-    SettingRow {
-        name: "step",
-        default: Some("4ms"),
-        help: "Time of an engine's step.",
-    },
-    SettingRow {
-        name: "per-sequence",
-        default: Some("0.1ms"),
-        help: "Added by each sequence.",
-    },
-    SettingRow {
-        name: "per-prompt-token",
-        default: Some("0.05ms"),
-        help: "Added by prefill.",
-    },
-    SettingRow {
-        name: "cache-tokens",
-        default: Some("4000"),
-        help: "Size of the prefix cache.",
-    },
-    SettingRow {
-        name: "load-lag",
-        default: Some("300ms"),
-        help: "Age of the load reported.",
-    },
-    SettingRow {
-        name: "honours-fencing",
-        default: Some("true"),
-        help: "Refuses old orders.",
-    },
+    SettingRow { name: "listen", default: Some("127.0.0.1:0"), help: "Address to listen on." },
+    SettingRow { name: "vm-lag", default: Some("1s"), help: "Lag of the VM list." },
+    SettingRow { name: "slots", default: Some("8"), help: "Sequences an engine runs at once." },
+    SettingRow { name: "step", default: Some("4ms"), help: "Time of an engine's step." },
+    SettingRow { name: "per-sequence", default: Some("0.1ms"), help: "Added by each sequence." },
+    SettingRow { name: "per-prompt-token", default: Some("0.05ms"), help: "Added by prefill." },
+    SettingRow { name: "cache-tokens", default: Some("4000"), help: "Size of the prefix cache." },
+    SettingRow { name: "load-lag", default: Some("300ms"), help: "Age of the load reported." },
+    SettingRow { name: "honours-fencing", default: Some("true"), help: "Refuses old orders." },
 ];
 
 fn main() -> ExitCode {
@@ -98,8 +62,6 @@
         Some("platform") => platforms::start(&listen, vm_lag).map(|(_, address)| address),
         Some("engine") => engines::start(&listen, speed, honours).map(|(_, address)| address),
         Some("plain") => plains::start(&listen).map(|(_, address)| address),
-        _ => Err(std::io::Error::other(
-            "5003: name a stand-in: platform, engine or plain",
-        )),
+        _ => Err(std::io::Error::other("5003: name a stand-in: platform, engine or plain")),
     }
 }
--- a/toucanrail-standins/src/engines.rs
+++ b/toucanrail-standins/src/engines.rs
@@ -141,12 +141,7 @@
     /// Makes an idle engine.
     pub fn new(speed: EngineSpeed, honours_fencing: bool) -> Self {
         let speed = Arc::new(speed);
-        Self {
-            state: Arc::default(),
-            speed,
-            faults: FaultDesk::new(),
-            honours_fencing,
-        }
+        Self { state: Arc::default(), speed, faults: FaultDesk::new(), honours_fencing }
     }
 
     /// Serves the engine's interface and its control port, and steps its batch.
@@ -274,10 +269,7 @@
     }
 
     fn take_order(&self, call: &ReceivedCall) -> Response {
-        let fence = call
-            .field("engine-fence")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
+        let fence = call.field("engine-fence").and_then(|text| text.parse().ok()).unwrap_or(0);
         let mut state = self.lock();
         if self.honours_fencing && fence < state.fence {
             return replies::text(409, "old fencing number");
@@ -294,17 +286,11 @@
             return replies::text(400, "not a completion request");
         };
         let chat = call.path() == "/v1/chat/completions";
-        let prompt = if chat {
-            chat_prompt(&body.messages)
-        } else {
-            body.prompt.clone()
-        };
+        let prompt = if chat { chat_prompt(&body.messages) } else { body.prompt.clone() };
         let id = call.field("engine-request-id").unwrap_or("none").to_owned();
         let resumed = number(call, "engine-resume-from");
         let wanted = body.standin_tokens.unwrap_or(DEFAULT_TOKENS);
-        let end = body
-            .max_tokens
-            .map_or(wanted, |most| wanted.min(most + resumed));
+        let end = body.max_tokens.map_or(wanted, |most| wanted.min(most + resumed));
         let tokens = self.start(call, &id, &prompt, resumed, end);
         let mut answer = AnswerText {
             id: if self.faults.take(|plan| &mut plan.foreign_answers) {
@@ -315,11 +301,7 @@
             model: body.model,
             chat,
             seed: texts::prompt_seed(&prompt),
-            prompt_tokens: if resumed > 0 {
-                0
-            } else {
-                texts::prompt_tokens(prompt.len())
-            },
+            prompt_tokens: if resumed > 0 { 0 } else { texts::prompt_tokens(prompt.len()) },
             completion_tokens: 0,
         };
         let mut response = if body.stream {
@@ -367,10 +349,7 @@
         };
         let mut state = self.lock();
         *state.starts.entry(id.to_owned()).or_default() += 1;
-        let usage = EngineUsage {
-            active: true,
-            ..EngineUsage::default()
-        };
+        let usage = EngineUsage { active: true, ..EngineUsage::default() };
         state.usage.insert(id.to_owned(), usage);
         state.waiting.push(sequence);
         receiver
@@ -507,11 +486,7 @@
     fn evict(&mut self, cache_tokens: usize) {
         let limit = cache_tokens * 4 / CACHE_BLOCK;
         while self.cache.len() > limit {
-            let oldest = self
-                .cache
-                .iter()
-                .min_by_key(|(_, used)| **used)
-                .map(|(block, _)| *block);
+            let oldest = self.cache.iter().min_by_key(|(_, used)| **used).map(|(block, _)| *block);
             if let Some(block) = oldest {
                 self.cache.remove(&block);
             }
@@ -552,11 +527,7 @@
         } else {
             json!({"index": 0, "text": text})
         };
-        let object = if self.chat {
-            "chat.completion.chunk"
-        } else {
-            "text_completion"
-        };
+        let object = if self.chat { "chat.completion.chunk" } else { "text_completion" };
         let body = json!({
             "id": self.id, "object": object, "model": self.model, "choices": [choice],
         });
@@ -580,11 +551,7 @@
         } else {
             json!({"index": 0, "finish_reason": "stop", "text": text})
         };
-        let object = if self.chat {
-            "chat.completion"
-        } else {
-            "text_completion"
-        };
+        let object = if self.chat { "chat.completion" } else { "text_completion" };
         json!({
             "id": self.id, "object": object, "model": self.model,
             "choices": [choice], "usage": self.usage(),
@@ -594,16 +561,12 @@
 
 /// Returns the prompt of chat messages: their contents, a line each.
 pub fn chat_prompt(messages: &[Value]) -> String {
-    let contents = messages
-        .iter()
-        .filter_map(|message| message.get("content")?.as_str());
+    let contents = messages.iter().filter_map(|message| message.get("content")?.as_str());
     contents.collect::<Vec<_>>().join("\n")
 }
 
 fn number(call: &ReceivedCall, name: &str) -> u64 {
-    call.field(name)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or_default()
+    call.field(name).and_then(|text| text.parse().ok()).unwrap_or_default()
 }
 
 /// Starts an engine on a port of its own.
--- a/toucanrail-standins/src/loads.rs
+++ b/toucanrail-standins/src/loads.rs
@@ -11,21 +11,9 @@
 
 /// Settings of the load tool.
 pub const SETTINGS: [SettingRow; 22] = [
-    SettingRow {
-        name: "entries",
-        default: None,
-        help: "Entries, towards callers.",
-    },
-    SettingRow {
-        name: "customers",
-        default: None,
-        help: "Customers as name:key:share.",
-    },
-    SettingRow {
-        name: "model",
-        default: Some("levy-llm"),
-        help: "Model asked for.",
-    },
+    SettingRow { name: "entries", default: None, help: "Entries, towards callers." },
+    SettingRow { name: "customers", default: None, help: "Customers as name:key:share." },
+    SettingRow { name: "model", default: Some("levy-llm"), help: "Model asked for." },
     SettingRow {
         name: "route",
         default: Some(""),
@@ -36,91 +24,35 @@
         default: Some("0"),
         help: "Share of calls to it, in percent.",
     },
-    SettingRow {
-        name: "plain-price",
-        default: Some("5"),
-        help: "Price of such a call.",
-    },
+    SettingRow { name: "plain-price", default: Some("5"), help: "Price of such a call." },
     SettingRow {
         name: "keyed-share",
         default: Some("0"),
         help: "Share of keyed calls, in percent.",
     },
-    SettingRow {
-        name: "rate",
-        default: Some("50"),
-        help: "Requests a second.",
-    },
-    SettingRow {
-        name: "spike",
-        default: Some(""),
-        help: "A spike as FROM:TO:RATE, in seconds.",
-    },
-    SettingRow {
-        name: "duration",
-        default: Some("10s"),
-        help: "How long requests are sent.",
-    },
-    SettingRow {
-        name: "prefixes",
-        default: Some("40"),
-        help: "Shared prompt prefixes.",
-    },
-    SettingRow {
-        name: "prefix-bytes",
-        default: Some("1024"),
-        help: "Length of a prefix.",
-    },
-    SettingRow {
-        name: "suffix-bytes",
-        default: Some("120"),
-        help: "Mean length of the rest.",
-    },
-    SettingRow {
-        name: "output",
-        default: Some("32"),
-        help: "Mean tokens of an answer.",
-    },
-    SettingRow {
-        name: "max-output",
-        default: Some("256"),
-        help: "Limit that callers ask for.",
-    },
-    SettingRow {
-        name: "retries",
-        default: Some("0"),
-        help: "Most retries of a caller.",
-    },
+    SettingRow { name: "rate", default: Some("50"), help: "Requests a second." },
+    SettingRow { name: "spike", default: Some(""), help: "A spike as FROM:TO:RATE, in seconds." },
+    SettingRow { name: "duration", default: Some("10s"), help: "How long requests are sent." },
+    SettingRow { name: "prefixes", default: Some("40"), help: "Shared prompt prefixes." },
+    SettingRow { name: "prefix-bytes", default: Some("1024"), help: "Length of a prefix." },
+    SettingRow { name: "suffix-bytes", default: Some("120"), help: "Mean length of the rest." },
+    SettingRow { name: "output", default: Some("32"), help: "Mean tokens of an answer." },
+    SettingRow { name: "max-output", default: Some("256"), help: "Limit that callers ask for." },
+    SettingRow { name: "retries", default: Some("0"), help: "Most retries of a caller." },
     SettingRow {
         name: "patience",
         default: Some("20s"),
         help: "Silence after which one gives up.",
     },
-    SettingRow {
-        name: "store",
-        default: Some("127.0.0.1:7001"),
-        help: "Platform's stand-in.",
-    },
-    SettingRow {
-        name: "engines",
-        default: Some(""),
-        help: "Engines' stand-ins, for the truth.",
-    },
-    SettingRow {
-        name: "plains",
-        default: Some(""),
-        help: "Plain stand-ins, for the truth.",
-    },
+    SettingRow { name: "store", default: Some("127.0.0.1:7001"), help: "Platform's stand-in." },
+    SettingRow { name: "engines", default: Some(""), help: "Engines' stand-ins, for the truth." },
+    SettingRow { name: "plains", default: Some(""), help: "Plain stand-ins, for the truth." },
     SettingRow {
         name: "faults",
         default: Some(""),
         help: "File of faults: TIME ACTION TARGET ...",
     },
-    SettingRow {
-        name: "json",
-        default: Some(""),
-        help: "File to write the report to.",
-    },
+    SettingRow { name: "json", default: Some(""), help: "File to write the report to." },
 ];
 
 /// One customer of the load.
@@ -206,10 +138,7 @@
 where
     Item: std::str::FromStr,
 {
-    let items = text
-        .split(',')
-        .map(str::trim)
-        .filter(|item| !item.is_empty());
+    let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
     items.map(|item| item.parse().ok()).collect()
 }
 
@@ -226,10 +155,7 @@
 }
 
 // Outer: whether it could be read; inner: whether there is one.
-#[expect(
-    clippy::option_option,
-    reason = "the reader of settings wants the outer one"
-)]
+#[expect(clippy::option_option, reason = "the reader of settings wants the outer one")]
 fn parse_spike(text: &str) -> Option<Option<(f64, f64, f64)>> {
     if text.is_empty() {
         return Some(None);
@@ -314,11 +240,7 @@
         let customer = self.draw_customer(dice);
         let plain = !self.route.is_empty() && dice.f64() < self.plain_share;
         let keyed = plain || dice.f64() < self.keyed_share;
-        let ask = if plain {
-            LoadAsk::Plain
-        } else {
-            self.draw_completion(dice, number)
-        };
+        let ask = if plain { LoadAsk::Plain } else { self.draw_completion(dice, number) };
         LoadRequest {
             number,
             at: Duration::from_secs_f64(at),
@@ -423,9 +345,7 @@
 pub fn read_faults(text: &str) -> Result<Vec<LoadFault>, usize> {
     let lines = text.lines().enumerate();
     let lines = lines.filter(|(_, line)| !line.trim().is_empty() && !line.starts_with('#'));
-    lines
-        .map(|(index, line)| read_fault(line).ok_or(index + 1))
-        .collect()
+    lines.map(|(index, line)| read_fault(line).ok_or(index + 1)).collect()
 }
 
 fn read_fault(line: &str) -> Option<LoadFault> {
@@ -437,10 +357,9 @@
             path: words.next()?.to_owned(),
             body: words.next().unwrap_or_default().to_owned(),
         },
-        name @ ("kill" | "term" | "stop" | "cont") => FaultAction::Signal {
-            name: name.to_owned(),
-            pid: words.next()?.parse().ok()?,
-        },
+        name @ ("kill" | "term" | "stop" | "cont") => {
+            FaultAction::Signal { name: name.to_owned(), pid: words.next()?.parse().ok()? }
+        }
         _ => return None,
     };
     Some(LoadFault { at, action })
--- a/toucanrail-standins/src/plains.rs
+++ b/toucanrail-standins/src/plains.rs
@@ -60,10 +60,7 @@
             *count += 1;
             *count
         };
-        if let Some(wait) = call
-            .field("plain-delay-ms")
-            .and_then(|text| text.parse().ok())
-        {
+        if let Some(wait) = call.field("plain-delay-ms").and_then(|text| text.parse().ok()) {
             smol::Timer::after(Duration::from_millis(wait)).await;
         }
         if !self.faults.pass().await {
@@ -77,10 +74,7 @@
             "received": call.body.len(),
         });
         let mut response = replies::json(200, &body);
-        if let Some(asked) = call
-            .field("plain-status")
-            .and_then(|text| text.parse::<u16>().ok())
-        {
+        if let Some(asked) = call.field("plain-status").and_then(|text| text.parse::<u16>().ok()) {
             response.set_status(asked.try_into().unwrap_or(http_types::StatusCode::Ok));
         }
         if self.faults.take(|plan| &mut plan.cut_answers) {
--- a/toucanrail-standins/src/platforms.rs
+++ b/toucanrail-standins/src/platforms.rs
@@ -50,19 +50,12 @@
 impl PlatformStandin {
     /// Makes an empty platform whose VM list lags by `vm_lag`.
     pub fn new(vm_lag: Duration) -> Self {
-        Self {
-            state: Arc::default(),
-            faults: FaultDesk::new(),
-            vm_lag,
-        }
+        Self { state: Arc::default(), faults: FaultDesk::new(), vm_lag }
     }
 
     /// Serves the object API, the VM list and the control port.
     pub async fn serve(self, listener: TcpListener) {
-        let limits = ServerLimits {
-            body: VALUE_LIMIT,
-            ..ServerLimits::default()
-        };
+        let limits = ServerLimits { body: VALUE_LIMIT, ..ServerLimits::default() };
         let handler = move |call| {
             let this = self.clone();
             async move { this.answer(call).await }
@@ -147,9 +140,7 @@
         let mut state = self.lock();
         state.counts.writes += 1;
         let known = state.objects.get(name).map(|(version, _)| *version);
-        let wanted = call
-            .field("if-match")
-            .map(|tag| tag.trim_matches('"').parse().ok());
+        let wanted = call.field("if-match").map(|tag| tag.trim_matches('"').parse().ok());
         let met = match wanted {
             Some(version) => version.is_some() && version == known,
             None => call.field("if-none-match") != Some("*") || known.is_none(),
@@ -159,9 +150,7 @@
         }
         state.revision += 1;
         let version = state.revision;
-        state
-            .objects
-            .insert(name.to_owned(), (version, call.body.clone()));
+        state.objects.insert(name.to_owned(), (version, call.body.clone()));
         tagged(200, version, Vec::new())
     }
 
@@ -178,13 +167,7 @@
             version: *version,
             value: String::from_utf8_lossy(value).into_owned(),
         });
-        replies::json(
-            200,
-            &ListBody {
-                objects: objects.collect(),
-                revision: state.revision,
-            },
-        )
+        replies::json(200, &ListBody { objects: objects.collect(), revision: state.revision })
     }
 
     async fn watch(&self, kind: &str, call: &ReceivedCall) -> Response {
@@ -237,9 +220,7 @@
 }
 
 fn number(call: &ReceivedCall, name: &str) -> u64 {
-    call.query(name)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or_default()
+    call.query(name).and_then(|text| text.parse().ok()).unwrap_or_default()
 }
 
 fn tagged(status: u16, version: Version, value: Vec<u8>) -> Response {
--- a/toucanrail-standins/src/reports.rs
+++ b/toucanrail-standins/src/reports.rs
@@ -135,11 +135,7 @@
 impl TruthWatch {
     /// Makes a watch whose time begins now.
     pub fn new(sources: TruthSources) -> Self {
-        Self {
-            sources,
-            start: Instant::now(),
-            samples: Arc::default(),
-        }
+        Self { sources, start: Instant::now(), samples: Arc::default() }
     }
 
     /// Samples until dropped.
@@ -151,10 +147,8 @@
             let engines = read_engines(&pool, &self.sources).await;
             let accounts = shards.values().flat_map(|shard| &shard.accounts);
             let left = accounts.map(|(name, account)| {
-                let spent: u64 = engines
-                    .iter()
-                    .filter_map(|engine| engine.spent.get(&**name))
-                    .sum();
+                let spent: u64 =
+                    engines.iter().filter_map(|engine| engine.spent.get(&**name)).sum();
                 (name.to_string(), account.prepaid.saturating_sub(spent))
             });
             let sample = TruthSample {
@@ -203,10 +197,7 @@
 fn stuck_tokens(shard: &BudgetShard) -> u64 {
     let revoked = |entry: &Arc<str>| {
         let live = toucanrail::budgets::HolderState::Live;
-        shard
-            .holders
-            .get(entry)
-            .is_some_and(|row| row.state != live)
+        shard.holders.get(entry).is_some_and(|row| row.state != live)
     };
     let accounts = shard.accounts.values();
     accounts
@@ -246,19 +237,14 @@
 where
     Body: for<'body> Deserialize<'body>,
 {
-    let answer = pool
-        .fetch(address, OutboundCall::get(path), TRUTH_BOUND)
-        .await
-        .ok()?;
+    let answer = pool.fetch(address, OutboundCall::get(path), TRUTH_BOUND).await.ok()?;
     serde_json::from_slice(&answer.body).ok()
 }
 
 /// Reads the store's calls so far.
 pub async fn read_counts(store: SocketAddr) -> CallCounts {
     let pool = ConnectionPool::new(ClientLimits::default());
-    fetch(&pool, store, "/control/counts")
-        .await
-        .unwrap_or_default()
+    fetch(&pool, store, "/control/counts").await.unwrap_or_default()
 }
 
 /// Waits until all that ran is billed, or it takes too long, then makes the report.
@@ -307,15 +293,10 @@
 }
 
 fn count_unbilled(tries: &[TryReport], bills: &[BillRow]) -> usize {
-    let billed: BTreeSet<&str> = bills
-        .iter()
-        .filter(|row| row.billed > 0)
-        .map(|row| &*row.request)
-        .collect();
+    let billed: BTreeSet<&str> =
+        bills.iter().filter(|row| row.billed > 0).map(|row| &*row.request).collect();
     let right = tries.iter().filter(|report| report.end == TryEnd::Right);
-    let ids: BTreeSet<&str> = right
-        .filter_map(|report| report.request.as_deref())
-        .collect();
+    let ids: BTreeSet<&str> = right.filter_map(|report| report.request.as_deref()).collect();
     ids.difference(&billed).count()
 }
 
@@ -325,18 +306,11 @@
     };
     times.for_each(|time| histogram.saturating_record((time.as_micros() as u64).max(1)));
     let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
-    LatencyRow {
-        p50: millis(0.5),
-        p95: millis(0.95),
-        p99: millis(0.99),
-    }
+    LatencyRow { p50: millis(0.5), p95: millis(0.95), p99: millis(0.99) }
 }
 
 fn summarize(tries: &[TryReport]) -> LoadReport {
-    let mut report = LoadReport {
-        tries: tries.len(),
-        ..LoadReport::default()
-    };
+    let mut report = LoadReport { tries: tries.len(), ..LoadReport::default() };
     let numbers: BTreeSet<usize> = tries.iter().map(|report| report.number).collect();
     report.requests = numbers.len();
     for row in tries {
@@ -367,10 +341,7 @@
     shards: &BTreeMap<Arc<str>, BudgetShard>,
 ) {
     for (name, account) in shards.values().flat_map(|shard| &shard.accounts) {
-        let spent: u64 = engines
-            .iter()
-            .filter_map(|engine| engine.spent.get(&**name))
-            .sum();
+        let spent: u64 = engines.iter().filter_map(|engine| engine.spent.get(&**name)).sum();
         report.spent += spent;
         report.billed += account.billed;
         report.written_off += account.written_off;
@@ -391,10 +362,7 @@
     watch: &TruthWatch,
 ) {
     for row in tries {
-        let TryEnd::Refused {
-            code: 3001 | 3002, ..
-        } = row.end
-        else {
+        let TryEnd::Refused { code: 3001 | 3002, .. } = row.end else {
             continue;
         };
         report.budget_refusals += 1;
@@ -411,9 +379,7 @@
             other.customer == row.customer && other.body.is_some() && other.sent <= at
         });
         let plains = plains.count() as u64 * plan.plain_price;
-        let left = watch
-            .left_at(name, at)
-            .map(|left| left.saturating_sub(plains));
+        let left = watch.left_at(name, at).map(|left| left.saturating_sub(plains));
         report.false_refusals += usize::from(left.is_some_and(|left| left >= busy + row.worst));
     }
 }
@@ -440,16 +406,11 @@
         };
         // A keyed request may have run in another try; the plain service counts those.
         let single = row.key.is_none() && run == "not-run";
-        let ran = row
-            .request
-            .as_deref()
-            .is_some_and(|id| started.contains(id));
+        let ran = row.request.as_deref().is_some_and(|id| started.contains(id));
         report.false_not_run += usize::from(single && ran);
     }
     let plain_keys: BTreeSet<&str> = answers.keys().copied().collect();
-    let doubled = runs
-        .iter()
-        .filter(|(key, count)| key.starts_with("load-") && **count > 1);
+    let doubled = runs.iter().filter(|(key, count)| key.starts_with("load-") && **count > 1);
     report.duplicate_runs = doubled.count();
     report.changed_answers = answers.values().filter(|bodies| bodies.len() > 1).count();
     for key in plain_keys {
@@ -479,10 +440,7 @@
     pub fn table(&self) -> String {
         let mut text = String::new();
         let mut row = |name: &str, value: String| text += &format!("{name:<28}{value}\n");
-        row(
-            "requests / tries",
-            format!("{} / {}", self.requests, self.tries),
-        );
+        row("requests / tries", format!("{} / {}", self.requests, self.tries));
         row("right answers", self.right.to_string());
         row("refusals by code", format!("{:?}", self.refusals));
         row("cut / lost", format!("{} / {}", self.cut, self.lost));
@@ -493,10 +451,7 @@
             format!("{} / {}", self.duplicate_runs, self.duplicate_bills),
         );
         row("'not run' that ran", self.false_not_run.to_string());
-        row(
-            "changed / unbilled answers",
-            format!("{} / {}", self.changed_answers, self.unbilled),
-        );
+        row("changed / unbilled answers", format!("{} / {}", self.changed_answers, self.unbilled));
         let (wrong, all) = (self.false_refusals, self.budget_refusals);
         row("false / budget refusals", format!("{wrong} / {all}"));
         row(
@@ -504,38 +459,18 @@
             format!("{} / {} / {}", self.spent, self.billed, self.written_off),
         );
         row("frozen at the end", self.frozen.to_string());
-        row(
-            "stuck peak / seconds",
-            format!("{} / {:.1}", self.stuck_peak, self.stuck_seconds),
-        );
+        row("stuck peak / seconds", format!("{} / {:.1}", self.stuck_peak, self.stuck_seconds));
         row("prefix hits", format!("{:.1} %", self.prefix_hits * 100.0));
-        row(
-            "store reads / writes",
-            format!("{} / {}", self.store.reads, self.store.writes),
-        );
-        row(
-            "writes a request",
-            format!("{:.4}", self.writes_per_request),
-        );
-        for (name, times) in [
-            ("first token ms", &self.first_token),
-            ("between tokens ms", &self.between_tokens),
-        ] {
-            let shown = format!(
-                "p50 {:.2}  p95 {:.2}  p99 {:.2}",
-                times.p50, times.p95, times.p99
-            );
+        row("store reads / writes", format!("{} / {}", self.store.reads, self.store.writes));
+        row("writes a request", format!("{:.4}", self.writes_per_request));
+        for (name, times) in
+            [("first token ms", &self.first_token), ("between tokens ms", &self.between_tokens)]
+        {
+            let shown = format!("p50 {:.2}  p95 {:.2}  p99 {:.2}", times.p50, times.p95, times.p99);
             row(name, shown);
         }
         row("goodput by second", format!("{:?}", self.goodput));
-        row(
-            "promises",
-            if self.holds() {
-                "held".to_owned()
-            } else {
-                "BROKEN".to_owned()
-            },
-        );
+        row("promises", if self.holds() { "held".to_owned() } else { "BROKEN".to_owned() });
         text
     }
 }
--- a/toucanrail-standins/src/senders.rs
+++ b/toucanrail-standins/src/senders.rs
@@ -68,10 +68,7 @@
 
 /// Sends all requests at their times and returns what callers saw.
 pub async fn send_load(plan: Arc<LoadPlan>, requests: Vec<LoadRequest>) -> Vec<TryReport> {
-    let pool = ConnectionPool::new(ClientLimits {
-        kept: 512,
-        ..ClientLimits::default()
-    });
+    let pool = ConnectionPool::new(ClientLimits { kept: 512, ..ClientLimits::default() });
     let start = Instant::now();
     let mut tasks = Vec::new();
     for request in requests {
@@ -169,9 +166,7 @@
         Some(values.last().as_str().to_owned())
     };
     report.request = field(replies::REQUEST_HEADER);
-    let code = field(replies::RESULT_HEADER)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
+    let code = field(replies::RESULT_HEADER).and_then(|text| text.parse().ok()).unwrap_or(0);
     let run = field(replies::RUN_HEADER).unwrap_or_default();
     let comes_back = field("retry-after").is_some();
     let status = answer.status();
@@ -185,11 +180,7 @@
                 body.extend_from_slice(&chunk);
             }
             Err(_) => {
-                report.end = if status == 200 {
-                    TryEnd::Cut
-                } else {
-                    TryEnd::Lost
-                };
+                report.end = if status == 200 { TryEnd::Cut } else { TryEnd::Lost };
                 return;
             }
         }
@@ -198,11 +189,7 @@
     report.end = if status == 200 {
         judge(request, &body, report)
     } else {
-        TryEnd::Refused {
-            code,
-            run,
-            comes_back,
-        }
+        TryEnd::Refused { code, run, comes_back }
     };
 }
 
@@ -219,30 +206,20 @@
 fn judge(request: &LoadRequest, body: &[u8], report: &mut TryReport) -> TryEnd {
     let text = String::from_utf8_lossy(body);
     let Some(right) = request.ask.right_text() else {
-        let own = request
-            .key
-            .as_ref()
-            .is_some_and(|key| text.contains(key.as_str()));
+        let own = request.key.as_ref().is_some_and(|key| text.contains(key.as_str()));
         report.body = Some(text.into_owned());
         return if own { TryEnd::Right } else { TryEnd::Foreign };
     };
     let ended = text.ends_with("data: [DONE]\n\n");
-    if ended && stream_text(&text) == right {
-        TryEnd::Right
-    } else {
-        TryEnd::Foreign
-    }
+    if ended && stream_text(&text) == right { TryEnd::Right } else { TryEnd::Foreign }
 }
 
 /// Joins the contents of a stream's events.
 fn stream_text(text: &str) -> String {
     let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
     let bodies = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
-    let contents = bodies.filter_map(|body| {
-        body["choices"][0]["delta"]["content"]
-            .as_str()
-            .map(str::to_owned)
-    });
+    let contents = bodies
+        .filter_map(|body| body["choices"][0]["delta"]["content"].as_str().map(str::to_owned));
     contents.collect()
 }
 
@@ -253,11 +230,7 @@
     for fault in faults {
         smol::Timer::after(fault.at.saturating_sub(start.elapsed())).await;
         match fault.action {
-            FaultAction::Control {
-                address,
-                path,
-                body,
-            } => {
+            FaultAction::Control { address, path, body } => {
                 let call = OutboundCall::post(path, body.into_bytes());
                 if pool.fetch(address, call, CONTROL_BOUND).await.is_err() {
                     eprintln!("a fault could not be injected at {address}");
--- a/toucanrail-standins/src/texts.rs
+++ b/toucanrail-standins/src/texts.rs
@@ -22,9 +22,7 @@
 /// Returns the tokens of a prompt's answer from one position to before another.
 pub fn answer_text(prompt: &str, from: Tokens, to: Tokens) -> String {
     let seed = prompt_seed(prompt);
-    (from..to)
-        .map(|position| token_text(seed, position))
-        .collect()
+    (from..to).map(|position| token_text(seed, position)).collect()
 }
 
 /// Returns the tokens that the stand-in engine counts for a prompt: four bytes each.
--- a/toucanrail-wire/src/clients.rs
+++ b/toucanrail-wire/src/clients.rs
@@ -87,13 +87,7 @@
 impl OutboundCall {
     /// Makes a call without a body.
     pub fn new(method: Method, path: impl Into<String>) -> Self {
-        Self {
-            method,
-            path: path.into(),
-            fields: Vec::new(),
-            body: Vec::new(),
-            fresh: false,
-        }
+        Self { method, path: path.into(), fields: Vec::new(), body: Vec::new(), fresh: false }
     }
 
     /// Makes a `GET`.
@@ -153,9 +147,7 @@
 impl WholeAnswer {
     /// Returns a field's last value.
     pub fn field(&self, name: &str) -> Option<&str> {
-        self.response
-            .header(name)
-            .map(|values| values.last().as_str())
+        self.response.header(name).map(|values| values.last().as_str())
     }
 }
 
@@ -203,10 +195,7 @@
 impl ConnectionPool {
     /// Makes an empty pool.
     pub fn new(limits: ClientLimits) -> Self {
-        Self {
-            limits: Arc::new(limits),
-            idle: Arc::default(),
-        }
+        Self { limits: Arc::new(limits), idle: Arc::default() }
     }
 
     /// Makes a call and reads its answer whole, all within `bound`.
@@ -230,11 +219,7 @@
             let response = Response::new(answer.response.status());
             let response = std::mem::replace(&mut answer.response, response);
             answer.close_whole();
-            Ok(WholeAnswer {
-                status,
-                response,
-                body,
-            })
+            Ok(WholeAnswer { status, response, body })
         };
         clocks::within(bound, fetching).await
     }
@@ -250,9 +235,7 @@
         let stream = connected.map_err(OpenFailure::NotSent)?;
         // Boxed, since the decoder's state is large and every wrapper would move it.
         let exchange = Box::pin(self.exchange(address, stream, call));
-        clocks::within(bound, exchange)
-            .await
-            .map_err(OpenFailure::Sent)
+        clocks::within(bound, exchange).await.map_err(OpenFailure::Sent)
     }
 
     /// Takes a checked idle connection or opens one.
@@ -288,11 +271,7 @@
         if facts.length == BodyLength::Absent && !bodiless {
             return Err(invalid("an answer with neither length nor chunks"));
         }
-        let length = if bodiless {
-            BodyLength::Absent
-        } else {
-            facts.length
-        };
+        let length = if bodiless { BodyLength::Absent } else { facts.length };
         let replay = ReplayStream::new(bytes, end, length, stream.clone());
         let response = Box::pin(client::decode(replay.clone()))
             .await
@@ -317,10 +296,7 @@
         let mut idle = self.lock();
         let kept = idle.entry(address).or_default();
         if kept.len() < self.limits.kept {
-            kept.push(IdleConnection {
-                stream,
-                since: Instant::now(),
-            });
+            kept.push(IdleConnection { stream, since: Instant::now() });
         }
     }
 
@@ -339,9 +315,7 @@
 fn is_bodiless(head: &[u8]) -> bool {
     let status = head.split(|byte| *byte == b' ').nth(1);
     let status = status.and_then(|word| std::str::from_utf8(word).ok());
-    let status = status
-        .and_then(|word| word.get(..3))
-        .and_then(|word| word.parse().ok());
+    let status = status.and_then(|word| word.get(..3)).and_then(|word| word.parse().ok());
     status.is_some_and(|number: u16| NO_BODY_STATUSES.contains(&number))
 }
 
--- a/toucanrail-wire/src/listeners.rs
+++ b/toucanrail-wire/src/listeners.rs
@@ -67,9 +67,7 @@
 impl ReceivedCall {
     /// Returns a field's first value.
     pub fn field(&self, name: &str) -> Option<&str> {
-        self.request
-            .header(name)
-            .map(|values| values.last().as_str())
+        self.request.header(name).map(|values| values.last().as_str())
     }
 
     /// Returns the path of the URL.
@@ -80,9 +78,7 @@
     /// Returns a value of the query.
     pub fn query(&self, name: &str) -> Option<String> {
         let mut pairs = self.request.url().query_pairs();
-        pairs
-            .find(|(key, _)| key == name)
-            .map(|(_, value)| value.into_owned())
+        pairs.find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
     }
 }
 
@@ -115,9 +111,7 @@
         smol::spawn(async move {
             let crowded = guard.count() > limits.connections;
             // A broken connection has nobody left to tell.
-            serve_connection(stream, &limits, handler, crowded)
-                .await
-                .ok();
+            serve_connection(stream, &limits, handler, crowded).await.ok();
         })
         .detach();
     }
@@ -195,18 +189,12 @@
     let mut reader = stream.clone();
     loop {
         if let Some(end) = scanners::scan_head_end(buffered) {
-            return Ok(Some(
-                check_head(&buffered[..end], limits).map(|facts| (end, facts)),
-            ));
+            return Ok(Some(check_head(&buffered[..end], limits).map(|facts| (end, facts))));
         }
         if buffered.len() > limits.head {
             return Ok(Some(Err(codetable::HEAD_TOO_LARGE)));
         }
-        let bound = if buffered.is_empty() {
-            limits.idle
-        } else {
-            limits.arrival
-        };
+        let bound = if buffered.is_empty() { limits.idle } else { limits.arrival };
         match clocks::within(bound, reader.read(chunk)).await {
             Ok(0) if buffered.is_empty() => return Ok(None),
             Ok(0) => return Ok(Some(Err(codetable::CUT_REQUEST))),
@@ -248,11 +236,7 @@
         return Err(codetable::BODY_TOO_LARGE);
     }
     if replay.is_whole() {
-        Ok(ReceivedCall {
-            request,
-            body,
-            peer: None,
-        })
+        Ok(ReceivedCall { request, body, peer: None })
     } else {
         Err(codetable::CUT_REQUEST)
     }
--- a/toucanrail-wire/src/pipes.rs
+++ b/toucanrail-wire/src/pipes.rs
@@ -51,12 +51,7 @@
 /// ```
 pub fn make_pipe() -> (PipeWriter, BodyPipe) {
     let (sender, receiver) = async_channel::bounded(PIPE_DEPTH);
-    let body = BodyPipe {
-        items: Box::pin(receiver),
-        chunk: Vec::new(),
-        at: 0,
-        ended: false,
-    };
+    let body = BodyPipe { items: Box::pin(receiver), chunk: Vec::new(), at: 0, ended: false };
     (PipeWriter { sender }, body)
 }
 
--- a/toucanrail-wire/src/replays.rs
+++ b/toucanrail-wire/src/replays.rs
@@ -69,16 +69,8 @@
             BodyLength::Exact(count) => BodyState::Exact(count),
             BodyLength::Chunked => BodyState::Chunked(ChunkScanner::new()),
         };
-        let state = ReplayState {
-            prefix,
-            at: 0,
-            head,
-            body,
-        };
-        Self {
-            state: Arc::new(Mutex::new(state)),
-            stream,
-        }
+        let state = ReplayState { prefix, at: 0, head, body };
+        Self { state: Arc::new(Mutex::new(state)), stream }
     }
 
     /// Tells whether the whole body has passed.
--- a/toucanrail-wire/src/replies.rs
+++ b/toucanrail-wire/src/replies.rs
@@ -38,12 +38,7 @@
     /// assert_eq!(note.run, toucanrail::codes::RunState::NotRun);
     /// ```
     pub fn new(code: ResultCode) -> Self {
-        Self {
-            code,
-            run: code.row().run,
-            retry_after: None,
-            detail: String::new(),
-        }
+        Self { code, run: code.row().run, retry_after: None, detail: String::new() }
     }
 
     /// Adds when to come back.
--- a/toucanrail-wire/src/stores.rs
+++ b/toucanrail-wire/src/stores.rs
@@ -82,25 +82,14 @@
 impl HttpStore {
     /// Makes a client of the object API at an address.
     pub fn new(address: SocketAddr) -> Self {
-        let limits = ClientLimits {
-            connect: CALL_BOUND,
-            ..ClientLimits::default()
-        };
+        let limits = ClientLimits { connect: CALL_BOUND, ..ClientLimits::default() };
         let pool = ConnectionPool::new(limits);
-        Self {
-            address,
-            pool,
-            reads: Arc::default(),
-            writes: Arc::default(),
-        }
+        Self { address, pool, reads: Arc::default(), writes: Arc::default() }
     }
 
     /// Returns the reads and the writes made so far, a watch counting as a read.
     pub fn counts(&self) -> (u64, u64) {
-        (
-            self.reads.load(Ordering::Relaxed),
-            self.writes.load(Ordering::Relaxed),
-        )
+        (self.reads.load(Ordering::Relaxed), self.writes.load(Ordering::Relaxed))
     }
 
     async fn fetch(&self, call: OutboundCall, bound: Duration) -> io::Result<WholeAnswer> {
@@ -125,21 +114,14 @@
             version: object.version,
             value: object.value.into_bytes(),
         });
-        Some(MirrorReply {
-            objects: objects.collect(),
-            seen: body.revision,
-        })
+        Some(MirrorReply { objects: objects.collect(), seen: body.revision })
     }
 }
 
 fn outbound(call: &StoreCall) -> OutboundCall {
     match call {
         StoreCall::Get { path } => OutboundCall::get(format!("/v1/objects/{path}")),
-        StoreCall::Put {
-            path,
-            expect,
-            value,
-        } => {
+        StoreCall::Put { path, expect, value } => {
             let call = OutboundCall::new(Method::Put, format!("/v1/objects/{path}"));
             let mut call = match expect {
                 WriteExpectation::Absent => call.field("if-none-match", "*"),
@@ -155,10 +137,9 @@
     let tag = answer.field("etag").map(|tag| tag.trim_matches('"'));
     let version = tag.and_then(|tag| tag.parse().ok());
     match (call, answer.status, version) {
-        (StoreCall::Get { .. }, 200, Some(version)) => StoreReply::Found {
-            version,
-            value: answer.body,
-        },
+        (StoreCall::Get { .. }, 200, Some(version)) => {
+            StoreReply::Found { version, value: answer.body }
+        }
         (StoreCall::Get { .. }, 404, _) => StoreReply::Missing,
         (StoreCall::Put { .. }, 200, Some(version)) => StoreReply::Written { version },
         (StoreCall::Put { .. }, 412, _) => StoreReply::Conflict,
@@ -191,10 +172,7 @@
     }
 
     async fn list_vms(&self) -> Option<Vec<VmRow>> {
-        let answer = self
-            .fetch(OutboundCall::get("/v1/vms"), CALL_BOUND)
-            .await
-            .ok()?;
+        let answer = self.fetch(OutboundCall::get("/v1/vms"), CALL_BOUND).await.ok()?;
         serde_json::from_slice(&answer.body).ok()
     }
 }
--- a/toucanrail-wire/tests/http_edges.rs
+++ b/toucanrail-wire/tests/http_edges.rs
@@ -46,14 +46,8 @@
 async fn check_refused(bytes: &[u8], end: bool, status: &str, code: &str) {
     let (address, handled) = echo_server(ServerLimits::default());
     let answer = exchange(address, bytes, end).await;
-    assert!(
-        answer.starts_with(&format!("HTTP/1.1 {status}")),
-        "{answer}"
-    );
-    assert!(
-        answer.contains(&format!("toucanrail-result: {code}")),
-        "{answer}"
-    );
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+    assert!(answer.contains(&format!("toucanrail-result: {code}")), "{answer}");
     assert!(answer.contains("toucanrail-run: not-run"), "{answer}");
     assert_eq!(handled.load(Ordering::SeqCst), 0, "the handler got it");
 }
@@ -95,12 +89,7 @@
 
 #[test]
 fn missing_host() {
-    smol::block_on(check_refused(
-        b"GET / HTTP/1.1\r\n\r\n",
-        false,
-        "400",
-        "2007",
-    ));
+    smol::block_on(check_refused(b"GET / HTTP/1.1\r\n\r\n", false, "400", "2007"));
 }
 
 #[test]
@@ -122,23 +111,12 @@
 fn slow_sender() {
     smol::block_on(async {
         let arrival = Duration::from_millis(50);
-        let limits = ServerLimits {
-            arrival,
-            ..ServerLimits::default()
-        };
+        let limits = ServerLimits { arrival, ..ServerLimits::default() };
         let (address, handled) = echo_server(limits);
         let head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Le";
-        assert!(
-            exchange(address, head, false)
-                .await
-                .starts_with("HTTP/1.1 408")
-        );
+        assert!(exchange(address, head, false).await.starts_with("HTTP/1.1 408"));
         let body = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab";
-        assert!(
-            exchange(address, body, false)
-                .await
-                .starts_with("HTTP/1.1 408")
-        );
+        assert!(exchange(address, body, false).await.starts_with("HTTP/1.1 408"));
         assert_eq!(handled.load(Ordering::SeqCst), 0);
     });
 }
@@ -146,10 +124,7 @@
 #[test]
 fn crowded_server() {
     smol::block_on(async {
-        let (address, _) = echo_server(ServerLimits {
-            connections: 1,
-            ..ServerLimits::default()
-        });
+        let (address, _) = echo_server(ServerLimits { connections: 1, ..ServerLimits::default() });
         let mut first = TcpStream::connect(address).await.unwrap();
         let request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
         first.write_all(request).await.unwrap();
@@ -168,10 +143,7 @@
         let bytes = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab\
             GET /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
         let answer = exchange(address, bytes, false).await;
-        assert!(
-            answer.contains("/a 2") && answer.contains("/b 0"),
-            "{answer}"
-        );
+        assert!(answer.contains("/a 2") && answer.contains("/b 0"), "{answer}");
     });
 }
 
@@ -190,10 +162,7 @@
         smol::spawn(listeners::serve(listener, ServerLimits::default(), handler)).detach();
         let pool = ConnectionPool::new(ClientLimits::default());
         let answer = pool.fetch(address, OutboundCall::get("/"), BOUND).await;
-        assert_eq!(
-            answer.unwrap_err().kind(),
-            std::io::ErrorKind::UnexpectedEof
-        );
+        assert_eq!(answer.unwrap_err().kind(), std::io::ErrorKind::UnexpectedEof);
     });
 }
 
@@ -208,11 +177,7 @@
             let (mut stream, _) = listener.accept().await.unwrap();
             count.fetch_add(1, Ordering::SeqCst);
             smol::spawn(async move {
-                while stream
-                    .read(&mut [0; 4096])
-                    .await
-                    .is_ok_and(|count| count > 0)
-                {
+                while stream.read(&mut [0; 4096]).await.is_ok_and(|count| count > 0) {
                     stream.write_all(bytes).await.ok();
                     if close {
                         return;
@@ -262,10 +227,7 @@
     let (address, connections) = fixed_server(bytes, false).await;
     let pool = ConnectionPool::new(ClientLimits::default());
     for _ in 0..3 {
-        let answer = pool
-            .fetch(address, OutboundCall::get("/"), BOUND)
-            .await
-            .unwrap();
+        let answer = pool.fetch(address, OutboundCall::get("/"), BOUND).await.unwrap();
         assert_eq!(answer.body, b"ab");
     }
     connections.load(Ordering::SeqCst)
@@ -276,17 +238,9 @@
 fn leftover_bytes() {
     smol::block_on(async {
         let clean = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
-        assert_eq!(
-            count_connections(clean).await,
-            1,
-            "a clean connection is used again"
-        );
+        assert_eq!(count_connections(clean).await, 1, "a clean connection is used again");
         let clean = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n";
-        assert_eq!(
-            count_connections(clean).await,
-            1,
-            "a clean chunked one is used again"
-        );
+        assert_eq!(count_connections(clean).await, 1, "a clean chunked one is used again");
         let left = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200 OK\r\n";
         assert_eq!(count_connections(left).await, 3);
         let chunked =
@@ -303,13 +257,7 @@
     smol::block_on(async {
         let (address, _) = echo_server(ServerLimits::default());
         let pool = ConnectionPool::new(ClientLimits::default());
-        assert!(
-            pool.connect(address, false)
-                .await
-                .unwrap()
-                .nodelay()
-                .unwrap()
-        );
+        assert!(pool.connect(address, false).await.unwrap().nodelay().unwrap());
     });
 }
 
--- a/toucanrail/examples/message_sizes.rs
+++ b/toucanrail/examples/message_sizes.rs
@@ -23,11 +23,7 @@
 fn main() {
     let name = |text: &str| -> Arc<str> { Arc::from(text) };
     let address = SocketAddr::from(([10, 1, 2, 3], 7101));
-    let order = MirrorOrder {
-        address: Some(address),
-        catalogue: 1 << 40,
-        nodes: 1 << 40,
-    };
+    let order = MirrorOrder { address: Some(address), catalogue: 1 << 40, nodes: 1 << 40 };
     let report = LoadReport {
         agent: name("agent-south-a-123.0123abcd"),
         service: name("levy-llm"),
@@ -38,14 +34,8 @@
         leaving: false,
         in_force: 1 << 40,
     };
-    println!(
-        "load report, asked and answered: {} bytes",
-        packed(&order) + packed(&report) + HEADS
-    );
-    println!(
-        "heartbeat without news: {} bytes",
-        packed(&order) + 160 + HEADS
-    );
+    println!("load report, asked and answered: {} bytes", packed(&order) + packed(&report) + HEADS);
+    println!("heartbeat without news: {} bytes", packed(&order) + 160 + HEADS);
     let node = NodeEntry {
         id: name("agent-south-a-123.0123abcd"),
         role: NodeRole::Agent,
@@ -54,10 +44,7 @@
         vm: name("agent-south-a-123"),
         service: Some(name("levy-llm")),
     };
-    println!(
-        "registration: {} bytes",
-        storecalls::encode_value(&node).len()
-    );
+    println!("registration: {} bytes", storecalls::encode_value(&node).len());
     let customer = CustomerEntry {
         name: name("customer-12345"),
         owner: name("operator"),
@@ -67,16 +54,10 @@
         services: vec![name("levy-llm")],
         opening_budget: 1_000_000,
     };
-    println!(
-        "customer: {} bytes",
-        storecalls::encode_value(&customer).len()
-    );
+    println!("customer: {} bytes", storecalls::encode_value(&customer).len());
     let mut shard = BudgetShard::default();
     for number in 0..100 {
-        let account = shard
-            .accounts
-            .entry(Arc::from(format!("customer-{number:05}")))
-            .or_default();
+        let account = shard.accounts.entry(Arc::from(format!("customer-{number:05}"))).or_default();
         account.prepaid = 1_000_000;
         account.billed = 123_456;
         for entry in 0..3 {
@@ -84,10 +65,7 @@
             account.grants.insert(entry, 12_345);
         }
     }
-    println!(
-        "shard of 100 budgets, 3 holders: {} bytes",
-        storecalls::encode_value(&shard).len()
-    );
+    println!("shard of 100 budgets, 3 holders: {} bytes", storecalls::encode_value(&shard).len());
     let row = BillRow {
         request: Arc::from("0".repeat(32)),
         customer: name("customer-12345"),
--- a/toucanrail/src/archives.rs
+++ b/toucanrail/src/archives.rs
@@ -127,10 +127,8 @@
         let Some((customer, keys)) = crowded else {
             return ArchiveStage::Done;
         };
-        let buckets: BTreeSet<ObjectPath> = keys
-            .iter()
-            .map(|key| paths::archive_path(&self.shard_name, key))
-            .collect();
+        let buckets: BTreeSet<ObjectPath> =
+            keys.iter().map(|key| paths::archive_path(&self.shard_name, key)).collect();
         self.version = version;
         self.shard = shard;
         self.customer = Some(customer);
@@ -143,19 +141,14 @@
         let Some(path) = self.buckets.last() else {
             return;
         };
-        let fitting = self
-            .keys
-            .iter()
-            .filter(|key| paths::archive_path(&self.shard_name, key) == *path);
+        let fitting =
+            self.keys.iter().filter(|key| paths::archive_path(&self.shard_name, key) == *path);
         self.bucket = fitting.map(Arc::clone).chain(known).collect();
     }
 
     fn trimmed_shard(&self) -> BudgetShard {
         let mut shard = self.shard.clone();
-        let account = self
-            .customer
-            .as_ref()
-            .and_then(|customer| shard.accounts.get_mut(customer));
+        let account = self.customer.as_ref().and_then(|customer| shard.accounts.get_mut(customer));
         if let Some(account) = account {
             account.recent.retain(|key, _| !self.keys.contains(key));
             account.archived = true;
--- a/toucanrail/src/budgets.rs
+++ b/toucanrail/src/budgets.rs
@@ -202,10 +202,7 @@
 
     /// Adds prepaid tokens.
     pub fn top_up(&mut self, amount: Tokens) -> Result<(), BudgetError> {
-        let raised = self
-            .prepaid
-            .checked_add(amount)
-            .ok_or(BudgetError::TooLarge)?;
+        let raised = self.prepaid.checked_add(amount).ok_or(BudgetError::TooLarge)?;
         self.prepaid = raised;
         Ok(())
     }
@@ -240,10 +237,7 @@
         }
         if row.keyed && row.billed > 0 {
             self.keyed += 1;
-            let mark = BillMark {
-                epoch: row.epoch,
-                order: self.keyed,
-            };
+            let mark = BillMark { epoch: row.epoch, order: self.keyed };
             self.recent.insert(Arc::clone(&row.request), mark);
         }
     }
@@ -256,11 +250,7 @@
         let mut marks: Vec<_> = self.recent.iter().collect();
         marks.sort_by_key(|(_, mark)| mark.order);
         let half = marks.len() / 2;
-        marks
-            .into_iter()
-            .take(half)
-            .map(|(request, _)| Arc::clone(request))
-            .collect()
+        marks.into_iter().take(half).map(|(request, _)| Arc::clone(request)).collect()
     }
 }
 
@@ -357,8 +347,6 @@
 
     /// Tells whether every account keeps within its prepaid total.
     pub fn is_sound(&self) -> bool {
-        self.accounts
-            .values()
-            .all(|account| account.committed() <= account.prepaid)
+        self.accounts.values().all(|account| account.committed() <= account.prepaid)
     }
 }
--- a/toucanrail/src/catalogue.rs
+++ b/toucanrail/src/catalogue.rs
@@ -158,10 +158,7 @@
 
 fn fault(faults: &mut Vec<FieldFault>, wrong: bool, field: &'static str, reason: &str) {
     if wrong {
-        faults.push(FieldFault {
-            field,
-            reason: reason.to_owned(),
-        });
+        faults.push(FieldFault { field, reason: reason.to_owned() });
     }
 }
 
@@ -175,71 +172,21 @@
     let engine = service.kind == ServiceKind::Engine;
     let names = "must be 1 to 64 letters, digits, '-' or '_'";
     fault(&mut faults, !is_plain_name(&service.name), "name", names);
-    fault(
-        &mut faults,
-        service.owner.is_empty(),
-        "owner",
-        "must not be empty",
-    );
-    fault(
-        &mut faults,
-        engine && service.model.is_none(),
-        "model",
-        "an engine needs a model",
-    );
-    fault(
-        &mut faults,
-        engine && service.route.is_some(),
-        "route",
-        "only for a plain service",
-    );
-    fault(
-        &mut faults,
-        !engine && service.model.is_some(),
-        "model",
-        "only for an engine",
-    );
-    fault(
-        &mut faults,
-        !engine && service.price == 0,
-        "price",
-        "a plain service needs a price",
-    );
+    fault(&mut faults, service.owner.is_empty(), "owner", "must not be empty");
+    fault(&mut faults, engine && service.model.is_none(), "model", "an engine needs a model");
+    fault(&mut faults, engine && service.route.is_some(), "route", "only for a plain service");
+    fault(&mut faults, !engine && service.model.is_some(), "model", "only for an engine");
+    fault(&mut faults, !engine && service.price == 0, "price", "a plain service needs a price");
     let route = service.route.as_deref().unwrap_or_default();
     let rooted = route.starts_with('/') && route.len() > 1 && !route.starts_with("/v1");
-    fault(
-        &mut faults,
-        !engine && !rooted,
-        "route",
-        "must begin with '/' and not with '/v1'",
-    );
-    fault(
-        &mut faults,
-        service.max_output == 0,
-        "max-output",
-        "must be at least 1",
-    );
+    fault(&mut faults, !engine && !rooted, "route", "must begin with '/' and not with '/v1'");
+    fault(&mut faults, service.max_output == 0, "max-output", "must be at least 1");
     let bytes = service.least_bytes_per_token;
-    fault(
-        &mut faults,
-        bytes == 0,
-        "least-bytes-per-token",
-        "must be at least 1",
-    );
-    fault(
-        &mut faults,
-        service.deadline_seconds == 0,
-        "deadline-seconds",
-        "must be at least 1",
-    );
+    fault(&mut faults, bytes == 0, "least-bytes-per-token", "must be at least 1");
+    fault(&mut faults, service.deadline_seconds == 0, "deadline-seconds", "must be at least 1");
     let calls = service.not_repeatable.iter();
     let unclear = calls.filter(|call| !call.contains(" /")).count() > 0;
-    fault(
-        &mut faults,
-        unclear,
-        "not-repeatable",
-        "each must be 'METHOD /path'",
-    );
+    fault(&mut faults, unclear, "not-repeatable", "each must be 'METHOD /path'");
     faults
 }
 
@@ -247,26 +194,11 @@
     let mut faults = Vec::new();
     let names = "must be 1 to 64 letters, digits, '-' or '_'";
     fault(&mut faults, !is_plain_name(&customer.name), "name", names);
-    fault(
-        &mut faults,
-        customer.owner.is_empty(),
-        "owner",
-        "must not be empty",
-    );
-    fault(
-        &mut faults,
-        customer.weight == 0,
-        "weight",
-        "must be at least 1",
-    );
+    fault(&mut faults, customer.owner.is_empty(), "owner", "must not be empty");
+    fault(&mut faults, customer.weight == 0, "weight", "must be at least 1");
     let digest = |text: &Arc<str>| text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit());
     let digests = customer.key_digests.iter().all(digest);
-    fault(
-        &mut faults,
-        !digests,
-        "key-digests",
-        "each must be a SHA-256 digest in hexadecimal",
-    );
+    fault(&mut faults, !digests, "key-digests", "each must be a SHA-256 digest in hexadecimal");
     faults
 }
 
@@ -295,8 +227,7 @@
         } else {
             match read_item(object) {
                 Ok(item) => {
-                    self.items
-                        .insert(Arc::clone(&object.name), (object.version, item));
+                    self.items.insert(Arc::clone(&object.name), (object.version, item));
                 }
                 Err(reason) => {
                     self.faults.insert(Arc::clone(&object.name), reason);
@@ -311,8 +242,7 @@
         for (_, item) in self.items.values() {
             if let CatalogueItem::Customer(customer) = item {
                 for digest in &customer.key_digests {
-                    self.keys
-                        .insert(Arc::clone(digest), Arc::clone(&customer.name));
+                    self.keys.insert(Arc::clone(digest), Arc::clone(&customer.name));
                 }
             }
         }
@@ -357,17 +287,13 @@
 
     /// Returns the service of a model.
     pub fn service_of_model(&self, model: &str) -> Option<&ServiceEntry> {
-        self.services()
-            .find(|service| service.model.as_deref() == Some(model))
+        self.services().find(|service| service.model.as_deref() == Some(model))
     }
 
     /// Returns the plain service with the longest route that begins the path.
     pub fn service_of_path(&self, path: &str) -> Option<&ServiceEntry> {
         let matching = self.services().filter(|service| {
-            let rest = service
-                .route
-                .as_deref()
-                .and_then(|route| path.strip_prefix(route));
+            let rest = service.route.as_deref().and_then(|route| path.strip_prefix(route));
             rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']))
         });
         matching.max_by_key(|service| service.route.as_deref().map_or(0, str::len))
--- a/toucanrail/src/codes.rs
+++ b/toucanrail/src/codes.rs
@@ -72,10 +72,7 @@
     /// assert_eq!((row.number, row.status), (3001, 402));
     /// ```
     pub fn row(self) -> &'static CodeRow {
-        codetable::ROWS
-            .iter()
-            .find(|row| row.number == self.0)
-            .unwrap_or(&codetable::ROWS[0])
+        codetable::ROWS.iter().find(|row| row.number == self.0).unwrap_or(&codetable::ROWS[0])
     }
 }
 
--- a/toucanrail/src/files.rs
+++ b/toucanrail/src/files.rs
@@ -59,30 +59,14 @@
     let mut faults = Vec::new();
     for block in blocks.service {
         let read = read_block::<ServiceEntry>(text, "service", &block);
-        take_block(
-            text,
-            block.span(),
-            read.map(CatalogueItem::Service),
-            &mut items,
-            &mut faults,
-        );
+        take_block(text, block.span(), read.map(CatalogueItem::Service), &mut items, &mut faults);
     }
     for block in blocks.customer {
         let read = read_block::<CustomerEntry>(text, "customer", &block);
-        take_block(
-            text,
-            block.span(),
-            read.map(CatalogueItem::Customer),
-            &mut items,
-            &mut faults,
-        );
+        take_block(text, block.span(), read.map(CatalogueItem::Customer), &mut items, &mut faults);
     }
     find_clashes(&items, &mut faults);
-    if faults.is_empty() {
-        Ok(items)
-    } else {
-        Err(faults)
-    }
+    if faults.is_empty() { Ok(items) } else { Err(faults) }
 }
 
 fn read_block<Entry>(
@@ -114,16 +98,9 @@
     for fault in item.check() {
         let line = field_line(text, span.start, fault.field);
         let reason = format!("{}: {}", fault.field, fault.reason);
-        faults.push(FileFault::Field(
-            line,
-            item.object_name().to_string(),
-            reason,
-        ));
+        faults.push(FileFault::Field(line, item.object_name().to_string(), reason));
     }
-    items.push(FileItem {
-        item,
-        line: line_at(text, span.start),
-    });
+    items.push(FileItem { item, line: line_at(text, span.start) });
 }
 
 /// Finds names, models, routes and keys that stand twice.
@@ -150,23 +127,14 @@
             claims.extend(service.route.iter().map(|route| format!("route {route}")));
         }
         CatalogueItem::Customer(customer) => {
-            claims.extend(
-                customer
-                    .key_digests
-                    .iter()
-                    .map(|digest| format!("key {digest}")),
-            );
+            claims.extend(customer.key_digests.iter().map(|digest| format!("key {digest}")));
         }
     }
     claims
 }
 
 fn line_at(text: &str, offset: usize) -> usize {
-    text.bytes()
-        .take(offset)
-        .filter(|byte| *byte == b'\n')
-        .count()
-        + 1
+    text.bytes().take(offset).filter(|byte| *byte == b'\n').count() + 1
 }
 
 /// Returns the line of a field in the block that begins at `start`, or the block's own line.
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -61,6 +61,8 @@
     /// Usage a second, smoothed.
     pub burn: f64,
     used: Tokens,
+    /// Whether a request began to wait since the last plan.
+    unseen: bool,
 }
 
 impl GrantAccount {
@@ -92,6 +94,7 @@
     pub agents: BTreeSet<AgentId>,
     /// Runs settled and not yet dropped, by sequence and agent.
     pub unacked: BTreeMap<Sequence, BTreeMap<AgentId, Vec<RunId>>>,
+    looks: u64,
     #[serde(skip)]
     plan: Option<SyncPlan>,
     #[serde(skip)]
@@ -190,30 +193,19 @@
             };
         }
         account.held += amount;
-        Ok(GrantHold {
-            customer: Arc::clone(customer),
-            shard,
-            epoch,
-            amount,
-        })
+        Ok(GrantHold { customer: Arc::clone(customer), shard, epoch, amount })
     }
 
     fn unallocated(&self, customer: &CustomerId) -> Option<Tokens> {
-        let (_, shard) = self
-            .shards
-            .get(self.homes.get(customer)?)?
-            .cached
-            .as_ref()?;
-        shard
-            .accounts
-            .get(customer)
-            .map(super::budgets::BudgetAccount::unallocated)
+        let (_, shard) = self.shards.get(self.homes.get(customer)?)?.cached.as_ref()?;
+        shard.accounts.get(customer).map(super::budgets::BudgetAccount::unallocated)
     }
 
     /// Notes that a request waits for so much more.
     pub fn add_shortage(&mut self, customer: &CustomerId, amount: Tokens) {
         if let Some(account) = self.accounts.get_mut(customer) {
             account.waiting.push(amount);
+            account.unseen = true;
         }
     }
 
@@ -231,11 +223,7 @@
             return;
         };
         let count = tenure.busy_agents.entry(Arc::clone(agent)).or_default();
-        *count = if busy {
-            *count + 1
-        } else {
-            count.saturating_sub(1)
-        };
+        *count = if busy { *count + 1 } else { count.saturating_sub(1) };
         if *count == 0 {
             tenure.busy_agents.remove(agent);
         }
@@ -331,16 +319,9 @@
     }
 
     fn has_rows(&self, shard: &ShardName, customers: &[CustomerId]) -> bool {
-        let late = self
-            .shards
-            .get(shard)
-            .is_some_and(|tenure| !tenure.late.is_empty());
-        let accounts = customers
-            .iter()
-            .filter_map(|customer| self.accounts.get(customer));
-        late || accounts
-            .into_iter()
-            .any(|account| !account.unsettled.is_empty())
+        let late = self.shards.get(shard).is_some_and(|tenure| !tenure.late.is_empty());
+        let accounts = customers.iter().filter_map(|customer| self.accounts.get(customer));
+        late || accounts.into_iter().any(|account| !account.unsettled.is_empty())
     }
 
     /// Tells whether any account asks or gives back, and reserves what is given back.
@@ -393,12 +374,11 @@
             let Some(account) = self.accounts.get_mut(customer) else {
                 continue;
             };
-            let room = BATCH_LIMIT
-                .saturating_sub(rows.len())
-                .min(account.unsettled.len());
+            let room = BATCH_LIMIT.saturating_sub(rows.len()).min(account.unsettled.len());
             let taken: Vec<BillRow> = account.unsettled.drain(..room).collect();
             account.settling = taken.iter().map(BillRow::total).sum();
             rows.extend(taken);
+            account.unseen = false;
             let demand = GrantDemand {
                 burn: account.burn,
                 busy: account.held + account.unsettled_total(),
@@ -429,13 +409,15 @@
         match outcome {
             // The plan stays: whether it took effect is read from the shard next time.
             SyncOutcome::Unavailable => tenure.cached = None,
+            SyncOutcome::Unchanged { shard: content, version } => {
+                tenure.looks += 1;
+                tenure.plan = None;
+                tenure.cached = Some((version, content));
+            }
             SyncOutcome::Revoked { applied } => self.drop_tenure(shard, applied),
-            SyncOutcome::Applied {
-                shard: content,
-                version,
-                epoch,
-            } => {
+            SyncOutcome::Applied { shard: content, version, epoch } => {
                 tenure.epoch = epoch;
+                tenure.looks += 1;
                 if let Some(plan) = tenure.plan.take() {
                     tenure.note_applied(&plan);
                     self.confirm(&plan, &content);
@@ -450,10 +432,7 @@
     /// Takes a newer copy of a shard, seen without a sync.
     pub fn refresh(&mut self, shard: &ShardName, version: Version, content: BudgetShard) {
         if let Some(tenure) = self.shards.get_mut(shard)
-            && tenure
-                .cached
-                .as_ref()
-                .is_none_or(|(known, _)| *known < version)
+            && tenure.cached.as_ref().is_none_or(|(known, _)| *known < version)
         {
             tenure.cached = Some((version, content));
         }
@@ -464,14 +443,9 @@
             let Some(account) = self.accounts.get_mut(customer) else {
                 continue;
             };
-            let grants = content
-                .accounts
-                .get(customer)
-                .map(|account| &account.grants);
-            account.granted = grants
-                .and_then(|grants| grants.get(&self.entry))
-                .copied()
-                .unwrap_or(0);
+            let grants = content.accounts.get(customer).map(|account| &account.grants);
+            account.granted =
+                grants.and_then(|grants| grants.get(&self.entry)).copied().unwrap_or(0);
             account.settling = 0;
             account.returning -= demand.returning.min(account.returning);
         }
@@ -481,9 +455,7 @@
     fn drop_tenure(&mut self, shard: &ShardName, applied: bool) {
         for customer in self.customers_of(shard) {
             let unsettled = self.accounts.insert(customer, GrantAccount::default());
-            let rows = unsettled
-                .map(|account| account.unsettled)
-                .unwrap_or_default();
+            let rows = unsettled.map(|account| account.unsettled).unwrap_or_default();
             if let Some(tenure) = self.shards.get_mut(shard) {
                 tenure.late.extend(rows);
             }
@@ -493,25 +465,16 @@
             let rows = plan.map(|plan| plan.rows).unwrap_or_default();
             let mut late = std::mem::take(&mut tenure.late);
             late.extend(rows);
-            *tenure = ShardTenure {
-                late,
-                ..ShardTenure::default()
-            };
+            *tenure = ShardTenure { late, ..ShardTenure::default() };
         }
     }
 
     /// Returns the runs that agents may drop, by agent.
     pub fn due_acks(&self) -> BTreeMap<AgentId, Vec<RunId>> {
         let mut due: BTreeMap<AgentId, Vec<RunId>> = BTreeMap::new();
-        for batches in self
-            .shards
-            .values()
-            .flat_map(|tenure| tenure.unacked.values())
-        {
+        for batches in self.shards.values().flat_map(|tenure| tenure.unacked.values()) {
             for (agent, runs) in batches {
-                due.entry(Arc::clone(agent))
-                    .or_default()
-                    .extend(runs.iter().map(Arc::clone));
+                due.entry(Arc::clone(agent)).or_default().extend(runs.iter().map(Arc::clone));
             }
         }
         due
@@ -538,28 +501,21 @@
         self.accounts.values().all(idle) && self.shards.values().all(|tenure| tenure.plan.is_none())
     }
 
-    /// Tells whether a request waits for more of a grant in a shard.
-    pub fn has_waiting(&self, shard: &ShardName) -> bool {
+    /// Tells whether a request began to wait in a shard that no plan has seen.
+    pub fn has_unseen(&self, shard: &ShardName) -> bool {
         let customers = self.customers_of(shard);
-        let accounts = customers
-            .iter()
-            .filter_map(|customer| self.accounts.get(customer));
-        accounts
-            .into_iter()
-            .any(|account| !account.waiting.is_empty())
+        let accounts = customers.iter().filter_map(|customer| self.accounts.get(customer));
+        accounts.into_iter().any(|account| account.unseen)
     }
 
-    /// Returns the last sequence known as applied in a shard.
-    pub fn applied(&self, shard: &ShardName) -> Sequence {
-        self.shards.get(shard).map_or(0, |tenure| tenure.applied)
+    /// Returns how often a sync has seen the newest version of a shard.
+    pub fn looks(&self, shard: &ShardName) -> u64 {
+        self.shards.get(shard).map_or(0, |tenure| tenure.looks)
     }
 
     /// Tells whether an account of a shard remembers too many keyed requests.
     pub fn is_crowded(&self, shard: &ShardName) -> bool {
-        let cached = self
-            .shards
-            .get(shard)
-            .and_then(|tenure| tenure.cached.as_ref());
+        let cached = self.shards.get(shard).and_then(|tenure| tenure.cached.as_ref());
         cached.is_some_and(|(_, content)| {
             let mut accounts = content.accounts.values();
             accounts.any(|account| account.recent.len() > RECENT_LIMIT)
@@ -568,9 +524,7 @@
 
     /// Tells whether there is a tenure in a shard.
     pub fn is_open(&self, shard: &ShardName) -> bool {
-        self.shards
-            .get(shard)
-            .is_some_and(|tenure| tenure.epoch != 0)
+        self.shards.get(shard).is_some_and(|tenure| tenure.epoch != 0)
     }
 
     /// Forgets a tenure that ended by a leaving sync.
@@ -589,9 +543,7 @@
             return Vec::new();
         };
         let late = std::mem::take(&mut self.late);
-        let (ready, waiting) = late
-            .into_iter()
-            .partition(|row| closed.contains_key(&row.epoch));
+        let (ready, waiting) = late.into_iter().partition(|row| closed.contains_key(&row.epoch));
         self.late = waiting;
         ready
     }
@@ -601,10 +553,7 @@
         self.agents.clone_from(&plan.agents);
         let mut batch: BTreeMap<AgentId, Vec<RunId>> = BTreeMap::new();
         for note in plan.rows.iter().flat_map(|row| &row.runs) {
-            batch
-                .entry(Arc::clone(&note.agent))
-                .or_default()
-                .push(Arc::clone(&note.run));
+            batch.entry(Arc::clone(&note.agent)).or_default().push(Arc::clone(&note.run));
         }
         if batch.is_empty() {
             if self.unacked.is_empty() {
--- a/toucanrail/src/ledgers.rs
+++ b/toucanrail/src/ledgers.rs
@@ -107,10 +107,7 @@
         if self.voided.contains(&order.run) {
             return Err(codetable::VOIDED);
         }
-        if self
-            .fences
-            .contains(&(Arc::clone(&order.shard), order.epoch))
-        {
+        if self.fences.contains(&(Arc::clone(&order.shard), order.epoch)) {
             return Err(codetable::FENCED);
         }
         if self.leaving {
@@ -143,11 +140,7 @@
         answer: Option<KeptAnswer>,
     ) {
         if let Some(row) = self.runs.get_mut(run) {
-            row.state = RunProgress::Ended {
-                whole,
-                used,
-                unproved,
-            };
+            row.state = RunProgress::Ended { whole, used, unproved };
             if let Some(answer) = answer {
                 self.answers.insert(Arc::clone(run), answer);
             }
@@ -165,36 +158,22 @@
         self.fences.insert((Arc::clone(shard), epoch));
         let mut rows = Vec::new();
         let mut running = 0;
-        let owned = self
-            .runs
-            .iter()
-            .filter(|(_, row)| row.shard == *shard && row.epoch == epoch);
+        let owned = self.runs.iter().filter(|(_, row)| row.shard == *shard && row.epoch == epoch);
         for (run, row) in owned {
             match row.state {
                 RunProgress::Running => running += 1,
-                RunProgress::Ended {
-                    whole,
-                    used,
-                    unproved,
-                } => {
+                RunProgress::Ended { whole, used, unproved } => {
                     rows.push(usage_row(run, row, whole, used, unproved));
                 }
             }
         }
-        FenceReply {
-            agent: Arc::clone(&self.agent),
-            rows,
-            running,
-        }
+        FenceReply { agent: Arc::clone(&self.agent), rows, running }
     }
 
     /// Drops runs that are settled.
     pub fn acknowledge(&mut self, runs: &[RunId]) {
         for run in runs {
-            let ended = self
-                .runs
-                .get(run)
-                .is_some_and(|row| row.state != RunProgress::Running);
+            let ended = self.runs.get(run).is_some_and(|row| row.state != RunProgress::Running);
             if ended {
                 self.runs.remove(run);
                 self.remember(run);
@@ -220,25 +199,13 @@
         if let Some(row) = self.runs.get(run) {
             return match row.state {
                 RunProgress::Running => RunFate::Running,
-                RunProgress::Ended {
-                    whole,
-                    used,
-                    unproved,
-                } => RunFate::Ended {
-                    whole,
-                    used,
-                    unproved,
-                    answer,
-                },
+                RunProgress::Ended { whole, used, unproved } => {
+                    RunFate::Ended { whole, used, unproved, answer }
+                }
             };
         }
         if self.dropped.contains(run) {
-            return RunFate::Ended {
-                whole: answer.is_some(),
-                used: 0,
-                unproved: 0,
-                answer,
-            };
+            return RunFate::Ended { whole: answer.is_some(), used: 0, unproved: 0, answer };
         }
         if mode != AskMode::Look {
             self.voided.insert(Arc::clone(run));
@@ -248,10 +215,7 @@
 
     /// Returns how many tries run.
     pub fn running(&self) -> usize {
-        self.runs
-            .values()
-            .filter(|row| row.state == RunProgress::Running)
-            .count()
+        self.runs.values().filter(|row| row.state == RunProgress::Running).count()
     }
 
     /// Returns how many tries ended and are not acknowledged.
--- a/toucanrail/src/limits.rs
+++ b/toucanrail/src/limits.rs
@@ -82,10 +82,7 @@
         if known.load >= slots * SHARE_BOUND && own >= share {
             return Err(gate.refuse(codetable::CUSTOMER_LIMIT, own - share));
         }
-        let row = gate
-            .customers
-            .entry(Arc::clone(customer))
-            .or_insert((0, weight));
+        let row = gate.customers.entry(Arc::clone(customer)).or_insert((0, weight));
         *row = (row.0 + 1, weight);
         Ok(())
     }
@@ -115,11 +112,7 @@
 
     /// Returns the requests in flight.
     pub fn in_flight(&self) -> u64 {
-        self.gates
-            .values()
-            .flat_map(|gate| gate.customers.values())
-            .map(|(count, _)| count)
-            .sum()
+        self.gates.values().flat_map(|gate| gate.customers.values()).map(|(count, _)| count).sum()
     }
 }
 
@@ -133,10 +126,7 @@
 
     fn refuse(&self, code: ResultCode, excess: f64) -> LoadRefusal {
         let seconds = (excess + 1.0) / self.drain.max(LEAST_DRAIN);
-        LoadRefusal {
-            code,
-            retry_after: Duration::from_secs_f64(seconds).min(WAIT_LIMIT),
-        }
+        LoadRefusal { code, retry_after: Duration::from_secs_f64(seconds).min(WAIT_LIMIT) }
     }
 }
 
--- a/toucanrail/src/members.rs
+++ b/toucanrail/src/members.rs
@@ -40,10 +40,7 @@
     let mut ring: Vec<&EntryId> = peers.iter().filter(|peer| *peer != me).collect();
     let own = place(me);
     ring.sort_by_key(|peer| place(peer).wrapping_sub(own));
-    ring.into_iter()
-        .take(HEARTBEAT_PEERS)
-        .map(Arc::clone)
-        .collect()
+    ring.into_iter().take(HEARTBEAT_PEERS).map(Arc::clone).collect()
 }
 
 /// One peer entry.
@@ -82,13 +79,11 @@
         let mut known = BTreeSet::new();
         for node in nodes.filter(|node| node.role == NodeRole::Entry && node.id != *me) {
             known.insert(Arc::clone(&node.id));
-            self.peers
-                .entry(Arc::clone(&node.id))
-                .or_insert_with(|| PeerRow {
-                    node: node.clone(),
-                    heard_at: now,
-                    gone: false,
-                });
+            self.peers.entry(Arc::clone(&node.id)).or_insert_with(|| PeerRow {
+                node: node.clone(),
+                heard_at: now,
+                gone: false,
+            });
         }
         self.peers.retain(|peer, _| known.contains(peer));
     }
@@ -124,10 +119,7 @@
     /// Returns the VMs that are about to leave.
     pub fn leaving_vms(&self) -> BTreeSet<VmId> {
         let leaving = self.vms.vms.iter().filter(|(_, leaving)| **leaving);
-        leaving
-            .map(|(vm, _)| Arc::clone(vm))
-            .chain(self.gone_vms.iter().map(Arc::clone))
-            .collect()
+        leaving.map(|(vm, _)| Arc::clone(vm)).chain(self.gone_vms.iter().map(Arc::clone)).collect()
     }
 
     /// Returns the peers.
@@ -148,9 +140,6 @@
             let heard = now.saturating_sub(row.heard_at) <= PEER_SILENCE;
             row.node.data_centre == *data_centre && !row.gone && heard
         });
-        alive
-            .map(|row| Arc::clone(&row.node.id))
-            .chain([Arc::clone(me)])
-            .collect()
+        alive.map(|row| Arc::clone(&row.node.id)).chain([Arc::clone(me)]).collect()
     }
 }
--- a/toucanrail/src/mirrors.rs
+++ b/toucanrail/src/mirrors.rs
@@ -46,15 +46,11 @@
     pub fn take(&mut self, reply: MirrorReply) -> Vec<MirrorObject> {
         let mut news = Vec::new();
         for object in reply.objects {
-            if self
-                .version(&object.name)
-                .is_some_and(|known| known >= object.version)
-            {
+            if self.version(&object.name).is_some_and(|known| known >= object.version) {
                 continue;
             }
             let value = Arc::from(object.value.as_slice());
-            self.objects
-                .insert(Arc::clone(&object.name), (object.version, value));
+            self.objects.insert(Arc::clone(&object.name), (object.version, value));
             news.push(object);
         }
         self.seen = self.seen.max(reply.seen);
@@ -81,18 +77,12 @@
 
     /// Returns all that a peer which has seen `after` does not know.
     pub fn newer_than(&self, after: Version) -> MirrorReply {
-        let newer = self
-            .objects
-            .iter()
-            .filter(|(_, (version, _))| *version > after);
+        let newer = self.objects.iter().filter(|(_, (version, _))| *version > after);
         let objects = newer.map(|(name, (version, value))| MirrorObject {
             name: Arc::clone(name),
             version: *version,
             value: value.to_vec(),
         });
-        MirrorReply {
-            objects: objects.collect(),
-            seen: self.seen,
-        }
+        MirrorReply { objects: objects.collect(), seen: self.seen }
     }
 }
--- a/toucanrail/src/paths.rs
+++ b/toucanrail/src/paths.rs
@@ -72,10 +72,7 @@
 pub fn shard_of(customer: &CustomerId, shards: u64) -> ShardName {
     match shards {
         0 => Arc::clone(customer),
-        _ => Arc::from(format!(
-            "shard-{}",
-            xxh3::xxh3_64(customer.as_bytes()) % shards
-        )),
+        _ => Arc::from(format!("shard-{}", xxh3::xxh3_64(customer.as_bytes()) % shards)),
     }
 }
 
--- a/toucanrail/src/policies.rs
+++ b/toucanrail/src/policies.rs
@@ -49,11 +49,7 @@
 
 impl Default for GrantPolicy {
     fn default() -> Self {
-        Self::BurnRate {
-            horizon: Duration::from_secs(60),
-            floor: 2_000,
-            recall: true,
-        }
+        Self::BurnRate { horizon: Duration::from_secs(60), floor: 2_000, recall: true }
     }
 }
 
@@ -74,16 +70,8 @@
         match name {
             "split" => Some(Self::EqualSplit),
             "fixed" => Some(Self::FixedAmount { ahead: figure }),
-            "burn" => Some(Self::BurnRate {
-                horizon,
-                floor: 2_000,
-                recall: false,
-            }),
-            "recall" => Some(Self::BurnRate {
-                horizon,
-                floor: 2_000,
-                recall: true,
-            }),
+            "burn" => Some(Self::BurnRate { horizon, floor: 2_000, recall: false }),
+            "recall" => Some(Self::BurnRate { horizon, floor: 2_000, recall: true }),
             _ => None,
         }
     }
--- a/toucanrail/src/reclaims.rs
+++ b/toucanrail/src/reclaims.rs
@@ -161,17 +161,15 @@
             ReclaimStage::ReadBills => StoreCall::Get {
                 path: paths::bill_path(&self.shard_name, epoch, *self.sequences.last()?),
             },
-            ReclaimStage::ReadArchives => StoreCall::Get {
-                path: Arc::clone(self.archives.last()?),
-            },
-            ReclaimStage::ReadBill => StoreCall::Get {
-                path: paths::reclaim_path(&self.shard_name, epoch, &self.by),
-            },
+            ReclaimStage::ReadArchives => {
+                StoreCall::Get { path: Arc::clone(self.archives.last()?) }
+            }
+            ReclaimStage::ReadBill => {
+                StoreCall::Get { path: paths::reclaim_path(&self.shard_name, epoch, &self.by) }
+            }
             ReclaimStage::WriteBill => StoreCall::Put {
                 path: paths::reclaim_path(&self.shard_name, epoch, &self.by),
-                expect: self
-                    .bill_version
-                    .map_or(WriteExpectation::Absent, WriteExpectation::At),
+                expect: self.bill_version.map_or(WriteExpectation::Absent, WriteExpectation::At),
                 value: self.encode_bill(),
             },
         };
@@ -229,9 +227,7 @@
     fn start_revoke(&mut self, row: HolderRow) {
         let mut shard = self.shard.clone();
         if let Some(holder) = shard.holders.get_mut(&self.dead) {
-            holder.state = HolderState::Revoked {
-                by: Arc::clone(&self.by),
-            };
+            holder.state = HolderState::Revoked { by: Arc::clone(&self.by) };
         }
         self.row = Some(row);
         self.written = shard;
@@ -376,10 +372,7 @@
         let mut shard = self.shard.clone();
         shard.settle_rows(&self.dead, row.epoch, &self.bills);
         shard.close_tenure(&self.dead, !self.gone);
-        let closed = ClosedTenure {
-            settled: row.settled,
-            by: Arc::clone(&self.by),
-        };
+        let closed = ClosedTenure { settled: row.settled, by: Arc::clone(&self.by) };
         shard.closed.insert(row.epoch, closed);
         self.written = shard;
         self.stage = ReclaimStage::WriteBill;
@@ -418,10 +411,7 @@
             return self.note_conflict();
         }
         let runs = self.reports.iter().map(|(agent, rows)| {
-            (
-                Arc::clone(agent),
-                rows.iter().map(|row| Arc::clone(&row.run)).collect(),
-            )
+            (Arc::clone(agent), rows.iter().map(|row| Arc::clone(&row.run)).collect())
         });
         let outcome = ReclaimOutcome::Closed {
             proved: !self.gone,
@@ -439,28 +429,22 @@
     row: &UsageRow,
     epoch: Epoch,
 ) {
-    let bill = bills
-        .entry(Arc::clone(&row.request))
-        .or_insert_with(|| BillRow {
-            request: Arc::clone(&row.request),
-            customer: Arc::clone(&row.customer),
-            service: Arc::clone(&row.service),
-            epoch,
-            keyed: row.keyed,
-            billed: 0,
-            written_off: 0,
-            unproved: 0,
-            runs: Vec::new(),
-        });
+    let bill = bills.entry(Arc::clone(&row.request)).or_insert_with(|| BillRow {
+        request: Arc::clone(&row.request),
+        customer: Arc::clone(&row.customer),
+        service: Arc::clone(&row.service),
+        epoch,
+        keyed: row.keyed,
+        billed: 0,
+        written_off: 0,
+        unproved: 0,
+        runs: Vec::new(),
+    });
     if row.whole || bill.billed == 0 {
         bill.written_off += std::mem::replace(&mut bill.billed, row.used);
     } else {
         bill.written_off += row.used;
     }
     bill.unproved += row.unproved;
-    bill.runs.push(RunNote {
-        run: Arc::clone(&row.run),
-        agent: Arc::clone(agent),
-        used: row.used,
-    });
+    bill.runs.push(RunNote { run: Arc::clone(&row.run), agent: Arc::clone(agent), used: row.used });
 }
