--- a/toucanrail/src/records.rs
+++ b/toucanrail/src/records.rs
@@ -178,8 +178,7 @@
 
     /// Returns the outcome.
     pub fn into_outcome(self) -> RecordOutcome {
-        self.outcome
-            .unwrap_or(RecordOutcome::Refuse(codetable::STORE_UNAVAILABLE))
+        self.outcome.unwrap_or(RecordOutcome::Refuse(codetable::STORE_UNAVAILABLE))
     }
 
     /// Returns the next call, or none when it has ended.
@@ -246,15 +245,9 @@
         let record = self.written.clone();
         self.end(match record.state {
             RecordState::Started => RecordOutcome::Run { record, version },
-            RecordState::Finished {
-                status,
-                fields,
-                body,
-            } => RecordOutcome::Replay(KeptAnswer {
-                status,
-                fields,
-                body: body.into_bytes(),
-            }),
+            RecordState::Finished { status, fields, body } => {
+                RecordOutcome::Replay(KeptAnswer { status, fields, body: body.into_bytes() })
+            }
             RecordState::NotRun | RecordState::Unknown => {
                 RecordOutcome::Refuse(codetable::END_UNKNOWN)
             }
@@ -294,10 +287,7 @@
     }
 
     fn start_attempt(&mut self, last: &RunRecord) {
-        self.written = RunRecord {
-            attempt: last.attempt + 1,
-            ..self.wanted.clone()
-        };
+        self.written = RunRecord { attempt: last.attempt + 1, ..self.wanted.clone() };
         self.stage = RecordStage::Rewrite;
     }
 
@@ -308,10 +298,7 @@
         match reply {
             // Voided at the only agent that the try may go to: a new one may run.
             RecordReply::Fate(RunFate::NeverCame) => self.start_attempt(&record),
-            RecordReply::Fate(RunFate::Ended {
-                answer: Some(answer),
-                ..
-            }) => {
+            RecordReply::Fate(RunFate::Ended { answer: Some(answer), .. }) => {
                 self.rewrite(&record, finished_state(answer));
             }
             RecordReply::Fate(RunFate::Ended { .. }) | RecordReply::Gone => {
@@ -322,10 +309,7 @@
     }
 
     fn rewrite(&mut self, record: &RunRecord, state: RecordState) {
-        self.written = RunRecord {
-            state,
-            ..record.clone()
-        };
+        self.written = RunRecord { state, ..record.clone() };
         self.stage = RecordStage::Rewrite;
     }
 }
--- a/toucanrail/src/replays.rs
+++ b/toucanrail/src/replays.rs
@@ -60,10 +60,7 @@
             }
             return row.answer.clone().map(Some).ok_or(codetable::IN_FLIGHT);
         }
-        let row = KeyedRow {
-            digest: Arc::clone(digest),
-            answer: None,
-        };
+        let row = KeyedRow { digest: Arc::clone(digest), answer: None };
         self.rows.insert(Arc::clone(request), row);
         Ok(None)
     }
--- a/toucanrail/src/retries.rs
+++ b/toucanrail/src/retries.rs
@@ -23,10 +23,7 @@
 impl RetryBudget {
     /// Makes a full budget.
     pub fn new() -> Self {
-        Self {
-            saved: RETRY_RESERVE,
-            refused: 0,
-        }
+        Self { saved: RETRY_RESERVE, refused: 0 }
     }
 
     /// Notes a fresh request.
--- a/toucanrail/src/routing.rs
+++ b/toucanrail/src/routing.rs
@@ -77,10 +77,9 @@
     match policy {
         RoutingPolicy::RoundRobin => Some(eligible[table.turn % eligible.len()]),
         RoutingPolicy::Random => sample(eligible, query.dice[0]),
-        RoutingPolicy::LeastReported => eligible
-            .iter()
-            .copied()
-            .min_by_key(|row| row.reported / row.slots),
+        RoutingPolicy::LeastReported => {
+            eligible.iter().copied().min_by_key(|row| row.reported / row.slots)
+        }
         RoutingPolicy::PureAffinity => match query.prefix {
             Some(prefix) => rank_servers(eligible, prefix).into_iter().next(),
             None => sample(eligible, query.dice[0]),
@@ -91,9 +90,7 @@
 
 fn sample<'rows>(eligible: &[&'rows ServerRow], dice: f64) -> Option<&'rows ServerRow> {
     let last = eligible.len().saturating_sub(1);
-    eligible
-        .get(((eligible.len() as f64 * dice) as usize).min(last))
-        .copied()
+    eligible.get(((eligible.len() as f64 * dice) as usize).min(last)).copied()
 }
 
 /// Ranks servers for a prefix by rendezvous hashing: a server that leaves moves only its own
@@ -122,21 +119,12 @@
     };
     let costs: f64 = eligible.iter().map(|row| cost(row)).sum();
     let bound = costs / eligible.len() as f64 * LOAD_BOUND;
-    let affine = query
-        .prefix
-        .map(|prefix| rank_servers(eligible, prefix))
-        .unwrap_or_default();
-    let affine = affine
-        .into_iter()
-        .take(AFFINE_SERVERS)
-        .filter(|row| cost(row) <= bound);
+    let affine = query.prefix.map(|prefix| rank_servers(eligible, prefix)).unwrap_or_default();
+    let affine = affine.into_iter().take(AFFINE_SERVERS).filter(|row| cost(row) <= bound);
     let sampled = query.dice.iter().filter_map(|dice| sample(eligible, *dice));
     let affine = affine.map(|row| (cost(row) - PREFIX_WORTH, row));
     let sampled = sampled.map(|row| (cost(row), row));
-    affine
-        .chain(sampled)
-        .min_by(|(left, _), (right, _)| left.total_cmp(right))
-        .map(|(_, row)| row)
+    affine.chain(sampled).min_by(|(left, _), (right, _)| left.total_cmp(right)).map(|(_, row)| row)
 }
 
 /// Returns the median of the known times to first token, or 0.
--- a/toucanrail/src/scanners.rs
+++ b/toucanrail/src/scanners.rs
@@ -78,33 +78,19 @@
             length = stated;
         }
     }
-    Ok(HeadFacts {
-        length,
-        host: hosts == 1,
-        close,
-    })
+    Ok(HeadFacts { length, host: hosts == 1, close })
 }
 
 fn scan_first_line(line: &str) -> Result<(), ResultCode> {
-    let versioned = line
-        .split(' ')
-        .any(|word| word == "HTTP/1.1" || word == "HTTP/1.0");
+    let versioned = line.split(' ').any(|word| word == "HTTP/1.1" || word == "HTTP/1.0");
     let spaced = line.split(' ').filter(|word| !word.is_empty()).count() >= 2;
-    if versioned && spaced {
-        Ok(())
-    } else {
-        Err(codetable::BAD_REQUEST)
-    }
+    if versioned && spaced { Ok(()) } else { Err(codetable::BAD_REQUEST) }
 }
 
 fn scan_field(line: &str) -> Result<(&str, &str), ResultCode> {
     let (name, value) = line.split_once(':').ok_or(codetable::BAD_REQUEST)?;
     let plain = !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_graphic());
-    if plain {
-        Ok((name, value.trim()))
-    } else {
-        Err(codetable::BAD_REQUEST)
-    }
+    if plain { Ok((name, value.trim())) } else { Err(codetable::BAD_REQUEST) }
 }
 
 fn scan_length(name: &str, value: &str) -> Result<Option<BodyLength>, ResultCode> {
@@ -150,10 +136,7 @@
 impl ChunkScanner {
     /// Makes a scanner that stands before the first chunk.
     pub const fn new() -> Self {
-        Self {
-            state: ChunkState::Size,
-            size: 0,
-        }
+        Self { state: ChunkState::Size, size: 0 }
     }
 
     /// Tells whether the last chunk has passed.
--- a/toucanrail/src/seals.rs
+++ b/toucanrail/src/seals.rs
@@ -25,9 +25,7 @@
     pub fn new(secret: &str) -> Self {
         let mac = Hmac::new_from_slice(secret.as_bytes());
         // HMAC takes keys of any length.
-        Self {
-            mac: mac.unwrap_or_else(|_| unreachable!()),
-        }
+        Self { mac: mac.unwrap_or_else(|_| unreachable!()) }
     }
 
     /// Returns the seal of a message, in hexadecimal.
@@ -51,10 +49,7 @@
     /// Tells whether a seal is this key's for the message; in constant time.
     pub fn is_authentic(&self, path: &str, body: &[u8], seal: &str) -> bool {
         let expected = self.seal(path, body);
-        let same = expected
-            .bytes()
-            .zip(seal.bytes())
-            .fold(0, |sum, (a, b)| sum | (a ^ b));
+        let same = expected.bytes().zip(seal.bytes()).fold(0, |sum, (a, b)| sum | (a ^ b));
         expected.len() == seal.len() && same == 0
     }
 }
--- a/toucanrail/src/servers.rs
+++ b/toucanrail/src/servers.rs
@@ -103,9 +103,7 @@
 
     /// Tells whether new work may go there.
     pub fn takes_work(&self, now: Duration) -> bool {
-        let silent = self
-            .heard_at
-            .is_none_or(|at| now.saturating_sub(at) > SILENCE_LIMIT);
+        let silent = self.heard_at.is_none_or(|at| now.saturating_sub(at) > SILENCE_LIMIT);
         !silent && !self.leaving && self.healthy && now >= self.ejected_until
     }
 
@@ -143,12 +141,10 @@
             };
             known.insert(Arc::clone(&node.id));
             if !self.rows.contains_key(&node.id) {
-                self.rows
-                    .insert(Arc::clone(&node.id), new_row(node, service));
+                self.rows.insert(Arc::clone(&node.id), new_row(node, service));
             }
         }
-        self.rows
-            .retain(|agent, row| known.contains(agent) || row.own > 0);
+        self.rows.retain(|agent, row| known.contains(agent) || row.own > 0);
     }
 
     /// Takes a load report that was asked for at `asked`, when `own` requests of this entry were
@@ -251,11 +247,8 @@
                 && row.takes_work(now)
         };
         let rows: Vec<&ServerRow> = self.rows.values().filter(fits).collect();
-        let ramped: Vec<&ServerRow> = rows
-            .iter()
-            .copied()
-            .filter(|row| row.is_ramped(now, dice))
-            .collect();
+        let ramped: Vec<&ServerRow> =
+            rows.iter().copied().filter(|row| row.is_ramped(now, dice)).collect();
         if ramped.is_empty() { rows } else { ramped }
     }
 
@@ -263,9 +256,7 @@
     pub fn capacity(&self, service: &ServiceName, now: Duration) -> (u64, f64) {
         let working = self.rows.values().filter(|row| row.service == *service);
         let working = working.filter(|row| row.takes_work(now));
-        working.fold((0, 0.0), |(slots, load), row| {
-            (slots + row.slots, load + row.load(now))
-        })
+        working.fold((0, 0.0), |(slots, load), row| (slots + row.slots, load + row.load(now)))
     }
 
     /// Returns the agents of all servers that are not leaving.
--- a/toucanrail/src/settings.rs
+++ b/toucanrail/src/settings.rs
@@ -95,11 +95,8 @@
     Args::IntoIter: 'static,
     Env: Fn(&str) -> Option<String>,
 {
-    let mut values = SettingValues {
-        values: BTreeMap::new(),
-        words: Vec::new(),
-        faults: Vec::new(),
-    };
+    let mut values =
+        SettingValues { values: BTreeMap::new(), words: Vec::new(), faults: Vec::new() };
     let mut parser = lexopt::Parser::from_args(args);
     loop {
         match parser.next() {
@@ -119,9 +116,7 @@
                 values.take_flag(row, &name, &mut parser);
             }
             Ok(Some(lexopt::Arg::Short(letter))) => {
-                values
-                    .faults
-                    .push(SettingFault::Usage(format!("there is no flag -{letter}")));
+                values.faults.push(SettingFault::Usage(format!("there is no flag -{letter}")));
             }
             Err(error) => {
                 values.faults.push(SettingFault::Usage(error.to_string()));
@@ -142,11 +137,7 @@
             None => "required".to_owned(),
         };
         let flag = format!("--{}", row.name);
-        text += &format!(
-            "  {flag:<22} {} ({default}; {})\n",
-            row.help,
-            env_name(row.name)
-        );
+        text += &format!("  {flag:<22} {} ({default}; {})\n", row.help, env_name(row.name));
     }
     text + "  --help                 Print this.\n  --version              Print the version.\n"
 }
@@ -154,8 +145,7 @@
 impl SettingValues {
     fn take_flag(&mut self, row: Option<SettingRow>, name: &str, parser: &mut lexopt::Parser) {
         let Some(row) = row else {
-            self.faults
-                .push(SettingFault::Usage(format!("there is no flag --{name}")));
+            self.faults.push(SettingFault::Usage(format!("there is no flag --{name}")));
             return;
         };
         if row.is_switch() {
@@ -166,8 +156,7 @@
         }
         match parser.value() {
             Ok(value) => {
-                self.values
-                    .insert(row.name, value.to_string_lossy().into_owned());
+                self.values.insert(row.name, value.to_string_lossy().into_owned());
             }
             Err(error) => self.faults.push(SettingFault::Usage(error.to_string())),
         }
@@ -198,11 +187,7 @@
 
     /// Returns a setting's items, which commas separate.
     pub fn list(&self, name: &str) -> Vec<String> {
-        let items = self
-            .text(name)
-            .split(',')
-            .map(str::trim)
-            .filter(|item| !item.is_empty());
+        let items = self.text(name).split(',').map(str::trim).filter(|item| !item.is_empty());
         items.map(str::to_owned).collect()
     }
 
@@ -251,10 +236,7 @@
 /// ```
 pub fn parse_duration(text: &str) -> Option<Duration> {
     let digits = text.trim_end_matches(|letter: char| letter.is_ascii_alphabetic());
-    let number: f64 = digits
-        .parse()
-        .ok()
-        .filter(|number| *number >= 0.0 && *number < 1e9)?;
+    let number: f64 = digits.parse().ok().filter(|number| *number >= 0.0 && *number < 1e9)?;
     let seconds = match &text[digits.len()..] {
         "ms" => number / 1000.0,
         "s" => number,
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -67,6 +67,13 @@
         /// The tenure's epoch.
         epoch: Epoch,
     },
+    /// There was nothing to do; the sequence number is free for the next sync.
+    Unchanged {
+        /// The shard as it is.
+        shard: BudgetShard,
+        /// Its version.
+        version: Version,
+    },
     /// The tenure was revoked.
     Revoked {
         /// Whether this sync had taken effect before, its answer lost.
@@ -94,6 +101,8 @@
     policy: GrantPolicy,
     stage: SyncStage,
     version: Option<Version>,
+    /// Whether the shard was read by this sync, not only taken from a cache.
+    read: bool,
     shard: BudgetShard,
     epoch: Epoch,
     reads: Vec<ObjectPath>,
@@ -120,6 +129,7 @@
             policy,
             stage: SyncStage::ReadShard,
             version: None,
+            read: false,
             shard: BudgetShard::default(),
             reads: Vec::new(),
             billed_late: BTreeSet::new(),
@@ -163,9 +173,7 @@
             }),
             SyncStage::WriteShard => Some(StoreCall::Put {
                 path: paths::budget_path(&self.plan.shard),
-                expect: self
-                    .version
-                    .map_or(WriteExpectation::Absent, WriteExpectation::At),
+                expect: self.version.map_or(WriteExpectation::Absent, WriteExpectation::At),
                 value: storecalls::encode_value(&self.written),
             }),
         }
@@ -209,6 +217,7 @@
         let StoreReply::Found { version, value } = reply else {
             return self.end(SyncOutcome::Unavailable);
         };
+        self.read = true;
         match storecalls::decode_value(&value) {
             Some(shard) => self.take_shard(version, shard),
             None => self.end(SyncOutcome::Unavailable),
@@ -218,11 +227,7 @@
     fn take_shard(&mut self, version: Version, shard: BudgetShard) {
         self.version = Some(version);
         self.shard = shard;
-        let tenure = self
-            .shard
-            .holders
-            .get(&self.plan.entry)
-            .map(|row| (row.epoch, row.settled));
+        let tenure = self.shard.holders.get(&self.plan.entry).map(|row| (row.epoch, row.settled));
         match tenure {
             // A lost answer: this sync is in the shard already.
             Some((epoch, settled)) if settled >= self.plan.sequence => {
@@ -238,12 +243,7 @@
             _ => {}
         }
         let opening = tenure.is_none() && self.plan.epoch == 0;
-        if !opening
-            && self
-                .shard
-                .live_tenure(&self.plan.entry, self.epoch)
-                .is_none()
-        {
+        if !opening && self.shard.live_tenure(&self.plan.entry, self.epoch).is_none() {
             return self.end_revoked();
         }
         self.start_reclaim_reads();
@@ -251,11 +251,7 @@
 
     fn end_applied(&mut self, epoch: Epoch, version: Version) {
         let shard = std::mem::take(&mut self.shard);
-        self.end(SyncOutcome::Applied {
-            shard,
-            version,
-            epoch,
-        });
+        self.end(SyncOutcome::Applied { shard, version, epoch });
     }
 
     /// Tells a sync that never took effect from one whose answer was lost before the revocation:
@@ -265,9 +261,7 @@
         let holder = self.shard.holders.get(&self.plan.entry);
         let held = holder.filter(|row| row.epoch == epoch);
         let closed = self.shard.closed.get(&epoch);
-        let settled = held
-            .map(|row| row.settled)
-            .or(closed.map(|closed| closed.settled));
+        let settled = held.map(|row| row.settled).or(closed.map(|closed| closed.settled));
         let applied = settled.is_some_and(|settled| settled >= self.plan.sequence);
         self.end(SyncOutcome::Revoked { applied });
     }
@@ -297,8 +291,7 @@
         if let StoreReply::Found { value, .. } = reply {
             let batch: Option<BillBatch> = storecalls::decode_value(&value);
             let rows = batch.map(|batch| batch.rows).unwrap_or_default();
-            self.billed_late
-                .extend(rows.into_iter().map(|row| row.request));
+            self.billed_late.extend(rows.into_iter().map(|row| row.request));
         }
         if self.reads.is_empty() {
             self.start_archive_reads();
@@ -324,10 +317,7 @@
     }
 
     fn has_archive(&self, customer: &CustomerId) -> bool {
-        self.shard
-            .accounts
-            .get(customer)
-            .is_some_and(|account| account.archived)
+        self.shard.accounts.get(customer).is_some_and(|account| account.archived)
     }
 
     fn take_archive(&mut self, reply: StoreReply) {
@@ -344,6 +334,9 @@
     fn start_write(&mut self) {
         self.decide_rows();
         self.build_shard();
+        if self.is_idle() {
+            return self.end_unchanged();
+        }
         let encoded = self.encode_bill();
         let written = self.bill.as_ref() == Some(&encoded);
         self.stage = if self.rows.is_empty() || written {
@@ -353,6 +346,31 @@
         };
     }
 
+    /// Tells whether a write would change nothing but the sequence.
+    fn is_idle(&self) -> bool {
+        let Some(row) = self.shard.holders.get(&self.plan.entry) else {
+            return false;
+        };
+        let mut written = self.written.clone();
+        if let Some(tenure) = written.live_tenure(&self.plan.entry, self.epoch) {
+            tenure.settled = row.settled;
+        }
+        let returning = self.plan.demands.values().any(|demand| demand.returning > 0);
+        self.plan.rows.is_empty() && !self.plan.leave && !returning && written == self.shard
+    }
+
+    /// Ends a sync that found nothing to do, once the shard was read for it: a cached copy may be
+    /// older than a top-up.
+    fn end_unchanged(&mut self) {
+        if !self.read {
+            self.stage = SyncStage::ReadShard;
+            return;
+        }
+        let shard = std::mem::take(&mut self.shard);
+        let version = self.version.unwrap_or_default();
+        self.end(SyncOutcome::Unchanged { shard, version });
+    }
+
     fn decide_rows(&mut self) {
         let (epoch, shard) = (self.epoch, &self.shard);
         self.rows = self
--- a/toucanrail/src/usages.rs
+++ b/toucanrail/src/usages.rs
@@ -90,10 +90,7 @@
     /// assert_eq!(scanner.next_event().map(|event| event.meaning), Some(EventMeaning::Last));
     /// ```
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let found = self
-            .pending
-            .windows(EVENT_END.len())
-            .position(|window| window == EVENT_END)?;
+        let found = self.pending.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
         let rest = self.pending.split_off(found + EVENT_END.len());
         let bytes = std::mem::replace(&mut self.pending, rest);
         let meaning = scan_event(&bytes);
@@ -130,10 +127,7 @@
 
 fn scan_event(bytes: &[u8]) -> EventMeaning {
     let text = std::str::from_utf8(bytes).unwrap_or_default();
-    let data = text
-        .lines()
-        .find_map(|line| line.strip_prefix(DATA_FIELD))
-        .unwrap_or_default();
+    let data = text.lines().find_map(|line| line.strip_prefix(DATA_FIELD)).unwrap_or_default();
     if data == LAST_EVENT {
         return EventMeaning::Last;
     }
@@ -144,19 +138,8 @@
         return EventMeaning::Usage(usage);
     }
     let carries = body.choices.iter().any(|choice| {
-        let delta = choice
-            .delta
-            .as_ref()
-            .and_then(|delta| delta.content.as_ref());
-        choice
-            .text
-            .as_ref()
-            .or(delta)
-            .is_some_and(|text| !text.is_empty())
+        let delta = choice.delta.as_ref().and_then(|delta| delta.content.as_ref());
+        choice.text.as_ref().or(delta).is_some_and(|text| !text.is_empty())
     });
-    if carries {
-        EventMeaning::Token
-    } else {
-        EventMeaning::Other
-    }
+    if carries { EventMeaning::Token } else { EventMeaning::Other }
 }
--- a/toucanrail/tests/budget_schedules.rs
+++ b/toucanrail/tests/budget_schedules.rs
@@ -162,31 +162,19 @@
     }
     for (run, truth) in &world.truth {
         let lost = world.lost_agents.contains(&truth.agent);
-        prop_assert!(
-            lost || noted.contains(run),
-            "{run} ran and was never settled"
-        );
+        prop_assert!(lost || noted.contains(run), "{run} ran and was never settled");
         let whole = billed.contains_key(&truth.request);
         prop_assert!(lost || whole, "{} ran and has no bill", truth.request);
     }
     for customer in &world.customers {
         let account = &shard.accounts[customer];
         let rows = bills.iter().filter(|row| row.customer == *customer);
-        let sums = rows.fold((0, 0), |sum, row| {
-            (sum.0 + row.billed, sum.1 + row.written_off)
-        });
-        prop_assert_eq!(
-            sums,
-            (account.billed, account.written_off),
-            "bills and totals differ"
-        );
+        let sums = rows.fold((0, 0), |sum, row| (sum.0 + row.billed, sum.1 + row.written_off));
+        prop_assert_eq!(sums, (account.billed, account.written_off), "bills and totals differ");
         let known: Tokens = account.billed + account.written_off;
         let frozen: Tokens = account.frozen.values().sum();
         let spent = world.spent(customer);
-        prop_assert!(
-            spent <= known + frozen,
-            "{spent} spent, {known} known, {frozen} frozen"
-        );
+        prop_assert!(spent <= known + frozen, "{spent} spent, {known} known, {frozen} frozen");
         if world.lost_agents.is_empty() {
             prop_assert_eq!((spent, frozen), (known, 0), "all was provable");
         }
--- a/toucanrail/tests/catalogue_files.rs
+++ b/toucanrail/tests/catalogue_files.rs
@@ -20,13 +20,9 @@
         price = 0\n\n[[customer]]\nname = \"c\"\nowner = \"o\"\nclass = \"standard\"\n\
         key-digests = [\"short\"]\nweight = 0\n";
     let found = faults(text);
-    for (line, field) in [
-        (2, "name"),
-        (3, "owner"),
-        (5, "route"),
-        (6, "price"),
-        (12, "key-digests"),
-    ] {
+    for (line, field) in
+        [(2, "name"), (3, "owner"), (5, "route"), (6, "price"), (12, "key-digests")]
+    {
         let wanted = format!("line {line}: ");
         let fits = |fault: &String| fault.contains(&wanted) && fault.contains(field);
         assert!(found.iter().any(fits), "{line} {field}: {found:?}");
@@ -37,10 +33,7 @@
 #[test]
 fn unknown_field() {
     let found = faults(&format!("{GOOD}colour = \"red\"\n"));
-    assert!(
-        found[0].contains("line 1") && found[0].contains("colour"),
-        "{found:?}"
-    );
+    assert!(found[0].contains("line 1") && found[0].contains("colour"), "{found:?}");
     let found = faults("[[service]\n");
     assert!(found[0].contains("line 1"), "{found:?}");
 }
@@ -48,20 +41,11 @@
 #[test]
 fn clashing_names() {
     let found = faults(&format!("{GOOD}{GOOD}"));
-    assert!(
-        found
-            .iter()
-            .any(|fault| fault.contains("route /desk stands on line 1")),
-        "{found:?}"
-    );
+    assert!(found.iter().any(|fault| fault.contains("route /desk stands on line 1")), "{found:?}");
 }
 
 fn object(version: u64, text: &str) -> MirrorObject {
-    MirrorObject {
-        name: Arc::from("service.desk"),
-        version,
-        value: text.as_bytes().to_vec(),
-    }
+    MirrorObject { name: Arc::from("service.desk"), version, value: text.as_bytes().to_vec() }
 }
 
 /// A broken entry is written past the check: the last good one must stay in force.
@@ -82,22 +66,12 @@
 fn longest_route() {
     let mut table = CatalogueTable::new();
     for (name, route) in [("desk", "/desk"), ("inner", "/desk/inner")] {
-        let text = GOOD
-            .replace("\"desk\"", &format!("\"{name}\""))
-            .replace("/desk", route);
+        let text = GOOD.replace("\"desk\"", &format!("\"{name}\"")).replace("/desk", route);
         let item = files::read_items(&text).expect("it is good").remove(0).item;
         let value = serde_json::to_vec(&item).expect("it is encoded");
-        table.take(&MirrorObject {
-            name: item.object_name(),
-            version: 1,
-            value,
-        });
+        table.take(&MirrorObject { name: item.object_name(), version: 1, value });
     }
-    let found = |path| {
-        table
-            .service_of_path(path)
-            .map(|service| service.name.to_string())
-    };
+    let found = |path| table.service_of_path(path).map(|service| service.name.to_string());
     assert_eq!(found("/desk/inner/x").as_deref(), Some("inner"));
     assert_eq!(found("/desk/innermost").as_deref(), Some("desk"));
     assert_eq!(found("/desks"), None);
--- a/toucanrail/tests/run_records.rs
+++ b/toucanrail/tests/run_records.rs
@@ -131,9 +131,7 @@
         };
         let (record, version) = (record.clone(), *version);
         let order = order_of(&record);
-        let admitted = self
-            .agent(&record.agent)
-            .map(|at| self.agents[at].admit(&order));
+        let admitted = self.agent(&record.agent).map(|at| self.agents[at].admit(&order));
         match admitted {
             Some(Ok(())) => {
                 self.runs += 1;
@@ -152,11 +150,7 @@
             return;
         };
         let body = format!("filed {}", self.runs).into_bytes();
-        let answer = KeptAnswer {
-            status: 200,
-            fields: Vec::new(),
-            body,
-        };
+        let answer = KeptAnswer { status: 200, fields: Vec::new(), body };
         if let Some(at) = self.agent(&order.agent) {
             self.agents[at].finish(&order.run, true, 5, 0, Some(answer.clone()));
         }
@@ -178,10 +172,7 @@
         state: RecordState,
         mood: StoreMood,
     ) -> Try {
-        let closed = RunRecord {
-            state: state.clone(),
-            ..record.clone()
-        };
+        let closed = RunRecord { state: state.clone(), ..record.clone() };
         let put = StoreCall::Put {
             path: paths::record_path(&record.request),
             expect: WriteExpectation::At(version),
@@ -289,11 +280,7 @@
 /// know. It must run at most once, and everybody who gets an answer must get the same one.
 #[test]
 fn random_schedules() {
-    let config = Config {
-        cases: CASES,
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let steps = prop::collection::vec(any_step(), 1..80);
@@ -304,10 +291,7 @@
             prop_assert!(desk.runs <= 1, "it ran {} times", desk.runs);
             let mut answers = desk.answers.iter();
             let first = answers.next();
-            prop_assert!(
-                answers.all(|answer| Some(answer) == first),
-                "answers differ"
-            );
+            prop_assert!(answers.all(|answer| Some(answer) == first), "answers differ");
         }
         Ok(())
     });
--- a/toucanrail/tests/server_choice.rs
+++ b/toucanrail/tests/server_choice.rs
@@ -42,9 +42,8 @@
 
 fn table_of(loads: &[u64]) -> (ServerTable, BTreeSet<AgentId>) {
     let mut table = ServerTable::new();
-    let nodes: Vec<NodeEntry> = (0..loads.len())
-        .map(|at| node(&format!("agent-{at}"), NodeRole::Agent))
-        .collect();
+    let nodes: Vec<NodeEntry> =
+        (0..loads.len()).map(|at| node(&format!("agent-{at}"), NodeRole::Agent)).collect();
     table.take_nodes(nodes.iter());
     for (at, load) in loads.iter().enumerate() {
         table.take_report(&report(&format!("agent-{at}"), *load), 0, NOW, NOW);
@@ -59,11 +58,7 @@
 
 fn pick(table: &ServerTable, usable: &BTreeSet<AgentId>, prefix: Option<u64>, draw: u64) -> String {
     let dice = [(draw % 97) as f64 / 97.0, (draw % 89) as f64 / 89.0];
-    let query = RouteQuery {
-        prefix,
-        dice,
-        now: NOW,
-    };
+    let query = RouteQuery { prefix, dice, now: NOW };
     let eligible = table.eligible(&service(), usable, &BTreeSet::new(), NOW, 0.5);
     let row = routing::pick_server(RoutingPolicy::Balanced, table, &eligible, &query);
     row.expect("there is one").agent.to_string()
@@ -73,9 +68,8 @@
 fn prefix_affinity() {
     let (table, usable) = table_of(&[0; 6]);
     for prefix in 0..20 {
-        let places: BTreeSet<String> = (0..50)
-            .map(|draw| pick(&table, &usable, Some(prefix), draw))
-            .collect();
+        let places: BTreeSet<String> =
+            (0..50).map(|draw| pick(&table, &usable, Some(prefix), draw)).collect();
         assert!(places.len() <= 2, "prefix {prefix} goes to {places:?}");
     }
 }
@@ -112,24 +106,8 @@
 #[test]
 fn unfit_servers() {
     let (mut table, usable) = table_of(&[0; 5]);
-    table.take_report(
-        &LoadReport {
-            leaving: true,
-            ..report("agent-0", 0)
-        },
-        0,
-        NOW,
-        NOW,
-    );
-    table.take_report(
-        &LoadReport {
-            healthy: false,
-            ..report("agent-1", 0)
-        },
-        0,
-        NOW,
-        NOW,
-    );
+    table.take_report(&LoadReport { leaving: true, ..report("agent-0", 0) }, 0, NOW, NOW);
+    table.take_report(&LoadReport { healthy: false, ..report("agent-1", 0) }, 0, NOW, NOW);
     table.take_leaving_vms(&BTreeSet::from([Arc::from("vm-agent-2")]));
     for _ in 0..3 {
         table.note_failure(&Arc::from("agent-3"), NOW);
@@ -140,10 +118,7 @@
     };
     assert_eq!(names(&table, NOW), ["agent-4"]);
     let silent = NOW + Duration::from_secs(2);
-    assert!(
-        names(&table, silent).is_empty(),
-        "an agent that fell silent gets no work"
-    );
+    assert!(names(&table, silent).is_empty(), "an agent that fell silent gets no work");
     // The ejected one comes back, gradually: this draw still leaves it out, a lower one does not.
     let later = NOW + Duration::from_secs(3);
     for agent in ["agent-3", "agent-4"] {
@@ -157,11 +132,7 @@
 #[test]
 fn class_bounds() {
     let mut table = LimitTable::new();
-    let known = ServiceLoad {
-        slots: 10,
-        load: 12.0,
-        entries: 1,
-    };
+    let known = ServiceLoad { slots: 10, load: 12.0, entries: 1 };
     let mut admit = |class| table.admit(&service(), &Arc::from("c"), class, 1, known);
     assert!(admit(ServiceClass::Urgent).is_ok());
     assert!(admit(ServiceClass::Standard).is_ok());
@@ -175,11 +146,7 @@
 fn flooding_customer() {
     let mut table = LimitTable::new();
     let class = ServiceClass::Standard;
-    let known = ServiceLoad {
-        slots: 10,
-        load: 9.0,
-        entries: 1,
-    };
+    let known = ServiceLoad { slots: 10, load: 9.0, entries: 1 };
     let flood: Arc<str> = Arc::from("flood");
     let admitted = |table: &mut LimitTable, name: &Arc<str>| {
         table.admit(&service(), name, class, 1, known).is_ok()
@@ -199,10 +166,7 @@
         readings,
     };
     table.take_vms(snapshot(&["old"], 1));
-    assert!(
-        !table.is_gone_vm(&Arc::from("new")),
-        "the list may only lag"
-    );
+    assert!(!table.is_gone_vm(&Arc::from("new")), "the list may only lag");
     table.take_vms(snapshot(&["old", "new"], 2));
     table.take_vms(snapshot(&["new"], 3));
     assert!(table.is_gone_vm(&Arc::from("old")));
@@ -212,16 +176,12 @@
 
 #[test]
 fn heartbeat_ring() {
-    let peers: Vec<Arc<str>> = (0..100)
-        .map(|at| Arc::from(format!("entry-{at}")))
-        .collect();
+    let peers: Vec<Arc<str>> = (0..100).map(|at| Arc::from(format!("entry-{at}"))).collect();
     let mut watched: BTreeMap<Arc<str>, usize> = BTreeMap::new();
     for peer in &peers {
         let targets = members::pick_heartbeats(peer, &peers);
         assert_eq!(targets.len(), members::HEARTBEAT_PEERS);
-        targets
-            .into_iter()
-            .for_each(|target| *watched.entry(target).or_default() += 1);
+        targets.into_iter().for_each(|target| *watched.entry(target).or_default() += 1);
     }
     assert!(watched.len() == 100 && watched.values().all(|count| *count == 8));
 }
--- a/toucanrail/tests/world/mod.rs
+++ b/toucanrail/tests/world/mod.rs
@@ -66,17 +66,12 @@
     fn apply(&mut self, call: &StoreCall) -> StoreReply {
         match call {
             StoreCall::Get { path } => match self.objects.get(path) {
-                Some((version, value)) => StoreReply::Found {
-                    version: *version,
-                    value: value.clone(),
-                },
+                Some((version, value)) => {
+                    StoreReply::Found { version: *version, value: value.clone() }
+                }
                 None => StoreReply::Missing,
             },
-            StoreCall::Put {
-                path,
-                expect,
-                value,
-            } => {
+            StoreCall::Put { path, expect, value } => {
                 self.writes += 1;
                 let known = self.objects.get(path).map(|(version, _)| *version);
                 let met = match expect {
@@ -87,11 +82,8 @@
                     return StoreReply::Conflict;
                 }
                 self.revision += 1;
-                self.objects
-                    .insert(Arc::clone(path), (self.revision, value.clone()));
-                StoreReply::Written {
-                    version: self.revision,
-                }
+                self.objects.insert(Arc::clone(path), (self.revision, value.clone()));
+                StoreReply::Written { version: self.revision }
             }
         }
     }
@@ -191,9 +183,7 @@
         self.store.revision += 1;
         let version = self.store.revision;
         let value = storecalls::encode_value(content);
-        self.store
-            .objects
-            .insert(paths::budget_path(&self.shard), (version, value));
+        self.store.objects.insert(paths::budget_path(&self.shard), (version, value));
     }
 
     /// An operator's edit, atomic as its conditional update is.
@@ -237,11 +227,8 @@
     }
 
     fn name_agents(&mut self) {
-        let agents: BTreeSet<AgentId> = self
-            .agents
-            .iter()
-            .map(|agent| Arc::clone(agent.ledger.agent()))
-            .collect();
+        let agents: BTreeSet<AgentId> =
+            self.agents.iter().map(|agent| Arc::clone(agent.ledger.agent())).collect();
         for entry in &mut self.entries {
             entry.table.want_agents(agents.clone());
         }
@@ -295,13 +282,7 @@
             fields: Vec::new(),
             body: Vec::new(),
         };
-        entry.flights.push(Flight {
-            order,
-            hold,
-            delivered: false,
-            ended: false,
-            used: None,
-        });
+        entry.flights.push(Flight { order, hold, delivered: false, ended: false, used: None });
     }
 
     /// The order of a flight reaches its agent, or is refused there.
@@ -316,10 +297,7 @@
             return;
         }
         let order = flight.order.clone();
-        let found = self
-            .agents
-            .iter_mut()
-            .find(|agent| *agent.ledger.agent() == order.agent);
+        let found = self.agents.iter_mut().find(|agent| *agent.ledger.agent() == order.agent);
         match found.and_then(|agent| agent.ledger.admit(&order).ok().map(|()| agent)) {
             Some(agent) => agent.running.push(order),
             None => flight.ended = true,
@@ -355,9 +333,8 @@
         if !entry.alive {
             return;
         }
-        let (done, open): (Vec<_>, Vec<_>) = std::mem::take(&mut entry.flights)
-            .into_iter()
-            .partition(|flight| flight.ended);
+        let (done, open): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut entry.flights).into_iter().partition(|flight| flight.ended);
         entry.flights = open;
         for flight in done {
             let bill = flight.used.map(|used| bill_row(&flight.order, used));
@@ -434,10 +411,7 @@
             return;
         }
         for (agent, runs) in entry.table.due_acks() {
-            let found = self
-                .agents
-                .iter_mut()
-                .find(|sim| *sim.ledger.agent() == agent);
+            let found = self.agents.iter_mut().find(|sim| *sim.ledger.agent() == agent);
             match found {
                 Some(sim) if sim.reachable => {
                     sim.ledger.acknowledge(&runs);
@@ -481,11 +455,7 @@
             entry.flights = kept;
             for flight in lost.iter().filter(|_| entry.alive) {
                 let mut row = bill_row(&flight.order, 0);
-                row.unproved = if flight.delivered {
-                    flight.hold.amount
-                } else {
-                    0
-                };
+                row.unproved = if flight.delivered { flight.hold.amount } else { 0 };
                 entry.table.mark_agent(&flight.hold.shard, &id, false);
                 let bill = Some(row).filter(|_| flight.delivered);
                 entry.table.finish(&flight.hold, bill);
@@ -518,11 +488,7 @@
         };
         let reply = match call {
             ReclaimCall::Store(call) => ReclaimReply::Store(self.store.call(&call, mood)),
-            ReclaimCall::Fence {
-                agent,
-                shard,
-                epoch,
-            } => self.fence(&agent, &shard, epoch),
+            ReclaimCall::Fence { agent, shard, epoch } => self.fence(&agent, &shard, epoch),
         };
         machine.take_reply(reply);
         self.entries[by].reclaim = Some(machine);
@@ -536,10 +502,7 @@
     }
 
     fn fence(&mut self, agent: &AgentId, shard: &ShardName, epoch: u64) -> ReclaimReply {
-        let found = self
-            .agents
-            .iter_mut()
-            .find(|sim| sim.ledger.agent() == agent);
+        let found = self.agents.iter_mut().find(|sim| sim.ledger.agent() == agent);
         match found {
             Some(sim) if sim.reachable => ReclaimReply::Fenced(sim.ledger.fence(shard, epoch)),
             Some(_) => ReclaimReply::Unreachable,
@@ -559,9 +522,7 @@
     /// Returns what engines truly spent for a customer.
     pub fn spent(&self, customer: &CustomerId) -> Tokens {
         let runs = self.truth.values();
-        runs.filter(|run| run.customer == *customer)
-            .map(|run| run.used)
-            .sum()
+        runs.filter(|run| run.customer == *customer).map(|run| run.used).sum()
     }
 
     /// Returns what engines have spent and may still spend on what runs.
@@ -636,10 +597,6 @@
         billed: used,
         written_off: 0,
         unproved: 0,
-        runs: vec![RunNote {
-            run: Arc::clone(&order.run),
-            agent: Arc::clone(&order.agent),
-            used,
-        }],
+        runs: vec![RunNote { run: Arc::clone(&order.run), agent: Arc::clone(&order.agent), used }],
     }
 }
