A reclaim bills a resumed answer whole; a stopping entry ends its tenures surely

Causes: - A stream cut behind its last token was resumed where nothing was left to generate; its entry was then reclaimed. The second try, whole with a use of 0, displaced the first one's 50 tokens, which were written off. Tries now say whether they resume; a resumed answer is charged with all its parts. - Read on the way: a sync under way when an entry left counted as the leaving one, so that its tenure stayed in the shard with its grants and nobody missed it. Only the leaving sync ends a tenure now, and holders whose registration ended are reclaimed. Open tries keep a stopping entry waiting.

Ruled out: lost answers of the store, the archive, the acknowledgements (by the explained requests: both tries were in the reclaim's batch).

--- a/toucanrail-daemons/src/billing.rs
+++ b/toucanrail-daemons/src/billing.rs
@@ -121,6 +121,8 @@
     pub charged: bool,
     /// Whether the request has its bill.
     pub mark: BillMark,
+    /// Keeps the entry from stopping before the money is settled.
+    pub guard: Arc<()>,
 }
 
 impl OpenTry {
--- a/toucanrail-daemons/src/entries.rs
+++ b/toucanrail-daemons/src/entries.rs
@@ -336,7 +336,9 @@
         while self.requests() > 0 && start.elapsed() < self.settings.common.drain {
             smol::Timer::after(STOP_STEP).await;
         }
-        settling::leave(self).await;
+        // What is still open keeps its tenure: peers reclaim it once this process is gone, with
+        // what the agents know.
+        settling::leave(self, self.requests() == 0).await;
         self.register(false).await;
         tracing::info!(id = %self.id, left = self.requests(), "stopped");
     }
--- a/toucanrail-daemons/src/reclaiming.rs
+++ b/toucanrail-daemons/src/reclaiming.rs
@@ -30,7 +30,8 @@
     loop {
         smol::Timer::after(LOOK_INTERVAL).await;
         let now = entry.now();
-        let lost = entry.lock().members.lost_peers(now);
+        let mut lost = entry.lock().members.lost_peers(now);
+        lost.extend(find_orphans(&entry));
         lost_since.retain(|peer, _| lost.contains(peer));
         for peer in lost {
             let since = *lost_since.entry(Arc::clone(&peer)).or_insert(now);
@@ -42,6 +43,21 @@
     }
 }
 
+/// Finds holders whose registration has ended: they are no longer among the peers, so that nobody
+/// would miss them.
+fn find_orphans(entry: &Entry) -> Vec<EntryId> {
+    let holders: BTreeSet<EntryId> = {
+        let tables = entry.lock();
+        let shards = tables.grants.shards();
+        shards.iter().flat_map(|shard| tables.grants.holders(shard)).collect()
+    };
+    let state = entry.mirrors.lock();
+    let ended = |holder: &EntryId| {
+        state.nodes.version(holder).is_some() && state.nodes.get(holder).is_none()
+    };
+    holders.into_iter().filter(|holder| *holder != entry.id && ended(holder)).collect()
+}
+
 /// Ranks the live entries for a dead one; the first begins at once.
 fn head_start(entry: &Entry, dead: &EntryId) -> Duration {
     let tables = entry.lock();
@@ -59,7 +75,8 @@
 fn may_reclaim(entry: &Entry, dead: &EntryId) -> bool {
     let tables = entry.lock();
     let now = entry.now();
-    let gone = tables.members.peers().any(|peer| peer.node.id == *dead && peer.gone);
+    let known = tables.members.peers().find(|peer| peer.node.id == *dead);
+    let gone = known.is_none_or(|peer| peer.gone);
     gone || tables.servers.rows().all(|row| {
         let silent = row.heard_at.is_none_or(|at| now.saturating_sub(at) > servers::SILENCE_LIMIT);
         !silent || tables.members.is_gone_vm(&row.vm)
--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -477,6 +477,7 @@
             record: self.record.take(),
             charged: self.caller.is_begun() || !self.plan.repeatable,
             mark: self.mark.clone(),
+            guard: self.entry.begin_request(),
         };
         smol::spawn(open.follow()).detach();
     }
@@ -504,11 +505,13 @@
         // The caller is answered now; until the record is written, the agent knows the end.
         let entry = Arc::clone(&self.entry);
         let bill = self.hold.take().map(|hold| (self.take_bill(&hold), hold));
+        let guard = entry.begin_request();
         smol::spawn(async move {
             recording::close_surely(&entry, &record, version, state).await;
             if let Some((bill, hold)) = bill {
                 entry.lock().grants.finish(&hold, bill);
             }
+            drop(guard);
         })
         .detach();
     }
--- a/toucanrail-daemons/src/settling.rs
+++ b/toucanrail-daemons/src/settling.rs
@@ -94,6 +94,8 @@
         SyncOutcome::Applied { .. } => entry.board.count_event("syncs"),
         SyncOutcome::Unchanged { .. } => entry.board.count_event("syncs_idle"),
         SyncOutcome::Unavailable => entry.board.count_event("syncs_unanswered"),
+        // The next sync meets the same until the reclaim is done.
+        SyncOutcome::Revoked { .. } if !entry.lock().grants.is_open(shard) => {}
         SyncOutcome::Revoked { .. } => {
             entry.board.count_event("tenures_lost");
             tracing::warn!(id = %entry.id, %shard, "tenure was revoked");
@@ -245,19 +247,22 @@
 }
 
 /// Settles everything, has agents drop it, and ends all tenures.
-pub async fn leave(entry: &Arc<Entry>) {
+///
+/// With `close` false, holds are still open and the tenures stay for peers to reclaim.
+pub async fn leave(entry: &Arc<Entry>, close: bool) {
     let settling = async {
         while !entry.lock().grants.is_settled() {
             entry.wanted.notify(usize::MAX);
             smol::Timer::after(LEAVE_STEP).await;
         }
         send_acks(entry).await;
-        let shards = entry.lock().grants.shards();
+        let shards = if close { entry.lock().grants.shards() } else { Vec::new() };
         for shard in shards {
-            while entry.lock().grants.is_open(&shard) && !sync_shard(entry, &shard, true).await {
+            // A sync that was under way may come first: only the leaving one ends the tenure.
+            while entry.lock().grants.is_open(&shard) {
+                sync_shard(entry, &shard, true).await;
                 smol::Timer::after(LEAVE_STEP).await;
             }
-            entry.lock().grants.end_tenure(&shard);
         }
     };
     if clocks::bounded(LEAVE_BOUND, settling).await.is_none() {
--- a/toucanrail-daemons/src/starting.rs
+++ b/toucanrail-daemons/src/starting.rs
@@ -16,7 +16,7 @@
 
 /// Settings that entries and agents have in common.
 pub const COMMON_SETTINGS: [SettingRow; 10] = [
-    SettingRow { name: "name", default: None, help: "Name of this process; its VM's by default." },
+    SettingRow { name: "name", default: None, help: "Name of this process." },
     SettingRow { name: "listen", default: None, help: "Address to listen on." },
     SettingRow { name: "advertise", default: Some(""), help: "Address others use, if another." },
     SettingRow { name: "store", default: None, help: "Address of the platform's object API." },
--- a/toucanrail-standins/src/reports.rs
+++ b/toucanrail-standins/src/reports.rs
@@ -59,6 +59,8 @@
     pub cut: usize,
     /// Tries without an answer.
     pub lost: usize,
+    /// Requests that no try of their caller brought to a right answer.
+    pub unanswered: usize,
     /// Tokens spent over the prepaid budgets; must be 0.
     pub overspend: u64,
     /// Whole answers that were not the right one; must be 0.
@@ -71,8 +73,8 @@
     pub false_not_run: usize,
     /// Keyed calls whose retries got another answer; must be 0.
     pub changed_answers: usize,
-    /// Right answers without a bill once all is settled; must be 0.
-    pub unbilled: usize,
+    /// Requests answered without a bill once all is settled; must be none.
+    pub unbilled: Vec<String>,
     /// Refusals for budget though the money was there at the end.
     pub false_refusals: usize,
     /// All refusals for budget.
@@ -271,14 +273,14 @@
     loop {
         shards = list_shards(&store).await;
         bills = list_bills(&store, &shards).await;
-        let open = count_unbilled(tries, &bills);
-        if open == 0 || start.elapsed() > SETTLE_LIMIT {
+        let open = list_unbilled(tries, &bills);
+        if open.is_empty() || start.elapsed() > SETTLE_LIMIT {
             break;
         }
         smol::Timer::after(SAMPLE_STEP).await;
     }
     let mut report = summarize(tries);
-    report.unbilled = count_unbilled(tries, &bills);
+    report.unbilled = list_unbilled(tries, &bills);
     compare_money(&mut report, &engines, &shards);
     compare_runs(&mut report, tries, &engines, &runs, &bills);
     report.store = CallCounts {
@@ -292,12 +294,13 @@
     report
 }
 
-fn count_unbilled(tries: &[TryReport], bills: &[BillRow]) -> usize {
+/// Returns the requests that were answered and have no bill.
+fn list_unbilled(tries: &[TryReport], bills: &[BillRow]) -> Vec<String> {
     let billed: BTreeSet<&str> =
         bills.iter().filter(|row| row.billed > 0).map(|row| &*row.request).collect();
     let right = tries.iter().filter(|report| report.end == TryEnd::Right);
     let ids: BTreeSet<&str> = right.filter_map(|report| report.request.as_deref()).collect();
-    ids.difference(&billed).count()
+    ids.difference(&billed).map(ToString::to_string).collect()
 }
 
 fn latency_row(times: impl Iterator<Item = Duration>) -> LatencyRow {
@@ -313,6 +316,9 @@
     let mut report = LoadReport { tries: tries.len(), ..LoadReport::default() };
     let numbers: BTreeSet<usize> = tries.iter().map(|report| report.number).collect();
     report.requests = numbers.len();
+    let right = tries.iter().filter(|report| report.end == TryEnd::Right);
+    let answered: BTreeSet<usize> = right.map(|report| report.number).collect();
+    report.unanswered = numbers.len() - answered.len();
     for row in tries {
         match &row.end {
             TryEnd::Right => {
@@ -432,7 +438,7 @@
             + self.duplicate_bills
             + self.false_not_run
             + self.changed_answers
-            + self.unbilled;
+            + self.unbilled.len();
         self.overspend == 0 && broken == 0
     }
 
@@ -442,6 +448,7 @@
         let mut row = |name: &str, value: String| text += &format!("{name:<28}{value}\n");
         row("requests / tries", format!("{} / {}", self.requests, self.tries));
         row("right answers", self.right.to_string());
+        row("unanswered requests", self.unanswered.to_string());
         row("refusals by code", format!("{:?}", self.refusals));
         row("cut / lost", format!("{} / {}", self.cut, self.lost));
         row("overspend", self.overspend.to_string());
@@ -451,7 +458,13 @@
             format!("{} / {}", self.duplicate_runs, self.duplicate_bills),
         );
         row("'not run' that ran", self.false_not_run.to_string());
-        row("changed / unbilled answers", format!("{} / {}", self.changed_answers, self.unbilled));
+        row(
+            "changed / unbilled answers",
+            format!("{} / {}", self.changed_answers, self.unbilled.len()),
+        );
+        if !self.unbilled.is_empty() {
+            row("unbilled requests", self.unbilled.join(" "));
+        }
         let (wrong, all) = (self.false_refusals, self.budget_refusals);
         row("false / budget refusals", format!("{wrong} / {all}"));
         row(
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -419,6 +419,9 @@
                 tenure.epoch = epoch;
                 tenure.looks += 1;
                 if let Some(plan) = tenure.plan.take() {
+                    if plan.leave {
+                        return self.drop_tenure(shard, true);
+                    }
                     tenure.note_applied(&plan);
                     self.confirm(&plan, &content);
                 }
@@ -501,6 +504,14 @@
         self.accounts.values().all(idle) && self.shards.values().all(|tenure| tenure.plan.is_none())
     }
 
+    /// Returns the holders of a shard, as last seen.
+    pub fn holders(&self, shard: &ShardName) -> Vec<EntryId> {
+        let tenure = self.shards.get(shard);
+        let cached = tenure.and_then(|tenure| tenure.cached.as_ref());
+        let holders = cached.map(|(_, content)| content.holders.keys().map(Arc::clone));
+        holders.map(Iterator::collect).unwrap_or_default()
+    }
+
     /// Tells whether a request began to wait in a shard that no plan has seen.
     pub fn has_unseen(&self, shard: &ShardName) -> bool {
         let customers = self.customers_of(shard);
@@ -526,11 +537,6 @@
     pub fn is_open(&self, shard: &ShardName) -> bool {
         self.shards.get(shard).is_some_and(|tenure| tenure.epoch != 0)
     }
-
-    /// Forgets a tenure that ended by a leaving sync.
-    pub fn end_tenure(&mut self, shard: &ShardName) {
-        self.drop_tenure(shard, false);
-    }
 }
 
 impl ShardTenure {
--- a/toucanrail/src/ledgers.rs
+++ b/toucanrail/src/ledgers.rs
@@ -32,6 +32,8 @@
     pub epoch: Epoch,
     /// Whether the caller gave a key.
     pub keyed: bool,
+    /// Whether it goes on behind what the caller has from an earlier try.
+    pub resumed: bool,
     /// The most it may use.
     pub hold: Tokens,
     /// How far it is.
@@ -123,6 +125,7 @@
             shard: Arc::clone(&order.shard),
             epoch: order.epoch,
             keyed: order.keyed,
+            resumed: order.resume_from > 0,
             hold: order.hold,
             state: RunProgress::Running,
         };
@@ -231,6 +234,7 @@
         customer: Arc::clone(&row.customer),
         service: Arc::clone(&row.service),
         keyed: row.keyed,
+        resumed: row.resumed,
         whole,
         used,
         unproved,
--- a/toucanrail/src/messages.rs
+++ b/toucanrail/src/messages.rs
@@ -186,6 +186,8 @@
     pub service: ServiceName,
     /// Whether the caller gave a key.
     pub keyed: bool,
+    /// Whether it went on behind what the caller had from an earlier try.
+    pub resumed: bool,
     /// Whether its answer was whole.
     pub whole: bool,
     /// What it provably used.
--- a/toucanrail/src/reclaims.rs
+++ b/toucanrail/src/reclaims.rs
@@ -9,7 +9,7 @@
 
 use crate::budgets::RunNote;
 use crate::budgets::{BillBatch, BillRow, BudgetShard, ClosedTenure, HolderRow, HolderState};
-use crate::ids::{AgentId, EntryId, Epoch, RequestId, RunId, Sequence, ShardName, Version};
+use crate::ids::{AgentId, EntryId, Epoch, RequestId, RunId, Sequence, ShardName, Tokens, Version};
 use crate::messages::{FenceReply, UsageRow};
 use crate::paths;
 use crate::storecalls::{self, ObjectPath, StoreCall, StoreReply, WriteExpectation};
@@ -324,13 +324,14 @@
             .collect();
         let pending = self.batches.iter().filter(|batch| batch.sequence > settled);
         let mut bills: Vec<BillRow> = pending.flat_map(|batch| batch.rows.clone()).collect();
-        let mut found: BTreeMap<RequestId, BillRow> = BTreeMap::new();
+        let mut found: BTreeMap<&RequestId, Vec<(&AgentId, &UsageRow)>> = BTreeMap::new();
         for (agent, rows) in &self.reports {
             for row in rows.iter().filter(|row| !known.contains(&row.run)) {
-                add_usage(&mut found, agent, row, self.epoch());
+                found.entry(&row.request).or_default().push((agent, row));
             }
         }
-        bills.extend(found.into_values());
+        let epoch = self.epoch();
+        bills.extend(found.values().filter_map(|rows| make_bill(rows, epoch)));
         self.bills = bills;
         self.start_archives();
     }
@@ -422,29 +423,31 @@
     }
 }
 
-/// Adds one try to its request's bill: the whole answer is charged, other tries are written off.
-fn add_usage(
-    bills: &mut BTreeMap<RequestId, BillRow>,
-    agent: &AgentId,
-    row: &UsageRow,
-    epoch: Epoch,
-) {
-    let bill = bills.entry(Arc::clone(&row.request)).or_insert_with(|| BillRow {
-        request: Arc::clone(&row.request),
-        customer: Arc::clone(&row.customer),
-        service: Arc::clone(&row.service),
-        epoch,
-        keyed: row.keyed,
-        billed: 0,
-        written_off: 0,
-        unproved: 0,
-        runs: Vec::new(),
+/// Makes one request's bill of its tries.
+///
+/// The caller has what a resumed try went on behind, so that both are charged; of tries that began
+/// anew only one answer counts: the whole one, or the largest part.
+fn make_bill(rows: &[(&AgentId, &UsageRow)], epoch: Epoch) -> Option<BillRow> {
+    let (_, first) = rows.first()?;
+    let total: Tokens = rows.iter().map(|(_, row)| row.used).sum();
+    let whole = rows.iter().find(|(_, row)| row.whole).map(|(_, row)| row.used);
+    let largest = rows.iter().map(|(_, row)| row.used).max();
+    let resumed = rows.iter().any(|(_, row)| row.resumed);
+    let billed = if resumed { total } else { whole.or(largest).unwrap_or_default() };
+    let notes = rows.iter().map(|(agent, row)| RunNote {
+        run: Arc::clone(&row.run),
+        agent: Arc::clone(agent),
+        used: row.used,
     });
-    if row.whole || bill.billed == 0 {
-        bill.written_off += std::mem::replace(&mut bill.billed, row.used);
-    } else {
-        bill.written_off += row.used;
-    }
-    bill.unproved += row.unproved;
-    bill.runs.push(RunNote { run: Arc::clone(&row.run), agent: Arc::clone(agent), used: row.used });
+    Some(BillRow {
+        request: Arc::clone(&first.request),
+        customer: Arc::clone(&first.customer),
+        service: Arc::clone(&first.service),
+        epoch,
+        keyed: first.keyed,
+        billed,
+        written_off: total - billed,
+        unproved: rows.iter().map(|(_, row)| row.unproved).sum(),
+        runs: notes.collect(),
+    })
 }
