--- a/toucanrail-daemons/src/entries.rs
+++ b/toucanrail-daemons/src/entries.rs
@@ -207,6 +207,14 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Tells whether the catalogue has been read since the start.
+    ///
+    /// Guards against callers of a new entry who hear that their key is unknown or their budget
+    /// spent, only because the entry does not know them yet.
+    fn is_ready(&self) -> bool {
+        self.mirrors.lock().objects.seen() > 0
+    }
+
     /// Returns a token that keeps the entry from stopping while a request holds it.
     pub fn begin_request(&self) -> Arc<()> {
         Arc::clone(&self.in_flight)
@@ -241,17 +249,22 @@
     }
 
     async fn answer_caller(self: Arc<Self>, call: ReceivedCall) -> Response {
+        let ready = self.is_ready();
         if call.path() == "/health" {
-            return if self.is_leaving() {
-                replies::text(503, "stopping\n")
-            } else {
-                replies::text(200, "ok\n")
+            return match (self.is_leaving(), ready) {
+                (true, _) => replies::text(503, "stopping\n"),
+                (_, false) => replies::text(503, "starting\n"),
+                _ => replies::text(200, "ok\n"),
             };
         }
         if self.is_leaving() {
             let note = RefusalNote::new(codetable::STOPPING).retry_after(STOP_RETRY);
             return self.refuse(&note);
         }
+        if !ready {
+            let note = RefusalNote::new(codetable::NO_BACKEND_SERVER).retry_after(STOP_RETRY);
+            return self.refuse(&note.detail("This entry is starting."));
+        }
         match (call.path(), call.request.method()) {
             ("/v1/models", Method::Get) => self.answer_models(&call),
             ("/v1/chat/completions" | "/v1/completions", method) if method != Method::Post => {
--- a/toucanrail-daemons/src/settling.rs
+++ b/toucanrail-daemons/src/settling.rs
@@ -158,8 +158,13 @@
     customer: &CustomerId,
     amount: Tokens,
 ) -> Result<GrantHold, ResultCode> {
-    if let Ok(hold) = entry.lock().grants.hold(customer, amount) {
-        return Ok(hold);
+    {
+        let mut tables = entry.lock();
+        // The catalogue may have brought the customer a moment ago.
+        tables.grants.add_account(customer, &entry.shard_of(customer));
+        if let Ok(hold) = tables.grants.hold(customer, amount) {
+            return Ok(hold);
+        }
     }
     let exhausted = entry.lock().exhausted.get(customer).copied();
     let known = exhausted.filter(|(until, refused)| *until > entry.now() && amount >= *refused);
--- a/toucanrail-daemons/tests/configuration.rs
+++ b/toucanrail-daemons/tests/configuration.rs
@@ -180,3 +180,25 @@
         assert!(said.contains("service.levy-llm: in the catalogue"), "{said}");
     });
 }
+
+/// A new entry cannot read the catalogue yet. A caller with a good key must hear that the entry is
+/// starting, not that its key is unknown, and the balancer that it is not ready.
+#[test]
+fn starting_entry() {
+    smol::block_on(async {
+        let fleet = Fleet::start(10_000).await;
+        let (_, backend) = fleet.engine();
+        let _agent = fleet.agent("agent-1", "levy-llm", backend);
+        fleet.platform.faults.change(|plan| plan.down = true);
+        let entry = fleet.entry("entry-1", &[]);
+        let answer = fleet.fetch(&entry, fleet.chat("early", 2)).await.unwrap();
+        assert_eq!((answer.status, result_of(&answer)), (503, 3201));
+        assert_eq!(answer.field("toucanrail-run"), Some("not-run"));
+        let health = || toucanrail_wire::clients::OutboundCall::get("/health");
+        assert_eq!(fleet.fetch(&entry, health()).await.unwrap().status, 503);
+        fleet.platform.faults.change(|plan| plan.down = false);
+        fleet.wait_servers(&entry, 1).await;
+        assert_eq!(fleet.fetch(&entry, fleet.chat("soon", 2)).await.unwrap().status, 200);
+        assert_eq!(fleet.fetch(&entry, health()).await.unwrap().status, 200);
+    });
+}
