--- a/toucanrail-daemons/src/watching.rs
+++ b/toucanrail-daemons/src/watching.rs
@@ -18,7 +18,7 @@
 use crate::mirroring::{self, PEER_BOUND};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+const PROBE_INTERVAL: Duration = Duration::from_millis(600);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
 const TICK: Duration = Duration::from_secs(1);
--- a/toucanrail-standins/src/engines.rs
+++ b/toucanrail-standins/src/engines.rs
@@ -163,6 +163,11 @@
         self.lock().spent.clone()
     }
 
+    /// Returns the orders carried out.
+    pub fn orders(&self) -> Vec<String> {
+        self.lock().orders.clone()
+    }
+
     /// Returns how many sequences run or wait.
     pub fn running(&self) -> usize {
         let state = self.lock();
--- a/toucanrail/src/servers.rs
+++ b/toucanrail/src/servers.rs
@@ -12,7 +12,7 @@
 use crate::messages::LoadReport;
 
 /// Silence of an agent after which its server gets no new work.
-pub const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// Servers of one service that an entry uses; bounds the reports it asks for and the agents that a
 /// reclaim must reach.
 const FAN_OUT: usize = 32;
