--- a/toucanrail-wire/src/listeners.rs
+++ b/toucanrail-wire/src/listeners.rs
@@ -1,7 +1,6 @@
 //! The serving side: reads a request whole, calls the handler, writes its answer.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -60,8 +59,6 @@
     pub request: Request,
     /// The whole body.
     pub body: Vec<u8>,
-    /// The peer's address.
-    pub peer: Option<SocketAddr>,
 }
 
 impl ReceivedCall {
@@ -235,11 +232,7 @@
     if body.len() > limits.body {
         return Err(codetable::BODY_TOO_LARGE);
     }
-    if replay.is_whole() {
-        Ok(ReceivedCall { request, body, peer: None })
-    } else {
-        Err(codetable::CUT_REQUEST)
-    }
+    if replay.is_whole() { Ok(ReceivedCall { request, body }) } else { Err(codetable::CUT_REQUEST) }
 }
 
 async fn refuse(stream: TcpStream, limits: &ServerLimits, code: ResultCode) -> io::Result<()> {
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -432,15 +432,6 @@
         }
     }
 
-    /// Takes a newer copy of a shard, seen without a sync.
-    pub fn refresh(&mut self, shard: &ShardName, version: Version, content: BudgetShard) {
-        if let Some(tenure) = self.shards.get_mut(shard)
-            && tenure.cached.as_ref().is_none_or(|(known, _)| *known < version)
-        {
-            tenure.cached = Some((version, content));
-        }
-    }
-
     fn confirm(&mut self, plan: &SyncPlan, content: &BudgetShard) {
         for (customer, demand) in &plan.demands {
             let Some(account) = self.accounts.get_mut(customer) else {
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -147,11 +147,6 @@
         machine
     }
 
-    /// Returns the plan.
-    pub fn plan(&self) -> &SyncPlan {
-        &self.plan
-    }
-
     /// Returns the outcome once there is one.
     pub fn into_outcome(self) -> SyncOutcome {
         self.outcome.unwrap_or(SyncOutcome::Unavailable)
