Shards and bills are read out of listings in one place

Read once more: the operator's commands and the load tool each had a loop that decodes the listed shards and keeps the bills that count; both call budgets::read_shards and budgets::read_bills now. The records' and the ledger's tests and the world of the schedules each built a whole order; they share one and name what differs.

--- a/toucanrail-daemons/src/inspecting.rs
+++ b/toucanrail-daemons/src/inspecting.rs
@@ -1,11 +1,12 @@
 //! Commands that show and change budgets, and show bills, states and requests.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::Value;
-use toucanrail::budgets::{BillBatch, BillRow, BudgetShard};
+use toucanrail::budgets::{self, BillRow, BudgetError, BudgetShard};
 use toucanrail::ids::{CustomerId, RequestId, ShardName};
 use toucanrail::messages::EngineOrder;
 use toucanrail::paths;
@@ -34,12 +35,9 @@
     Ok(objects.filter_map(|object| storecalls::decode_value(&object.value)).collect())
 }
 
-async fn list_shards(tools: &OperatorTools) -> Outcome<Vec<(ShardName, BudgetShard)>> {
+async fn list_shards(tools: &OperatorTools) -> Outcome<BTreeMap<ShardName, BudgetShard>> {
     let listed = tools.store.list(paths::BUDGETS, 0).await.ok_or_else(unavailable)?;
-    let rows = listed.objects.into_iter().filter_map(|object| {
-        storecalls::decode_value(&object.value).map(|shard| (object.name, shard))
-    });
-    Ok(rows.collect())
+    Ok(budgets::read_shards(&listed.objects))
 }
 
 /// Changes a budget if asked to, then shows it, or all.
@@ -51,14 +49,14 @@
         change_budget(tools, customer).await?;
     }
     let shards = list_shards(tools).await?;
-    let accounts = shards.iter().flat_map(|(_, shard)| &shard.accounts);
+    let accounts = shards.values().flat_map(|shard| &shard.accounts);
     let shown: Vec<_> =
         accounts.filter(|(name, _)| customer.is_none_or(|wanted| wanted == &***name)).collect();
     if let (Some(customer), true) = (customer, shown.is_empty()) {
         return Err(OperatorError::Missing(format!("budget of {customer}")));
     }
     if tools.json {
-        let rows: std::collections::BTreeMap<_, _> = shown.into_iter().collect();
+        let rows: BTreeMap<_, _> = shown.into_iter().collect();
         return Ok(format!("{}\n", serde_json::json!(rows)));
     }
     let mut text = format!(
@@ -84,7 +82,7 @@
     let name: CustomerId = Arc::from(customer);
     editing::edit_shard(tools, customer, |shard| {
         let account = shard.accounts.get_mut(&name);
-        let account = account.ok_or(toucanrail::budgets::BudgetError::NoAccount)?;
+        let account = account.ok_or(BudgetError::NoAccount)?;
         if tools.top_up > 0 {
             account.top_up(tools.top_up)?;
         }
@@ -101,21 +99,9 @@
 
 /// Returns the bills that count: those that their holder applied, and those of reclaims.
 async fn list_bills(tools: &OperatorTools) -> Outcome<Vec<BillRow>> {
-    let shards: std::collections::BTreeMap<_, _> = list_shards(tools).await?.into_iter().collect();
+    let shards = list_shards(tools).await?;
     let listed = tools.store.list(paths::BILLS, 0).await.ok_or_else(unavailable)?;
-    let mut rows = Vec::new();
-    for object in listed.objects {
-        let Some(batch) = storecalls::decode_value::<BillBatch>(&object.value) else {
-            continue;
-        };
-        let Some(shard) = shards.get(&batch.shard) else {
-            continue;
-        };
-        if shard.counts_batch(&batch, &object.name) {
-            rows.extend(batch.rows);
-        }
-    }
-    Ok(rows)
+    Ok(budgets::read_bills(&listed.objects, &shards))
 }
 
 /// Shows the last bills.
--- a/toucanrail-standins/src/reports.rs
+++ b/toucanrail-standins/src/reports.rs
@@ -7,9 +7,8 @@
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
-use toucanrail::budgets::{BillBatch, BillRow, BudgetShard};
+use toucanrail::budgets::{self, BillRow, BudgetShard, HolderState};
 use toucanrail::paths;
-use toucanrail::storecalls;
 use toucanrail_wire::clients::{ClientLimits, ConnectionPool, OutboundCall};
 use toucanrail_wire::stores::{HttpStore, ObjectStore};
 
@@ -198,8 +197,7 @@
 
 fn stuck_tokens(shard: &BudgetShard) -> u64 {
     let revoked = |entry: &Arc<str>| {
-        let live = toucanrail::budgets::HolderState::Live;
-        shard.holders.get(entry).is_some_and(|row| row.state != live)
+        shard.holders.get(entry).is_some_and(|row| row.state != HolderState::Live)
     };
     let accounts = shard.accounts.values();
     accounts
@@ -213,26 +211,12 @@
 
 async fn list_shards(store: &HttpStore) -> BTreeMap<Arc<str>, BudgetShard> {
     let listed = store.list(paths::BUDGETS, 0).await;
-    let objects = listed.map(|listed| listed.objects).unwrap_or_default();
-    let rows = objects.into_iter().filter_map(|object| {
-        storecalls::decode_value(&object.value).map(|shard| (object.name, shard))
-    });
-    rows.collect()
+    budgets::read_shards(&listed.map(|listed| listed.objects).unwrap_or_default())
 }
 
 async fn list_bills(store: &HttpStore, shards: &BTreeMap<Arc<str>, BudgetShard>) -> Vec<BillRow> {
     let listed = store.list(paths::BILLS, 0).await;
-    let objects = listed.map(|listed| listed.objects).unwrap_or_default();
-    let mut rows = Vec::new();
-    for object in objects {
-        let batch: Option<BillBatch> = storecalls::decode_value(&object.value);
-        let counted = batch.filter(|batch| {
-            let shard = shards.get(&batch.shard);
-            shard.is_some_and(|shard| shard.counts_batch(batch, &object.name))
-        });
-        rows.extend(counted.map(|batch| batch.rows).unwrap_or_default());
-    }
-    rows
+    budgets::read_bills(&listed.map(|listed| listed.objects).unwrap_or_default(), shards)
 }
 
 async fn fetch<Body>(pool: &ConnectionPool, address: SocketAddr, path: &str) -> Option<Body>
--- a/toucanrail/src/budgets.rs
+++ b/toucanrail/src/budgets.rs
@@ -12,7 +12,9 @@
 
 use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RequestId, RunId, Sequence, ServiceName};
 use crate::ids::{ShardName, Tokens};
+use crate::messages::MirrorObject;
 use crate::paths;
+use crate::storecalls;
 
 /// Keyed requests an account remembers before the older half moves to its archive.
 pub const RECENT_LIMIT: usize = 512;
@@ -350,3 +352,28 @@
         self.accounts.values().all(|account| account.committed() <= account.prepaid)
     }
 }
+
+/// Reads the shards out of a listing of their kind, by name.
+pub fn read_shards(objects: &[MirrorObject]) -> BTreeMap<ShardName, BudgetShard> {
+    let rows = objects.iter().filter_map(|object| {
+        storecalls::decode_value(&object.value).map(|shard| (Arc::clone(&object.name), shard))
+    });
+    rows.collect()
+}
+
+/// Reads the bills that count out of a listing of the bill objects.
+pub fn read_bills(
+    objects: &[MirrorObject],
+    shards: &BTreeMap<ShardName, BudgetShard>,
+) -> Vec<BillRow> {
+    let mut rows = Vec::new();
+    for object in objects {
+        let batch: Option<BillBatch> = storecalls::decode_value(&object.value);
+        let counted = batch.filter(|batch| {
+            let shard = shards.get(&batch.shard);
+            shard.is_some_and(|shard| shard.counts_batch(batch, &object.name))
+        });
+        rows.extend(counted.map(|batch| batch.rows).unwrap_or_default());
+    }
+    rows
+}
--- a/toucanrail/tests/agent_ledger.rs
+++ b/toucanrail/tests/agent_ledger.rs
@@ -1,34 +1,19 @@
 //! What an agent's ledger takes and refuses.
 
+// The world stops at the first thing that is not as it should be.
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
 use std::sync::Arc;
 
 use toucanrail::codetable;
 use toucanrail::ledgers::UsageLedger;
-use toucanrail::messages::{AskMode, RunFate, RunOrder, UsageRule};
+use toucanrail::messages::{AskMode, RunFate, RunOrder};
 
 fn order(run: &str, epoch: u64) -> RunOrder {
-    RunOrder {
-        request: Arc::from("request"),
-        run: Arc::from(run),
-        agent: Arc::from("agent-1.first"),
-        entry: Arc::from("entry-1"),
-        customer: Arc::from("brewer"),
-        service: Arc::from("levy-llm"),
-        shard: Arc::from("shard-0"),
-        epoch,
-        hold: 10,
-        keyed: false,
-        repeatable: true,
-        priority: 1,
-        time_left: 1_000,
-        resume_from: 0,
-        usage: UsageRule::Fixed(5),
-        streamed: false,
-        method: Arc::from("POST"),
-        path: Arc::from("/"),
-        fields: Vec::new(),
-        body: Vec::new(),
-    }
+    let order = world::plain_order(Arc::from(run), Arc::from("agent-1.first"));
+    RunOrder { epoch, ..order }
 }
 
 fn ledger() -> UsageLedger {
--- a/toucanrail/tests/run_records.rs
+++ b/toucanrail/tests/run_records.rs
@@ -12,7 +12,7 @@
 use toucanrail::codetable;
 use toucanrail::ids::{AgentId, EntryId, RequestId, Version};
 use toucanrail::ledgers::UsageLedger;
-use toucanrail::messages::{KeptAnswer, RunOrder, UsageRule};
+use toucanrail::messages::{KeptAnswer, RunOrder};
 use toucanrail::paths;
 use toucanrail::records::RunRecord;
 use toucanrail::records::{
@@ -204,25 +204,11 @@
 fn order_of(record: &RunRecord) -> RunOrder {
     RunOrder {
         request: Arc::clone(&record.request),
-        run: record.run(),
-        agent: Arc::clone(&record.agent),
         entry: Arc::clone(&record.writer),
-        customer: Arc::clone(&record.customer),
-        service: Arc::from("ledger-desk"),
-        shard: Arc::from("shard-0"),
-        epoch: 1,
         hold: 5,
         keyed: true,
         repeatable: false,
-        priority: 1,
-        time_left: 1_000,
-        resume_from: 0,
-        usage: UsageRule::Fixed(5),
-        streamed: false,
-        method: Arc::from("POST"),
-        path: Arc::from("/deposits"),
-        fields: Vec::new(),
-        body: Vec::new(),
+        ..world::plain_order(record.run(), Arc::clone(&record.agent))
     }
 }
 
--- a/toucanrail/tests/world/mod.rs
+++ b/toucanrail/tests/world/mod.rs
@@ -262,25 +262,13 @@
         entry.table.mark_agent(&shard, &agent, true);
         let order = RunOrder {
             request,
-            run,
-            agent,
             entry: Arc::clone(&entry.id),
             customer,
-            service: Arc::from("levy-llm"),
             shard,
             epoch: hold.epoch,
             hold: amount,
             keyed,
-            repeatable: true,
-            priority: 1,
-            time_left: 1_000,
-            resume_from: 0,
-            usage: UsageRule::Fixed(1),
-            streamed: false,
-            method: Arc::from("POST"),
-            path: Arc::from("/"),
-            fields: Vec::new(),
-            body: Vec::new(),
+            ..plain_order(run, agent)
         };
         entry.flights.push(Flight { order, hold, delivered: false, ended: false, used: None });
     }
@@ -587,6 +575,32 @@
     }
 }
 
+/// Makes an order with nothing special about it.
+pub fn plain_order(run: RunId, agent: AgentId) -> RunOrder {
+    RunOrder {
+        request: Arc::from("request"),
+        run,
+        agent,
+        entry: Arc::from("entry-1"),
+        customer: Arc::from("brewer"),
+        service: Arc::from("levy-llm"),
+        shard: Arc::from("shard-0"),
+        epoch: 1,
+        hold: 10,
+        keyed: false,
+        repeatable: true,
+        priority: 1,
+        time_left: 1_000,
+        resume_from: 0,
+        usage: UsageRule::Fixed(1),
+        streamed: false,
+        method: Arc::from("POST"),
+        path: Arc::from("/"),
+        fields: Vec::new(),
+        body: Vec::new(),
+    }
+}
+
 fn bill_row(order: &RunOrder, used: Tokens) -> BillRow {
     BillRow {
         request: Arc::clone(&order.request),
