--- a/toucanrail-daemons/src/observing.rs
+++ b/toucanrail-daemons/src/observing.rs
@@ -68,11 +68,17 @@
         self.events.with_label_values(&[kind]).get()
     }
 
+    /// Encodes all metrics as text.
+    pub fn encode(&self) -> prometheus::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+
     /// Answers `/metrics`.
     pub fn answer(&self) -> Response {
-        let mut text = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            Ok(()) => {
+        match self.encode() {
+            Ok(text) => {
                 let mut response = replies::bytes(200, text);
                 response.insert_header("content-type", "text/plain; version=0.0.4");
                 response
--- /dev/null
+++ b/toucanrail-gateway/src/admitting.rs
@@ -0,0 +1,176 @@
+//! A request's way in: its route, its customer, its budget; then it is dispatched.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use toucanrail::codes::{ResultCode, RunState};
+use toucanrail::codetable;
+use toucanrail::ids::ServiceName;
+use toucanrail::matching::{CustomerFacts, RouteRule};
+use toucanrail_platform::requests::{self, RequestFacts};
+use toucanrail_wire::heads::RequestHead;
+
+use crate::answering::{self, CallerSide};
+use crate::dispatching;
+use crate::settling;
+use crate::states::{BudgetGuard, Gateway};
+
+/// Age of the last contact with the store from which an unknown key or route may be a new one that
+/// has not arrived: the caller is then sent elsewhere instead of away. Twice a watch's wait.
+const KNOWLEDGE_AGE: Duration = Duration::from_secs(3);
+/// When to come back to an entry that knows no configuration yet, or that is cut off.
+const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
+/// When to come back after a stop: the balancer has another entry by then.
+const STOP_RETRY: Duration = Duration::from_millis(200);
+/// Time after SIGTERM in which new requests are still served: the balancer sends new connections
+/// for two seconds, and what begins later may not end within the grace period.
+const STOP_SERVE: Duration = Duration::from_millis(2_800);
+
+/// One admitted request.
+#[derive(Debug)]
+pub struct CallPlan<'call> {
+    /// Its head, as it came.
+    pub head: &'call RequestHead,
+    /// Its body.
+    pub body: &'call [u8],
+    /// What the head says.
+    pub facts: RequestFacts,
+    /// Its route.
+    pub route: Arc<RouteRule>,
+    /// Who pays; none on a public route.
+    pub customer: Option<Arc<CustomerFacts>>,
+    /// The service chosen for it.
+    pub service: ServiceName,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When it must have its answer.
+    pub deadline: Instant,
+    /// Rank at the servers.
+    pub urgency: u8,
+    /// The budget held for it.
+    pub budget: Option<BudgetGuard>,
+}
+
+impl CallPlan<'_> {
+    /// Returns the time left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// A refusal before anything was sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EntryRefusal {
+    /// Why.
+    pub code: ResultCode,
+    /// When to come back, where that helps.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<ResultCode> for EntryRefusal {
+    fn from(code: ResultCode) -> Self {
+        Self { code, retry_after: None }
+    }
+}
+
+/// Answers one request.
+pub async fn answer_request(
+    gateway: &Rc<Gateway>,
+    head: &RequestHead,
+    body: &[u8],
+    caller: &mut CallerSide,
+    arrived: Instant,
+) {
+    match admit(gateway, head, body, arrived).await {
+        Ok(plan) => dispatching::dispatch(gateway, &plan, caller).await,
+        Err(refusal) => {
+            let facts = requests::read_request(head);
+            let version = gateway.tables.borrow().routes.version();
+            let age = gateway.store_age();
+            tracing::info!(
+                event = "refused", request = %facts.id, code = refusal.code.number(),
+                reason = refusal.code.row().name, path = head.path(), config = version,
+                store_age_ms = age.as_millis() as u64,
+            );
+            gateway.board.count_result(refusal.code);
+            let note = answering::make_note(refusal.code, RunState::NotRun, refusal.retry_after);
+            // A caller that is gone needs no refusal.
+            caller.send_refusal(&note).await.ok();
+        }
+    }
+}
+
+async fn admit<'call>(
+    gateway: &Rc<Gateway>,
+    head: &'call RequestHead,
+    body: &'call [u8],
+    arrived: Instant,
+) -> Result<CallPlan<'call>, EntryRefusal> {
+    if gateway.stopping.get().is_some_and(|since| since.elapsed() > STOP_SERVE) {
+        return Err(EntryRefusal { code: codetable::STOPPING, retry_after: Some(STOP_RETRY) });
+    }
+    let facts = requests::read_request(head);
+    let (route, customer) = match_request(gateway, head, &facts)?;
+    let service = route.pick_service(fastrand::f64()).map(Arc::clone);
+    let service = service.ok_or(codetable::NO_BACKEND_SERVER)?;
+    let waits = facts.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    let rank = customer.as_ref().and_then(|customer| customer.priority);
+    let mut plan = CallPlan {
+        head,
+        body,
+        urgency: rank.unwrap_or(route.priority),
+        facts,
+        route,
+        customer,
+        service,
+        arrived,
+        deadline: arrived + waits,
+        budget: None,
+    };
+    plan.budget = hold_budget(gateway, &plan).await?;
+    gateway.note_fresh(&plan.service);
+    Ok(plan)
+}
+
+fn match_request(
+    gateway: &Gateway,
+    head: &RequestHead,
+    facts: &RequestFacts,
+) -> Result<(Arc<RouteRule>, Option<Arc<CustomerFacts>>), EntryRefusal> {
+    let tables = gateway.tables.borrow();
+    let later = Some(UNKNOWN_RETRY);
+    if tables.routes.version() == 0 {
+        return Err(EntryRefusal { code: codetable::STORE_UNAVAILABLE, retry_after: later });
+    }
+    let unknown = |code: ResultCode| {
+        if gateway.store_age() > KNOWLEDGE_AGE {
+            return EntryRefusal { code: codetable::STORE_UNAVAILABLE, retry_after: later };
+        }
+        EntryRefusal::from(code)
+    };
+    let route = tables.routes.find_route(head.host(), head.path());
+    let route = route.ok_or_else(|| unknown(codetable::NO_SUCH_ROUTE))?;
+    if route.public || !tables.routes.needs_keys() {
+        return Ok((Arc::clone(route), None));
+    }
+    let key = facts.key.as_deref().ok_or(codetable::UNKNOWN_KEY)?;
+    let customer = tables.routes.find_customer(key);
+    let customer = customer.ok_or_else(|| unknown(codetable::UNKNOWN_KEY))?;
+    Ok((Arc::clone(route), Some(Arc::clone(customer))))
+}
+
+/// Holds the worst case of a request for a model against its customer's budget.
+async fn hold_budget(
+    gateway: &Rc<Gateway>,
+    plan: &CallPlan<'_>,
+) -> Result<Option<BudgetGuard>, EntryRefusal> {
+    let limited = plan.customer.as_ref().filter(|customer| customer.prepaid.is_some());
+    let (Some(customer), Some(prompt)) = (limited, &plan.facts.prompt) else {
+        return Ok(None);
+    };
+    let amount = prompt.prompt + prompt.output;
+    let hold = settling::take_hold(gateway, &customer.name, amount, plan.left()).await?;
+    let (request, service) = (&plan.facts.id, &plan.service);
+    Ok(Some(BudgetGuard::new(gateway, hold, request, service, prompt.prompt)))
+}
--- /dev/null
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -0,0 +1,193 @@
+//! One admitted request: servers are tried until it has its answer or none may be tried any more.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use toucanrail::attempting::{AttemptFate, AttemptTally, NextStep};
+use toucanrail::backends::{BackendEntry, BackendId};
+use toucanrail::codes::{ResultCode, RunState};
+use toucanrail::codetable;
+use toucanrail::placing::{self, PlaceQuery};
+
+use crate::admitting::CallPlan;
+use crate::answering::{self, CallerSide};
+use crate::relaying::StreamState;
+use crate::sending::{self, AttemptContext, AttemptEnd, FailedAnswer};
+use crate::states::{BudgetGuard, Gateway};
+
+/// Bounds of the time after which a declined caller may come back; spread, so that those who were
+/// declined together do not return together.
+const RETRY_LEAST: Duration = Duration::from_millis(250);
+const RETRY_SPREAD: Duration = Duration::from_millis(500);
+
+/// How a request ended, for its log line.
+#[derive(Debug, Clone, Copy)]
+enum RequestEnd {
+    Whole,
+    Delivered,
+    Refused(ResultCode),
+    Cut,
+    CallerGone,
+}
+
+/// Serves one admitted request.
+pub async fn dispatch(gateway: &Rc<Gateway>, plan: &CallPlan<'_>, caller: &mut CallerSide) {
+    let mut run = DispatchRun {
+        gateway,
+        plan,
+        tally: AttemptTally::new(plan.route.kind, plan.route.attempts),
+        tried: Vec::new(),
+        stream: StreamState::new(plan.facts.last_event),
+        failure: None,
+    };
+    let end = run.serve(caller).await;
+    run.note_end(end);
+}
+
+struct DispatchRun<'run, 'call> {
+    gateway: &'run Rc<Gateway>,
+    plan: &'run CallPlan<'call>,
+    tally: AttemptTally,
+    tried: Vec<BackendId>,
+    stream: StreamState,
+    failure: Option<FailedAnswer>,
+}
+
+impl DispatchRun<'_, '_> {
+    async fn serve(&mut self, caller: &mut CallerSide) -> RequestEnd {
+        loop {
+            let Some(target) = self.pick_target() else {
+                let step = self.tally.give_up(self.last_fate());
+                return self.finish(step, caller).await;
+            };
+            self.tried.push(Arc::clone(&target.id));
+            let fate = match self.attempt(&target, caller).await {
+                AttemptEnd::Whole => return RequestEnd::Whole,
+                AttemptEnd::CallerGone => return RequestEnd::CallerGone,
+                AttemptEnd::Failed(answer) => {
+                    self.failure = Some(answer);
+                    AttemptFate::Failed
+                }
+                AttemptEnd::Ended(fate) => fate,
+            };
+            self.note_fate(&target, fate);
+            let step = match self.tally.decide(fate, self.plan.left()) {
+                NextStep::Again if self.may_try_again() => continue,
+                NextStep::Again => self.tally.give_up(fate),
+                step => step,
+            };
+            return self.finish(step, caller).await;
+        }
+    }
+
+    /// Only a request that was sent before is a retry to the service.
+    fn may_try_again(&self) -> bool {
+        let allowed = self.tally.sent == 0 || self.gateway.try_retry(&self.plan.service);
+        if !allowed {
+            self.gateway.board.count_event("retries_refused");
+        }
+        allowed
+    }
+
+    fn last_fate(&self) -> AttemptFate {
+        if self.failure.is_some() { AttemptFate::Failed } else { AttemptFate::NotSent }
+    }
+
+    fn pick_target(&self) -> Option<BackendEntry> {
+        let now = self.gateway.now();
+        let tables = self.gateway.tables.borrow();
+        let eligible = tables.backends.eligible(&self.plan.service, &self.tried, now);
+        let prompt = self.plan.facts.prompt.as_ref();
+        let query = PlaceQuery {
+            data_centre: &self.gateway.settings.data_centre,
+            parts: prompt.map_or(&[], |prompt| &prompt.parts),
+            prompt: prompt.map_or(0, |prompt| prompt.prompt),
+            now,
+            dice: fastrand::f64(),
+        };
+        placing::pick_backend(&eligible, &query).map(|row| row.entry.clone())
+    }
+
+    async fn attempt(&mut self, target: &BackendEntry, caller: &mut CallerSide) -> AttemptEnd {
+        // A further attempt must be possible for an early end of this one to be of use.
+        let spare = AttemptTally { sent: self.tally.sent + 1, may_have_run: true, ..self.tally };
+        let may_move = spare.may_send(self.plan.left());
+        let context = AttemptContext { gateway: self.gateway, plan: self.plan, target, may_move };
+        let end = sending::run_attempt(&context, caller, &mut self.stream).await;
+        self.tally.begun = caller.begun;
+        end
+    }
+
+    fn note_fate(&mut self, target: &BackendEntry, fate: AttemptFate) {
+        let now = self.gateway.now();
+        self.tally.note(fate);
+        if let Some(budget) = &self.plan.budget {
+            budget.note_sent(self.tally.may_have_run);
+        }
+        let mut tables = self.gateway.tables.borrow_mut();
+        match fate {
+            AttemptFate::NotSent => tables.backends.note_down(&target.id, now),
+            AttemptFate::Declined => {}
+            AttemptFate::Failed
+            | AttemptFate::Lost
+            | AttemptFate::Broken
+            | AttemptFate::TimedOut => tables.backends.note_failure(&target.id, now),
+        }
+        drop(tables);
+        tracing::info!(
+            event = "attempt_failed", request = %self.plan.facts.id, server = %target.id,
+            fate = ?fate, sent = self.tally.sent, limit = self.tally.limit,
+            left_ms = self.plan.left().as_millis() as u64, last_event = self.stream.last_event(),
+        );
+    }
+
+    async fn finish(&mut self, step: NextStep, caller: &mut CallerSide) -> RequestEnd {
+        match step {
+            NextStep::Deliver => match self.failure.take() {
+                Some(answer) => {
+                    // A caller that is gone needs no answer.
+                    caller.send_whole(&answer.head, &answer.body).await.ok();
+                    RequestEnd::Delivered
+                }
+                None => self.refuse(codetable::BACKEND_FAILED, caller).await,
+            },
+            NextStep::Answer(code) => self.refuse(code, caller).await,
+            NextStep::Cut | NextStep::Again => RequestEnd::Cut,
+        }
+    }
+
+    async fn refuse(&self, code: ResultCode, caller: &mut CallerSide) -> RequestEnd {
+        let run = self.tally.run_state();
+        let wait = RETRY_LEAST + RETRY_SPREAD.mul_f64(fastrand::f64());
+        let wait = (run == RunState::NotRun).then(|| wait.min(self.plan.left() / 3));
+        let note = answering::make_note(code, run, wait);
+        // A caller that is gone needs no refusal.
+        caller.send_refusal(&note).await.ok();
+        RequestEnd::Refused(code)
+    }
+
+    fn note_end(&self, end: RequestEnd) {
+        let code = match end {
+            RequestEnd::Whole => codetable::OK,
+            RequestEnd::Delivered => codetable::BACKEND_FAILED,
+            RequestEnd::Refused(code) => code,
+            RequestEnd::Cut => codetable::ANSWER_CUT,
+            RequestEnd::CallerGone => codetable::CANCELLED,
+        };
+        self.gateway.board.count_result(code);
+        let first = self.stream.first_at.map_or(Duration::ZERO, |at| at - self.plan.arrived);
+        if !first.is_zero() {
+            self.gateway.board.first_byte.observe(first.as_secs_f64());
+        }
+        let customer = self.plan.customer.as_ref().map(|customer| Arc::clone(&customer.name));
+        tracing::info!(
+            event = "request_ended", request = %self.plan.facts.id, route = %self.plan.route.name,
+            service = %self.plan.service, customer = customer.as_deref(), end = ?end,
+            run = self.tally.run_state().as_str(), sent = self.tally.sent, tried = ?self.tried,
+            first_ms = first.as_millis() as u64,
+            took_ms = Instant::now().duration_since(self.plan.arrived).as_millis() as u64,
+            used = self.plan.budget.as_ref().map(BudgetGuard::used),
+        );
+    }
+}
--- /dev/null
+++ b/toucanrail-gateway/src/following.rs
@@ -0,0 +1,247 @@
+//! The loops that follow the store: the configuration and the backend servers.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::ids::Version;
+use toucanrail::messages::MirrorObject;
+use toucanrail_platform::stores::{KindChange, StoreFailure};
+use toucanrail_platform::{configs, names, registrations};
+
+use crate::settling;
+use crate::states::Gateway;
+
+/// Wait of one watch. Each watch is a counted call, and a connection that turned silent shows only
+/// when its watch is overdue; both follows change within 2 s then.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+/// Added before a watch or listing counts as unanswered.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Pause after a call that failed, doubled up to the limit.
+const PAUSE_LEAST: Duration = Duration::from_millis(80);
+const PAUSE_LIMIT: Duration = Duration::from_millis(640);
+/// Time after the store's return in which a missing server may come back.
+const LAPSE_WINDOW: Duration = Duration::from_secs(2);
+/// Time without an answer from which entries may have lapsed: three of the servers' heartbeats are
+/// longer.
+const OUTAGE_LEAST: Duration = Duration::from_millis(2_500);
+/// How often servers that did not come back are dropped.
+const SWEEP: Duration = Duration::from_millis(200);
+
+/// Takes the objects of one kind.
+trait KindTaker {
+    /// The kind.
+    const KIND: &'static str;
+
+    /// Takes all objects.
+    fn take_all(&mut self, gateway: &Gateway, objects: &[MirrorObject]);
+
+    /// Takes one change.
+    fn take_change(&mut self, gateway: &Gateway, change: &KindChange);
+
+    /// Notes that the store answered after a silence.
+    fn note_return(&mut self, gateway: &Gateway, silence: Duration);
+}
+
+/// Follows the configuration.
+pub async fn follow_config(gateway: Rc<Gateway>) {
+    follow(gateway, ConfigTaker).await;
+}
+
+/// Follows the servers' registrations.
+pub async fn follow_servers(gateway: Rc<Gateway>) {
+    follow(gateway, ServerTaker { returned: None }).await;
+}
+
+/// Drops servers that did not come back after an outage, and connections that are too old.
+pub async fn sweep(gateway: Rc<Gateway>) {
+    let mut swept = gateway.now();
+    loop {
+        smol::Timer::after(SWEEP).await;
+        let now = gateway.now();
+        let over = gateway.tables.borrow_mut().backends.drop_lapsed(now);
+        for id in over {
+            tracing::info!(event = "server_gone", server = %id, reason = "lapsed");
+            gateway.channels.forget(&id);
+        }
+        gateway.channels.sweep();
+        gateway.tables.borrow_mut().grants.smooth_burn(now.saturating_sub(swept));
+        swept = now;
+    }
+}
+
+async fn follow<Taker>(gateway: Rc<Gateway>, mut taker: Taker)
+where
+    Taker: KindTaker,
+{
+    let mut revision = None;
+    let mut pause = PAUSE_LEAST;
+    let mut heard = gateway.now();
+    loop {
+        match step(&gateway, &mut taker, revision, heard).await {
+            Ok(next) => {
+                revision = Some(next);
+                heard = gateway.now();
+                pause = PAUSE_LEAST;
+                gateway.note_store(Taker::KIND, true);
+            }
+            Err(StoreFailure::Forgotten) => {
+                tracing::info!(event = "history_gone", kind = Taker::KIND);
+                revision = None;
+            }
+            Err(failure) => {
+                tracing::debug!(event = "store_failed", kind = Taker::KIND, %failure);
+                gateway.note_store(Taker::KIND, false);
+                smol::Timer::after(pause.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
+                pause = (pause * 2).min(PAUSE_LIMIT);
+            }
+        }
+    }
+}
+
+/// Lists the kind, or waits for its next changes; returns the revision to go on from.
+async fn step<Taker>(
+    gateway: &Gateway,
+    taker: &mut Taker,
+    revision: Option<Version>,
+    heard: Duration,
+) -> Result<Version, StoreFailure>
+where
+    Taker: KindTaker,
+{
+    let Some(revision) = revision else {
+        let listing = gateway.store.list_kind(Taker::KIND, WATCH_WAIT).await?;
+        taker.note_return(gateway, gateway.now().saturating_sub(heard));
+        taker.take_all(gateway, &listing.objects);
+        return Ok(listing.revision);
+    };
+    let bound = WATCH_WAIT + ANSWER_SLACK;
+    let watched = gateway.store.watch_kind(Taker::KIND, revision, WATCH_WAIT, bound).await?;
+    taker.note_return(gateway, gateway.now().saturating_sub(heard));
+    for change in &watched.changes {
+        taker.take_change(gateway, change);
+    }
+    Ok(watched.revision.max(revision))
+}
+
+struct ConfigTaker;
+
+impl ConfigTaker {
+    fn take(gateway: &Gateway, object: &MirrorObject) {
+        if *object.name != *names::CONFIG_NAME || object.value.is_empty() {
+            return;
+        }
+        let config = match configs::decode_config(&object.value) {
+            Ok(config) => config,
+            Err(fault) => {
+                tracing::error!(event = "config_refused", revision = object.version, %fault);
+                return;
+            }
+        };
+        let version = config.version;
+        let (taken, routes) = {
+            let mut tables = gateway.tables.borrow_mut();
+            (tables.routes.take_config(config), tables.routes.route_count())
+        };
+        if taken {
+            gateway.board.in_force.set(i64::try_from(version).unwrap_or(i64::MAX));
+            tracing::info!(event = "config_in_force", version, routes);
+            settling::take_customers(gateway);
+        }
+    }
+}
+
+impl KindTaker for ConfigTaker {
+    const KIND: &'static str = names::CONFIG_KIND;
+
+    fn take_all(&mut self, gateway: &Gateway, objects: &[MirrorObject]) {
+        for object in objects {
+            Self::take(gateway, object);
+        }
+    }
+
+    fn take_change(&mut self, gateway: &Gateway, change: &KindChange) {
+        if !change.removed {
+            Self::take(gateway, &change.object);
+        }
+    }
+
+    fn note_return(&mut self, _: &Gateway, _: Duration) {}
+}
+
+struct ServerTaker {
+    /// When the store returned after an outage in which entries may have lapsed.
+    returned: Option<Duration>,
+}
+
+impl ServerTaker {
+    fn take(gateway: &Gateway, object: &MirrorObject) -> bool {
+        match registrations::decode_server(&object.name, &object.value) {
+            Ok(entry) => {
+                let mut tables = gateway.tables.borrow_mut();
+                let known = tables.backends.get(&entry.id).map(|row| row.entry.clone());
+                if known.as_ref() != Some(&entry) {
+                    tracing::info!(
+                        event = "server_entry", server = %entry.id, service = %entry.service,
+                        address = %entry.address, draining = entry.draining,
+                        revision = object.version,
+                    );
+                    if known.is_some_and(|known| known.born != entry.born) || entry.draining {
+                        gateway.channels.forget(&entry.id);
+                    }
+                }
+                tables.backends.take_entry(entry);
+                true
+            }
+            Err(reason) => {
+                tracing::warn!(event = "server_unreadable", server = %object.name, %reason);
+                false
+            }
+        }
+    }
+
+    fn note_missing(&self, gateway: &Gateway, id: &Arc<str>) {
+        let now = gateway.now();
+        let window = |since: &Duration| now.saturating_sub(*since) < LAPSE_WINDOW;
+        let since = self.returned.filter(window);
+        let mut tables = gateway.tables.borrow_mut();
+        if tables.backends.get(id).is_none() {
+            return;
+        }
+        tables.backends.note_missing(id, since);
+        let lapsed = since.is_some();
+        tracing::info!(event = "server_missing", server = %id, lapsed);
+        if !lapsed {
+            gateway.channels.forget(id);
+        }
+    }
+}
+
+impl KindTaker for ServerTaker {
+    const KIND: &'static str = names::SERVER_KIND;
+
+    fn take_all(&mut self, gateway: &Gateway, objects: &[MirrorObject]) {
+        let readable = objects.iter().filter(|object| Self::take(gateway, object));
+        let listed: BTreeSet<Arc<str>> = readable.map(|object| Arc::clone(&object.name)).collect();
+        let known: Vec<Arc<str>> = {
+            let tables = gateway.tables.borrow();
+            tables.backends.rows().map(|row| Arc::clone(&row.entry.id)).collect()
+        };
+        for id in known.iter().filter(|id| !listed.contains(*id)) {
+            self.note_missing(gateway, id);
+        }
+    }
+
+    fn take_change(&mut self, gateway: &Gateway, change: &KindChange) {
+        if change.removed || !Self::take(gateway, &change.object) {
+            self.note_missing(gateway, &change.object.name);
+        }
+    }
+
+    fn note_return(&mut self, gateway: &Gateway, silence: Duration) {
+        if silence > OUTAGE_LEAST {
+            self.returned = Some(gateway.now());
+        }
+    }
+}
--- /dev/null
+++ b/toucanrail-gateway/src/inspecting.rs
@@ -0,0 +1,92 @@
+//! The addresses for the platform and operators: readiness, metrics and the dump of the state.
+
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Serialize;
+use smol::Async;
+use toucanrail::backends::BackendTable;
+use toucanrail::grants::GrantTable;
+use toucanrail_platform::names;
+use toucanrail_wire::channels::BufferedChannel;
+use toucanrail_wire::clocks;
+use toucanrail_wire::heads::RequestHead;
+
+use crate::states::Gateway;
+
+const HEAD_LIMIT: usize = 8 * 1024;
+const IDLE_BOUND: Duration = Duration::from_secs(30);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Serialize)]
+struct StateDump<'tables> {
+    id: &'tables str,
+    data_centre: &'tables str,
+    config_version: u64,
+    stopping: bool,
+    in_flight: usize,
+    store_age_ms: u64,
+    backends: &'tables BackendTable,
+    grants: &'tables GrantTable,
+}
+
+/// Serves questions of the platform and of operators.
+pub async fn serve_questions(gateway: Rc<Gateway>, listener: Async<TcpListener>) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            smol::Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let held = Rc::clone(&gateway);
+        let serving = async move {
+            // One who went away needs no answer.
+            answer_questions(&held, socket).await.ok();
+        };
+        gateway.executor.spawn(serving).detach();
+    }
+}
+
+async fn answer_questions(gateway: &Gateway, socket: Async<TcpStream>) -> io::Result<()> {
+    let mut channel = BufferedChannel::new(socket)?;
+    while let Some(bytes) = clocks::within(IDLE_BOUND, channel.read_head(HEAD_LIMIT)).await? {
+        let head = RequestHead::parse(&bytes).map_err(|_| io::ErrorKind::InvalidData)?;
+        let (status, body) = answer_path(gateway, head.path());
+        let length = body.len();
+        let mut answer =
+            format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n").into_bytes();
+        answer.extend_from_slice(&body);
+        channel.writer().write_all(&answer).await?;
+        if head.close {
+            break;
+        }
+    }
+    Ok(())
+}
+
+fn answer_path(gateway: &Gateway, path: &str) -> (&'static str, Vec<u8>) {
+    match path {
+        names::READY_PATH if gateway.is_ready() => ("200 OK", Vec::new()),
+        names::READY_PATH => ("503 Not Ready", Vec::new()),
+        "/metrics" => ("200 OK", gateway.board.encode().unwrap_or_default()),
+        "/state" => ("200 OK", dump_state(gateway)),
+        _ => ("404 Not Found", Vec::new()),
+    }
+}
+
+fn dump_state(gateway: &Gateway) -> Vec<u8> {
+    let tables = gateway.tables.borrow();
+    let dump = StateDump {
+        id: &gateway.id,
+        data_centre: &gateway.settings.data_centre,
+        config_version: tables.routes.version(),
+        stopping: gateway.stopping.get().is_some(),
+        in_flight: gateway.in_flight.get(),
+        store_age_ms: gateway.store_age().as_millis() as u64,
+        backends: &tables.backends,
+        grants: &tables.grants,
+    };
+    // Only maps with keys other than text can fail here.
+    serde_json::to_vec(&dump).unwrap_or_default()
+}
--- /dev/null
+++ b/toucanrail-gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! The entry that reaches backend servers directly, on the users' platform.
+//!
+//! One thread serves everything: callers' connections (`accepting`), a request's way through
+//! admission (`admitting`), attempts at servers (`sending`) and the answer (`relaying`). Beside it
+//! Decisions come from the library; this crate holds sockets and timers.
+//!
+//! # Examples
+//! ```no_run
+//! use toucanrail_gateway::starting;
+//! use toucanrail_platform::settings;
+//!
+//! let settings = settings::read_settings()?;
+//! starting::run(settings)?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub mod accepting;
+pub mod admitting;
+pub mod answering;
+pub mod dispatching;
+pub mod following;
+pub mod inspecting;
+pub mod logging;
+pub mod relaying;
+pub mod sending;
+pub mod settling;
+pub mod starting;
+pub mod states;
+pub mod stopping;
--- /dev/null
+++ b/toucanrail-gateway/src/relaying.rs
@@ -0,0 +1,212 @@
+//! The body of an answer on its way from a server to the caller.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+use smol::future::FutureExt;
+use toucanrail::attempting::AttemptFate;
+use toucanrail::events::EventScanner;
+use toucanrail::framing::BodyFramer;
+use toucanrail_wire::clocks;
+
+use crate::admitting::CallPlan;
+use crate::answering::CallerSide;
+use crate::sending::{AttemptContext, AttemptEnd, FailedAnswer, OpenExchange};
+use crate::states::{FlightGuard, Gateway};
+
+/// How often a stream's deadline and its pauses are looked at; one timer a stream, since a timer a
+/// read costs two system calls an event.
+const TICK: Duration = Duration::from_millis(200);
+/// Multiple of the accepted pause after which a stream that may be resumed goes on elsewhere.
+const STALL_FACTOR: u32 = 2;
+const STALL_LEAST: Duration = Duration::from_secs(1);
+/// Largest body that is read whole before it is passed on.
+const BODY_LIMIT: usize = 8 * 1024 * 1024;
+
+/// A stream across the attempts that make it.
+#[derive(Debug)]
+pub struct StreamState {
+    scanner: EventScanner,
+    /// When the first bytes of an answer were passed on.
+    pub first_at: Option<Instant>,
+}
+
+impl StreamState {
+    /// Starts a stream, behind the event that the caller has already.
+    pub fn new(last_event: Option<u64>) -> Self {
+        let scanner = EventScanner { last_id: last_event, ..EventScanner::new() };
+        Self { scanner, first_at: None }
+    }
+
+    /// Returns the last event that was passed on.
+    pub fn last_event(&self) -> Option<u64> {
+        self.scanner.last_id
+    }
+}
+
+/// Reads a body to its end.
+pub async fn read_rest(exchange: &mut OpenExchange, body: &mut Vec<u8>) -> io::Result<()> {
+    loop {
+        let buffer = &mut exchange.channel.buffer;
+        let taken = exchange.framer.feed(buffer, body);
+        buffer.drain(..taken);
+        if exchange.framer.is_done() {
+            return Ok(());
+        }
+        if exchange.framer.is_broken() || body.len() > BODY_LIMIT {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        if exchange.channel.fill().await? == 0 {
+            let ended = exchange.framer.ends_with_connection();
+            return if ended { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+        }
+    }
+}
+
+/// Reads an answer whole, so that a cut one can still be tried elsewhere, and passes it on.
+pub async fn relay_whole(
+    context: &AttemptContext<'_, '_>,
+    mut exchange: OpenExchange,
+    caller: &mut CallerSide,
+    stream: &mut StreamState,
+) -> AttemptEnd {
+    let mut body = Vec::new();
+    match clocks::within(context.plan.left(), read_rest(&mut exchange, &mut body)).await {
+        Ok(()) => {}
+        Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+            return AttemptEnd::Ended(AttemptFate::TimedOut);
+        }
+        Err(_) => return AttemptEnd::Ended(AttemptFate::Lost),
+    }
+    let head = exchange.head.clone();
+    exchange.keep_channel(context.gateway, &context.target.id);
+    if head.status >= 500 {
+        return AttemptEnd::Failed(FailedAnswer { head, body });
+    }
+    stream.first_at = Some(Instant::now());
+    match caller.send_whole(&head, &body).await {
+        Ok(()) => AttemptEnd::Whole,
+        Err(_) => AttemptEnd::CallerGone,
+    }
+}
+
+/// Passes events on as they arrive, only whole ones.
+pub async fn relay_stream(
+    context: &AttemptContext<'_, '_>,
+    mut exchange: OpenExchange,
+    caller: &mut CallerSide,
+    stream: &mut StreamState,
+    flight: &FlightGuard,
+) -> AttemptEnd {
+    let AttemptContext { gateway, plan, .. } = *context;
+    let stride = engine_stride(gateway, plan);
+    let stall = (plan.route.gap * STALL_FACTOR).max(STALL_LEAST);
+    let mut tick = Timer::interval(TICK);
+    let mut pending = Vec::new();
+    let mut heard = Instant::now();
+    loop {
+        let taken = exchange.framer.feed(&exchange.channel.buffer, &mut pending);
+        exchange.channel.buffer.drain(..taken);
+        let known = stream.scanner.count;
+        let whole = stream.scanner.scan(&pending);
+        if whole > 0 {
+            heard = Instant::now();
+            flight.note_begun();
+            if let Some(budget) = &plan.budget {
+                budget.add_output((stream.scanner.count - known) * stride);
+            }
+        }
+        if exchange.framer.is_done() {
+            return end_stream(context, exchange, caller, stream, &pending).await;
+        }
+        if whole > 0 && !pass_events(caller, &exchange, stream, &pending[..whole]).await {
+            return AttemptEnd::CallerGone;
+        }
+        pending.drain(..whole);
+        if exchange.framer.is_broken() {
+            return AttemptEnd::Ended(cut_fate(caller));
+        }
+        match read_more(&mut exchange, &mut tick).await {
+            ReadEnd::Bytes => {}
+            ReadEnd::Tick => {
+                if plan.left().is_zero() {
+                    return AttemptEnd::Ended(AttemptFate::TimedOut);
+                }
+                if context.may_move && heard.elapsed() > stall {
+                    return AttemptEnd::Ended(cut_fate(caller));
+                }
+            }
+            ReadEnd::End if exchange.framer.ends_with_connection() => {
+                return end_stream(context, exchange, caller, stream, &pending).await;
+            }
+            ReadEnd::End => return AttemptEnd::Ended(cut_fate(caller)),
+        }
+    }
+}
+
+enum ReadEnd {
+    Bytes,
+    Tick,
+    End,
+}
+
+async fn read_more(exchange: &mut OpenExchange, tick: &mut Timer) -> ReadEnd {
+    let reading = async {
+        match exchange.channel.fill().await {
+            Ok(count) if count > 0 => ReadEnd::Bytes,
+            Ok(_) => ReadEnd::End,
+            Err(_) => {
+                // A reset is no end, even of an answer that ends with its connection.
+                exchange.framer = BodyFramer::Exact(u64::MAX);
+                ReadEnd::End
+            }
+        }
+    };
+    let ticking = async {
+        smol::stream::StreamExt::next(tick).await;
+        ReadEnd::Tick
+    };
+    reading.or(ticking).await
+}
+
+fn cut_fate(caller: &CallerSide) -> AttemptFate {
+    if caller.begun { AttemptFate::Broken } else { AttemptFate::Lost }
+}
+
+async fn pass_events(
+    caller: &mut CallerSide,
+    exchange: &OpenExchange,
+    stream: &mut StreamState,
+    events: &[u8],
+) -> bool {
+    stream.first_at.get_or_insert_with(Instant::now);
+    let sent = if caller.begun {
+        caller.send_events(events).await
+    } else {
+        caller.begin_stream(&exchange.head, events).await
+    };
+    sent.is_ok()
+}
+
+async fn end_stream(
+    context: &AttemptContext<'_, '_>,
+    exchange: OpenExchange,
+    caller: &mut CallerSide,
+    stream: &mut StreamState,
+    rest: &[u8],
+) -> AttemptEnd {
+    stream.first_at.get_or_insert_with(Instant::now);
+    if !caller.begun && caller.begin_stream(&exchange.head, &[]).await.is_err() {
+        return AttemptEnd::CallerGone;
+    }
+    let sent = caller.end_stream(rest).await;
+    exchange.keep_channel(context.gateway, &context.target.id);
+    if sent.is_ok() { AttemptEnd::Whole } else { AttemptEnd::CallerGone }
+}
+
+fn engine_stride(gateway: &Gateway, plan: &CallPlan<'_>) -> u64 {
+    let tables = gateway.tables.borrow();
+    let engine = tables.routes.service(&plan.service).and_then(|service| service.engine);
+    engine.map_or(1, |engine| engine.stride)
+}
--- /dev/null
+++ b/toucanrail-gateway/src/sending.rs
@@ -0,0 +1,285 @@
+//! One attempt at one backend server: a connection, the request, and the head of its answer.
+
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::future::FutureExt;
+use toucanrail::attempting::AttemptFate;
+use toucanrail::backends::{BackendEntry, FlightRow};
+use toucanrail::framing::BodyFramer;
+use toucanrail::matching::RouteKind;
+use toucanrail_platform::requests::{self, OrderFacts};
+use toucanrail_wire::channels::BufferedChannel;
+use toucanrail_wire::clocks;
+use toucanrail_wire::heads::AnswerHead;
+use toucanrail_wire::keeping;
+
+use crate::admitting::CallPlan;
+use crate::answering::CallerSide;
+use crate::relaying::{self, StreamState};
+use crate::states::{FlightGuard, Gateway};
+
+/// Longest wait for a connection. A live server answers within some milliseconds, one that is full
+/// drops the first packet and would be reached only seconds later.
+const CONNECT_BOUND: Duration = Duration::from_millis(250);
+/// Longest idle time of a connection used for what may not be sent again: the shorter, the less
+/// likely that the server closes it just then.
+const ONCE_IDLE: Duration = Duration::from_millis(800);
+const REPEATABLE_IDLE: Duration = Duration::from_secs(10);
+/// Largest head of an answer.
+const HEAD_LIMIT: usize = 32 * 1024;
+/// Answers to other requests that are passed over on one connection before it is given up.
+const FOREIGN_LIMIT: u32 = 2;
+/// Multiple of the hoped-for time after which a repeatable request is tried elsewhere.
+const SILENCE_FACTOR: u32 = 2;
+/// Least such time; a stalled network must not double the load.
+const SILENCE_LEAST: Duration = Duration::from_millis(300);
+
+/// A failure that a server answered.
+#[derive(Debug)]
+pub struct FailedAnswer {
+    /// Its head.
+    pub head: AnswerHead,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// One attempt: whose request, and where it goes.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptContext<'run, 'call> {
+    /// The gateway.
+    pub gateway: &'run Rc<Gateway>,
+    /// The request.
+    pub plan: &'run CallPlan<'call>,
+    /// The server.
+    pub target: &'run BackendEntry,
+    /// Whether another attempt may follow although this one was sent.
+    pub may_move: bool,
+}
+
+/// How one attempt ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The caller has the whole answer.
+    Whole,
+    /// The server answered with a failure, which the caller does not have yet.
+    Failed(FailedAnswer),
+    /// There is no answer.
+    Ended(AttemptFate),
+    /// The caller takes no answer any more.
+    CallerGone,
+}
+
+/// An answer whose head is here.
+#[derive(Debug)]
+pub struct OpenExchange {
+    /// The connection.
+    pub channel: BufferedChannel,
+    /// The head.
+    pub head: AnswerHead,
+    /// Where the body ends.
+    pub framer: BodyFramer,
+    /// Whether all of the request was sent.
+    pub sent_whole: bool,
+}
+
+impl OpenExchange {
+    /// Keeps the connection for the next request, if nothing is due on it.
+    pub fn keep_channel(self, gateway: &Gateway, backend: &Arc<str>) {
+        if self.framer.is_done() && self.sent_whole && !self.head.close {
+            let stated = self.head.fields.get("keep-alive").and_then(keeping::read_keep_alive);
+            gateway.channels.keep(backend, self.channel, stated);
+        }
+    }
+}
+
+/// Sends the request to one server and passes its answer on.
+pub async fn run_attempt(
+    context: &AttemptContext<'_, '_>,
+    caller: &mut CallerSide,
+    stream: &mut StreamState,
+) -> AttemptEnd {
+    let AttemptContext { gateway, plan, target, .. } = *context;
+    let flight = note_flight(gateway, plan, target);
+    let opened = open_exchange(context, stream.last_event()).await;
+    let exchange = match opened {
+        Ok(exchange) => exchange,
+        Err(fate) => return AttemptEnd::Ended(fate),
+    };
+    let facts = requests::read_answer(&exchange.head, &plan.facts.id);
+    if facts.declined {
+        return end_declined(context, exchange).await;
+    }
+    let done = (200..300).contains(&exchange.head.status);
+    if done && !facts.signed {
+        // No server made this answer.
+        return AttemptEnd::Ended(AttemptFate::Lost);
+    }
+    if let Some(budget) = &plan.budget {
+        budget.note_sent(true);
+    }
+    if done && plan.route.kind.is_stream() {
+        return relaying::relay_stream(context, exchange, caller, stream, &flight).await;
+    }
+    flight.note_begun();
+    relaying::relay_whole(context, exchange, caller, stream).await
+}
+
+fn note_flight(gateway: &Rc<Gateway>, plan: &CallPlan<'_>, target: &BackendEntry) -> FlightGuard {
+    let mut tables = gateway.tables.borrow_mut();
+    let prompt = plan.facts.prompt.as_ref();
+    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+    let fresh = prompt.map_or(0, |prompt| {
+        let row = tables.backends.get(&target.id);
+        row.map_or(prompt.prompt, |row| row.fresh_tokens(parts, prompt.prompt))
+    });
+    let memory = prompt.map_or(0, |prompt| prompt.prompt + prompt.hint.unwrap_or(prompt.output));
+    let row = FlightRow { sent_at: gateway.now(), fresh, memory, begun: false };
+    let number = tables.backends.note_sent(&target.id, row, parts);
+    drop(tables);
+    FlightGuard::new(gateway, &target.id, number)
+}
+
+/// Returns how long to wait for an answer before another server is tried.
+fn silence_bound(plan: &CallPlan<'_>, may_move: bool) -> Duration {
+    let left = plan.left();
+    if !may_move {
+        return left;
+    }
+    left.min((plan.route.aim * SILENCE_FACTOR).max(SILENCE_LEAST))
+}
+
+async fn open_exchange(
+    context: &AttemptContext<'_, '_>,
+    last_event: Option<u64>,
+) -> Result<OpenExchange, AttemptFate> {
+    let AttemptContext { plan, target, .. } = *context;
+    let mut channel = open_channel(context).await?;
+    let bodiless = plan.body.is_empty() && plan.head.fields.get("content-length").is_none();
+    let order = OrderFacts {
+        backend: &target.id,
+        customer: plan.customer.as_ref().map(|customer| &customer.name),
+        left: plan.left(),
+        urgency: plan.urgency,
+        last_event,
+        body: (!bodiless).then_some(plan.body.len()),
+    };
+    let mut bytes = requests::write_order(plan.head, &order);
+    bytes.extend_from_slice(plan.body);
+    let bound = silence_bound(plan, context.may_move);
+    let exchange = exchange_heads(&mut channel, &bytes, &plan.facts.id);
+    let (head, sent_whole) = match clocks::within(bound, exchange).await {
+        Ok(found) => found,
+        Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+            let over = plan.left().is_zero();
+            return Err(if over { AttemptFate::TimedOut } else { AttemptFate::Lost });
+        }
+        Err(error) => {
+            tracing::debug!(event = "exchange_broken", server = %target.id, %error);
+            return Err(AttemptFate::Lost);
+        }
+    };
+    let framer = BodyFramer::of_answer(head.length);
+    Ok(OpenExchange { channel, head, framer, sent_whole })
+}
+
+async fn open_channel(context: &AttemptContext<'_, '_>) -> Result<BufferedChannel, AttemptFate> {
+    let AttemptContext { gateway, plan, target, .. } = *context;
+    let idle = match plan.route.kind {
+        RouteKind::Once | RouteKind::Stream { resumable: false } => ONCE_IDLE,
+        RouteKind::Repeatable | RouteKind::Stream { resumable: true } => REPEATABLE_IDLE,
+    };
+    if let Some(channel) = gateway.channels.take(&target.id, idle) {
+        return Ok(channel);
+    }
+    gateway.board.count_event("connections_opened");
+    let bound = CONNECT_BOUND.min(plan.left());
+    let opened = clocks::within(bound, BufferedChannel::connect(target.address)).await;
+    opened.map_err(|error| {
+        tracing::info!(
+            event = "connect_failed", request = %plan.facts.id, server = %target.id,
+            address = %target.address, %error,
+        );
+        AttemptFate::NotSent
+    })
+}
+
+/// Writes the request and reads the head of its answer, which may come before all is written.
+async fn exchange_heads(
+    channel: &mut BufferedChannel,
+    bytes: &[u8],
+    id: &str,
+) -> io::Result<(AnswerHead, bool)> {
+    let writer = channel.writer();
+    let mut sent_whole = false;
+    let writing = async {
+        // A server that answers early may close its side before it has read all: its answer is
+        // still there to be read.
+        sent_whole = writer.write_all(bytes).await.is_ok();
+        std::future::pending().await
+    };
+    let head = read_own_head(channel, id).or(writing).await?;
+    Ok((head, sent_whole))
+}
+
+/// Reads heads until one answers this request.
+///
+/// Guards against an answer to an earlier request that comes late, at the place of this one's: it
+/// names another attempt and is passed over whole.
+async fn read_own_head(channel: &mut BufferedChannel, id: &str) -> io::Result<AnswerHead> {
+    let mut foreign = 0;
+    loop {
+        let bytes = channel.read_head(HEAD_LIMIT).await?;
+        let bytes = bytes.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let head = AnswerHead::parse(&bytes).map_err(|_| io::ErrorKind::InvalidData)?;
+        if (100..200).contains(&head.status) {
+            continue;
+        }
+        if requests::read_answer(&head, id).own != Some(false) {
+            return Ok(head);
+        }
+        foreign += 1;
+        if foreign > FOREIGN_LIMIT || head.close {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        skip_body(channel, &head).await?;
+    }
+}
+
+async fn skip_body(channel: &mut BufferedChannel, head: &AnswerHead) -> io::Result<()> {
+    let mut framer = BodyFramer::of_answer(head.length);
+    let mut body = Vec::new();
+    loop {
+        let taken = framer.feed(&channel.buffer, &mut body);
+        channel.buffer.drain(..taken);
+        body.clear();
+        if framer.is_done() {
+            return Ok(());
+        }
+        if framer.is_broken() || channel.fill().await? == 0 {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+    }
+}
+
+/// The server did not run the request. Its connection may be used again once the body has passed.
+async fn end_declined(context: &AttemptContext<'_, '_>, mut exchange: OpenExchange) -> AttemptEnd {
+    let AttemptContext { gateway, plan, target, .. } = *context;
+    let status = exchange.head.status;
+    if status == 421 {
+        gateway.tables.borrow_mut().backends.note_leaving(&target.id);
+        gateway.channels.forget(&target.id);
+    }
+    tracing::info!(
+        event = "declined", request = %plan.facts.id, server = %target.id, status,
+    );
+    let mut body = Vec::new();
+    let bound = CONNECT_BOUND.min(plan.left());
+    let read = clocks::within(bound, relaying::read_rest(&mut exchange, &mut body)).await;
+    if read.is_ok() && status != 421 {
+        exchange.keep_channel(gateway, &target.id);
+    }
+    AttemptEnd::Ended(AttemptFate::Declined)
+}
--- /dev/null
+++ b/toucanrail-gateway/src/settling.rs
@@ -0,0 +1,147 @@
+//! Budgets at the gateway: holds for requests, and the syncs that settle them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol::future::FutureExt;
+use toucanrail::codetable;
+use toucanrail::grants::GrantHold;
+use toucanrail::ids::{CustomerId, Tokens};
+use toucanrail::syncs::{SyncMachine, SyncOutcome};
+use toucanrail_wire::clocks;
+
+use crate::admitting::EntryRefusal;
+use crate::states::{Gateway, SHARD};
+
+/// Time between settlements; two calls each, and what a dead entry has not billed is at most this.
+const FLUSH: Duration = Duration::from_secs(2);
+/// Pause between syncs that requests asked for: those that wait meanwhile share the next one.
+const SYNC_PAUSE: Duration = Duration::from_millis(15);
+/// Pause after a sync that the store did not answer.
+const SILENT_PAUSE: Duration = Duration::from_millis(150);
+/// Longest wait for a call of a sync.
+const CALL_BOUND: Duration = Duration::from_secs(1);
+/// Longest wait of a request for a grant; most grants are there, the others take one sync.
+const GRANT_WAIT: Duration = Duration::from_millis(400);
+/// When to come back where the money is granted elsewhere or the store is away.
+const GRANT_RETRY: Duration = Duration::from_millis(800);
+/// Longest wait of a stopping entry for its last settlement.
+const LEAVE_BOUND: Duration = Duration::from_millis(800);
+
+/// Settles every flush, and at once while requests wait for a grant.
+pub async fn run_syncs(gateway: Rc<Gateway>) {
+    loop {
+        let wanted = gateway.wanted.listen();
+        if !gateway.tables.borrow().grants.has_unseen(&gateway.shard) {
+            let flush = async {
+                smol::Timer::after(FLUSH.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+            };
+            wanted.or(flush).await;
+        }
+        let answered = sync_accounts(&gateway, false).await;
+        gateway.synced.notify(usize::MAX);
+        smol::Timer::after(if answered { SYNC_PAUSE } else { SILENT_PAUSE }).await;
+    }
+}
+
+/// Runs one sync, if one is due; false if the store did not answer.
+async fn sync_accounts(gateway: &Rc<Gateway>, leave: bool) -> bool {
+    let started = {
+        let mut tables = gateway.tables.borrow_mut();
+        let plan = tables.grants.plan_sync(&gateway.shard, leave);
+        plan.map(|plan| (plan, tables.grants.take_cached(&gateway.shard)))
+    };
+    let Some((plan, cached)) = started else {
+        return true;
+    };
+    let mut machine = SyncMachine::new(plan, Gateway::policy(), cached);
+    let mut calls = 0_u32;
+    while let Some(call) = machine.next_call() {
+        calls += 1;
+        machine.take_reply(gateway.store.call(&call, CALL_BOUND).await);
+    }
+    let outcome = machine.into_outcome();
+    let kind = match outcome {
+        SyncOutcome::Applied { .. } => "syncs",
+        SyncOutcome::Unchanged { .. } => "syncs_idle",
+        SyncOutcome::Unavailable => "syncs_unanswered",
+        SyncOutcome::Revoked { .. } => "tenures_lost",
+    };
+    let answered = !matches!(outcome, SyncOutcome::Unavailable);
+    gateway.board.count_event(kind);
+    gateway.board.add_events("sync_calls", u64::from(calls));
+    gateway.note_store("budgets", answered);
+    gateway.tables.borrow_mut().grants.apply_sync(&gateway.shard, outcome);
+    answered
+}
+
+/// Takes a hold, waiting for a sync if the grant is short.
+pub async fn take_hold(
+    gateway: &Rc<Gateway>,
+    customer: &CustomerId,
+    amount: Tokens,
+    left: Duration,
+) -> Result<GrantHold, EntryRefusal> {
+    if let Ok(hold) = gateway.tables.borrow_mut().grants.hold(customer, amount) {
+        return Ok(hold);
+    }
+    gateway.tables.borrow_mut().grants.add_shortage(customer, amount);
+    let waiting = clocks::bounded(GRANT_WAIT.min(left / 4), wait_hold(gateway, customer, amount));
+    let waited = waiting.await;
+    gateway.tables.borrow_mut().grants.drop_shortage(customer, amount);
+    waited.unwrap_or_else(|| {
+        tracing::info!(
+            event = "grant_short", %customer, amount,
+            store_age_ms = gateway.store_age().as_millis() as u64,
+        );
+        let code = codetable::BUDGET_UNCONFIRMED;
+        Err(EntryRefusal { code, retry_after: Some(GRANT_RETRY.min(left / 3)) })
+    })
+}
+
+async fn wait_hold(
+    gateway: &Rc<Gateway>,
+    customer: &CustomerId,
+    amount: Tokens,
+) -> Result<GrantHold, EntryRefusal> {
+    loop {
+        let synced = gateway.synced.listen();
+        let before = gateway.tables.borrow().grants.looks(&gateway.shard);
+        gateway.wanted.notify(usize::MAX);
+        synced.await;
+        let mut tables = gateway.tables.borrow_mut();
+        if let Ok(hold) = tables.grants.hold(customer, amount) {
+            return Ok(hold);
+        }
+        // Only a shard read after the request came may refuse it.
+        let fresh = tables.grants.looks(&gateway.shard) > before;
+        if fresh && tables.grants.is_uncovered(customer, amount) {
+            return Err(codetable::BUDGET_EXHAUSTED.into());
+        }
+    }
+}
+
+/// Takes the customers of a new configuration.
+pub fn take_customers(gateway: &Gateway) {
+    let mut tables = gateway.tables.borrow_mut();
+    let tables = &mut *tables;
+    for customer in tables.routes.customers() {
+        if let Some(total) = customer.prepaid {
+            tables.grants.add_account(&customer.name, &gateway.shard);
+            tables.grants.note_prepaid(&customer.name, total);
+        }
+    }
+}
+
+/// Settles all and gives unused grants back.
+pub async fn leave(gateway: &Rc<Gateway>) {
+    let leaving = async {
+        while gateway.tables.borrow().grants.is_open(&gateway.shard) {
+            sync_accounts(gateway, true).await;
+            smol::Timer::after(SYNC_PAUSE).await;
+        }
+    };
+    if clocks::bounded(LEAVE_BOUND, leaving).await.is_none() {
+        tracing::warn!(event = "left_unsettled", shard = SHARD);
+    }
+}
--- /dev/null
+++ b/toucanrail-gateway/src/starting.rs
@@ -0,0 +1,90 @@
+//! The start of a gateway: its tables, its sockets and its loops.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use event_listener::Event;
+use smol::{Async, LocalExecutor};
+use toucanrail::backends::BackendTable;
+use toucanrail::grants::GrantTable;
+use toucanrail::matching::RouteTable;
+use toucanrail_daemons::observing::MetricBoard;
+use toucanrail_daemons::starting::{self, ProcessClock};
+use toucanrail_platform::settings::NodeSettings;
+use toucanrail_platform::stores::StoreClient;
+use toucanrail_wire::keeping::ChannelPool;
+
+use crate::accepting;
+use crate::following;
+use crate::inspecting;
+use crate::settling;
+use crate::states::{Gateway, GatewayTables, SHARD};
+use crate::stopping;
+
+/// Longest wait for a connection to the store.
+const STORE_CONNECT: Duration = Duration::from_millis(700);
+
+/// Runs a gateway until it is told to stop.
+pub fn run(settings: NodeSettings) -> io::Result<()> {
+    let gateway = Rc::new(make_gateway(settings)?);
+    let callers = bind(gateway.settings.callers)?;
+    let readiness = bind(gateway.settings.readiness)?;
+    let metrics = gateway.settings.metrics.map(bind).transpose()?;
+    tracing::info!(
+        event = "start", id = %gateway.id, data_centre = %gateway.settings.data_centre,
+        callers = %gateway.settings.callers, store = %gateway.settings.store,
+        version = env!("CARGO_PKG_VERSION"),
+    );
+    let held = Rc::clone(&gateway);
+    let executor = &gateway.executor;
+    executor.spawn(accepting::serve_callers(Rc::clone(&held), callers)).detach();
+    executor.spawn(inspecting::serve_questions(Rc::clone(&held), readiness)).detach();
+    if let Some(metrics) = metrics {
+        executor.spawn(inspecting::serve_questions(Rc::clone(&held), metrics)).detach();
+    }
+    executor.spawn(following::follow_config(Rc::clone(&held))).detach();
+    executor.spawn(following::follow_servers(Rc::clone(&held))).detach();
+    executor.spawn(following::sweep(Rc::clone(&held))).detach();
+    executor.spawn(settling::run_syncs(Rc::clone(&held))).detach();
+    smol::block_on(executor.run(stopping::wait_end(held)));
+    Ok(())
+}
+
+fn make_gateway(settings: NodeSettings) -> io::Result<Gateway> {
+    let id = starting::new_incarnation(&settings.vm);
+    let board = MetricBoard::new("gateway").map_err(io::Error::other)?;
+    let tables = GatewayTables {
+        routes: RouteTable::new(),
+        backends: BackendTable::new(),
+        grants: GrantTable::new(Arc::clone(&id), Gateway::policy()),
+        retries: BTreeMap::new(),
+    };
+    Ok(Gateway {
+        store: StoreClient::new(settings.store, STORE_CONNECT),
+        settings,
+        id,
+        board,
+        executor: LocalExecutor::new(),
+        tables: RefCell::new(tables),
+        channels: ChannelPool::new(),
+        clock: ProcessClock::start(),
+        shard: Arc::from(SHARD),
+        stopping: Cell::new(None),
+        closes_idle: Cell::new(false),
+        in_flight: Cell::new(0),
+        store_heard: Cell::new(None),
+        store_silent: RefCell::default(),
+        leaving: Event::new(),
+        wanted: Event::new(),
+        synced: Event::new(),
+    })
+}
+
+fn bind(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+}
--- /dev/null
+++ b/toucanrail-gateway/src/stopping.rs
@@ -0,0 +1,65 @@
+//! Signals: SIGTERM ends the process without cutting an answer off, SIGHUP reads the settings anew.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_signal::{Signal, Signals};
+use smol::stream::StreamExt;
+use toucanrail_platform::settings;
+
+use crate::settling;
+use crate::states::Gateway;
+
+/// Time after SIGTERM for which idle connections stay open: the balancer learns in this time that
+/// the entry is not ready, and a request under way still finds it.
+const IDLE_NOTICE: Duration = Duration::from_millis(2_500);
+/// Taken off the grace period: after that the platform kills.
+const GRACE_MARGIN: Duration = Duration::from_millis(1_100);
+const STEP: Duration = Duration::from_millis(50);
+
+/// Waits for SIGTERM, then until nothing is in flight.
+pub async fn wait_end(gateway: Rc<Gateway>) {
+    match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+        Ok(mut signals) => {
+            while let Some(Ok(signal)) = signals.next().await {
+                if signal != Signal::Hup {
+                    break;
+                }
+                reload(&gateway);
+            }
+        }
+        Err(error) => {
+            tracing::error!(event = "no_signals", %error);
+            std::future::pending::<()>().await;
+        }
+    }
+    drain(&gateway).await;
+}
+
+/// The addresses of a process do not change while it runs; what a new file says of them is logged.
+fn reload(gateway: &Gateway) {
+    match settings::read_settings() {
+        Ok(read) if read == gateway.settings => tracing::info!(event = "reload", changed = false),
+        Ok(read) => tracing::info!(event = "reload", changed = true, settings = ?read),
+        Err(fault) => tracing::error!(event = "reload_failed", %fault),
+    }
+}
+
+async fn drain(gateway: &Rc<Gateway>) {
+    let since = Instant::now();
+    gateway.stopping.set(Some(since));
+    tracing::info!(event = "stop", in_flight = gateway.in_flight.get());
+    smol::Timer::after(IDLE_NOTICE).await;
+    gateway.closes_idle.set(true);
+    gateway.leaving.notify(usize::MAX);
+    let limit = gateway.settings.grace.saturating_sub(GRACE_MARGIN);
+    while gateway.in_flight.get() > 0 && since.elapsed() < limit {
+        smol::Timer::after(STEP).await;
+    }
+    settling::leave(gateway).await;
+    tracing::info!(
+        event = "stopped",
+        in_flight = gateway.in_flight.get(),
+        took_ms = since.elapsed().as_millis() as u64,
+    );
+}
--- a/toucanrail-wire/src/lib.rs
+++ b/toucanrail-wire/src/lib.rs
@@ -26,8 +26,11 @@
 //! .unwrap();
 //! ```
 
+pub mod channels;
 pub mod clients;
 pub mod clocks;
+pub mod heads;
+pub mod keeping;
 pub mod listeners;
 pub mod pipes;
 pub mod replays;
--- a/toucanrail-wire/src/replies.rs
+++ b/toucanrail-wire/src/replies.rs
@@ -131,9 +131,13 @@
     response
 }
 
-/// Makes the answer of a refusal: a JSON error in the callers' usual form, and the headers that
-/// say the result, the run and when to come back.
-pub fn refusal(note: &RefusalNote) -> Response {
+/// Returns the body of a refusal: a JSON error in the callers' usual form.
+pub fn refusal_body(note: &RefusalNote) -> Vec<u8> {
+    // Only maps with keys other than text can fail here.
+    serde_json::to_vec(&refusal_envelope(note)).unwrap_or_default()
+}
+
+fn refusal_envelope(note: &RefusalNote) -> ErrorEnvelope {
     let row = note.code.row();
     let message = if note.detail.is_empty() {
         row.text.to_owned()
@@ -148,7 +152,14 @@
         result: row.number,
         run: note.run.as_str(),
     };
-    let mut response = json(row.status, &ErrorEnvelope { error });
+    ErrorEnvelope { error }
+}
+
+/// Makes the answer of a refusal: a JSON error in the callers' usual form, and the headers that
+/// say the result, the run and when to come back.
+pub fn refusal(note: &RefusalNote) -> Response {
+    let row = note.code.row();
+    let mut response = json(row.status, &refusal_envelope(note));
     response.insert_header(RESULT_HEADER, row.number.to_string());
     response.insert_header(RUN_HEADER, note.run.as_str());
     if let Some(wait) = note.retry_after {
--- /dev/null
+++ b/toucanrail/src/attempting.rs
@@ -0,0 +1,125 @@
+//! What follows an attempt at a backend server: another one, the server's answer or a refusal.
+//!
+//! The load it answers: servers that fail part of their requests, lose answers or are gone. Two
+//! promises bound it: a request that may run once is never sent again after it may have run, and
+//! "not run" is said only where nothing was sent or every server declined.
+
+use std::time::Duration;
+
+use crate::codes::{ResultCode, RunState};
+use crate::codetable;
+use crate::matching::RouteKind;
+
+/// Time that must be left for another attempt to be worth its load on the servers.
+const LEAST_TIME: Duration = Duration::from_millis(30);
+
+/// How one attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptFate {
+    /// Nothing of the request reached a server.
+    NotSent,
+    /// The server says that it did not run the request and never will.
+    Declined,
+    /// The server answered with a failure of its own.
+    Failed,
+    /// It was sent, and no whole answer came; nothing was passed on to the caller.
+    Lost,
+    /// Part of a stream was passed on, and the rest did not come.
+    Broken,
+    /// The time was over.
+    TimedOut,
+}
+
+/// The attempts of one request so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptTally {
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Most servers that it may be sent to.
+    pub limit: u32,
+    /// Times it was sent.
+    pub sent: u32,
+    /// Whether a server may have run it.
+    pub may_have_run: bool,
+    /// Whether part of the answer was passed on.
+    pub begun: bool,
+}
+
+/// What comes next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextStep {
+    /// Another server, if the retry budget allows it.
+    Again,
+    /// The server's own failure, as it came.
+    Deliver,
+    /// A failure or refusal of the fleet's own.
+    Answer(ResultCode),
+    /// The stream ends visibly cut.
+    Cut,
+}
+
+impl AttemptTally {
+    /// Starts the tally of a request.
+    pub fn new(kind: RouteKind, limit: u32) -> Self {
+        Self { kind, limit: limit.max(1), sent: 0, may_have_run: false, begun: false }
+    }
+
+    /// Notes how an attempt ended.
+    pub fn note(&mut self, fate: AttemptFate) {
+        match fate {
+            AttemptFate::NotSent => {}
+            AttemptFate::Declined => self.sent += 1,
+            AttemptFate::Failed
+            | AttemptFate::Lost
+            | AttemptFate::Broken
+            | AttemptFate::TimedOut => {
+                self.sent += 1;
+                self.may_have_run = true;
+            }
+        }
+    }
+
+    /// Returns what is known of the run.
+    pub fn run_state(&self) -> RunState {
+        if self.may_have_run { RunState::Unknown } else { RunState::NotRun }
+    }
+
+    /// Tells whether a further attempt is allowed, whatever the retry budget says.
+    pub fn may_send(&self, left: Duration) -> bool {
+        let repeatable = !self.may_have_run || self.kind.is_repeatable();
+        repeatable && self.sent < self.limit && left > LEAST_TIME
+    }
+
+    /// Decides what follows an attempt that was noted before.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::attempting::{AttemptFate, AttemptTally, NextStep};
+    /// use toucanrail::{codetable, matching::RouteKind};
+    /// let mut tally = AttemptTally::new(RouteKind::Once, 2);
+    /// tally.note(AttemptFate::Lost);
+    /// let step = tally.decide(AttemptFate::Lost, Duration::from_secs(1));
+    /// assert_eq!(step, NextStep::Answer(codetable::BACKEND_FAILED));
+    /// ```
+    pub fn decide(&self, fate: AttemptFate, left: Duration) -> NextStep {
+        if fate != AttemptFate::TimedOut && self.may_send(left) {
+            return NextStep::Again;
+        }
+        self.give_up(fate)
+    }
+
+    /// Decides what the caller gets where no further attempt is made.
+    pub fn give_up(&self, fate: AttemptFate) -> NextStep {
+        if self.begun {
+            return NextStep::Cut;
+        }
+        match fate {
+            AttemptFate::Failed => NextStep::Deliver,
+            AttemptFate::TimedOut => NextStep::Answer(codetable::SILENT_CONNECTION),
+            _ if self.may_have_run => NextStep::Answer(codetable::BACKEND_FAILED),
+            AttemptFate::Declined => NextStep::Answer(codetable::OVERLOADED),
+            _ => NextStep::Answer(codetable::NO_BACKEND_SERVER),
+        }
+    }
+}
--- /dev/null
+++ b/toucanrail/src/backends.rs
@@ -0,0 +1,319 @@
+//! The table of backend servers that an entry reaches directly, and what it has sent to each.
+//!
+//! Servers register themselves in the platform's store. The table keeps what the store said last,
+//! the requests this entry has in flight at each server, and what it knows of its prompt cache.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::ejections::EjectionState;
+use crate::ids::{DataCentre, ServiceName, Tokens};
+
+/// Id of a backend server, new with most of its starts.
+pub type BackendId = Arc<str>;
+/// Id of a part of a prompt.
+pub type PartId = u64;
+/// Number of a request in flight, unique in this process.
+pub type FlightId = u64;
+
+/// Time for which a server whose entry lapsed while the store was away is still used after the
+/// store's return; the platform states that live servers are back within about this time.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
+/// Time out of rotation after a connection was refused or not opened in time; doubles with each
+/// failure in a row, so that a dead server costs few connection timeouts.
+const DOWN_TIME: Duration = Duration::from_millis(400);
+const DOWN_LIMIT: Duration = Duration::from_secs(4);
+/// Prompt parts remembered a server; bounds the table's memory at about 200 KB a server.
+const PART_LIMIT: usize = 2_048;
+/// Weight of a new time in the smoothed time to an answer.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// One part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Its id; equal parts have equal ids.
+    pub id: PartId,
+    /// Its tokens.
+    pub tokens: Tokens,
+}
+
+/// What a server says of itself in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct BackendEntry {
+    /// Its id.
+    pub id: BackendId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Requests it runs at once.
+    pub slots: u64,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// When it started, in Unix milliseconds; another time under the same id is another process.
+    pub born: u64,
+}
+
+/// What a server's engine reports of its load; some hundred milliseconds old on arrival.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct EngineReport {
+    /// Requests that wait for a slot or memory.
+    pub waiting: u64,
+    /// Requests that run.
+    pub running: u64,
+    /// Tokens of memory that cannot be freed.
+    pub used: Tokens,
+    /// Tokens of memory.
+    pub total: Tokens,
+}
+
+/// One request of this entry at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct FlightRow {
+    /// When it was sent.
+    pub sent_at: Duration,
+    /// Prompt tokens that the server must read.
+    pub fresh: Tokens,
+    /// Tokens of memory that it will need at its likely length.
+    pub memory: Tokens,
+    /// Whether its answer has begun.
+    pub begun: bool,
+}
+
+/// One backend server.
+#[derive(Debug, Clone, Serialize)]
+pub struct BackendRow {
+    /// What it says of itself.
+    pub entry: BackendEntry,
+    /// Requests in flight there.
+    pub flights: BTreeMap<FlightId, FlightRow>,
+    /// Its last report and when it was asked for.
+    pub report: Option<(EngineReport, Duration)>,
+    /// This entry's requests that ran when that report was asked for.
+    pub own_reported: u64,
+    /// What its failures led to.
+    pub ejection: EjectionState,
+    /// End of the time in which no connection is tried.
+    pub down_until: Duration,
+    downs: u32,
+    /// Smoothed time to an answer, or to a stream's first event, in seconds.
+    pub latency: f64,
+    /// When its entry went missing; it may come back.
+    pub missing_since: Option<Duration>,
+    #[serde(skip)]
+    parts: BTreeMap<PartId, Duration>,
+}
+
+impl BackendRow {
+    fn new(entry: BackendEntry) -> Self {
+        Self {
+            entry,
+            flights: BTreeMap::new(),
+            report: None,
+            own_reported: 0,
+            ejection: EjectionState::default(),
+            down_until: Duration::ZERO,
+            downs: 0,
+            latency: 0.0,
+            missing_since: None,
+            parts: BTreeMap::new(),
+        }
+    }
+
+    /// Tells whether new work may go there.
+    pub fn takes_work(&self, now: Duration) -> bool {
+        !self.entry.draining && now >= self.down_until && !self.ejection.is_ejected(now)
+    }
+
+    /// Returns how many prompt tokens of a chain of parts the server must read: all behind the
+    /// first part that it is not known to have read.
+    pub fn fresh_tokens(&self, parts: &[PromptPart], prompt: Tokens) -> Tokens {
+        let cached = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        let cached: Tokens = cached.map(|part| part.tokens).sum();
+        prompt.saturating_sub(cached)
+    }
+
+    /// Returns the requests of others that run or wait there, as last reported.
+    pub fn others(&self) -> u64 {
+        let reported = self.report.map_or(0, |(report, _)| report.running + report.waiting);
+        reported.saturating_sub(self.own_reported)
+    }
+
+    fn note_parts(&mut self, parts: &[PromptPart], now: Duration) {
+        for part in parts {
+            self.parts.insert(part.id, now);
+        }
+        if self.parts.len() > PART_LIMIT {
+            let mut times: Vec<Duration> = self.parts.values().copied().collect();
+            times.sort_unstable();
+            let middle = times[times.len() / 2];
+            self.parts.retain(|_, at| *at > middle);
+        }
+    }
+}
+
+/// All backend servers of an entry.
+#[derive(Debug, Default, Serialize)]
+pub struct BackendTable {
+    rows: BTreeMap<BackendId, BackendRow>,
+    next_flight: FlightId,
+}
+
+impl BackendTable {
+    /// Makes an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a server's entry as it now is in the store.
+    ///
+    /// A server that started again under its id holds and knows nothing of before, so its row
+    /// starts anew.
+    pub fn take_entry(&mut self, entry: BackendEntry) {
+        match self.rows.get_mut(&entry.id) {
+            Some(row) if row.entry.born == entry.born && row.entry.address == entry.address => {
+                row.entry = entry;
+                row.missing_since = None;
+            }
+            _ => {
+                self.rows.insert(Arc::clone(&entry.id), BackendRow::new(entry));
+            }
+        }
+    }
+
+    /// Notes that a server's entry is gone from the store.
+    ///
+    /// After an outage of the store, which returned at `returned`, an entry may be missing although
+    /// its server lives: it is used until [`LAPSE_GRACE`] has passed since then. Otherwise the server
+    /// has left or died, and gets no work.
+    pub fn note_missing(&mut self, id: &str, returned: Option<Duration>) {
+        match (returned, self.rows.get_mut(id)) {
+            (Some(returned), Some(row)) => {
+                row.missing_since.get_or_insert(returned);
+            }
+            _ => {
+                self.rows.remove(id);
+            }
+        }
+    }
+
+    /// Drops the servers whose entries did not come back; returns their ids.
+    pub fn drop_lapsed(&mut self, now: Duration) -> Vec<BackendId> {
+        let is_over = |row: &BackendRow| {
+            row.missing_since.is_some_and(|since| now.saturating_sub(since) > LAPSE_GRACE)
+        };
+        let over = self.rows.values().filter(|row| is_over(row));
+        let over: Vec<BackendId> = over.map(|row| Arc::clone(&row.entry.id)).collect();
+        for id in &over {
+            self.rows.remove(id);
+        }
+        over
+    }
+
+    /// Returns one server.
+    pub fn get(&self, id: &str) -> Option<&BackendRow> {
+        self.rows.get(id)
+    }
+
+    /// Returns all servers.
+    pub fn rows(&self) -> impl Iterator<Item = &BackendRow> {
+        self.rows.values()
+    }
+
+    /// Returns the servers of a service that may take new work and were not tried yet.
+    ///
+    /// Where all of them are ejected or down, those are returned that the store still lists as
+    /// ready: a wrong guess must not refuse what a server would serve.
+    pub fn eligible<'table>(
+        &'table self,
+        service: &str,
+        tried: &[BackendId],
+        now: Duration,
+    ) -> Vec<&'table BackendRow> {
+        let fits = |row: &&BackendRow| {
+            *row.entry.service == *service && !row.entry.draining && !tried.contains(&row.entry.id)
+        };
+        let rows: Vec<&BackendRow> = self.rows.values().filter(fits).collect();
+        let working: Vec<&BackendRow> =
+            rows.iter().copied().filter(|row| row.takes_work(now)).collect();
+        if working.is_empty() { rows } else { working }
+    }
+
+    /// Notes a request sent and returns its number.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::backends::{BackendTable, FlightRow};
+    /// let mut table = BackendTable::new();
+    /// let row = FlightRow { sent_at: Default::default(), fresh: 0, memory: 0, begun: false };
+    /// assert_ne!(table.note_sent("a", row, &[]), table.note_sent("a", row, &[]));
+    /// ```
+    pub fn note_sent(&mut self, id: &str, flight: FlightRow, parts: &[PromptPart]) -> FlightId {
+        self.next_flight += 1;
+        if let Some(row) = self.rows.get_mut(id) {
+            row.flights.insert(self.next_flight, flight);
+            row.note_parts(parts, flight.sent_at);
+        }
+        self.next_flight
+    }
+
+    /// Notes that the answer to a request has begun.
+    pub fn note_begun(&mut self, id: &str, number: FlightId, now: Duration) {
+        let Some(row) = self.rows.get_mut(id) else {
+            return;
+        };
+        row.downs = 0;
+        row.ejection.note_success(now);
+        if let Some(flight) = row.flights.get_mut(&number) {
+            flight.begun = true;
+            let wait = now.saturating_sub(flight.sent_at).as_secs_f64();
+            let weight = if row.latency > 0.0 { LATENCY_WEIGHT } else { 1.0 };
+            row.latency += (wait - row.latency) * weight;
+        }
+    }
+
+    /// Notes that a request is no longer in flight.
+    pub fn note_ended(&mut self, id: &str, number: FlightId) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.flights.remove(&number);
+        }
+    }
+
+    /// Notes a failed attempt.
+    pub fn note_failure(&mut self, id: &str, now: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.ejection.note_failure(now);
+        }
+    }
+
+    /// Notes that no connection could be opened.
+    pub fn note_down(&mut self, id: &str, now: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            let time = DOWN_TIME.saturating_mul(1 << row.downs.min(8)).min(DOWN_LIMIT);
+            row.down_until = now + time;
+            row.downs += 1;
+        }
+    }
+
+    /// Notes that a server says by its own answer that it is not the one its entry names, or that
+    /// it is leaving.
+    pub fn note_leaving(&mut self, id: &str) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.entry.draining = true;
+        }
+    }
+
+    /// Takes a report that was asked for at `asked`.
+    pub fn take_report(&mut self, id: &str, report: EngineReport, asked: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.own_reported = row.flights.len() as u64;
+            row.report = Some((report, asked));
+        }
+    }
+}
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -60,6 +60,8 @@
     pub waiting: Vec<Tokens>,
     /// Usage a second, smoothed.
     pub burn: f64,
+    /// Total that the configuration states; 0 where only operators state it, in the shard.
+    pub prepaid: Tokens,
     used: Tokens,
     /// Whether a request began to wait since the last plan.
     unseen: bool,
@@ -137,6 +139,27 @@
         self.shards.entry(Arc::clone(shard)).or_default();
     }
 
+    /// Notes the total that the configuration states for a customer; it only ever rises.
+    pub fn note_prepaid(&mut self, customer: &CustomerId, total: Tokens) {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.prepaid = account.prepaid.max(total);
+        }
+    }
+
+    /// Tells whether a customer's balance, as last seen, provably does not cover an amount: what
+    /// others hold unspent is counted as left.
+    pub fn is_uncovered(&self, customer: &CustomerId, amount: Tokens) -> bool {
+        let tenure = self.homes.get(customer).and_then(|shard| self.shards.get(shard));
+        let cached = tenure.and_then(|tenure| tenure.cached.as_ref());
+        let known = cached.and_then(|(_, shard)| shard.accounts.get(customer));
+        let (Some(known), Some(account)) = (known, self.accounts.get(customer)) else {
+            return false;
+        };
+        let gone = known.billed + known.written_off + known.frozen.values().sum::<Tokens>();
+        let own = account.held + account.unsettled_total() + account.settling;
+        known.prepaid.max(account.prepaid) < gone + own + amount
+    }
+
     /// Names the agents that this entry wants to use.
     pub fn want_agents(&mut self, agents: BTreeSet<AgentId>) {
         self.wanted_agents = agents;
@@ -198,7 +221,10 @@
 
     fn unallocated(&self, customer: &CustomerId) -> Option<Tokens> {
         let (_, shard) = self.shards.get(self.homes.get(customer)?)?.cached.as_ref()?;
-        shard.accounts.get(customer).map(super::budgets::BudgetAccount::unallocated)
+        let known = shard.accounts.get(customer)?;
+        // A top-up that the shard does not have yet is brought there by the next sync.
+        let stated = self.accounts.get(customer).map_or(0, |account| account.prepaid);
+        Some(known.unallocated() + stated.saturating_sub(known.prepaid))
     }
 
     /// Notes that a request waits for so much more.
@@ -354,7 +380,7 @@
             busy: account.held + account.unsettled_total(),
             granted: account.granted.saturating_sub(account.returning),
             shortage: account.shortage(),
-            unallocated: known.map_or(0, super::budgets::BudgetAccount::unallocated),
+            unallocated: self.unallocated(customer).unwrap_or(0),
             prepaid: known.map_or(0, |account| account.prepaid),
             holders: cached.map_or(1, |shard| shard.holders.len() as u64),
         })
@@ -385,6 +411,7 @@
                 shortage: account.shortage(),
                 least: account.waiting.iter().min().copied().unwrap_or(0),
                 returning: account.returning,
+                prepaid: account.prepaid,
             };
             demands.insert(Arc::clone(customer), demand);
         }
@@ -448,8 +475,10 @@
     /// The tenure is another's to settle now: nothing of it may be spent or settled here.
     fn drop_tenure(&mut self, shard: &ShardName, applied: bool) {
         for customer in self.customers_of(shard) {
-            let unsettled = self.accounts.insert(customer, GrantAccount::default());
-            let rows = unsettled.map(|account| account.unsettled).unwrap_or_default();
+            let account = self.accounts.entry(customer).or_default();
+            let prepaid = account.prepaid;
+            let left = std::mem::replace(account, GrantAccount { prepaid, ..Default::default() });
+            let rows = left.unsettled;
             if let Some(tenure) = self.shards.get_mut(shard) {
                 tenure.late.extend(rows);
             }
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -38,21 +38,28 @@
 //! ```
 
 pub mod archives;
+pub mod attempting;
+pub mod backends;
 pub mod budgets;
 pub mod catalogue;
 pub mod codes;
 pub mod codetable;
+pub mod ejections;
+pub mod events;
 pub mod files;
 pub mod frames;
+pub mod framing;
 pub mod grants;
 pub mod ids;
 pub mod ledgers;
 pub mod limits;
+pub mod matching;
 pub mod members;
 pub mod messages;
 pub mod meters;
 pub mod mirrors;
 pub mod paths;
+pub mod placing;
 pub mod policies;
 pub mod reclaims;
 pub mod records;
--- a/toucanrail/src/retries.rs
+++ b/toucanrail/src/retries.rs
@@ -15,20 +15,30 @@
 /// failing.
 #[derive(Debug, Clone, Serialize)]
 pub struct RetryBudget {
+    share: f64,
+    reserve: f64,
     saved: f64,
     /// Retries refused for want of budget.
     pub refused: u64,
 }
 
 impl RetryBudget {
-    /// Makes a full budget.
+    /// Makes a full budget of the usual size.
     pub fn new() -> Self {
-        Self { saved: RETRY_RESERVE, refused: 0 }
+        Self::with_bounds(RETRY_SHARE, RETRY_RESERVE)
+    }
+
+    /// Makes a full budget: each fresh request adds `share` retries, up to `reserve`.
+    ///
+    /// In no window are more retries spent than `reserve` and `share` of its fresh requests. So
+    /// processes that divide a reserve keep a bound on their sum without telling one another.
+    pub fn with_bounds(share: f64, reserve: f64) -> Self {
+        Self { share, reserve, saved: reserve, refused: 0 }
     }
 
     /// Notes a fresh request.
     pub fn note_fresh(&mut self) {
-        self.saved = (self.saved + RETRY_SHARE).min(RETRY_RESERVE);
+        self.saved = (self.saved + self.share).min(self.reserve);
     }
 
     /// Takes one retry out of the budget, if there is one.
--- a/toucanrail/src/scanners.rs
+++ b/toucanrail/src/scanners.rs
@@ -59,6 +59,9 @@
 /// ```
 pub fn scan_head(head: &[u8]) -> Result<HeadFacts, ResultCode> {
     let text = std::str::from_utf8(head).map_err(|_| codetable::BAD_REQUEST)?;
+    if has_bare_line_end(head) {
+        return Err(codetable::BAD_REQUEST);
+    }
     let mut lines = text.split("\r\n");
     scan_first_line(lines.next().unwrap_or_default())?;
     let mut length = BodyLength::Absent;
@@ -69,7 +72,8 @@
         if name.eq_ignore_ascii_case("host") {
             hosts += 1;
         } else if name.eq_ignore_ascii_case("connection") {
-            close |= value.eq_ignore_ascii_case("close");
+            let mut options = value.split(',').map(str::trim);
+            close |= options.any(|option| option.eq_ignore_ascii_case("close"));
         } else if let Some(stated) = scan_length(name, value)? {
             // RFC 9112, 6.3: a second statement is how one request is smuggled inside another.
             if length != BodyLength::Absent {
@@ -81,6 +85,19 @@
     Ok(HeadFacts { length, host: hosts == 1, close })
 }
 
+/// Finds a carriage return or a line feed that stands alone: another reader may take it for the end
+/// of a line and see fields that this one does not.
+fn has_bare_line_end(head: &[u8]) -> bool {
+    let mut before = None;
+    for byte in head {
+        if (before == Some(b'\r')) != (*byte == b'\n') {
+            return true;
+        }
+        before = Some(*byte);
+    }
+    before == Some(b'\r')
+}
+
 fn scan_first_line(line: &str) -> Result<(), ResultCode> {
     let versioned = line.split(' ').any(|word| word == "HTTP/1.1" || word == "HTTP/1.0");
     let spaced = line.split(' ').filter(|word| !word.is_empty()).count() >= 2;
@@ -131,6 +148,7 @@
     Trailer { line: u32 },
     TrailerEnd { line: u32 },
     Done,
+    Broken,
 }
 
 impl ChunkScanner {
@@ -144,6 +162,11 @@
         self.state == ChunkState::Done
     }
 
+    /// Tells whether the bytes are no chunked body.
+    pub fn is_broken(&self) -> bool {
+        self.state == ChunkState::Broken
+    }
+
     /// Takes the next bytes and returns how many of them belong to the body.
     ///
     /// # Examples
@@ -153,35 +176,59 @@
     /// assert!(scanner.is_done());
     /// ```
     pub fn feed(&mut self, bytes: &[u8]) -> usize {
+        self.follow_body(bytes, |_| ())
+    }
+
+    /// Takes the next bytes like [`ChunkScanner::feed`] and adds the data in them to `data`.
+    ///
+    /// # Examples
+    /// ```
+    /// let mut data = Vec::new();
+    /// toucanrail::scanners::ChunkScanner::new().feed_into(b"3\r\nabc\r\n0\r\n\r\n", &mut data);
+    /// assert_eq!(data, b"abc");
+    /// ```
+    pub fn feed_into(&mut self, bytes: &[u8], data: &mut Vec<u8>) -> usize {
+        self.follow_body(bytes, |part| data.extend_from_slice(part))
+    }
+
+    fn follow_body<Sink>(&mut self, bytes: &[u8], mut sink: Sink) -> usize
+    where
+        Sink: FnMut(&[u8]),
+    {
         let mut at = 0;
-        while at < bytes.len() && !self.is_done() {
-            at += self.step(&bytes[at..]);
+        while at < bytes.len() && !self.is_done() && !self.is_broken() {
+            if self.state == ChunkState::Data {
+                let taken = self.pass_data(bytes.len() - at);
+                sink(&bytes[at..at + taken]);
+                at += taken;
+            } else {
+                self.state = self.follow(bytes[at]);
+                at += 1;
+            }
         }
         at
     }
 
-    fn step(&mut self, bytes: &[u8]) -> usize {
-        if self.state == ChunkState::Data {
-            let taken = self.size.min(bytes.len() as u64);
-            self.size -= taken;
-            if self.size == 0 {
-                self.state = ChunkState::DataEnd;
-            }
-            return taken as usize;
+    fn pass_data(&mut self, room: usize) -> usize {
+        let taken = self.size.min(room as u64);
+        self.size -= taken;
+        if self.size == 0 {
+            self.state = ChunkState::DataEnd;
         }
-        self.state = self.follow(bytes[0]);
-        1
+        taken as usize
     }
 
     fn follow(&mut self, byte: u8) -> ChunkState {
         match (self.state, byte) {
             (ChunkState::Size | ChunkState::Extension, b'\r') => ChunkState::SizeEnd,
             (ChunkState::Size, b';') => ChunkState::Extension,
-            (ChunkState::Size, byte) => {
-                let digit = u64::from((byte as char).to_digit(16).unwrap_or(0));
-                self.size = self.size.saturating_mul(16).saturating_add(digit);
-                ChunkState::Size
-            }
+            (ChunkState::Size, byte) => match (byte as char).to_digit(16) {
+                Some(digit) => {
+                    self.size = self.size.saturating_mul(16).saturating_add(u64::from(digit));
+                    ChunkState::Size
+                }
+                None => ChunkState::Broken,
+            },
             (ChunkState::SizeEnd, _) if self.size == 0 => ChunkState::Trailer { line: 0 },
             (ChunkState::SizeEnd, _) => ChunkState::Data,
             (ChunkState::DataEnd, b'\n') => ChunkState::Size,
--- a/toucanrail/src/servers.rs
+++ b/toucanrail/src/servers.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
+use crate::ejections::EjectionState;
 use crate::ids::{AgentId, DataCentre, EntryId, ServiceName, VmId};
 use crate::messages::LoadReport;
 
@@ -16,13 +17,6 @@
 /// Servers of one service that an entry uses; bounds the reports it asks for and the agents that a
 /// reclaim must reach.
 const FAN_OUT: usize = 32;
-/// Failures in a row that eject a server.
-const FAILURE_LIMIT: u32 = 3;
-/// First time out of rotation; doubles with each ejection in a row.
-const EJECTION_BASE: Duration = Duration::from_secs(2);
-const EJECTION_LIMIT: Duration = Duration::from_secs(30);
-/// Time over which a returning server's share grows back.
-const RETURN_RAMP: Duration = Duration::from_secs(5);
 /// Age at which half of the load that others put on a server is taken as gone.
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Weight of a new latency in the smoothed one.
@@ -86,12 +80,8 @@
     pub leaving: bool,
     /// Smoothed time to the first token, in seconds.
     pub first_token: f64,
-    /// Failures in a row.
-    pub failures: u32,
-    /// Ejections in a row.
-    pub ejections: u32,
-    /// End of the present ejection.
-    pub ejected_until: Duration,
+    /// What its failures led to.
+    pub ejection: EjectionState,
     /// The catalogue's version in force there.
     pub in_force: u64,
 }
@@ -108,13 +98,7 @@
     /// Tells whether new work may go there.
     pub fn takes_work(&self, now: Duration) -> bool {
         let silent = self.heard_at.is_none_or(|at| now.saturating_sub(at) > SILENCE_LIMIT);
-        !silent && !self.leaving && self.healthy && now >= self.ejected_until
-    }
-
-    /// Tells whether a returning server takes this request; its share grows from nothing.
-    fn is_ramped(&self, now: Duration, dice: f64) -> bool {
-        let back = now.saturating_sub(self.ejected_until).as_secs_f64();
-        self.ejections == 0 || dice < (back / RETURN_RAMP.as_secs_f64()).max(0.05)
+        !silent && !self.leaving && self.healthy && !self.ejection.is_ejected(now)
     }
 }
 
@@ -202,26 +186,15 @@
             let known = row.first_token > 0.0;
             let weight = if known { LATENCY_WEIGHT } else { 1.0 };
             row.first_token += (wait - row.first_token) * weight;
-            row.failures = 0;
             row.heard_at = Some(now);
-            let ramped = now.saturating_sub(row.ejected_until) > RETURN_RAMP;
-            if ramped {
-                row.ejections = 0;
-            }
+            row.ejection.note_success(now);
         }
     }
 
     /// Notes a failed try; enough in a row eject the server for a while.
     pub fn note_failure(&mut self, agent: &AgentId, now: Duration) {
-        let Some(row) = self.rows.get_mut(agent) else {
-            return;
-        };
-        row.failures += 1;
-        if row.failures >= FAILURE_LIMIT {
-            let time = EJECTION_BASE.saturating_mul(1 << row.ejections.min(5));
-            row.ejected_until = now + time.min(EJECTION_LIMIT);
-            row.ejections += 1;
-            row.failures = 0;
+        if let Some(row) = self.rows.get_mut(agent) {
+            row.ejection.note_failure(now);
         }
     }
 
@@ -252,7 +225,7 @@
         };
         let rows: Vec<&ServerRow> = self.rows.values().filter(fits).collect();
         let ramped: Vec<&ServerRow> =
-            rows.iter().copied().filter(|row| row.is_ramped(now, dice)).collect();
+            rows.iter().copied().filter(|row| row.ejection.is_ramped(now, dice)).collect();
         if ramped.is_empty() { rows } else { ramped }
     }
 
@@ -295,9 +268,7 @@
         healthy: true,
         leaving: false,
         first_token: 0.0,
-        failures: 0,
-        ejections: 0,
-        ejected_until: Duration::ZERO,
+        ejection: EjectionState::default(),
         in_force: 0,
     }
 }
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -30,6 +30,9 @@
     pub least: Tokens,
     /// Reserved to be given back.
     pub returning: Tokens,
+    /// Total that the configuration states; the account is raised to it, never lowered. 0 where
+    /// only operators state it, in the shard.
+    pub prepaid: Tokens,
 }
 
 /// One sync, fixed until its outcome is known.
@@ -142,7 +145,7 @@
             outcome: None,
         };
         if let Some((version, shard)) = cached {
-            machine.take_shard(version, shard);
+            machine.take_shard(Some(version), shard);
         }
         machine
     }
@@ -209,18 +212,26 @@
     }
 
     fn take_shard_reply(&mut self, reply: StoreReply) {
-        let StoreReply::Found { version, value } = reply else {
-            return self.end(SyncOutcome::Unavailable);
-        };
         self.read = true;
-        match storecalls::decode_value(&value) {
-            Some(shard) => self.take_shard(version, shard),
-            None => self.end(SyncOutcome::Unavailable),
+        match reply {
+            StoreReply::Found { version, value } => match storecalls::decode_value(&value) {
+                Some(shard) => self.take_shard(Some(version), shard),
+                None => self.end(SyncOutcome::Unavailable),
+            },
+            // Where the configuration states the totals, whoever comes first makes the shard.
+            StoreReply::Missing if self.states_totals() => {
+                self.take_shard(None, BudgetShard::default());
+            }
+            _ => self.end(SyncOutcome::Unavailable),
         }
     }
 
-    fn take_shard(&mut self, version: Version, shard: BudgetShard) {
-        self.version = Some(version);
+    fn states_totals(&self) -> bool {
+        self.plan.demands.values().any(|demand| demand.prepaid > 0)
+    }
+
+    fn take_shard(&mut self, version: Option<Version>, shard: BudgetShard) {
+        self.version = version;
         self.shard = shard;
         let tenure = self.shard.holders.get(&self.plan.entry).map(|row| (row.epoch, row.settled));
         match tenure {
@@ -228,7 +239,7 @@
             Some((epoch, settled)) if settled >= self.plan.sequence => {
                 let owned = self.plan.epoch == 0 || self.plan.epoch == epoch;
                 return if owned && self.shard.live_tenure(&self.plan.entry, epoch).is_some() {
-                    self.end_applied(epoch, version);
+                    self.end_applied(epoch, version.unwrap_or_default());
                 } else {
                     self.end_revoked();
                 };
@@ -385,6 +396,10 @@
         self.epoch = shard.open_tenure(&entry);
         shard.settle_rows(&entry, self.epoch, &self.rows);
         for (customer, demand) in &self.plan.demands {
+            if demand.prepaid > 0 {
+                let account = shard.accounts.entry(Arc::clone(customer)).or_default();
+                account.prepaid = account.prepaid.max(demand.prepaid);
+            }
             change_grant(&mut shard, &entry, customer, demand, &self.policy);
         }
         if let Some(row) = shard.live_tenure(&entry, self.epoch) {
