--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -111,13 +111,14 @@
     Taker: KindTaker,
 {
     let Some(revision) = revision else {
-        let listing = gateway.store.list_kind(Taker::KIND, WATCH_WAIT).await?;
+        let listing = gateway.store.list_kind(Taker::KIND, WATCH_WAIT, gateway.now()).await?;
         taker.note_return(gateway, gateway.now().saturating_sub(heard));
         taker.take_all(gateway, &listing.objects);
         return Ok(listing.revision);
     };
-    let bound = WATCH_WAIT + ANSWER_SLACK;
-    let watched = gateway.store.watch_kind(Taker::KIND, revision, WATCH_WAIT, bound).await?;
+    let watching =
+        gateway.store.watch_kind(Taker::KIND, revision, WATCH_WAIT, ANSWER_SLACK, gateway.now());
+    let watched = watching.await?;
     taker.note_return(gateway, gateway.now().saturating_sub(heard));
     for change in &watched.changes {
         taker.take_change(gateway, change);
--- a/toucanrail-gateway/src/inspecting.rs
+++ b/toucanrail-gateway/src/inspecting.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use smol::Async;
 use toucanrail::backends::BackendTable;
+use toucanrail::detours::DetourTable;
 use toucanrail::grants::GrantTable;
 use toucanrail_platform::names;
 use toucanrail_wire::channels::BufferedChannel;
@@ -28,6 +29,7 @@
     stopping: bool,
     in_flight: usize,
     store_age_ms: u64,
+    store_ways: DetourTable,
     backends: &'tables BackendTable,
     grants: &'tables GrantTable,
 }
@@ -84,6 +86,7 @@
         stopping: gateway.stopping.get().is_some(),
         in_flight: gateway.in_flight.get(),
         store_age_ms: gateway.store_age().as_millis() as u64,
+        store_ways: gateway.store.ways(),
         backends: &tables.backends,
         grants: &tables.grants,
     };
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -6,11 +6,14 @@
 //!
 //! # Examples
 //! ```no_run
-//! use toucanrail_gateway::starting;
+//! use toucanrail_gateway::{starting, tuning};
 //! use toucanrail_platform::settings;
 //!
+//! let rows = &tuning::SETTINGS;
+//! let read = toucanrail::settings::read("gateway", "", rows, std::env::args_os(), |_| None);
+//! let toucanrail::settings::SettingsCall::Run(mut values) = read else { return Ok(()) };
 //! let settings = settings::read_settings()?;
-//! starting::run(settings)?;
+//! starting::run(settings, tuning::GatewayTuning::read(&mut values))?;
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
@@ -27,3 +30,6 @@
 pub mod starting;
 pub mod states;
 pub mod stopping;
+pub mod storing;
+pub mod tuning;
+pub mod tunnelling;
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -117,9 +117,6 @@
         // No server made this answer.
         return AttemptEnd::Ended(AttemptFate::Lost);
     }
-    if let Some(budget) = &plan.budget {
-        budget.note_sent(true);
-    }
     if done && plan.route.kind.is_stream() {
         return relaying::relay_stream(context, exchange, caller, stream, &flight).await;
     }
@@ -166,6 +163,10 @@
         last_event,
         body: (!bodiless).then_some(plan.body.len()),
     };
+    if let Some(budget) = &plan.budget {
+        // From here on the server may read the prompt, whether the caller stays or not.
+        budget.note_sent(true);
+    }
     let mut bytes = requests::write_order(plan.head, &order);
     bytes.extend_from_slice(plan.body);
     let bound = silence_bound(plan, context.may_move);
--- a/toucanrail-gateway/src/settling.rs
+++ b/toucanrail-gateway/src/settling.rs
@@ -13,14 +13,14 @@
 use crate::admitting::EntryRefusal;
 use crate::states::{Gateway, SHARD};
 
-/// Time between settlements; two calls each, and what a dead entry has not billed is at most this.
-const FLUSH: Duration = Duration::from_secs(2);
+/// This use of the store, in logs.
+const USAGE: &str = "budgets";
 /// Pause between syncs that requests asked for: those that wait meanwhile share the next one.
 const SYNC_PAUSE: Duration = Duration::from_millis(15);
 /// Pause after a sync that the store did not answer.
 const SILENT_PAUSE: Duration = Duration::from_millis(150);
 /// Longest wait for a call of a sync.
-const CALL_BOUND: Duration = Duration::from_secs(1);
+const CALL_BOUND: Duration = Duration::from_millis(600);
 /// Longest wait of a request for a grant; most grants are there, the others take one sync.
 const GRANT_WAIT: Duration = Duration::from_millis(400);
 /// When to come back where the money is granted elsewhere or the store is away.
@@ -30,11 +30,11 @@
 
 /// Settles every flush, and at once while requests wait for a grant.
 pub async fn run_syncs(gateway: Rc<Gateway>) {
-    loop {
+    while !gateway.gives_up_grants.get() {
         let wanted = gateway.wanted.listen();
         if !gateway.tables.borrow().grants.has_unseen(&gateway.shard) {
             let flush = async {
-                smol::Timer::after(FLUSH.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+                smol::Timer::after(gateway.tuning.flush.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
             };
             wanted.or(flush).await;
         }
@@ -46,6 +46,7 @@
 
 /// Runs one sync, if one is due; false if the store did not answer.
 async fn sync_accounts(gateway: &Rc<Gateway>, leave: bool) -> bool {
+    let _running = gateway.syncing.lock().await;
     let started = {
         let mut tables = gateway.tables.borrow_mut();
         let plan = tables.grants.plan_sync(&gateway.shard, leave);
@@ -54,11 +55,11 @@
     let Some((plan, cached)) = started else {
         return true;
     };
-    let mut machine = SyncMachine::new(plan, Gateway::policy(), cached);
+    let mut machine = SyncMachine::new(plan, gateway.tuning.policy, cached);
     let mut calls = 0_u32;
     while let Some(call) = machine.next_call() {
         calls += 1;
-        machine.take_reply(gateway.store.call(&call, CALL_BOUND).await);
+        machine.take_reply(gateway.store.call(&call, CALL_BOUND, gateway.now()).await);
     }
     let outcome = machine.into_outcome();
     let kind = match outcome {
@@ -70,7 +71,7 @@
     let answered = !matches!(outcome, SyncOutcome::Unavailable);
     gateway.board.count_event(kind);
     gateway.board.add_events("sync_calls", u64::from(calls));
-    gateway.note_store("budgets", answered);
+    gateway.note_store(USAGE, answered);
     gateway.tables.borrow_mut().grants.apply_sync(&gateway.shard, outcome);
     answered
 }
@@ -85,38 +86,64 @@
     if let Ok(hold) = gateway.tables.borrow_mut().grants.hold(customer, amount) {
         return Ok(hold);
     }
+    if gateway.is_store_silent(USAGE) {
+        return Err(refuse_unconfirmed(gateway, customer, amount, left));
+    }
     gateway.tables.borrow_mut().grants.add_shortage(customer, amount);
-    let waiting = clocks::bounded(GRANT_WAIT.min(left / 4), wait_hold(gateway, customer, amount));
+    let waiting =
+        clocks::bounded(GRANT_WAIT.min(left / 4), wait_hold(gateway, customer, amount, left));
     let waited = waiting.await;
     gateway.tables.borrow_mut().grants.drop_shortage(customer, amount);
-    waited.unwrap_or_else(|| {
-        tracing::info!(
-            event = "grant_short", %customer, amount,
-            store_age_ms = gateway.store_age().as_millis() as u64,
-        );
-        let code = codetable::BUDGET_UNCONFIRMED;
-        Err(EntryRefusal { code, retry_after: Some(GRANT_RETRY.min(left / 3)) })
-    })
+    waited.unwrap_or_else(|| Err(refuse_unconfirmed(gateway, customer, amount, left)))
+}
+
+/// The money may be there, but this entry cannot have it confirmed now.
+fn refuse_unconfirmed(
+    gateway: &Gateway,
+    customer: &CustomerId,
+    amount: Tokens,
+    left: Duration,
+) -> EntryRefusal {
+    let tables = gateway.tables.borrow();
+    let account = tables.grants.account(customer);
+    tracing::info!(
+        event = "grant_short", %customer, amount,
+        granted = account.map(|account| account.granted), held = account.map(|account| account.held),
+        burn = account.map(|account| account.burn as Tokens),
+        stated = account.map(|account| account.prepaid),
+        prepaid_unspent_unallocated = ?tables.grants.known_balance(customer),
+        store_age_ms = gateway.store_age().as_millis() as u64,
+    );
+    let wait = GRANT_RETRY.mul_f64(0.75 + 0.5 * fastrand::f64());
+    let code = codetable::BUDGET_UNCONFIRMED;
+    EntryRefusal { code, retry_after: Some(wait.min(left / 3)) }
 }
 
 async fn wait_hold(
     gateway: &Rc<Gateway>,
     customer: &CustomerId,
     amount: Tokens,
+    left: Duration,
 ) -> Result<GrantHold, EntryRefusal> {
+    let before = gateway.tables.borrow().grants.looks(&gateway.shard);
     loop {
         let synced = gateway.synced.listen();
-        let before = gateway.tables.borrow().grants.looks(&gateway.shard);
         gateway.wanted.notify(usize::MAX);
         synced.await;
         let mut tables = gateway.tables.borrow_mut();
         if let Ok(hold) = tables.grants.hold(customer, amount) {
             return Ok(hold);
         }
-        // Only a shard read after the request came may refuse it.
-        let fresh = tables.grants.looks(&gateway.shard) > before;
-        if fresh && tables.grants.is_uncovered(customer, amount) {
-            return Err(codetable::BUDGET_EXHAUSTED.into());
+        // Only a shard read after the request came may refuse it, and the first look may be that
+        // of a sync that had begun before.
+        if tables.grants.looks(&gateway.shard) > before + 1 {
+            let uncovered = tables.grants.is_uncovered(customer, amount);
+            drop(tables);
+            // What is left is granted elsewhere: no further sync brings it until others settle.
+            if uncovered {
+                return Err(codetable::BUDGET_EXHAUSTED.into());
+            }
+            return Err(refuse_unconfirmed(gateway, customer, amount, left));
         }
     }
 }
@@ -135,6 +162,7 @@
 
 /// Settles all and gives unused grants back.
 pub async fn leave(gateway: &Rc<Gateway>) {
+    gateway.gives_up_grants.set(true);
     let leaving = async {
         while gateway.tables.borrow().grants.is_open(&gateway.shard) {
             sync_accounts(gateway, true).await;
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -9,8 +9,10 @@
 use std::time::Duration;
 
 use event_listener::Event;
+use smol::lock::Mutex;
 use smol::{Async, LocalExecutor};
 use toucanrail::backends::BackendTable;
+use toucanrail::detours::DetourTable;
 use toucanrail::grants::GrantTable;
 use toucanrail::matching::RouteTable;
 use toucanrail_daemons::observing::MetricBoard;
@@ -25,28 +27,30 @@
 use crate::settling;
 use crate::states::{Gateway, GatewayTables, SHARD};
 use crate::stopping;
+use crate::storing::{self, StoreAccess};
+use crate::tuning::GatewayTuning;
 
 /// Longest wait for a connection to the store.
 const STORE_CONNECT: Duration = Duration::from_millis(700);
 
 /// Runs a gateway until it is told to stop.
-pub fn run(settings: NodeSettings) -> io::Result<()> {
-    let gateway = Rc::new(make_gateway(settings)?);
-    let callers = bind(gateway.settings.callers)?;
-    let readiness = bind(gateway.settings.readiness)?;
-    let metrics = gateway.settings.metrics.map(bind).transpose()?;
+pub fn run(settings: NodeSettings, tuning: GatewayTuning) -> io::Result<()> {
+    let gateway = Rc::new(make_gateway(settings, tuning)?);
+    let front = gateway.settings.front.ok_or(io::ErrorKind::AddrNotAvailable)?;
+    let callers = bind(front.callers)?;
+    let readiness = bind(front.readiness)?;
+    let inner = bind(gateway.settings.inner)?;
     tracing::info!(
         event = "start", id = %gateway.id, data_centre = %gateway.settings.data_centre,
-        callers = %gateway.settings.callers, store = %gateway.settings.store,
+        callers = %front.callers, store = %gateway.settings.store,
         version = env!("CARGO_PKG_VERSION"),
     );
     let held = Rc::clone(&gateway);
     let executor = &gateway.executor;
     executor.spawn(accepting::serve_callers(Rc::clone(&held), callers)).detach();
     executor.spawn(inspecting::serve_questions(Rc::clone(&held), readiness)).detach();
-    if let Some(metrics) = metrics {
-        executor.spawn(inspecting::serve_questions(Rc::clone(&held), metrics)).detach();
-    }
+    executor.spawn(inspecting::serve_questions(Rc::clone(&held), inner)).detach();
+    executor.spawn(storing::keep_ways(Rc::clone(&held))).detach();
     executor.spawn(following::follow_config(Rc::clone(&held))).detach();
     executor.spawn(following::follow_servers(Rc::clone(&held))).detach();
     executor.spawn(following::sweep(Rc::clone(&held))).detach();
@@ -55,18 +59,20 @@
     Ok(())
 }
 
-fn make_gateway(settings: NodeSettings) -> io::Result<Gateway> {
+fn make_gateway(settings: NodeSettings, tuning: GatewayTuning) -> io::Result<Gateway> {
     let id = starting::new_incarnation(&settings.vm);
     let board = MetricBoard::new("gateway").map_err(io::Error::other)?;
+    let ways = DetourTable::new(settings.store, Arc::clone(&settings.data_centre));
     let tables = GatewayTables {
         routes: RouteTable::new(),
         backends: BackendTable::new(),
-        grants: GrantTable::new(Arc::clone(&id), Gateway::policy()),
+        grants: GrantTable::new(Arc::clone(&id), tuning.policy),
         retries: BTreeMap::new(),
     };
     Ok(Gateway {
-        store: StoreClient::new(settings.store, STORE_CONNECT),
+        store: StoreAccess::new(StoreClient::new(STORE_CONNECT), ways),
         settings,
+        tuning,
         id,
         board,
         executor: LocalExecutor::new(),
@@ -76,12 +82,14 @@
         shard: Arc::from(SHARD),
         stopping: Cell::new(None),
         closes_idle: Cell::new(false),
+        gives_up_grants: Cell::new(false),
         in_flight: Cell::new(0),
         store_heard: Cell::new(None),
         store_silent: RefCell::default(),
         leaving: Event::new(),
         wanted: Event::new(),
         synced: Event::new(),
+        syncing: Mutex::new(()),
     })
 }
 
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -8,24 +8,21 @@
 
 use event_listener::Event;
 use smol::LocalExecutor;
+use smol::lock::Mutex;
 use toucanrail::backends::{BackendId, BackendTable, FlightId};
 use toucanrail::budgets::BillRow;
 use toucanrail::grants::{GrantHold, GrantTable};
 use toucanrail::ids::{EntryId, RequestId, ServiceName, ShardName, Tokens};
 use toucanrail::matching::RouteTable;
-use toucanrail::policies::GrantPolicy;
 use toucanrail::retries::RetryBudget;
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_daemons::starting::ProcessClock;
 use toucanrail_platform::settings::NodeSettings;
-use toucanrail_platform::stores::StoreClient;
 use toucanrail_wire::keeping::ChannelPool;
 
-/// How far ahead of its burn an entry holds grants: a cut from the store for this long refuses
-/// nobody whose budget lasts.
-pub const GRANT_HORIZON: Duration = Duration::from_secs(12);
-/// Least grant ahead; a few requests of the usual size.
-pub const GRANT_FLOOR: Tokens = 30_000;
+use crate::storing::StoreAccess;
+use crate::tuning::GatewayTuning;
+
 /// The one shard that holds all accounts.
 pub const SHARD: &str = "accounts";
 /// Part of the fleet's retries that entries divide among themselves; the rest covers entries that
@@ -52,10 +49,12 @@
 pub struct Gateway {
     /// Its settings.
     pub settings: NodeSettings,
+    /// Its own settings.
+    pub tuning: GatewayTuning,
     /// This run of the process.
     pub id: EntryId,
     /// The platform's store.
-    pub store: StoreClient,
+    pub store: StoreAccess,
     /// Its metrics.
     pub board: MetricBoard,
     /// Runs everything on one thread.
@@ -72,6 +71,8 @@
     pub stopping: Cell<Option<Instant>>,
     /// Whether idle callers' connections are closed.
     pub closes_idle: Cell<bool>,
+    /// Whether its grants have gone back; none are taken any more.
+    pub gives_up_grants: Cell<bool>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     /// Last answer of the store to anything.
@@ -84,6 +85,8 @@
     pub wanted: Event,
     /// A sync has ended.
     pub synced: Event,
+    /// Held by the sync that runs; two at a time would take each other's outcome.
+    pub syncing: Mutex<()>,
 }
 
 impl Gateway {
@@ -111,16 +114,16 @@
         }
     }
 
+    /// Tells whether the last call of a use of the store had no answer.
+    pub fn is_store_silent(&self, usage: &str) -> bool {
+        self.store_silent.borrow().contains(usage)
+    }
+
     /// Tells whether new callers are welcome.
     pub fn is_ready(&self) -> bool {
         self.stopping.get().is_none() && self.tables.borrow().routes.version() > 0
     }
 
-    /// Returns the policy of grants.
-    pub fn policy() -> GrantPolicy {
-        GrantPolicy::BurnRate { horizon: GRANT_HORIZON, floor: GRANT_FLOOR, recall: false }
-    }
-
     /// Notes a fresh request for a service in its retry budget.
     pub fn note_fresh(&self, service: &ServiceName) {
         self.with_budget(service, RetryBudget::note_fresh);
--- /dev/null
+++ b/toucanrail-gateway/src/storing.rs
@@ -0,0 +1,160 @@
+//! Calls to the store, on the way that works now.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event;
+use smol::future::FutureExt;
+use toucanrail::detours::{DetourTable, RelayEntry, StoreWay};
+use toucanrail::ids::Version;
+use toucanrail::storecalls::{self, StoreCall, StoreReply};
+use toucanrail_platform::names;
+use toucanrail_platform::stores::{KindListing, StoreClient, StoreFailure, WatchedChanges};
+
+use crate::states::Gateway;
+
+/// Kind of the relays' entries in the store.
+pub const RELAY_KIND: &str = "relays";
+/// Time between listings of the relays: they change with their VMs.
+const RELAY_REFRESH: Duration = Duration::from_secs(12);
+/// First listing after the start, when the relays have started too.
+const RELAY_FIRST: Duration = Duration::from_secs(2);
+/// Longest wait for a listing of the relays, or for a try of the direct way.
+const PROBE_BOUND: Duration = Duration::from_millis(600);
+const PROBE_STEP: Duration = Duration::from_millis(250);
+
+/// The store and the ways to it.
+#[derive(Debug)]
+pub struct StoreAccess {
+    client: StoreClient,
+    ways: std::cell::RefCell<DetourTable>,
+    moved: Event,
+}
+
+impl StoreAccess {
+    /// Makes the access of one process.
+    pub fn new(client: StoreClient, ways: DetourTable) -> Self {
+        Self { client, ways: ways.into(), moved: Event::new() }
+    }
+
+    /// Returns the ways, for the dump of the state.
+    pub fn ways(&self) -> DetourTable {
+        self.ways.borrow().clone()
+    }
+
+    /// Makes one read or conditional write.
+    pub async fn call(&self, call: &StoreCall, bound: Duration, now: Duration) -> StoreReply {
+        let (way, address) = self.ways.borrow().way();
+        let reply = self.client.call(address, call, bound).await;
+        if reply == StoreReply::Unavailable {
+            self.note_failure(&way, now + bound);
+        }
+        reply
+    }
+
+    /// Lists a kind.
+    pub async fn list_kind(
+        &self,
+        kind: &str,
+        bound: Duration,
+        now: Duration,
+    ) -> Result<KindListing, StoreFailure> {
+        let (way, address) = self.ways.borrow().way();
+        let listing = self.client.list_kind(address, kind, bound).await;
+        self.note_result(&way, &listing, now + bound);
+        listing
+    }
+
+    /// Waits for changes of a kind; ends early where the way is found broken by another call.
+    ///
+    /// Guards against a watch that waits for its timeout on a way that is known not to work.
+    pub async fn watch_kind(
+        &self,
+        kind: &str,
+        after: Version,
+        wait: Duration,
+        slack: Duration,
+        now: Duration,
+    ) -> Result<WatchedChanges, StoreFailure> {
+        let moved = self.moved.listen();
+        let (way, address) = self.ways.borrow().way();
+        let watching = self.client.watch_kind(address, kind, after, wait, wait + slack);
+        let moving = async {
+            moved.await;
+            Err(StoreFailure::NoAnswer(io::ErrorKind::ConnectionAborted.into()))
+        };
+        let watched = watching.or(moving).await;
+        self.note_result(&way, &watched, now + wait + slack);
+        watched
+    }
+
+    fn note_result<Value>(
+        &self,
+        way: &StoreWay,
+        result: &Result<Value, StoreFailure>,
+        now: Duration,
+    ) {
+        if matches!(result, Err(StoreFailure::NoAnswer(_) | StoreFailure::Declined(_))) {
+            self.note_failure(way, now);
+        }
+    }
+
+    fn note_failure(&self, way: &StoreWay, now: Duration) {
+        let moved = self.ways.borrow_mut().note_failure(way, fastrand::f64(), now);
+        if moved {
+            self.note_moved("failure");
+        }
+    }
+
+    fn note_moved(&self, reason: &str) {
+        let (way, address) = self.ways.borrow().way();
+        tracing::info!(event = "store_way", ?way, %address, reason);
+        self.moved.notify(usize::MAX);
+    }
+
+    /// Tries the direct way.
+    async fn probe_direct(&self, store: std::net::SocketAddr) {
+        let path = format!("{}/{}", names::CONFIG_KIND, names::CONFIG_NAME);
+        let call = StoreCall::Get { path: path.into() };
+        let reply = self.client.call(store, &call, PROBE_BOUND).await;
+        if matches!(reply, StoreReply::Found { .. } | StoreReply::Missing) {
+            self.ways.borrow_mut().note_direct();
+            self.note_moved("direct way works again");
+        }
+    }
+}
+
+/// Keeps the list of relays, and goes back to the direct way when it works.
+pub async fn keep_ways(gateway: Rc<Gateway>) {
+    let mut listed: Option<Duration> = None;
+    loop {
+        smol::Timer::after(PROBE_STEP).await;
+        let now = gateway.now();
+        let due = listed.map_or(now > RELAY_FIRST, |at| now.saturating_sub(at) > RELAY_REFRESH);
+        if due {
+            list_relays(&gateway).await;
+            listed = Some(gateway.now());
+        }
+        let wants = gateway.store.ways.borrow_mut().wants_probe(now);
+        if wants {
+            gateway.store.probe_direct(gateway.settings.store).await;
+        }
+    }
+}
+
+async fn list_relays(gateway: &Gateway) {
+    let listing = gateway.store.list_kind(RELAY_KIND, PROBE_BOUND, gateway.now()).await;
+    let objects = match listing {
+        Ok(listing) => listing.objects,
+        Err(failure) => {
+            tracing::debug!(event = "relays_not_listed", %failure);
+            return;
+        }
+    };
+    let entries = objects.into_iter().filter_map(|object| {
+        let entry: Option<RelayEntry> = storecalls::decode_value(&object.value);
+        entry.map(|entry| (object.name, entry))
+    });
+    gateway.store.ways.borrow_mut().take_relays(entries);
+}
--- /dev/null
+++ b/toucanrail-gateway/src/tuning.rs
@@ -0,0 +1,49 @@
+//! The gateway's own settings, in flags and environment variables.
+
+use std::time::Duration;
+
+use toucanrail::ids::Tokens;
+use toucanrail::policies::GrantPolicy;
+use toucanrail::settings::{SettingRow, SettingValues};
+
+/// All settings.
+pub const SETTINGS: [SettingRow; 4] = [
+    SettingRow {
+        name: "grant-horizon",
+        default: Some("5s"),
+        help: "Burn that grants cover while the store is away.",
+    },
+    SettingRow {
+        name: "grant-floor",
+        default: Some("15000"),
+        help: "Least grant ahead, in tokens.",
+    },
+    SettingRow {
+        name: "grant-part",
+        default: Some("0.15"),
+        help: "Part of an unspent budget that all entries together keep ahead.",
+    },
+    SettingRow { name: "flush", default: Some("1s"), help: "Time between settlements." },
+];
+
+/// The settings as read.
+#[derive(Debug, Clone)]
+pub struct GatewayTuning {
+    /// How grants are sized.
+    pub policy: GrantPolicy,
+    /// Time between settlements.
+    pub flush: Duration,
+}
+
+impl GatewayTuning {
+    /// Reads the settings, noting faults.
+    pub fn read(values: &mut SettingValues) -> Self {
+        let horizon = values.duration("grant-horizon");
+        let floor: Tokens = values.parse("grant-floor", "a number of tokens");
+        let part = values.parse_with("grant-part", "a part from 0 to 1", |text| {
+            text.parse().ok().filter(|part| (0.0..=1.0).contains(part))
+        });
+        let policy = GrantPolicy::RideThrough { horizon, floor, part };
+        Self { policy, flush: values.duration("flush") }
+    }
+}
--- /dev/null
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -0,0 +1,146 @@
+//! The relay: connections of entries, passed on to the store byte for byte.
+//!
+//! It stands on VMs that stay in touch with the store while an entry's own VM is cut off, knows
+//! nothing of what passes, and leads nowhere else.
+
+use std::cell::Cell;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_signal::{Signal, Signals};
+use smol::future::FutureExt;
+use smol::stream::StreamExt;
+use smol::{Async, LocalExecutor};
+use toucanrail::detours::RelayEntry;
+use toucanrail::ids::Version;
+use toucanrail::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
+use toucanrail_platform::settings::NodeSettings;
+use toucanrail_platform::stores::StoreClient;
+use toucanrail_wire::channels::BufferedChannel;
+use toucanrail_wire::clocks;
+
+use crate::storing::RELAY_KIND;
+
+/// Most connections at once: some for each entry of a large fleet.
+const CONNECTION_LIMIT: usize = 400;
+/// Longest time in which neither side sends: longer than any watch waits.
+const IDLE_BOUND: Duration = Duration::from_secs(30);
+const CONNECT_BOUND: Duration = Duration::from_millis(500);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for a call of the registration, and the pause before the next try.
+const CALL_BOUND: Duration = Duration::from_secs(1);
+const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Runs a relay until it is told to stop.
+pub fn run(settings: &NodeSettings) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = Async::<TcpListener>::bind(settings.inner)?;
+    tracing::info!(event = "start", role = "relay", vm = %settings.vm, inner = %settings.inner);
+    executor.spawn(serve(Rc::clone(&executor), listener, settings.store)).detach();
+    executor.spawn(register(settings.clone())).detach();
+    smol::block_on(executor.run(wait_stop()));
+    tracing::info!(event = "stopped", role = "relay");
+    Ok(())
+}
+
+async fn wait_stop() {
+    match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+        // The settings that a relay uses do not change while it runs.
+        Ok(mut signals) => while matches!(signals.next().await, Some(Ok(Signal::Hup))) {},
+        Err(error) => {
+            tracing::error!(event = "no_signals", %error);
+            std::future::pending().await
+        }
+    }
+}
+
+async fn serve(
+    executor: Rc<LocalExecutor<'static>>,
+    listener: Async<TcpListener>,
+    store: SocketAddr,
+) {
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            smol::Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= CONNECTION_LIMIT {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let open = Rc::clone(&open);
+        let passing = async move {
+            // Either end may close at any time; the entry sees a failed call.
+            pass_connection(socket, store).await.ok();
+            open.set(open.get() - 1);
+        };
+        executor.spawn(passing).detach();
+    }
+}
+
+async fn pass_connection(socket: Async<TcpStream>, store: SocketAddr) -> io::Result<()> {
+    let caller = BufferedChannel::new(socket)?;
+    let store = clocks::within(CONNECT_BOUND, BufferedChannel::connect(store)).await?;
+    let (to_store, to_caller) = (store.writer(), caller.writer());
+    // The end of either direction ends both: neither side sends a request behind its end.
+    let there = pass_bytes(caller, to_store);
+    let back = pass_bytes(store, to_caller);
+    there.or(back).await
+}
+
+async fn pass_bytes(
+    mut from: BufferedChannel,
+    to: toucanrail_wire::channels::ChannelWriter,
+) -> io::Result<()> {
+    while clocks::within(IDLE_BOUND, from.fill()).await? > 0 {
+        to.write_all(&from.buffer).await?;
+        from.buffer.clear();
+    }
+    Ok(())
+}
+
+/// Writes the relay's entry, until the store has it.
+async fn register(settings: NodeSettings) {
+    let client = StoreClient::new(CONNECT_BOUND);
+    let entry =
+        RelayEntry { address: settings.inner, data_centre: Arc::clone(&settings.data_centre) };
+    let mut expect = WriteExpectation::Absent;
+    loop {
+        match write_entry(&client, &settings, &entry, expect).await {
+            Ok(()) => {
+                tracing::info!(event = "registered", role = "relay", vm = %settings.vm);
+                return;
+            }
+            Err(found) => expect = found.map_or(WriteExpectation::Absent, WriteExpectation::At),
+        }
+        smol::Timer::after(REGISTER_PAUSE.mul_f64(0.2 + fastrand::f64())).await;
+    }
+}
+
+/// Writes the entry once; fails with the version of the one that stands there.
+async fn write_entry(
+    client: &StoreClient,
+    settings: &NodeSettings,
+    entry: &RelayEntry,
+    expect: WriteExpectation,
+) -> Result<(), Option<Version>> {
+    let path: Arc<str> = Arc::from(format!("{RELAY_KIND}/{}", settings.vm));
+    let value = storecalls::encode_value(entry);
+    let write = StoreCall::Put { path: Arc::clone(&path), expect, value: value.clone() };
+    if matches!(client.call(settings.store, &write, CALL_BOUND).await, StoreReply::Written { .. }) {
+        return Ok(());
+    }
+    match client.call(settings.store, &StoreCall::Get { path }, CALL_BOUND).await {
+        StoreReply::Found { value: found, .. }
+            if storecalls::decode_value::<RelayEntry>(&found).as_ref() == Some(entry) =>
+        {
+            Ok(())
+        }
+        StoreReply::Found { version, .. } => Err(Some(version)),
+        _ => Err(None),
+    }
+}
--- a/toucanrail/src/budgets.rs
+++ b/toucanrail/src/budgets.rs
@@ -202,6 +202,12 @@
         self.prepaid.saturating_sub(self.committed())
     }
 
+    /// Returns what is neither billed nor lost; part of it may be granted.
+    pub fn unspent(&self) -> Tokens {
+        let frozen: Tokens = self.frozen.values().sum();
+        self.prepaid.saturating_sub(self.billed + self.written_off + frozen)
+    }
+
     /// Adds prepaid tokens.
     pub fn top_up(&mut self, amount: Tokens) -> Result<(), BudgetError> {
         let raised = self.prepaid.checked_add(amount).ok_or(BudgetError::TooLarge)?;
@@ -347,6 +353,14 @@
         holder.is_none_or(|row| batch.sequence <= row.settled)
     }
 
+    /// Counts the holders by the configured names of their processes: a process that died and was
+    /// started again under its name is one.
+    pub fn count_names(&self) -> u64 {
+        let name = |id: &EntryId| id.rsplit_once('.').map_or(id.len(), |(name, _)| name.len());
+        let names: BTreeSet<&str> = self.holders.keys().map(|id| &id[..name(id)]).collect();
+        names.len() as u64
+    }
+
     /// Tells whether every account keeps within its prepaid total.
     pub fn is_sound(&self) -> bool {
         self.accounts.values().all(|account| account.committed() <= account.prepaid)
--- /dev/null
+++ b/toucanrail/src/detours.rs
@@ -0,0 +1,165 @@
+//! The way to the platform's store: directly, or through a relay on another VM.
+//!
+//! The failure it answers: single VMs are cut off from the store, or turned away by it, while others
+//! reach it. An entry that goes through a relay keeps its grants small, its configuration new and
+//! its servers known; without one it spends only what it held when the cut began.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::DataCentre;
+
+/// Name of a relay, unique in the fleet.
+pub type RelayName = Arc<str>;
+
+/// Time for which a way that failed is not taken again while others are untried.
+const REST: Duration = Duration::from_secs(5);
+/// Time between tries of the direct way while a relay is used.
+const PROBE_PAUSE: Duration = Duration::from_secs(2);
+
+/// A relay, as it stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayEntry {
+    /// Where it takes connections.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+}
+
+/// One way to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub enum StoreWay {
+    /// Directly.
+    Direct,
+    /// Through a relay.
+    Relay(RelayName),
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct RelayRow {
+    entry: RelayEntry,
+    failed_at: Option<Duration>,
+}
+
+/// The ways to the store, as one entry knows them.
+#[derive(Debug, Clone, Serialize)]
+pub struct DetourTable {
+    store: SocketAddr,
+    data_centre: DataCentre,
+    relays: BTreeMap<RelayName, RelayRow>,
+    way: StoreWay,
+    probed_at: Duration,
+    /// Changes of the way so far.
+    pub moves: u64,
+}
+
+impl DetourTable {
+    /// Makes a table without relays: the direct way is taken.
+    pub fn new(store: SocketAddr, data_centre: DataCentre) -> Self {
+        Self {
+            store,
+            data_centre,
+            relays: BTreeMap::new(),
+            way: StoreWay::Direct,
+            probed_at: Duration::ZERO,
+            moves: 0,
+        }
+    }
+
+    /// Takes the relays that stand in the store.
+    pub fn take_relays<Entries>(&mut self, entries: Entries)
+    where
+        Entries: IntoIterator<Item = (RelayName, RelayEntry)>,
+    {
+        let mut known = std::mem::take(&mut self.relays);
+        for (name, entry) in entries {
+            let old = known.remove(&name).filter(|row| row.entry == entry);
+            let failed_at = old.and_then(|row| row.failed_at);
+            self.relays.insert(name, RelayRow { entry, failed_at });
+        }
+        // A relay that is gone from the list may still be the way in use.
+        if self.address_of(&self.way).is_none() {
+            self.way = StoreWay::Direct;
+            self.moves += 1;
+        }
+    }
+
+    /// Returns the way in use and its address.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::sync::Arc;
+    /// use toucanrail::detours::{DetourTable, StoreWay};
+    /// let store = "10.0.0.1:80".parse().unwrap();
+    /// let table = DetourTable::new(store, Arc::from("a"));
+    /// assert_eq!(table.way(), (StoreWay::Direct, store));
+    /// ```
+    pub fn way(&self) -> (StoreWay, SocketAddr) {
+        let address = self.address_of(&self.way).unwrap_or(self.store);
+        (self.way.clone(), address)
+    }
+
+    fn address_of(&self, way: &StoreWay) -> Option<SocketAddr> {
+        match way {
+            StoreWay::Direct => Some(self.store),
+            StoreWay::Relay(name) => self.relays.get(name).map(|row| row.entry.address),
+        }
+    }
+
+    /// Notes that a call had no answer, or was turned away, on a way; true if another way is taken
+    /// now. `dice` in `0..1` spreads entries over the relays.
+    ///
+    /// Calls run at the same time, so only a failure of the way in use moves it.
+    pub fn note_failure(&mut self, way: &StoreWay, dice: f64, now: Duration) -> bool {
+        if *way != self.way {
+            return false;
+        }
+        match way {
+            StoreWay::Direct => self.probed_at = now,
+            StoreWay::Relay(name) => {
+                if let Some(row) = self.relays.get_mut(name) {
+                    row.failed_at = Some(now);
+                }
+            }
+        }
+        // Where all relays fail as well, the store itself is away, and the direct way is as good.
+        let next = self.pick_relay(dice, now).map_or(StoreWay::Direct, StoreWay::Relay);
+        let moved = next != self.way;
+        self.way = next;
+        self.moves += u64::from(moved);
+        moved
+    }
+
+    fn pick_relay(&self, dice: f64, now: Duration) -> Option<RelayName> {
+        let rested =
+            |row: &RelayRow| row.failed_at.is_none_or(|failed| now.saturating_sub(failed) > REST);
+        let rested: Vec<_> = self.relays.iter().filter(|(_, row)| rested(row)).collect();
+        let near = |row: &RelayRow| row.entry.data_centre == self.data_centre;
+        let nearby: Vec<_> = rested.iter().copied().filter(|(_, row)| near(row)).collect();
+        let choice = if nearby.is_empty() { &rested } else { &nearby };
+        let last = choice.len().checked_sub(1)?;
+        let at = ((choice.len() as f64 * dice) as usize).min(last);
+        choice.get(at).map(|(name, _)| Arc::clone(name))
+    }
+
+    /// Tells whether the direct way is to be tried now, beside a relay in use.
+    pub fn wants_probe(&mut self, now: Duration) -> bool {
+        let due = self.way != StoreWay::Direct && now.saturating_sub(self.probed_at) > PROBE_PAUSE;
+        if due {
+            self.probed_at = now;
+        }
+        due
+    }
+
+    /// Notes that the direct way works again.
+    pub fn note_direct(&mut self) {
+        if self.way != StoreWay::Direct {
+            self.way = StoreWay::Direct;
+            self.moves += 1;
+        }
+    }
+}
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -16,6 +16,9 @@
 use crate::policies::{GrantChange, GrantPolicy, GrantView};
 use crate::syncs::{GrantDemand, SyncOutcome, SyncPlan};
 
+/// Usage that weighs as much as what is known of how an account's usage is divided among entries:
+/// until so much is billed, each entry is taken to have an equal part.
+const PART_PRIOR: f64 = 50_000.0;
 /// Time constant of the smoothed burn rate.
 const BURN_WINDOW: Duration = Duration::from_secs(10);
 /// Most bills in one batch; keeps its object well under a megabyte.
@@ -62,7 +65,15 @@
     pub burn: f64,
     /// Total that the configuration states; 0 where only operators state it, in the shard.
     pub prepaid: Tokens,
-    used: Tokens,
+    /// Held since the last tick, less what came back.
+    used: f64,
+    /// Weight of the ticks in `burn`; corrects it for the time before the first.
+    burn_weight: f64,
+    burn_sum: f64,
+    /// Billed by this entry, as the shard confirmed it.
+    own_billed: Tokens,
+    /// Billed by all when the shard was first seen.
+    first_billed: Option<Tokens>,
     /// Whether a request began to wait since the last plan.
     unseen: bool,
 }
@@ -146,6 +157,13 @@
         }
     }
 
+    /// Returns what an account has prepaid, unspent and unallocated, as last seen; for logs.
+    pub fn known_balance(&self, customer: &CustomerId) -> Option<(Tokens, Tokens, Tokens)> {
+        let (_, shard) = self.shards.get(self.homes.get(customer)?)?.cached.as_ref()?;
+        let known = shard.accounts.get(customer)?;
+        Some((known.prepaid, known.unspent(), known.unallocated()))
+    }
+
     /// Tells whether a customer's balance, as last seen, provably does not cover an amount: what
     /// others hold unspent is counted as left.
     pub fn is_uncovered(&self, customer: &CustomerId, amount: Tokens) -> bool {
@@ -216,6 +234,7 @@
             };
         }
         account.held += amount;
+        account.used += amount as f64;
         Ok(GrantHold { customer: Arc::clone(customer), shard, epoch, amount })
     }
 
@@ -273,7 +292,7 @@
         }
         if let Some(account) = self.accounts.get_mut(&hold.customer) {
             account.held = account.held.saturating_sub(hold.amount);
-            account.used += bill.as_ref().map_or(0, BillRow::total);
+            account.used -= (hold.amount - bill.as_ref().map_or(0, BillRow::total)) as f64;
             account.unsettled.extend(bill);
         }
     }
@@ -283,9 +302,15 @@
         let seconds = elapsed.as_secs_f64().max(0.001);
         let weight = 1.0 - (-seconds / BURN_WINDOW.as_secs_f64()).exp();
         for account in self.accounts.values_mut() {
-            let rate = account.used as f64 / seconds;
-            account.burn += (rate - account.burn) * weight;
-            account.used = 0;
+            // The time before an account's first use says nothing about its burn.
+            if account.used == 0.0 && account.burn_sum == 0.0 {
+                continue;
+            }
+            let rate = account.used / seconds;
+            account.burn_sum += (rate - account.burn_sum) * weight;
+            account.burn_weight += (1.0 - account.burn_weight) * weight;
+            account.burn = (account.burn_sum / account.burn_weight).max(0.0);
+            account.used = 0.0;
         }
     }
 
@@ -317,7 +342,9 @@
         let customers = self.customers_of(shard);
         let changed = self.plan_returns(&customers);
         let open = self.shards.get(shard)?.epoch != 0;
-        let calls = changed || self.has_rows(shard, &customers) || (open && (leave || !named));
+        let opens = !open && !leave && self.has_totals(&customers);
+        let rows = self.has_rows(shard, &customers);
+        let calls = changed || opens || rows || (open && (leave || !named));
         if !calls {
             return None;
         }
@@ -350,6 +377,12 @@
         late || accounts.into_iter().any(|account| !account.unsettled.is_empty())
     }
 
+    /// Tells whether the configuration states totals: grants are then taken before the first request.
+    fn has_totals(&self, customers: &[CustomerId]) -> bool {
+        let mut accounts = customers.iter().filter_map(|customer| self.accounts.get(customer));
+        accounts.any(|account| account.prepaid > 0)
+    }
+
     /// Tells whether any account asks or gives back, and reserves what is given back.
     fn plan_returns(&mut self, customers: &[CustomerId]) -> bool {
         let mut changed = false;
@@ -382,10 +415,27 @@
             shortage: account.shortage(),
             unallocated: self.unallocated(customer).unwrap_or(0),
             prepaid: known.map_or(0, |account| account.prepaid),
-            holders: cached.map_or(1, |shard| shard.holders.len() as u64),
+            holders: cached.map_or(1, BudgetShard::count_names),
+            unspent: known.map_or(0, super::budgets::BudgetAccount::unspent),
+            part: self.part(customer),
         })
     }
 
+    /// Returns this entry's part of an account's usage since it first saw the shard.
+    fn part(&self, customer: &CustomerId) -> f64 {
+        let tenure = self.homes.get(customer).and_then(|shard| self.shards.get(shard));
+        let cached = tenure.and_then(|tenure| tenure.cached.as_ref()).map(|(_, shard)| shard);
+        let holders = cached.map_or(1, BudgetShard::count_names).max(1) as f64;
+        let billed = cached.and_then(|shard| shard.accounts.get(customer));
+        let billed = billed.map_or(0, |account| account.billed);
+        let Some(account) = self.accounts.get(customer) else {
+            return 1.0 / holders;
+        };
+        let total = billed.saturating_sub(account.first_billed.unwrap_or(billed)) as f64;
+        let own = (account.own_billed as f64).min(total);
+        (own + PART_PRIOR) / (total + PART_PRIOR * holders)
+    }
+
     fn build_plan(
         &mut self,
         shard: &ShardName,
@@ -396,7 +446,9 @@
         let tenure = self.shards.get_mut(shard)?;
         let mut rows = tenure.take_reclaimed_rows();
         let mut demands = BTreeMap::new();
-        for customer in customers {
+        let parts: Vec<f64> = customers.iter().map(|customer| self.part(customer)).collect();
+        let tenure = self.shards.get_mut(shard)?;
+        for (customer, part) in customers.iter().zip(parts) {
             let Some(account) = self.accounts.get_mut(customer) else {
                 continue;
             };
@@ -412,6 +464,7 @@
                 least: account.waiting.iter().min().copied().unwrap_or(0),
                 returning: account.returning,
                 prepaid: account.prepaid,
+                part,
             };
             demands.insert(Arc::clone(customer), demand);
         }
@@ -460,11 +513,20 @@
     }
 
     fn confirm(&mut self, plan: &SyncPlan, content: &BudgetShard) {
+        for row in &plan.rows {
+            if let Some(account) = self.accounts.get_mut(&row.customer) {
+                account.own_billed += row.total();
+            }
+        }
         for (customer, demand) in &plan.demands {
             let Some(account) = self.accounts.get_mut(customer) else {
                 continue;
             };
-            let grants = content.accounts.get(customer).map(|account| &account.grants);
+            let known = content.accounts.get(customer);
+            let own = account.own_billed;
+            let billed = known.map_or(0, |known| known.billed);
+            account.first_billed.get_or_insert(billed.saturating_sub(own));
+            let grants = known.map(|known| &known.grants);
             account.granted =
                 grants.and_then(|grants| grants.get(&self.entry)).copied().unwrap_or(0);
             account.settling = 0;
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod catalogue;
 pub mod codes;
 pub mod codetable;
+pub mod detours;
 pub mod ejections;
 pub mod events;
 pub mod files;
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -18,10 +18,11 @@
 /// Cost of one request at a plain service's server, against its slots, in milliseconds.
 const CALL_COST: f64 = 60.0;
 /// Cost of a server in another data centre, in milliseconds: its bytes are billed.
-const DISTANCE_COST: f64 = 12.0;
-/// Share of a prompt's shared parts that the server first by rendezvous rank is taken to hold,
-/// because the other entries send them there too.
-const RENDEZVOUS_SHARE: f64 = 0.5;
+const DISTANCE_COST: f64 = 5.0;
+/// Cost of a shared token that one server reads although another holds it, as a multiple of its
+/// reading time. It delays every stream at that server and pushes other parts out of its memory, so a
+/// session moves away from its server only for a wait that would make its answer late.
+const AGAIN_FACTOR: f64 = 6.0;
 
 /// What the choice depends on besides the servers.
 #[derive(Debug, Clone, Copy)]
@@ -63,18 +64,16 @@
     rows.iter().copied().min_by(|one, other| cost(one).total_cmp(&cost(other)))
 }
 
-/// Returns the server of this data centre that is first by rendezvous rank for the last shared
-/// part, so that all entries beside it keep a session's parts at one server.
+/// Returns the server that is first by rendezvous rank for the last shared part, so that all entries
+/// keep a session's parts at one server without telling one another.
 fn rank_first<'rows>(
     rows: &[&'rows BackendRow],
     query: &PlaceQuery<'_>,
 ) -> Option<&'rows BackendRow> {
     let shared = query.parts.len().checked_sub(2)?;
     let key = query.parts.get(shared)?.id;
-    let near = |row: &&&BackendRow| *row.entry.data_centre == *query.data_centre;
     let rank = |row: &&&BackendRow| xxh3::xxh3_64_with_seed(row.entry.id.as_bytes(), key);
-    let nearest = rows.iter().filter(near).max_by_key(rank);
-    nearest.or_else(|| rows.iter().max_by_key(rank)).copied()
+    rows.iter().max_by_key(rank).copied()
 }
 
 /// Returns the expected time to the first event, in milliseconds, with what placing there costs
@@ -87,12 +86,16 @@
         let slots = row.entry.slots.max(1) as f64;
         return distance + (own + others) / slots * CALL_COST + row.latency * 1_000.0 * 0.1;
     }
-    let mut fresh = row.fresh_tokens(query.parts, query.prompt) as f64;
-    if is_home {
-        let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let shared: Tokens = shared.iter().map(|part| part.tokens).sum();
-        fresh = fresh.min(query.prompt as f64 - RENDEZVOUS_SHARE * shared as f64);
-    }
+    let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let shared: Tokens = shared.iter().map(|part| part.tokens).sum();
+    let own_part = query.prompt.saturating_sub(shared) as f64;
+    // The other entries send the shared parts to their first server too, so it holds them.
+    let again = if is_home {
+        0.0
+    } else {
+        (row.fresh_tokens(query.parts, query.prompt) as f64 - own_part).max(0.0)
+    };
+    let fresh = own_part + again * (1.0 + AGAIN_FACTOR);
     let waiting = row.flights.values().filter(|flight| !flight.begun);
     let backlog: f64 = waiting.map(|flight| flight.fresh as f64).sum();
     let full = (own + others + 1.0) / row.entry.slots.max(1) as f64;
--- a/toucanrail/src/policies.rs
+++ b/toucanrail/src/policies.rs
@@ -7,6 +7,9 @@
 /// Usage a second under which an account counts as idle and keeps nothing ahead.
 const IDLE_BURN: f64 = 0.01;
 
+/// Part of the wanted amount ahead under which a grant that rides through outages is topped up.
+const TOP_UP_PART: f64 = 0.75;
+
 /// What a policy sees of one account at one entry.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct GrantView {
@@ -24,6 +27,10 @@
     pub prepaid: Tokens,
     /// Entries that hold a grant of this account, this one included.
     pub holders: u64,
+    /// Not billed to anyone yet.
+    pub unspent: Tokens,
+    /// This entry's part of the account's usage, in `0..1`.
+    pub part: f64,
 }
 
 /// How much an entry keeps granted ahead of its need.
@@ -45,6 +52,17 @@
         /// Whether unused grants are recalled from other entries before a refusal.
         recall: bool,
     },
+    /// What the entry burns in a horizon, up to its part of what is unspent: for a store that goes
+    /// away for seconds, and entries that are used unevenly.
+    RideThrough {
+        /// How long the grant should last.
+        horizon: Duration,
+        /// The least amount ahead, also of an account that this entry has not met yet.
+        floor: Tokens,
+        /// Part of what is unspent that all holders together keep ahead. The rest stays for those
+        /// that lose their grants with their process, and for the last requests of a budget.
+        part: f64,
+    },
 }
 
 impl Default for GrantPolicy {
@@ -96,6 +114,11 @@
             Self::EqualSplit => needed.max(view.prepaid / view.holders.max(1)),
             Self::FixedAmount { ahead } => needed + ahead,
             Self::BurnRate { horizon, floor, .. } => needed + Self::ahead(view, horizon, floor),
+            Self::RideThrough { horizon, floor, part } => {
+                let steady = (view.burn * horizon.as_secs_f64()) as Tokens;
+                let share = (view.unspent as f64 * view.part * part) as Tokens;
+                needed + steady.max(floor).min(share.saturating_sub(view.busy))
+            }
         };
         wanted.min(reach)
     }
@@ -116,16 +139,18 @@
     ///
     /// The band between half and twice the target keeps a steady load from writing every tick.
     pub fn adjust(&self, view: &GrantView) -> GrantChange {
-        if view.granted == 0 && view.shortage == 0 {
+        let rides = matches!(self, Self::RideThrough { .. });
+        if view.granted == 0 && view.shortage == 0 && !rides {
             return GrantChange::Keep;
         }
         let target = self.target(view);
         let needed = view.busy + view.shortage;
         let ahead = target.saturating_sub(needed);
-        if view.granted < needed + ahead / 2 {
+        let low = if rides { (ahead as f64 * TOP_UP_PART) as Tokens } else { ahead / 2 };
+        if view.granted < needed + low {
             return GrantChange::Ask(target.saturating_sub(view.granted));
         }
-        let returns = matches!(self, Self::BurnRate { .. });
+        let returns = rides || matches!(self, Self::BurnRate { .. });
         if returns && view.granted > needed + ahead.saturating_mul(2) {
             return GrantChange::Return(view.granted - target);
         }
@@ -133,6 +158,20 @@
     }
 }
 
+impl GrantPolicy {
+    /// Returns the change that goes along with a write that is made anyway: a grant that rides
+    /// through outages is then always filled up, at no further call.
+    pub fn adjust_written(&self, view: &GrantView) -> GrantChange {
+        let change = self.adjust(view);
+        let rides = matches!(self, Self::RideThrough { .. });
+        let missing = self.target(view).saturating_sub(view.granted);
+        if rides && change == GrantChange::Keep && view.granted > 0 && missing > 0 {
+            return GrantChange::Ask(missing);
+        }
+        change
+    }
+}
+
 /// A change of a grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GrantChange {
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -33,6 +33,8 @@
     /// Total that the configuration states; the account is raised to it, never lowered. 0 where
     /// only operators state it, in the shard.
     pub prepaid: Tokens,
+    /// The entry's part of the account's usage.
+    pub part: f64,
 }
 
 /// One sync, fixed until its outcome is known.
@@ -400,7 +402,8 @@
                 let account = shard.accounts.entry(Arc::clone(customer)).or_default();
                 account.prepaid = account.prepaid.max(demand.prepaid);
             }
-            change_grant(&mut shard, &entry, customer, demand, &self.policy);
+            let writes = !self.rows.is_empty();
+            change_grant(&mut shard, &entry, customer, demand, &self.policy, writes);
         }
         if let Some(row) = shard.live_tenure(&entry, self.epoch) {
             row.settled = self.plan.sequence;
@@ -470,12 +473,13 @@
     customer: &CustomerId,
     demand: &GrantDemand,
     policy: &GrantPolicy,
+    writes: bool,
 ) {
-    let holders = shard.holders.len() as u64;
+    let holders = shard.count_names();
     let Some(account) = shard.accounts.get_mut(customer) else {
         return;
     };
-    let unallocated = account.unallocated();
+    let (unallocated, unspent) = (account.unallocated(), account.unspent());
     let grant = account.grants.entry(Arc::clone(entry)).or_default();
     *grant = grant.saturating_sub(demand.returning);
     let view = GrantView {
@@ -486,13 +490,16 @@
         unallocated: unallocated + demand.returning,
         prepaid: account.prepaid,
         holders,
+        unspent,
+        part: demand.part,
     };
+    let change = if writes { policy.adjust_written(&view) } else { policy.adjust(&view) };
     // A part that lets no waiting request go would only be stranded here.
     let useful = demand.shortage == 0 || *grant + unallocated >= demand.busy + demand.least;
     // What was just given back must not be asked for again in the same step.
     if useful
         && demand.returning == 0
-        && let GrantChange::Ask(amount) = policy.adjust(&view)
+        && let GrantChange::Ask(amount) = change
     {
         *grant += amount.min(unallocated);
     }
--- /dev/null
+++ b/toucanrail/tests/backend_placing.rs
@@ -0,0 +1,106 @@
+//! Where requests go: sessions, slots and servers that are leaving.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::backends::{BackendEntry, BackendTable, FlightRow, LAPSE_GRACE, PromptPart};
+use toucanrail::placing::{self, PlaceQuery};
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn entry(id: &str) -> BackendEntry {
+    BackendEntry {
+        id: Arc::from(id),
+        service: Arc::from("llm"),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_centre: Arc::from(if id < "s5" { "a" } else { "b" }),
+        slots: 64,
+        draining: false,
+        born: 1,
+    }
+}
+
+fn make_table() -> BackendTable {
+    let mut table = BackendTable::new();
+    for at in 0..9 {
+        table.take_entry(entry(&format!("s{at}")));
+    }
+    table
+}
+
+fn pick(table: &BackendTable, data_centre: &str, session: u64, own: u64) -> String {
+    let parts = [(1, 500), (session, 4_900), (own, 6_600)];
+    let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
+    let query = PlaceQuery { data_centre, parts: &parts, prompt: 12_000, now: NOW, dice: 0.5 };
+    let eligible = table.eligible("llm", &[], NOW);
+    placing::pick_backend(&eligible, &query).expect("a server").entry.id.to_string()
+}
+
+fn flight(fresh: u64) -> FlightRow {
+    FlightRow { sent_at: NOW, fresh, memory: 0, begun: false }
+}
+
+/// Two callers of one session reach entries in two data centres. Sent to two servers, its shared
+/// part is read twice, which delays every stream at the second one.
+#[test]
+fn shared_session() {
+    let table = make_table();
+    for session in 100..140 {
+        assert_eq!(pick(&table, "a", session, 1), pick(&table, "b", session, 2));
+    }
+}
+
+/// Most callers ask about one thing at once. Its server's prompts queue up, and the next request
+/// would begin too late there: it goes elsewhere, and the part is read a second time.
+#[test]
+fn hot_session() {
+    let mut table = make_table();
+    let home = pick(&table, "a", 7, 1);
+    for _ in 0..12 {
+        table.note_sent(&home, flight(6_600), &[]);
+    }
+    assert_ne!(pick(&table, "a", 7, 2), home);
+}
+
+/// An entry lapses while the store is away, and its server lives on. It is used for the time in which
+/// live servers come back, and no longer.
+#[test]
+fn lapsed_entry() {
+    let mut table = make_table();
+    table.note_missing("s0", Some(NOW));
+    assert_eq!(table.eligible("llm", &[], NOW).len(), 9);
+    assert!(table.drop_lapsed(NOW + LAPSE_GRACE).is_empty());
+    assert_eq!(table.drop_lapsed(NOW + LAPSE_GRACE + Duration::from_millis(1)).len(), 1);
+}
+
+/// A server's entry vanishes while the store is well: it has left without a word, and gets nothing.
+#[test]
+fn vanished_entry() {
+    let mut table = make_table();
+    table.note_missing("s0", None);
+    assert!(table.get("s0").is_none());
+}
+
+/// A server starts again under its id. What it had cached and what ran there is gone.
+#[test]
+fn reborn_server() {
+    let mut table = make_table();
+    table.note_sent("s0", flight(100), &[PromptPart { id: 5, tokens: 100 }]);
+    table.take_entry(BackendEntry { born: 2, ..entry("s0") });
+    let row = table.get("s0").unwrap();
+    assert_eq!(row.flights.len(), 0);
+    assert_eq!(row.fresh_tokens(&[PromptPart { id: 5, tokens: 100 }], 100), 100);
+}
+
+/// Every server of a service was found down in a bad moment. Refusing all would be worse than
+/// trying those that the store still lists as ready; one that is draining is not among them.
+#[test]
+fn all_down() {
+    let mut table = make_table();
+    for at in 0..9 {
+        table.note_down(&format!("s{at}"), NOW);
+    }
+    table.take_entry(BackendEntry { draining: true, ..entry("s8") });
+    assert_eq!(table.eligible("llm", &[], NOW).len(), 8);
+}
--- /dev/null
+++ b/toucanrail/tests/outage_grants.rs
@@ -0,0 +1,183 @@
+//! Grants that ride through an outage of the store, and what a dead entry takes with it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use toucanrail::budgets::BudgetShard;
+use toucanrail::grants::{GrantTable, HoldRefusal};
+use toucanrail::ids::{CustomerId, ShardName, Tokens, Version};
+use toucanrail::policies::GrantPolicy;
+use toucanrail::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
+use toucanrail::syncs::SyncMachine;
+
+const POLICY: GrantPolicy =
+    GrantPolicy::RideThrough { horizon: Duration::from_secs(5), floor: 15_000, part: 0.15 };
+const PREPAID: Tokens = 1_000_000;
+const REQUEST: Tokens = 1_000;
+const TICK: Duration = Duration::from_millis(200);
+
+/// An object API that holds the one shard.
+#[derive(Default)]
+struct ShardStore {
+    version: Version,
+    value: Vec<u8>,
+}
+
+impl ShardStore {
+    fn call(&mut self, call: &StoreCall) -> StoreReply {
+        match call {
+            StoreCall::Get { path } if path.starts_with("budgets/") && self.version > 0 => {
+                StoreReply::Found { version: self.version, value: self.value.clone() }
+            }
+            StoreCall::Get { .. } => StoreReply::Missing,
+            StoreCall::Put { path, expect, value } if path.starts_with("budgets/") => {
+                let expected = match expect {
+                    WriteExpectation::Absent => 0,
+                    WriteExpectation::At(version) => *version,
+                };
+                if expected != self.version {
+                    return StoreReply::Conflict;
+                }
+                self.version += 1;
+                self.value.clone_from(value);
+                StoreReply::Written { version: self.version }
+            }
+            StoreCall::Put { .. } => StoreReply::Written { version: 1 },
+        }
+    }
+
+    fn shard(&self) -> BudgetShard {
+        storecalls::decode_value(&self.value).expect("a shard")
+    }
+}
+
+struct Holder {
+    table: GrantTable,
+    customer: CustomerId,
+    shard: ShardName,
+}
+
+impl Holder {
+    fn new(name: &str) -> Self {
+        let (customer, shard) = (Arc::from("acme"), Arc::from("accounts"));
+        let mut table = GrantTable::new(Arc::from(name), POLICY);
+        table.add_account(&customer, &shard);
+        table.note_prepaid(&customer, PREPAID);
+        Self { table, customer, shard }
+    }
+
+    fn sync(&mut self, store: &mut ShardStore) {
+        let Some(plan) = self.table.plan_sync(&self.shard, false) else {
+            return;
+        };
+        let cached = self.table.take_cached(&self.shard);
+        let mut machine = SyncMachine::new(plan, POLICY, cached);
+        while let Some(call) = machine.next_call() {
+            machine.take_reply(store.call(&call));
+        }
+        self.table.apply_sync(&self.shard, machine.into_outcome());
+    }
+
+    /// Runs one request that uses what it holds; false if the grant is short.
+    fn run_request(&mut self) -> bool {
+        let Ok(hold) = self.table.hold(&self.customer, REQUEST) else {
+            return false;
+        };
+        let bill = toucanrail::budgets::BillRow {
+            request: Arc::from("r"),
+            customer: Arc::clone(&self.customer),
+            service: Arc::from("llm"),
+            epoch: hold.epoch,
+            keyed: false,
+            billed: REQUEST,
+            written_off: 0,
+            unproved: 0,
+            runs: Vec::new(),
+        };
+        self.table.finish(&hold, Some(bill));
+        true
+    }
+}
+
+/// Callers of a customer with most of its budget left are refused during an outage of the store of
+/// some seconds: the entry's idea of its burn began at the start of the process, seconds before the
+/// first request, and its grant was sized for half the load.
+#[test]
+fn late_traffic() {
+    let mut store = ShardStore::default();
+    let mut holder = Holder::new("e1.1");
+    for _ in 0..50 {
+        holder.table.smooth_burn(TICK);
+    }
+    for tick in 0..25 {
+        assert!(holder.run_request() || tick == 0);
+        holder.table.smooth_burn(TICK);
+        if tick % 5 == 0 {
+            holder.sync(&mut store);
+        }
+    }
+    holder.sync(&mut store);
+    let served = (0..20).take_while(|_| holder.run_request()).count();
+    assert_eq!(served, 20, "4 s of the load");
+}
+
+/// An entry loses power with its grants, and nothing proves what it spent of them. They must be
+/// small enough that the customer's callers are served to nearly the end of its budget.
+#[test]
+fn lost_holders() {
+    let mut store = ShardStore::default();
+    let mut holders = ["e1.1", "e2.1", "e3.1", "e4.1"].map(Holder::new);
+    for _ in 0..50 {
+        for holder in &mut holders {
+            holder.sync(&mut store);
+            holder.run_request();
+            holder.table.smooth_burn(TICK);
+        }
+    }
+    let mut last = Holder::new("e1.2");
+    last.sync(&mut store);
+    while last.run_request() {
+        last.sync(&mut store);
+    }
+    let shard = store.shard();
+    let left = shard.accounts[&last.customer].unspent();
+    assert!(left < PREPAID * 16 / 100, "{left} tokens are stranded");
+}
+
+/// A top-up arrives by the configuration while the shard still has the old total: the entry must not
+/// refuse what the new total covers.
+#[test]
+fn fresh_top_up() {
+    let mut store = ShardStore::default();
+    let mut holder = Holder::new("e1.1");
+    holder.sync(&mut store);
+    holder.table.note_prepaid(&holder.customer, 3 * PREPAID);
+    let refused = holder.table.hold(&holder.customer, 2 * PREPAID).unwrap_err();
+    assert!(matches!(refused, HoldRefusal::Short(_)), "{refused:?}");
+    assert!(!holder.table.is_uncovered(&holder.customer, 2 * PREPAID));
+    holder.table.add_shortage(&holder.customer, 2 * PREPAID);
+    holder.sync(&mut store);
+    assert!(holder.table.hold(&holder.customer, 2 * PREPAID).is_ok());
+}
+
+proptest! {
+    /// Whatever entries do, die or lose, never more is billed and granted than is prepaid.
+    #[test]
+    fn never_over(steps in prop::collection::vec((0_usize..3, 0_u8..4), 1..120)) {
+        let mut store = ShardStore::default();
+        let mut holders = ["e1.1", "e2.1", "e3.1"].map(Holder::new);
+        let mut spent = 0;
+        for (at, (who, what)) in steps.into_iter().enumerate() {
+            match what {
+                0 | 1 => spent += u64::from(holders[who].run_request()) * REQUEST,
+                2 => holders[who].sync(&mut store),
+                _ => holders[who] = Holder::new(&format!("e{who}.{at}")),
+            }
+            if store.version > 0 {
+                prop_assert!(store.shard().is_sound());
+            }
+        }
+        prop_assert!(spent <= PREPAID);
+    }
+}
--- /dev/null
+++ b/toucanrail/tests/route_matching.rs
@@ -0,0 +1,86 @@
+//! Requests matched to routes, services and customers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use toucanrail::matching::{
+    CustomerRule, FleetConfig, RouteKind, RouteRule, RouteTable, RouteTarget,
+};
+
+fn route(host: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: Arc::from(prefix),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        targets: vec![
+            RouteTarget { service: Arc::from("one"), weight: 90 },
+            RouteTarget { service: Arc::from("two"), weight: 10 },
+        ],
+        kind: RouteKind::Once,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_millis(150),
+        gap: Duration::ZERO,
+        priority: 0,
+        attempts: 1,
+        public: false,
+    }
+}
+
+fn make_table(routes: Vec<RouteRule>) -> RouteTable {
+    let mut table = RouteTable::new();
+    table.take_config(FleetConfig { version: 1, routes, ..FleetConfig::default() });
+    table
+}
+
+proptest! {
+    /// The route found is the one that a search through all of them finds: the longest prefix.
+    #[test]
+    fn longest_prefix(prefixes in prop::collection::btree_set("(/[ab]{1,2}){0,3}/", 0..8), path in "(/[ab]{0,2}){1,5}") {
+        let routes = prefixes.iter().map(|prefix| route("h", prefix)).collect();
+        let table = make_table(routes);
+        let fits = prefixes.iter().filter(|prefix| path.starts_with(prefix.as_str()));
+        let naive = fits.max_by_key(|prefix| prefix.len());
+        let found = table.find_route("h", &path).map(|route| route.prefix.to_string());
+        prop_assert_eq!(found, naive.cloned());
+    }
+}
+
+/// Callers write a host in any case and with a port.
+#[test]
+fn written_host() {
+    let table = make_table(vec![route("shop.example", "/a/")]);
+    assert!(table.find_route("Shop.Example:8080", "/a/b").is_some());
+    assert!(table.find_route("other.example", "/a/b").is_none());
+}
+
+/// A split sends each service its share.
+#[test]
+fn split_shares() {
+    let rule = route("h", "/");
+    let picks = (0..100).filter_map(|step| rule.pick_service(f64::from(step) / 100.0));
+    assert_eq!(picks.filter(|service| ***service == *"two").count(), 10);
+}
+
+/// An old configuration that was long under way arrives behind a newer one, which took a key away:
+/// the key must not come back into force.
+#[test]
+fn late_config() {
+    let customer = |keys: &[&str]| CustomerRule {
+        name: Arc::from("acme"),
+        keys: keys.iter().map(|key| Arc::from(*key)).collect::<BTreeSet<_>>(),
+        priority: None,
+        prepaid: None,
+    };
+    let config = |version, keys: &[&str]| FleetConfig {
+        version,
+        customers: vec![customer(keys)],
+        ..FleetConfig::default()
+    };
+    let mut table = RouteTable::new();
+    assert!(table.take_config(config(5, &["new"])));
+    assert!(!table.take_config(config(4, &["new", "old"])));
+    assert!(table.find_customer("old").is_none());
+    assert!(table.needs_keys());
+}
--- /dev/null
+++ b/toucanrail/tests/store_detours.rs
@@ -0,0 +1,83 @@
+//! The way to the store while an entry's own VM is cut off from it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::detours::{DetourTable, RelayEntry, StoreWay};
+
+fn store() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 80))
+}
+
+fn relay(port: u16, data_centre: &str) -> RelayEntry {
+    let address = SocketAddr::from(([10, 0, 0, 2], port));
+    RelayEntry { address, data_centre: Arc::from(data_centre) }
+}
+
+fn make_table() -> DetourTable {
+    let mut table = DetourTable::new(store(), Arc::from("a"));
+    let relays = [("far", relay(1, "b")), ("near-1", relay(2, "a")), ("near-2", relay(3, "a"))];
+    table.take_relays(relays.map(|(name, entry)| (Arc::from(name), entry)));
+    table
+}
+
+/// A caller's customer is refused for want of a grant although its budget lasts: the entry's VM is
+/// cut off from the store, while VMs beside it reach the store well. The entry goes through one of
+/// these, in its own data centre.
+#[test]
+fn cut_entry() {
+    let mut table = make_table();
+    assert!(table.note_failure(&StoreWay::Direct, 0.0, Duration::from_secs(1)));
+    assert_eq!(table.way().0, StoreWay::Relay(Arc::from("near-1")));
+}
+
+/// Three calls wait on the direct way when it breaks. Their failures come one after the other, and
+/// the second and third must not take the relay away again that the first chose.
+#[test]
+fn late_failures() {
+    let mut table = make_table();
+    let now = Duration::from_secs(1);
+    table.note_failure(&StoreWay::Direct, 0.0, now);
+    assert!(!table.note_failure(&StoreWay::Direct, 0.9, now));
+    assert_eq!(table.way().0, StoreWay::Relay(Arc::from("near-1")));
+}
+
+/// The store itself is away: each relay fails in turn, and the direct way is as good as any. When
+/// the relays have rested they are tried again.
+#[test]
+fn absent_store() {
+    let mut table = make_table();
+    let mut now = Duration::from_secs(1);
+    table.note_failure(&StoreWay::Direct, 0.0, now);
+    for _ in 0..3 {
+        let (way, _) = table.way();
+        assert_ne!(way, StoreWay::Direct);
+        table.note_failure(&way, 0.0, now);
+    }
+    assert_eq!(table.way().0, StoreWay::Direct);
+    assert!(!table.note_failure(&StoreWay::Direct, 0.0, now));
+    now += Duration::from_secs(6);
+    assert!(table.note_failure(&StoreWay::Direct, 0.0, now));
+}
+
+/// The cut heals. The direct way is tried now and then, and taken as soon as it works.
+#[test]
+fn healed_cut() {
+    let mut table = make_table();
+    table.note_failure(&StoreWay::Direct, 0.0, Duration::from_secs(1));
+    assert!(!table.wants_probe(Duration::from_secs(2)));
+    assert!(table.wants_probe(Duration::from_secs(4)));
+    assert!(!table.wants_probe(Duration::from_secs(5)));
+    table.note_direct();
+    assert_eq!(table.way(), (StoreWay::Direct, store()));
+}
+
+/// The VM of the relay in use is taken away, and its entry with it.
+#[test]
+fn removed_relay() {
+    let mut table = make_table();
+    table.note_failure(&StoreWay::Direct, 0.0, Duration::from_secs(1));
+    table.take_relays([(Arc::from("far"), relay(1, "b"))]);
+    assert_eq!(table.way().0, StoreWay::Direct);
+}
