--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -52,7 +52,7 @@
         Ok(mut signals) => while matches!(signals.next().await, Some(Ok(Signal::Hup))) {},
         Err(error) => {
             tracing::error!(event = "no_signals", %error);
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 }
