A shard a customer; syncs when due

Ruled out: fewer, larger syncs of one shard (contention grows with the entries all the same). Change: each customer's account is an object of its own; a shard is synced when a request waits, a grant runs low, or its settlement is due; syncs of different shards run at the same time.

--- a/toucanrail-gateway/src/settling.rs
+++ b/toucanrail-gateway/src/settling.rs
@@ -7,13 +7,16 @@
 use smol::future::FutureExt;
 use toucanrail::codetable;
 use toucanrail::grants::GrantHold;
-use toucanrail::ids::{CustomerId, Tokens};
+use toucanrail::ids::{CustomerId, ShardName, Tokens};
+use toucanrail::paths;
 use toucanrail::syncs::{SyncMachine, SyncOutcome};
 use toucanrail_wire::clocks;
 
 use crate::admitting::EntryRefusal;
-use crate::states::{Gateway, SHARD};
+use crate::states::Gateway;
 
+/// How customers are divided among shards: each has its own, whose name is the customer's.
+const SHARD_PER_CUSTOMER: u64 = 0;
 /// This use of the store, in logs.
 const USAGE: &str = "budgets";
 /// Pause between syncs that requests asked for: those that wait meanwhile share the next one.
@@ -27,34 +30,55 @@
 const GRANT_WAIT: Duration = Duration::from_millis(400);
 /// When to come back where the money is granted elsewhere or the store is away.
 const GRANT_RETRY: Duration = Duration::from_millis(800);
-/// Accounts logged at the start.
-const ACCOUNT_LINES: usize = 50;
+/// How often shards are looked at for what is due.
+const TICK: Duration = Duration::from_millis(100);
 /// Longest wait of a stopping entry for its last settlement.
 const LEAVE_BOUND: Duration = Duration::from_millis(800);
 
-/// Settles every flush, and at once while requests wait for a grant.
+/// Runs the syncs that are due, one at a time a shard, and at once where a request waits.
+///
+/// Each customer has a shard of its own: entries that settle different customers never meet in one
+/// object, and thirty entries that share one object spent most calls on lost races.
 pub async fn run_syncs(gateway: Rc<Gateway>) {
     while !gateway.gives_up_grants.get() {
         let wanted = gateway.wanted.listen();
-        if !gateway.tables.borrow().grants.has_unseen(&gateway.shard) {
-            let flush = async {
-                smol::Timer::after(gateway.tuning.flush.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        let shards = gateway.tables.borrow().grants.shards();
+        for shard in shards.into_iter().filter(|shard| is_due(&gateway, shard)) {
+            gateway.syncing.borrow_mut().insert(Arc::clone(&shard));
+            let held = Rc::clone(&gateway);
+            let syncing = async move {
+                let answered = sync_shard(&held, &shard, false).await;
+                smol::Timer::after(if answered { SYNC_PAUSE } else { SILENT_PAUSE }).await;
+                held.syncing.borrow_mut().remove(&shard);
+                // A request that began to wait during this sync found it running.
+                held.wanted.notify(usize::MAX);
             };
-            wanted.or(flush).await;
+            gateway.executor.spawn(syncing).detach();
         }
-        let answered = sync_accounts(&gateway, false).await;
-        gateway.synced.notify(usize::MAX);
-        smol::Timer::after(if answered { SYNC_PAUSE } else { SILENT_PAUSE }).await;
+        let tick = async {
+            smol::Timer::after(TICK).await;
+        };
+        wanted.or(tick).await;
     }
 }
 
-/// Runs one sync, if one is due; false if the store did not answer.
-async fn sync_accounts(gateway: &Rc<Gateway>, leave: bool) -> bool {
-    let _running = gateway.syncing.lock().await;
+fn is_due(gateway: &Gateway, shard: &ShardName) -> bool {
+    if gateway.syncing.borrow().contains(shard) {
+        return false;
+    }
+    let tables = gateway.tables.borrow();
+    let synced = gateway.synced_at.borrow().get(shard).copied();
+    let age = gateway.now().saturating_sub(synced.unwrap_or_default());
+    tables.grants.is_wanted(shard) || (synced.is_some() && age > gateway.tuning.flush)
+}
+
+/// Runs one sync of a shard, if there is something to do; false if the store did not answer.
+async fn sync_shard(gateway: &Rc<Gateway>, shard: &ShardName, leave: bool) -> bool {
+    gateway.synced_at.borrow_mut().insert(Arc::clone(shard), gateway.now());
     let started = {
         let mut tables = gateway.tables.borrow_mut();
-        let plan = tables.grants.plan_sync(&gateway.shard, leave);
-        plan.map(|plan| (plan, tables.grants.take_cached(&gateway.shard)))
+        let plan = tables.grants.plan_sync(shard, leave);
+        plan.map(|plan| (plan, tables.grants.take_cached(shard)))
     };
     let Some((plan, cached)) = started else {
         return true;
@@ -76,27 +100,26 @@
     gateway.board.count_event(kind);
     gateway.board.add_events("sync_calls", u64::from(calls));
     gateway.note_store(USAGE, answered);
-    let was_open = gateway.tables.borrow().grants.is_open(&gateway.shard);
-    gateway.tables.borrow_mut().grants.apply_sync(&gateway.shard, outcome);
+    let was_open = gateway.tables.borrow().grants.is_open(shard);
+    gateway.tables.borrow_mut().grants.apply_sync(shard, outcome);
     if !was_open && !leave {
-        log_accounts(gateway);
+        log_accounts(gateway, shard);
     }
+    gateway.synced.notify(usize::MAX);
     answered
 }
 
 /// Logs what stands in the shard when this process joins its holders.
-fn log_accounts(gateway: &Gateway) {
+fn log_accounts(gateway: &Gateway, shard: &ShardName) {
     let tables = gateway.tables.borrow();
-    let Some(shard) = tables.grants.known_shard(&gateway.shard) else {
+    let Some(shard) = tables.grants.known_shard(shard) else {
         return;
     };
-    let holders: Vec<&str> = shard.holders.keys().map(AsRef::as_ref).collect();
-    tracing::info!(event = "holders_known", holders = ?holders);
-    for (customer, account) in shard.accounts.iter().take(ACCOUNT_LINES) {
+    for (customer, account) in &shard.accounts {
         tracing::info!(
             event = "account_known", %customer, prepaid = account.prepaid,
             unspent = account.unspent(), unallocated = account.unallocated(),
-            grants = ?account.grants.values().collect::<Vec<_>>(),
+            holders = shard.holders.len(), granted = account.grants.values().sum::<Tokens>(),
         );
     }
 }
@@ -158,7 +181,7 @@
     amount: Tokens,
     left: Duration,
 ) -> Result<GrantHold, EntryRefusal> {
-    let before = gateway.tables.borrow().grants.looks(&gateway.shard);
+    let before = gateway.tables.borrow().grants.looks(customer);
     loop {
         let synced = gateway.synced.listen();
         gateway.wanted.notify(usize::MAX);
@@ -169,7 +192,7 @@
         }
         // Only a shard read after the request came may refuse it, and the first look may be that
         // of a sync that had begun before.
-        if tables.grants.looks(&gateway.shard) > before + 1 {
+        if tables.grants.looks(customer) > before + 1 {
             let uncovered = tables.grants.is_uncovered(customer, amount);
             drop(tables);
             let until = gateway.now() + SHORT_TIME;
@@ -189,7 +212,7 @@
     let tables = &mut *tables;
     for customer in tables.routes.customers() {
         if let Some(total) = customer.prepaid {
-            tables.grants.add_account(&customer.name, &gateway.shard);
+            tables.grants.add_account(&customer.name, &paths::shard_of(&customer.name, SHARD_PER_CUSTOMER));
             tables.grants.note_prepaid(&customer.name, total);
         }
     }
@@ -198,17 +221,32 @@
 /// Settles all and gives unused grants back.
 pub async fn leave(gateway: &Rc<Gateway>) {
     gateway.gives_up_grants.set(true);
+    let shards = gateway.tables.borrow().grants.shards();
+    let tasks: Vec<_> = shards
+        .into_iter()
+        .map(|shard| gateway.executor.spawn(leave_shard(Rc::clone(gateway), shard)))
+        .collect();
     let leaving = async {
-        while gateway.tables.borrow().grants.is_open(&gateway.shard) {
-            let settled = sync_accounts(gateway, true).await;
-            if settled && gateway.in_flight.get() > 0 {
-                // What these hold stays granted: nobody can tell any more what they will have used.
-                break;
-            }
-            smol::Timer::after(SYNC_PAUSE).await;
+        for task in tasks {
+            task.await;
         }
     };
     if clocks::bounded(LEAVE_BOUND, leaving).await.is_none() {
-        tracing::warn!(event = "left_unsettled", shard = SHARD);
+        tracing::warn!(event = "left_unsettled");
+    }
+}
+
+async fn leave_shard(gateway: Rc<Gateway>, shard: ShardName) {
+    while gateway.tables.borrow().grants.is_open(&shard) {
+        if gateway.syncing.borrow().contains(&shard) {
+            smol::Timer::after(SYNC_PAUSE).await;
+            continue;
+        }
+        let settled = sync_shard(&gateway, &shard, true).await;
+        if settled && gateway.in_flight.get() > 0 {
+            // What these hold stays granted: nobody can tell any more what they will have used.
+            return;
+        }
+        smol::Timer::after(SYNC_PAUSE).await;
     }
 }
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use event_listener::Event;
-use smol::lock::Mutex;
 use smol::{Async, LocalExecutor};
 use toucanrail::backends::BackendTable;
 use toucanrail::detours::DetourTable;
@@ -25,7 +24,7 @@
 use crate::following;
 use crate::inspecting;
 use crate::settling;
-use crate::states::{Gateway, GatewayTables, SHARD};
+use crate::states::{Gateway, GatewayTables};
 use crate::stopping;
 use crate::storing::{self, StoreAccess};
 use crate::tuning::GatewayTuning;
@@ -79,7 +78,6 @@
         tables: RefCell::new(tables),
         channels: ChannelPool::new(),
         clock: ProcessClock::start(),
-        shard: Arc::from(SHARD),
         stopping: Cell::new(None),
         closes_idle: Cell::new(false),
         gives_up_grants: Cell::new(false),
@@ -90,7 +88,8 @@
         leaving: Event::new(),
         wanted: Event::new(),
         synced: Event::new(),
-        syncing: Mutex::new(()),
+        syncing: RefCell::default(),
+        synced_at: RefCell::default(),
     })
 }
 
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -8,7 +8,6 @@
 
 use event_listener::Event;
 use smol::LocalExecutor;
-use smol::lock::Mutex;
 use toucanrail::backends::{BackendId, BackendTable, FlightId};
 use toucanrail::budgets::BillRow;
 use toucanrail::grants::{GrantHold, GrantTable};
@@ -23,8 +22,6 @@
 use crate::storing::StoreAccess;
 use crate::tuning::GatewayTuning;
 
-/// The one shard that holds all accounts.
-pub const SHARD: &str = "accounts";
 /// Part of the fleet's retries that entries divide among themselves; the rest covers entries that
 /// another does not know of yet.
 const RETRY_PART: f64 = 0.6;
@@ -65,8 +62,6 @@
     pub channels: ChannelPool,
     /// The time since the start.
     pub clock: ProcessClock,
-    /// The shard of all accounts.
-    pub shard: ShardName,
     /// When it was told to stop.
     pub stopping: Cell<Option<Instant>>,
     /// Whether idle callers' connections are closed.
@@ -88,8 +83,10 @@
     pub wanted: Event,
     /// A sync has ended.
     pub synced: Event,
-    /// Held by the sync that runs; two at a time would take each other's outcome.
-    pub syncing: Mutex<()>,
+    /// Shards whose sync runs; two at a time would take each other's outcome.
+    pub syncing: RefCell<BTreeSet<ShardName>>,
+    /// When each shard's last sync began.
+    pub synced_at: RefCell<BTreeMap<ShardName, Duration>>,
 }
 
 impl Gateway {
@@ -142,7 +139,7 @@
         Work: FnOnce(&mut RetryBudget) -> Value,
     {
         let mut tables = self.tables.borrow_mut();
-        let entries = tables.grants.holders(&self.shard).len().max(LEAST_ENTRIES);
+        let entries = tables.grants.count_entries().max(LEAST_ENTRIES);
         let share = self.settings.retry_share * RETRY_PART;
         let reserve = self.settings.retry_slack * RETRY_PART / entries as f64;
         let budget = tables.retries.entry(Arc::clone(service));
--- a/toucanrail-gateway/src/tuning.rs
+++ b/toucanrail-gateway/src/tuning.rs
@@ -23,7 +23,7 @@
         default: Some("0.1"),
         help: "Part of an unspent budget that all entries together keep ahead.",
     },
-    SettingRow { name: "flush", default: Some("1s"), help: "Time between settlements." },
+    SettingRow { name: "flush", default: Some("3s"), help: "Time between settlements." },
 ];
 
 /// The settings as read.
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -358,9 +358,8 @@
         // What runs may still use its hold: a tenure with open holds is not ended.
         let leave = leave && !holds;
         let open = self.shards.get(shard)?.epoch != 0;
-        let opens = !open && !leave && self.has_totals(&customers);
         let rows = self.has_rows(shard, &customers);
-        let calls = changed || opens || rows || (open && (leave || !named));
+        let calls = changed || rows || (open && (leave || !named));
         if !calls {
             return None;
         }
@@ -393,12 +392,6 @@
         late || accounts.into_iter().any(|account| !account.unsettled.is_empty())
     }
 
-    /// Tells whether the configuration states totals: grants are then taken before the first request.
-    fn has_totals(&self, customers: &[CustomerId]) -> bool {
-        let mut accounts = customers.iter().filter_map(|customer| self.accounts.get(customer));
-        accounts.any(|account| account.prepaid > 0)
-    }
-
     fn has_holds(&self, customers: &[CustomerId]) -> bool {
         let mut accounts = customers.iter().filter_map(|customer| self.accounts.get(customer));
         accounts.any(|account| account.held > 0)
@@ -634,6 +627,23 @@
         accounts.into_iter().any(|account| account.unseen)
     }
 
+    /// Tells whether a shard's next sync should not wait for the settlement: a request waits, a grant
+    /// runs low, or the outcome of the last one is unknown.
+    pub fn is_wanted(&self, shard: &ShardName) -> bool {
+        let unknown = self.shards.get(shard).is_some_and(|tenure| tenure.plan.is_some());
+        let low = |customer: &CustomerId| {
+            let view = self.view(customer);
+            view.is_some_and(|view| matches!(self.policy.adjust(&view), GrantChange::Ask(1..)))
+        };
+        unknown || self.has_unseen(shard) || self.customers_of(shard).iter().any(low)
+    }
+
+    /// Returns how many entries hold tenures in any one shard, at the most.
+    pub fn count_entries(&self) -> usize {
+        let cached = self.shards.values().filter_map(|tenure| tenure.cached.as_ref());
+        cached.map(|(_, shard)| shard.count_names() as usize).max().unwrap_or(0)
+    }
+
     /// Returns how often a sync has seen the newest version of a shard.
     pub fn looks(&self, shard: &ShardName) -> u64 {
         self.shards.get(shard).map_or(0, |tenure| tenure.looks)
