Lenders hold grants for a data centre; a lapsed server is dropped in time

Change: relays on side machines also lend budget: entries draw a request's worst case from the lender that is first for the customer in their data centre, and report its use; an entry that reaches none keeps its own grants as before. One BudgetKeeper serves both.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -12,15 +12,18 @@
 use toucanrail_wire::heads::RequestHead;
 
 use crate::answering::{self, CallerSide};
+use crate::borrowing::{self, BudgetGuard, BudgetNeed};
+use crate::budgeting::HoldFailure;
 use crate::dispatching;
-use crate::settling;
-use crate::states::{BudgetGuard, Gateway};
+use crate::states::Gateway;
 
 /// Age of the last contact with the store from which an unknown key or route may be a new one that
 /// has not arrived: the caller is then sent elsewhere instead of away. Twice a watch's wait.
 const KNOWLEDGE_AGE: Duration = Duration::from_secs(3);
 /// When to come back to an entry that knows no configuration yet, or that is cut off.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
+/// When to come back where the money is granted elsewhere or the store is away.
+const GRANT_RETRY: Duration = Duration::from_millis(800);
 /// Time that a stopped entry needs to be back, where the balancer knows no other.
 const STOP_RETRY: Duration = Duration::from_millis(700);
 /// Time after SIGTERM in which new requests are served whatever their length: the balancer sends new
@@ -89,7 +92,7 @@
         Err(refusal) => {
             let facts = requests::read_request(head);
             let version = gateway.tables.borrow().routes.version();
-            let age = gateway.store_age();
+            let age = gateway.store.age();
             tracing::info!(
                 event = "refused", request = %facts.id, code = refusal.code.number(),
                 reason = refusal.code.row().name, path = head.path(), config = version,
@@ -156,7 +159,7 @@
         return Err(EntryRefusal { code: codetable::STORE_UNAVAILABLE, retry_after: later });
     }
     let unknown = |code: ResultCode| {
-        if gateway.store_age() > KNOWLEDGE_AGE {
+        if gateway.store.age() > KNOWLEDGE_AGE {
             return EntryRefusal { code: codetable::STORE_UNAVAILABLE, retry_after: later };
         }
         EntryRefusal::from(code)
@@ -177,12 +180,28 @@
     gateway: &Rc<Gateway>,
     plan: &CallPlan<'_>,
 ) -> Result<Option<BudgetGuard>, EntryRefusal> {
-    let limited = plan.customer.as_ref().filter(|customer| customer.prepaid.is_some());
-    let (Some(customer), Some(prompt)) = (limited, &plan.facts.prompt) else {
+    let (Some(customer), Some(prompt)) = (&plan.customer, &plan.facts.prompt) else {
         return Ok(None);
     };
-    let amount = prompt.prompt + prompt.output;
-    let hold = settling::take_hold(gateway, &customer.name, amount, plan.left()).await?;
-    let (request, service) = (&plan.facts.id, &plan.service);
-    Ok(Some(BudgetGuard::new(gateway, hold, request, service, prompt.prompt)))
+    let Some(stated) = customer.prepaid else {
+        return Ok(None);
+    };
+    let need = BudgetNeed {
+        customer: &customer.name,
+        stated,
+        request: &plan.facts.id,
+        service: &plan.service,
+        prompt: prompt.prompt,
+        output: prompt.output,
+        left: plan.left(),
+    };
+    let taken = borrowing::take_budget(gateway, &need).await;
+    taken.map(Some).map_err(|failure| match failure {
+        HoldFailure::Uncovered => codetable::BUDGET_EXHAUSTED.into(),
+        HoldFailure::Short => {
+            let wait = GRANT_RETRY.mul_f64(0.75 + 0.5 * fastrand::f64());
+            let code = codetable::BUDGET_UNCONFIRMED;
+            EntryRefusal { code, retry_after: Some(wait.min(plan.left() / 3)) }
+        }
+    })
 }
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -12,9 +12,10 @@
 
 use crate::admitting::CallPlan;
 use crate::answering::{self, CallerSide};
+use crate::borrowing::BudgetGuard;
 use crate::relaying::StreamState;
 use crate::sending::{self, AttemptContext, AttemptEnd, FailedAnswer};
-use crate::states::{BudgetGuard, Gateway};
+use crate::states::Gateway;
 
 /// Bounds of the time after which a declined caller may come back; spread, so that those who were
 /// declined together do not return together.
--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -10,7 +10,6 @@
 use toucanrail_platform::stores::{KindChange, StoreFailure};
 use toucanrail_platform::{configs, names, registrations};
 
-use crate::settling;
 use crate::states::Gateway;
 
 /// Wait of one watch. Each watch is a counted call, and a connection that turned silent shows only
@@ -66,7 +65,7 @@
             gateway.channels.forget(&id);
         }
         gateway.channels.sweep();
-        gateway.tables.borrow_mut().grants.smooth_burn(now.saturating_sub(swept));
+        gateway.keeper.grants.borrow_mut().smooth_burn(now.saturating_sub(swept));
         swept = now;
     }
 }
@@ -84,7 +83,7 @@
                 revision = Some(next);
                 heard = gateway.now();
                 pause = PAUSE_LEAST;
-                gateway.note_store(Taker::KIND, true);
+                gateway.store.note_use(Taker::KIND, true);
             }
             Err(StoreFailure::Forgotten) => {
                 tracing::info!(event = "history_gone", kind = Taker::KIND);
@@ -92,7 +91,7 @@
             }
             Err(failure) => {
                 tracing::debug!(event = "store_failed", kind = Taker::KIND, %failure);
-                gateway.note_store(Taker::KIND, false);
+                gateway.store.note_use(Taker::KIND, false);
                 smol::Timer::after(pause.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
                 pause = (pause * 2).min(PAUSE_LIMIT);
             }
@@ -111,13 +110,12 @@
     Taker: KindTaker,
 {
     let Some(revision) = revision else {
-        let listing = gateway.store.list_kind(Taker::KIND, WATCH_WAIT, gateway.now()).await?;
+        let listing = gateway.store.list_kind(Taker::KIND, WATCH_WAIT).await?;
         taker.note_return(gateway, gateway.now().saturating_sub(heard));
         taker.take_all(gateway, &listing.objects);
         return Ok(listing.revision);
     };
-    let watching =
-        gateway.store.watch_kind(Taker::KIND, revision, WATCH_WAIT, ANSWER_SLACK, gateway.now());
+    let watching = gateway.store.watch_kind(Taker::KIND, revision, WATCH_WAIT, ANSWER_SLACK);
     let watched = watching.await?;
     taker.note_return(gateway, gateway.now().saturating_sub(heard));
     for change in &watched.changes {
@@ -148,7 +146,6 @@
         if taken {
             gateway.board.in_force.set(i64::try_from(version).unwrap_or(i64::MAX));
             tracing::info!(event = "config_in_force", version, routes);
-            settling::take_customers(gateway);
         }
     }
 }
--- a/toucanrail-gateway/src/inspecting.rs
+++ b/toucanrail-gateway/src/inspecting.rs
@@ -79,16 +79,17 @@
 
 fn dump_state(gateway: &Gateway) -> Vec<u8> {
     let tables = gateway.tables.borrow();
+    let grants = gateway.keeper.grants.borrow();
     let dump = StateDump {
         id: &gateway.id,
         data_centre: &gateway.settings.data_centre,
         config_version: tables.routes.version(),
         stopping: gateway.stopping.get().is_some(),
         in_flight: gateway.in_flight.get(),
-        store_age_ms: gateway.store_age().as_millis() as u64,
+        store_age_ms: gateway.store.age().as_millis() as u64,
         store_ways: gateway.store.ways(),
         backends: &tables.backends,
-        grants: &tables.grants,
+        grants: &grants,
     };
     // Only maps with keys other than text can fail here.
     serde_json::to_vec(&dump).unwrap_or_default()
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -20,13 +20,15 @@
 pub mod accepting;
 pub mod admitting;
 pub mod answering;
+pub mod borrowing;
+pub mod budgeting;
 pub mod dispatching;
 pub mod following;
 pub mod inspecting;
+pub mod lending;
 pub mod logging;
 pub mod relaying;
 pub mod sending;
-pub mod settling;
 pub mod starting;
 pub mod states;
 pub mod stopping;
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -12,7 +12,6 @@
 use smol::{Async, LocalExecutor};
 use toucanrail::backends::BackendTable;
 use toucanrail::detours::DetourTable;
-use toucanrail::grants::GrantTable;
 use toucanrail::matching::RouteTable;
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_daemons::starting::{self, ProcessClock};
@@ -21,9 +20,10 @@
 use toucanrail_wire::keeping::ChannelPool;
 
 use crate::accepting;
+use crate::borrowing::{self, LoanDesk};
+use crate::budgeting::{self, BudgetKeeper};
 use crate::following;
 use crate::inspecting;
-use crate::settling;
 use crate::states::{Gateway, GatewayTables};
 use crate::stopping;
 use crate::storing::{self, StoreAccess};
@@ -49,11 +49,13 @@
     executor.spawn(accepting::serve_callers(Rc::clone(&held), callers)).detach();
     executor.spawn(inspecting::serve_questions(Rc::clone(&held), readiness)).detach();
     executor.spawn(inspecting::serve_questions(Rc::clone(&held), inner)).detach();
-    executor.spawn(storing::keep_ways(Rc::clone(&held))).detach();
+    let ways = storing::keep_ways(Rc::clone(&held.store), held.settings.store);
+    executor.spawn(ways).detach();
     executor.spawn(following::follow_config(Rc::clone(&held))).detach();
     executor.spawn(following::follow_servers(Rc::clone(&held))).detach();
     executor.spawn(following::sweep(Rc::clone(&held))).detach();
-    executor.spawn(settling::run_syncs(Rc::clone(&held))).detach();
+    executor.spawn(budgeting::run_syncs(Rc::clone(&held.keeper))).detach();
+    executor.spawn(borrowing::send_ends(Rc::clone(&held))).detach();
     smol::block_on(executor.run(stopping::wait_end(held)));
     Ok(())
 }
@@ -61,35 +63,32 @@
 fn make_gateway(settings: NodeSettings, tuning: GatewayTuning) -> io::Result<Gateway> {
     let id = starting::new_incarnation(&settings.vm);
     let board = MetricBoard::new("gateway").map_err(io::Error::other)?;
+    let clock = ProcessClock::start();
+    let executor = Rc::new(LocalExecutor::new());
     let ways = DetourTable::new(settings.store, Arc::clone(&settings.data_centre));
+    let store = Rc::new(StoreAccess::new(StoreClient::new(STORE_CONNECT), ways, clock));
+    let keeper =
+        BudgetKeeper::new(&id, Rc::clone(&store), tuning, board.clone(), Rc::clone(&executor));
     let tables = GatewayTables {
         routes: RouteTable::new(),
         backends: BackendTable::new(),
-        grants: GrantTable::new(Arc::clone(&id), tuning.policy),
         retries: BTreeMap::new(),
     };
     Ok(Gateway {
-        store: StoreAccess::new(StoreClient::new(STORE_CONNECT), ways),
         settings,
-        tuning,
         id,
+        store,
+        keeper: Rc::new(keeper),
+        desk: LoanDesk::default(),
         board,
-        executor: LocalExecutor::new(),
+        executor,
         tables: RefCell::new(tables),
         channels: ChannelPool::new(),
-        clock: ProcessClock::start(),
+        clock,
         stopping: Cell::new(None),
         closes_idle: Cell::new(false),
-        gives_up_grants: Cell::new(false),
-        short: RefCell::default(),
         in_flight: Cell::new(0),
-        store_heard: Cell::new(None),
-        store_silent: RefCell::default(),
         leaving: Event::new(),
-        wanted: Event::new(),
-        synced: Event::new(),
-        syncing: RefCell::default(),
-        synced_at: RefCell::default(),
     })
 }
 
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -1,7 +1,7 @@
 //! What all parts of the gateway share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,9 +9,7 @@
 use event_listener::Event;
 use smol::LocalExecutor;
 use toucanrail::backends::{BackendId, BackendTable, FlightId};
-use toucanrail::budgets::BillRow;
-use toucanrail::grants::{GrantHold, GrantTable};
-use toucanrail::ids::{CustomerId, EntryId, RequestId, ServiceName, ShardName, Tokens};
+use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
 use toucanrail::retries::RetryBudget;
 use toucanrail_daemons::observing::MetricBoard;
@@ -19,8 +17,9 @@
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_wire::keeping::ChannelPool;
 
+use crate::borrowing::LoanDesk;
+use crate::budgeting::BudgetKeeper;
 use crate::storing::StoreAccess;
-use crate::tuning::GatewayTuning;
 
 /// Part of the fleet's retries that entries divide among themselves; the rest covers entries that
 /// another does not know of yet.
@@ -35,8 +34,6 @@
     pub routes: RouteTable,
     /// The backend servers.
     pub backends: BackendTable,
-    /// What this entry may spend.
-    pub grants: GrantTable,
     /// Retries, by service.
     pub retries: BTreeMap<ServiceName, RetryBudget>,
 }
@@ -46,16 +43,14 @@
 pub struct Gateway {
     /// Its settings.
     pub settings: NodeSettings,
-    /// Its own settings.
-    pub tuning: GatewayTuning,
     /// This run of the process.
     pub id: EntryId,
     /// The platform's store.
-    pub store: StoreAccess,
+    pub store: Rc<StoreAccess>,
     /// Its metrics.
     pub board: MetricBoard,
     /// Runs everything on one thread.
-    pub executor: LocalExecutor<'static>,
+    pub executor: Rc<LocalExecutor<'static>>,
     /// The tables.
     pub tables: RefCell<GatewayTables>,
     /// Kept connections to servers.
@@ -66,27 +61,14 @@
     pub stopping: Cell<Option<Instant>>,
     /// Whether idle callers' connections are closed.
     pub closes_idle: Cell<bool>,
-    /// Whether its grants have gone back; none are taken any more.
-    pub gives_up_grants: Cell<bool>,
-    /// Customers whose grant could not be had just now: until when, from which amount on, and whether
-    /// the balance provably does not cover it.
-    pub short: RefCell<BTreeMap<CustomerId, (Duration, Tokens, bool)>>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
-    /// Last answer of the store to anything.
-    pub store_heard: Cell<Option<Duration>>,
-    /// Uses of the store whose last call had no answer.
-    pub store_silent: RefCell<BTreeSet<&'static str>>,
     /// Idle callers' connections are to be closed.
     pub leaving: Event,
-    /// A request waits for a grant.
-    pub wanted: Event,
-    /// A sync has ended.
-    pub synced: Event,
-    /// Shards whose sync runs; two at a time would take each other's outcome.
-    pub syncing: RefCell<BTreeSet<ShardName>>,
-    /// When each shard's last sync began.
-    pub synced_at: RefCell<BTreeMap<ShardName, Duration>>,
+    /// What it may spend of its own.
+    pub keeper: Rc<BudgetKeeper>,
+    /// What it knows of lenders.
+    pub desk: LoanDesk,
 }
 
 impl Gateway {
@@ -95,30 +77,6 @@
         self.clock.now()
     }
 
-    /// Returns the time since the store last answered.
-    pub fn store_age(&self) -> Duration {
-        self.now().saturating_sub(self.store_heard.get().unwrap_or_default())
-    }
-
-    /// Notes whether a call to the store was answered; logs when one of its uses is lost or back.
-    pub fn note_store(&self, usage: &'static str, answered: bool) {
-        let mut silent = self.store_silent.borrow_mut();
-        if answered {
-            let age = self.store_age().as_millis() as u64;
-            self.store_heard.set(Some(self.now()));
-            if silent.remove(usage) {
-                tracing::info!(event = "store_regained", usage, store_age_ms = age);
-            }
-        } else if silent.insert(usage) {
-            tracing::warn!(event = "store_lost", usage);
-        }
-    }
-
-    /// Tells whether the last call of a use of the store had no answer.
-    pub fn is_store_silent(&self, usage: &str) -> bool {
-        self.store_silent.borrow().contains(usage)
-    }
-
     /// Tells whether new callers are welcome.
     pub fn is_ready(&self) -> bool {
         self.stopping.get().is_none() && self.tables.borrow().routes.version() > 0
@@ -138,8 +96,8 @@
     where
         Work: FnOnce(&mut RetryBudget) -> Value,
     {
+        let entries = self.keeper.grants.borrow().count_entries().max(LEAST_ENTRIES);
         let mut tables = self.tables.borrow_mut();
-        let entries = tables.grants.count_entries().max(LEAST_ENTRIES);
         let share = self.settings.retry_share * RETRY_PART;
         let reserve = self.settings.retry_slack * RETRY_PART / entries as f64;
         let budget = tables.retries.entry(Arc::clone(service));
@@ -195,71 +153,3 @@
         self.gateway.tables.borrow_mut().backends.note_ended(&self.backend, self.number);
     }
 }
-
-/// The budget held for one request; billed for what was used, however the request ends.
-#[derive(Debug)]
-pub struct BudgetGuard {
-    gateway: Rc<Gateway>,
-    hold: GrantHold,
-    request: RequestId,
-    service: ServiceName,
-    prompt: Tokens,
-    sent: Cell<bool>,
-    output: Cell<Tokens>,
-}
-
-impl BudgetGuard {
-    /// Guards a hold.
-    pub fn new(
-        gateway: &Rc<Gateway>,
-        hold: GrantHold,
-        request: &RequestId,
-        service: &ServiceName,
-        prompt: Tokens,
-    ) -> Self {
-        Self {
-            gateway: Rc::clone(gateway),
-            hold,
-            request: Arc::clone(request),
-            service: Arc::clone(service),
-            prompt,
-            sent: Cell::new(false),
-            output: Cell::new(0),
-        }
-    }
-
-    /// Notes whether a server may have run the request.
-    pub fn note_sent(&self, may_have_run: bool) {
-        self.sent.set(may_have_run);
-    }
-
-    /// Notes tokens of the answer that came from a server.
-    pub fn add_output(&self, tokens: Tokens) {
-        self.output.set(self.output.get() + tokens);
-    }
-
-    /// Returns what is billed: the prompt once it may have been read, and the output, which the
-    /// server bounds by what the caller asked for.
-    pub fn used(&self) -> Tokens {
-        let prompt = if self.sent.get() { self.prompt } else { 0 };
-        (prompt + self.output.get()).min(self.hold.amount)
-    }
-}
-
-impl Drop for BudgetGuard {
-    fn drop(&mut self) {
-        let used = self.used();
-        let bill = (used > 0).then(|| BillRow {
-            request: Arc::clone(&self.request),
-            customer: Arc::clone(&self.hold.customer),
-            service: Arc::clone(&self.service),
-            epoch: self.hold.epoch,
-            keyed: false,
-            billed: used,
-            written_off: 0,
-            unproved: 0,
-            runs: Vec::new(),
-        });
-        self.gateway.tables.borrow_mut().grants.finish(&self.hold, bill);
-    }
-}
--- a/toucanrail-gateway/src/stopping.rs
+++ b/toucanrail-gateway/src/stopping.rs
@@ -6,8 +6,10 @@
 use async_signal::{Signal, Signals};
 use smol::stream::StreamExt;
 use toucanrail_platform::settings;
+use toucanrail_wire::clocks;
 
-use crate::settling;
+use crate::borrowing;
+use crate::budgeting;
 use crate::states::Gateway;
 
 /// Time after SIGTERM for which idle connections stay open: the balancer learns in this time that
@@ -15,6 +17,8 @@
 const IDLE_NOTICE: Duration = Duration::from_millis(2_500);
 /// Taken off the grace period: after that the platform kills.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_100);
+/// Longest wait for lenders to take the last ends.
+const ENDS_BOUND: Duration = Duration::from_millis(300);
 const STEP: Duration = Duration::from_millis(50);
 
 /// Waits for SIGTERM, then until nothing is in flight.
@@ -56,7 +60,8 @@
     while gateway.in_flight.get() > 0 && since.elapsed() < limit {
         smol::Timer::after(STEP).await;
     }
-    settling::leave(gateway).await;
+    clocks::bounded(ENDS_BOUND, borrowing::flush_ends(gateway)).await;
+    budgeting::leave(&gateway.keeper).await;
     tracing::info!(
         event = "stopped",
         in_flight = gateway.in_flight.get(),
--- a/toucanrail-gateway/src/storing.rs
+++ b/toucanrail-gateway/src/storing.rs
@@ -1,6 +1,7 @@
 //! Calls to the store, on the way that works now.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,14 +9,13 @@
 
 use event_listener::Event;
 use smol::future::FutureExt;
-use toucanrail::detours::{DetourTable, RelayEntry, StoreWay};
+use toucanrail::detours::{DetourTable, RelayEntry, RelayName, StoreWay};
 use toucanrail::ids::Version;
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
+use toucanrail_daemons::starting::ProcessClock;
 use toucanrail_platform::names;
 use toucanrail_platform::stores::{KindListing, StoreClient, StoreFailure, WatchedChanges};
 
-use crate::states::Gateway;
-
 /// Kind of the relays' entries in the store.
 pub const RELAY_KIND: &str = "relays";
 /// Time between listings of the relays: they change with their VMs.
@@ -38,13 +38,26 @@
     patience: Cell<Duration>,
     ways: RefCell<DetourTable>,
     moved: Event,
+    clock: ProcessClock,
+    /// Last answer of the store to anything.
+    heard: Cell<Option<Duration>>,
+    /// Uses of the store whose last call had no answer.
+    silent: RefCell<BTreeSet<&'static str>>,
 }
 
 impl StoreAccess {
     /// Makes the access of one process.
-    pub fn new(client: StoreClient, ways: DetourTable) -> Self {
+    pub fn new(client: StoreClient, ways: DetourTable, clock: ProcessClock) -> Self {
         let patience = Cell::new(PATIENCE_LEAST);
-        Self { client, patience, ways: ways.into(), moved: Event::new() }
+        Self {
+            client,
+            patience,
+            ways: ways.into(),
+            moved: Event::new(),
+            clock,
+            heard: Cell::new(None),
+            silent: RefCell::default(),
+        }
     }
 
     /// Returns the ways, for the dump of the state.
@@ -52,14 +65,48 @@
         self.ways.borrow().clone()
     }
 
+    /// Returns the time since the process's start.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Returns the time since the store last answered.
+    pub fn age(&self) -> Duration {
+        self.now().saturating_sub(self.heard.get().unwrap_or_default())
+    }
+
+    /// Notes whether a call was answered; logs when one of the uses of the store is lost or back.
+    pub fn note_use(&self, usage: &'static str, answered: bool) {
+        let mut silent = self.silent.borrow_mut();
+        if answered {
+            let age = self.age().as_millis() as u64;
+            self.heard.set(Some(self.now()));
+            if silent.remove(usage) {
+                tracing::info!(event = "store_regained", usage, store_age_ms = age);
+            }
+        } else if silent.insert(usage) {
+            tracing::warn!(event = "store_lost", usage);
+        }
+    }
+
+    /// Tells whether the last call of a use of the store had no answer.
+    pub fn is_silent(&self, usage: &str) -> bool {
+        self.silent.borrow().contains(usage)
+    }
+
+    /// Returns the lenders of this data centre, or all where it has none.
+    pub fn lenders(&self) -> Vec<(RelayName, SocketAddr)> {
+        self.ways.borrow().lenders()
+    }
+
     /// Makes one read or conditional write.
-    pub async fn call(&self, call: &StoreCall, now: Duration) -> StoreReply {
+    pub async fn call(&self, call: &StoreCall) -> StoreReply {
         let (way, address) = self.ways.borrow().way();
         let bound = self.patience.get();
         let reply = self.client.call(address, call, bound).await;
         if reply == StoreReply::Unavailable {
             self.patience.set((bound * 2).min(PATIENCE_LIMIT));
-            self.note_failure(&way, now + bound);
+            self.note_failure(&way);
         } else {
             self.patience.set(bound.mul_f64(0.8).max(PATIENCE_LEAST));
         }
@@ -71,11 +118,10 @@
         &self,
         kind: &str,
         bound: Duration,
-        now: Duration,
     ) -> Result<KindListing, StoreFailure> {
         let (way, address) = self.ways.borrow().way();
         let listing = self.client.list_kind(address, kind, bound).await;
-        self.note_result(&way, &listing, now + bound);
+        self.note_result(&way, &listing);
         listing
     }
 
@@ -88,7 +134,6 @@
         after: Version,
         wait: Duration,
         slack: Duration,
-        now: Duration,
     ) -> Result<WatchedChanges, StoreFailure> {
         let moved = self.moved.listen();
         let (way, address) = self.ways.borrow().way();
@@ -98,22 +143,18 @@
             Err(StoreFailure::NoAnswer(io::ErrorKind::ConnectionAborted.into()))
         };
         let watched = watching.or(moving).await;
-        self.note_result(&way, &watched, now + wait + slack);
+        self.note_result(&way, &watched);
         watched
     }
 
-    fn note_result<Value>(
-        &self,
-        way: &StoreWay,
-        result: &Result<Value, StoreFailure>,
-        now: Duration,
-    ) {
+    fn note_result<Value>(&self, way: &StoreWay, result: &Result<Value, StoreFailure>) {
         if matches!(result, Err(StoreFailure::NoAnswer(_) | StoreFailure::Declined(_))) {
-            self.note_failure(way, now);
+            self.note_failure(way);
         }
     }
 
-    fn note_failure(&self, way: &StoreWay, now: Duration) {
+    fn note_failure(&self, way: &StoreWay) {
+        let now = self.now();
         let moved = self.ways.borrow_mut().note_failure(way, fastrand::f64(), now);
         if moved {
             self.note_moved("failure");
@@ -139,26 +180,25 @@
 }
 
 /// Keeps the list of relays, and goes back to the direct way when it works.
-pub async fn keep_ways(gateway: Rc<Gateway>) {
+pub async fn keep_ways(store: Rc<StoreAccess>, direct: SocketAddr) {
     let mut listed: Option<Duration> = None;
     loop {
         smol::Timer::after(PROBE_STEP).await;
-        let now = gateway.now();
+        let now = store.now();
         let due = listed.map_or(now > RELAY_FIRST, |at| now.saturating_sub(at) > RELAY_REFRESH);
         if due {
-            list_relays(&gateway).await;
-            listed = Some(gateway.now());
+            list_relays(&store).await;
+            listed = Some(store.now());
         }
-        let wants = gateway.store.ways.borrow_mut().wants_probe(now);
+        let wants = store.ways.borrow_mut().wants_probe(now);
         if wants {
-            gateway.store.probe_direct(gateway.settings.store).await;
+            store.probe_direct(direct).await;
         }
     }
 }
 
-async fn list_relays(gateway: &Gateway) {
-    let listing = gateway.store.list_kind(RELAY_KIND, PROBE_BOUND, gateway.now()).await;
-    let objects = match listing {
+async fn list_relays(store: &StoreAccess) {
+    let objects = match store.list_kind(RELAY_KIND, PROBE_BOUND).await {
         Ok(listing) => listing.objects,
         Err(failure) => {
             tracing::debug!(event = "relays_not_listed", %failure);
@@ -169,5 +209,5 @@
         let entry: Option<RelayEntry> = storecalls::decode_value(&object.value);
         entry.map(|entry| (object.name, entry))
     });
-    gateway.store.ways.borrow_mut().take_relays(entries);
+    store.ways.borrow_mut().take_relays(entries);
 }
--- a/toucanrail-gateway/src/tuning.rs
+++ b/toucanrail-gateway/src/tuning.rs
@@ -27,7 +27,7 @@
 ];
 
 /// The settings as read.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct GatewayTuning {
     /// How grants are sized.
     pub policy: GrantPolicy,
--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -3,7 +3,7 @@
 //! It stands on VMs that stay in touch with the store while an entry's own VM is cut off, knows
 //! nothing of what passes, and leads nowhere else.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -14,38 +14,78 @@
 use smol::future::FutureExt;
 use smol::stream::StreamExt;
 use smol::{Async, LocalExecutor};
-use toucanrail::detours::RelayEntry;
+use toucanrail::detours::{DetourTable, RelayEntry};
 use toucanrail::ids::Version;
 use toucanrail::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
+use toucanrail_daemons::observing::MetricBoard;
+use toucanrail_daemons::starting::{self, ProcessClock};
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_platform::stores::StoreClient;
-use toucanrail_wire::channels::BufferedChannel;
+use toucanrail_wire::channels::{BufferedChannel, ChannelWriter};
 use toucanrail_wire::clocks;
 
-use crate::storing::RELAY_KIND;
+use crate::budgeting::{self, BudgetKeeper};
+use crate::lending::{self, LoanOffice};
+use crate::storing::{self, RELAY_KIND, StoreAccess};
+use crate::tuning::GatewayTuning;
 
 /// Most connections at once: some for each entry of a large fleet.
 const CONNECTION_LIMIT: usize = 400;
 /// Longest time in which neither side sends: longer than any watch waits.
 const IDLE_BOUND: Duration = Duration::from_secs(30);
 const CONNECT_BOUND: Duration = Duration::from_millis(500);
+/// How often the burn of grants is measured.
+const BURN_TICK: Duration = Duration::from_millis(200);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for a call of the registration, and the pause before the next try.
 const CALL_BOUND: Duration = Duration::from_secs(1);
 const REGISTER_PAUSE: Duration = Duration::from_secs(1);
 
 /// Runs a relay until it is told to stop.
-pub fn run(settings: &NodeSettings) -> io::Result<()> {
+pub fn run(settings: &NodeSettings, tuning: GatewayTuning) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let listener = Async::<TcpListener>::bind(settings.inner)?;
     tracing::info!(event = "start", role = "relay", vm = %settings.vm, inner = %settings.inner);
     executor.spawn(serve(Rc::clone(&executor), listener, settings.store)).detach();
+    let office = Rc::new(make_office(settings, tuning, &executor)?);
+    let entries = Async::<TcpListener>::bind(settings.lending)?;
+    let lending = lending::serve_entries(Rc::clone(&executor), Rc::clone(&office), entries);
+    executor.spawn(lending).detach();
+    executor.spawn(budgeting::run_syncs(Rc::clone(&office.keeper))).detach();
+    executor.spawn(smooth_burn(Rc::clone(&office))).detach();
     executor.spawn(register(settings.clone())).detach();
-    smol::block_on(executor.run(wait_stop()));
-    tracing::info!(event = "stopped", role = "relay");
+    smol::block_on(executor.run(async {
+        wait_stop().await;
+        budgeting::leave(&office.keeper).await;
+    }));
+    let loans = office.loans.borrow().len();
+    tracing::info!(event = "stopped", role = "relay", loans);
     Ok(())
 }
 
+fn make_office(
+    settings: &NodeSettings,
+    tuning: GatewayTuning,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> io::Result<LoanOffice> {
+    let id = starting::new_incarnation(&settings.vm);
+    let board = MetricBoard::new("relay").map_err(io::Error::other)?;
+    let ways = DetourTable::new(settings.store, Arc::clone(&settings.data_centre));
+    let client = StoreClient::new(CONNECT_BOUND);
+    let store = Rc::new(StoreAccess::new(client, ways, ProcessClock::start()));
+    let watching = storing::keep_ways(Rc::clone(&store), settings.store);
+    executor.spawn(watching).detach();
+    let keeper = BudgetKeeper::new(&id, store, tuning, board, Rc::clone(executor));
+    Ok(LoanOffice { keeper: Rc::new(keeper), loans: RefCell::default() })
+}
+
+async fn smooth_burn(office: Rc<LoanOffice>) {
+    loop {
+        smol::Timer::after(BURN_TICK).await;
+        office.keeper.grants.borrow_mut().smooth_burn(BURN_TICK);
+    }
+}
+
 async fn wait_stop() {
     match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
         // The settings that a relay uses do not change while it runs.
@@ -92,10 +132,7 @@
     there.or(back).await
 }
 
-async fn pass_bytes(
-    mut from: BufferedChannel,
-    to: toucanrail_wire::channels::ChannelWriter,
-) -> io::Result<()> {
+async fn pass_bytes(mut from: BufferedChannel, to: ChannelWriter) -> io::Result<()> {
     while clocks::within(IDLE_BOUND, from.fill()).await? > 0 {
         to.write_all(&from.buffer).await?;
         from.buffer.clear();
@@ -106,8 +143,11 @@
 /// Writes the relay's entry, until the store has it.
 async fn register(settings: NodeSettings) {
     let client = StoreClient::new(CONNECT_BOUND);
-    let entry =
-        RelayEntry { address: settings.inner, data_centre: Arc::clone(&settings.data_centre) };
+    let entry = RelayEntry {
+        address: settings.inner,
+        lending: settings.lending,
+        data_centre: Arc::clone(&settings.data_centre),
+    };
     let mut expect = WriteExpectation::Absent;
     loop {
         match write_entry(&client, &settings, &entry, expect).await {
--- a/toucanrail-wire/src/lib.rs
+++ b/toucanrail-wire/src/lib.rs
@@ -26,6 +26,7 @@
 //! .unwrap();
 //! ```
 
+pub mod calling;
 pub mod channels;
 pub mod clients;
 pub mod clocks;
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -21,8 +21,10 @@
 pub type FlightId = u64;
 
 /// Time for which a server whose entry lapsed while the store was away is still used after the
-/// store's return; the platform states that live servers are back within about this time.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
+/// store's return. Live servers are back within about two seconds; one that has left without a word
+/// looks the same and may get no work two seconds after its entry went, so that the way to it and a
+/// request's own preparation must fit in too.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(1_700);
 /// Time out of rotation after a connection was refused or not opened in time; doubles with each
 /// failure in a row, so that a dead server costs few connection timeouts.
 const DOWN_TIME: Duration = Duration::from_millis(400);
@@ -131,6 +133,11 @@
         !self.entry.draining && now >= self.down_until && !self.ejection.is_ejected(now)
     }
 
+    /// Tells whether its entry went missing and did not come back in time.
+    fn is_lapsed(&self, now: Duration) -> bool {
+        self.missing_since.is_some_and(|since| now.saturating_sub(since) > LAPSE_GRACE)
+    }
+
     /// Returns how many prompt tokens of a chain of parts the server must read: all behind the
     /// first part that it is not known to have read.
     pub fn fresh_tokens(&self, parts: &[PromptPart], prompt: Tokens) -> Tokens {
@@ -205,10 +212,7 @@
 
     /// Drops the servers whose entries did not come back; returns their ids.
     pub fn drop_lapsed(&mut self, now: Duration) -> Vec<BackendId> {
-        let is_over = |row: &BackendRow| {
-            row.missing_since.is_some_and(|since| now.saturating_sub(since) > LAPSE_GRACE)
-        };
-        let over = self.rows.values().filter(|row| is_over(row));
+        let over = self.rows.values().filter(|row| row.is_lapsed(now));
         let over: Vec<BackendId> = over.map(|row| Arc::clone(&row.entry.id)).collect();
         for id in &over {
             self.rows.remove(id);
@@ -237,7 +241,10 @@
         now: Duration,
     ) -> Vec<&'table BackendRow> {
         let fits = |row: &&BackendRow| {
-            *row.entry.service == *service && !row.entry.draining && !tried.contains(&row.entry.id)
+            *row.entry.service == *service
+                && !row.entry.draining
+                && !row.is_lapsed(now)
+                && !tried.contains(&row.entry.id)
         };
         let rows: Vec<&BackendRow> = self.rows.values().filter(fits).collect();
         let working: Vec<&BackendRow> =
--- a/toucanrail/src/detours.rs
+++ b/toucanrail/src/detours.rs
@@ -24,8 +24,10 @@
 /// A relay, as it stands in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayEntry {
-    /// Where it takes connections.
+    /// Where it takes connections for the store.
     pub address: SocketAddr,
+    /// Where it lends budget.
+    pub lending: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentre,
 }
@@ -146,6 +148,14 @@
         choice.get(at).map(|(name, _)| Arc::clone(name))
     }
 
+    /// Returns the lenders of this data centre, or all where it has none.
+    pub fn lenders(&self) -> Vec<(RelayName, SocketAddr)> {
+        let near = |row: &RelayRow| row.entry.data_centre == self.data_centre;
+        let any = self.relays.values().any(near);
+        let rows = self.relays.iter().filter(|(_, row)| !any || near(row));
+        rows.map(|(name, row)| (Arc::clone(name), row.entry.lending)).collect()
+    }
+
     /// Tells whether the direct way is to be tried now, beside a relay in use.
     pub fn wants_probe(&mut self, now: Duration) -> bool {
         let due = self.way != StoreWay::Direct && now.saturating_sub(self.probed_at) > PROBE_PAUSE;
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -397,6 +397,11 @@
         accounts.any(|account| account.held > 0)
     }
 
+    /// Tells whether requests hold any of a shard's grants.
+    pub fn has_open_holds(&self, shard: &ShardName) -> bool {
+        self.has_holds(&self.customers_of(shard))
+    }
+
     /// Reserves all that no request holds to be given back; false if there is nothing.
     fn return_unused(&mut self, customers: &[CustomerId]) -> bool {
         let mut changed = false;
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod ids;
 pub mod ledgers;
 pub mod limits;
+pub mod loans;
 pub mod matching;
 pub mod members;
 pub mod messages;
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -74,6 +74,17 @@
     assert_eq!(table.drop_lapsed(NOW + LAPSE_GRACE + Duration::from_millis(1)).len(), 1);
 }
 
+/// A server leaves without a word just as an entry comes back to the store: its entry is gone, and
+/// looks lapsed. It is used for less than the two seconds that a leaving server may still get work,
+/// counted at each choice and not when the table is next swept.
+#[test]
+fn unswept_entry() {
+    let mut table = make_table();
+    table.note_missing("s0", Some(NOW));
+    let late = NOW + Duration::from_millis(1_800);
+    assert_eq!(table.eligible("llm", &[], late).len(), 8);
+}
+
 /// A server's entry vanishes while the store is well: it has left without a word, and gets nothing.
 #[test]
 fn vanished_entry() {
--- a/toucanrail/tests/store_detours.rs
+++ b/toucanrail/tests/store_detours.rs
@@ -12,7 +12,7 @@
 
 fn relay(port: u16, data_centre: &str) -> RelayEntry {
     let address = SocketAddr::from(([10, 0, 0, 2], port));
-    RelayEntry { address, data_centre: Arc::from(data_centre) }
+    RelayEntry { address, lending: address, data_centre: Arc::from(data_centre) }
 }
 
 fn make_table() -> DetourTable {
