--- a/toucanrail/tests/lent_budgets.rs
+++ b/toucanrail/tests/lent_budgets.rs
@@ -42,13 +42,13 @@
         let address = SocketAddr::from(([10, 0, 0, 1], 1));
         let lenders: Vec<(Arc<str>, SocketAddr)> =
             (0..count).map(|at| (Arc::from(format!("side-{at}")), address)).collect();
-        let lost = lenders[lost % count].0.clone();
+        let lost = Arc::clone(&lenders[lost % count].0);
         let rest: Vec<_> =
             lenders.iter().rev().filter(|(name, _)| *name != lost).cloned().collect();
         let mut moved = BTreeMap::new();
         for customer in (0..50).map(|at| format!("c{at}")) {
-            let before = loans::rank_lenders(&lenders, &customer)[0].0.clone();
-            let after = loans::rank_lenders(&rest, &customer)[0].0.clone();
+            let before = Arc::clone(&loans::rank_lenders(&lenders, &customer)[0].0);
+            let after = Arc::clone(&loans::rank_lenders(&rest, &customer)[0].0);
             if before != after {
                 moved.insert(customer, before);
             }
