--- a/toucanrail-daemons/src/callers.rs
+++ b/toucanrail-daemons/src/callers.rs
@@ -21,6 +21,8 @@
 /// Bytes of a prompt that stand for its prefix when a server is chosen.
 const PREFIX_BYTES: usize = 256;
 const KEY_LIMIT: usize = 256;
+/// Most tokens that a caller may ask for; ten times the longest context of today's models.
+const OUTPUT_LIMIT: Tokens = 10_000_000;
 /// Fields of the caller that backend servers do not get.
 const OWN_FIELDS: [&str; 3] = ["authorization", "expect", "toucanrail-deadline-ms"];
 
@@ -99,6 +101,10 @@
     Err(Box::new(RefusalNote::new(code).detail(detail)))
 }
 
+fn refuse_field<Value>(field: &'static str, detail: &str) -> PlanResult<Value> {
+    Err(Box::new(RefusalNote::new(codetable::BAD_REQUEST).field(field).detail(detail)))
+}
+
 /// Finds the customer of a call's bearer key.
 pub fn read_customer<'table>(
     table: &'table CatalogueTable,
@@ -140,9 +146,7 @@
     if fields.get("n").and_then(Value::as_u64).unwrap_or(1) != 1 {
         return refuse(codetable::BAD_REQUEST, "Only n = 1 is supported.");
     }
-    let asked = fields.get("max_tokens").or_else(|| fields.get("max_completion_tokens"));
-    let output = asked.and_then(Value::as_u64).unwrap_or(service.max_output);
-    let output = output.clamp(1, service.max_output);
+    let output = read_output(&fields)?.unwrap_or(service.max_output).min(service.max_output);
     fields.remove("max_completion_tokens");
     fields.insert("max_tokens".to_owned(), json!(output));
     let streamed = fields.get("stream").and_then(Value::as_bool).unwrap_or(false);
@@ -178,6 +182,21 @@
     Some((texts.collect::<Vec<_>>().join("\n"), messages.len() as u64))
 }
 
+/// Reads how many tokens the caller asks for, if it says; more than the service allows is cut to that,
+/// but a number that no engine could mean is a fault of the caller.
+fn read_output(fields: &Map<String, Value>) -> PlanResult<Option<Tokens>> {
+    for name in ["max_tokens", "max_completion_tokens"] {
+        let Some(value) = fields.get(name).filter(|value| !value.is_null()) else {
+            continue;
+        };
+        return match value.as_u64().filter(|count| (1..=OUTPUT_LIMIT).contains(count)) {
+            Some(count) => Ok(Some(count)),
+            None => refuse_field(name, "It is no number of tokens."),
+        };
+    }
+    Ok(None)
+}
+
 fn wants_usage(fields: &Map<String, Value>) -> bool {
     let options = fields.get("stream_options");
     let wanted = options.and_then(|options| options.get("include_usage"));
--- a/toucanrail-daemons/tests/whole_path.rs
+++ b/toucanrail-daemons/tests/whole_path.rs
@@ -132,3 +132,24 @@
         assert!(account.grants.values().all(|grant| *grant == 0), "grants stayed behind");
     });
 }
+
+/// A caller's program computes a negative limit, or one that overflowed, and is answered as if it had
+/// asked for something: each is refused, with the field's name.
+#[test]
+fn wrong_limits() {
+    smol::block_on(async {
+        let fleet = Fleet::start(10_000).await;
+        let (_engine, backend) = fleet.engine();
+        let _agent = fleet.agent("agent-1", "levy-llm", backend);
+        let entry = fleet.entry("entry-1", &[]);
+        fleet.wait_servers(&entry, 1).await;
+        for limit in [json!(-4), json!(4_000_000_000_000_000_000_u64), json!(0), json!("x")] {
+            let body = json!({"model": "levy-llm", "prompt": "sugar", "max_tokens": limit});
+            let answer = fleet.fetch(&entry, authorized("/v1/completions", &body)).await.unwrap();
+            assert_eq!(answer.status, 400, "{limit}");
+            let found: Value = serde_json::from_slice(&answer.body).unwrap();
+            assert_eq!(found["error"]["param"], "max_tokens");
+            assert_eq!(found["error"]["result"], 2001);
+        }
+    });
+}
--- /dev/null
+++ b/toucanrail-gateway/tests/gateway_ends.rs
@@ -0,0 +1,98 @@
+//! A gateway that is stopped, cut off from the store, or told of servers that leave.
+
+mod platform;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use platform::{Act, Backend, Process, Store, request};
+
+fn slow_stream() -> String {
+    let events = (1..=20).map(|id| platform::chunk(&format!("id: {id}\ndata: x\n\n")));
+    let events: Vec<String> = events.collect();
+    [platform::STREAM, &events.join("PAUSE"), "0\r\n\r\n"].concat()
+}
+
+/// An entry is stopped while a stream is under way: the balancer is told, the stream ends whole, and
+/// the process ends by itself.
+#[test]
+fn graceful_stop() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(slow_stream()));
+    platform::configure(&store, 1, &[&backend]);
+    let mut gateway = Process::start_gateway(&store);
+    let address = gateway.callers;
+    let caller = thread::spawn(move || {
+        let more = format!("{}Connection: close\r\n", platform::PROMPT);
+        platform::call_raw(address, &request("POST", "/stream/a", "r1", &more, "p"))
+    });
+    platform::wait_until("the request", || !backend.seen().is_empty());
+    gateway.signal("TERM");
+    gateway.wait_ready(false);
+    let answer = caller.join().unwrap();
+    assert!(answer.contains("id: 20") && answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert!(gateway.wait_end());
+}
+
+/// A caller goes away in the middle of its stream: its server must not work on.
+#[test]
+fn caller_gone() {
+    use std::io::Write;
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(slow_stream().repeat(5)));
+    platform::configure(&store, 1, &[&backend]);
+    let gateway = Process::start_gateway(&store);
+    let mut stream = std::net::TcpStream::connect(gateway.callers).unwrap();
+    stream.write_all(request("POST", "/stream/a", "r1", platform::PROMPT, "p").as_bytes()).unwrap();
+    platform::wait_until("the request", || !backend.seen().is_empty());
+    drop(stream);
+    // The prompt alone, or with what had come until then, is billed soon after: the attempt is over.
+    platform::wait_until("the bill", || store.billed("acme") >= 100);
+    assert!(store.billed("acme") < 160);
+}
+
+/// The store is away: servers and configuration known last serve on.
+#[test]
+fn absent_store() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(platform::signed("fine")));
+    platform::configure(&store, 1, &[&backend]);
+    let gateway = Process::start_gateway(&store);
+    let text = request("GET", "/safe/a", "r1", "", "");
+    platform::wait_until("service", || {
+        platform::call(gateway.callers, &text).is_some_and(|answer| answer.status() == 200)
+    });
+    store.cut(true);
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        assert_eq!(platform::call(gateway.callers, &text).unwrap().status(), 200);
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// The entry's VM alone is cut off from the store, and a customer's grant runs out. Through the
+/// relay's VM the budget is confirmed, and a newer configuration comes into force.
+#[test]
+fn cut_entry() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(slow_stream()));
+    platform::configure(&store, 1, &[&backend]);
+    let relay = Process::start_relay(&store, "side-1");
+    let gateway = Process::start_gateway(&store);
+    // The entry lists the relays some seconds after its start.
+    thread::sleep(Duration::from_secs(4));
+    store.cut(true);
+    let more = format!("{}Connection: close\r\n", platform::PROMPT);
+    let text = request("POST", "/stream/a", "r1", &more, "p");
+    platform::wait_until("service", || {
+        platform::call_raw(gateway.callers, &text).starts_with("HTTP/1.1 200")
+    });
+    let two = Backend::start("i-2", |_, _| Act::Answer(platform::signed("second")));
+    platform::configure(&store, 2, &[&two]);
+    store.remove("servers", "i-1");
+    platform::wait_until("the new server", || {
+        let text = request("GET", "/safe/a", "r2", "", "");
+        platform::call(gateway.callers, &text).is_some_and(|answer| answer.body == b"second")
+    });
+    drop(relay);
+}
--- a/toucanrail-wire/src/replies.rs
+++ b/toucanrail-wire/src/replies.rs
@@ -26,6 +26,8 @@
     pub retry_after: Option<Duration>,
     /// Detail for the caller, behind the code's sentence.
     pub detail: String,
+    /// The field of the caller's body that is at fault.
+    pub field: Option<&'static str>,
 }
 
 impl RefusalNote {
@@ -38,7 +40,7 @@
     /// assert_eq!(note.run, toucanrail::codes::RunState::NotRun);
     /// ```
     pub fn new(code: ResultCode) -> Self {
-        Self { code, run: code.row().run, retry_after: None, detail: String::new() }
+        Self { code, run: code.row().run, retry_after: None, detail: String::new(), field: None }
     }
 
     /// Adds when to come back.
@@ -55,6 +57,13 @@
         self
     }
 
+    /// Names the field of the caller's body that is at fault.
+    #[must_use]
+    pub fn field(mut self, name: &'static str) -> Self {
+        self.field = Some(name);
+        self
+    }
+
     /// Adds detail for the caller.
     #[must_use]
     pub fn detail(mut self, detail: impl Into<String>) -> Self {
@@ -73,7 +82,7 @@
     message: String,
     #[serde(rename = "type")]
     kind: &'static str,
-    param: Option<String>,
+    param: Option<&'static str>,
     code: &'static str,
     result: u16,
     run: &'static str,
@@ -147,7 +156,7 @@
     let error = ErrorBody {
         message,
         kind: "toucanrail_error",
-        param: None,
+        param: note.field,
         code: row.name,
         result: row.number,
         run: note.run.as_str(),
