--- a/toucanrail-gateway/src/storing.rs
+++ b/toucanrail-gateway/src/storing.rs
@@ -20,8 +20,11 @@
 pub const RELAY_KIND: &str = "relays";
 /// Time between listings of the relays: they change with their VMs.
 const RELAY_REFRESH: Duration = Duration::from_secs(12);
-/// First listing after the start, when the relays have started too.
-const RELAY_FIRST: Duration = Duration::from_secs(2);
+/// Time after the start in which they are listed often. An entry that is started again may be cut off
+/// moments later, and is without relays and lenders until the cut heals; in a fleet that starts, the
+/// relays themselves register in this time.
+const RELAY_FIRST: Duration = Duration::from_secs(4);
+const RELAY_FIRST_REFRESH: Duration = Duration::from_secs(1);
 /// Longest wait for a listing of the relays, or for a try of the direct way.
 const PROBE_BOUND: Duration = Duration::from_millis(600);
 const PROBE_STEP: Duration = Duration::from_millis(250);
@@ -183,26 +186,27 @@
 pub async fn keep_ways(store: Rc<StoreAccess>, direct: SocketAddr) {
     let mut listed: Option<Duration> = None;
     loop {
-        smol::Timer::after(PROBE_STEP).await;
         let now = store.now();
-        let due = listed.map_or(now > RELAY_FIRST, |at| now.saturating_sub(at) > RELAY_REFRESH);
-        if due {
-            list_relays(&store).await;
-            listed = Some(store.now());
+        let pause = if now < RELAY_FIRST { RELAY_FIRST_REFRESH } else { RELAY_REFRESH };
+        if listed.is_none_or(|at| now.saturating_sub(at) > pause) {
+            let done = list_relays(&store).await;
+            listed = done.then(|| store.now()).or(listed);
         }
         let wants = store.ways.borrow_mut().wants_probe(now);
         if wants {
             store.probe_direct(direct).await;
         }
+        smol::Timer::after(PROBE_STEP).await;
     }
 }
 
-async fn list_relays(store: &StoreAccess) {
+/// Lists the relays; false if there was no answer.
+async fn list_relays(store: &StoreAccess) -> bool {
     let objects = match store.list_kind(RELAY_KIND, PROBE_BOUND).await {
         Ok(listing) => listing.objects,
         Err(failure) => {
             tracing::debug!(event = "relays_not_listed", %failure);
-            return;
+            return false;
         }
     };
     let entries = objects.into_iter().filter_map(|object| {
@@ -210,4 +214,5 @@
         entry.map(|entry| (object.name, entry))
     });
     store.ways.borrow_mut().take_relays(entries);
+    true
 }
--- a/toucanrail-gateway/tests/gateway_ends.rs
+++ b/toucanrail-gateway/tests/gateway_ends.rs
@@ -70,8 +70,9 @@
     }
 }
 
-/// The entry's VM alone is cut off from the store, and a customer's grant runs out. Through the
-/// relay's VM the budget is confirmed, and a newer configuration comes into force.
+/// An entry is cut off from the store a moment after its start, before it holds any grant. Through the
+/// relay's VM budgets are confirmed, and a newer configuration comes into force. An entry that
+/// listed the relays only two seconds after its start refused everyone until the cut healed.
 #[test]
 fn cut_entry() {
     let store = Store::start();
@@ -79,8 +80,7 @@
     platform::configure(&store, 1, &[&backend]);
     let relay = Process::start_relay(&store, "side-1");
     let gateway = Process::start_gateway(&store);
-    // The entry lists the relays some seconds after its start.
-    thread::sleep(Duration::from_secs(4));
+    thread::sleep(Duration::from_millis(1_200));
     store.cut(true);
     let more = format!("{}Connection: close\r\n", platform::PROMPT);
     let text = request("POST", "/stream/a", "r1", &more, "p");
