--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -320,6 +320,7 @@
 /// A process under test; killed when dropped.
 #[derive(Debug)]
 pub struct Process {
+    program: &'static str,
     child: Child,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
@@ -347,7 +348,7 @@
         Self::start(env!("CARGO_BIN_EXE_toucanrail-relay"), store.inner, vm)
     }
 
-    fn start(program: &str, store: SocketAddr, vm: &str) -> Self {
+    fn start(program: &'static str, store: SocketAddr, vm: &str) -> Self {
         let port = || SocketAddr::from(([127, 0, 0, 1], free_ports()));
         let (callers, readiness, inner) = (port(), port(), free_ports());
         let text = format!(
@@ -361,12 +362,22 @@
         let name = format!("toucanrail-{}-{number}.toml", std::process::id());
         let settings = std::env::temp_dir().join(name);
         std::fs::write(&settings, text).expect("a settings file");
-        let child = Command::new(program)
-            .env("TOUCANRAIL_CONFIG", &settings)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("a process");
-        Self { child, callers, readiness, settings }
+        let child = Self::spawn(program, &settings);
+        Self { program, child, callers, readiness, settings }
+    }
+
+    fn spawn(program: &str, settings: &PathBuf) -> Child {
+        let mut command = Command::new(program);
+        let command = command.env("TOUCANRAIL_CONFIG", settings).stdout(Stdio::null());
+        command.spawn().expect("a process")
+    }
+
+    /// Kills the process and starts it again with the same settings.
+    pub fn restart(&mut self) {
+        // It may have ended by itself, as after SIGTERM.
+        self.child.kill().ok();
+        self.child.wait().ok();
+        self.child = Self::spawn(self.program, &self.settings);
     }
 
     /// Sends a signal by name.
@@ -435,6 +446,17 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Like [`call_raw`], but none where no connection is to be had or nothing came.
+pub fn try_raw(address: SocketAddr, bytes: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
+    stream.write_all(bytes.as_bytes()).ok()?;
+    let mut answer = Vec::new();
+    // A reset is an end as well; what came before it counts.
+    stream.read_to_end(&mut answer).ok();
+    Some(String::from_utf8_lossy(&answer).into_owned()).filter(|text| !text.is_empty())
+}
+
 /// A caller's request.
 pub fn request(method: &str, path: &str, id: &str, more: &str, body: &str) -> String {
     let length =
@@ -450,6 +472,11 @@
 
 /// Writes the configuration: plain routes `/once/` and `/safe/`, streams `/stream/` and `/resume/`.
 pub fn configure(store: &Store, version: u64, backends: &[&Backend]) {
+    configure_total(store, version, backends, 1_000);
+}
+
+/// Writes the same with another total of the customer.
+pub fn configure_total(store: &Store, version: u64, backends: &[&Backend], total: u64) {
     let route = |name: &str, kind: &str, resumable: bool, attempts: u32| {
         json!({
             "name": name, "hostname": "shop.example", "path_prefix": format!("/{name}/"),
@@ -468,7 +495,7 @@
             "engine": {"slots": 8, "kv_tokens": 9000, "stride": 6}}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": "acme", "api_keys": [KEY], "prepaid": 1000}],
+        "tenants": [{"name": "acme", "api_keys": [KEY], "prepaid": total}],
     });
     store.put("config", "main", config);
     for backend in backends {
