--- a/toucanrail/src/policies.rs
+++ b/toucanrail/src/policies.rs
@@ -8,7 +8,7 @@
 const IDLE_BURN: f64 = 0.01;
 
 /// Part of the wanted amount ahead under which a grant that rides through outages is topped up.
-const TOP_UP_PART: f64 = 0.75;
+const TOP_UP_PART: f64 = 0.4;
 
 /// What a policy sees of one account at one entry.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
