Retries are divided by the relays known; one launch for both programs; callers that left are logged

Cause, found reading the diff: since lenders hold the grants, no entry counts as a holder, so each of 29 entries took a quarter of the fleet's reserve of retries: 426 together of 98 allowed. Change: the reserve is divided by the relays in the store, one a backend server, at least 4. Also the two mains share launching, and a caller that leaves has a line.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -11,6 +11,7 @@
 use toucanrail::codetable;
 use toucanrail::framing::BodyFramer;
 use toucanrail::matching::CallerBounds;
+use toucanrail_platform::requests;
 use toucanrail_wire::channels::BufferedChannel;
 use toucanrail_wire::clocks;
 use toucanrail_wire::heads::{HeadFault, RequestHead};
@@ -108,6 +109,10 @@
         drop(guard);
         if !answered {
             gateway.board.count_result(codetable::CANCELLED);
+            tracing::info!(
+                event = "caller_gone", request = %requests::read_request(&head).id,
+                begun = caller.begun, took_ms = arrived.elapsed().as_millis() as u64,
+            );
             return Ok(());
         }
         if caller.close || !caller.whole {
--- a/toucanrail-gateway/src/bin/toucanrail-gateway.rs
+++ b/toucanrail-gateway/src/bin/toucanrail-gateway.rs
@@ -2,35 +2,9 @@
 
 use std::process::ExitCode;
 
-use toucanrail_daemons::starting;
-use toucanrail_gateway::tuning::{self, GatewayTuning};
-use toucanrail_gateway::{logging, starting as gateway};
-use toucanrail_platform::settings;
+use toucanrail_gateway::{launching, starting};
 
 fn main() -> ExitCode {
     let about = "takes callers' requests on the users' platform";
-    let read = starting::read_settings("toucanrail-gateway", about, &tuning::SETTINGS);
-    let mut values = match read {
-        Ok(values) => values,
-        Err(code) => return code,
-    };
-    let tuning = GatewayTuning::read(&mut values);
-    if starting::print_faults(&values) {
-        return ExitCode::from(starting::EXIT_USAGE);
-    }
-    let settings = match settings::read_settings() {
-        Ok(settings) => settings,
-        Err(fault) => {
-            eprintln!("{fault}");
-            return ExitCode::from(starting::EXIT_USAGE);
-        }
-    };
-    let _logs = logging::start_logs();
-    match gateway::run(settings, tuning) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            tracing::error!(event = "start_failed", %error);
-            ExitCode::FAILURE
-        }
-    }
+    launching::launch("toucanrail-gateway", about, starting::run)
 }
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -1,8 +1,13 @@
 //! The entry that reaches backend servers directly, on the users' platform.
 //!
-//! One thread serves everything: callers' connections (`accepting`), a request's way through
-//! admission (`admitting`), attempts at servers (`sending`) and the answer (`relaying`). Beside it
-//! Decisions come from the library; this crate holds sockets and timers.
+//! One thread serves everything: callers' connections (`accepting`), a request's way in (`admitting`),
+//! the choice of servers (`dispatching`), one attempt at one (`sending`) and the answer (`relaying`).
+//! Beside it run the loops that follow the store (`following`, on the way that `storing` finds) and
+//! those that keep budgets: `borrowing` from lenders, and `budgeting` with grants of its own.
+//!
+//! The second program of this crate stands beside backend servers: `tunnelling` passes connections to
+//! the store on, and `lending` serves entries from the same `budgeting`. Decisions come from the
+//! library; this crate holds sockets and timers.
 //!
 //! # Examples
 //! ```no_run
@@ -25,6 +30,7 @@
 pub mod dispatching;
 pub mod following;
 pub mod inspecting;
+pub mod launching;
 pub mod lending;
 pub mod logging;
 pub mod relaying;
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -24,7 +24,8 @@
 /// Part of the fleet's retries that entries divide among themselves; the rest covers entries that
 /// another does not know of yet.
 const RETRY_PART: f64 = 0.6;
-/// Entries that are assumed before the store names them.
+/// Least number of entries that the fleet's reserve of retries is divided by. Entries do not know one
+/// another; there are at most as many as relays, one of which stands beside each backend server.
 const LEAST_ENTRIES: usize = 4;
 
 /// The tables that decisions read and change.
@@ -96,7 +97,7 @@
     where
         Work: FnOnce(&mut RetryBudget) -> Value,
     {
-        let entries = self.keeper.grants.borrow().count_entries().max(LEAST_ENTRIES);
+        let entries = self.store.count_relays().max(LEAST_ENTRIES);
         let mut tables = self.tables.borrow_mut();
         let share = self.settings.retry_share * RETRY_PART;
         let reserve = self.settings.retry_slack * RETRY_PART / entries as f64;
--- a/toucanrail-gateway/src/storing.rs
+++ b/toucanrail-gateway/src/storing.rs
@@ -102,6 +102,11 @@
         self.ways.borrow().lenders()
     }
 
+    /// Returns how many relays stand in the store, as last listed.
+    pub fn count_relays(&self) -> usize {
+        self.ways.borrow().count_relays()
+    }
+
     /// Makes one read or conditional write.
     pub async fn call(&self, call: &StoreCall) -> StoreReply {
         let (way, address) = self.ways.borrow().way();
--- a/toucanrail/src/detours.rs
+++ b/toucanrail/src/detours.rs
@@ -148,6 +148,11 @@
         choice.get(at).map(|(name, _)| Arc::clone(name))
     }
 
+    /// Returns how many relays there are.
+    pub fn count_relays(&self) -> usize {
+        self.relays.len()
+    }
+
     /// Returns the lenders of this data centre, or all where it has none.
     pub fn lenders(&self) -> Vec<(RelayName, SocketAddr)> {
         let near = |row: &RelayRow| row.entry.data_centre == self.data_centre;
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -643,12 +643,6 @@
         unknown || self.has_unseen(shard) || self.customers_of(shard).iter().any(low)
     }
 
-    /// Returns how many entries hold tenures in any one shard, at the most.
-    pub fn count_entries(&self) -> usize {
-        let cached = self.shards.values().filter_map(|tenure| tenure.cached.as_ref());
-        cached.map(|(_, shard)| shard.count_names() as usize).max().unwrap_or(0)
-    }
-
     /// Returns how often a sync has seen the newest version of a shard.
     pub fn looks(&self, shard: &ShardName) -> u64 {
         self.shards.get(shard).map_or(0, |tenure| tenure.looks)
