Ready only once servers are listed: the first callers of an entry met none

The gateway counted as ready with its configuration alone; configuration and servers are listed by two calls at the same time, and where the second answer comes later each request is refused for want of servers. Ruled out: ejection (nothing was sent before), a lapsed entry (the store was up), the stand-in (its listing held the servers). Change: BackendTable tells whether the servers were ever taken whole; readiness needs both. The stand-in's store can keep a kind's calls waiting. Conclusion: a fault of the product, not of the test: callers of a fresh entry were refused.

--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -229,6 +229,7 @@
         for id in known.iter().filter(|id| !listed.contains(*id)) {
             self.note_missing(gateway, id);
         }
+        gateway.tables.borrow_mut().backends.note_listed();
     }
 
     fn take_change(&mut self, gateway: &Gateway, change: &KindChange) {
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -79,8 +79,13 @@
     }
 
     /// Tells whether new callers are welcome.
+    ///
+    /// Configuration and servers are listed by two calls at the same time. An entry that is ready
+    /// after the first one refuses every request for want of servers until the second one.
     pub fn is_ready(&self) -> bool {
-        self.stopping.get().is_none() && self.tables.borrow().routes.version() > 0
+        let tables = self.tables.borrow();
+        let informed = tables.routes.version() > 0 && tables.backends.is_listed();
+        informed && self.stopping.get().is_none()
     }
 
     /// Notes a fresh request for a service in its retry budget.
--- /dev/null
+++ b/toucanrail-gateway/tests/fresh_start.rs
@@ -0,0 +1,27 @@
+//! The first moments of an entry.
+
+mod platform;
+
+use platform::{Act, Backend, Process, Store, request};
+
+/// An entry starts while the store is busy. Its configuration comes first, the balancer finds it
+/// ready and sends callers, and each is refused with "no backend server" although all servers are
+/// well: their list came some milliseconds later. So the entry is ready only when it has both.
+#[test]
+fn unlisted_servers() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(platform::signed("seven")));
+    platform::configure(&store, 1, &[&backend]);
+    store.hold("servers", true);
+    let gateway = Process::start_unready(&store);
+    let unknown = request("GET", "/nowhere/a", "r0", "", "");
+    platform::wait_until("the configuration", || {
+        platform::call(gateway.callers, &unknown).is_some_and(|answer| answer.status() == 404)
+    });
+    let asked = platform::call(gateway.readiness, "GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(asked.map(|answer| answer.status()), Some(503));
+    store.hold("servers", false);
+    gateway.wait_ready(true);
+    let text = request("GET", "/safe/a", "r1", "", "");
+    assert_eq!(platform::call(gateway.callers, &text).unwrap().body, b"seven");
+}
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -4,7 +4,7 @@
 // Each test file uses its own part of this.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -110,19 +110,25 @@
     /// Where relays reach it.
     pub inner: SocketAddr,
     cut: Arc<AtomicBool>,
+    held: Arc<Mutex<BTreeSet<String>>>,
 }
 
 impl Store {
     pub fn start() -> Self {
         let state: Arc<Mutex<StoreState>> = Arc::default();
         let cut = Arc::new(AtomicBool::new(false));
+        let held: Arc<Mutex<BTreeSet<String>>> = Arc::default();
         let serve = |cut: Option<Arc<AtomicBool>>| {
             let state = Arc::clone(&state);
+            let held = Arc::clone(&held);
             spawn_server(move |mut stream| {
                 while let Some(message) = read_message(&mut stream) {
                     if cut.as_ref().is_some_and(|cut| cut.load(Ordering::Relaxed)) {
                         return;
                     }
+                    while held.lock().expect("held kinds").contains(kind_of(&message)) {
+                        thread::sleep(STEP);
+                    }
                     let (status, body) = answer_store(&state, &message);
                     let body = body.to_string();
                     let head =
@@ -135,7 +141,17 @@
         };
         let address = serve(Some(Arc::clone(&cut)));
         let inner = serve(None);
-        Self { state, address, inner, cut }
+        Self { state, address, inner, cut, held }
+    }
+
+    /// Keeps calls for one kind waiting, or lets them go on.
+    pub fn hold(&self, kind: &str, hold: bool) {
+        let mut held = self.held.lock().expect("held kinds");
+        if hold {
+            held.insert(kind.to_owned());
+        } else {
+            held.remove(kind);
+        }
     }
 
     /// Cuts the gateways off, or heals the cut.
@@ -167,6 +183,11 @@
     }
 }
 
+fn kind_of(message: &Message) -> &str {
+    let path = message.target().trim_start_matches("/api/objects/");
+    path.split(['/', '?']).next().unwrap_or_default()
+}
+
 fn object(name: &str, revision: u64, spec: &Value) -> Value {
     json!({"metadata": {"name": name, "revision": revision, "deleting": false}, "spec": spec})
 }
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -169,6 +169,7 @@
 #[derive(Debug, Default, Serialize)]
 pub struct BackendTable {
     rows: BTreeMap<BackendId, BackendRow>,
+    is_listed: bool,
     next_flight: FlightId,
 }
 
@@ -220,6 +221,17 @@
         over
     }
 
+    /// Notes that all servers of the store were taken.
+    pub fn note_listed(&mut self) {
+        self.is_listed = true;
+    }
+
+    /// Tells whether the servers of the store were ever taken whole; an empty table means nothing
+    /// before.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Returns one server.
     pub fn get(&self, id: &str) -> Option<&BackendRow> {
         self.rows.get(id)
