Servers set aside for prompts that pause the streams beside them

By the logs (pause_ms, new) the pauses lay between 600 and 800 ms, the same for all prompt sizes and entries: an engine reads 4,096 tokens between two tokens of the others, so seven chunks in a row hold up one event of seven tokens. Prompts of 12,000 own tokens and more are 13 % of the long route's and half of its tokens. Ruled out: entries (the same share at each, 0.09 and 0.5 cores), first events (6 % late), memory (none preempted), links. Change: a third of the servers, picked by rank so that all entries agree, read the prompts whose own part takes over 0.35 of the pause that the route bears; others use them only where their own are crowded. Tests: backend_placing long_prompts, crowded_lane. Conclusion: kept; what is left comes from sessions that make one server twice as busy as the mean, which no entry sees alone.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -104,6 +104,7 @@
             data_centre: &self.gateway.settings.data_centre,
             parts: prompt.map_or(&[], |prompt| &prompt.parts),
             prompt: prompt.map_or(0, |prompt| prompt.prompt),
+            pause: self.plan.route.gap,
             now,
             dice: fastrand::f64(),
         };
@@ -187,6 +188,8 @@
             service = %self.plan.service, customer = customer.as_deref(), end = ?end,
             run = self.tally.run_state().as_str(), sent = self.tally.sent, tried = ?self.tried,
             first_ms = first.as_millis() as u64,
+            pause_ms = self.stream.pause.as_millis() as u64,
+            prompt = self.plan.facts.prompt.as_ref().map(|prompt| prompt.prompt),
             took_ms = Instant::now().duration_since(self.plan.arrived).as_millis() as u64,
             used = self.plan.budget.as_ref().map(BudgetGuard::used),
         );
--- a/toucanrail-gateway/src/relaying.rs
+++ b/toucanrail-gateway/src/relaying.rs
@@ -30,13 +30,15 @@
     scanner: EventScanner,
     /// When the first bytes of an answer were passed on.
     pub first_at: Option<Instant>,
+    /// Longest pause between events, for logs.
+    pub pause: Duration,
 }
 
 impl StreamState {
     /// Starts a stream, behind the event that the caller has already.
     pub fn new(last_event: Option<u64>) -> Self {
         let scanner = EventScanner { last_id: last_event, ..EventScanner::new() };
-        Self { scanner, first_at: None }
+        Self { scanner, first_at: None, pause: Duration::ZERO }
     }
 
     /// Returns the last event that was passed on.
@@ -111,6 +113,9 @@
         let known = stream.scanner.count;
         let whole = stream.scanner.scan(&pending);
         if whole > 0 {
+            if stream.first_at.is_some() {
+                stream.pause = stream.pause.max(heard.elapsed());
+            }
             heard = Instant::now();
             flight.note_begun();
             if let Some(budget) = &plan.budget {
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -24,6 +24,20 @@
 /// session moves away from its server only for a wait that would make its answer late.
 const AGAIN_FACTOR: f64 = 6.0;
 
+/// Part of the pause that streams bear which the reading of one prompt may take beside them.
+const PAUSE_PART: f64 = 0.35;
+/// One server in so many is set aside for prompts that are read for longer. They are about 13 % of the
+/// prompts of long routes and a third of all tokens read, so that both parts are equally busy.
+const LONG_SHARE: usize = 3;
+/// Fewest servers of which some are set aside.
+const LONG_LEAST: usize = 4;
+/// Seed of the rank by which servers are set aside; all entries pick the same.
+const LONG_SEED: u64 = 0x746f_7563_616e;
+/// Cost of a long prompt among other streams, in milliseconds: each of them pauses for too long.
+const DISTURB_COST: f64 = 2_000.0;
+/// Cost of a stream at a server that is set aside, in milliseconds: long prompts pause it.
+const PAUSED_COST: f64 = 400.0;
+
 /// What the choice depends on besides the servers.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceQuery<'request> {
@@ -33,6 +47,8 @@
     pub parts: &'request [PromptPart],
     /// All prompt tokens; 0 for a plain service.
     pub prompt: Tokens,
+    /// Longest pause between events that callers of the route bear; 0 for a plain service.
+    pub pause: Duration,
     /// Time, since the process's start.
     pub now: Duration,
     /// A draw in `0..1`, for a server that returns after failures.
@@ -45,7 +61,8 @@
 /// ```
 /// use toucanrail::placing::{self, PlaceQuery};
 /// let query = PlaceQuery {
-///     data_centre: "a", parts: &[], prompt: 0, now: Default::default(), dice: 0.5,
+///     data_centre: "a", parts: &[], prompt: 0, pause: Default::default(),
+///     now: Default::default(), dice: 0.5,
 /// };
 /// assert!(placing::pick_backend(&[], &query).is_none());
 /// ```
@@ -56,14 +73,52 @@
     let ramped = eligible.iter().filter(|row| row.ejection.is_ramped(query.now, query.dice));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
     let rows = if ramped.is_empty() { eligible } else { &ramped };
-    let home = rank_first(rows, query);
+    let aside = set_aside(rows, query);
+    let is_aside = |row: &BackendRow| aside.iter().any(|other| other.entry.id == row.entry.id);
+    let is_long = reads_long(query);
+    let lane: Vec<&BackendRow> =
+        rows.iter().copied().filter(|row| is_aside(row) == is_long).collect();
+    let home = rank_first(&lane, query);
     let cost = |row: &BackendRow| {
         let is_home = home.is_some_and(|home| home.entry.id == row.entry.id);
-        estimate_cost(row, query, is_home)
+        let elsewhere = match (is_aside(row), is_long) {
+            (false, true) if !aside.is_empty() => DISTURB_COST,
+            (true, false) => PAUSED_COST,
+            _ => 0.0,
+        };
+        estimate_cost(row, query, is_home) + elsewhere
     };
     rows.iter().copied().min_by(|one, other| cost(one).total_cmp(&cost(other)))
 }
 
+/// Tells whether the reading of a prompt pauses the streams beside it for longer than they bear.
+///
+/// An engine reads a prompt in chunks between the tokens of the other streams: at 57 tokens a
+/// millisecond, 30,000 tokens hold up the seven tokens of one event for 540 ms and more.
+fn reads_long(query: &PlaceQuery<'_>) -> bool {
+    let reading = own_tokens(query) as f64 / READ_RATE;
+    reading > query.pause.as_secs_f64() * 1_000.0 * PAUSE_PART && !query.pause.is_zero()
+}
+
+/// Returns the servers that are set aside for long prompts, so that these disturb one another and
+/// not the many short streams: placed anywhere, 5 % of the prompts made a fifth of all streams late.
+fn set_aside<'rows>(rows: &[&'rows BackendRow], query: &PlaceQuery<'_>) -> Vec<&'rows BackendRow> {
+    if query.prompt == 0 || rows.len() < LONG_LEAST {
+        return Vec::new();
+    }
+    let mut ranked = rows.to_vec();
+    let rank = |row: &&BackendRow| xxh3::xxh3_64_with_seed(row.entry.id.as_bytes(), LONG_SEED);
+    ranked.sort_by_cached_key(rank);
+    ranked.truncate(rows.len().div_ceil(LONG_SHARE));
+    ranked
+}
+
+/// Returns the prompt's tokens behind its shared parts, which no server has read.
+fn own_tokens(query: &PlaceQuery<'_>) -> Tokens {
+    let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    query.prompt.saturating_sub(shared.iter().map(|part| part.tokens).sum())
+}
+
 /// Returns the server that is first by rendezvous rank for the last shared part, so that all entries
 /// keep a session's parts at one server without telling one another.
 fn rank_first<'rows>(
@@ -86,9 +141,7 @@
         let slots = row.entry.slots.max(1) as f64;
         return distance + (own + others) / slots * CALL_COST + row.latency * 1_000.0 * 0.1;
     }
-    let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let shared: Tokens = shared.iter().map(|part| part.tokens).sum();
-    let own_part = query.prompt.saturating_sub(shared) as f64;
+    let own_part = own_tokens(query) as f64;
     // The other entries send the shared parts to their first server too, so it holds them.
     let again = if is_home {
         0.0
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -1,5 +1,6 @@
 //! Where requests go: sessions, slots and servers that are leaving.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,9 +31,15 @@
 }
 
 fn pick(table: &BackendTable, data_centre: &str, session: u64, own: u64) -> String {
-    let parts = [(1, 500), (session, 4_900), (own, 6_600)];
+    pick_sized(table, data_centre, session, (own, 6_600))
+}
+
+fn pick_sized(table: &BackendTable, data_centre: &str, session: u64, own: (u64, u64)) -> String {
+    let parts = [(1, 500), (session, 4_900), own];
     let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
-    let query = PlaceQuery { data_centre, parts: &parts, prompt: 12_000, now: NOW, dice: 0.5 };
+    let pause = Duration::from_millis(600);
+    let prompt = parts.iter().map(|part| part.tokens).sum();
+    let query = PlaceQuery { data_centre, parts: &parts, prompt, pause, now: NOW, dice: 0.5 };
     let eligible = table.eligible("llm", &[], NOW);
     placing::pick_backend(&eligible, &query).expect("a server").entry.id.to_string()
 }
@@ -63,6 +70,39 @@
     assert_ne!(pick(&table, "a", 7, 2), home);
 }
 
+/// One prompt in twenty is so long that the engine pauses every stream beside it while it reads. Placed
+/// like the others, it makes a dozen callers' streams late; so these prompts have servers of their own.
+#[test]
+fn long_prompts() {
+    let table = make_table();
+    let long = long_servers(&table);
+    let short: BTreeSet<String> = (100..200).map(|session| pick(&table, "b", session, 1)).collect();
+    assert!(long.is_disjoint(&short), "{long:?} {short:?}");
+    assert_eq!((long.len(), short.len()), (3, 6));
+}
+
+/// All ordinary servers are gone but one that is crowded: ordinary streams use those of the long
+/// prompts rather than wait for seconds.
+#[test]
+fn crowded_lane() {
+    let mut table = make_table();
+    let home = pick(&table, "a", 7, 1);
+    for at in 0..9 {
+        let id = format!("s{at}");
+        if !long_servers(&table).contains(&id) && id != home {
+            table.note_missing(&id, None);
+        }
+    }
+    for _ in 0..12 {
+        table.note_sent(&home, flight(6_600), &[]);
+    }
+    assert_ne!(pick(&table, "a", 7, 2), home);
+}
+
+fn long_servers(table: &BackendTable) -> BTreeSet<String> {
+    (100..200).map(|session| pick_sized(table, "a", session, (1, 33_000))).collect()
+}
+
 /// An entry lapses while the store is away, and its server lives on. It is used for the time in which
 /// live servers come back, and no longer.
 #[test]
