Stopping lenders wait for their loans; accounts share shards; ahead bounded by what is unspent

Ruled out: another lender that kept what it did not need (side-kr-south-c-9 gave back at 43 s), requests refused rightly (they fit into the total). Change: a stopping lender lends no more, gives back at once what is free, and waits for its loans within the grace period. Customers are divided among four shards; a write for one account fills up all of its shard. Ahead is at most 5 s of burn, 5 % of what is unspent and 4 % of the total less the dead's. While the store is silent a request must leave four times its amount for each rank behind the first. A lender that failed again rests for longer. Tests: lender_ends open_loan, leaving_lender (failed before).

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -193,6 +193,7 @@
         service: &plan.service,
         prompt: prompt.prompt,
         output: prompt.output,
+        rank: plan.urgency,
         left: plan.left(),
     };
     let taken = borrowing::take_budget(gateway, &need).await;
--- a/toucanrail-gateway/src/borrowing.rs
+++ b/toucanrail-gateway/src/borrowing.rs
@@ -24,8 +24,10 @@
 const DRAW_BOUND: Duration = Duration::from_millis(650);
 /// Longest wait for a connection to a lender.
 const CONNECT_BOUND: Duration = Duration::from_millis(120);
-/// Time for which a lender that did not answer is passed over.
+/// Time for which a lender that did not answer, or is stopping, is passed over; doubled with each time
+/// in a row, since one whose VM was taken away never answers again.
 const LENDER_REST: Duration = Duration::from_secs(3);
+const REST_LIMIT: Duration = Duration::from_secs(48);
 /// Lenders tried for one request.
 const LENDER_TRIES: usize = 2;
 /// Pause between messages with ends; those of the pause share one.
@@ -52,14 +54,38 @@
     since: Duration,
 }
 
+/// A lender that is passed over.
+#[derive(Debug, Clone, Copy)]
+struct LenderRest {
+    until: Duration,
+    time: Duration,
+}
+
 /// What an entry knows of lenders.
 #[derive(Debug, Default)]
 pub struct LoanDesk {
     next: Cell<u64>,
-    rests: RefCell<BTreeMap<Arc<str>, Duration>>,
+    rests: RefCell<BTreeMap<Arc<str>, LenderRest>>,
     ends: RefCell<BTreeMap<Arc<str>, EndQueue>>,
 }
 
+impl LoanDesk {
+    fn is_resting(&self, lender: &Arc<str>, now: Duration) -> bool {
+        self.rests.borrow().get(lender).is_some_and(|rest| now < rest.until)
+    }
+
+    fn rest(&self, lender: &Arc<str>, now: Duration) {
+        let mut rests = self.rests.borrow_mut();
+        let known = rests.get(lender).map_or(LENDER_REST, |rest| rest.time * 2);
+        let time = known.min(REST_LIMIT);
+        rests.insert(Arc::clone(lender), LenderRest { until: now + time, time });
+    }
+
+    fn forget_rest(&self, lender: &Arc<str>) {
+        self.rests.borrow_mut().remove(lender);
+    }
+}
+
 /// The budget held for one request; billed for what was used, however the request ends.
 #[derive(Debug)]
 pub struct BudgetGuard {
@@ -88,6 +114,8 @@
     pub prompt: Tokens,
     /// Most tokens of the answer.
     pub output: Tokens,
+    /// The request's rank; 0 goes first.
+    pub rank: u8,
     /// Time left.
     pub left: Duration,
 }
@@ -103,7 +131,7 @@
         drawn?
     } else {
         gateway.keeper.note_total(need.customer, need.stated);
-        let hold = gateway.keeper.take_hold(need.customer, amount, need.left).await;
+        let hold = gateway.keeper.take_hold(need.customer, amount, need.rank, need.left).await;
         BudgetSource::Own(hold?)
     };
     Ok(BudgetGuard {
@@ -126,11 +154,9 @@
 ) -> Option<Result<BudgetSource, HoldFailure>> {
     let now = gateway.now();
     let lenders = gateway.store.lenders();
-    let ranked = loans::rank_lenders(&lenders, need.customer);
-    let rests =
-        |name: &Arc<str>| gateway.desk.rests.borrow().get(name).is_some_and(|until| now < *until);
-    let ranked: Vec<_> = ranked.into_iter().filter(|(name, _)| !rests(name)).collect();
-    for (lender, address) in ranked.into_iter().take(LENDER_TRIES) {
+    let ranked = loans::rank_lenders(&lenders, &gateway.keeper.shard_of(need.customer));
+    let rested = ranked.into_iter().filter(|(name, _)| !gateway.desk.is_resting(name, now));
+    for (lender, address) in rested.take(LENDER_TRIES) {
         let number = gateway.desk.next.get();
         gateway.desk.next.set(number + 1);
         let loan: LoanId = Arc::from(format!("{}.{number}", gateway.id));
@@ -139,28 +165,32 @@
             customer: Arc::clone(need.customer),
             stated: need.stated,
             amount,
+            rank: need.rank,
         };
         // Whatever cuts this call short, the loan is ended: one that nobody knows is never returned.
         let mut draft = LoanDraft { gateway, lender: &lender, loan: &loan, need, settled: false };
         match call_lender(gateway, &lender, address, DRAW_PATH, &order, DRAW_BOUND).await {
-            Ok(LoanReply::Held) => {
-                draft.settled = true;
-                let (lender, loan) = (Arc::clone(&lender), Arc::clone(&loan));
-                return Some(Ok(BudgetSource::Loan { lender, loan }));
-            }
-            Ok(LoanReply::Short) => {
+            Ok(LoanReply::Leaving) => {
                 draft.settled = true;
-                return Some(Err(HoldFailure::Short));
+                tracing::info!(event = "lender_leaving", %lender);
+                gateway.desk.rest(&lender, gateway.now());
             }
-            Ok(LoanReply::Uncovered) => {
+            Ok(reply) => {
                 draft.settled = true;
-                return Some(Err(HoldFailure::Uncovered));
+                gateway.desk.forget_rest(&lender);
+                return Some(match reply {
+                    LoanReply::Short | LoanReply::Leaving => Err(HoldFailure::Short),
+                    LoanReply::Uncovered => Err(HoldFailure::Uncovered),
+                    LoanReply::Held => {
+                        let (lender, loan) = (Arc::clone(&lender), Arc::clone(&loan));
+                        Ok(BudgetSource::Loan { lender, loan })
+                    }
+                });
             }
             Err(error) => {
                 tracing::info!(event = "lender_failed", %lender, %error, customer = %need.customer);
                 gateway.board.count_event("lenders_failed");
-                let until = gateway.now() + LENDER_REST;
-                gateway.desk.rests.borrow_mut().insert(Arc::clone(&lender), until);
+                gateway.desk.rest(&lender, gateway.now());
             }
         }
     }
--- a/toucanrail-gateway/src/budgeting.rs
+++ b/toucanrail-gateway/src/budgeting.rs
@@ -12,18 +12,16 @@
 use smol::LocalExecutor;
 use smol::future::FutureExt;
 use toucanrail::budgets::BillRow;
-use toucanrail::grants::{GrantHold, GrantTable};
+use toucanrail::grants::{GrantAccount, GrantHold, GrantTable};
 use toucanrail::ids::{CustomerId, EntryId, ShardName, Tokens};
-use toucanrail::paths;
 use toucanrail::syncs::{SyncMachine, SyncOutcome};
+use toucanrail::{paths, policies};
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_wire::clocks;
 
 use crate::storing::StoreAccess;
 use crate::tuning::GatewayTuning;
 
-/// How customers are divided among shards: each has its own, whose name is the customer's.
-const SHARD_PER_CUSTOMER: u64 = 0;
 /// This use of the store, in logs.
 const USAGE: &str = "budgets";
 /// Pause between syncs that requests asked for: those that wait meanwhile share the next one. Each
@@ -108,18 +106,28 @@
     pub fn note_total(&self, customer: &CustomerId, total: Tokens) {
         let mut grants = self.grants.borrow_mut();
         if grants.account(customer).is_none() {
-            grants.add_account(customer, &paths::shard_of(customer, SHARD_PER_CUSTOMER));
+            grants.add_account(customer, &self.shard_of(customer));
         }
         grants.note_prepaid(customer, total);
     }
 
+    /// Returns the shard of a customer's account.
+    pub fn shard_of(&self, customer: &CustomerId) -> ShardName {
+        paths::shard_of(customer, self.tuning.shards)
+    }
+
     /// Takes a hold, waiting for a sync if the grant is short.
     pub async fn take_hold(
         &self,
         customer: &CustomerId,
         amount: Tokens,
+        rank: u8,
         left: Duration,
     ) -> Result<GrantHold, HoldFailure> {
+        if !self.may_spend(customer, amount, rank) {
+            self.log_short(customer, amount);
+            return Err(HoldFailure::Short);
+        }
         if let Ok(hold) = self.grants.borrow_mut().hold(customer, amount) {
             return Ok(hold);
         }
@@ -143,6 +151,13 @@
         taken
     }
 
+    /// While the store is silent, what is left is kept for the first rank and for small requests.
+    fn may_spend(&self, customer: &CustomerId, amount: Tokens, rank: u8) -> bool {
+        let grants = self.grants.borrow();
+        let available = grants.account(customer).map_or(0, GrantAccount::available);
+        !self.store.is_silent(USAGE) || policies::spends_in_outage(available, amount, rank)
+    }
+
     async fn wait_hold(
         &self,
         customer: &CustomerId,
@@ -150,8 +165,9 @@
     ) -> Result<GrantHold, HoldFailure> {
         // Only a shard read after the request came may refuse it; a sync that runs already may have
         // read it before.
-        let needed =
-            self.grants.borrow().looks(customer) + if self.is_syncing(customer) { 2 } else { 1 };
+        let shard = self.shard_of(customer);
+        let running = u64::from(self.syncing.borrow().contains(&shard));
+        let needed = self.grants.borrow().looks(&shard) + 1 + running;
         loop {
             let synced = self.synced.listen();
             self.grants.borrow_mut().want_look(customer);
@@ -161,7 +177,7 @@
             if let Ok(hold) = grants.hold(customer, amount) {
                 return Ok(hold);
             }
-            if grants.looks(customer) < needed {
+            if grants.looks(&shard) < needed {
                 continue;
             }
             // What is left is granted elsewhere: no further sync brings it until others settle.
@@ -173,11 +189,6 @@
         }
     }
 
-    fn is_syncing(&self, customer: &CustomerId) -> bool {
-        let grants = self.grants.borrow();
-        grants.shard_of(customer).is_some_and(|shard| self.syncing.borrow().contains(shard))
-    }
-
     /// Ends a hold with what its request used.
     pub fn finish(&self, hold: &GrantHold, request: Arc<str>, service: Arc<str>, used: Tokens) {
         let bill = (used > 0).then(|| BillRow {
@@ -309,6 +320,15 @@
     }
 }
 
+/// Gives back what no request holds and takes no holds any more; what runs may use its holds on.
+pub async fn give_back(keeper: &Rc<BudgetKeeper>) {
+    keeper.left.set(true);
+    let shards = keeper.grants.borrow().shards();
+    for shard in shards.iter().filter(|shard| !keeper.syncing.borrow().contains(*shard)) {
+        keeper.sync_shard(shard, true).await;
+    }
+}
+
 /// Settles all and gives unused grants back; what open holds may still use stays granted.
 pub async fn leave(keeper: &Rc<BudgetKeeper>) {
     keeper.left.set(true);
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -1,6 +1,6 @@
 //! The lender: it keeps grants for the entries of its data centre and lends them request by request.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -10,8 +10,9 @@
 use toucanrail::loans::{LoanEnds, LoanOrder, LoanReply, LoanTable};
 use toucanrail_wire::calling;
 use toucanrail_wire::channels::BufferedChannel;
+use toucanrail_wire::clocks;
 
-use crate::budgeting::{BudgetKeeper, HoldFailure};
+use crate::budgeting::{self, BudgetKeeper, HoldFailure};
 
 /// Call with a [`LoanOrder`], answered with a [`LoanReply`].
 pub const DRAW_PATH: &str = "/loans/draw";
@@ -21,6 +22,8 @@
 /// Longest time for which an order may wait; [`BudgetKeeper::take_hold`] waits for a fourth of it.
 const ORDER_TIME: Duration = Duration::from_millis(1_400);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How often a stopping lender looks whether its loans have ended.
+const DRAIN_STEP: Duration = Duration::from_millis(50);
 
 /// The lender's tables.
 #[derive(Debug)]
@@ -29,6 +32,8 @@
     pub keeper: Rc<BudgetKeeper>,
     /// Its open loans.
     pub loans: RefCell<LoanTable>,
+    /// Whether it is stopping.
+    pub leaving: Cell<bool>,
 }
 
 /// Serves entries.
@@ -73,9 +78,16 @@
     if office.loans.borrow().is_open(&order.loan) {
         return LoanReply::Held;
     }
-    office.keeper.note_total(&order.customer, order.stated);
-    let taken = office.keeper.take_hold(&order.customer, order.amount, ORDER_TIME).await;
-    match taken {
+    if office.leaving.get() {
+        return LoanReply::Leaving;
+    }
+    let LoanOrder { customer, amount, rank, .. } = order;
+    office.keeper.note_total(customer, order.stated);
+    match office.keeper.take_hold(customer, *amount, *rank, ORDER_TIME).await {
+        Ok(hold) if office.leaving.get() => {
+            office.keeper.grants.borrow_mut().finish(&hold, None);
+            LoanReply::Leaving
+        }
         Ok(hold) if office.loans.borrow().is_new(&order.loan) => {
             office.loans.borrow_mut().open(&order.loan, hold);
             LoanReply::Held
@@ -98,3 +110,21 @@
         }
     }
 }
+
+/// Lends no more and waits until the open loans have ended, for at most `bound`.
+///
+/// A lender that ends with open loans takes their customers' money with it: nobody can tell any more
+/// what of it was used.
+pub async fn drain(office: &LoanOffice, bound: Duration) {
+    office.leaving.set(true);
+    tracing::info!(event = "stop", role = "relay", loans = office.loans.borrow().len());
+    budgeting::give_back(&office.keeper).await;
+    let ending = async {
+        while !office.loans.borrow().is_empty() {
+            smol::Timer::after(DRAIN_STEP).await;
+        }
+    };
+    if clocks::bounded(bound, ending).await.is_none() {
+        tracing::warn!(event = "loans_left", loans = office.loans.borrow().len());
+    }
+}
--- a/toucanrail-gateway/src/tuning.rs
+++ b/toucanrail-gateway/src/tuning.rs
@@ -7,22 +7,27 @@
 use toucanrail::settings::{SettingRow, SettingValues};
 
 /// All settings.
-pub const SETTINGS: [SettingRow; 4] = [
+pub const SETTINGS: [SettingRow; 5] = [
     SettingRow {
         name: "grant-horizon",
-        default: Some("1s"),
+        default: Some("5s"),
         help: "Burn that grants cover while the store is away.",
     },
     SettingRow {
         name: "grant-floor",
-        default: Some("4000"),
+        default: Some("2000"),
         help: "Least grant ahead of a customer in use, in tokens.",
     },
     SettingRow {
         name: "grant-part",
-        default: Some("0.02"),
+        default: Some("0.04"),
         help: "Part of a prepaid budget that is granted ahead of use at most.",
     },
+    SettingRow {
+        name: "shards",
+        default: Some("4"),
+        help: "Objects that accounts are divided among; 0 for one a customer. Never changed in use.",
+    },
     SettingRow { name: "flush", default: Some("3s"), help: "Time between settlements." },
 ];
 
@@ -33,6 +38,9 @@
     pub policy: GrantPolicy,
     /// Time between settlements.
     pub flush: Duration,
+    /// Objects that accounts are divided among; 0 for one a customer. All processes must agree for
+    /// ever: an account that stood in two objects could be spent twice.
+    pub shards: u64,
 }
 
 impl GatewayTuning {
@@ -44,6 +52,7 @@
             text.parse().ok().filter(|part| (0.0..=1.0).contains(part))
         });
         let policy = GrantPolicy::RideThrough { horizon, floor, part };
-        Self { policy, flush: values.duration("flush") }
+        let shards = values.parse("shards", "a number");
+        Self { policy, flush: values.duration("flush"), shards }
     }
 }
--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -40,6 +40,8 @@
 /// Longest wait for a call of the registration, and the pause before the next try.
 const CALL_BOUND: Duration = Duration::from_secs(1);
 const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+/// Taken off the grace period for the last settlement: after it the platform kills.
+const GRACE_MARGIN: Duration = Duration::from_millis(1_800);
 
 /// Runs a relay until it is told to stop.
 pub fn run(settings: &NodeSettings, tuning: GatewayTuning) -> io::Result<()> {
@@ -56,6 +58,7 @@
     executor.spawn(register(settings.clone())).detach();
     smol::block_on(executor.run(async {
         wait_stop().await;
+        lending::drain(&office, settings.grace.saturating_sub(GRACE_MARGIN)).await;
         budgeting::leave(&office.keeper).await;
     }));
     let loans = office.loans.borrow().len();
@@ -77,7 +80,7 @@
     let watching = storing::keep_ways(Rc::clone(&store), settings.store);
     executor.spawn(watching).detach();
     let keeper = BudgetKeeper::new(&id, store, tuning, board, Rc::clone(executor));
-    Ok(LoanOffice { keeper: Rc::new(keeper), loans: RefCell::default() })
+    Ok(LoanOffice { keeper: Rc::new(keeper), loans: RefCell::default(), leaving: Cell::new(false) })
 }
 
 async fn smooth_burn(office: Rc<LoanOffice>) {
--- /dev/null
+++ b/toucanrail-gateway/tests/lender_ends.rs
@@ -0,0 +1,60 @@
+//! A lender that is stopped.
+
+mod platform;
+
+use std::thread;
+
+use platform::{Act, Backend, Process, Store, request};
+
+/// A lender is told to stop while a stream that it lent the budget for is under way. It gave its unused
+/// grants back and ended at once; the entry could end the loan nowhere, the stream was never billed, and
+/// what it had not used stayed granted to the dead lender: a tenth of a customer's budget was lost with
+/// each VM that was taken away.
+#[test]
+fn open_loan() {
+    let store = Store::start();
+    let events: Vec<String> =
+        (1..=60).map(|id| platform::chunk(&format!("id: {id}\ndata: x\n\n"))).collect();
+    let stream = [platform::STREAM, &events.join("PAUSE"), "0\r\n\r\n"].concat();
+    let backend = Backend::start("i-1", move |_, _| Act::Answer(stream.clone()));
+    platform::configure_total(&store, 1, &[&backend], 100_000);
+    let mut relay = Process::start_relay(&store, "side-1");
+    platform::wait_until("the relay", || store.has("relays", "side-1"));
+    let gateway = Process::start_gateway(&store);
+    let address = gateway.callers;
+    let caller = thread::spawn(move || {
+        let more = format!("{}Connection: close\r\n", platform::PROMPT);
+        platform::call_raw(address, &request("POST", "/stream/a", "r1", &more, "p"))
+    });
+    platform::wait_until("the request", || !backend.seen().is_empty());
+    assert!(store.granted("acme").keys().any(|holder| holder.starts_with("side-1")));
+    relay.signal("TERM");
+    let answer = caller.join().unwrap();
+    assert!(answer.contains("id: 60") && answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert!(relay.wait_end());
+    assert!(store.granted("acme").is_empty(), "{:?}", store.granted("acme"));
+    // 60 events of 6 tokens are more than the 60 tokens that the request may get.
+    assert_eq!(store.billed("acme"), 160);
+}
+
+/// A lender that leaves lends no more: the next request is served all the same.
+#[test]
+fn leaving_lender() {
+    let store = Store::start();
+    let stream = [platform::STREAM, &platform::chunk("id: 1\ndata: a\n\n"), "0\r\n\r\n"].concat();
+    let backend = Backend::start("i-1", move |_, _| Act::Answer(stream.clone()));
+    platform::configure_total(&store, 1, &[&backend], 100_000);
+    let mut relay = Process::start_relay(&store, "side-1");
+    platform::wait_until("the relay", || store.has("relays", "side-1"));
+    let gateway = Process::start_gateway(&store);
+    let more = format!("{}Connection: close\r\n", platform::PROMPT);
+    let call = |id: &str| {
+        platform::call_raw(gateway.callers, &request("POST", "/stream/a", id, &more, "p"))
+    };
+    assert!(call("r1").starts_with("HTTP/1.1 200"));
+    relay.signal("TERM");
+    assert!(call("r2").starts_with("HTTP/1.1 200"));
+    assert!(relay.wait_end());
+    assert!(call("r3").starts_with("HTTP/1.1 200"));
+    assert!(!store.granted("acme").keys().any(|holder| holder.starts_with("side-1")));
+}
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -175,11 +175,30 @@
         state.events.push((revision, kind.to_owned(), event));
     }
 
-    /// Returns the sum of what all customers were billed.
+    /// Tells whether an object exists.
+    pub fn has(&self, kind: &str, name: &str) -> bool {
+        let state = self.state.lock().expect("the store");
+        state.objects.contains_key(&(kind.to_owned(), name.to_owned()))
+    }
+
+    /// Returns what a customer was billed.
     pub fn billed(&self, customer: &str) -> u64 {
+        self.account(customer)["billed"].as_u64().unwrap_or(0)
+    }
+
+    /// Returns what stands granted of a customer's budget, by holder.
+    pub fn granted(&self, customer: &str) -> BTreeMap<String, u64> {
+        let account = self.account(customer);
+        let grants = account["grants"].as_object().cloned().unwrap_or_default();
+        let rows = grants.into_iter().map(|(holder, row)| (holder, row.as_u64().unwrap_or(0)));
+        rows.filter(|(_, granted)| *granted > 0).collect()
+    }
+
+    fn account(&self, customer: &str) -> Value {
         let state = self.state.lock().expect("the store");
-        let shard = state.objects.get(&("budgets".to_owned(), customer.to_owned()));
-        shard.map_or(0, |(_, spec)| spec["accounts"][customer]["billed"].as_u64().unwrap_or(0))
+        let shards = state.objects.iter().filter(|((kind, _), _)| kind == "budgets");
+        let mut accounts = shards.map(|(_, (_, spec))| spec["accounts"][customer].clone());
+        accounts.find(|account| !account.is_null()).unwrap_or(Value::Null)
     }
 }
 
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -9,7 +9,7 @@
 
 use serde::Serialize;
 
-use crate::budgets::{BillRow, BudgetShard, RECENT_LIMIT};
+use crate::budgets::{BillRow, BudgetAccount, BudgetShard, RECENT_LIMIT};
 use crate::ids::{
     AgentId, CustomerId, EntryId, Epoch, RunId, Sequence, ShardName, Tokens, Version,
 };
@@ -202,11 +202,6 @@
         self.accounts.get(customer)
     }
 
-    /// Returns the shard of a customer's account.
-    pub fn shard_of(&self, customer: &CustomerId) -> Option<&ShardName> {
-        self.homes.get(customer)
-    }
-
     /// Returns the agents that a customer's requests may be sent to.
     ///
     /// Guards against an agent that no reclaim would ask: only agents named in the shard before
@@ -476,6 +471,7 @@
             prepaid: known.map_or(0, |account| account.prepaid),
             holders: cached.map_or(1, BudgetShard::count_names),
             others: known.map_or(0, |account| account.granted_to_others(&self.entry)),
+            unspent: known.map_or(0, BudgetAccount::unspent),
         })
     }
 
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -1,9 +1,9 @@
-//! Budget that a lender holds for the entries of its data centre, request by request.
+//! Budget that a lender holds for the entries of its region, request by request.
 //!
 //! The load it answers: many entries that each see little of a customer. Grants for each of them
-//! would be small, asked for often, and stranded in many places; one lender a data centre and
-//! customer asks the store as often as one entry, and an entry that dies takes only the loans of its
-//! requests in flight with it.
+//! would be small, asked for often, and stranded in many places; one lender a region and shard asks
+//! the store as often as one entry, and an entry that dies takes only the loans of its requests in
+//! flight with it.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -33,6 +33,8 @@
     pub stated: Tokens,
     /// The worst case of the request.
     pub amount: Tokens,
+    /// The request's rank; 0 goes first.
+    pub rank: u8,
 }
 
 /// The lender's answer.
@@ -44,6 +46,8 @@
     Short,
     /// The customer's balance provably does not cover it.
     Uncovered,
+    /// The lender is stopping; another lends.
+    Leaving,
 }
 
 /// What one loan's request used.
@@ -134,8 +138,8 @@
     }
 }
 
-/// Ranks lenders for a customer by rendezvous hashing: all entries of a data centre prefer the same
-/// one, and a lender that is lost moves only its own customers.
+/// Ranks lenders for a shard by rendezvous hashing: all entries of a region prefer the same one, so that
+/// it alone changes the shard, and a lender that is lost moves only its own shards.
 ///
 /// # Examples
 /// ```
@@ -145,9 +149,9 @@
 /// ```
 pub fn rank_lenders(
     lenders: &[(Arc<str>, SocketAddr)],
-    customer: &str,
+    shard: &str,
 ) -> Vec<(Arc<str>, SocketAddr)> {
-    let seed = xxh3::xxh3_64(customer.as_bytes());
+    let seed = xxh3::xxh3_64(shard.as_bytes());
     let mut ranked = lenders.to_vec();
     ranked.sort_by_cached_key(|(name, _)| {
         std::cmp::Reverse(xxh3::xxh3_64_with_seed(name.as_bytes(), seed))
--- a/toucanrail/src/policies.rs
+++ b/toucanrail/src/policies.rs
@@ -10,6 +10,10 @@
 /// Part of the wanted amount ahead under which a grant that rides through outages is topped up.
 const TOP_UP_PART: f64 = 0.4;
 
+/// Part of what is unspent that a grant that rides through outages may be ahead. Early in a budget it
+/// bears an outage of some seconds; near its end a dead holder must not take what callers still need.
+const UNSPENT_PART: f64 = 0.05;
+
 /// What a policy sees of one account at one entry.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct GrantView {
@@ -29,6 +33,8 @@
     pub holders: u64,
     /// Granted to other holders, dead ones among them.
     pub others: Tokens,
+    /// Not billed to anyone yet.
+    pub unspent: Tokens,
 }
 
 /// How much an entry keeps granted ahead of its need.
@@ -127,7 +133,8 @@
         }
         let steady = (view.burn * horizon.as_secs_f64()) as Tokens;
         let bearable = ((view.prepaid as f64 * part) as Tokens).saturating_sub(view.others);
-        steady.min(bearable).max(floor)
+        let share = (view.unspent as f64 * UNSPENT_PART) as Tokens;
+        steady.min(bearable).min(share).max(floor)
     }
 
     /// Near exhaustion a long horizon would strand the last tokens at one entry while another
@@ -179,6 +186,25 @@
     }
 }
 
+/// Multiple of its amount that a request must leave available for each rank behind the first, while
+/// the store is silent.
+const RANK_WEIGHT: Tokens = 4;
+
+/// Tells whether a request may take its amount out of a grant that the store cannot fill up now.
+///
+/// The load it answers: an outage of some seconds and grants for one. What is left goes to requests of
+/// the first rank and to small ones, which are many; one long prompt takes as much as ten of them.
+///
+/// # Examples
+/// ```
+/// use toucanrail::policies;
+/// assert!(policies::spends_in_outage(10_000, 9_000, 0));
+/// assert!(!policies::spends_in_outage(10_000, 9_000, 1));
+/// ```
+pub fn spends_in_outage(available: Tokens, amount: Tokens, rank: u8) -> bool {
+    amount.saturating_mul(1 + RANK_WEIGHT * Tokens::from(rank)) <= available
+}
+
 /// A change of a grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GrantChange {
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -400,8 +400,10 @@
                 let account = shard.accounts.entry(Arc::clone(customer)).or_default();
                 account.prepaid = account.prepaid.max(demand.prepaid);
             }
-            let writes = !self.rows.is_empty();
-            change_grant(&mut shard, &entry, customer, demand, &self.policy, writes);
+        }
+        let changes = self.decide_changes(&shard);
+        for ((customer, demand), change) in self.plan.demands.iter().zip(changes) {
+            change_grant(&mut shard, &entry, customer, demand, change);
         }
         if let Some(row) = shard.live_tenure(&entry, self.epoch) {
             row.settled = self.plan.sequence;
@@ -414,6 +416,23 @@
         self.written = shard;
     }
 
+    /// Decides the changes of all grants: where any of them calls for a write, or a bill does, all are
+    /// filled up by it.
+    fn decide_changes(&self, shard: &BudgetShard) -> Vec<GrantChange> {
+        let entry = &self.plan.entry;
+        let views = self.plan.demands.iter().map(|(customer, demand)| {
+            view_account(shard, entry, customer, demand).unwrap_or_default()
+        });
+        let views: Vec<GrantView> = views.collect();
+        let asks = |view: &GrantView| matches!(self.policy.adjust(view), GrantChange::Ask(1..));
+        let returning = self.plan.demands.values().any(|demand| demand.returning > 0);
+        let writes = returning || !self.rows.is_empty() || views.iter().any(asks);
+        let decide = |view: &GrantView| {
+            if writes { self.policy.adjust_written(view) } else { self.policy.adjust(view) }
+        };
+        views.iter().map(decide).collect()
+    }
+
     fn take_bill_write(&mut self, reply: &StoreReply) {
         match reply {
             StoreReply::Written { version } => {
@@ -465,39 +484,49 @@
     frozen.is_some_and(|frozen| *frozen >= row.total())
 }
 
+/// Returns an account as a policy sees it, with what is given back already taken off.
+fn view_account(
+    shard: &BudgetShard,
+    entry: &EntryId,
+    customer: &CustomerId,
+    demand: &GrantDemand,
+) -> Option<GrantView> {
+    let account = shard.accounts.get(customer)?;
+    let granted = account.grants.get(entry).copied().unwrap_or_default();
+    Some(GrantView {
+        burn: demand.burn,
+        busy: demand.busy,
+        granted: granted.saturating_sub(demand.returning),
+        shortage: demand.shortage,
+        unallocated: account.unallocated() + demand.returning.min(granted),
+        prepaid: account.prepaid,
+        holders: shard.count_names(),
+        others: account.granted_to_others(entry),
+        unspent: account.unspent(),
+    })
+}
+
 fn change_grant(
     shard: &mut BudgetShard,
     entry: &EntryId,
     customer: &CustomerId,
     demand: &GrantDemand,
-    policy: &GrantPolicy,
-    writes: bool,
+    change: GrantChange,
 ) {
-    let holders = shard.count_names();
     let Some(account) = shard.accounts.get_mut(customer) else {
         return;
     };
-    let unallocated = account.unallocated();
-    let others = account.granted_to_others(entry);
     let grant = account.grants.entry(Arc::clone(entry)).or_default();
     *grant = grant.saturating_sub(demand.returning);
-    let view = GrantView {
-        burn: demand.burn,
-        busy: demand.busy,
-        granted: *grant,
-        shortage: demand.shortage,
-        unallocated: unallocated + demand.returning,
-        prepaid: account.prepaid,
-        holders,
-        others,
-    };
-    let change = if writes { policy.adjust_written(&view) } else { policy.adjust(&view) };
+    let granted = *grant;
+    let unallocated = account.unallocated();
     // A part that lets no waiting request go would only be stranded here.
-    let useful = demand.shortage == 0 || *grant + unallocated >= demand.busy + demand.least;
+    let useful = demand.shortage == 0 || granted + unallocated >= demand.busy + demand.least;
     // What was just given back must not be asked for again in the same step.
     if useful
         && demand.returning == 0
         && let GrantChange::Ask(amount) = change
+        && let Some(grant) = account.grants.get_mut(entry)
     {
         *grant += amount.min(unallocated);
     }
