One relay of the region watches the store for all entries of a large fleet

Ruled out: longer waits alone (most watches end by a change, not by their wait). Change: entries of fleets with 24 relays and more ask one relay, its board, which watches while it is asked. A board that has not heard of the store for 0.9 s says so, and one that is silent for 1.2 s is passed over; the entry then asks the store itself at once. A board that is behind brings nothing back. Small fleets watch as before: two boards would cost as much there.

--- a/toucanrail-gateway/src/borrowing.rs
+++ b/toucanrail-gateway/src/borrowing.rs
@@ -24,10 +24,10 @@
 const DRAW_BOUND: Duration = Duration::from_millis(650);
 /// Longest wait for a connection to a lender.
 const CONNECT_BOUND: Duration = Duration::from_millis(120);
-/// Time for which a lender that did not answer, or is stopping, is passed over; doubled with each time
-/// in a row, since one whose VM was taken away never answers again.
-const LENDER_REST: Duration = Duration::from_secs(3);
-const REST_LIMIT: Duration = Duration::from_secs(48);
+/// Time for which a lender or board that did not answer, or is stopping, is passed over; doubled with
+/// each time in a row, since one whose VM was taken away never answers again.
+const PEER_REST: Duration = Duration::from_secs(3);
+const REST_LIMIT: Duration = Duration::from_secs(12);
 /// Lenders tried for one request.
 const LENDER_TRIES: usize = 2;
 /// Pause between messages with ends; those of the pause share one.
@@ -54,35 +54,42 @@
     since: Duration,
 }
 
-/// A lender that is passed over.
 #[derive(Debug, Clone, Copy)]
-struct LenderRest {
+struct PeerRest {
     until: Duration,
     time: Duration,
 }
 
+/// Peers that did not answer and are passed over.
+#[derive(Debug, Default)]
+pub struct PeerRests {
+    rests: RefCell<BTreeMap<Arc<str>, PeerRest>>,
+}
+
 /// What an entry knows of lenders.
 #[derive(Debug, Default)]
 pub struct LoanDesk {
     next: Cell<u64>,
-    rests: RefCell<BTreeMap<Arc<str>, LenderRest>>,
+    rests: PeerRests,
     ends: RefCell<BTreeMap<Arc<str>, EndQueue>>,
 }
 
-impl LoanDesk {
-    fn is_resting(&self, lender: &Arc<str>, now: Duration) -> bool {
-        self.rests.borrow().get(lender).is_some_and(|rest| now < rest.until)
+impl PeerRests {
+    /// Tells whether a peer is passed over now.
+    pub fn is_resting(&self, peer: &Arc<str>, now: Duration) -> bool {
+        self.rests.borrow().get(peer).is_some_and(|rest| now < rest.until)
     }
 
-    fn rest(&self, lender: &Arc<str>, now: Duration) {
+    /// Passes a peer over for a while, for longer each time in a row.
+    pub fn rest(&self, peer: &Arc<str>, now: Duration) {
         let mut rests = self.rests.borrow_mut();
-        let known = rests.get(lender).map_or(LENDER_REST, |rest| rest.time * 2);
-        let time = known.min(REST_LIMIT);
-        rests.insert(Arc::clone(lender), LenderRest { until: now + time, time });
+        let time = rests.get(peer).map_or(PEER_REST, |rest| rest.time * 2).min(REST_LIMIT);
+        rests.insert(Arc::clone(peer), PeerRest { until: now + time, time });
     }
 
-    fn forget_rest(&self, lender: &Arc<str>) {
-        self.rests.borrow_mut().remove(lender);
+    /// Notes that a peer answered.
+    pub fn forget_rest(&self, peer: &Arc<str>) {
+        self.rests.borrow_mut().remove(peer);
     }
 }
 
@@ -155,7 +162,7 @@
     let now = gateway.now();
     let lenders = gateway.store.lenders();
     let ranked = loans::rank_lenders(&lenders, &gateway.keeper.shard_of(need.customer));
-    let rested = ranked.into_iter().filter(|(name, _)| !gateway.desk.is_resting(name, now));
+    let rested = ranked.into_iter().filter(|(name, _)| !gateway.desk.rests.is_resting(name, now));
     for (lender, address) in rested.take(LENDER_TRIES) {
         let number = gateway.desk.next.get();
         gateway.desk.next.set(number + 1);
@@ -173,11 +180,11 @@
             Ok(LoanReply::Leaving) => {
                 draft.settled = true;
                 tracing::info!(event = "lender_leaving", %lender);
-                gateway.desk.rest(&lender, gateway.now());
+                gateway.desk.rests.rest(&lender, gateway.now());
             }
             Ok(reply) => {
                 draft.settled = true;
-                gateway.desk.forget_rest(&lender);
+                gateway.desk.rests.forget_rest(&lender);
                 return Some(match reply {
                     LoanReply::Short | LoanReply::Leaving => Err(HoldFailure::Short),
                     LoanReply::Uncovered => Err(HoldFailure::Uncovered),
@@ -190,7 +197,7 @@
             Err(error) => {
                 tracing::info!(event = "lender_failed", %lender, %error, customer = %need.customer);
                 gateway.board.count_event("lenders_failed");
-                gateway.desk.rest(&lender, gateway.now());
+                gateway.desk.rests.rest(&lender, gateway.now());
             }
         }
     }
@@ -224,7 +231,8 @@
     }
 }
 
-async fn call_lender<Order, Reply>(
+/// Calls a lender or board, on a kept connection where there is one.
+pub async fn call_lender<Order, Reply>(
     gateway: &Gateway,
     lender: &Arc<str>,
     address: SocketAddr,
--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -5,11 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use toucanrail::boards;
 use toucanrail::ids::Version;
-use toucanrail::messages::MirrorObject;
-use toucanrail_platform::stores::{KindChange, ListFreshness, StoreFailure};
+use toucanrail::messages::{MirrorChange, MirrorObject, NewsOrder, NewsReply};
+use toucanrail_platform::stores::{ListFreshness, StoreFailure};
 use toucanrail_platform::{configs, names, registrations};
 
+use crate::borrowing;
+use crate::mirroring::NEWS_PATH;
 use crate::states::Gateway;
 
 /// Wait of one watch. Each watch is a counted call, and a connection that turned silent shows only
@@ -17,6 +20,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Added before a watch or listing counts as unanswered.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Wait of one question to a board, and what is added before it counts as unanswered.
+const BOARD_WAIT: Duration = Duration::from_millis(800);
+const BOARD_SLACK: Duration = Duration::from_millis(400);
 /// Pause after a call that failed, doubled up to the limit.
 const PAUSE_LEAST: Duration = Duration::from_millis(80);
 const PAUSE_LIMIT: Duration = Duration::from_millis(640);
@@ -37,7 +43,7 @@
     fn take_all(&mut self, gateway: &Gateway, objects: &[MirrorObject]);
 
     /// Takes one change.
-    fn take_change(&mut self, gateway: &Gateway, change: &KindChange);
+    fn take_change(&mut self, gateway: &Gateway, change: &MirrorChange);
 
     /// Notes that the store answered after a silence.
     fn note_return(&mut self, gateway: &Gateway, silence: Duration);
@@ -99,7 +105,7 @@
     }
 }
 
-/// Lists the kind, or waits for its next changes; returns the revision to go on from.
+/// Takes the kind whole, or waits for its next changes; returns the revision to go on from.
 async fn step<Taker>(
     gateway: &Gateway,
     taker: &mut Taker,
@@ -109,20 +115,66 @@
 where
     Taker: KindTaker,
 {
-    let Some(revision) = revision else {
-        let listing =
-            gateway.store.list_kind(Taker::KIND, ListFreshness::Latest, WATCH_WAIT).await?;
-        taker.note_return(gateway, gateway.now().saturating_sub(heard));
-        taker.take_all(gateway, &listing.objects);
-        return Ok(listing.revision);
+    let news = match ask_board(gateway, Taker::KIND, revision).await {
+        Some(news) => news,
+        None => ask_store(gateway, Taker::KIND, revision).await?,
     };
-    let watching = gateway.store.watch_kind(Taker::KIND, revision, WATCH_WAIT, ANSWER_SLACK);
-    let watched = watching.await?;
     taker.note_return(gateway, gateway.now().saturating_sub(heard));
-    for change in &watched.changes {
-        taker.take_change(gateway, change);
+    match news {
+        NewsReply::Listing { objects, revision } => {
+            taker.take_all(gateway, &objects);
+            Ok(revision)
+        }
+        NewsReply::Changes { changes, revision: seen } => {
+            for change in &changes {
+                taker.take_change(gateway, change);
+            }
+            Ok(seen.max(revision.unwrap_or_default()))
+        }
+        NewsReply::Stale => Err(StoreFailure::NoAnswer(std::io::ErrorKind::TimedOut.into())),
     }
-    Ok(watched.revision.max(revision))
+}
+
+async fn ask_store(
+    gateway: &Gateway,
+    kind: &str,
+    revision: Option<Version>,
+) -> Result<NewsReply, StoreFailure> {
+    let Some(revision) = revision else {
+        let listing = gateway.store.list_kind(kind, ListFreshness::Latest, WATCH_WAIT).await?;
+        let (objects, revision) = (listing.objects, listing.revision);
+        return Ok(NewsReply::Listing { objects, revision });
+    };
+    let watched = gateway.store.watch_kind(kind, revision, WATCH_WAIT, ANSWER_SLACK).await?;
+    Ok(NewsReply::Changes { changes: watched.changes, revision: watched.revision })
+}
+
+/// Asks the board of the region; none where there is none, or it is silent or stale.
+///
+/// A board that fails is passed over for a while, and this entry asks the store itself at once: what it
+/// knows is never older than the board's patience and its own together.
+async fn ask_board(gateway: &Gateway, kind: &str, after: Option<Version>) -> Option<NewsReply> {
+    let now = gateway.now();
+    let mut boards = boards::pick_boards(&gateway.store.lenders()).into_iter();
+    let (board, address) = boards.find(|(name, _)| !gateway.boards.is_resting(name, now))?;
+    let order = NewsOrder { kind: Arc::from(kind), after, wait: BOARD_WAIT };
+    let bound = BOARD_WAIT + BOARD_SLACK;
+    let asked = borrowing::call_lender(gateway, &board, address, NEWS_PATH, &order, bound).await;
+    let reason = match asked {
+        // An older listing than what is known would bring servers back that have left.
+        Ok(NewsReply::Listing { revision, .. }) if after.is_some_and(|after| revision < after) => {
+            "behind".to_owned()
+        }
+        Ok(NewsReply::Stale) => "stale".to_owned(),
+        Ok(reply) => {
+            gateway.boards.forget_rest(&board);
+            return Some(reply);
+        }
+        Err(error) => error.to_string(),
+    };
+    tracing::info!(event = "board_failed", %board, kind, reason);
+    gateway.boards.rest(&board, gateway.now());
+    None
 }
 
 struct ConfigTaker;
@@ -160,7 +212,7 @@
         }
     }
 
-    fn take_change(&mut self, gateway: &Gateway, change: &KindChange) {
+    fn take_change(&mut self, gateway: &Gateway, change: &MirrorChange) {
         if !change.removed {
             Self::take(gateway, &change.object);
         }
@@ -233,7 +285,7 @@
         gateway.tables.borrow_mut().backends.note_listed();
     }
 
-    fn take_change(&mut self, gateway: &Gateway, change: &KindChange) {
+    fn take_change(&mut self, gateway: &Gateway, change: &MirrorChange) {
         if change.removed || !Self::take(gateway, &change.object) {
             self.note_missing(gateway, &change.object.name);
         }
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -13,6 +13,7 @@
 use toucanrail_wire::clocks;
 
 use crate::budgeting::{self, BudgetKeeper, HoldFailure};
+use crate::mirroring::{NEWS_PATH, NewsOffice};
 
 /// Call with a [`LoanOrder`], answered with a [`LoanReply`].
 pub const DRAW_PATH: &str = "/loans/draw";
@@ -34,6 +35,8 @@
     pub loans: RefCell<LoanTable>,
     /// Whether it is stopping.
     pub leaving: Cell<bool>,
+    /// What it tells entries of the store.
+    pub news: NewsOffice,
 }
 
 /// Serves entries.
@@ -68,6 +71,10 @@
                 end(office, calling::decode(&body)?);
                 calling::reply(&channel, &true).await?;
             }
+            NEWS_PATH => {
+                let order = calling::decode(&body)?;
+                calling::reply(&channel, &office.news.answer(&order).await).await?;
+            }
             _ => return Err(io::ErrorKind::InvalidData.into()),
         }
     }
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod launching;
 pub mod lending;
 pub mod logging;
+pub mod mirroring;
 pub mod relaying;
 pub mod sending;
 pub mod starting;
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -20,7 +20,7 @@
 use toucanrail_wire::keeping::ChannelPool;
 
 use crate::accepting;
-use crate::borrowing::{self, LoanDesk};
+use crate::borrowing::{self, LoanDesk, PeerRests};
 use crate::budgeting::{self, BudgetKeeper};
 use crate::following;
 use crate::inspecting;
@@ -81,6 +81,7 @@
         store,
         keeper: Rc::new(keeper),
         desk: LoanDesk::default(),
+        boards: PeerRests::default(),
         board,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -17,7 +17,7 @@
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_wire::keeping::ChannelPool;
 
-use crate::borrowing::LoanDesk;
+use crate::borrowing::{LoanDesk, PeerRests};
 use crate::budgeting::BudgetKeeper;
 use crate::storing::StoreAccess;
 
@@ -70,6 +70,8 @@
     pub keeper: Rc<BudgetKeeper>,
     /// What it knows of lenders.
     pub desk: LoanDesk,
+    /// Boards that are passed over.
+    pub boards: PeerRests,
 }
 
 impl Gateway {
--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -26,6 +26,7 @@
 
 use crate::budgeting::{self, BudgetKeeper};
 use crate::lending::{self, LoanOffice};
+use crate::mirroring::NewsOffice;
 use crate::storing::{self, RELAY_KIND, StoreAccess};
 use crate::tuning::GatewayTuning;
 
@@ -79,8 +80,9 @@
     let store = Rc::new(StoreAccess::new(client, ways, ProcessClock::start()));
     let watching = storing::keep_ways(Rc::clone(&store), settings.store);
     executor.spawn(watching).detach();
-    let keeper = BudgetKeeper::new(&id, store, tuning, board, Rc::clone(executor));
-    Ok(LoanOffice { keeper: Rc::new(keeper), loans: RefCell::default(), leaving: Cell::new(false) })
+    let news = NewsOffice::new(Rc::clone(&store), Rc::clone(executor));
+    let keeper = Rc::new(BudgetKeeper::new(&id, store, tuning, board, Rc::clone(executor)));
+    Ok(LoanOffice { keeper, loans: RefCell::default(), leaving: Cell::new(false), news })
 }
 
 async fn smooth_burn(office: Rc<LoanOffice>) {
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -111,6 +111,7 @@
     pub inner: SocketAddr,
     cut: Arc<AtomicBool>,
     blocked: Arc<Mutex<BTreeSet<String>>>,
+    watches: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -118,9 +119,11 @@
         let state: Arc<Mutex<StoreState>> = Arc::default();
         let cut = Arc::new(AtomicBool::new(false));
         let blocked: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+        let watches: Arc<AtomicU64> = Arc::default();
         let serve = |cut: Option<Arc<AtomicBool>>| {
             let state = Arc::clone(&state);
             let blocked = Arc::clone(&blocked);
+            let watches = Arc::clone(&watches);
             spawn_server(move |mut stream| {
                 while let Some(message) = read_message(&mut stream) {
                     if cut.as_ref().is_some_and(|cut| cut.load(Ordering::Relaxed)) {
@@ -129,6 +132,9 @@
                     while blocked.lock().expect("blocked kinds").contains(kind_of(&message)) {
                         thread::sleep(STEP);
                     }
+                    if cut.is_some() && message.target().contains("watch=") {
+                        watches.fetch_add(1, Ordering::Relaxed);
+                    }
                     let (status, body) = answer_store(&state, &message);
                     let body = body.to_string();
                     let head =
@@ -141,7 +147,7 @@
         };
         let address = serve(Some(Arc::clone(&cut)));
         let inner = serve(None);
-        Self { state, address, inner, cut, blocked }
+        Self { state, address, inner, cut, blocked, watches }
     }
 
     /// Keeps calls for one kind waiting, or lets them go on.
@@ -175,6 +181,17 @@
         state.events.push((revision, kind.to_owned(), event));
     }
 
+    /// Returns how often gateways themselves began to watch.
+    pub fn watches(&self) -> u64 {
+        self.watches.load(Ordering::Relaxed)
+    }
+
+    /// Returns an object's value.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.lock().expect("the store");
+        state.objects.get(&(kind.to_owned(), name.to_owned())).map(|(_, spec)| spec.clone())
+    }
+
     /// Tells whether an object exists.
     pub fn has(&self, kind: &str, name: &str) -> bool {
         let state = self.state.lock().expect("the store");
@@ -517,6 +534,21 @@
 
 /// Writes the same with another total of the customer.
 pub fn configure_total(store: &Store, version: u64, backends: &[&Backend], total: u64) {
+    configure_all(store, version, backends, total, None);
+}
+
+/// Writes the same with one more plain route, `/NAME/`.
+pub fn configure_path(store: &Store, version: u64, backends: &[&Backend], name: &str) {
+    configure_all(store, version, backends, 1_000, Some(name));
+}
+
+fn configure_all(
+    store: &Store,
+    version: u64,
+    backends: &[&Backend],
+    total: u64,
+    extra: Option<&str>,
+) {
     let route = |name: &str, kind: &str, resumable: bool, attempts: u32| {
         json!({
             "name": name, "hostname": "shop.example", "path_prefix": format!("/{name}/"),
@@ -525,12 +557,16 @@
             "session_affinity": false, "resumable": resumable, "gap_aim_ms": 600,
         })
     };
+    let mut routes = vec![
+        route("once", "unsafe", false, 2),
+        route("safe", "safe", false, 2),
+        route("stream", "streaming", false, 2),
+        route("resume", "streaming", true, 2),
+    ];
+    routes.extend(extra.map(|name| route(name, "safe", false, 2)));
     let config = json!({
         "version": version,
-        "routes": [
-            route("once", "unsafe", false, 2), route("safe", "safe", false, 2),
-            route("stream", "streaming", false, 2), route("resume", "streaming", true, 2),
-        ],
+        "routes": routes,
         "services": [{"name": "desk", "health_path": "/healthz", "max_connections": 90,
             "engine": {"slots": 8, "kv_tokens": 9000, "stride": 6}}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod archives;
 pub mod attempting;
 pub mod backends;
+pub mod boards;
 pub mod budgets;
 pub mod catalogue;
 pub mod codes;
--- a/toucanrail/src/messages.rs
+++ b/toucanrail/src/messages.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -315,6 +316,47 @@
     pub value: Vec<u8>,
 }
 
+/// One change of a mirrored kind.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MirrorChange {
+    /// The object as it is, or as it was before it was removed.
+    pub object: MirrorObject,
+    /// Whether it is gone.
+    pub removed: bool,
+}
+
+/// Asks a board what changed in a kind of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsOrder {
+    /// The kind.
+    pub kind: Arc<str>,
+    /// The store's revision up to which the asker knows all; none for a listing.
+    pub after: Option<Version>,
+    /// How long to wait for news.
+    pub wait: Duration,
+}
+
+/// A board's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NewsReply {
+    /// All objects, where the asker knows none or is too far behind.
+    Listing {
+        /// The objects.
+        objects: Vec<MirrorObject>,
+        /// The store's revision.
+        revision: Version,
+    },
+    /// The changes, none if there were none.
+    Changes {
+        /// The changes in order.
+        changes: Vec<MirrorChange>,
+        /// The store's revision.
+        revision: Version,
+    },
+    /// The board has not heard of the store lately.
+    Stale,
+}
+
 /// What a peer knows beyond a version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MirrorReply {
