A long prompt rather moves than waits for its session's server

Change: for a long prompt, beside which the shared part is small, it counts as two and a half. Ruled out: fewer servers set aside (trials on the grown site).

--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -23,6 +23,8 @@
 /// reading time. It delays every stream at that server and pushes other parts out of its memory, so a
 /// session moves away from its server only for a wait that would make its answer late.
 const AGAIN_FACTOR: f64 = 6.0;
+/// The same for a long prompt, beside which its shared part is small: it rather moves than waits.
+const LONG_AGAIN_FACTOR: f64 = 1.5;
 
 /// Part of the pause that streams bear which the reading of one prompt may take beside them.
 const PAUSE_PART: f64 = 0.35;
@@ -148,7 +150,8 @@
     } else {
         (row.fresh_tokens(query.parts, query.prompt) as f64 - own_part).max(0.0)
     };
-    let fresh = own_part + again * (1.0 + AGAIN_FACTOR);
+    let factor = if reads_long(query) { LONG_AGAIN_FACTOR } else { AGAIN_FACTOR };
+    let fresh = own_part + again * (1.0 + factor);
     let waiting = row.flights.values().filter(|flight| !flight.begun);
     let backlog: f64 = waiting.map(|flight| flight.fresh as f64).sum();
     let full = (own + others + 1.0) / row.entry.slots.max(1) as f64;
