Shared parts of a prompt are fetched from the server that holds them

Change: what is placed away from its session's server names that one as a source, and the receiver fetches what it lacks; leaving a server counts as 60 ms then. Test: backend_placing fetched_parts. The rest of what is read again are small first parts that each server reads once.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -1,5 +1,6 @@
 //! One admitted request: servers are tried until it has its answer or none may be tried any more.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -58,12 +59,12 @@
 impl DispatchRun<'_, '_> {
     async fn serve(&mut self, caller: &mut CallerSide) -> RequestEnd {
         loop {
-            let Some(target) = self.pick_target() else {
+            let Some((target, source)) = self.pick_target() else {
                 let step = self.tally.give_up(self.last_fate());
                 return self.finish(step, caller).await;
             };
             self.tried.push(Arc::clone(&target.id));
-            let fate = match self.attempt(&target, caller).await {
+            let fate = match self.attempt(&target, source, caller).await {
                 AttemptEnd::Whole => return RequestEnd::Whole,
                 AttemptEnd::CallerGone => return RequestEnd::CallerGone,
                 AttemptEnd::Failed(answer) => {
@@ -95,7 +96,8 @@
         if self.failure.is_some() { AttemptFate::Failed } else { AttemptFate::NotSent }
     }
 
-    fn pick_target(&self) -> Option<BackendEntry> {
+    /// Picks the server, and the one that holds the prompt's shared parts where that is another.
+    fn pick_target(&self) -> Option<(BackendEntry, Option<SocketAddr>)> {
         let now = self.gateway.now();
         let tables = self.gateway.tables.borrow();
         let eligible = tables.backends.eligible(&self.plan.service, &self.tried, now);
@@ -108,14 +110,22 @@
             now,
             dice: fastrand::f64(),
         };
-        placing::pick_backend(&eligible, &query).map(|row| row.entry.clone())
+        let row = placing::pick_backend(&eligible, &query)?;
+        let source = placing::pick_source(&eligible, &query, row);
+        Some((row.entry.clone(), source.map(|source| source.entry.address)))
     }
 
-    async fn attempt(&mut self, target: &BackendEntry, caller: &mut CallerSide) -> AttemptEnd {
+    async fn attempt(
+        &mut self,
+        target: &BackendEntry,
+        source: Option<SocketAddr>,
+        caller: &mut CallerSide,
+    ) -> AttemptEnd {
         // A further attempt must be possible for an early end of this one to be of use.
         let spare = AttemptTally { sent: self.tally.sent + 1, may_have_run: true, ..self.tally };
         let may_move = spare.may_send(self.plan.left());
-        let context = AttemptContext { gateway: self.gateway, plan: self.plan, target, may_move };
+        let context =
+            AttemptContext { gateway: self.gateway, plan: self.plan, target, source, may_move };
         let end = sending::run_attempt(&context, caller, &mut self.stream).await;
         self.tally.begun = caller.begun;
         end
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -1,6 +1,7 @@
 //! One attempt at one backend server: a connection, the request, and the head of its answer.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,6 +56,8 @@
     pub plan: &'run CallPlan<'call>,
     /// The server.
     pub target: &'run BackendEntry,
+    /// A server that holds the prompt's shared parts.
+    pub source: Option<SocketAddr>,
     /// Whether another attempt may follow although this one was sent.
     pub may_move: bool,
 }
@@ -160,6 +163,7 @@
         customer: plan.customer.as_ref().map(|customer| &customer.name),
         left: plan.left(),
         urgency: plan.urgency,
+        source: context.source,
         last_event,
         body: (!bodiless).then_some(plan.body.len()),
     };
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -26,6 +26,11 @@
 /// The same for a long prompt, beside which its shared part is small: it rather moves than waits.
 const LONG_AGAIN_FACTOR: f64 = 1.5;
 
+/// Cost of shared parts that a server fetches from the one that holds them, in milliseconds: some five
+/// for the transfer, the rest for its price.
+const FETCH_COST: f64 = 60.0;
+/// Least tokens of shared parts that are fetched; fewer are read as fast.
+const FETCH_LEAST: Tokens = 1_024;
 /// Part of the pause that streams bear which the reading of one prompt may take beside them.
 const PAUSE_PART: f64 = 0.35;
 /// One server in so many is set aside for prompts that are read for longer. They are about 13 % of the
@@ -93,6 +98,29 @@
     rows.iter().copied().min_by(|one, other| cost(one).total_cmp(&cost(other)))
 }
 
+/// Returns the server from which `target` may fetch the prompt's shared parts; none where `target` is
+/// the one that holds them, or they are small.
+///
+/// A session's ordinary prompts go to one server, so that it holds the session's part. What is placed
+/// elsewhere, as a long prompt is, would have it read a second time: 95 ms for 5,400 tokens, in which
+/// every stream beside it pauses, against some five for the transfer.
+pub fn pick_source<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlaceQuery<'_>,
+    target: &BackendRow,
+) -> Option<&'rows BackendRow> {
+    let shared = query.prompt.saturating_sub(own_tokens(query));
+    let aside = set_aside(eligible, query);
+    let is_aside = |row: &BackendRow| aside.iter().any(|other| other.entry.id == row.entry.id);
+    let lane: Vec<&BackendRow> = eligible
+        .iter()
+        .copied()
+        .filter(|row| !is_aside(row) && row.takes_work(query.now))
+        .collect();
+    let home = rank_first(&lane, query)?;
+    (shared >= FETCH_LEAST && home.entry.id != target.entry.id).then_some(home)
+}
+
 /// Tells whether the reading of a prompt pauses the streams beside it for longer than they bear.
 ///
 /// An engine reads a prompt in chunks between the tokens of the other streams: at 57 tokens a
@@ -145,16 +173,17 @@
     }
     let own_part = own_tokens(query) as f64;
     // The other entries send the shared parts to their first server too, so it holds them.
-    let again = if is_home {
-        0.0
-    } else {
-        (row.fresh_tokens(query.parts, query.prompt) as f64 - own_part).max(0.0)
-    };
+    let missing = row.fresh_tokens(query.parts, query.prompt) as f64 - own_part;
+    let again = if is_home { 0.0 } else { missing.max(0.0) };
     let factor = if reads_long(query) { LONG_AGAIN_FACTOR } else { AGAIN_FACTOR };
+    let (again, fetch) = match again >= FETCH_LEAST as f64 {
+        true => (0.0, FETCH_COST),
+        false => (again, 0.0),
+    };
     let fresh = own_part + again * (1.0 + factor);
     let waiting = row.flights.values().filter(|flight| !flight.begun);
     let backlog: f64 = waiting.map(|flight| flight.fresh as f64).sum();
     let full = (own + others + 1.0) / row.entry.slots.max(1) as f64;
     let crowd = if full > 1.0 { (full - 1.0) * 2_000.0 } else { 0.0 };
-    distance + (fresh + backlog) / READ_RATE + (own + others) * SEQUENCE_COST + crowd
+    distance + fetch + (fresh + backlog) / READ_RATE + (own + others) * SEQUENCE_COST + crowd
 }
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -81,6 +81,29 @@
     assert_eq!((long.len(), short.len()), (3, 6));
 }
 
+/// A session's long prompt goes to the servers for long prompts, and its shared part of 5,400 tokens was
+/// read a second time there: 95 ms in which all streams beside it pause. It is fetched instead, from the
+/// server of the session's other prompts; these and small parts fetch nothing.
+#[test]
+fn fetched_parts() {
+    let table = make_table();
+    let eligible = table.eligible("llm", &[], NOW);
+    let source = |own: u64, shared: u64| {
+        let parts = [(1, 500), (100, shared), (7, own)];
+        let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
+        let prompt = parts.iter().map(|part| part.tokens).sum();
+        let pause = Duration::from_millis(600);
+        let query =
+            PlaceQuery { data_centre: "a", parts: &parts, prompt, pause, now: NOW, dice: 0.5 };
+        let target = placing::pick_backend(&eligible, &query).expect("a server");
+        let source = placing::pick_source(&eligible, &query, target);
+        source.map(|source| source.entry.id.to_string())
+    };
+    assert_eq!(source(33_000, 4_900), Some(pick(&table, "a", 100, 7)));
+    assert_eq!(source(6_600, 4_900), None);
+    assert_eq!(source(33_000, 200), None);
+}
+
 /// All ordinary servers are gone but one that is crowded: ordinary streams use those of the long
 /// prompts rather than wait for seconds.
 #[test]
