Remove load reports and what else nothing called

Load reports of servers, memory of flights, the sender in a message of ends, the caller's guess of a length and the listing of services were decoded or kept and never used. The test of boards says its set-up once.

--- a/toucanrail-gateway/src/borrowing.rs
+++ b/toucanrail-gateway/src/borrowing.rs
@@ -10,7 +10,7 @@
 
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::{CustomerId, RequestId, ServiceName, Tokens};
-use toucanrail::loans::{self, LoanEnd, LoanEnds, LoanId, LoanOrder, LoanReply};
+use toucanrail::loans::{self, LoanEnd, LoanId, LoanOrder, LoanReply};
 use toucanrail_wire::calling;
 use toucanrail_wire::channels::BufferedChannel;
 use toucanrail_wire::clocks;
@@ -284,7 +284,7 @@
     let Some(queue) = gateway.desk.ends.borrow_mut().remove(&lender) else {
         return;
     };
-    let ends = LoanEnds { entry: Some(Arc::clone(&gateway.id)), ends: queue.ends };
+    let ends = queue.ends;
     let known = gateway.store.lenders().into_iter().find(|(name, _)| *name == lender);
     let sent = match known {
         Some((_, address)) => {
@@ -296,14 +296,14 @@
         return;
     };
     if gateway.now().saturating_sub(queue.since) > END_PATIENCE {
-        tracing::warn!(event = "ends_dropped", %lender, ends = ends.ends.len(), %error);
+        tracing::warn!(event = "ends_dropped", %lender, ends = ends.len(), %error);
         return;
     }
     let mut queues = gateway.desk.ends.borrow_mut();
     let fresh = EndQueue { ends: Vec::new(), since: queue.since };
     let waiting = queues.entry(lender).or_insert(fresh);
     waiting.since = waiting.since.min(queue.since);
-    waiting.ends.extend(ends.ends);
+    waiting.ends.extend(ends);
 }
 
 impl BudgetGuard {
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use smol::{Async, LocalExecutor};
-use toucanrail::loans::{LoanEnds, LoanOrder, LoanReply, LoanTable};
+use toucanrail::loans::{LoanEnd, LoanOrder, LoanReply, LoanTable};
 use toucanrail_wire::calling;
 use toucanrail_wire::channels::BufferedChannel;
 use toucanrail_wire::clocks;
@@ -17,7 +17,7 @@
 
 /// Call with a [`LoanOrder`], answered with a [`LoanReply`].
 pub const DRAW_PATH: &str = "/loans/draw";
-/// Call with [`LoanEnds`], answered with `true`.
+/// Call with some [`LoanEnd`]s, answered with `true`.
 pub const END_PATH: &str = "/loans/end";
 
 /// Longest time for which an order may wait; [`BudgetKeeper::take_hold`] waits for a fourth of it.
@@ -109,8 +109,8 @@
     }
 }
 
-fn end(office: &LoanOffice, ends: LoanEnds) {
-    for end in ends.ends {
+fn end(office: &LoanOffice, ends: Vec<LoanEnd>) {
+    for end in ends {
         let hold = office.loans.borrow_mut().end(&end.loan);
         if let Some(hold) = hold {
             office.keeper.finish(&hold, end.request, end.service, end.used);
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -135,8 +135,7 @@
         let row = tables.backends.get(&target.id);
         row.map_or(prompt.prompt, |row| row.fresh_tokens(parts, prompt.prompt))
     });
-    let memory = prompt.map_or(0, |prompt| prompt.prompt + prompt.hint.unwrap_or(prompt.output));
-    let row = FlightRow { sent_at: gateway.now(), fresh, memory, begun: false };
+    let row = FlightRow { sent_at: gateway.now(), fresh, begun: false };
     let number = tables.backends.note_sent(&target.id, row, parts);
     drop(tables);
     FlightGuard::new(gateway, &target.id, number)
--- a/toucanrail-gateway/tests/fleet_boards.rs
+++ b/toucanrail-gateway/tests/fleet_boards.rs
@@ -18,27 +18,36 @@
     relay
 }
 
-fn knows_version(gateway: &Process, path: &str) -> bool {
-    let text = request("GET", path, "r0", "", "");
-    platform::call(gateway.callers, &text).is_some_and(|answer| answer.status() == 200)
-}
-
-/// Thirty entries that watch the store make half of all its calls, and each change wakes them all. Here
-/// the board watches: the entry does not, and still has a new configuration within two seconds.
-#[test]
-fn board_watches() {
+/// A store, a relay that is the board and a gateway that asks it.
+fn start_board() -> (Store, Backend, Process, Process) {
     let store = Store::start();
     let backend = Backend::start("i-1", |_, _| Act::Answer(platform::signed("seven")));
     platform::configure(&store, 1, &[&backend]);
-    let _relay = start_fleet(&store);
+    let relay = start_fleet(&store);
     let gateway = Process::start_gateway(&store);
     // Relays are listed a moment after the start; the watches from before end by themselves.
     thread::sleep(Duration::from_secs(4));
-    let before = store.watches();
-    platform::configure_path(&store, 2, &[&backend], "fresh");
+    (store, backend, relay, gateway)
+}
+
+/// Writes a configuration with one more route; it must be in force within two seconds.
+fn expect_change(store: &Store, backend: &Backend, gateway: &Process) {
+    platform::configure_path(store, 2, &[backend], "fresh");
     let start = Instant::now();
-    platform::wait_until("the new route", || knows_version(&gateway, "/fresh/a"));
+    let text = request("GET", "/fresh/a", "r0", "", "");
+    platform::wait_until("the new route", || {
+        platform::call(gateway.callers, &text).is_some_and(|answer| answer.status() == 200)
+    });
     assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+}
+
+/// Thirty entries that watch the store make half of all its calls, and each change wakes them all. Here
+/// the board watches: the entry does not, and still has a new configuration within two seconds.
+#[test]
+fn board_watches() {
+    let (store, backend, _relay, gateway) = start_board();
+    let before = store.watches();
+    expect_change(&store, &backend, &gateway);
     thread::sleep(Duration::from_secs(3));
     assert_eq!(store.watches(), before);
 }
@@ -46,32 +55,16 @@
 /// The board is killed. Its entries must not wait for it: they watch the store themselves at once.
 #[test]
 fn dead_board() {
-    let store = Store::start();
-    let backend = Backend::start("i-1", |_, _| Act::Answer(platform::signed("seven")));
-    platform::configure(&store, 1, &[&backend]);
-    let relay = start_fleet(&store);
-    let gateway = Process::start_gateway(&store);
-    thread::sleep(Duration::from_secs(4));
+    let (store, backend, relay, gateway) = start_board();
     relay.signal("KILL");
-    platform::configure_path(&store, 2, &[&backend], "fresh");
-    let start = Instant::now();
-    platform::wait_until("the new route", || knows_version(&gateway, "/fresh/a"));
-    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+    expect_change(&store, &backend, &gateway);
 }
 
 /// The board stands still with all its connections open. It says nothing, and its entries notice.
 #[test]
 fn frozen_board() {
-    let store = Store::start();
-    let backend = Backend::start("i-1", |_, _| Act::Answer(platform::signed("seven")));
-    platform::configure(&store, 1, &[&backend]);
-    let relay = start_fleet(&store);
-    let gateway = Process::start_gateway(&store);
-    thread::sleep(Duration::from_secs(4));
+    let (store, backend, relay, gateway) = start_board();
     relay.signal("STOP");
-    platform::configure_path(&store, 2, &[&backend], "fresh");
-    let start = Instant::now();
-    platform::wait_until("the new route", || knows_version(&gateway, "/fresh/a"));
+    expect_change(&store, &backend, &gateway);
     relay.signal("CONT");
-    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
 }
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -62,19 +62,6 @@
     pub born: u64,
 }
 
-/// What a server's engine reports of its load; some hundred milliseconds old on arrival.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-pub struct EngineReport {
-    /// Requests that wait for a slot or memory.
-    pub waiting: u64,
-    /// Requests that run.
-    pub running: u64,
-    /// Tokens of memory that cannot be freed.
-    pub used: Tokens,
-    /// Tokens of memory.
-    pub total: Tokens,
-}
-
 /// One request of this entry at a server.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct FlightRow {
@@ -82,8 +69,6 @@
     pub sent_at: Duration,
     /// Prompt tokens that the server must read.
     pub fresh: Tokens,
-    /// Tokens of memory that it will need at its likely length.
-    pub memory: Tokens,
     /// Whether its answer has begun.
     pub begun: bool,
 }
@@ -95,10 +80,6 @@
     pub entry: BackendEntry,
     /// Requests in flight there.
     pub flights: BTreeMap<FlightId, FlightRow>,
-    /// Its last report and when it was asked for.
-    pub report: Option<(EngineReport, Duration)>,
-    /// This entry's requests that ran when that report was asked for.
-    pub own_reported: u64,
     /// What its failures led to.
     pub ejection: EjectionState,
     /// End of the time in which no connection is tried.
@@ -117,8 +98,6 @@
         Self {
             entry,
             flights: BTreeMap::new(),
-            report: None,
-            own_reported: 0,
             ejection: EjectionState::default(),
             down_until: Duration::ZERO,
             downs: 0,
@@ -146,12 +125,6 @@
         prompt.saturating_sub(cached)
     }
 
-    /// Returns the requests of others that run or wait there, as last reported.
-    pub fn others(&self) -> u64 {
-        let reported = self.report.map_or(0, |(report, _)| report.running + report.waiting);
-        reported.saturating_sub(self.own_reported)
-    }
-
     fn note_parts(&mut self, parts: &[PromptPart], now: Duration) {
         for part in parts {
             self.parts.insert(part.id, now);
@@ -270,7 +243,7 @@
     /// ```
     /// use toucanrail::backends::{BackendTable, FlightRow};
     /// let mut table = BackendTable::new();
-    /// let row = FlightRow { sent_at: Default::default(), fresh: 0, memory: 0, begun: false };
+    /// let row = FlightRow { sent_at: Default::default(), fresh: 0, begun: false };
     /// assert_ne!(table.note_sent("a", row, &[]), table.note_sent("a", row, &[]));
     /// ```
     pub fn note_sent(&mut self, id: &str, flight: FlightRow, parts: &[PromptPart]) -> FlightId {
@@ -327,12 +300,4 @@
             row.entry.draining = true;
         }
     }
-
-    /// Takes a report that was asked for at `asked`.
-    pub fn take_report(&mut self, id: &str, report: EngineReport, asked: Duration) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.own_reported = row.flights.len() as u64;
-            row.report = Some((report, asked));
-        }
-    }
 }
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3;
 
 use crate::grants::GrantHold;
-use crate::ids::{CustomerId, EntryId, RequestId, ServiceName, Tokens};
+use crate::ids::{CustomerId, RequestId, ServiceName, Tokens};
 
 /// Loans ended lately that are remembered, so that a request for one that arrives behind its end is
 /// not granted; a few seconds of a data centre's load.
@@ -63,15 +63,6 @@
     pub used: Tokens,
 }
 
-/// Several ends in one message.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoanEnds {
-    /// The entry.
-    pub entry: Option<EntryId>,
-    /// The ends.
-    pub ends: Vec<LoanEnd>,
-}
-
 /// The open loans of one lender.
 #[derive(Debug, Default, Serialize)]
 pub struct LoanTable {
--- a/toucanrail/src/matching.rs
+++ b/toucanrail/src/matching.rs
@@ -287,12 +287,6 @@
     pub fn service(&self, name: &str) -> Option<&ServiceRule> {
         self.services.get(name)
     }
-
-    /// Returns all services.
-    pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
-        self.services.values()
-    }
-
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(BTreeMap::len).sum()
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -1,7 +1,7 @@
 //! The choice of a backend server for one request, by when its answer is expected to begin.
 //!
 //! The load it answers: long prompts that delay every stream beside them, prompt parts that are
-//! cached at some servers, and other entries that place at the same time by the same old reports.
+//! cached at some servers, and other entries that place at the same time without a word.
 
 use std::time::Duration;
 
@@ -165,25 +165,22 @@
 /// others.
 pub fn estimate_cost(row: &BackendRow, query: &PlaceQuery<'_>, is_home: bool) -> f64 {
     let own = row.flights.len() as f64;
-    let others = row.others() as f64;
     let distance = if *row.entry.data_centre == *query.data_centre { 0.0 } else { DISTANCE_COST };
     if query.prompt == 0 {
         let slots = row.entry.slots.max(1) as f64;
-        return distance + (own + others) / slots * CALL_COST + row.latency * 1_000.0 * 0.1;
+        return distance + own / slots * CALL_COST + row.latency * 1_000.0 * 0.1;
     }
     let own_part = own_tokens(query) as f64;
     // The other entries send the shared parts to their first server too, so it holds them.
     let missing = row.fresh_tokens(query.parts, query.prompt) as f64 - own_part;
     let again = if is_home { 0.0 } else { missing.max(0.0) };
     let factor = if reads_long(query) { LONG_AGAIN_FACTOR } else { AGAIN_FACTOR };
-    let (again, fetch) = match again >= FETCH_LEAST as f64 {
-        true => (0.0, FETCH_COST),
-        false => (again, 0.0),
-    };
+    let fetches = again >= FETCH_LEAST as f64;
+    let (again, fetch) = if fetches { (0.0, FETCH_COST) } else { (again, 0.0) };
     let fresh = own_part + again * (1.0 + factor);
     let waiting = row.flights.values().filter(|flight| !flight.begun);
     let backlog: f64 = waiting.map(|flight| flight.fresh as f64).sum();
-    let full = (own + others + 1.0) / row.entry.slots.max(1) as f64;
+    let full = (own + 1.0) / row.entry.slots.max(1) as f64;
     let crowd = if full > 1.0 { (full - 1.0) * 2_000.0 } else { 0.0 };
-    distance + fetch + (fresh + backlog) / READ_RATE + (own + others) * SEQUENCE_COST + crowd
+    distance + fetch + (fresh + backlog) / READ_RATE + own * SEQUENCE_COST + crowd
 }
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -45,7 +45,7 @@
 }
 
 fn flight(fresh: u64) -> FlightRow {
-    FlightRow { sent_at: NOW, fresh, memory: 0, begun: false }
+    FlightRow { sent_at: NOW, fresh, begun: false }
 }
 
 /// Two callers of one session reach entries in two data centres. Sent to two servers, its shared
