A board is stale with its first unanswered call; calls to relays in a module of their own

Found by reading: a board whose watch fails 0.8 s after the last answer was not stale for another 0.1 s, and entries that had just asked waited 0.8 s more: 1.7 s until they asked the store themselves. Now they are told at once. PeerRests and call_peer, used for lenders and boards, move from borrowing to peering. Test: board_news failed_call.

--- a/toucanrail-gateway/src/borrowing.rs
+++ b/toucanrail-gateway/src/borrowing.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,30 +10,20 @@
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::{CustomerId, RequestId, ServiceName, Tokens};
 use toucanrail::loans::{self, LoanEnd, LoanId, LoanOrder, LoanReply};
-use toucanrail_wire::calling;
-use toucanrail_wire::channels::BufferedChannel;
-use toucanrail_wire::clocks;
 
 use crate::budgeting::HoldFailure;
 use crate::lending::{DRAW_PATH, END_PATH};
+use crate::peering::{self, PeerRests};
 use crate::states::Gateway;
 
 /// Longest wait for a lender's answer: one that has to ask the store first answers within about
 /// half of it, one that is cut off or frozen not at all.
 const DRAW_BOUND: Duration = Duration::from_millis(650);
-/// Longest wait for a connection to a lender.
-const CONNECT_BOUND: Duration = Duration::from_millis(120);
-/// Time for which a lender or board that did not answer, or is stopping, is passed over; doubled with
-/// each time in a row, since one whose VM was taken away never answers again.
-const PEER_REST: Duration = Duration::from_secs(3);
-const REST_LIMIT: Duration = Duration::from_secs(12);
 /// Lenders tried for one request.
 const LENDER_TRIES: usize = 2;
 /// Pause between messages with ends; those of the pause share one.
 const END_PAUSE: Duration = Duration::from_millis(100);
 const END_BOUND: Duration = Duration::from_secs(1);
-/// Longest idle time of a connection to a lender.
-const IDLE_BOUND: Duration = Duration::from_secs(20);
 /// Time for which ends are kept for a lender that does not answer; after that it is taken as gone,
 /// and its loans stay granted to it.
 const END_PATIENCE: Duration = Duration::from_secs(60);
@@ -54,18 +43,6 @@
     since: Duration,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct PeerRest {
-    until: Duration,
-    time: Duration,
-}
-
-/// Peers that did not answer and are passed over.
-#[derive(Debug, Default)]
-pub struct PeerRests {
-    rests: RefCell<BTreeMap<Arc<str>, PeerRest>>,
-}
-
 /// What an entry knows of lenders.
 #[derive(Debug, Default)]
 pub struct LoanDesk {
@@ -74,25 +51,6 @@
     ends: RefCell<BTreeMap<Arc<str>, EndQueue>>,
 }
 
-impl PeerRests {
-    /// Tells whether a peer is passed over now.
-    pub fn is_resting(&self, peer: &Arc<str>, now: Duration) -> bool {
-        self.rests.borrow().get(peer).is_some_and(|rest| now < rest.until)
-    }
-
-    /// Passes a peer over for a while, for longer each time in a row.
-    pub fn rest(&self, peer: &Arc<str>, now: Duration) {
-        let mut rests = self.rests.borrow_mut();
-        let time = rests.get(peer).map_or(PEER_REST, |rest| rest.time * 2).min(REST_LIMIT);
-        rests.insert(Arc::clone(peer), PeerRest { until: now + time, time });
-    }
-
-    /// Notes that a peer answered.
-    pub fn forget_rest(&self, peer: &Arc<str>) {
-        self.rests.borrow_mut().remove(peer);
-    }
-}
-
 /// The budget held for one request; billed for what was used, however the request ends.
 #[derive(Debug)]
 pub struct BudgetGuard {
@@ -176,7 +134,7 @@
         };
         // Whatever cuts this call short, the loan is ended: one that nobody knows is never returned.
         let mut draft = LoanDraft { gateway, lender: &lender, loan: &loan, need, settled: false };
-        match call_lender(gateway, &lender, address, DRAW_PATH, &order, DRAW_BOUND).await {
+        match peering::call_peer(gateway, &lender, address, DRAW_PATH, &order, DRAW_BOUND).await {
             Ok(LoanReply::Leaving) => {
                 draft.settled = true;
                 tracing::info!(event = "lender_leaving", %lender);
@@ -231,29 +189,6 @@
     }
 }
 
-/// Calls a lender or board, on a kept connection where there is one.
-pub async fn call_lender<Order, Reply>(
-    gateway: &Gateway,
-    lender: &Arc<str>,
-    address: SocketAddr,
-    path: &str,
-    order: &Order,
-    bound: Duration,
-) -> io::Result<Reply>
-where
-    Order: serde::Serialize,
-    Reply: serde::de::DeserializeOwned,
-{
-    let kept = gateway.channels.take(lender, IDLE_BOUND);
-    let mut channel = match kept {
-        Some(channel) => channel,
-        None => clocks::within(CONNECT_BOUND, BufferedChannel::connect(address)).await?,
-    };
-    let reply = clocks::within(bound, calling::call(&mut channel, path, order)).await?;
-    gateway.channels.keep(lender, channel, Some(IDLE_BOUND));
-    Ok(reply)
-}
-
 fn queue_end(gateway: &Gateway, lender: &Arc<str>, end: LoanEnd) {
     let mut queues = gateway.desk.ends.borrow_mut();
     let fresh = || EndQueue { ends: Vec::new(), since: gateway.now() };
@@ -288,7 +223,8 @@
     let known = gateway.store.lenders().into_iter().find(|(name, _)| *name == lender);
     let sent = match known {
         Some((_, address)) => {
-            call_lender::<_, bool>(&gateway, &lender, address, END_PATH, &ends, END_BOUND).await
+            peering::call_peer::<_, bool>(&gateway, &lender, address, END_PATH, &ends, END_BOUND)
+                .await
         }
         None => Err(io::ErrorKind::NotFound.into()),
     };
--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -11,8 +11,8 @@
 use toucanrail_platform::stores::{ListFreshness, StoreFailure};
 use toucanrail_platform::{configs, names, registrations};
 
-use crate::borrowing;
 use crate::mirroring::NEWS_PATH;
+use crate::peering;
 use crate::states::Gateway;
 
 /// Wait of one watch. Each watch is a counted call, and a connection that turned silent shows only
@@ -159,7 +159,7 @@
     let (board, address) = boards.find(|(name, _)| !gateway.boards.is_resting(name, now))?;
     let order = NewsOrder { kind: Arc::from(kind), after, wait: BOARD_WAIT };
     let bound = BOARD_WAIT + BOARD_SLACK;
-    let asked = borrowing::call_lender(gateway, &board, address, NEWS_PATH, &order, bound).await;
+    let asked = peering::call_peer(gateway, &board, address, NEWS_PATH, &order, bound).await;
     let reason = match asked {
         // An older listing than what is known would bring servers back that have left.
         Ok(NewsReply::Listing { revision, .. }) if after.is_some_and(|after| revision < after) => {
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! One thread serves everything: callers' connections (`accepting`), a request's way in (`admitting`),
 //! the choice of servers (`dispatching`), one attempt at one (`sending`) and the answer (`relaying`).
-//! Beside it run the loops that follow the store (`following`, on the way that `storing` finds) and
-//! those that keep budgets: `borrowing` from lenders, and `budgeting` with grants of its own.
+//! Beside it run the loops that follow the store (`following`, by a relay that `peering` calls or on
+//! the way that `storing` finds) and those that keep budgets: `borrowing` from lenders, and `budgeting`
+//! with grants of its own.
 //!
 //! The second program of this crate stands beside backend servers: `tunnelling` passes connections to
-//! the store on, and `lending` serves entries from the same `budgeting`. Decisions come from the
+//! the store on, `lending` serves entries from the same `budgeting`, and `mirroring` tells them what
+//! changed in the store. Decisions come from the
 //! library; this crate holds sockets and timers.
 //!
 //! # Examples
@@ -34,6 +36,7 @@
 pub mod lending;
 pub mod logging;
 pub mod mirroring;
+pub mod peering;
 pub mod relaying;
 pub mod sending;
 pub mod starting;
--- a/toucanrail-gateway/src/mirroring.rs
+++ b/toucanrail-gateway/src/mirroring.rs
@@ -97,7 +97,8 @@
             }
             Err(failure) => {
                 tracing::debug!(event = "store_failed", kind, %failure);
-                // Those who wait learn that the board is stale as soon as it is.
+                // Those who wait learn it now, and not when their wait is over.
+                board.table.borrow_mut().note_silence();
                 board.changed.notify(usize::MAX);
                 smol::Timer::after(FAILURE_PAUSE).await;
             }
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -20,10 +20,11 @@
 use toucanrail_wire::keeping::ChannelPool;
 
 use crate::accepting;
-use crate::borrowing::{self, LoanDesk, PeerRests};
+use crate::borrowing::{self, LoanDesk};
 use crate::budgeting::{self, BudgetKeeper};
 use crate::following;
 use crate::inspecting;
+use crate::peering::PeerRests;
 use crate::states::{Gateway, GatewayTables};
 use crate::stopping;
 use crate::storing::{self, StoreAccess};
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -17,8 +17,9 @@
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_wire::keeping::ChannelPool;
 
-use crate::borrowing::{LoanDesk, PeerRests};
+use crate::borrowing::LoanDesk;
 use crate::budgeting::BudgetKeeper;
+use crate::peering::PeerRests;
 use crate::storing::StoreAccess;
 
 /// Part of the fleet's retries that entries divide among themselves; the rest covers entries that
--- a/toucanrail/src/boards.rs
+++ b/toucanrail/src/boards.rs
@@ -38,6 +38,7 @@
     complete_after: Version,
     revision: Version,
     heard_at: Option<Duration>,
+    is_silent: bool,
 }
 
 impl BoardTable {
@@ -59,12 +60,19 @@
         self.complete_after = revision;
         self.revision = revision;
         self.heard_at = Some(now);
+        self.is_silent = false;
+    }
+
+    /// Notes that the store did not answer: the board is stale until it does.
+    pub fn note_silence(&mut self) {
+        self.is_silent = true;
     }
 
     /// Takes the changes up to a revision of the store.
     pub fn take_changes(&mut self, changes: Vec<MirrorChange>, revision: Version, now: Duration) {
         self.revision = self.revision.max(revision);
         self.heard_at = Some(now);
+        self.is_silent = false;
         for change in changes {
             let name = Arc::clone(&change.object.name);
             if change.removed {
@@ -81,9 +89,10 @@
         }
     }
 
-    /// Tells whether the store has been silent for too long.
+    /// Tells whether the store's last call had no answer, or it has been silent for too long.
     pub fn is_stale(&self, now: Duration) -> bool {
-        self.heard_at.is_none_or(|heard| now.saturating_sub(heard) > FRESH_BOUND)
+        let old = self.heard_at.is_none_or(|heard| now.saturating_sub(heard) > FRESH_BOUND);
+        old || self.is_silent
     }
 
     /// Returns what an entry does not know that has seen all up to `after`; none if there is nothing
--- a/toucanrail/tests/board_news.rs
+++ b/toucanrail/tests/board_news.rs
@@ -30,6 +30,18 @@
     assert_eq!(table.no_news(3, later), NewsReply::Stale);
 }
 
+/// The board's call to the store failed. Entries that wait for news must not wait on: those who reach
+/// the store can know the change that the board misses.
+#[test]
+fn failed_call() {
+    let mut table = BoardTable::new();
+    table.take_listing(vec![object("a", 3)], 3, NOW);
+    table.note_silence();
+    assert_eq!(table.news(Some(3), NOW), Some(NewsReply::Stale));
+    table.take_changes(Vec::new(), 3, NOW);
+    assert_eq!(table.news(Some(3), NOW), None);
+}
+
 /// An entry that asked the store itself knows more than the board. The board's older changes must not
 /// bring back what the entry knows as gone.
 #[test]
