--- a/toucanrail-gateway/tests/gateway_ends.rs
+++ b/toucanrail-gateway/tests/gateway_ends.rs
@@ -96,3 +96,25 @@
     });
     drop(relay);
 }
+
+/// The store forgets its history while a change is made, and answers the next watch with 410. An entry
+/// that only watched on would never learn of the change: its callers would go on with a key that was
+/// taken away. It lists anew.
+#[test]
+fn forgotten_history() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(platform::signed("fine")));
+    platform::configure(&store, 1, &[&backend]);
+    let gateway = Process::start_gateway(&store);
+    let text = request("GET", "/safe/a", "r1", "", "");
+    assert_eq!(platform::call(gateway.callers, &text).unwrap().status(), 200);
+    let mut config = platform::last_config(&store);
+    config["version"] = 2.into();
+    config["tenants"][0]["api_keys"] = vec!["another"].into();
+    store.put_unseen("config", "main", config);
+    let start = Instant::now();
+    platform::wait_until("the lost key", || {
+        platform::call(gateway.callers, &text).is_some_and(|answer| answer.status() == 401)
+    });
+    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+}
--- a/toucanrail-gateway/tests/lost_answers.rs
+++ b/toucanrail-gateway/tests/lost_answers.rs
@@ -129,3 +129,23 @@
     assert!(answer.contains("data: a") && !answer.ends_with("0\r\n\r\n"), "{answer}");
     assert_eq!(one.seen().len() + two.seen().len(), 1);
 }
+
+/// A server answers before it has read a long body, and reads on later. The next request on that
+/// connection would stand where the rest of the body is due, and run as part of another's.
+#[test]
+fn early_answer() {
+    let store = Store::start();
+    let backend = Backend::start_hasty("i-1");
+    platform::configure(&store, 1, &[&backend]);
+    let gateway = Process::start_gateway(&store);
+    for number in 0..6_u8 {
+        let body = char::from(b'a' + number).to_string().repeat(90_000);
+        let text = request("POST", "/once/a", &format!("r{number}"), "", &body);
+        assert_eq!(platform::call(gateway.callers, &text).unwrap().body, b"early");
+    }
+    platform::wait_until("the last body", || !backend.seen().is_empty());
+    for message in backend.seen() {
+        assert!(message.head.starts_with("POST /once/a HTTP/1.1"), "{}", message.head);
+        assert!(message.body.iter().all(|byte| *byte == message.body[0]));
+    }
+}
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -79,6 +79,12 @@
 
 /// Reads a message with a stated length or without a body.
 fn read_message(stream: &mut TcpStream) -> Option<Message> {
+    let mut message = read_head(stream)?;
+    read_body(stream, &mut message)?;
+    Some(message)
+}
+
+fn read_head(stream: &mut TcpStream) -> Option<Message> {
     let mut bytes = Vec::new();
     let mut byte = [0];
     while !bytes.ends_with(b"\r\n\r\n") {
@@ -87,11 +93,13 @@
         }
         bytes.push(byte[0]);
     }
-    let mut message = Message { head: String::from_utf8(bytes).ok()?, body: Vec::new() };
+    Some(Message { head: String::from_utf8(bytes).ok()?, body: Vec::new() })
+}
+
+fn read_body(stream: &mut TcpStream, message: &mut Message) -> Option<()> {
     let length = message.field("content-length").map_or(0, |text| text.parse().unwrap_or(0));
     message.body = vec![0; length];
-    stream.read_exact(&mut message.body).ok()?;
-    Some(message)
+    stream.read_exact(&mut message.body).ok()
 }
 
 #[derive(Debug, Default)]
@@ -99,6 +107,8 @@
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
     events: Vec<(u64, String, Value)>,
+    /// The history up to this revision is gone.
+    forgotten: u64,
 }
 
 /// The platform's store.
@@ -171,6 +181,14 @@
         write(&mut state, kind, name, spec);
     }
 
+    /// Writes an object and forgets all history with it: no watch sees the change.
+    pub fn put_unseen(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.state.lock().expect("the store");
+        write(&mut state, kind, name, spec);
+        state.events.clear();
+        state.forgotten = state.revision;
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state.lock().expect("the store");
@@ -282,6 +300,9 @@
     let start = Instant::now();
     loop {
         let state = state.lock().expect("the store");
+        if after < state.forgotten {
+            return (410, Value::Null);
+        }
         let new =
             state.events.iter().filter(|(revision, known, _)| *revision > after && known == kind);
         let events: Vec<Value> = new.map(|(_, _, event)| event.clone()).collect();
@@ -344,6 +365,27 @@
         Self { id: id.to_owned(), address, seen }
     }
 
+    /// Starts one that answers as soon as it has a request's head, and reads its body later.
+    pub fn start_hasty(id: &str) -> Self {
+        let seen: Arc<Mutex<Vec<Message>>> = Arc::default();
+        let known = Arc::clone(&seen);
+        let address = spawn_server(move |mut stream| {
+            while let Some(mut message) = read_head(&mut stream) {
+                let id = message.field("x-attempt-id").unwrap_or_default().to_owned();
+                let text = signed("early").replace("ID", &id);
+                if stream.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                thread::sleep(Duration::from_millis(100));
+                if read_body(&mut stream, &mut message).is_none() {
+                    return;
+                }
+                known.lock().expect("requests").push(message);
+            }
+        });
+        Self { id: id.to_owned(), address, seen }
+    }
+
     /// Returns the requests it got.
     pub fn seen(&self) -> Vec<Message> {
         self.seen.lock().expect("requests").clone()
@@ -537,6 +579,11 @@
     configure_all(store, version, backends, total, None);
 }
 
+/// Returns the configuration as last written.
+pub fn last_config(store: &Store) -> Value {
+    store.get("config", "main").expect("a configuration")
+}
+
 /// Writes the same with one more plain route, `/NAME/`.
 pub fn configure_path(store: &Store, version: u64, backends: &[&Backend], name: &str) {
     configure_all(store, version, backends, 1_000, Some(name));
