One accept loop, one division into lanes; loans kept once

Found by reading the whole change again; behaviour stays. - Four listeners had their own accept loop with pause, guard and limit: listening::serve_each serves callers, questions, entries and tunnels. - pick_backend and pick_source each divided the servers into lanes: split_lanes does. Requests with small shared parts no longer rank the servers a second time for a source that they cannot have. - LoanTable kept each open loan twice, one copy for a dump that nobody makes. - The holders of a shard are counted once a sync and not once an account; a reply of a lender is read in one match without an arm that cannot be reached.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -18,12 +18,11 @@
 
 use crate::admitting;
 use crate::answering::{self, CallerSide};
+use crate::listening;
 use crate::states::{Gateway, RequestGuard};
 
 /// Most callers' connections at once; leaves descriptors for servers, the store and files.
 const CONNECTION_LIMIT: usize = 3_000;
-/// Pause after a failed accept, usually for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest arrival of a body behind its head.
 const BODY_BOUND: Duration = Duration::from_secs(10);
 /// Longest wait for the first request of a connection while the process stops.
@@ -61,25 +60,13 @@
 
 /// Takes callers' connections until the process ends.
 pub async fn serve_callers(gateway: Rc<Gateway>, listener: Async<TcpListener>) {
-    let open = Rc::new(());
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            smol::Timer::after(ACCEPT_PAUSE).await;
-            continue;
-        };
-        if Rc::strong_count(&open) > CONNECTION_LIMIT {
-            // Closed unread: the caller may go to another entry with the same request.
-            gateway.board.count_event("connections_refused");
-            continue;
-        }
-        let (guard, held) = (Rc::clone(&open), Rc::clone(&gateway));
-        let serving = async move {
-            // A broken connection has nobody left to tell.
-            serve_connection(&held, socket).await.ok();
-            drop(guard);
-        };
-        gateway.executor.spawn(serving).detach();
-    }
+    let serve = |socket| {
+        let gateway = Rc::clone(&gateway);
+        async move { serve_connection(&gateway, socket).await }
+    };
+    // Closed unread: the caller may go to another entry with the same request.
+    let refuse = || gateway.board.count_event("connections_refused");
+    listening::serve_each(&gateway.executor, listener, CONNECTION_LIMIT, serve, refuse).await;
 }
 
 async fn serve_connection(gateway: &Rc<Gateway>, socket: Async<TcpStream>) -> io::Result<()> {
--- a/toucanrail-gateway/src/borrowing.rs
+++ b/toucanrail-gateway/src/borrowing.rs
@@ -135,23 +135,15 @@
         // Whatever cuts this call short, the loan is ended: one that nobody knows is never returned.
         let mut draft = LoanDraft { gateway, lender: &lender, loan: &loan, need, settled: false };
         match peering::call_peer(gateway, &lender, address, DRAW_PATH, &order, DRAW_BOUND).await {
-            Ok(LoanReply::Leaving) => {
+            Ok(reply) => {
                 draft.settled = true;
+                if let Some(source) = read_reply(reply, &lender, &loan) {
+                    gateway.desk.rests.forget_rest(&lender);
+                    return Some(source);
+                }
                 tracing::info!(event = "lender_leaving", %lender);
                 gateway.desk.rests.rest(&lender, gateway.now());
             }
-            Ok(reply) => {
-                draft.settled = true;
-                gateway.desk.rests.forget_rest(&lender);
-                return Some(match reply {
-                    LoanReply::Short | LoanReply::Leaving => Err(HoldFailure::Short),
-                    LoanReply::Uncovered => Err(HoldFailure::Uncovered),
-                    LoanReply::Held => {
-                        let (lender, loan) = (Arc::clone(&lender), Arc::clone(&loan));
-                        Ok(BudgetSource::Loan { lender, loan })
-                    }
-                });
-            }
             Err(error) => {
                 tracing::info!(event = "lender_failed", %lender, %error, customer = %need.customer);
                 gateway.board.count_event("lenders_failed");
@@ -162,6 +154,22 @@
     None
 }
 
+/// Reads a lender's reply; none where it is stopping and another is to be asked.
+fn read_reply(
+    reply: LoanReply,
+    lender: &Arc<str>,
+    loan: &LoanId,
+) -> Option<Result<BudgetSource, HoldFailure>> {
+    match reply {
+        LoanReply::Held => {
+            Some(Ok(BudgetSource::Loan { lender: Arc::clone(lender), loan: Arc::clone(loan) }))
+        }
+        LoanReply::Short => Some(Err(HoldFailure::Short)),
+        LoanReply::Uncovered => Some(Err(HoldFailure::Uncovered)),
+        LoanReply::Leaving => None,
+    }
+}
+
 /// An order whose answer is not known yet.
 struct LoanDraft<'call> {
     gateway: &'call Rc<Gateway>,
--- a/toucanrail-gateway/src/inspecting.rs
+++ b/toucanrail-gateway/src/inspecting.rs
@@ -15,11 +15,11 @@
 use toucanrail_wire::clocks;
 use toucanrail_wire::heads::RequestHead;
 
+use crate::listening;
 use crate::states::Gateway;
 
 const HEAD_LIMIT: usize = 8 * 1024;
 const IDLE_BOUND: Duration = Duration::from_secs(30);
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 #[derive(Serialize)]
 struct StateDump<'tables> {
@@ -36,18 +36,11 @@
 
 /// Serves questions of the platform and of operators.
 pub async fn serve_questions(gateway: Rc<Gateway>, listener: Async<TcpListener>) {
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            smol::Timer::after(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let held = Rc::clone(&gateway);
-        let serving = async move {
-            // One who went away needs no answer.
-            answer_questions(&held, socket).await.ok();
-        };
-        gateway.executor.spawn(serving).detach();
-    }
+    let serve = |socket| {
+        let gateway = Rc::clone(&gateway);
+        async move { answer_questions(&gateway, socket).await }
+    };
+    listening::serve_each(&gateway.executor, listener, usize::MAX, serve, || ()).await;
 }
 
 async fn answer_questions(gateway: &Gateway, socket: Async<TcpStream>) -> io::Result<()> {
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -13,6 +13,7 @@
 use toucanrail_wire::clocks;
 
 use crate::budgeting::{self, BudgetKeeper, HoldFailure};
+use crate::listening;
 use crate::mirroring::{NEWS_PATH, NewsOffice};
 
 /// Call with a [`LoanOrder`], answered with a [`LoanReply`].
@@ -22,7 +23,6 @@
 
 /// Longest time for which an order may wait; [`BudgetKeeper::take_hold`] waits for a fourth of it.
 const ORDER_TIME: Duration = Duration::from_millis(1_400);
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How often a stopping lender looks whether its loans have ended.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
@@ -39,24 +39,17 @@
     pub news: NewsOffice,
 }
 
-/// Serves entries.
+/// Serves entries; one that went away opens another connection.
 pub async fn serve_entries(
     executor: Rc<LocalExecutor<'static>>,
     office: Rc<LoanOffice>,
     listener: Async<TcpListener>,
 ) {
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            smol::Timer::after(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let serve = |socket| {
         let office = Rc::clone(&office);
-        let serving = async move {
-            // An entry that went away opens another connection.
-            serve_entry(&office, socket).await.ok();
-        };
-        executor.spawn(serving).detach();
-    }
+        async move { serve_entry(&office, socket).await }
+    };
+    listening::serve_each(&executor, listener, usize::MAX, serve, || ()).await;
 }
 
 async fn serve_entry(office: &LoanOffice, socket: Async<TcpStream>) -> io::Result<()> {
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod inspecting;
 pub mod launching;
 pub mod lending;
+pub mod listening;
 pub mod logging;
 pub mod mirroring;
 pub mod peering;
--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -26,6 +26,7 @@
 
 use crate::budgeting::{self, BudgetKeeper};
 use crate::lending::{self, LoanOffice};
+use crate::listening;
 use crate::mirroring::NewsOffice;
 use crate::storing::{self, RELAY_KIND, StoreAccess};
 use crate::tuning::GatewayTuning;
@@ -37,7 +38,6 @@
 const CONNECT_BOUND: Duration = Duration::from_millis(500);
 /// How often the burn of grants is measured.
 const BURN_TICK: Duration = Duration::from_millis(200);
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for a call of the registration, and the pause before the next try.
 const CALL_BOUND: Duration = Duration::from_secs(1);
 const REGISTER_PAUSE: Duration = Duration::from_secs(1);
@@ -103,29 +103,14 @@
     }
 }
 
+/// Passes connections on; either end may close at any time, and the entry sees a failed call.
 async fn serve(
     executor: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
     store: SocketAddr,
 ) {
-    let open = Rc::new(Cell::new(0_usize));
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            smol::Timer::after(ACCEPT_PAUSE).await;
-            continue;
-        };
-        if open.get() >= CONNECTION_LIMIT {
-            continue;
-        }
-        open.set(open.get() + 1);
-        let open = Rc::clone(&open);
-        let passing = async move {
-            // Either end may close at any time; the entry sees a failed call.
-            pass_connection(socket, store).await.ok();
-            open.set(open.get() - 1);
-        };
-        executor.spawn(passing).detach();
-    }
+    let serve = |socket| pass_connection(socket, store);
+    listening::serve_each(&executor, listener, CONNECTION_LIMIT, serve, || ()).await;
 }
 
 async fn pass_connection(socket: Async<TcpStream>, store: SocketAddr) -> io::Result<()> {
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -64,12 +64,9 @@
 }
 
 /// The open loans of one lender.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Default)]
 pub struct LoanTable {
-    open: BTreeMap<LoanId, (CustomerId, Tokens)>,
-    #[serde(skip)]
     holds: BTreeMap<LoanId, GrantHold>,
-    #[serde(skip)]
     ended: VecDeque<LoanId>,
 }
 
@@ -94,7 +91,6 @@
 
     /// Opens a loan.
     pub fn open(&mut self, loan: &LoanId, hold: GrantHold) {
-        self.open.insert(Arc::clone(loan), (Arc::clone(&hold.customer), hold.amount));
         self.holds.insert(Arc::clone(loan), hold);
     }
 
@@ -107,7 +103,6 @@
     /// assert!(!table.is_new(&"e.1".into()));
     /// ```
     pub fn end(&mut self, loan: &LoanId) -> Option<GrantHold> {
-        self.open.remove(loan);
         let hold = self.holds.remove(loan);
         if self.is_new(loan) {
             self.ended.push_back(Arc::clone(loan));
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -80,12 +80,11 @@
     let ramped = eligible.iter().filter(|row| row.ejection.is_ramped(query.now, query.dice));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
     let rows = if ramped.is_empty() { eligible } else { &ramped };
-    let aside = set_aside(rows, query);
+    let (ordinary, aside) = split_lanes(rows, query);
     let is_aside = |row: &BackendRow| aside.iter().any(|other| other.entry.id == row.entry.id);
     let is_long = reads_long(query);
-    let lane: Vec<&BackendRow> =
-        rows.iter().copied().filter(|row| is_aside(row) == is_long).collect();
-    let home = rank_first(&lane, query);
+    let lane = if is_long { &aside } else { &ordinary };
+    let home = rank_first(lane, query);
     let cost = |row: &BackendRow| {
         let is_home = home.is_some_and(|home| home.entry.id == row.entry.id);
         let elsewhere = match (is_aside(row), is_long) {
@@ -110,15 +109,12 @@
     target: &BackendRow,
 ) -> Option<&'rows BackendRow> {
     let shared = query.prompt.saturating_sub(own_tokens(query));
-    let aside = set_aside(eligible, query);
-    let is_aside = |row: &BackendRow| aside.iter().any(|other| other.entry.id == row.entry.id);
-    let lane: Vec<&BackendRow> = eligible
-        .iter()
-        .copied()
-        .filter(|row| !is_aside(row) && row.takes_work(query.now))
-        .collect();
-    let home = rank_first(&lane, query)?;
-    (shared >= FETCH_LEAST && home.entry.id != target.entry.id).then_some(home)
+    if shared < FETCH_LEAST {
+        return None;
+    }
+    let (mut ordinary, _) = split_lanes(eligible, query);
+    ordinary.retain(|row| row.takes_work(query.now));
+    rank_first(&ordinary, query).filter(|home| home.entry.id != target.entry.id)
 }
 
 /// Tells whether the reading of a prompt pauses the streams beside it for longer than they bear.
@@ -130,17 +126,21 @@
     reading > query.pause.as_secs_f64() * 1_000.0 * PAUSE_PART && !query.pause.is_zero()
 }
 
-/// Returns the servers that are set aside for long prompts, so that these disturb one another and
-/// not the many short streams: placed anywhere, 5 % of the prompts made a fifth of all streams late.
-fn set_aside<'rows>(rows: &[&'rows BackendRow], query: &PlaceQuery<'_>) -> Vec<&'rows BackendRow> {
+/// Divides servers into the ordinary ones and those set aside for long prompts, so that these disturb
+/// one another and not the many short streams: placed anywhere, 5 % of the prompts made a fifth of all
+/// streams late.
+fn split_lanes<'rows>(
+    rows: &[&'rows BackendRow],
+    query: &PlaceQuery<'_>,
+) -> (Vec<&'rows BackendRow>, Vec<&'rows BackendRow>) {
+    let mut aside = rows.to_vec();
     if query.prompt == 0 || rows.len() < LONG_LEAST {
-        return Vec::new();
+        return (aside, Vec::new());
     }
-    let mut ranked = rows.to_vec();
     let rank = |row: &&BackendRow| xxh3::xxh3_64_with_seed(row.entry.id.as_bytes(), LONG_SEED);
-    ranked.sort_by_cached_key(rank);
-    ranked.truncate(rows.len().div_ceil(LONG_SHARE));
-    ranked
+    aside.sort_by_cached_key(rank);
+    let ordinary = aside.split_off(rows.len().div_ceil(LONG_SHARE));
+    (ordinary, aside)
 }
 
 /// Returns the prompt's tokens behind its shared parts, which no server has read.
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -420,8 +420,10 @@
     /// filled up by it.
     fn decide_changes(&self, shard: &BudgetShard) -> Vec<GrantChange> {
         let entry = &self.plan.entry;
+        let holders = shard.count_names();
         let views = self.plan.demands.iter().map(|(customer, demand)| {
-            view_account(shard, entry, customer, demand).unwrap_or_default()
+            let view = view_account(shard, entry, customer, demand);
+            GrantView { holders, ..view.unwrap_or_default() }
         });
         let views: Vec<GrantView> = views.collect();
         let asks = |view: &GrantView| matches!(self.policy.adjust(view), GrantChange::Ask(1..));
@@ -484,7 +486,8 @@
     frozen.is_some_and(|frozen| *frozen >= row.total())
 }
 
-/// Returns an account as a policy sees it, with what is given back already taken off.
+/// Returns an account as a policy sees it, with what is given back already taken off; the count of
+/// holders is the shard's and left out.
 fn view_account(
     shard: &BudgetShard,
     entry: &EntryId,
@@ -500,9 +503,9 @@
         shortage: demand.shortage,
         unallocated: account.unallocated() + demand.returning.min(granted),
         prepaid: account.prepaid,
-        holders: shard.count_names(),
         others: account.granted_to_others(entry),
         unspent: account.unspent(),
+        ..GrantView::default()
     })
 }
 
