--- a/toucanrail-daemons/tests/fleet/mod.rs
+++ b/toucanrail-daemons/tests/fleet/mod.rs
@@ -137,6 +137,16 @@
         ]
     }
 
+    /// Starts a fleet of one engine, its agent and an entry that can use it.
+    pub async fn start_served(budget: u64) -> (Self, EngineStandin, Process, Process) {
+        let fleet = Self::start(budget).await;
+        let (engine, backend) = fleet.engine();
+        let agent = fleet.agent("agent-1", "levy-llm", backend);
+        let entry = fleet.entry("entry-1", &[]);
+        fleet.wait_servers(&entry, 1).await;
+        (fleet, engine, agent, entry)
+    }
+
     pub fn entry(&self, name: &str, extra: &[(&'static str, &str)]) -> Process {
         let mut args = self.args(name);
         args.extend(extra.iter().map(|(name, value)| (*name, (*value).to_owned())));
--- a/toucanrail-daemons/tests/whole_path.rs
+++ b/toucanrail-daemons/tests/whole_path.rs
@@ -12,11 +12,7 @@
 #[test]
 fn streamed_answer() {
     smol::block_on(async {
-        let fleet = Fleet::start(10_000).await;
-        let (engine, backend) = fleet.engine();
-        let _agent = fleet.agent("agent-1", "levy-llm", backend);
-        let entry = fleet.entry("entry-1", &[]);
-        fleet.wait_servers(&entry, 1).await;
+        let (fleet, engine, _agent, entry) = Fleet::start_served(10_000).await;
 
         let answer = fleet.fetch(&entry, fleet.chat("May return", 20)).await.unwrap();
         assert_eq!(stream_text(&answer.body), (right_text("May return", 20), true));
@@ -37,11 +33,7 @@
 #[test]
 fn whole_answer() {
     smol::block_on(async {
-        let fleet = Fleet::start(10_000).await;
-        let (_engine, backend) = fleet.engine();
-        let _agent = fleet.agent("agent-1", "levy-llm", backend);
-        let entry = fleet.entry("entry-1", &[]);
-        fleet.wait_servers(&entry, 1).await;
+        let (fleet, _engine, _agent, entry) = Fleet::start_served(10_000).await;
         let body = json!({"model": "levy-llm", "prompt": "sugar", "standin_tokens": 5});
         let answer = fleet.fetch(&entry, authorized("/v1/completions", &body)).await.unwrap();
         let found: Value = serde_json::from_slice(&answer.body).unwrap();
@@ -75,11 +67,7 @@
 #[test]
 fn numbered_refusals() {
     smol::block_on(async {
-        let fleet = Fleet::start(150).await;
-        let (engine, backend) = fleet.engine();
-        let _agent = fleet.agent("agent-1", "levy-llm", backend);
-        let entry = fleet.entry("entry-1", &[]);
-        fleet.wait_servers(&entry, 1).await;
+        let (fleet, engine, _agent, entry) = Fleet::start_served(150).await;
         let nobody = OutboundCall::get("/v1/models");
         let unknown = authorized("/v1/chat/completions", &json!({"model": "none", "messages": []}));
         let no_route = authorized("/elsewhere", &json!({}));
@@ -138,11 +126,7 @@
 #[test]
 fn wrong_limits() {
     smol::block_on(async {
-        let fleet = Fleet::start(10_000).await;
-        let (_engine, backend) = fleet.engine();
-        let _agent = fleet.agent("agent-1", "levy-llm", backend);
-        let entry = fleet.entry("entry-1", &[]);
-        fleet.wait_servers(&entry, 1).await;
+        let (fleet, _engine, _agent, entry) = Fleet::start_served(10_000).await;
         for limit in [json!(-4), json!(4_000_000_000_000_000_000_u64), json!(0), json!("x")] {
             let body = json!({"model": "levy-llm", "prompt": "sugar", "max_tokens": limit});
             let answer = fleet.fetch(&entry, authorized("/v1/completions", &body)).await.unwrap();
