Retries are counted in a sliding window, so that grouped failures are sent again

The entry's part of the fleet's reserve is 1.73 (52 x 0.6 / 18), its bucket held no more than that, and what calm seconds had earned was forgotten: of a group of failures only the first was sent again. Ruled out: the route's limit (2), the time left (759 ms in the first case), no other server (3). Change: RetryBudget counts fresh requests and retries of the last window in steps. Entries' windows end at different times, so half of the ratio is divided among them: in any window the sum stays below the ratio of the busier of two windows (sliding_windows, a property test; shared_budget keeps its bound). Bounds follow the number of relays at each call; before the relays are listed the servers stand in, where an entry that started in an outage took a fourth of the reserve.

--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -184,7 +184,7 @@
             if slots == 0 {
                 return Err(Box::new(self.refusal(codetable::NO_BACKEND_SERVER)));
             }
-            tables.retries.note_fresh();
+            tables.retries.note_fresh(now);
             let (class, weight) = (customer.class, customer.weight);
             tables.limits.admit(&service, &customer.name, class, weight, known)
         };
@@ -276,7 +276,8 @@
         if !self.plan.repeatable || (self.caller.is_begun() && !resumable) {
             return false;
         }
-        if !self.entry.lock().retries.try_spend() {
+        let now = self.entry.now();
+        if !self.entry.lock().retries.try_spend(now) {
             self.entry.board.count_event("retries_refused");
             return false;
         }
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -11,7 +11,7 @@
 use toucanrail::backends::{BackendId, BackendTable, FlightId};
 use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
-use toucanrail::retries::RetryBudget;
+use toucanrail::retries::{RetryBounds, RetryBudget};
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_daemons::starting::ProcessClock;
 use toucanrail_platform::settings::NodeSettings;
@@ -22,9 +22,9 @@
 use crate::peering::PeerRests;
 use crate::storing::StoreAccess;
 
-/// Part of the fleet's retries that entries divide among themselves; the rest covers entries that
-/// another does not know of yet.
-const RETRY_PART: f64 = 0.6;
+/// Part of the fleet's retries that entries divide among themselves. Their windows end at different
+/// times, and two of the fleet's windows cover all of them.
+const RETRY_PART: f64 = 0.5;
 /// Least number of entries that the fleet's reserve of retries is divided by. Entries do not know one
 /// another; there are at most as many as relays, one of which stands beside each backend server.
 const LEAST_ENTRIES: usize = 4;
@@ -93,24 +93,42 @@
 
     /// Notes a fresh request for a service in its retry budget.
     pub fn note_fresh(&self, service: &ServiceName) {
-        self.with_budget(service, RetryBudget::note_fresh);
+        let now = self.now();
+        self.with_budget(service, |budget| budget.note_fresh(now));
     }
 
     /// Takes a retry out of a service's budget, if there is one.
     pub fn try_retry(&self, service: &ServiceName) -> bool {
-        self.with_budget(service, RetryBudget::try_spend)
+        let now = self.now();
+        self.with_budget(service, |budget| budget.try_spend(now))
     }
 
     fn with_budget<Value, Work>(&self, service: &ServiceName, work: Work) -> Value
     where
         Work: FnOnce(&mut RetryBudget) -> Value,
     {
-        let entries = self.store.count_relays().max(LEAST_ENTRIES);
+        let bounds = self.retry_bounds();
         let mut tables = self.tables.borrow_mut();
-        let share = self.settings.retry_share * RETRY_PART;
-        let reserve = self.settings.retry_slack * RETRY_PART / entries as f64;
-        let budget = tables.retries.entry(Arc::clone(service));
-        work(budget.or_insert_with(|| RetryBudget::with_bounds(share, reserve)))
+        let budget = tables.retries.entry(Arc::clone(service)).or_default();
+        budget.set_bounds(bounds);
+        work(budget)
+    }
+
+    /// Returns this entry's part of the fleet's retries.
+    ///
+    /// Before the relays were listed the servers stand in for them: an entry that started in an outage
+    /// would take a fourth of the reserve, and so would all others that started with it.
+    fn retry_bounds(&self) -> RetryBounds {
+        let relays = match self.store.count_relays() {
+            0 => self.tables.borrow().backends.rows().count(),
+            relays => relays,
+        };
+        let parts = relays.max(LEAST_ENTRIES) as f64;
+        RetryBounds {
+            share: self.settings.retry_share * RETRY_PART,
+            reserve: self.settings.retry_slack * RETRY_PART / parts,
+            window: self.settings.retry_window,
+        }
     }
 }
 
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -453,7 +453,7 @@
         let text = format!(
             "node = \"{vm}\"\nzone = \"a\"\nip = \"127.0.0.1\"\ninternal_ports = [{inner}, {}]\n\
              [listen]\nfront = \"{callers}\"\nreadiness_address = \"{readiness}\"\n\
-             [bounds]\ngrace_s = 4\nretry_budget_ratio = 0.2\nbudget_slack = 52\n\
+             [bounds]\ngrace_s = 4\nretry_budget_ratio = 0.2\nbudget_slack = 52\nbudget_window_s = 10\n\
              [provider]\naddress = \"{store}\"\n",
             inner + 9
         );
--- a/toucanrail/tests/attempt_steps.rs
+++ b/toucanrail/tests/attempt_steps.rs
@@ -6,9 +6,10 @@
 use toucanrail::attempting::{AttemptFate, AttemptTally, NextStep};
 use toucanrail::codes::RunState;
 use toucanrail::matching::RouteKind;
-use toucanrail::retries::RetryBudget;
+use toucanrail::retries::{RetryBounds, RetryBudget};
 
 const LEFT: Duration = Duration::from_secs(1);
+const WINDOW: Duration = Duration::from_secs(10);
 
 fn any_fate() -> impl Strategy<Value = AttemptFate> {
     prop::sample::select(vec![
@@ -60,19 +61,74 @@
     #[test]
     fn shared_budget(entries in 1_usize..30, steps in prop::collection::vec((0_usize..30, any::<bool>()), 0..400)) {
         let (share, reserve) = (0.12, 30.0);
-        let mut budgets = vec![RetryBudget::with_bounds(share, reserve / entries as f64); entries];
+        let bounds = RetryBounds { share, reserve: reserve / entries as f64, window: WINDOW };
+        let mut budgets = vec![RetryBudget::with_bounds(bounds); entries];
         let (mut fresh, mut retries) = (0_u32, 0_u32);
         for (who, retry) in steps {
             let budget = &mut budgets[who % entries];
             if retry {
-                retries += u32::from(budget.try_spend());
+                retries += u32::from(budget.try_spend(Duration::ZERO));
             } else {
-                budget.note_fresh();
+                budget.note_fresh(Duration::ZERO);
                 fresh += 1;
             }
         }
         prop_assert!(f64::from(retries) <= reserve + share * f64::from(fresh) + 1e-6);
     }
+
+    /// The same while time passes: in no window are there more retries than the reserve and twice the
+    /// share of what was fresh in it or in the window before, whichever had more.
+    #[test]
+    fn sliding_windows(
+        entries in 1_usize..8,
+        steps in prop::collection::vec((0_usize..8, 0_u64..400, 0_u8..4), 0..600),
+    ) {
+        let (share, reserve) = (0.1, 8.0);
+        let bounds = RetryBounds { share, reserve: reserve / entries as f64, window: WINDOW };
+        let mut budgets = vec![RetryBudget::with_bounds(bounds); entries];
+        let (mut fresh, mut retries) = (Vec::new(), Vec::new());
+        let mut now = Duration::ZERO;
+        for (who, pause, kind) in steps {
+            now += Duration::from_millis(pause);
+            let budget = &mut budgets[who % entries];
+            if kind == 0 {
+                budget.note_fresh(now);
+                fresh.push(now);
+            } else if budget.try_spend(now) {
+                retries.push(now);
+            }
+        }
+        let count = |times: &[Duration], from: Duration, to: Duration| {
+            times.iter().filter(|time| (from..=to).contains(*time)).count() as f64
+        };
+        for end in &retries {
+            let start = end.saturating_sub(WINDOW);
+            let before = start.saturating_sub(WINDOW);
+            let most = count(&fresh, start, *end).max(count(&fresh, before, start));
+            let spent = count(&retries, start, *end);
+            prop_assert!(spent <= reserve + 2.0 * share * most + 1e-6, "{spent} of {most}");
+        }
+    }
+}
+
+/// A service whose lookups fail one time in seven, in groups of three: callers got the failure although
+/// another server would have answered. An entry's part of the fleet's reserve is 1.4, and what calm
+/// seconds had earned was forgotten, so that of each group only the first was sent again.
+#[test]
+fn grouped_failures() {
+    let bounds = RetryBounds { share: 0.1, reserve: 1.4, window: WINDOW };
+    let mut budget = RetryBudget::with_bounds(bounds);
+    // 13.7 requests a second, 4 of them lookups.
+    let group = 13.7 / 4.0 * 7.0 * 3.0;
+    let requests = (0..2_000).map(|number| Duration::from_secs_f64(f64::from(number) / 13.7));
+    let mut refused = 0;
+    for (number, now) in requests.enumerate() {
+        budget.note_fresh(now);
+        if number > 140 && (number as f64 % group) < 3.0 {
+            refused += u32::from(!budget.try_spend(now));
+        }
+    }
+    assert_eq!(refused, 0);
 }
 
 /// A stream breaks in the middle and may not be resumed: its caller must see that it is cut.
