Relays measure their servers' pace; long prompts go to fast servers

Ruled out: waiting behind one another alone (the fast servers set aside have 0 to 4 late of 20). Tried first: entries measure streams that pass. Change: the relay reads the load report of the server on its own VM, four times a second and free there, corrects for the batch, and states the pace in its entry; entries take it with the relays' listing, now each 6 s. Fast servers are set aside first, a slow one is first for half as many sessions, and expected times are longer there.

--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -59,7 +59,8 @@
     follow(gateway, ServerTaker { returned: None }).await;
 }
 
-/// Drops servers that did not come back after an outage, and connections that are too old.
+/// Drops servers that did not come back after an outage, and connections that are too old; takes the
+/// servers' paces as relays measured them.
 pub async fn sweep(gateway: Rc<Gateway>) {
     let mut swept = gateway.now();
     loop {
@@ -70,6 +71,7 @@
             tracing::info!(event = "server_gone", server = %id, reason = "lapsed");
             gateway.channels.forget(&id);
         }
+        gateway.tables.borrow_mut().backends.take_paces(&gateway.store.paces());
         gateway.channels.sweep();
         gateway.keeper.grants.borrow_mut().smooth_burn(now.saturating_sub(swept));
         swept = now;
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -7,8 +7,8 @@
 //! with grants of its own.
 //!
 //! The second program of this crate stands beside backend servers: `tunnelling` passes connections to
-//! the store on, `lending` serves entries from the same `budgeting`, and `mirroring` tells them what
-//! changed in the store. Decisions come from the
+//! the store on, `lending` serves entries from the same `budgeting`, `mirroring` tells them what
+//! changed in the store, and `registering` how fast the server is. Decisions come from the
 //! library; this crate holds sockets and timers.
 //!
 //! # Examples
@@ -38,6 +38,7 @@
 pub mod logging;
 pub mod mirroring;
 pub mod peering;
+pub mod registering;
 pub mod relaying;
 pub mod sending;
 pub mod starting;
--- /dev/null
+++ b/toucanrail-gateway/src/registering.rs
@@ -0,0 +1,104 @@
+//! A relay's entry in the store: where it is reached, and the pace of the server beside it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::detours::RelayEntry;
+use toucanrail::paces::{self, PaceMeter};
+use toucanrail::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
+use toucanrail_daemons::starting::ProcessClock;
+use toucanrail_platform::settings::NodeSettings;
+use toucanrail_platform::stores::StoreClient;
+
+use crate::storing::RELAY_KIND;
+
+const CONNECT_BOUND: Duration = Duration::from_millis(500);
+/// Longest wait for a call to the store, and the pause before the next try.
+const CALL_BOUND: Duration = Duration::from_secs(1);
+const WRITE_PAUSE: Duration = Duration::from_secs(1);
+/// Time between load reports of the server on the same VM: ten events of a stream.
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
+const REPORT_BOUND: Duration = Duration::from_millis(500);
+/// Least time between two writes of an entry; a server's pace rarely changes.
+const CHANGE_PAUSE: Duration = Duration::from_secs(5);
+
+/// One relay's registration.
+#[derive(Debug)]
+struct Registration {
+    client: StoreClient,
+    settings: NodeSettings,
+    entry: RelayEntry,
+    expect: WriteExpectation,
+}
+
+/// Writes the relay's entry until the store has it, and again when the server's pace has changed.
+pub async fn keep_entry(settings: NodeSettings, clock: ProcessClock) {
+    let entry = RelayEntry {
+        address: settings.inner,
+        lending: settings.lending,
+        data_centre: Arc::clone(&settings.data_centre),
+        region: Arc::clone(&settings.region),
+        pace_us: None,
+    };
+    let client = StoreClient::new(CONNECT_BOUND);
+    let expect = WriteExpectation::Absent;
+    let mut registration = Registration { client, settings, entry, expect };
+    registration.write().await;
+    tracing::info!(event = "registered", role = "relay", vm = %registration.settings.vm);
+    let Some(server) = registration.settings.server else {
+        return;
+    };
+    let mut meter = PaceMeter::default();
+    let mut written = clock.now();
+    loop {
+        smol::Timer::after(REPORT_PAUSE).await;
+        match registration.client.read_report(server, REPORT_BOUND).await {
+            Ok(report) => meter.take_report(&report, clock.now()),
+            // A server that is not there has no pace; the entries learn of its end from the store.
+            Err(failure) => tracing::debug!(event = "report_failed", %server, %failure),
+        }
+        let known = registration.entry.pace_us.map(Duration::from_micros);
+        let rested = clock.now().saturating_sub(written) > CHANGE_PAUSE || known.is_none();
+        if rested && paces::is_news(known, meter.pace()) {
+            registration.entry.pace_us = meter.pace().map(|pace| pace.as_micros() as u64);
+            tracing::info!(event = "server_pace", %server, pace_us = registration.entry.pace_us);
+            registration.write().await;
+            written = clock.now();
+        }
+    }
+}
+
+impl Registration {
+    /// Writes the entry until the store has it.
+    async fn write(&mut self) {
+        while !self.try_write().await {
+            smol::Timer::after(WRITE_PAUSE.mul_f64(0.2 + fastrand::f64())).await;
+        }
+    }
+
+    /// Writes the entry once; false if the store does not have it then.
+    async fn try_write(&mut self) -> bool {
+        let path: Arc<str> = Arc::from(format!("{RELAY_KIND}/{}", self.settings.vm));
+        let value = storecalls::encode_value(&self.entry);
+        let write = StoreCall::Put { path: Arc::clone(&path), expect: self.expect, value };
+        if let StoreReply::Written { version } = self.call(&write).await {
+            self.expect = WriteExpectation::At(version);
+            return true;
+        }
+        match self.call(&StoreCall::Get { path }).await {
+            StoreReply::Found { version, value } => {
+                self.expect = WriteExpectation::At(version);
+                storecalls::decode_value::<RelayEntry>(&value).as_ref() == Some(&self.entry)
+            }
+            StoreReply::Missing => {
+                self.expect = WriteExpectation::Absent;
+                false
+            }
+            _ => false,
+        }
+    }
+
+    async fn call(&self, call: &StoreCall) -> StoreReply {
+        self.client.call(self.settings.store, call, CALL_BOUND).await
+    }
+}
--- a/toucanrail-gateway/src/storing.rs
+++ b/toucanrail-gateway/src/storing.rs
@@ -1,9 +1,9 @@
 //! Calls to the store, on the way that works now.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,8 +20,9 @@
 
 /// Kind of the relays' entries in the store.
 pub const RELAY_KIND: &str = "relays";
-/// Time between listings of the relays: they change with their VMs.
-const RELAY_REFRESH: Duration = Duration::from_secs(12);
+/// Time between listings of the relays: they change with their VMs, and a server's pace is known some
+/// seconds after its first streams. A listing of a stale copy costs a tenth of a call.
+const RELAY_REFRESH: Duration = Duration::from_secs(6);
 /// Time after the start in which they are listed often. An entry that is started again may be cut off
 /// moments later, and is without relays and lenders until the cut heals; in a fleet that starts, the
 /// relays themselves register in this time.
@@ -104,6 +105,11 @@
         self.ways.borrow().lenders()
     }
 
+    /// Returns the paces of servers that relays measured, by the address of their VM.
+    pub fn paces(&self) -> BTreeMap<IpAddr, Duration> {
+        self.ways.borrow().paces()
+    }
+
     /// Returns how many relays stand in the store, as last listed.
     pub fn count_relays(&self) -> usize {
         self.ways.borrow().count_relays()
--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -14,9 +14,7 @@
 use smol::future::FutureExt;
 use smol::stream::StreamExt;
 use smol::{Async, LocalExecutor};
-use toucanrail::detours::{DetourTable, RelayEntry};
-use toucanrail::ids::Version;
-use toucanrail::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
+use toucanrail::detours::DetourTable;
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_daemons::starting::{self, ProcessClock};
 use toucanrail_platform::settings::NodeSettings;
@@ -28,7 +26,8 @@
 use crate::lending::{self, LoanOffice};
 use crate::listening;
 use crate::mirroring::NewsOffice;
-use crate::storing::{self, RELAY_KIND, StoreAccess};
+use crate::registering;
+use crate::storing::{self, StoreAccess};
 use crate::tuning::GatewayTuning;
 
 /// Most connections at once: some for each entry of a large fleet.
@@ -38,9 +37,6 @@
 const CONNECT_BOUND: Duration = Duration::from_millis(500);
 /// How often the burn of grants is measured.
 const BURN_TICK: Duration = Duration::from_millis(200);
-/// Longest wait for a call of the registration, and the pause before the next try.
-const CALL_BOUND: Duration = Duration::from_secs(1);
-const REGISTER_PAUSE: Duration = Duration::from_secs(1);
 /// Taken off the grace period for the last settlement: after it the platform kills.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_800);
 
@@ -56,7 +52,8 @@
     executor.spawn(lending).detach();
     executor.spawn(budgeting::run_syncs(Rc::clone(&office.keeper))).detach();
     executor.spawn(smooth_burn(Rc::clone(&office))).detach();
-    executor.spawn(register(settings.clone())).detach();
+    let clock = ProcessClock::start();
+    executor.spawn(registering::keep_entry(settings.clone(), clock)).detach();
     smol::block_on(executor.run(async {
         wait_stop().await;
         lending::drain(&office, settings.grace.saturating_sub(GRACE_MARGIN)).await;
@@ -130,49 +127,3 @@
     }
     Ok(())
 }
-
-/// Writes the relay's entry, until the store has it.
-async fn register(settings: NodeSettings) {
-    let client = StoreClient::new(CONNECT_BOUND);
-    let entry = RelayEntry {
-        address: settings.inner,
-        lending: settings.lending,
-        data_centre: Arc::clone(&settings.data_centre),
-        region: Arc::clone(&settings.region),
-    };
-    let mut expect = WriteExpectation::Absent;
-    loop {
-        match write_entry(&client, &settings, &entry, expect).await {
-            Ok(()) => {
-                tracing::info!(event = "registered", role = "relay", vm = %settings.vm);
-                return;
-            }
-            Err(found) => expect = found.map_or(WriteExpectation::Absent, WriteExpectation::At),
-        }
-        smol::Timer::after(REGISTER_PAUSE.mul_f64(0.2 + fastrand::f64())).await;
-    }
-}
-
-/// Writes the entry once; fails with the version of the one that stands there.
-async fn write_entry(
-    client: &StoreClient,
-    settings: &NodeSettings,
-    entry: &RelayEntry,
-    expect: WriteExpectation,
-) -> Result<(), Option<Version>> {
-    let path: Arc<str> = Arc::from(format!("{RELAY_KIND}/{}", settings.vm));
-    let value = storecalls::encode_value(entry);
-    let write = StoreCall::Put { path: Arc::clone(&path), expect, value: value.clone() };
-    if matches!(client.call(settings.store, &write, CALL_BOUND).await, StoreReply::Written { .. }) {
-        return Ok(());
-    }
-    match client.call(settings.store, &StoreCall::Get { path }, CALL_BOUND).await {
-        StoreReply::Found { value: found, .. }
-            if storecalls::decode_value::<RelayEntry>(&found).as_ref() == Some(entry) =>
-        {
-            Ok(())
-        }
-        StoreReply::Found { version, .. } => Err(Some(version)),
-        _ => Err(None),
-    }
-}
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -4,7 +4,7 @@
 //! the requests this entry has in flight at each server, and what it knows of its prompt cache.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -89,6 +89,8 @@
     pub latency: f64,
     /// When its entry went missing; it may come back.
     pub missing_since: Option<Duration>,
+    /// Time of one event of a stream there in a batch of few, as the relay beside it measured.
+    pub pace: Option<Duration>,
     #[serde(skip)]
     parts: BTreeMap<PartId, Duration>,
 }
@@ -103,6 +105,7 @@
             downs: 0,
             latency: 0.0,
             missing_since: None,
+            pace: None,
             parts: BTreeMap::new(),
         }
     }
@@ -270,6 +273,13 @@
         }
     }
 
+    /// Takes what relays measured of the servers on their VMs.
+    pub fn take_paces(&mut self, paces: &BTreeMap<IpAddr, Duration>) {
+        for row in self.rows.values_mut() {
+            row.pace = paces.get(&row.entry.address.ip()).copied();
+        }
+    }
+
     /// Notes that a request is no longer in flight.
     pub fn note_ended(&mut self, id: &str, number: FlightId) {
         if let Some(row) = self.rows.get_mut(id) {
--- a/toucanrail/src/detours.rs
+++ b/toucanrail/src/detours.rs
@@ -5,7 +5,7 @@
 //! its servers known; without one it spends only what it held when the cut began.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +32,9 @@
     pub data_centre: DataCentre,
     /// Its region.
     pub region: Region,
+    /// Time of one event of a stream at the server on its VM, in microseconds, as it measured.
+    #[serde(default)]
+    pub pace_us: Option<u64>,
 }
 
 /// One way to the store.
@@ -83,7 +86,8 @@
     {
         let mut known = std::mem::take(&mut self.relays);
         for (name, entry) in entries {
-            let old = known.remove(&name).filter(|row| row.entry == entry);
+            let same = |row: &RelayRow| row.entry.address == entry.address;
+            let old = known.remove(&name).filter(same);
             let failed_at = old.and_then(|row| row.failed_at);
             self.relays.insert(name, RelayRow { entry, failed_at });
         }
@@ -157,6 +161,15 @@
         self.relays.len()
     }
 
+    /// Returns the paces of the servers that relays measured, by the address of their VM.
+    pub fn paces(&self) -> BTreeMap<IpAddr, Duration> {
+        let paces = self.relays.values().filter_map(|row| {
+            let pace = Duration::from_micros(row.entry.pace_us?);
+            Some((row.entry.address.ip(), pace))
+        });
+        paces.collect()
+    }
+
     /// Returns the lenders of this region, or all where it has none.
     ///
     /// A customer has one lender in a region: with one in each data centre, four lenders of a
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -5,10 +5,9 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3;
-
 use crate::backends::{BackendRow, PromptPart};
 use crate::ids::Tokens;
+use crate::lanes::{self, LaneRow};
 
 /// Prompt tokens that an engine reads in a millisecond; from the users' engine sheet.
 const READ_RATE: f64 = 56.9;
@@ -33,13 +32,6 @@
 const FETCH_LEAST: Tokens = 1_024;
 /// Part of the pause that streams bear which the reading of one prompt may take beside them.
 const PAUSE_PART: f64 = 0.35;
-/// One server in so many is set aside for prompts that are read for longer. They are about 13 % of the
-/// prompts of long routes and a third of all tokens read, so that both parts are equally busy.
-const LONG_SHARE: usize = 3;
-/// Fewest servers of which some are set aside.
-const LONG_LEAST: usize = 4;
-/// Seed of the rank by which servers are set aside; all entries pick the same.
-const LONG_SEED: u64 = 0x746f_7563_616e;
 /// Cost of a long prompt among other streams, in milliseconds: each of them pauses for too long.
 const DISTURB_COST: f64 = 2_000.0;
 /// Cost of a stream at a server that is set aside, in milliseconds: long prompts pause it.
@@ -80,21 +72,22 @@
     let ramped = eligible.iter().filter(|row| row.ejection.is_ramped(query.now, query.dice));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
     let rows = if ramped.is_empty() { eligible } else { &ramped };
-    let (ordinary, aside) = split_lanes(rows, query);
-    let is_aside = |row: &BackendRow| aside.iter().any(|other| other.entry.id == row.entry.id);
+    let lanes = lanes::divide_rows(rows, query.prompt > 0);
     let is_long = reads_long(query);
-    let lane = if is_long { &aside } else { &ordinary };
-    let home = rank_first(lane, query);
-    let cost = |row: &BackendRow| {
-        let is_home = home.is_some_and(|home| home.entry.id == row.entry.id);
-        let elsewhere = match (is_aside(row), is_long) {
-            (false, true) if !aside.is_empty() => DISTURB_COST,
+    let has_aside = lanes.iter().any(|lane| lane.aside);
+    let own_lane = lanes.iter().filter(|lane| lane.aside == (is_long && has_aside));
+    let home = session_key(query).and_then(|key| lanes::rank_first(own_lane, key));
+    let cost = |lane: &LaneRow<'_>| {
+        let is_home = home.is_some_and(|home| home.row.entry.id == lane.row.entry.id);
+        let elsewhere = match (lane.aside, is_long) {
+            (false, true) if has_aside => DISTURB_COST,
             (true, false) => PAUSED_COST,
             _ => 0.0,
         };
-        estimate_cost(row, query, is_home) + elsewhere
+        estimate_cost(lane, query, is_home) + elsewhere
     };
-    rows.iter().copied().min_by(|one, other| cost(one).total_cmp(&cost(other)))
+    let best = lanes.iter().min_by(|one, other| cost(one).total_cmp(&cost(other)));
+    best.map(|lane| lane.row)
 }
 
 /// Returns the server from which `target` may fetch the prompt's shared parts; none where `target` is
@@ -112,9 +105,11 @@
     if shared < FETCH_LEAST {
         return None;
     }
-    let (mut ordinary, _) = split_lanes(eligible, query);
-    ordinary.retain(|row| row.takes_work(query.now));
-    rank_first(&ordinary, query).filter(|home| home.entry.id != target.entry.id)
+    let key = session_key(query)?;
+    let lanes = lanes::divide_rows(eligible, true);
+    let takes_work = |lane: &&LaneRow<'_>| !lane.aside && lane.row.takes_work(query.now);
+    let home = lanes::rank_first(lanes.iter().filter(takes_work), key)?;
+    (home.row.entry.id != target.entry.id).then_some(home.row)
 }
 
 /// Tells whether the reading of a prompt pauses the streams beside it for longer than they bear.
@@ -126,44 +121,22 @@
     reading > query.pause.as_secs_f64() * 1_000.0 * PAUSE_PART && !query.pause.is_zero()
 }
 
-/// Divides servers into the ordinary ones and those set aside for long prompts, so that these disturb
-/// one another and not the many short streams: placed anywhere, 5 % of the prompts made a fifth of all
-/// streams late.
-fn split_lanes<'rows>(
-    rows: &[&'rows BackendRow],
-    query: &PlaceQuery<'_>,
-) -> (Vec<&'rows BackendRow>, Vec<&'rows BackendRow>) {
-    let mut aside = rows.to_vec();
-    if query.prompt == 0 || rows.len() < LONG_LEAST {
-        return (aside, Vec::new());
-    }
-    let rank = |row: &&BackendRow| xxh3::xxh3_64_with_seed(row.entry.id.as_bytes(), LONG_SEED);
-    aside.sort_by_cached_key(rank);
-    let ordinary = aside.split_off(rows.len().div_ceil(LONG_SHARE));
-    (ordinary, aside)
-}
-
 /// Returns the prompt's tokens behind its shared parts, which no server has read.
 fn own_tokens(query: &PlaceQuery<'_>) -> Tokens {
     let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
     query.prompt.saturating_sub(shared.iter().map(|part| part.tokens).sum())
 }
 
-/// Returns the server that is first by rendezvous rank for the last shared part, so that all entries
-/// keep a session's parts at one server without telling one another.
-fn rank_first<'rows>(
-    rows: &[&'rows BackendRow],
-    query: &PlaceQuery<'_>,
-) -> Option<&'rows BackendRow> {
+/// Returns what a session's first server is ranked by: its last shared part.
+fn session_key(query: &PlaceQuery<'_>) -> Option<u64> {
     let shared = query.parts.len().checked_sub(2)?;
-    let key = query.parts.get(shared)?.id;
-    let rank = |row: &&&BackendRow| xxh3::xxh3_64_with_seed(row.entry.id.as_bytes(), key);
-    rows.iter().max_by_key(rank).copied()
+    query.parts.get(shared).map(|part| part.id)
 }
 
 /// Returns the expected time to the first event, in milliseconds, with what placing there costs
 /// others.
-pub fn estimate_cost(row: &BackendRow, query: &PlaceQuery<'_>, is_home: bool) -> f64 {
+fn estimate_cost(lane: &LaneRow<'_>, query: &PlaceQuery<'_>, is_home: bool) -> f64 {
+    let row = lane.row;
     let own = row.flights.len() as f64;
     let distance = if *row.entry.data_centre == *query.data_centre { 0.0 } else { DISTANCE_COST };
     if query.prompt == 0 {
@@ -182,5 +155,6 @@
     let backlog: f64 = waiting.map(|flight| flight.fresh as f64).sum();
     let full = (own + 1.0) / row.entry.slots.max(1) as f64;
     let crowd = if full > 1.0 { (full - 1.0) * 2_000.0 } else { 0.0 };
-    distance + fetch + (fresh + backlog) / READ_RATE + own * SEQUENCE_COST + crowd
+    let reading = (fresh + backlog) / READ_RATE + own * SEQUENCE_COST;
+    distance + fetch + reading * lane.factor + crowd
 }
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -178,3 +178,28 @@
     table.take_entry(BackendEntry { draining: true, ..entry("s8") });
     assert_eq!(table.eligible("llm", &[], NOW).len(), 8);
 }
+
+/// Three of nine servers are 1.3 times slower. A long prompt pauses the streams beside it there for
+/// longer than callers bear, and no server tells its speed. Once the relays have measured them, long
+/// prompts go to fast servers only, and fewer sessions have a slow one as their first.
+#[test]
+fn slow_servers() {
+    let mut table = BackendTable::new();
+    for at in 0..9_u8 {
+        let address = SocketAddr::from(([10, 0, 0, at], 80));
+        table.take_entry(BackendEntry { address, ..entry(&format!("s{at}")) });
+    }
+    let aside = long_servers(&table);
+    let slow: BTreeSet<String> = aside.iter().take(2).cloned().chain(["s4".into()]).collect();
+    let paces = table.rows().map(|row| {
+        let pace = if slow.contains(&*row.entry.id) { 26 } else { 20 };
+        (row.entry.address.ip(), Duration::from_millis(pace))
+    });
+    let paces = paces.collect();
+    table.take_paces(&paces);
+    assert!(long_servers(&table).is_disjoint(&slow));
+    let homes: Vec<String> = (0..900).map(|session| pick(&table, "b", session, 1)).collect();
+    let at_slow = homes.iter().filter(|home| slow.contains(*home)).count();
+    // Three of six ordinary servers are slow: one session in three, not one in two.
+    assert!((240..360).contains(&at_slow), "{at_slow}");
+}
--- a/toucanrail/tests/store_detours.rs
+++ b/toucanrail/tests/store_detours.rs
@@ -13,7 +13,7 @@
 fn relay(port: u16, data_centre: &str) -> RelayEntry {
     let address = SocketAddr::from(([10, 0, 0, 2], port));
     let (data_centre, region) = (Arc::from(data_centre), Arc::from("r"));
-    RelayEntry { address, lending: address, data_centre, region }
+    RelayEntry { address, lending: address, data_centre, region, pace_us: None }
 }
 
 fn make_table() -> DetourTable {
