--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -120,12 +120,16 @@
         self.missing_since.is_some_and(|since| now.saturating_sub(since) > LAPSE_GRACE)
     }
 
-    /// Returns how many prompt tokens of a chain of parts the server must read: all behind the
-    /// first part that it is not known to have read.
+    /// Returns how many tokens of a chain of parts the server is known to hold: those up to the first
+    /// part that it is not known to have read.
+    pub fn held_tokens(&self, parts: &[PromptPart]) -> Tokens {
+        let held = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        held.map(|part| part.tokens).sum()
+    }
+
+    /// Returns how many prompt tokens the server must read.
     pub fn fresh_tokens(&self, parts: &[PromptPart], prompt: Tokens) -> Tokens {
-        let cached = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
-        let cached: Tokens = cached.map(|part| part.tokens).sum();
-        prompt.saturating_sub(cached)
+        prompt.saturating_sub(self.held_tokens(parts))
     }
 
     fn note_parts(&mut self, parts: &[PromptPart], now: Duration) {
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -90,26 +90,32 @@
     best.map(|lane| lane.row)
 }
 
-/// Returns the server from which `target` may fetch the prompt's shared parts; none where `target` is
-/// the one that holds them, or they are small.
+/// Returns the server from which `target` may fetch shared parts of the prompt; none where no other is
+/// known to hold more of them.
 ///
 /// A session's ordinary prompts go to one server, so that it holds the session's part. What is placed
 /// elsewhere, as a long prompt is, would have it read a second time: 95 ms for 5,400 tokens, in which
-/// every stream beside it pauses, against some five for the transfer.
+/// every stream beside it pauses, against some five for the transfer. The same holds for the parts that
+/// many sessions share, and for a session whose first server is another one now.
 pub fn pick_source<'rows>(
     eligible: &[&'rows BackendRow],
     query: &PlaceQuery<'_>,
     target: &BackendRow,
 ) -> Option<&'rows BackendRow> {
-    let shared = query.prompt.saturating_sub(own_tokens(query));
-    if shared < FETCH_LEAST {
-        return None;
-    }
     let key = session_key(query)?;
+    let shared = query.prompt.saturating_sub(own_tokens(query));
+    let held = |row: &BackendRow| row.held_tokens(query.parts).min(shared);
     let lanes = lanes::divide_rows(eligible, true);
-    let takes_work = |lane: &&LaneRow<'_>| !lane.aside && lane.row.takes_work(query.now);
-    let home = lanes::rank_first(lanes.iter().filter(takes_work), key)?;
-    (home.row.entry.id != target.entry.id).then_some(home.row)
+    let takes_work = |lane: &&LaneRow<'_>| lane.row.takes_work(query.now);
+    let ordinary = lanes.iter().filter(takes_work).filter(|lane| !lane.aside);
+    let home = lanes::rank_first(ordinary, key).map(|home| home.row);
+    let is_home = |row: &BackendRow| home.is_some_and(|home| home.entry.id == row.entry.id);
+    let others = lanes.iter().filter(takes_work).map(|lane| lane.row);
+    let others = others.filter(|row| row.entry.id != target.entry.id);
+    // The other entries send the shared parts to their first server too, so it holds them.
+    let expected = |row: &BackendRow| if is_home(row) { shared } else { held(row) };
+    let source = others.max_by_key(|row| expected(row))?;
+    (expected(source) >= held(target) + FETCH_LEAST).then_some(source)
 }
 
 /// Tells whether the reading of a prompt pauses the streams beside it for longer than they bear.
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -104,6 +104,41 @@
     assert_eq!(source(33_000, 200), None);
 }
 
+/// A session's first server turns out to be slow, and another is its first from then on. There its part
+/// of 4,900 tokens was read anew, for most sessions at once; it is fetched from the server before.
+#[test]
+fn moved_session() {
+    let mut table = addressed_table();
+    let homes: Vec<String> = (100..300).map(|session| pick(&table, "a", session, 1)).collect();
+    for (session, home) in (100..).zip(&homes) {
+        let parts = [(1, 500), (session, 4_900)];
+        let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
+        table.note_sent(home, flight(6_600), &parts);
+    }
+    // What was sent has ended.
+    let ended: Vec<String> = table.rows().map(|row| row.entry.id.to_string()).collect();
+    for (id, number) in ended.iter().flat_map(|id| (0..=200).map(move |number| (id, number))) {
+        table.note_ended(id, number);
+    }
+    make_slow(&mut table, &BTreeSet::from([homes[0].clone()]));
+    let moved: Vec<u64> = (100..300)
+        .filter(|session| pick(&table, "a", *session, 1) != homes[*session as usize - 100])
+        .collect();
+    assert!(!moved.is_empty());
+    let eligible = table.eligible("llm", &[], NOW);
+    for session in moved {
+        let parts = [(1, 500), (session, 4_900), (7, 6_600)];
+        let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
+        let pause = Duration::from_millis(600);
+        let prompt = 12_000;
+        let query =
+            PlaceQuery { data_centre: "a", parts: &parts, prompt, pause, now: NOW, dice: 0.5 };
+        let target = placing::pick_backend(&eligible, &query).expect("a server");
+        let source = placing::pick_source(&eligible, &query, target).expect("a holder");
+        assert_eq!(*source.entry.id, *homes[session as usize - 100]);
+    }
+}
+
 /// All ordinary servers are gone but one that is crowded: ordinary streams use those of the long
 /// prompts rather than wait for seconds.
 #[test]
@@ -179,24 +214,35 @@
     assert_eq!(table.eligible("llm", &[], NOW).len(), 8);
 }
 
-/// Three of nine servers are 1.3 times slower. A long prompt pauses the streams beside it there for
-/// longer than callers bear, and no server tells its speed. Once the relays have measured them, long
-/// prompts go to fast servers only, and fewer sessions have a slow one as their first.
-#[test]
-fn slow_servers() {
+/// Makes a table of servers on VMs of their own.
+fn addressed_table() -> BackendTable {
     let mut table = BackendTable::new();
     for at in 0..9_u8 {
         let address = SocketAddr::from(([10, 0, 0, at], 80));
         table.take_entry(BackendEntry { address, ..entry(&format!("s{at}")) });
     }
-    let aside = long_servers(&table);
-    let slow: BTreeSet<String> = aside.iter().take(2).cloned().chain(["s4".into()]).collect();
+    table
+}
+
+/// States that some servers are 1.3 times slower than the others.
+fn make_slow(table: &mut BackendTable, slow: &BTreeSet<String>) {
     let paces = table.rows().map(|row| {
         let pace = if slow.contains(&*row.entry.id) { 26 } else { 20 };
         (row.entry.address.ip(), Duration::from_millis(pace))
     });
     let paces = paces.collect();
     table.take_paces(&paces);
+}
+
+/// Three of nine servers are 1.3 times slower. A long prompt pauses the streams beside it there for
+/// longer than callers bear, and no server tells its speed. Once the relays have measured them, long
+/// prompts go to fast servers only, and fewer sessions have a slow one as their first.
+#[test]
+fn slow_servers() {
+    let mut table = addressed_table();
+    let aside = long_servers(&table);
+    let slow: BTreeSet<String> = aside.iter().take(2).cloned().chain(["s4".into()]).collect();
+    make_slow(&mut table, &slow);
     assert!(long_servers(&table).is_disjoint(&slow));
     let homes: Vec<String> = (0..900).map(|session| pick(&table, "b", session, 1)).collect();
     let at_slow = homes.iter().filter(|home| slow.contains(*home)).count();
