Slow servers take short prompts; loads are looked at before a long prompt is placed

Of the long prompts, one in three was placed behind another one. Change: paces from times in which no prompt was read (median of nine, 100 ms apart); entries list relays each 2 s until all are known; servers that streams do not bear (stride, pause, factor) take prompts of up to one step; two fifths of the others are set aside for long ones; before a long prompt is placed the relays beside four servers say what is read and streamed there (fresh, free).

--- /dev/null
+++ b/toucanrail-gateway/src/gauging.rs
@@ -0,0 +1,45 @@
+//! A look at the server beside a relay, for the relay and for entries that ask.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use toucanrail::messages::LoadReply;
+use toucanrail::paces::LoadReport;
+use toucanrail_platform::stores::{StoreClient, StoreFailure};
+
+/// Longest wait for a report; the server is on the same VM.
+const REPORT_BOUND: Duration = Duration::from_millis(500);
+
+/// Reads the load reports of the server on this VM; they are fresh here, and free.
+#[derive(Debug)]
+pub struct ServerGauge {
+    client: StoreClient,
+    /// The server.
+    pub server: SocketAddr,
+}
+
+impl ServerGauge {
+    /// Makes the gauge of a server.
+    pub fn new(client: StoreClient, server: SocketAddr) -> Self {
+        Self { client, server }
+    }
+
+    /// Reads a report.
+    pub async fn read(&self) -> Result<LoadReport, StoreFailure> {
+        self.client.read_report(self.server, REPORT_BOUND).await
+    }
+
+    /// Answers an entry; none if the server does not report.
+    pub async fn look(&self) -> Option<LoadReply> {
+        match self.read().await {
+            Ok(report) => {
+                let streaming = report.runs.iter().filter(|run| run.events > 0).count() as u64;
+                Some(LoadReply { reading: report.count_reading(), streaming })
+            }
+            Err(failure) => {
+                tracing::debug!(event = "report_failed", server = %self.server, %failure);
+                None
+            }
+        }
+    }
+}
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -13,6 +13,7 @@
 use toucanrail_wire::clocks;
 
 use crate::budgeting::{self, BudgetKeeper, HoldFailure};
+use crate::gauging::ServerGauge;
 use crate::listening;
 use crate::mirroring::{NEWS_PATH, NewsOffice};
 
@@ -21,6 +22,10 @@
 /// Call with some [`LoanEnd`]s, answered with `true`.
 pub const END_PATH: &str = "/loans/end";
 
+/// Call with nothing, answered with the [`LoadReply`](toucanrail::messages::LoadReply) of the server
+/// beside the lender, if there is one.
+pub const LOAD_PATH: &str = "/load";
+
 /// Longest time for which an order may wait; [`BudgetKeeper::take_hold`] waits for a fourth of it.
 const ORDER_TIME: Duration = Duration::from_millis(1_400);
 /// How often a stopping lender looks whether its loans have ended.
@@ -37,6 +42,8 @@
     pub leaving: Cell<bool>,
     /// What it tells entries of the store.
     pub news: NewsOffice,
+    /// The server beside it.
+    pub gauge: Option<Rc<ServerGauge>>,
 }
 
 /// Serves entries; one that went away opens another connection.
@@ -68,6 +75,13 @@
                 let order = calling::decode(&body)?;
                 calling::reply(&channel, &office.news.answer(&order).await).await?;
             }
+            LOAD_PATH => {
+                let load = match &office.gauge {
+                    Some(gauge) => gauge.look().await,
+                    None => None,
+                };
+                calling::reply(&channel, &load).await?;
+            }
             _ => return Err(io::ErrorKind::InvalidData.into()),
         }
     }
--- a/toucanrail-gateway/src/registering.rs
+++ b/toucanrail-gateway/src/registering.rs
@@ -1,5 +1,6 @@
 //! A relay's entry in the store: where it is reached, and the pace of the server beside it.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,15 +11,17 @@
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_platform::stores::StoreClient;
 
+use crate::gauging::ServerGauge;
 use crate::storing::RELAY_KIND;
 
 const CONNECT_BOUND: Duration = Duration::from_millis(500);
 /// Longest wait for a call to the store, and the pause before the next try.
 const CALL_BOUND: Duration = Duration::from_secs(1);
 const WRITE_PAUSE: Duration = Duration::from_secs(1);
-/// Time between load reports of the server on the same VM: ten events of a stream.
-const REPORT_PAUSE: Duration = Duration::from_millis(250);
-const REPORT_BOUND: Duration = Duration::from_millis(500);
+/// Time between load reports of the server on the same VM: short against the time between two prompts
+/// under load, while its pace is found; after that, to see whether it changes.
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
+const SETTLED_PAUSE: Duration = Duration::from_secs(1);
 /// Least time between two writes of an entry; a server's pace rarely changes.
 const CHANGE_PAUSE: Duration = Duration::from_secs(5);
 
@@ -32,7 +35,7 @@
 }
 
 /// Writes the relay's entry until the store has it, and again when the server's pace has changed.
-pub async fn keep_entry(settings: NodeSettings, clock: ProcessClock) {
+pub async fn keep_entry(settings: NodeSettings, gauge: Option<Rc<ServerGauge>>) {
     let entry = RelayEntry {
         address: settings.inner,
         lending: settings.lending,
@@ -45,14 +48,16 @@
     let mut registration = Registration { client, settings, entry, expect };
     registration.write().await;
     tracing::info!(event = "registered", role = "relay", vm = %registration.settings.vm);
-    let Some(server) = registration.settings.server else {
+    let Some(gauge) = gauge else {
         return;
     };
+    let (server, clock) = (gauge.server, ProcessClock::start());
     let mut meter = PaceMeter::default();
     let mut written = clock.now();
     loop {
-        smol::Timer::after(REPORT_PAUSE).await;
-        match registration.client.read_report(server, REPORT_BOUND).await {
+        let pause = if meter.is_settled() { SETTLED_PAUSE } else { REPORT_PAUSE };
+        smol::Timer::after(pause).await;
+        match gauge.read().await {
             Ok(report) => meter.take_report(&report, clock.now()),
             // A server that is not there has no pace; the entries learn of its end from the store.
             Err(failure) => tracing::debug!(event = "report_failed", %server, %failure),
--- a/toucanrail-gateway/src/relaying.rs
+++ b/toucanrail-gateway/src/relaying.rs
@@ -10,10 +10,9 @@
 use toucanrail::framing::BodyFramer;
 use toucanrail_wire::clocks;
 
-use crate::admitting::CallPlan;
 use crate::answering::CallerSide;
 use crate::sending::{AttemptContext, AttemptEnd, FailedAnswer, OpenExchange};
-use crate::states::{FlightGuard, Gateway};
+use crate::states::FlightGuard;
 
 /// How often a stream's deadline and its pauses are looked at; one timer a stream, since a timer a
 /// read costs two system calls an event.
@@ -102,7 +101,7 @@
     flight: &FlightGuard,
 ) -> AttemptEnd {
     let AttemptContext { gateway, plan, .. } = *context;
-    let stride = engine_stride(gateway, plan);
+    let stride = gateway.tables.borrow().routes.stride(&plan.service);
     let stall = (plan.route.gap * STALL_FACTOR).max(STALL_LEAST);
     let mut tick = Timer::interval(TICK);
     let mut pending = Vec::new();
@@ -209,9 +208,3 @@
     exchange.keep_channel(context.gateway, &context.target.id);
     if sent.is_ok() { AttemptEnd::Whole } else { AttemptEnd::CallerGone }
 }
-
-fn engine_stride(gateway: &Gateway, plan: &CallPlan<'_>) -> u64 {
-    let tables = gateway.tables.borrow();
-    let engine = tables.routes.service(&plan.service).and_then(|service| service.engine);
-    engine.map_or(1, |engine| engine.stride)
-}
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -27,7 +27,7 @@
 use crate::peering::PeerRests;
 use crate::states::{Gateway, GatewayTables};
 use crate::stopping;
-use crate::storing::{self, StoreAccess};
+use crate::storing::{self, StoreAccess, UNMEASURED_REFRESH};
 use crate::tuning::GatewayTuning;
 
 /// Longest wait for a connection to the store.
@@ -50,7 +50,7 @@
     executor.spawn(accepting::serve_callers(Rc::clone(&held), callers)).detach();
     executor.spawn(inspecting::serve_questions(Rc::clone(&held), readiness)).detach();
     executor.spawn(inspecting::serve_questions(Rc::clone(&held), inner)).detach();
-    let ways = storing::keep_ways(Rc::clone(&held.store), held.settings.store);
+    let ways = storing::keep_ways(Rc::clone(&held.store), held.settings.store, UNMEASURED_REFRESH);
     executor.spawn(ways).detach();
     executor.spawn(following::follow_config(Rc::clone(&held))).detach();
     executor.spawn(following::follow_servers(Rc::clone(&held))).detach();
--- a/toucanrail-gateway/src/storing.rs
+++ b/toucanrail-gateway/src/storing.rs
@@ -20,9 +20,11 @@
 
 /// Kind of the relays' entries in the store.
 pub const RELAY_KIND: &str = "relays";
-/// Time between listings of the relays: they change with their VMs, and a server's pace is known some
-/// seconds after its first streams. A listing of a stale copy costs a tenth of a call.
-const RELAY_REFRESH: Duration = Duration::from_secs(6);
+/// Time between listings of the relays: they change with their VMs. A listing of a stale copy costs a
+/// tenth of a call.
+pub const RELAY_REFRESH: Duration = Duration::from_secs(12);
+/// The same for an entry while a server's pace is not known.
+pub const UNMEASURED_REFRESH: Duration = Duration::from_secs(2);
 /// Time after the start in which they are listed often. An entry that is started again may be cut off
 /// moments later, and is without relays and lenders until the cut heals; in a fleet that starts, the
 /// relays themselves register in this time.
@@ -105,6 +107,11 @@
         self.ways.borrow().lenders()
     }
 
+    /// Returns the relay on a VM, and where it answers entries.
+    pub fn relay_at(&self, vm: IpAddr) -> Option<(RelayName, SocketAddr)> {
+        self.ways.borrow().relay_at(vm)
+    }
+
     /// Returns the paces of servers that relays measured, by the address of their VM.
     pub fn paces(&self) -> BTreeMap<IpAddr, Duration> {
         self.ways.borrow().paces()
@@ -197,11 +204,18 @@
 }
 
 /// Keeps the list of relays, and goes back to the direct way when it works.
-pub async fn keep_ways(store: Rc<StoreAccess>, direct: SocketAddr) {
+///
+/// An entry that places prompts lists more often (`unmeasured`) while a relay has not stated its
+/// server's pace yet: until it does, a slow server gets the prompts of a fast one.
+pub async fn keep_ways(store: Rc<StoreAccess>, direct: SocketAddr, unmeasured: Duration) {
     let mut listed: Option<Duration> = None;
     loop {
         let now = store.now();
-        let pause = if now < RELAY_FIRST { RELAY_FIRST_REFRESH } else { RELAY_REFRESH };
+        let pause = match now {
+            now if now < RELAY_FIRST => RELAY_FIRST_REFRESH,
+            _ if store.ways.borrow().lacks_paces() => unmeasured,
+            _ => RELAY_REFRESH,
+        };
         if listed.is_none_or(|at| now.saturating_sub(at) > pause) {
             let done = list_relays(&store).await;
             listed = done.then(|| store.now()).or(listed);
--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -23,11 +23,12 @@
 use toucanrail_wire::clocks;
 
 use crate::budgeting::{self, BudgetKeeper};
+use crate::gauging::ServerGauge;
 use crate::lending::{self, LoanOffice};
 use crate::listening;
 use crate::mirroring::NewsOffice;
 use crate::registering;
-use crate::storing::{self, StoreAccess};
+use crate::storing::{self, RELAY_REFRESH, StoreAccess};
 use crate::tuning::GatewayTuning;
 
 /// Most connections at once: some for each entry of a large fleet.
@@ -52,8 +53,8 @@
     executor.spawn(lending).detach();
     executor.spawn(budgeting::run_syncs(Rc::clone(&office.keeper))).detach();
     executor.spawn(smooth_burn(Rc::clone(&office))).detach();
-    let clock = ProcessClock::start();
-    executor.spawn(registering::keep_entry(settings.clone(), clock)).detach();
+    let gauge = office.gauge.as_ref().map(Rc::clone);
+    executor.spawn(registering::keep_entry(settings.clone(), gauge)).detach();
     smol::block_on(executor.run(async {
         wait_stop().await;
         lending::drain(&office, settings.grace.saturating_sub(GRACE_MARGIN)).await;
@@ -75,11 +76,15 @@
     let ways = DetourTable::new(settings.store, data_centre, Arc::clone(&settings.region));
     let client = StoreClient::new(CONNECT_BOUND);
     let store = Rc::new(StoreAccess::new(client, ways, ProcessClock::start()));
-    let watching = storing::keep_ways(Rc::clone(&store), settings.store);
+    let watching = storing::keep_ways(Rc::clone(&store), settings.store, RELAY_REFRESH);
     executor.spawn(watching).detach();
     let news = NewsOffice::new(Rc::clone(&store), Rc::clone(executor));
     let keeper = Rc::new(BudgetKeeper::new(&id, store, tuning, board, Rc::clone(executor)));
-    Ok(LoanOffice { keeper, loans: RefCell::default(), leaving: Cell::new(false), news })
+    let server = settings.server;
+    let gauge =
+        server.map(|server| Rc::new(ServerGauge::new(StoreClient::new(CONNECT_BOUND), server)));
+    let (loans, leaving) = (RefCell::default(), Cell::new(false));
+    Ok(LoanOffice { keeper, loans, leaving, news, gauge })
 }
 
 async fn smooth_burn(office: Rc<LoanOffice>) {
--- a/toucanrail/src/detours.rs
+++ b/toucanrail/src/detours.rs
@@ -161,6 +161,17 @@
         self.relays.len()
     }
 
+    /// Returns the relay on a VM, and where it answers entries.
+    pub fn relay_at(&self, vm: IpAddr) -> Option<(RelayName, SocketAddr)> {
+        let found = self.relays.iter().find(|(_, row)| row.entry.address.ip() == vm);
+        found.map(|(name, row)| (Arc::clone(name), row.entry.lending))
+    }
+
+    /// Tells whether there is a relay that has not measured its server yet.
+    pub fn lacks_paces(&self) -> bool {
+        self.relays.values().any(|row| row.entry.pace_us.is_none())
+    }
+
     /// Returns the paces of the servers that relays measured, by the address of their VM.
     pub fn paces(&self) -> BTreeMap<IpAddr, Duration> {
         let paces = self.relays.values().filter_map(|row| {
--- a/toucanrail/src/matching.rs
+++ b/toucanrail/src/matching.rs
@@ -287,6 +287,13 @@
     pub fn service(&self, name: &str) -> Option<&ServiceRule> {
         self.services.get(name)
     }
+
+    /// Returns the tokens in one event of a service's streams.
+    pub fn stride(&self, service: &str) -> u64 {
+        let engine = self.service(service).and_then(|service| service.engine.as_ref());
+        engine.map_or(1, |engine| engine.stride)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(BTreeMap::len).sum()
--- a/toucanrail/src/paces.rs
+++ b/toucanrail/src/paces.rs
@@ -14,15 +14,13 @@
 /// Sequences of a batch that a server runs no slower than one: each of them lengthens a step by one in
 /// this many, by the users' engine sheet (0.102 ms of 3.09 ms).
 const BATCH_COST: f64 = 30.0;
-/// Fewest events of a run between two reports that are measured; one more or less is 20 % then.
-const EVENT_LEAST: u64 = 5;
-/// Measurements kept: those of some ten seconds under load.
-const SAMPLE_LIMIT: usize = 32;
+/// Fewest events of a run between two reports, times the root of the runs: one event more or less a run
+/// is then some 4 % of all.
+const EVENT_LEAST: f64 = 8.0;
+/// Measurements kept; the middle one counts.
+const SAMPLE_LIMIT: usize = 9;
 /// Fewest measurements that tell a server's pace.
-const SAMPLE_LEAST: usize = 6;
-/// Which of the sorted measurements counts, as a part of them: prompts that are read in between
-/// lengthen nearly all of them.
-const SAMPLE_RANK: f64 = 0.1;
+const SAMPLE_LEAST: usize = 3;
 /// Fewest servers with a known pace that one is compared with.
 const KNOWN_LEAST: usize = 3;
 /// Pace against that of a fast server from which a server counts as slow; measurements of equal servers
@@ -47,15 +45,35 @@
 pub struct LoadReport {
     /// When the server started, in Unix milliseconds; after another start all counts begin anew.
     pub born: u64,
+    /// Requests that have not begun to run.
+    pub waiting: u64,
     /// What runs.
     pub runs: Vec<RunRow>,
 }
 
+impl LoadReport {
+    /// Returns how many prompts are being read, or are about to be.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::paces::LoadReport;
+    /// assert_eq!(LoadReport { waiting: 2, ..LoadReport::default() }.count_reading(), 2);
+    /// ```
+    pub fn count_reading(&self) -> u64 {
+        self.waiting + self.runs.iter().filter(|run| run.events == 0).count() as u64
+    }
+}
+
 /// Measures one server from its reports.
+///
+/// Prompts that are read between two tokens lengthen every event beside them, so that only times in
+/// which none was read count. A loaded slow server has few of them; where all times counted, and the
+/// least of them stood for the pace, the busiest slow servers were never told from the fast ones.
 #[derive(Debug, Default)]
 pub struct PaceMeter {
     born: u64,
-    last: Option<(Duration, BTreeMap<RequestId, u64>)>,
+    /// The first report of a time in which no prompt was read.
+    anchor: Option<(Duration, BTreeMap<RequestId, u64>)>,
     samples: VecDeque<Duration>,
 }
 
@@ -67,33 +85,17 @@
         }
         let rows = report.runs.iter().map(|run| (Arc::clone(&run.request), run.events));
         let events: BTreeMap<RequestId, u64> = rows.collect();
-        if let Some((then, before)) = self.last.take() {
-            self.measure(&before, &events, now.saturating_sub(then));
-        }
-        self.last = Some((now, events));
-    }
-
-    /// Measures by all runs that made events at both ends; all of a batch make theirs in step.
-    fn measure(
-        &mut self,
-        before: &BTreeMap<RequestId, u64>,
-        after: &BTreeMap<RequestId, u64>,
-        elapsed: Duration,
-    ) {
-        let made = after.iter().filter_map(|(request, events)| {
-            let earlier = *before.get(request)?;
-            (earlier > 0).then(|| events.saturating_sub(earlier))
-        });
-        let made: Vec<u64> = made.filter(|events| *events >= EVENT_LEAST).collect();
-        let Some(runs) = u32::try_from(made.len()).ok().filter(|runs| *runs > 0) else {
+        let Some((then, before)) = &self.anchor else {
+            self.anchor = (report.count_reading() == 0).then_some((now, events));
             return;
         };
-        let events = made.iter().sum::<u64>() as f64 / f64::from(runs);
-        let batch = (before.len() + after.len()) as f64 / 2.0;
-        let step = elapsed.div_f64(events * (1.0 + batch / BATCH_COST));
-        self.samples.push_back(step);
-        if self.samples.len() > SAMPLE_LIMIT {
-            self.samples.pop_front();
+        let read = report.count_reading() > 0 || events.keys().any(|run| !before.contains_key(run));
+        if read {
+            self.anchor = (report.count_reading() == 0).then_some((now, events));
+        } else if let Some(step) = measure_step(before, &events, now.saturating_sub(*then)) {
+            self.samples.push_back(step);
+            self.samples.drain(..self.samples.len().saturating_sub(SAMPLE_LIMIT));
+            self.anchor = Some((now, events));
         }
     }
 
@@ -106,7 +108,8 @@
     /// let mut meter = PaceMeter::default();
     /// for step in 0..8 {
     ///     let runs = vec![RunRow { request: "r".into(), events: 1 + step * 10 }];
-    ///     meter.take_report(&LoadReport { born: 1, runs }, Duration::from_millis(200 * step));
+    ///     let report = LoadReport { runs, ..LoadReport::default() };
+    ///     meter.take_report(&report, Duration::from_millis(200 * step));
     /// }
     /// let pace = meter.pace().expect("seven measurements").as_micros();
     /// assert!((19_000..20_000).contains(&pace));
@@ -117,8 +120,32 @@
         }
         let mut samples: Vec<Duration> = self.samples.iter().copied().collect();
         samples.sort_unstable();
-        Some(samples[(samples.len() as f64 * SAMPLE_RANK) as usize])
+        Some(samples[samples.len() / 2])
+    }
+
+    /// Tells whether more reports would say little more.
+    pub fn is_settled(&self) -> bool {
+        self.samples.len() == SAMPLE_LIMIT
+    }
+}
+
+/// Returns the time of one event in a batch of few, by the runs that lasted; all of a batch make their
+/// events in step.
+fn measure_step(
+    before: &BTreeMap<RequestId, u64>,
+    after: &BTreeMap<RequestId, u64>,
+    elapsed: Duration,
+) -> Option<Duration> {
+    let made =
+        after.iter().filter_map(|(run, events)| Some(events.saturating_sub(*before.get(run)?)));
+    let made: u64 = made.sum();
+    let runs = after.len() as f64;
+    let events = made as f64 / runs;
+    if after.is_empty() || events * runs.sqrt() < EVENT_LEAST {
+        return None;
     }
+    let batch = f64::midpoint(before.len() as f64, runs);
+    Some(elapsed.div_f64(events * (1.0 + batch / BATCH_COST)))
 }
 
 /// Tells whether others should learn of a pace in place of the one that they know.
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -3,11 +3,15 @@
 //! The load it answers: long prompts that delay every stream beside them, prompt parts that are
 //! cached at some servers, and other entries that place at the same time without a word.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::backends::{BackendRow, PromptPart};
+use xxhash_rust::xxh3;
+
+use crate::backends::{BackendId, BackendRow, PromptPart};
 use crate::ids::Tokens;
-use crate::lanes::{self, LaneRow};
+use crate::lanes::{self, LaneRow, PromptSize, ServerLane, StreamBounds};
+use crate::messages::LoadReply;
 
 /// Prompt tokens that an engine reads in a millisecond; from the users' engine sheet.
 const READ_RATE: f64 = 56.9;
@@ -36,6 +40,18 @@
 const DISTURB_COST: f64 = 2_000.0;
 /// Cost of a stream at a server that is set aside, in milliseconds: long prompts pause it.
 const PAUSED_COST: f64 = 400.0;
+/// Cost of a medium prompt at a slow server, in milliseconds: with another one it pauses all streams.
+const CROWDING_COST: f64 = 300.0;
+
+/// Servers that are looked at before a long prompt is placed.
+const LOOK_COUNT: usize = 4;
+/// Cost of a prompt that is being read at a server for long prompts, in milliseconds: what is left of it.
+const READING_COST: f64 = 300.0;
+/// Cost of a stream that is under way there, in milliseconds: a prompt of more than six steps pauses it
+/// for too long.
+const STREAMING_COST: f64 = 100.0;
+/// Cost of such a server that was not looked at: it reads a third of the time, and streams one.
+const UNSEEN_COST: f64 = 200.0;
 
 /// What the choice depends on besides the servers.
 #[derive(Debug, Clone, Copy)]
@@ -46,22 +62,26 @@
     pub parts: &'request [PromptPart],
     /// All prompt tokens; 0 for a plain service.
     pub prompt: Tokens,
-    /// Longest pause between events that callers of the route bear; 0 for a plain service.
-    pub pause: Duration,
+    /// What the streams of the route bear.
+    pub bounds: StreamBounds,
     /// Time, since the process's start.
     pub now: Duration,
     /// A draw in `0..1`, for a server that returns after failures.
     pub dice: f64,
+    /// What servers that were asked just now said of their load.
+    pub loads: &'request BTreeMap<BackendId, LoadReply>,
 }
 
 /// Picks the server with the least expected cost.
 ///
 /// # Examples
 /// ```
+/// use toucanrail::lanes::StreamBounds;
 /// use toucanrail::placing::{self, PlaceQuery};
 /// let query = PlaceQuery {
-///     data_centre: "a", parts: &[], prompt: 0, pause: Default::default(),
-///     now: Default::default(), dice: 0.5,
+///     data_centre: "a", parts: &[], prompt: 0,
+///     bounds: StreamBounds { stride: 1, pause: Default::default() },
+///     now: Default::default(), dice: 0.5, loads: &Default::default(),
 /// };
 /// assert!(placing::pick_backend(&[], &query).is_none());
 /// ```
@@ -72,24 +92,40 @@
     let ramped = eligible.iter().filter(|row| row.ejection.is_ramped(query.now, query.dice));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
     let rows = if ramped.is_empty() { eligible } else { &ramped };
-    let lanes = lanes::divide_rows(rows, query.prompt > 0);
-    let is_long = reads_long(query);
-    let has_aside = lanes.iter().any(|lane| lane.aside);
-    let own_lane = lanes.iter().filter(|lane| lane.aside == (is_long && has_aside));
-    let home = session_key(query).and_then(|key| lanes::rank_first(own_lane, key));
+    let lanes = lanes::divide_rows(rows, query.bounds);
+    let size = prompt_size(query);
+    let home = session_key(query).and_then(|key| lanes::rank_first(&lanes, size, key));
     let cost = |lane: &LaneRow<'_>| {
         let is_home = home.is_some_and(|home| home.row.entry.id == lane.row.entry.id);
-        let elsewhere = match (lane.aside, is_long) {
-            (false, true) if has_aside => DISTURB_COST,
-            (true, false) => PAUSED_COST,
-            _ => 0.0,
-        };
-        estimate_cost(lane, query, is_home) + elsewhere
+        estimate_cost(lane, query, is_home) + misplaced_cost(lane, size, &lanes)
     };
     let best = lanes.iter().min_by(|one, other| cost(one).total_cmp(&cost(other)));
     best.map(|lane| lane.row)
 }
 
+/// Returns the servers whose load should be looked at before a request is placed; none where a wrong
+/// guess costs little.
+///
+/// A long prompt behind another one waits for half a second, and the streams of both then pause for the
+/// other. Entries do not know one another's prompts: with a third of the time taken at each server, one
+/// in three was placed behind another. Of four servers that are looked at, one is nearly always free.
+pub fn pick_candidates<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlaceQuery<'_>,
+) -> Vec<&'rows BackendRow> {
+    let size = prompt_size(query);
+    if size != PromptSize::Long {
+        return Vec::new();
+    }
+    let lanes = lanes::divide_rows(eligible, query.bounds);
+    let suits = lanes.iter().filter(|lane| lane.suits(size) && lane.row.takes_work(query.now));
+    let mut rows: Vec<&BackendRow> = suits.map(|lane| lane.row).collect();
+    let seed = query.dice.to_bits();
+    rows.sort_by_cached_key(|row| xxh3::xxh3_64_with_seed(row.entry.id.as_bytes(), seed));
+    rows.truncate(LOOK_COUNT);
+    rows
+}
+
 /// Returns the server from which `target` may fetch shared parts of the prompt; none where no other is
 /// known to hold more of them.
 ///
@@ -105,12 +141,14 @@
     let key = session_key(query)?;
     let shared = query.prompt.saturating_sub(own_tokens(query));
     let held = |row: &BackendRow| row.held_tokens(query.parts).min(shared);
-    let lanes = lanes::divide_rows(eligible, true);
+    let lanes = lanes::divide_rows(eligible, query.bounds);
     let takes_work = |lane: &&LaneRow<'_>| lane.row.takes_work(query.now);
-    let ordinary = lanes.iter().filter(takes_work).filter(|lane| !lane.aside);
-    let home = lanes::rank_first(ordinary, key).map(|home| home.row);
+    let working: Vec<LaneRow<'_>> = lanes.iter().filter(takes_work).copied().collect();
+    // The session's other prompts are no long ones.
+    let size = PromptSize::of(query.prompt, false);
+    let home = lanes::rank_first(&working, size, key).map(|home| home.row);
     let is_home = |row: &BackendRow| home.is_some_and(|home| home.entry.id == row.entry.id);
-    let others = lanes.iter().filter(takes_work).map(|lane| lane.row);
+    let others = working.iter().map(|lane| lane.row);
     let others = others.filter(|row| row.entry.id != target.entry.id);
     // The other entries send the shared parts to their first server too, so it holds them.
     let expected = |row: &BackendRow| if is_home(row) { shared } else { held(row) };
@@ -118,13 +156,30 @@
     (expected(source) >= held(target) + FETCH_LEAST).then_some(source)
 }
 
+fn prompt_size(query: &PlaceQuery<'_>) -> PromptSize {
+    PromptSize::of(query.prompt, reads_long(query))
+}
+
+/// Returns what it costs others, and the request itself, to be placed at a server for other prompts.
+fn misplaced_cost(lane: &LaneRow<'_>, size: PromptSize, lanes: &[LaneRow<'_>]) -> f64 {
+    if lane.suits(size) || !lanes.iter().any(|lane| lane.suits(size)) {
+        return 0.0;
+    }
+    match (lane.lane, size) {
+        (ServerLane::Long, _) => PAUSED_COST,
+        (_, PromptSize::Long) => DISTURB_COST,
+        _ => CROWDING_COST,
+    }
+}
+
 /// Tells whether the reading of a prompt pauses the streams beside it for longer than they bear.
 ///
 /// An engine reads a prompt in chunks between the tokens of the other streams: at 57 tokens a
 /// millisecond, 30,000 tokens hold up the seven tokens of one event for 540 ms and more.
 fn reads_long(query: &PlaceQuery<'_>) -> bool {
     let reading = own_tokens(query) as f64 / READ_RATE;
-    reading > query.pause.as_secs_f64() * 1_000.0 * PAUSE_PART && !query.pause.is_zero()
+    reading > query.bounds.pause.as_secs_f64() * 1_000.0 * PAUSE_PART
+        && !query.bounds.pause.is_zero()
 }
 
 /// Returns the prompt's tokens behind its shared parts, which no server has read.
@@ -161,6 +216,11 @@
     let backlog: f64 = waiting.map(|flight| flight.fresh as f64).sum();
     let full = (own + 1.0) / row.entry.slots.max(1) as f64;
     let crowd = if full > 1.0 { (full - 1.0) * 2_000.0 } else { 0.0 };
+    let seen = match query.loads.get(&row.entry.id) {
+        Some(load) => load.reading as f64 * READING_COST + load.streaming as f64 * STREAMING_COST,
+        None if query.loads.is_empty() => 0.0,
+        None => UNSEEN_COST,
+    };
     let reading = (fresh + backlog) / READ_RATE + own * SEQUENCE_COST;
-    distance + fetch + reading * lane.factor + crowd
+    distance + fetch + reading * lane.factor + seen + crowd
 }
