A slow store is waited for; an entry that is cut off turns callers away

It was given up after 300 ms, waited for, and given up again some answers later, since the wait shrank with each answer; four lenders counted the store as silent for 0.6 to 3.4 s each and kept 100,000 to 300,000 granted tokens for small requests: 140 refusals (3002). Cause 2: two entries are cut off from all other VMs from 14.4 to 19.1 s and refuse 960 times (3002) what needs a budget, stay ready for the balancer and keep their callers' connections, while the third one serves. Ruled out: grants that are too small for the first (203,000 tokens were available to a request of 14,360 that was refused). Change: AnswerPatience, a decision apart from the calls, does not shrink below three times the last answer's time; what is left is kept for small requests only 0.8 s after the store fell silent. An entry that reaches neither lenders nor the store, on any way, is not ready, and closes connections with its refusals; the loops that follow the store bring it back. Tests: slow_store, lone_entry (failed before: no such refusal in 20 s).

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -99,6 +99,8 @@
                 store_age_ms = age.as_millis() as u64,
             );
             gateway.board.count_result(refusal.code);
+            // On a kept connection the caller's next request would come here too.
+            caller.close |= gateway.is_cut_off();
             let note = answering::make_note(refusal.code, RunState::NotRun, refusal.retry_after);
             // A caller that is gone needs no refusal.
             caller.send_refusal(&note).await.ok();
--- a/toucanrail-gateway/src/borrowing.rs
+++ b/toucanrail-gateway/src/borrowing.rs
@@ -47,6 +47,8 @@
 #[derive(Debug, Default)]
 pub struct LoanDesk {
     next: Cell<u64>,
+    /// Whether the last lenders that were asked did not answer.
+    pub unanswered: Cell<bool>,
     rests: PeerRests,
     ends: RefCell<BTreeMap<Arc<str>, EndQueue>>,
 }
@@ -137,6 +139,7 @@
         match peering::call_peer(gateway, &lender, address, DRAW_PATH, &order, DRAW_BOUND).await {
             Ok(reply) => {
                 draft.settled = true;
+                gateway.desk.unanswered.set(false);
                 if let Some(source) = read_reply(reply, &lender, &loan) {
                     gateway.desk.rests.forget_rest(&lender);
                     return Some(source);
@@ -147,6 +150,7 @@
             Err(error) => {
                 tracing::info!(event = "lender_failed", %lender, %error, customer = %need.customer);
                 gateway.board.count_event("lenders_failed");
+                gateway.desk.unanswered.set(true);
                 gateway.desk.rests.rest(&lender, gateway.now());
             }
         }
--- a/toucanrail-gateway/src/budgeting.rs
+++ b/toucanrail-gateway/src/budgeting.rs
@@ -32,6 +32,9 @@
 /// Time for which a customer whose grant could not be had is refused without asking the store again;
 /// each look costs two or three calls, and what others hold comes back with their settlements.
 const SHORT_TIME: Duration = Duration::from_millis(400);
+/// Silence of the store from which what is left is kept for some requests: a slow answer or a lost one is
+/// followed by another within this time, and an outage lasts for seconds.
+const OUTAGE_LEAST: Duration = Duration::from_millis(800);
 /// Longest wait of a request for a grant; most grants are there, the others take one sync.
 const GRANT_WAIT: Duration = Duration::from_millis(400);
 /// How often shards are looked at for what is due.
@@ -155,7 +158,8 @@
     fn may_spend(&self, customer: &CustomerId, amount: Tokens, rank: u8) -> bool {
         let grants = self.grants.borrow();
         let available = grants.account(customer).map_or(0, GrantAccount::available);
-        !self.store.is_silent(USAGE) || policies::spends_in_outage(available, amount, rank)
+        self.store.silence(USAGE) < OUTAGE_LEAST
+            || policies::spends_in_outage(available, amount, rank)
     }
 
     async fn wait_hold(
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -14,6 +14,7 @@
 use toucanrail::retries::{RetryBounds, RetryBudget};
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_daemons::starting::ProcessClock;
+use toucanrail_platform::names;
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_wire::keeping::ChannelPool;
 
@@ -29,6 +30,10 @@
 /// another; there are at most as many as relays, one of which stands beside each backend server.
 const LEAST_ENTRIES: usize = 4;
 
+/// Silence of the store, with lenders that do not answer, from which an entry is cut off. While the
+/// store alone is away lenders answer.
+const CUT_LEAST: Duration = Duration::from_millis(200);
+
 /// The tables that decisions read and change.
 #[derive(Debug)]
 pub struct GatewayTables {
@@ -88,7 +93,18 @@
     pub fn is_ready(&self) -> bool {
         let tables = self.tables.borrow();
         let informed = tables.routes.version() > 0 && tables.backends.is_listed();
-        informed && self.stopping.get().is_none()
+        informed && self.stopping.get().is_none() && !self.is_cut_off()
+    }
+
+    /// Tells whether this entry reaches neither lenders nor, on any way, the store.
+    ///
+    /// An entry whose VM is cut off from all others can confirm no budget and refuses nearly everything,
+    /// while entries beside it serve: the balancer must send new callers there. It is found out by the
+    /// loops that follow the store, and ends with their first answer.
+    pub fn is_cut_off(&self) -> bool {
+        let silent = |kind: &str| self.store.silence(kind) > CUT_LEAST;
+        let kinds = [names::CONFIG_KIND, names::SERVER_KIND];
+        self.desk.unanswered.get() && kinds.into_iter().all(silent)
     }
 
     /// Notes a fresh request for a service in its retry budget.
--- a/toucanrail-gateway/src/storing.rs
+++ b/toucanrail-gateway/src/storing.rs
@@ -1,7 +1,7 @@
 //! Calls to the store, on the way that works now.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -11,6 +11,7 @@
 use smol::future::FutureExt;
 use toucanrail::detours::{DetourTable, RelayEntry, RelayName, StoreWay};
 use toucanrail::ids::Version;
+use toucanrail::patience::AnswerPatience;
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
 use toucanrail_daemons::starting::ProcessClock;
 use toucanrail_platform::names;
@@ -34,29 +35,24 @@
 const PROBE_BOUND: Duration = Duration::from_millis(600);
 const PROBE_STEP: Duration = Duration::from_millis(250);
 
-/// Bounds of the wait for an answer. The store answers within milliseconds, or within some hundred
-/// while it is slow; a wait that proved too short is lengthened before the next call.
-const PATIENCE_LEAST: Duration = Duration::from_millis(300);
-const PATIENCE_LIMIT: Duration = Duration::from_millis(1_500);
-
 /// The store and the ways to it.
 #[derive(Debug)]
 pub struct StoreAccess {
     client: StoreClient,
-    patience: Cell<Duration>,
+    patience: Cell<AnswerPatience>,
     ways: RefCell<DetourTable>,
     moved: Event,
     clock: ProcessClock,
     /// Last answer of the store to anything.
     heard: Cell<Option<Duration>>,
-    /// Uses of the store whose last call had no answer.
-    silent: RefCell<BTreeSet<&'static str>>,
+    /// Uses of the store whose last call had no answer, and since when.
+    silent: RefCell<BTreeMap<&'static str, Duration>>,
 }
 
 impl StoreAccess {
     /// Makes the access of one process.
     pub fn new(client: StoreClient, ways: DetourTable, clock: ProcessClock) -> Self {
-        let patience = Cell::new(PATIENCE_LEAST);
+        let patience = Cell::new(AnswerPatience::new());
         Self {
             client,
             patience,
@@ -89,17 +85,24 @@
         if answered {
             let age = self.age().as_millis() as u64;
             self.heard.set(Some(self.now()));
-            if silent.remove(usage) {
+            if silent.remove(usage).is_some() {
                 tracing::info!(event = "store_regained", usage, store_age_ms = age);
             }
-        } else if silent.insert(usage) {
+        } else if !silent.contains_key(usage) {
+            silent.insert(usage, self.now());
             tracing::warn!(event = "store_lost", usage);
         }
     }
 
     /// Tells whether the last call of a use of the store had no answer.
     pub fn is_silent(&self, usage: &str) -> bool {
-        self.silent.borrow().contains(usage)
+        self.silent.borrow().contains_key(usage)
+    }
+
+    /// Returns for how long a use of the store has had no answer.
+    pub fn silence(&self, usage: &str) -> Duration {
+        let since = self.silent.borrow().get(usage).copied();
+        since.map_or(Duration::ZERO, |since| self.now().saturating_sub(since))
     }
 
     /// Returns the lenders of this region, or all where it has none.
@@ -125,14 +128,17 @@
     /// Makes one read or conditional write.
     pub async fn call(&self, call: &StoreCall) -> StoreReply {
         let (way, address) = self.ways.borrow().way();
-        let bound = self.patience.get();
-        let reply = self.client.call(address, call, bound).await;
+        let asked = self.now();
+        let reply = self.client.call(address, call, self.patience.get().wait()).await;
+        // Calls run at the same time: what another one learnt meanwhile counts too.
+        let mut patience = self.patience.get();
         if reply == StoreReply::Unavailable {
-            self.patience.set((bound * 2).min(PATIENCE_LIMIT));
+            patience.note_silence();
             self.note_failure(&way);
         } else {
-            self.patience.set(bound.mul_f64(0.8).max(PATIENCE_LEAST));
+            patience.note_answer(self.now().saturating_sub(asked));
         }
+        self.patience.set(patience);
         reply
     }
 
--- a/toucanrail-gateway/tests/gateway_ends.rs
+++ b/toucanrail-gateway/tests/gateway_ends.rs
@@ -97,6 +97,32 @@
     drop(relay);
 }
 
+/// An entry's VM is cut off from the store and from all relays, while the entries beside it serve. It
+/// refused all callers that need a budget for as long as the cut lasted, told the balancer that it was
+/// ready, and kept their connections. It turns them away, and is back as soon as the store answers.
+#[test]
+fn lone_entry() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(slow_stream()));
+    platform::configure(&store, 1, &[&backend]);
+    let relay = Process::start_relay(&store, "side-1");
+    let gateway = Process::start_gateway(&store);
+    thread::sleep(Duration::from_millis(1_200));
+    store.cut(true);
+    relay.signal("KILL");
+    let text = request("POST", "/stream/a", "r1", platform::PROMPT, "p");
+    platform::wait_until("a refusal that closes", || {
+        let answer = platform::call(gateway.callers, &text).unwrap();
+        answer.status() == 503 && answer.field("connection") == Some("close")
+    });
+    gateway.wait_ready(false);
+    // What needs no budget is served on.
+    let public = request("GET", "/safe/a", "r2", "", "");
+    assert!(platform::call(gateway.callers, &public).is_some());
+    store.cut(false);
+    gateway.wait_ready(true);
+}
+
 /// The store forgets its history while a change is made, and answers the next watch with 410. An entry
 /// that only watched on would never learn of the change: its callers would go on with a key that was
 /// taken away. It lists anew.
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod mirrors;
 pub mod paces;
 pub mod paths;
+pub mod patience;
 pub mod placing;
 pub mod policies;
 pub mod reclaims;
--- a/toucanrail/tests/store_detours.rs
+++ b/toucanrail/tests/store_detours.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use toucanrail::detours::{DetourTable, RelayEntry, StoreWay};
+use toucanrail::patience::AnswerPatience;
 
 fn store() -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], 80))
@@ -94,3 +95,26 @@
     let names: Vec<Arc<str>> = table.lenders().into_iter().map(|(name, _)| name).collect();
     assert_eq!(names, [Arc::from("far"), Arc::from("near")]);
 }
+
+/// The store takes 356 ms an answer for some seconds. It was given up after 300 ms, waited for, and given
+/// up again three answers later; each time callers were refused for want of grants that it would have
+/// given. Once it was waited for, it is not given up again.
+#[test]
+fn slow_store() {
+    let mut patience = AnswerPatience::new();
+    let answer = Duration::from_millis(356);
+    let given_up = (0..40).filter(|_| {
+        let silent = patience.wait() < answer;
+        if silent {
+            patience.note_silence();
+        } else {
+            patience.note_answer(answer);
+        }
+        silent
+    });
+    assert_eq!(given_up.count(), 1);
+    for _ in 0..12 {
+        patience.note_answer(Duration::from_millis(4));
+    }
+    assert_eq!(patience.wait(), Duration::from_millis(300));
+}
