The ring of modules around entries is broken

Found by listing which modules of toucanrail-daemons import which: eight of them imported entries for its state, and entries imported them for its loops, so that a change of any touched all. What they share is in states now (settings, tables, the entry's registration), registering writes registrations for entry, agent and reclaims, and entries is the driver above them: callers' and the fleet's calls, the start and the stop. The imports have no ring any more but agents with running.

--- a/toucanrail-daemons/src/agents.rs
+++ b/toucanrail-daemons/src/agents.rs
@@ -14,19 +14,19 @@
 use toucanrail::ledgers::UsageLedger;
 use toucanrail::messages::{AckOrder, AgentReply, AskMode, AskOrder, EngineOrder, FenceOrder};
 use toucanrail::messages::{LoadReport, MirrorOrder, RunFrame, RunOrder};
-use toucanrail::paths;
 use toucanrail::servers::{NodeEntry, NodeRole};
 use toucanrail::settings::{SettingRow, SettingValues};
-use toucanrail::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
+use toucanrail::storecalls;
 use toucanrail_wire::clients::{ClientLimits, ConnectionPool, OutboundCall};
 use toucanrail_wire::listeners::{self, ReceivedCall, ServerLimits};
 use toucanrail_wire::pipes;
 use toucanrail_wire::replies::{self, RefusalNote};
-use toucanrail_wire::stores::{HttpStore, ObjectStore};
+use toucanrail_wire::stores::HttpStore;
 
 use crate::fleets::{FleetClient, routes};
 use crate::mirroring::{self, MirrorSet};
 use crate::observing::MetricBoard;
+use crate::registering;
 use crate::running;
 use crate::starting::{self, CommonSettings};
 
@@ -353,7 +353,7 @@
             service: Some(Arc::clone(&self.settings.service)),
         };
         let value = if present { storecalls::encode_value(&node) } else { Vec::new() };
-        write_node(&self.store, &self.id, value).await
+        registering::write_node(&self.store, &self.id, value).await
     }
 
     /// Takes no new work, lets what runs finish and be settled, then ends the registration.
@@ -375,24 +375,6 @@
     }
 }
 
-/// Writes a registration whatever its version is: only its own process and those that found it
-/// gone write it.
-pub async fn write_node<Store>(store: &Store, id: &Arc<str>, value: Vec<u8>) -> bool
-where
-    Store: ObjectStore,
-{
-    let path: Arc<str> = Arc::from(format!("{}/{id}", paths::NODES));
-    let found = store.call(&StoreCall::Get { path: Arc::clone(&path) }).await;
-    let expect = match found {
-        StoreReply::Found { version, .. } => WriteExpectation::At(version),
-        StoreReply::Missing if value.is_empty() => return true,
-        StoreReply::Missing => WriteExpectation::Absent,
-        _ => return false,
-    };
-    let put = StoreCall::Put { path, expect, value };
-    matches!(store.call(&put).await, StoreReply::Written { .. })
-}
-
 /// A running agent.
 #[derive(Debug)]
 pub struct AgentHandle {
--- a/toucanrail-daemons/src/attempts.rs
+++ b/toucanrail-daemons/src/attempts.rs
@@ -15,9 +15,9 @@
 use toucanrail_wire::clients::{OpenAnswer, OpenFailure};
 use toucanrail_wire::clocks;
 
-use crate::entries::Entry;
 use crate::fleets::routes;
 use crate::reclaiming;
+use crate::states::Entry;
 
 /// Silence of an agent's answer after which its connection counts as lost; the agent sends a sign
 /// of life four times as often.
--- a/toucanrail-daemons/src/billing.rs
+++ b/toucanrail-daemons/src/billing.rs
@@ -10,8 +10,8 @@
 
 use crate::attempts::{self, AttemptEnd, AttemptTarget};
 use crate::callers::CallPlan;
-use crate::entries::Entry;
 use crate::recording;
+use crate::states::Entry;
 
 /// What a request's tries have used and no bill carries yet.
 #[derive(Debug, Default)]
--- a/toucanrail-daemons/src/bin/toucanrail-entry.rs
+++ b/toucanrail-daemons/src/bin/toucanrail-entry.rs
@@ -2,11 +2,12 @@
 
 use std::process::ExitCode;
 
-use toucanrail_daemons::entries::{self, EntrySettings};
+use toucanrail_daemons::entries;
 use toucanrail_daemons::starting;
+use toucanrail_daemons::states::{self, EntrySettings};
 
 fn main() -> ExitCode {
-    let rows: Vec<_> = starting::COMMON_SETTINGS.into_iter().chain(entries::SETTINGS).collect();
+    let rows: Vec<_> = starting::COMMON_SETTINGS.into_iter().chain(states::SETTINGS).collect();
     let about = "takes callers' requests for the fleet";
     let mut values = match starting::read_settings("toucanrail-entry", about, &rows) {
         Ok(values) => values,
--- a/toucanrail-daemons/src/demos.rs
+++ b/toucanrail-daemons/src/demos.rs
@@ -12,9 +12,10 @@
 use toucanrail_wire::clients::{ClientLimits, ConnectionPool, OutboundCall};
 
 use crate::agents::{self, AgentSettings};
-use crate::entries::{self, EntrySettings};
+use crate::entries;
 use crate::operators::{self, OperatorTools};
 use crate::starting;
+use crate::states::{self, EntrySettings};
 
 const FLEET_KEY: &str = "demo-fleet";
 const CALLER_KEY: &str = "demo-key";
@@ -101,7 +102,7 @@
 ) -> io::Result<entries::EntryHandle> {
     let mut args = common_args(name, store);
     args.extend(extra.iter().cloned());
-    let rows: Vec<_> = starting::COMMON_SETTINGS.into_iter().chain(entries::SETTINGS).collect();
+    let rows: Vec<_> = starting::COMMON_SETTINGS.into_iter().chain(states::SETTINGS).collect();
     entries::start(EntrySettings::read(&mut read_args(&rows, &args)))
 }
 
--- a/toucanrail-daemons/src/reclaiming.rs
+++ b/toucanrail-daemons/src/reclaiming.rs
@@ -13,9 +13,9 @@
 use toucanrail::storecalls;
 use toucanrail_wire::stores::ObjectStore;
 
-use crate::agents;
-use crate::entries::Entry;
 use crate::fleets::routes;
+use crate::registering;
+use crate::states::Entry;
 
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
 const FENCE_BOUND: Duration = Duration::from_millis(800);
@@ -98,7 +98,7 @@
         }
     }
     if finished {
-        agents::write_node(&entry.store, dead, Vec::new()).await;
+        registering::write_node(&entry.store, dead, Vec::new()).await;
     }
 }
 
--- a/toucanrail-daemons/src/recording.rs
+++ b/toucanrail-daemons/src/recording.rs
@@ -12,9 +12,9 @@
 use toucanrail_wire::stores::ObjectStore;
 
 use crate::callers::CallPlan;
-use crate::entries::Entry;
 use crate::fleets::routes;
 use crate::reclaiming;
+use crate::states::Entry;
 
 const ASK_BOUND: Duration = Duration::from_secs(1);
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -23,9 +23,9 @@
 use crate::attempts::{self, AttemptEnd, AttemptTarget};
 use crate::billing::{self, BillMark, BillMarker, OpenTry, UsageSum};
 use crate::callers::{self, CallPlan};
-use crate::entries::Entry;
 use crate::recording;
 use crate::settling;
+use crate::states::Entry;
 
 /// Tries of one request, the first included.
 const TRY_LIMIT: u32 = 4;
--- a/toucanrail-daemons/src/settling.rs
+++ b/toucanrail-daemons/src/settling.rs
@@ -16,9 +16,9 @@
 use toucanrail_wire::clocks;
 use toucanrail_wire::stores::ObjectStore;
 
-use crate::entries::Entry;
 use crate::fleets::routes;
 use crate::reclaiming;
+use crate::states::Entry;
 
 /// Time for which an account found exhausted is refused without asking again.
 const EXHAUSTED_TIME: Duration = Duration::from_millis(100);
--- a/toucanrail-daemons/src/watching.rs
+++ b/toucanrail-daemons/src/watching.rs
@@ -12,10 +12,10 @@
 use toucanrail::servers::{NodeEntry, NodeRole};
 use toucanrail_wire::stores::ObjectStore;
 
-use crate::agents;
-use crate::entries::Entry;
 use crate::fleets::routes;
 use crate::mirroring::{self, PEER_BOUND};
+use crate::registering;
+use crate::states::Entry;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
@@ -118,7 +118,7 @@
     };
     for agent in gone {
         entry.board.count_event("agents_gone");
-        agents::write_node(&entry.store, &agent, Vec::new()).await;
+        registering::write_node(&entry.store, &agent, Vec::new()).await;
     }
 }
 
@@ -196,7 +196,7 @@
         tables.servers.note_leaving(&agent);
         tables.grants.note_acked(&agent, &BTreeSet::new(), true);
     }
-    agents::write_node(&entry.store, &agent, Vec::new()).await;
+    registering::write_node(&entry.store, &agent, Vec::new()).await;
 }
 
 async fn tick(entry: Arc<Entry>) {
