Accounts and tenures are modules of their own

grants.rs had 694 lines: an account's own rules (hold, wait, burn, bills on their way) stood in the table's methods beside those of a shard's tenure. They are methods of GrantAccount and ShardTenure now, in accounts.rs and tenures.rs, and grants.rs (543 lines) keeps the table and its plans. Tests of placing and of cut entries say their set-up once.

--- a/toucanrail-gateway/tests/gateway_ends.rs
+++ b/toucanrail-gateway/tests/gateway_ends.rs
@@ -70,6 +70,15 @@
     }
 }
 
+/// Starts a relay and an entry that knows it, then cuts the entry off from the store.
+fn start_cut(store: &Store) -> (Process, Process) {
+    let relay = Process::start_relay(store, "side-1");
+    let gateway = Process::start_gateway(store);
+    thread::sleep(Duration::from_millis(1_200));
+    store.cut(true);
+    (relay, gateway)
+}
+
 /// An entry is cut off from the store a moment after its start, before it holds any grant. Through the
 /// relay's VM budgets are confirmed, and a newer configuration comes into force. An entry that
 /// listed the relays only two seconds after its start refused everyone until the cut healed.
@@ -78,10 +87,7 @@
     let store = Store::start();
     let backend = Backend::start("i-1", |_, _| Act::Answer(slow_stream()));
     platform::configure(&store, 1, &[&backend]);
-    let relay = Process::start_relay(&store, "side-1");
-    let gateway = Process::start_gateway(&store);
-    thread::sleep(Duration::from_millis(1_200));
-    store.cut(true);
+    let (relay, gateway) = start_cut(&store);
     let more = format!("{}Connection: close\r\n", platform::PROMPT);
     let text = request("POST", "/stream/a", "r1", &more, "p");
     platform::wait_until("service", || {
@@ -105,10 +111,7 @@
     let store = Store::start();
     let backend = Backend::start("i-1", |_, _| Act::Answer(slow_stream()));
     platform::configure(&store, 1, &[&backend]);
-    let relay = Process::start_relay(&store, "side-1");
-    let gateway = Process::start_gateway(&store);
-    thread::sleep(Duration::from_millis(1_200));
-    store.cut(true);
+    let (relay, gateway) = start_cut(&store);
     relay.signal("KILL");
     let text = request("POST", "/stream/a", "r1", platform::PROMPT, "p");
     platform::wait_until("a refusal that closes", || {
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -9,15 +9,13 @@
 
 use serde::Serialize;
 
+use crate::accounts::GrantAccount;
 use crate::budgets::{BillRow, BudgetAccount, BudgetShard, RECENT_LIMIT};
-use crate::ids::{
-    AgentId, CustomerId, EntryId, Epoch, RunId, Sequence, ShardName, Tokens, Version,
-};
+use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RunId, ShardName, Tokens, Version};
 use crate::policies::{GrantChange, GrantPolicy, GrantView};
-use crate::syncs::{GrantDemand, SyncOutcome, SyncPlan};
+use crate::syncs::{SyncOutcome, SyncPlan};
+use crate::tenures::ShardTenure;
 
-/// Time constant of the smoothed burn rate.
-const BURN_WINDOW: Duration = Duration::from_secs(10);
 /// Most bills in one batch; keeps its object well under a megabyte.
 const BATCH_LIMIT: usize = 1_500;
 
@@ -54,74 +52,6 @@
     Exhausted(Tokens),
 }
 
-/// One account at this entry.
-#[derive(Debug, Clone, Default, Serialize)]
-pub struct GrantAccount {
-    /// Granted, as the shard confirmed it.
-    pub granted: Tokens,
-    /// Held by requests in flight.
-    pub held: Tokens,
-    /// Bills that no sync carries yet.
-    pub unsettled: Vec<BillRow>,
-    /// The sum of the bills that a running sync carries.
-    pub settling: Tokens,
-    /// Reserved to be given back.
-    pub returning: Tokens,
-    /// What each waiting request wants.
-    pub waiting: Vec<Tokens>,
-    /// Usage a second, smoothed.
-    pub burn: f64,
-    /// Total that the configuration states; 0 where only operators state it, in the shard.
-    pub prepaid: Tokens,
-    /// Held since the last tick, less what came back.
-    used: f64,
-    /// Weight of the ticks in `burn`; corrects it for the time before the first.
-    burn_weight: f64,
-    burn_sum: f64,
-    /// Whether a request began to wait since the last plan.
-    unseen: bool,
-}
-
-impl GrantAccount {
-    fn unsettled_total(&self) -> Tokens {
-        self.unsettled.iter().map(BillRow::total).sum()
-    }
-
-    fn shortage(&self) -> Tokens {
-        self.waiting.iter().sum()
-    }
-
-    /// Returns what a new request may hold.
-    pub fn available(&self) -> Tokens {
-        let taken = self.held + self.unsettled_total() + self.settling + self.returning;
-        self.granted.saturating_sub(taken)
-    }
-}
-
-/// One shard at this entry.
-#[derive(Debug, Clone, Default, Serialize)]
-pub struct ShardTenure {
-    /// The tenure; 0 while there is none.
-    pub epoch: Epoch,
-    /// The last sequence known as applied.
-    pub applied: Sequence,
-    /// The last sequence whose rows all agents dropped.
-    pub acked: Sequence,
-    /// Agents written in the shard as in use.
-    pub agents: BTreeSet<AgentId>,
-    /// Runs settled and not yet dropped, by sequence and agent.
-    pub unacked: BTreeMap<Sequence, BTreeMap<AgentId, Vec<RunId>>>,
-    looks: u64,
-    #[serde(skip)]
-    plan: Option<SyncPlan>,
-    #[serde(skip)]
-    cached: Option<(Version, BudgetShard)>,
-    /// Bills of earlier tenures.
-    late: Vec<BillRow>,
-    /// Holds in flight by agent, so that an agent in use stays named in the shard.
-    busy_agents: BTreeMap<AgentId, u64>,
-}
-
 /// All grants of one entry.
 #[derive(Debug, Serialize)]
 pub struct GrantTable {
@@ -246,8 +176,7 @@
                 _ => Err(HoldRefusal::Short(missing)),
             };
         }
-        account.held += amount;
-        account.used += amount as f64;
+        account.begin_hold(amount);
         Ok(GrantHold { customer: Arc::clone(customer), shard, epoch, amount })
     }
 
@@ -262,8 +191,7 @@
     /// Notes that a request waits for so much more.
     pub fn add_shortage(&mut self, customer: &CustomerId, amount: Tokens) {
         if let Some(account) = self.accounts.get_mut(customer) {
-            account.waiting.push(amount);
-            account.unseen = true;
+            account.begin_wait(amount);
         }
     }
 
@@ -277,20 +205,14 @@
     /// Notes that a request no longer waits.
     pub fn drop_shortage(&mut self, customer: &CustomerId, amount: Tokens) {
         if let Some(account) = self.accounts.get_mut(customer) {
-            let found = account.waiting.iter().position(|wanted| *wanted == amount);
-            found.map(|at| account.waiting.swap_remove(at));
+            account.end_wait(amount);
         }
     }
 
     /// Notes that a hold's order goes to an agent, or has ended there.
     pub fn mark_agent(&mut self, shard: &ShardName, agent: &AgentId, busy: bool) {
-        let Some(tenure) = self.shards.get_mut(shard) else {
-            return;
-        };
-        let count = tenure.busy_agents.entry(Arc::clone(agent)).or_default();
-        *count = if busy { *count + 1 } else { count.saturating_sub(1) };
-        if *count == 0 {
-            tenure.busy_agents.remove(agent);
+        if let Some(tenure) = self.shards.get_mut(shard) {
+            tenure.mark_agent(agent, busy);
         }
     }
 
@@ -311,26 +233,14 @@
             return;
         }
         if let Some(account) = self.accounts.get_mut(&hold.customer) {
-            account.held = account.held.saturating_sub(hold.amount);
-            account.used -= (hold.amount - bill.as_ref().map_or(0, BillRow::total)) as f64;
-            account.unsettled.extend(bill);
+            account.end_hold(hold.amount, bill);
         }
     }
 
     /// Updates the burn rates; once a tick.
     pub fn smooth_burn(&mut self, elapsed: Duration) {
-        let seconds = elapsed.as_secs_f64().max(0.001);
-        let weight = 1.0 - (-seconds / BURN_WINDOW.as_secs_f64()).exp();
         for account in self.accounts.values_mut() {
-            // The time before an account's first use says nothing about its burn.
-            if account.used == 0.0 && account.burn_sum == 0.0 {
-                continue;
-            }
-            let rate = account.used / seconds;
-            account.burn_sum += (rate - account.burn_sum) * weight;
-            account.burn_weight += (1.0 - account.burn_weight) * weight;
-            account.burn = (account.burn_sum / account.burn_weight).max(0.0);
-            account.used = 0.0;
+            account.smooth_burn(elapsed);
         }
     }
 
@@ -367,7 +277,7 @@
         if let Some(plan) = &tenure.plan {
             return Some(plan.clone());
         }
-        let agents = self.agents_for(tenure);
+        let agents = tenure.agents_in_use(&self.wanted_agents);
         let named = agents == tenure.agents;
         let customers = self.customers_of(shard);
         let holds = self.has_holds(&customers);
@@ -396,14 +306,6 @@
         self.shards.get_mut(shard)?.cached.take()
     }
 
-    fn agents_for(&self, tenure: &ShardTenure) -> BTreeSet<AgentId> {
-        let unacked = tenure.unacked.values().flat_map(BTreeMap::keys);
-        let mut agents: BTreeSet<AgentId> = unacked.map(Arc::clone).collect();
-        agents.extend(tenure.busy_agents.keys().map(Arc::clone));
-        agents.extend(self.wanted_agents.iter().map(Arc::clone));
-        agents
-    }
-
     fn customers_of(&self, shard: &ShardName) -> Vec<CustomerId> {
         let homes = self.homes.iter().filter(|(_, home)| *home == shard);
         homes.map(|(customer, _)| Arc::clone(customer)).collect()
@@ -490,19 +392,8 @@
             let Some(account) = self.accounts.get_mut(customer) else {
                 continue;
             };
-            let room = limit.saturating_sub(rows.len()).min(account.unsettled.len());
-            let taken: Vec<BillRow> = account.unsettled.drain(..room).collect();
-            account.settling = taken.iter().map(BillRow::total).sum();
-            rows.extend(taken);
-            account.unseen = false;
-            let demand = GrantDemand {
-                burn: account.burn,
-                busy: account.held + account.unsettled_total(),
-                shortage: account.shortage(),
-                least: account.waiting.iter().min().copied().unwrap_or(0),
-                returning: account.returning,
-                prepaid: account.prepaid,
-            };
+            rows.extend(account.take_bills(limit.saturating_sub(rows.len())));
+            let demand = account.demand();
             demands.insert(Arc::clone(customer), demand);
         }
         Some(SyncPlan {
@@ -556,10 +447,8 @@
             };
             let known = content.accounts.get(customer);
             let grants = known.map(|known| &known.grants);
-            account.granted =
-                grants.and_then(|grants| grants.get(&self.entry)).copied().unwrap_or(0);
-            account.settling = 0;
-            account.returning -= demand.returning.min(account.returning);
+            let granted = grants.and_then(|grants| grants.get(&self.entry)).copied();
+            account.confirm(granted.unwrap_or(0), demand.returning);
         }
     }
 
@@ -568,7 +457,7 @@
         for customer in self.customers_of(shard) {
             let account = self.accounts.entry(customer).or_default();
             let prepaid = account.prepaid;
-            let left = std::mem::replace(account, GrantAccount { prepaid, ..Default::default() });
+            let left = std::mem::replace(account, GrantAccount::with_total(prepaid));
             let rows = left.unsettled;
             if let Some(tenure) = self.shards.get_mut(shard) {
                 tenure.late.extend(rows);
@@ -579,7 +468,7 @@
             let rows = plan.map(|plan| plan.rows).unwrap_or_default();
             let mut late = std::mem::take(&mut tenure.late);
             late.extend(rows);
-            *tenure = ShardTenure { late, ..ShardTenure::default() };
+            *tenure = ShardTenure::with_late(late);
         }
     }
 
@@ -597,22 +486,14 @@
     /// Notes that an agent dropped runs, or that its incarnation is gone with all it knew.
     pub fn note_acked(&mut self, agent: &AgentId, dropped: &BTreeSet<RunId>, gone: bool) {
         for tenure in self.shards.values_mut() {
-            for batch in tenure.unacked.values_mut() {
-                if let Some(runs) = batch.get_mut(agent) {
-                    runs.retain(|run| !gone && !dropped.contains(run));
-                }
-                batch.retain(|_, runs| !runs.is_empty());
-            }
-            tenure.unacked.retain(|_, batch| !batch.is_empty());
-            let oldest = tenure.unacked.keys().next().copied();
-            tenure.acked = oldest.map_or(tenure.applied, |sequence| sequence - 1);
+            tenure.note_acked(agent, dropped, gone);
         }
     }
 
     /// Tells whether nothing waits to be settled.
     pub fn is_settled(&self) -> bool {
-        let idle = |account: &GrantAccount| account.unsettled.is_empty() && account.settling == 0;
-        self.accounts.values().all(idle) && self.shards.values().all(|tenure| tenure.plan.is_none())
+        self.accounts.values().all(GrantAccount::is_settled)
+            && self.shards.values().all(|tenure| tenure.plan.is_none())
     }
 
     /// Returns the holders of a shard, as last seen.
@@ -660,35 +541,3 @@
         self.shards.get(shard).is_some_and(|tenure| tenure.epoch != 0)
     }
 }
-
-impl ShardTenure {
-    /// Returns the late bills whose tenure is known to be closed. Until it is, its reclaim decides
-    /// what is billed; and a sync that opens a tenure carries none, since after a lost answer it
-    /// could not be told from one that never took effect.
-    fn take_reclaimed_rows(&mut self) -> Vec<BillRow> {
-        let closed = self.cached.as_ref().map(|(_, shard)| &shard.closed);
-        let Some(closed) = closed.filter(|_| self.epoch != 0) else {
-            return Vec::new();
-        };
-        let late = std::mem::take(&mut self.late);
-        let (ready, waiting) = late.into_iter().partition(|row| closed.contains_key(&row.epoch));
-        self.late = waiting;
-        ready
-    }
-
-    fn note_applied(&mut self, plan: &SyncPlan) {
-        self.applied = plan.sequence;
-        self.agents.clone_from(&plan.agents);
-        let mut batch: BTreeMap<AgentId, Vec<RunId>> = BTreeMap::new();
-        for note in plan.rows.iter().flat_map(|row| &row.runs) {
-            batch.entry(Arc::clone(&note.agent)).or_default().push(Arc::clone(&note.run));
-        }
-        if batch.is_empty() {
-            if self.unacked.is_empty() {
-                self.acked = self.applied;
-            }
-            return;
-        }
-        self.unacked.insert(plan.sequence, batch);
-    }
-}
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -37,6 +37,7 @@
 //! # Ok::<(), toucanrail::budgets::BudgetError>(())
 //! ```
 
+pub mod accounts;
 pub mod archives;
 pub mod attempting;
 pub mod backends;
@@ -78,5 +79,6 @@
 pub mod settings;
 pub mod storecalls;
 pub mod syncs;
+pub mod tenures;
 pub mod traces;
 pub mod usages;
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -48,20 +48,18 @@
 
 fn pick_parts(table: &BackendTable, data_centre: &str, parts: &[(u64, u64); 3]) -> String {
     let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
-    let prompt = parts.iter().map(|part| part.tokens).sum();
-    let query = PlaceQuery {
-        data_centre,
-        parts: &parts,
-        prompt,
-        bounds: BOUNDS,
-        now: NOW,
-        dice: 0.5,
-        loads: &NO_LOADS,
-    };
+    let query = make_query(data_centre, &parts);
     let eligible = table.eligible("llm", &[], NOW);
     placing::pick_backend(&eligible, &query).expect("a server").entry.id.to_string()
 }
 
+/// Makes the query of a request whose prompt is these parts.
+fn make_query<'call>(data_centre: &'call str, parts: &'call [PromptPart]) -> PlaceQuery<'call> {
+    let prompt = parts.iter().map(|part| part.tokens).sum();
+    let loads = &NO_LOADS;
+    PlaceQuery { data_centre, parts, prompt, bounds: BOUNDS, now: NOW, dice: 0.5, loads }
+}
+
 fn flight(fresh: u64) -> FlightRow {
     FlightRow { sent_at: NOW, fresh, begun: false }
 }
@@ -109,16 +107,7 @@
     let source = |own: u64, shared: u64| {
         let parts = [(1, 500), (100, shared), (7, own)];
         let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
-        let prompt = parts.iter().map(|part| part.tokens).sum();
-        let query = PlaceQuery {
-            data_centre: "a",
-            parts: &parts,
-            prompt,
-            bounds: BOUNDS,
-            now: NOW,
-            dice: 0.5,
-            loads: &NO_LOADS,
-        };
+        let query = make_query("a", &parts);
         let target = placing::pick_backend(&eligible, &query).expect("a server");
         let source = placing::pick_source(&eligible, &query, target);
         source.map(|source| source.entry.id.to_string())
@@ -153,16 +142,7 @@
     for session in moved {
         let parts = [(1, 500), (session, 4_900), (7, 6_600)];
         let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
-        let prompt = 12_000;
-        let query = PlaceQuery {
-            data_centre: "a",
-            parts: &parts,
-            prompt,
-            bounds: BOUNDS,
-            now: NOW,
-            dice: 0.5,
-            loads: &NO_LOADS,
-        };
+        let query = make_query("a", &parts);
         let target = placing::pick_backend(&eligible, &query).expect("a server");
         let source = placing::pick_source(&eligible, &query, target).expect("a holder");
         assert_eq!(*source.entry.id, *homes[session as usize - 100]);
@@ -177,15 +157,7 @@
     let eligible = table.eligible("llm", &[], NOW);
     let parts = [(1, 500), (100, 4_900), (7, 33_000)];
     let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
-    let query = PlaceQuery {
-        data_centre: "a",
-        parts: &parts,
-        prompt: 38_400,
-        bounds: BOUNDS,
-        now: NOW,
-        dice: 0.5,
-        loads: &NO_LOADS,
-    };
+    let query = make_query("a", &parts);
     let candidates = placing::pick_candidates(&eligible, &query);
     assert_eq!(candidates.len(), 3);
     for free in &candidates {
