Soak: connections are delayed, reset, silenced and cut one way by loopback proxies

Change: proxies before each server and on both ways to the store; harmed_connections draws delays, resets, silence for good and one-way loss beside the other faults, and checks the same promises. Seeds and strikes of seeded_faults are as before.

--- a/toucanrail-gateway/tests/fault_soak.rs
+++ b/toucanrail-gateway/tests/fault_soak.rs
@@ -1,6 +1,7 @@
 //! A seeded soak: real gateways and relays under load, while they are killed, stopped, paused and cut
-//! off from the store, and servers lose, break off and mix up answers. It checks the promises from
-//! what callers and servers see.
+//! off from the store, and servers lose, break off and mix up answers. In a second round proxies also
+//! delay, reset, silence and cut one way the connections to servers and to the store. It checks the
+//! promises from what callers and servers see.
 //!
 //! `TOUCANRAIL_SOAK_SEEDS="1 2 3"` names the seeds; CI runs those of `SEEDS`, to which each seed that
 //! ever failed is added.
@@ -14,10 +15,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use platform::proxies::{Harm, Proxy};
 use platform::{Act, Backend, Message, Process, Store, request};
 
 /// Seeds of every CI run.
 const SEEDS: [u64; 2] = [1, 2];
+const HARMED_SEEDS: [u64; 2] = [1, 2];
 const LENGTH: Duration = Duration::from_secs(6);
 const TOTAL: u64 = 12_000;
 const PROMPT: u64 = 100;
@@ -177,10 +180,36 @@
     }
 }
 
-fn run_seed(seed: u64) -> Truth {
+/// Harms connections for a while, or for good where they go silent.
+fn harm_connections(dice: &mut fastrand::Rng, proxies: &[Proxy]) {
+    let proxy = &proxies[dice.usize(0..proxies.len())];
+    let time = Duration::from_millis(dice.u64(200..1_500));
+    match dice.u32(0..5) {
+        0 => proxy.reset(),
+        1 => proxy.silence(),
+        2 => proxy.set(Harm::Delay(Duration::from_millis(dice.u64(20..400)))),
+        3 => proxy.set(Harm::LoseAnswers),
+        _ => proxy.set(Harm::LoseRequests),
+    }
+    thread::sleep(time);
+    proxy.set(Harm::None);
+}
+
+fn run_seed(seed: u64, proxied: bool) -> Truth {
     let truth: Arc<Mutex<Truth>> = Arc::default();
     let store = Store::start();
-    let backends = [1, 2, 3].map(|at| make_backend(&format!("i-{at}"), seed * 10 + at, &truth));
+    let mut backends = [1, 2, 3].map(|at| make_backend(&format!("i-{at}"), seed * 10 + at, &truth));
+    let mut harmed = Vec::new();
+    let mut store = store;
+    if proxied {
+        harmed = vec![Proxy::start(store.address), Proxy::start(store.inner)];
+        store = store.behind(&harmed[0], &harmed[1]);
+        let servers = backends.each_ref().map(|backend| Proxy::start(backend.address));
+        for (backend, proxy) in backends.iter_mut().zip(&servers) {
+            *backend = backend.behind(proxy);
+        }
+        harmed.extend(servers);
+    }
     platform::configure_total(&store, 1, &backends.each_ref(), TOTAL);
     let relays = ["side-1", "side-2"].map(|vm| Process::start_relay(&store, vm));
     let gateways = [Process::start_gateway(&store), Process::start_gateway(&store)];
@@ -196,6 +225,9 @@
     let mut dice = fastrand::Rng::with_seed(seed);
     let start = Instant::now();
     while start.elapsed() < LENGTH {
+        if proxied && dice.bool() {
+            harm_connections(&mut dice, &harmed);
+        }
         strike(&mut dice, &store, &mut processes);
     }
     over.store(true, Ordering::Relaxed);
@@ -211,11 +243,22 @@
 /// overspent, nothing that may run once runs twice, "not run" is true, and what looks whole is whole.
 #[test]
 fn seeded_faults() {
+    run_seeds(&SEEDS, false);
+}
+
+/// The same while connections are delayed, reset, cut one way or silent for good. What an entry sent on
+/// such a connection may have run, whatever it hears.
+#[test]
+fn harmed_connections() {
+    run_seeds(&HARMED_SEEDS, true);
+}
+
+fn run_seeds(usual: &[u64], proxied: bool) {
     let given = std::env::var("TOUCANRAIL_SOAK_SEEDS").ok();
     let given =
         given.map(|text| text.split_whitespace().filter_map(|seed| seed.parse().ok()).collect());
-    for seed in given.unwrap_or(SEEDS.to_vec()) {
-        let truth = run_seed(seed);
+    for seed in given.unwrap_or(usual.to_vec()) {
+        let truth = run_seed(seed, proxied);
         println!("seed {seed}: {} attempts ran, {} served", truth.runs.len(), truth.served);
         assert!(truth.faults.is_empty(), "seed {seed}: {:?}", truth.faults);
         assert!(truth.served > 20, "seed {seed}: only {} served", truth.served);
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -4,6 +4,8 @@
 // Each test file uses its own part of this.
 #![allow(dead_code)]
 
+pub mod proxies;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -14,6 +16,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use self::proxies::Proxy;
 use serde_json::{Value, json};
 
 /// Longest wait for anything that a test waits for; a failure, not a pace.
@@ -160,6 +163,11 @@
         Self { state, address, inner, cut, blocked, watches }
     }
 
+    /// Returns the store as it is reached through proxies, by gateways and by relays.
+    pub fn behind(&self, gateways: &Proxy, relays: &Proxy) -> Self {
+        Self { address: gateways.address, inner: relays.address, ..self.clone() }
+    }
+
     /// Keeps calls for one kind waiting, or lets them go on.
     pub fn hold(&self, kind: &str, hold: bool) {
         let mut blocked = self.blocked.lock().expect("blocked kinds");
@@ -386,6 +394,11 @@
         Self { id: id.to_owned(), address, seen }
     }
 
+    /// Returns the server as it is reached through a proxy.
+    pub fn behind(&self, proxy: &Proxy) -> Self {
+        Self { address: proxy.address, ..self.clone() }
+    }
+
     /// Returns the requests it got.
     pub fn seen(&self) -> Vec<Message> {
         self.seen.lock().expect("requests").clone()
