A lender that does not answer is asked for a sign of life

Ruled out: the store (it answers), a dead process (a refused connection is found in a millisecond). Change: a draw without an answer for 150 ms asks the lender for a sign of life on a connection of its own; without one in 100 ms the next lender is asked. No second draw is made while a lender lives, so that shards keep one holder.

--- a/toucanrail-gateway/src/borrowing.rs
+++ b/toucanrail-gateway/src/borrowing.rs
@@ -3,10 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use smol::future::FutureExt;
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::{CustomerId, RequestId, ServiceName, Tokens};
 use toucanrail::loans::{self, LoanEnd, LoanId, LoanOrder, LoanReply};
@@ -19,6 +21,10 @@
 /// Longest wait for a lender's answer: one that has to ask the store first answers within about
 /// half of it, one that is cut off or frozen not at all.
 const DRAW_BOUND: Duration = Duration::from_millis(650);
+/// Wait for a lender's answer after which it is asked for a sign of life, and the longest wait for that:
+/// most orders are answered within some milliseconds.
+const LIFE_WAIT: Duration = Duration::from_millis(150);
+const LIFE_BOUND: Duration = Duration::from_millis(100);
 /// Lenders tried for one request.
 const LENDER_TRIES: usize = 2;
 /// Pause between messages with ends; those of the pause share one.
@@ -136,7 +142,7 @@
         };
         // Whatever cuts this call short, the loan is ended: one that nobody knows is never returned.
         let mut draft = LoanDraft { gateway, lender: &lender, loan: &loan, need, settled: false };
-        match peering::call_peer(gateway, &lender, address, DRAW_PATH, &order, DRAW_BOUND).await {
+        match draw_watched(gateway, &lender, address, &order).await {
             Ok(reply) => {
                 draft.settled = true;
                 gateway.desk.unanswered.set(false);
@@ -158,6 +164,27 @@
     None
 }
 
+/// Asks a lender for a loan, and gives one up early that does not live.
+///
+/// An order waits for up to 400 ms where the lender asks the store, and a frozen lender looks the same:
+/// each request waited for 650 ms until it was passed over, longer than callers bear.
+async fn draw_watched(
+    gateway: &Rc<Gateway>,
+    lender: &Arc<str>,
+    address: SocketAddr,
+    order: &LoanOrder,
+) -> io::Result<LoanReply> {
+    let drawing = peering::call_peer(gateway, lender, address, DRAW_PATH, order, DRAW_BOUND);
+    let watching = async {
+        smol::Timer::after(LIFE_WAIT).await;
+        if peering::is_alive(address, LIFE_BOUND).await {
+            std::future::pending::<()>().await;
+        }
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    drawing.or(watching).await
+}
+
 /// Reads a lender's reply; none where it is stopping and another is to be asked.
 fn read_reply(
     reply: LoanReply,
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -26,6 +26,9 @@
 /// beside the lender, if there is one.
 pub const LOAD_PATH: &str = "/load";
 
+/// Call with nothing, answered with `true` at once.
+pub const ALIVE_PATH: &str = "/alive";
+
 /// Longest time for which an order may wait; [`BudgetKeeper::take_hold`] waits for a fourth of it.
 const ORDER_TIME: Duration = Duration::from_millis(1_400);
 /// How often a stopping lender looks whether its loans have ended.
@@ -75,6 +78,7 @@
                 let order = calling::decode(&body)?;
                 calling::reply(&channel, &office.news.answer(&order).await).await?;
             }
+            ALIVE_PATH => calling::reply(&channel, &true).await?,
             LOAD_PATH => {
                 let load = match &office.gauge {
                     Some(gauge) => gauge.look().await,
--- a/toucanrail-gateway/src/peering.rs
+++ b/toucanrail-gateway/src/peering.rs
@@ -13,6 +13,7 @@
 use toucanrail_wire::channels::BufferedChannel;
 use toucanrail_wire::clocks;
 
+use crate::lending::ALIVE_PATH;
 use crate::states::Gateway;
 
 /// Longest wait for a connection: relays are some milliseconds away, a dead one answers nothing.
@@ -55,6 +56,15 @@
     }
 }
 
+/// Tells whether a relay answers on a connection of its own, whatever became of the kept ones.
+pub async fn is_alive(address: SocketAddr, bound: Duration) -> bool {
+    let asking = async {
+        let mut channel = BufferedChannel::connect(address).await?;
+        calling::call::<_, bool>(&mut channel, ALIVE_PATH, &()).await
+    };
+    clocks::within(bound, asking).await.unwrap_or(false)
+}
+
 /// Calls a relay, on a kept connection where there is one.
 pub async fn call_peer<Order, Reply>(
     gateway: &Gateway,
--- a/toucanrail-gateway/tests/lender_ends.rs
+++ b/toucanrail-gateway/tests/lender_ends.rs
@@ -1,8 +1,9 @@
-//! A lender that is stopped.
+//! A lender that is stopped, or freezes.
 
 mod platform;
 
 use std::thread;
+use std::time::{Duration, Instant};
 
 use platform::{Act, Backend, Process, Store, request};
 
@@ -58,3 +59,30 @@
     assert!(call("r3").starts_with("HTTP/1.1 200"));
     assert!(!store.granted("acme").keys().any(|holder| holder.starts_with("side-1")));
 }
+
+/// A relay's VM freezes. Its process answers nothing, while its kernel still takes connections: each
+/// request of its customers waited for 650 ms until the lender was passed over, and a first event that
+/// is due within half a second was late. A second lender has the budget well before that.
+#[test]
+fn frozen_lender() {
+    let store = Store::start();
+    let events = platform::chunk("id: 1\ndata: x\n\n");
+    let answer = [platform::STREAM, &events, "0\r\n\r\n"].concat();
+    let backend = Backend::start("i-1", move |_, _| Act::Answer(answer.clone()));
+    platform::configure_total(&store, 1, &[&backend], 100_000);
+    let relays = ["side-1", "side-2"].map(|vm| Process::start_relay(&store, vm));
+    let gateway = Process::start_gateway(&store);
+    thread::sleep(Duration::from_millis(1_200));
+    // Whichever of the two lends: one of these is the time of a frozen lender.
+    for relay in &relays {
+        relay.signal("STOP");
+        let more = format!("{}Connection: close\r\n", platform::PROMPT);
+        let text = request("POST", "/stream/a", "r1", &more, "p");
+        let start = Instant::now();
+        let got = platform::call_raw(gateway.callers, &text);
+        assert!(got.contains("id: 1"), "{got}");
+        assert!(start.elapsed() < Duration::from_millis(600), "{:?}", start.elapsed());
+        relay.signal("CONT");
+        thread::sleep(Duration::from_secs(4));
+    }
+}
