--- a/toucanrail-gateway/src/looking.rs
+++ b/toucanrail-gateway/src/looking.rs
@@ -1,8 +1,9 @@
 //! The look at servers' loads before a request is placed that would disturb others.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::io;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use toucanrail::backends::{BackendEntry, BackendId};
@@ -16,34 +17,38 @@
 /// Longest wait for all answers: a relay that is slow says as much of its server as none.
 const LOOK_BOUND: Duration = Duration::from_millis(60);
 
+/// What the servers that were asked have answered so far.
+type LoadBoard = Rc<RefCell<BTreeMap<BackendId, LoadReply>>>;
+
 /// Asks the relays beside some servers at the same time; those that do not answer are left out.
 pub async fn ask_loads(
     gateway: &Rc<Gateway>,
     servers: Vec<BackendEntry>,
 ) -> BTreeMap<BackendId, LoadReply> {
-    let mut loads = BTreeMap::new();
     if servers.is_empty() {
-        return loads;
+        return BTreeMap::new();
     }
-    let asking: Vec<_> = servers
-        .into_iter()
-        .map(|server| gateway.executor.spawn(ask_load(Rc::clone(gateway), server)))
-        .collect();
-    let collecting = async {
+    let board = LoadBoard::default();
+    let ask = |server| ask_load(Rc::clone(gateway), server, Rc::clone(&board));
+    let asking: Vec<_> =
+        servers.into_iter().map(|server| gateway.executor.spawn(ask(server))).collect();
+    let waiting = async {
         for task in asking {
-            loads.extend(task.await);
+            task.await;
         }
     };
-    clocks::bounded(LOOK_BOUND, collecting).await;
-    loads
+    clocks::bounded(LOOK_BOUND, waiting).await;
+    board.take()
 }
 
-async fn ask_load(gateway: Rc<Gateway>, server: BackendEntry) -> Option<(BackendId, LoadReply)> {
-    let (relay, address) = gateway.store.relay_at(server.address.ip())?;
-    let asked: std::io::Result<Option<LoadReply>> =
+async fn ask_load(gateway: Rc<Gateway>, server: BackendEntry, board: LoadBoard) {
+    let Some((relay, address)) = gateway.store.relay_at(server.address.ip()) else {
+        return;
+    };
+    let asked: io::Result<Option<LoadReply>> =
         peering::call_peer(&gateway, &relay, address, LOAD_PATH, &(), LOOK_BOUND).await;
-    let load = asked.inspect_err(|error| {
-        tracing::debug!(event = "look_failed", server = %server.id, %error);
-    });
-    load.ok().flatten().map(|load| (Arc::clone(&server.id), load))
+    match asked {
+        Ok(load) => board.borrow_mut().extend(load.map(|load| (server.id, load))),
+        Err(error) => tracing::debug!(event = "look_failed", server = %server.id, %error),
+    }
 }
--- a/toucanrail-gateway/src/registering.rs
+++ b/toucanrail-gateway/src/registering.rs
@@ -19,9 +19,9 @@
 const CALL_BOUND: Duration = Duration::from_secs(1);
 const WRITE_PAUSE: Duration = Duration::from_secs(1);
 /// Time between load reports of the server on the same VM: short against the time between two prompts
-/// under load, while its pace is found; after that, to see whether it changes.
+/// under load, while its pace is found; else, to see whether it changes or streams begin.
 const REPORT_PAUSE: Duration = Duration::from_millis(100);
-const SETTLED_PAUSE: Duration = Duration::from_secs(1);
+const CALM_PAUSE: Duration = Duration::from_secs(1);
 /// Least time between two writes of an entry; a server's pace rarely changes.
 const CHANGE_PAUSE: Duration = Duration::from_secs(5);
 
@@ -55,7 +55,7 @@
     let mut meter = PaceMeter::default();
     let mut written = clock.now();
     loop {
-        let pause = if meter.is_settled() { SETTLED_PAUSE } else { REPORT_PAUSE };
+        let pause = if meter.wants_reports() { REPORT_PAUSE } else { CALM_PAUSE };
         smol::Timer::after(pause).await;
         match gauge.read().await {
             Ok(report) => meter.take_report(&report, clock.now()),
--- a/toucanrail-gateway/src/storing.rs
+++ b/toucanrail-gateway/src/storing.rs
@@ -129,11 +129,12 @@
     pub async fn call(&self, call: &StoreCall) -> StoreReply {
         let (way, address) = self.ways.borrow().way();
         let asked = self.now();
-        let reply = self.client.call(address, call, self.patience.get().wait()).await;
+        let wait = self.patience.get().wait();
+        let reply = self.client.call(address, call, wait).await;
         // Calls run at the same time: what another one learnt meanwhile counts too.
         let mut patience = self.patience.get();
         if reply == StoreReply::Unavailable {
-            patience.note_silence();
+            patience.note_silence(wait);
             self.note_failure(&way);
         } else {
             patience.note_answer(self.now().saturating_sub(asked));
--- a/toucanrail/src/lanes.rs
+++ b/toucanrail/src/lanes.rs
@@ -27,8 +27,9 @@
 /// takes with such a step, in milliseconds; from the users' engine sheet.
 const STEP_TOKENS: Tokens = 4_096;
 const STEP_TIME: f64 = 76.0;
-/// Sessions of short prompts that a fast server is first for, against a slow one that takes only these. Short prompts are two
-/// fifths of all tokens read and slow servers a third of all servers, which are then equally busy.
+/// Sessions of short prompts that a fast server is first for, against a slow one that takes only these.
+/// Short prompts are two fifths of all tokens read and slow servers a third of all servers, which are then
+/// equally busy.
 const FAST_WEIGHT: f64 = 0.3;
 
 /// How a prompt's reading shows in the streams beside it.
--- a/toucanrail/src/paces.rs
+++ b/toucanrail/src/paces.rs
@@ -11,8 +11,8 @@
 
 use crate::ids::RequestId;
 
-/// Sequences of a batch that a server runs no slower than one: each of them lengthens a step by one in
-/// this many, by the users' engine sheet (0.102 ms of 3.09 ms).
+/// Sequences in a batch that double the time of a step: each lengthens it by 0.102 ms of 3.09, by the
+/// users' engine sheet.
 const BATCH_COST: f64 = 30.0;
 /// Fewest events of a run between two reports, times the root of the runs: one event more or less a run
 /// is then some 4 % of all.
@@ -75,6 +75,8 @@
     /// The first report of a time in which no prompt was read.
     anchor: Option<(Duration, BTreeMap<RequestId, u64>)>,
     samples: VecDeque<Duration>,
+    /// Whether anything ran at the last report.
+    is_busy: bool,
 }
 
 impl PaceMeter {
@@ -83,6 +85,7 @@
         if report.born != self.born {
             *self = Self { born: report.born, ..Self::default() };
         }
+        self.is_busy = !report.runs.is_empty();
         let rows = report.runs.iter().map(|run| (Arc::clone(&run.request), run.events));
         let events: BTreeMap<RequestId, u64> = rows.collect();
         let Some((then, before)) = &self.anchor else {
@@ -123,9 +126,9 @@
         Some(samples[samples.len() / 2])
     }
 
-    /// Tells whether more reports would say little more.
-    pub fn is_settled(&self) -> bool {
-        self.samples.len() == SAMPLE_LIMIT
+    /// Tells whether reports in quick succession would say more: streams run, and few were measured.
+    pub fn wants_reports(&self) -> bool {
+        self.is_busy && self.samples.len() < SAMPLE_LIMIT
     }
 }
 
--- a/toucanrail/src/patience.rs
+++ b/toucanrail/src/patience.rs
@@ -46,9 +46,10 @@
         self.wait = wait.clamp(WAIT_LEAST, WAIT_LIMIT);
     }
 
-    /// Notes that there was no answer in time.
-    pub fn note_silence(&mut self) {
-        self.wait = (self.wait * 2).min(WAIT_LIMIT);
+    /// Notes that there was no answer within the time that a call waited. Calls that run at the same
+    /// time and fail together lengthen the wait once.
+    pub fn note_silence(&mut self, waited: Duration) {
+        self.wait = self.wait.max(waited * 2).min(WAIT_LIMIT);
     }
 }
 
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -66,7 +66,7 @@
     pub bounds: StreamBounds,
     /// Time, since the process's start.
     pub now: Duration,
-    /// A draw in `0..1`, for a server that returns after failures.
+    /// A draw in `0..1`, for a server that returns after failures and for the servers that are looked at.
     pub dice: f64,
     /// What servers that were asked just now said of their load.
     pub loads: &'request BTreeMap<BackendId, LoadReply>,
--- a/toucanrail/tests/store_detours.rs
+++ b/toucanrail/tests/store_detours.rs
@@ -106,7 +106,7 @@
     let given_up = (0..40).filter(|_| {
         let silent = patience.wait() < answer;
         if silent {
-            patience.note_silence();
+            patience.note_silence(patience.wait());
         } else {
             patience.note_answer(answer);
         }
