Tests choose ports that no connection takes

Traced: 4 runs of 121 of that test program alone failed with "no readiness in 20s" (3 of 60, then 1 of the next 61 with logs kept). The gateway's only line is start_failed, "Address already in use"; the other nine started. The ports of a program lay partly in the range that the kernel gives to connections (32768 and up), 60 a program, of which lost_answers takes all 60 and begins anew. Ruled out: the product's code (the gateway ends as it should, with its line); load (1 of 61 failed on an idle machine). Change: 100 ports a program below that range, and a process that ends before it listens is started again with other ports. No assertion changed.

--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -27,11 +27,18 @@
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
+/// Ports of one test program, and the first of all: below those that the kernel gives to connections,
+/// which took one now and then between its choice and its use.
+const PORT_COUNT: u16 = 100;
+const PORT_BASE: u16 = 10_000;
+/// Test programs that get different ports.
+const PORT_BLOCKS: u32 = 200;
+
 /// Returns a port that nobody listens on, and the one behind it.
 fn free_ports() -> u16 {
     loop {
-        let base = 21_000 + (std::process::id() % 300) as u16 * 60;
-        let port = base + NEXT_PORT.fetch_add(2, Ordering::Relaxed) % 60;
+        let base = PORT_BASE + (std::process::id() % PORT_BLOCKS) as u16 * PORT_COUNT;
+        let port = base + NEXT_PORT.fetch_add(2, Ordering::Relaxed) % PORT_COUNT;
         let free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
         if free(port) && free(port + 1) {
             return port;
@@ -436,6 +443,8 @@
     child: Child,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    /// The address that it opens last.
+    last_address: SocketAddr,
     settings: PathBuf,
 }
 
@@ -460,7 +469,29 @@
         Self::start(env!("CARGO_BIN_EXE_toucanrail-relay"), store.inner, vm)
     }
 
+    /// Starts a process and waits until it listens; another one with other ports where it ended first,
+    /// as when a port was taken meanwhile.
     fn start(program: &'static str, store: SocketAddr, vm: &str) -> Self {
+        loop {
+            let mut process = Self::try_start(program, store, vm);
+            if process.listens() {
+                return process;
+            }
+        }
+    }
+
+    /// Tells whether the process came to listen; false if it ended.
+    fn listens(&mut self) -> bool {
+        let last = self.last_address;
+        let mut ended = false;
+        wait_until("a listener", || {
+            ended = self.child.try_wait().expect("a child").is_some();
+            ended || TcpStream::connect(last).is_ok()
+        });
+        !ended
+    }
+
+    fn try_start(program: &'static str, store: SocketAddr, vm: &str) -> Self {
         let port = || SocketAddr::from(([127, 0, 0, 1], free_ports()));
         let (callers, readiness, inner) = (port(), port(), free_ports());
         let text = format!(
@@ -475,7 +506,10 @@
         let settings = std::env::temp_dir().join(name);
         std::fs::write(&settings, text).expect("a settings file");
         let child = Self::spawn(program, &settings);
-        Self { program, child, callers, readiness, settings }
+        // A gateway opens its inner address last, a relay that for loans, one port behind.
+        let last = inner + u16::from(program.ends_with("relay"));
+        let last_address = SocketAddr::from(([127, 0, 0, 1], last));
+        Self { program, child, callers, readiness, last_address, settings }
     }
 
     fn spawn(program: &str, settings: &PathBuf) -> Child {
