Requests with small shared parts look for no source again

Found by reading the whole change: with fetches from any holder the early return of pick_source was lost, so that each short prompt divided and ranked all servers a second time for a source that it cannot have. Behaviour is the same: no server is expected to hold more than the shared tokens, and these are fewer than what is fetched. fmt, clippy and the tests of placing pass; no test changed.

--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -140,6 +140,9 @@
 ) -> Option<&'rows BackendRow> {
     let key = session_key(query)?;
     let shared = query.prompt.saturating_sub(own_tokens(query));
+    if shared < FETCH_LEAST {
+        return None;
+    }
     let held = |row: &BackendRow| row.held_tokens(query.parts).min(shared);
     let lanes = lanes::divide_rows(eligible, query.bounds);
     let takes_work = |lane: &&LaneRow<'_>| lane.row.takes_work(query.now);
