A stopping entry admits nothing while it gives its grants back

Ruled out: the balancer (it sends for two seconds, as before) and the lender, which refuses before it gives back. Change: once nothing is in flight the entry refuses for good, in the same step, and waits for what is in flight again after the settlement. Before: late_requests fails (requests that a server had got were cut off); after: it passes. The same shape was looked for in relays (leaving is set before the loans are waited for) and agents (leaving is set before the notice): not there.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -144,7 +144,8 @@
         return Ok(());
     };
     let grace = gateway.settings.grace.saturating_sub(since.elapsed());
-    if since.elapsed() < STOP_SERVE || timeout + STOP_MARGIN < grace {
+    let fits = since.elapsed() < STOP_SERVE || timeout + STOP_MARGIN < grace;
+    if fits && !gateway.closed.get() {
         return Ok(());
     }
     Err(EntryRefusal { code: codetable::STOPPING, retry_after: Some(grace + STOP_RETRY) })
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -89,6 +89,7 @@
         channels: ChannelPool::new(),
         clock,
         stopping: Cell::new(None),
+        closed: Cell::new(false),
         closes_idle: Cell::new(false),
         in_flight: Cell::new(0),
         leaving: Event::new(),
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -66,6 +66,8 @@
     pub clock: ProcessClock,
     /// When it was told to stop.
     pub stopping: Cell<Option<Instant>>,
+    /// Whether it admits no request any more.
+    pub closed: Cell<bool>,
     /// Whether idle callers' connections are closed.
     pub closes_idle: Cell<bool>,
     /// Requests in flight.
--- a/toucanrail-gateway/src/stopping.rs
+++ b/toucanrail-gateway/src/stopping.rs
@@ -17,6 +17,8 @@
 const IDLE_NOTICE: Duration = Duration::from_millis(2_500);
 /// Taken off the grace period: after that the platform kills.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_100);
+/// Taken off the grace period for the process's own end.
+const EXIT_MARGIN: Duration = Duration::from_millis(200);
 /// Longest wait for lenders to take the last ends.
 const ENDS_BOUND: Duration = Duration::from_millis(300);
 const STEP: Duration = Duration::from_millis(50);
@@ -56,15 +58,23 @@
     smol::Timer::after(IDLE_NOTICE).await;
     gateway.closes_idle.set(true);
     gateway.leaving.notify(usize::MAX);
-    let limit = gateway.settings.grace.saturating_sub(GRACE_MARGIN);
-    while gateway.in_flight.get() > 0 && since.elapsed() < limit {
-        smol::Timer::after(STEP).await;
-    }
+    let grace = gateway.settings.grace;
+    wait_idle(gateway, since, grace.saturating_sub(GRACE_MARGIN)).await;
+    // Before the waits below: what is admitted in one of them would be cut off at its end.
+    gateway.closed.set(true);
     clocks::bounded(ENDS_BOUND, borrowing::flush_ends(gateway)).await;
     budgeting::leave(&gateway.keeper).await;
+    wait_idle(gateway, since, grace.saturating_sub(EXIT_MARGIN)).await;
     tracing::info!(
         event = "stopped",
         in_flight = gateway.in_flight.get(),
         took_ms = since.elapsed().as_millis() as u64,
     );
 }
+
+/// Waits until nothing is in flight, at most until `limit` after the signal.
+async fn wait_idle(gateway: &Gateway, since: Instant, limit: Duration) {
+    while gateway.in_flight.get() > 0 && since.elapsed() < limit {
+        smol::Timer::after(STEP).await;
+    }
+}
--- a/toucanrail-gateway/tests/gateway_ends.rs
+++ b/toucanrail-gateway/tests/gateway_ends.rs
@@ -34,6 +34,42 @@
     assert!(gateway.wait_end());
 }
 
+/// An entry that is stopping saw that nothing was in flight, waited for the store to take its grants
+/// back, and cut off the requests that it had admitted meanwhile.
+#[test]
+fn late_requests() {
+    let store = Store::start();
+    let slow = ["PAUSE".repeat(30), platform::signed("whole")].concat();
+    let backend = Backend::start("i-1", move |_, message| match message.field("x-model") {
+        Some(_) => Act::Answer([platform::STREAM, "0\r\n\r\n"].concat()),
+        None => Act::Answer(slow.clone()),
+    });
+    platform::configure(&store, 1, &[&backend]);
+    let mut gateway = Process::start_gateway(&store);
+    let address = gateway.callers;
+    // The entry has a grant to give back, and the store does not take it.
+    let more = format!("{}Connection: close\r\n", platform::PROMPT);
+    platform::call_raw(address, &request("POST", "/stream/a", "r0", &more, "p"));
+    assert!(!store.granted("acme").is_empty());
+    store.hold("budgets", true);
+    gateway.signal("TERM");
+    thread::sleep(Duration::from_millis(2_600));
+    let call = |number: u32| {
+        thread::sleep(Duration::from_millis(40));
+        thread::spawn(move || {
+            let text =
+                request("POST", "/once/a", &format!("late-{number}"), "Connection: close\r\n", "p");
+            platform::try_raw(address, &text).unwrap_or_default()
+        })
+    };
+    let calls: Vec<_> = (0..30).map(call).collect();
+    let answers: Vec<String> = calls.into_iter().map(|call| call.join().unwrap()).collect();
+    assert!(gateway.wait_end());
+    let ran = backend.seen().iter().filter(|message| message.field("x-model").is_none()).count();
+    let whole = answers.iter().filter(|answer| answer.ends_with("whole")).count();
+    assert_eq!(whole, ran, "{answers:?}");
+}
+
 /// A caller goes away in the middle of its stream: its server must not work on.
 #[test]
 fn caller_gone() {
