The caller of overtaking_cancel leaves once its order is at the agent

Cause: the test's caller left 100 ms after it began to send, whether its order had left the entry or not. Ruled out: a lost order (the agent would have a run or a voided one), a bill that is missing. Change: the caller leaves when the agent has the order and the engine does not, which the test meant; the assertions stay.

--- a/toucanrail-daemons/tests/whole_answers.rs
+++ b/toucanrail-daemons/tests/whole_answers.rs
@@ -8,7 +8,8 @@
 use std::time::Instant;
 
 use fleet::{BOUND, Fleet, Process, authorized, right_text, stream_text};
-use serde_json::json;
+use serde_json::{Value, json};
+use smol::future::FutureExt;
 use toucanrail_standins::engines::EngineStandin;
 
 async fn start(fleet: &Fleet, count: usize) -> (Vec<EngineStandin>, Vec<Process>, Process) {
@@ -29,6 +30,11 @@
     spent.sum()
 }
 
+/// Tells whether an agent has a run that was not settled, by the dump of its state.
+fn has_run(state: &Value) -> bool {
+    state["ledger"]["runs"].as_object().is_some_and(|runs| !runs.is_empty())
+}
+
 /// The engine's answer is cut behind each of its first tokens in turn. The stream must go on
 /// behind the last whole event at another engine, and what both used must be settled.
 #[test]
@@ -217,14 +223,18 @@
 fn overtaking_cancel() {
     smol::block_on(async {
         let fleet = Fleet::start(50_000).await;
-        let (engines, _agents, entry) = start(&fleet, 1).await;
+        let (engines, agents, entry) = start(&fleet, 1).await;
         fleet.fetch(&entry, fleet.chat("warm", 2)).await.unwrap();
+        fleet.wait("the end", async || !has_run(&fleet.state(&agents[0]).await)).await;
         let before = spent(&engines);
         engines[0].faults.change(|plan| plan.late_ms = 300);
-        let patience = std::time::Duration::from_millis(100);
-        let call = fleet.chat("late", 100);
-        let answer = fleet.pool.open(entry.address, call, patience).await;
-        assert!(answer.is_err(), "it was to be late");
+        let call = fleet.pool.open(entry.address, fleet.chat("late", 100), BOUND);
+        let leaving = async {
+            fleet.wait("the order", async || has_run(&fleet.state(&agents[0]).await)).await;
+            None
+        };
+        let answer = async { Some(call.await) }.or(leaving).await;
+        assert!(answer.is_none(), "it was to be late");
         fleet.wait("the engine to get it", async || spent(&engines) > before).await;
         fleet.wait("the engine to stop", async || engines[0].running() == 0).await;
         let account = fleet.wait_billed(|| spent(&engines)).await;
