A silent server is looked at before its request is given up

Ruled out: servers that died (none did), and grants that were stranded (at the end every refused customer's account stood at its total). Change: silences decides by the report of the relay beside the server, which is fresh and free there: a request that runs without events, or may be in the queue, is waited for; one without a trace at two looks, or at a server that does not report, is lost. It is given up only where a retry is left. Requests that wait at one server share a report. Refusals for the budget are logged with customer, amount and account.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -200,6 +200,12 @@
         left: plan.left(),
     };
     let taken = borrowing::take_budget(gateway, &need).await;
+    if let Err(failure) = &taken {
+        tracing::info!(
+            event = "budget_refused", request = %need.request, customer = %need.customer,
+            prompt = need.prompt, output = need.output, stated = need.stated, failure = ?failure,
+        );
+    }
     taken.map(Some).map_err(|failure| match failure {
         HoldFailure::Uncovered => codetable::BUDGET_EXHAUSTED.into(),
         HoldFailure::Short => {
--- a/toucanrail-gateway/src/budgeting.rs
+++ b/toucanrail-gateway/src/budgeting.rs
@@ -149,7 +149,7 @@
         let waited = waiting.await;
         self.grants.borrow_mut().drop_shortage(customer, amount);
         let taken = waited.unwrap_or(Err(HoldFailure::Short));
-        if taken == Err(HoldFailure::Short) {
+        if taken.is_err() {
             self.log_short(customer, amount);
         }
         taken
--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -73,6 +73,9 @@
         }
         gateway.tables.borrow_mut().backends.take_paces(&gateway.store.paces());
         gateway.channels.sweep();
+        let tables = gateway.tables.borrow();
+        gateway.sights.retain(|server| tables.backends.get(server).is_some());
+        drop(tables);
         gateway.keeper.grants.borrow_mut().smooth_burn(now.saturating_sub(swept));
         swept = now;
     }
--- a/toucanrail-gateway/src/gauging.rs
+++ b/toucanrail-gateway/src/gauging.rs
@@ -29,13 +29,17 @@
         self.client.read_report(self.server, REPORT_BOUND).await
     }
 
-    /// Answers an entry; none if the server does not report.
+    /// Answers an entry's look before it places a prompt; none if the server does not report.
     pub async fn look(&self) -> Option<LoadReply> {
+        let report = self.see().await?;
+        let streaming = report.runs.iter().filter(|run| run.events > 0).count() as u64;
+        Some(LoadReply { reading: report.count_reading(), streaming })
+    }
+
+    /// Reads a report for an entry; none if the server does not report.
+    pub async fn see(&self) -> Option<LoadReport> {
         match self.read().await {
-            Ok(report) => {
-                let streaming = report.runs.iter().filter(|run| run.events > 0).count() as u64;
-                Some(LoadReply { reading: report.count_reading(), streaming })
-            }
+            Ok(report) => Some(report),
             Err(failure) => {
                 tracing::debug!(event = "report_failed", server = %self.server, %failure);
                 None
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -26,6 +26,9 @@
 /// beside the lender, if there is one.
 pub const LOAD_PATH: &str = "/load";
 
+/// Call with nothing, answered with the [`LoadReport`](toucanrail::paces::LoadReport) of that server.
+pub const REPORT_PATH: &str = "/report";
+
 /// Call with nothing, answered with `true` at once.
 pub const ALIVE_PATH: &str = "/alive";
 
@@ -86,6 +89,13 @@
                 };
                 calling::reply(&channel, &load).await?;
             }
+            REPORT_PATH => {
+                let report = match &office.gauge {
+                    Some(gauge) => gauge.see().await,
+                    None => None,
+                };
+                calling::reply(&channel, &report).await?;
+            }
             _ => return Err(io::ErrorKind::InvalidData.into()),
         }
     }
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod registering;
 pub mod relaying;
 pub mod sending;
+pub mod sighting;
 pub mod starting;
 pub mod states;
 pub mod stopping;
--- a/toucanrail-gateway/src/relaying.rs
+++ b/toucanrail-gateway/src/relaying.rs
@@ -8,16 +8,18 @@
 use toucanrail::attempting::AttemptFate;
 use toucanrail::events::EventScanner;
 use toucanrail::framing::BodyFramer;
+use toucanrail::silences::SilenceWatch;
 use toucanrail_wire::clocks;
 
 use crate::answering::CallerSide;
 use crate::sending::{AttemptContext, AttemptEnd, FailedAnswer, OpenExchange};
+use crate::sighting;
 use crate::states::FlightGuard;
 
 /// How often a stream's deadline and its pauses are looked at; one timer a stream, since a timer a
 /// read costs two system calls an event.
 const TICK: Duration = Duration::from_millis(200);
-/// Multiple of the accepted pause after which a stream that may be resumed goes on elsewhere.
+/// Multiple of the accepted pause after which the server of a stream that may be resumed is looked at.
 const STALL_FACTOR: u32 = 2;
 const STALL_LEAST: Duration = Duration::from_secs(1);
 /// Largest body that is read whole before it is passed on.
@@ -106,6 +108,8 @@
     let mut tick = Timer::interval(TICK);
     let mut pending = Vec::new();
     let mut heard = Instant::now();
+    let mut watch = SilenceWatch::default();
+    let before = stream.scanner.count;
     loop {
         let taken = exchange.framer.feed(&exchange.channel.buffer, &mut pending);
         exchange.channel.buffer.drain(..taken);
@@ -137,7 +141,9 @@
                 if plan.left().is_zero() {
                     return AttemptEnd::Ended(AttemptFate::TimedOut);
                 }
-                if context.may_move && heard.elapsed() > stall {
+                let received = stream.scanner.count - before;
+                let stalled = context.may_move && heard.elapsed() > stall;
+                if stalled && sighting::is_lost(context, &mut watch, received).await {
                     return AttemptEnd::Ended(cut_fate(caller));
                 }
             }
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -20,6 +20,7 @@
 use crate::admitting::CallPlan;
 use crate::answering::CallerSide;
 use crate::relaying::{self, StreamState};
+use crate::sighting;
 use crate::states::{FlightGuard, Gateway};
 
 /// Longest wait for a connection. A live server answers within some milliseconds, one that is full
@@ -33,7 +34,7 @@
 const HEAD_LIMIT: usize = 32 * 1024;
 /// Answers to other requests that are passed over on one connection before it is given up.
 const FOREIGN_LIMIT: u32 = 2;
-/// Multiple of the hoped-for time after which a repeatable request is tried elsewhere.
+/// Multiple of the hoped-for time after which the server of a repeatable request is looked at.
 const SILENCE_FACTOR: u32 = 2;
 /// Least such time; a stalled network must not double the load.
 const SILENCE_LEAST: Duration = Duration::from_millis(300);
@@ -141,13 +142,14 @@
     FlightGuard::new(gateway, &target.id, number)
 }
 
-/// Returns how long to wait for an answer before another server is tried.
-fn silence_bound(plan: &CallPlan<'_>, may_move: bool) -> Duration {
-    let left = plan.left();
-    if !may_move {
-        return left;
+/// Ends with `TimedOut` once a silent server is to be given up for another one.
+async fn watch_server<Value>(context: &AttemptContext<'_, '_>) -> io::Result<Value> {
+    if !context.may_move {
+        std::future::pending::<()>().await;
     }
-    left.min((plan.route.aim * SILENCE_FACTOR).max(SILENCE_LEAST))
+    let patience = (context.plan.route.aim * SILENCE_FACTOR).max(SILENCE_LEAST);
+    sighting::watch_silence(context, patience).await;
+    Err(io::ErrorKind::TimedOut.into())
 }
 
 async fn open_exchange(
@@ -172,9 +174,9 @@
     }
     let mut bytes = requests::write_order(plan.head, &order);
     bytes.extend_from_slice(plan.body);
-    let bound = silence_bound(plan, context.may_move);
     let exchange = exchange_heads(&mut channel, &bytes, &plan.facts.id);
-    let (head, sent_whole) = match clocks::within(bound, exchange).await {
+    let watched = exchange.or(watch_server(context));
+    let (head, sent_whole) = match clocks::within(plan.left(), watched).await {
         Ok(found) => found,
         Err(error) if error.kind() == io::ErrorKind::TimedOut => {
             let over = plan.left().is_zero();
--- /dev/null
+++ b/toucanrail-gateway/src/sighting.rs
@@ -0,0 +1,107 @@
+//! Looks at servers that do not answer, through the relays beside them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::lock::Mutex;
+use toucanrail::backends::{BackendEntry, BackendId};
+use toucanrail::paces::LoadReport;
+use toucanrail::silences::{RunSight, SilenceWatch};
+
+use crate::lending::REPORT_PATH;
+use crate::peering;
+use crate::sending::AttemptContext;
+use crate::states::Gateway;
+
+/// Longest wait for a relay, which asks the server beside it.
+const SIGHT_BOUND: Duration = Duration::from_millis(600);
+/// Age up to which the requests that wait at a server share a report.
+const SIGHT_AGE: Duration = Duration::from_millis(100);
+/// Time between two looks of one request.
+const SIGHT_PAUSE: Duration = Duration::from_millis(300);
+
+#[derive(Debug)]
+struct SightRow {
+    taken_at: Duration,
+    report: Option<LoadReport>,
+}
+
+/// The last report of each server that was looked at.
+#[derive(Debug, Default)]
+pub struct SightBoard {
+    rows: RefCell<BTreeMap<BackendId, Rc<Mutex<Option<SightRow>>>>>,
+}
+
+impl SightBoard {
+    fn row(&self, server: &BackendId) -> Rc<Mutex<Option<SightRow>>> {
+        let mut rows = self.rows.borrow_mut();
+        Rc::clone(rows.entry(Arc::clone(server)).or_default())
+    }
+
+    /// Forgets the servers that are gone.
+    pub fn retain<Known>(&self, is_known: Known)
+    where
+        Known: Fn(&BackendId) -> bool,
+    {
+        self.rows.borrow_mut().retain(|server, _| is_known(server));
+    }
+}
+
+/// Looks at one request at its server; none where the server or its relay does not answer.
+async fn see_run(context: &AttemptContext<'_, '_>) -> Option<RunSight> {
+    let AttemptContext { gateway, plan, target, .. } = *context;
+    let row = gateway.sights.row(&target.id);
+    // Held through the look: who comes meanwhile waits for this one.
+    let mut row = row.lock().await;
+    let now = gateway.now();
+    let seen = match row.take().filter(|row| now.saturating_sub(row.taken_at) < SIGHT_AGE) {
+        Some(seen) => seen,
+        None => SightRow { report: ask_report(gateway, target).await, taken_at: gateway.now() },
+    };
+    let sight = seen.report.as_ref().map(|report| RunSight::find(report, &plan.facts.id));
+    *row = Some(seen);
+    sight
+}
+
+async fn ask_report(gateway: &Gateway, server: &BackendEntry) -> Option<LoadReport> {
+    let (relay, address) = gateway.store.relay_at(server.address.ip())?;
+    let bound = SIGHT_BOUND;
+    let asked = peering::call_peer(gateway, &relay, address, REPORT_PATH, &(), bound).await;
+    asked.unwrap_or_else(|error| {
+        tracing::debug!(event = "look_failed", server = %server.id, %error);
+        None
+    })
+}
+
+/// Waits until a server that does not answer is to be given up: it has no trace of the request, or there
+/// is no sign of the server itself, and a further attempt is allowed.
+pub async fn watch_silence(context: &AttemptContext<'_, '_>, patience: Duration) {
+    let mut watch = SilenceWatch::default();
+    smol::Timer::after(patience).await;
+    while !is_lost(context, &mut watch, 0).await {
+        smol::Timer::after(SIGHT_PAUSE).await;
+    }
+}
+
+/// Takes a look for one request that has `received` events, and tells whether it is to be given up.
+pub async fn is_lost(
+    context: &AttemptContext<'_, '_>,
+    watch: &mut SilenceWatch,
+    received: u64,
+) -> bool {
+    let AttemptContext { gateway, plan, target, .. } = *context;
+    let sight = see_run(context).await;
+    let lost = watch.is_lost(sight, received);
+    let may_retry = gateway.may_retry(&plan.service);
+    if lost {
+        tracing::info!(
+            event = "silence_judged", request = %plan.facts.id, server = %target.id, may_retry,
+            received, seen = sight.is_some(), waiting = sight.map(|sight| sight.waiting),
+            events = sight.and_then(|sight| sight.events),
+        );
+    }
+    lost && may_retry
+}
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -25,6 +25,7 @@
 use crate::following;
 use crate::inspecting;
 use crate::peering::PeerRests;
+use crate::sighting::SightBoard;
 use crate::states::{Gateway, GatewayTables};
 use crate::stopping;
 use crate::storing::{self, StoreAccess, UNMEASURED_REFRESH};
@@ -83,6 +84,7 @@
         keeper: Rc::new(keeper),
         desk: LoanDesk::default(),
         boards: PeerRests::default(),
+        sights: SightBoard::default(),
         board,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -21,6 +21,7 @@
 use crate::borrowing::LoanDesk;
 use crate::budgeting::BudgetKeeper;
 use crate::peering::PeerRests;
+use crate::sighting::SightBoard;
 use crate::storing::StoreAccess;
 
 /// Part of the fleet's retries that entries divide among themselves. Their windows end at different
@@ -80,6 +81,8 @@
     pub desk: LoanDesk,
     /// Boards that are passed over.
     pub boards: PeerRests,
+    /// Reports of servers that did not answer.
+    pub sights: SightBoard,
 }
 
 impl Gateway {
@@ -121,6 +124,12 @@
         self.with_budget(service, |budget| budget.try_spend(now))
     }
 
+    /// Tells whether a service's budget has a retry left.
+    pub fn may_retry(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.may_spend(now))
+    }
+
     fn with_budget<Value, Work>(&self, service: &ServiceName, work: Work) -> Value
     where
         Work: FnOnce(&mut RetryBudget) -> Value,
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -453,27 +453,34 @@
 impl Process {
     /// Starts a gateway and waits until it is ready.
     pub fn start_gateway(store: &Store) -> Self {
-        let process =
-            Self::start(env!("CARGO_BIN_EXE_toucanrail-gateway"), store.address, "front-1");
+        let process = Self::start_unready(store);
         process.wait_ready(true);
         process
     }
 
     /// Starts a gateway that finds no configuration.
     pub fn start_unready(store: &Store) -> Self {
-        Self::start(env!("CARGO_BIN_EXE_toucanrail-gateway"), store.address, "front-1")
+        Self::start(env!("CARGO_BIN_EXE_toucanrail-gateway"), store.address, "front-1", None)
     }
 
     /// Starts a relay.
     pub fn start_relay(store: &Store, vm: &str) -> Self {
-        Self::start(env!("CARGO_BIN_EXE_toucanrail-relay"), store.inner, vm)
+        Self::start(env!("CARGO_BIN_EXE_toucanrail-relay"), store.inner, vm, None)
+    }
+
+    /// Starts the relay beside a backend server and waits until the store knows it.
+    pub fn start_relay_beside(store: &Store, vm: &str, backend: &Backend) -> Self {
+        let program = env!("CARGO_BIN_EXE_toucanrail-relay");
+        let process = Self::start(program, store.inner, vm, Some(backend.address));
+        wait_until("the relay", || store.has("relays", vm));
+        process
     }
 
     /// Starts a process and waits until it listens; another one with other ports where it ended first,
     /// as when a port was taken meanwhile.
-    fn start(program: &'static str, store: SocketAddr, vm: &str) -> Self {
+    fn start(program: &'static str, store: SocketAddr, vm: &str, app: Option<SocketAddr>) -> Self {
         loop {
-            let mut process = Self::try_start(program, store, vm);
+            let mut process = Self::try_start(program, store, vm, app);
             if process.listens() {
                 return process;
             }
@@ -491,11 +498,17 @@
         !ended
     }
 
-    fn try_start(program: &'static str, store: SocketAddr, vm: &str) -> Self {
+    fn try_start(
+        program: &'static str,
+        store: SocketAddr,
+        vm: &str,
+        app: Option<SocketAddr>,
+    ) -> Self {
         let port = || SocketAddr::from(([127, 0, 0, 1], free_ports()));
         let (callers, readiness, inner) = (port(), port(), free_ports());
+        let app = app.map_or(String::new(), |app| format!("app = \"{app}\"\n"));
         let text = format!(
-            "node = \"{vm}\"\nzone = \"a\"\nip = \"127.0.0.1\"\ninternal_ports = [{inner}, {}]\n\
+            "{app}node = \"{vm}\"\nzone = \"a\"\nip = \"127.0.0.1\"\ninternal_ports = [{inner}, {}]\n\
              [listen]\nfront = \"{callers}\"\nreadiness_address = \"{readiness}\"\n\
              [bounds]\ngrace_s = 4\nretry_budget_ratio = 0.2\nbudget_slack = 52\nbudget_window_s = 10\n\
              [provider]\naddress = \"{store}\"\n",
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod seals;
 pub mod servers;
 pub mod settings;
+pub mod silences;
 pub mod storecalls;
 pub mod syncs;
 pub mod tenures;
--- a/toucanrail/src/paces.rs
+++ b/toucanrail/src/paces.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::RequestId;
 
 /// Sequences in a batch that double the time of a step: each lengthens it by 0.102 ms of 3.09, by the
@@ -32,7 +34,7 @@
 const CHANGE_PART: f64 = 0.08;
 
 /// A run, as its server reports it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRow {
     /// The request.
     pub request: RequestId,
@@ -41,7 +43,7 @@
 }
 
 /// What a server says of its load.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// When the server started, in Unix milliseconds; after another start all counts begin anew.
     pub born: u64,
--- a/toucanrail/src/retries.rs
+++ b/toucanrail/src/retries.rs
@@ -91,6 +91,25 @@
     /// assert_eq!(spent, 10);
     /// ```
     pub fn try_spend(&mut self, now: Duration) -> bool {
+        if !self.may_spend(now) {
+            self.refused += 1;
+            return false;
+        }
+        self.step_at(now).spent += 1;
+        true
+    }
+
+    /// Tells whether a retry would be allowed now.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// let mut budget = toucanrail::retries::RetryBudget::new();
+    /// assert!(budget.may_spend(Duration::ZERO));
+    /// while budget.try_spend(Duration::ZERO) {}
+    /// assert!(!budget.may_spend(Duration::ZERO));
+    /// ```
+    pub fn may_spend(&mut self, now: Duration) -> bool {
         let current = self.step_at(now).number;
         let RetryBounds { share, reserve, .. } = self.bounds;
         // A step that lies half outside counts for what was spent, and not for what allows more.
@@ -98,12 +117,7 @@
             self.steps.iter().filter(|step| step.number + u64::from(WINDOW_STEPS) > current);
         let fresh: u32 = recent.map(|step| step.fresh).sum();
         let spent: u32 = self.steps.iter().map(|step| step.spent).sum();
-        if f64::from(spent + 1) > reserve + share * f64::from(fresh) {
-            self.refused += 1;
-            return false;
-        }
-        self.step_at(now).spent += 1;
-        true
+        f64::from(spent + 1) <= reserve + share * f64::from(fresh)
     }
 
     /// Returns the step of a moment, and forgets those that no window with it reaches.
--- /dev/null
+++ b/toucanrail/src/silences.rs
@@ -0,0 +1,73 @@
+//! Whether a server that does not answer still works on a request.
+//!
+//! The load it answers: more prompts than servers read in time. A request that waits in a server's queue
+//! looks like one at a dead server. Taken for lost it is read in vain, may not be said not to have run,
+//! and is sent once more where others wait already.
+
+use crate::ids::RequestId;
+use crate::paces::LoadReport;
+
+/// Looks in a row that must find no trace of a request before it is given up: the answer may be on its
+/// way at the first.
+const MISS_LIMIT: u32 = 2;
+
+/// What the relay beside a server sees of one request there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunSight {
+    /// Requests in the server's queue; it does not name them.
+    pub waiting: u64,
+    /// Events made so far; none if the request does not run.
+    pub events: Option<u64>,
+}
+
+impl RunSight {
+    /// Finds a request in its server's report.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::paces::{LoadReport, RunRow};
+    /// use toucanrail::silences::RunSight;
+    /// let runs = vec![RunRow { request: "r".into(), events: 3 }];
+    /// let report = LoadReport { runs, ..LoadReport::default() };
+    /// assert_eq!(RunSight::find(&report, &"r".into()).events, Some(3));
+    /// assert_eq!(RunSight::find(&report, &"s".into()).events, None);
+    /// ```
+    pub fn find(report: &LoadReport, request: &RequestId) -> Self {
+        let run = report.runs.iter().find(|run| run.request == *request);
+        Self { waiting: report.waiting, events: run.map(|run| run.events) }
+    }
+
+    /// Tells whether the server may still be about to make the event behind those received.
+    fn explains(self, received: u64) -> bool {
+        match self.events {
+            Some(events) => events <= received,
+            None => received == 0 && self.waiting > 0,
+        }
+    }
+}
+
+/// The looks at one silent server.
+#[derive(Debug, Default)]
+pub struct SilenceWatch {
+    misses: u32,
+}
+
+impl SilenceWatch {
+    /// Takes a look, none where the server or its relay did not answer; true if the request is lost.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::silences::{RunSight, SilenceWatch};
+    /// let mut watch = SilenceWatch::default();
+    /// let queued = RunSight { waiting: 4, events: None };
+    /// assert!(!watch.is_lost(Some(queued), 0));
+    /// assert!(watch.is_lost(None, 0));
+    /// ```
+    pub fn is_lost(&mut self, sight: Option<RunSight>, received: u64) -> bool {
+        let Some(sight) = sight else {
+            return true;
+        };
+        self.misses = if sight.explains(received) { 0 } else { self.misses + 1 };
+        self.misses >= MISS_LIMIT
+    }
+}
