--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -1,23 +1,19 @@
 //! One admitted request: servers are tried until it has its answer or none may be tried any more.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use toucanrail::attempting::{AttemptFate, AttemptTally, NextStep};
-use toucanrail::backends::{BackendEntry, BackendId, BackendRow};
+use toucanrail::backends::{BackendEntry, BackendId};
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
-use toucanrail::lanes::StreamBounds;
-use toucanrail::messages::LoadReply;
 use toucanrail::placing::{self, PlaceQuery};
 
 use crate::admitting::CallPlan;
 use crate::answering::{self, CallerSide};
 use crate::borrowing::BudgetGuard;
-use crate::looking;
 use crate::relaying::StreamState;
 use crate::sending::{self, AttemptContext, AttemptEnd, FailedAnswer};
 use crate::states::Gateway;
@@ -77,7 +73,7 @@
 impl DispatchRun<'_, '_> {
     async fn serve(&mut self, caller: &mut CallerSide) -> RequestEnd {
         loop {
-            let Some((target, source)) = self.pick_target().await else {
+            let Some((target, source)) = self.pick_target() else {
                 let step = self.tally.give_up(self.last_fate());
                 return self.finish(step, caller).await;
             };
@@ -115,45 +111,22 @@
     }
 
     /// Picks the server, and the one that holds the prompt's shared parts where that is another.
-    async fn pick_target(&self) -> Option<(BackendEntry, Option<SocketAddr>)> {
-        let dice = fastrand::f64();
-        let servers = self.with_choice(dice, &BTreeMap::new(), |eligible, query| {
-            let rows = placing::pick_candidates(eligible, query);
-            rows.iter().map(|row| row.entry.clone()).collect::<Vec<_>>()
-        });
-        let loads = looking::ask_loads(self.gateway, servers).await;
-        self.with_choice(dice, &loads, |eligible, query| {
-            let row = placing::pick_backend(eligible, query)?;
-            let source = placing::pick_source(eligible, query, row);
-            Some((row.entry.clone(), source.map(|source| source.entry.address)))
-        })
-    }
-
-    /// Decides by what is known now.
-    fn with_choice<Choice, Decide>(
-        &self,
-        dice: f64,
-        loads: &BTreeMap<BackendId, LoadReply>,
-        decide: Decide,
-    ) -> Choice
-    where
-        Decide: FnOnce(&[&BackendRow], &PlaceQuery<'_>) -> Choice,
-    {
+    fn pick_target(&self) -> Option<(BackendEntry, Option<SocketAddr>)> {
         let now = self.gateway.now();
         let tables = self.gateway.tables.borrow();
         let eligible = tables.backends.eligible(&self.plan.service, &self.tried, now);
         let prompt = self.plan.facts.prompt.as_ref();
-        let stride = tables.routes.stride(&self.plan.service);
         let query = PlaceQuery {
             data_centre: &self.gateway.settings.data_centre,
             parts: prompt.map_or(&[], |prompt| &prompt.parts),
             prompt: prompt.map_or(0, |prompt| prompt.prompt),
-            bounds: StreamBounds { stride, pause: self.plan.route.gap },
+            pause: self.plan.route.gap,
             now,
-            dice,
-            loads,
+            dice: fastrand::f64(),
         };
-        decide(&eligible, &query)
+        let row = placing::pick_backend(&eligible, &query)?;
+        let source = placing::pick_source(&eligible, &query, row);
+        Some((row.entry.clone(), source.map(|source| source.entry.address)))
     }
 
     async fn attempt(
--- a/toucanrail-gateway/src/gauging.rs
+++ b/toucanrail-gateway/src/gauging.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use toucanrail::messages::LoadReply;
 use toucanrail::paces::LoadReport;
 use toucanrail_platform::stores::{StoreClient, StoreFailure};
 
@@ -29,13 +28,6 @@
         self.client.read_report(self.server, REPORT_BOUND).await
     }
 
-    /// Answers an entry's look before it places a prompt; none if the server does not report.
-    pub async fn look(&self) -> Option<LoadReply> {
-        let report = self.see().await?;
-        let streaming = report.runs.iter().filter(|run| run.events > 0).count() as u64;
-        Some(LoadReply { reading: report.count_reading(), streaming })
-    }
-
     /// Reads a report for an entry; none if the server does not report.
     pub async fn see(&self) -> Option<LoadReport> {
         match self.read().await {
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -22,11 +22,8 @@
 /// Call with some [`LoanEnd`]s, answered with `true`.
 pub const END_PATH: &str = "/loans/end";
 
-/// Call with nothing, answered with the [`LoadReply`](toucanrail::messages::LoadReply) of the server
-/// beside the lender, if there is one.
-pub const LOAD_PATH: &str = "/load";
-
-/// Call with nothing, answered with the [`LoadReport`](toucanrail::paces::LoadReport) of that server.
+/// Call with nothing, answered with the [`LoadReport`](toucanrail::paces::LoadReport) of the server beside
+/// the lender, if there is one.
 pub const REPORT_PATH: &str = "/report";
 
 /// Call with nothing, answered with `true` at once.
@@ -82,13 +79,6 @@
                 calling::reply(&channel, &office.news.answer(&order).await).await?;
             }
             ALIVE_PATH => calling::reply(&channel, &true).await?,
-            LOAD_PATH => {
-                let load = match &office.gauge {
-                    Some(gauge) => gauge.look().await,
-                    None => None,
-                };
-                calling::reply(&channel, &load).await?;
-            }
             REPORT_PATH => {
                 let report = match &office.gauge {
                     Some(gauge) => gauge.see().await,
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -37,7 +37,6 @@
 pub mod lending;
 pub mod listening;
 pub mod logging;
-pub mod looking;
 pub mod mirroring;
 pub mod peering;
 pub mod registering;
--- a/toucanrail/src/messages.rs
+++ b/toucanrail/src/messages.rs
@@ -325,15 +325,6 @@
     pub removed: bool,
 }
 
-/// What the relay beside a server says of the server's load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReply {
-    /// Prompts that wait or are being read.
-    pub reading: u64,
-    /// Streams that are under way, which the reading of another prompt pauses.
-    pub streaming: u64,
-}
-
 /// Asks a board what changed in a kind of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewsOrder {
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -3,15 +3,11 @@
 //! The load it answers: long prompts that delay every stream beside them, prompt parts that are
 //! cached at some servers, and other entries that place at the same time without a word.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use xxhash_rust::xxh3;
-
-use crate::backends::{BackendId, BackendRow, PromptPart};
+use crate::backends::{BackendRow, PromptPart};
+use crate::homes::{self, SpeedRow};
 use crate::ids::Tokens;
-use crate::lanes::{self, LaneRow, PromptSize, ServerLane, StreamBounds};
-use crate::messages::LoadReply;
 
 /// Prompt tokens that an engine reads in a millisecond; from the users' engine sheet.
 const READ_RATE: f64 = 56.9;
@@ -36,23 +32,6 @@
 const FETCH_LEAST: Tokens = 1_024;
 /// Part of the pause that streams bear which the reading of one prompt may take beside them.
 const PAUSE_PART: f64 = 0.35;
-/// Cost of a long prompt among other streams, in milliseconds: each of them pauses for too long.
-const DISTURB_COST: f64 = 2_000.0;
-/// Cost of a stream at a server that is set aside, in milliseconds: long prompts pause it.
-const PAUSED_COST: f64 = 400.0;
-/// Cost of a medium prompt at a slow server, in milliseconds: with another one it pauses all streams.
-const CROWDING_COST: f64 = 300.0;
-
-/// Servers that are looked at before a long prompt is placed.
-const LOOK_COUNT: usize = 4;
-/// Cost of a prompt that is being read at a server for long prompts, in milliseconds: what is left of it.
-const READING_COST: f64 = 300.0;
-/// Cost of a stream that is under way there, in milliseconds: a prompt of more than six steps pauses it
-/// for too long.
-const STREAMING_COST: f64 = 100.0;
-/// Cost of such a server that was not looked at: it reads a third of the time, and streams one.
-const UNSEEN_COST: f64 = 200.0;
-
 /// What the choice depends on besides the servers.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceQuery<'request> {
@@ -62,26 +41,22 @@
     pub parts: &'request [PromptPart],
     /// All prompt tokens; 0 for a plain service.
     pub prompt: Tokens,
-    /// What the streams of the route bear.
-    pub bounds: StreamBounds,
+    /// Longest pause between events that callers bear; 0 for a plain service.
+    pub pause: Duration,
     /// Time, since the process's start.
     pub now: Duration,
-    /// A draw in `0..1`, for a server that returns after failures and for the servers that are looked at.
+    /// A draw in `0..1`, for a server that returns after failures.
     pub dice: f64,
-    /// What servers that were asked just now said of their load.
-    pub loads: &'request BTreeMap<BackendId, LoadReply>,
 }
 
 /// Picks the server with the least expected cost.
 ///
 /// # Examples
 /// ```
-/// use toucanrail::lanes::StreamBounds;
 /// use toucanrail::placing::{self, PlaceQuery};
 /// let query = PlaceQuery {
-///     data_centre: "a", parts: &[], prompt: 0,
-///     bounds: StreamBounds { stride: 1, pause: Default::default() },
-///     now: Default::default(), dice: 0.5, loads: &Default::default(),
+///     data_centre: "a", parts: &[], prompt: 0, pause: Default::default(),
+///     now: Default::default(), dice: 0.5,
 /// };
 /// assert!(placing::pick_backend(&[], &query).is_none());
 /// ```
@@ -92,47 +67,22 @@
     let ramped = eligible.iter().filter(|row| row.ejection.is_ramped(query.now, query.dice));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
     let rows = if ramped.is_empty() { eligible } else { &ramped };
-    let lanes = lanes::divide_rows(rows, query.bounds);
-    let size = prompt_size(query);
-    let home = session_key(query).and_then(|key| lanes::rank_first(&lanes, size, key));
-    let cost = |lane: &LaneRow<'_>| {
-        let is_home = home.is_some_and(|home| home.row.entry.id == lane.row.entry.id);
-        estimate_cost(lane, query, is_home) + misplaced_cost(lane, size, &lanes)
+    let rows = homes::weigh_rows(rows);
+    let home = session_key(query).and_then(|key| homes::rank_first(&rows, key));
+    let cost = |one: &SpeedRow<'_>| {
+        let is_home = home.is_some_and(|home| home.row.entry.id == one.row.entry.id);
+        estimate_cost(one, query, is_home)
     };
-    let best = lanes.iter().min_by(|one, other| cost(one).total_cmp(&cost(other)));
-    best.map(|lane| lane.row)
-}
-
-/// Returns the servers whose load should be looked at before a request is placed; none where a wrong
-/// guess costs little.
-///
-/// A long prompt behind another one waits for half a second, and the streams of both then pause for the
-/// other. Entries do not know one another's prompts: with a third of the time taken at each server, one
-/// in three was placed behind another. Of four servers that are looked at, one is nearly always free.
-pub fn pick_candidates<'rows>(
-    eligible: &[&'rows BackendRow],
-    query: &PlaceQuery<'_>,
-) -> Vec<&'rows BackendRow> {
-    let size = prompt_size(query);
-    if size != PromptSize::Long {
-        return Vec::new();
-    }
-    let lanes = lanes::divide_rows(eligible, query.bounds);
-    let suits = lanes.iter().filter(|lane| lane.suits(size) && lane.row.takes_work(query.now));
-    let mut rows: Vec<&BackendRow> = suits.map(|lane| lane.row).collect();
-    let seed = query.dice.to_bits();
-    rows.sort_by_cached_key(|row| xxh3::xxh3_64_with_seed(row.entry.id.as_bytes(), seed));
-    rows.truncate(LOOK_COUNT);
-    rows
+    let best = rows.iter().min_by(|one, other| cost(one).total_cmp(&cost(other)));
+    best.map(|best| best.row)
 }
 
 /// Returns the server from which `target` may fetch shared parts of the prompt; none where no other is
 /// known to hold more of them.
 ///
-/// A session's ordinary prompts go to one server, so that it holds the session's part. What is placed
-/// elsewhere, as a long prompt is, would have it read a second time: 95 ms for 5,400 tokens, in which
-/// every stream beside it pauses, against some five for the transfer. The same holds for the parts that
-/// many sessions share, and for a session whose first server is another one now.
+/// A session's prompts go to one server, so that it holds the session's part. What is placed elsewhere
+/// would have it read a second time, while every stream beside it pauses. The same holds for the parts
+/// that many sessions share, and for a session whose first server is another one now.
 pub fn pick_source<'rows>(
     eligible: &[&'rows BackendRow],
     query: &PlaceQuery<'_>,
@@ -144,45 +94,24 @@
         return None;
     }
     let held = |row: &BackendRow| row.held_tokens(query.parts).min(shared);
-    let lanes = lanes::divide_rows(eligible, query.bounds);
-    let takes_work = |lane: &&LaneRow<'_>| lane.row.takes_work(query.now);
-    let working: Vec<LaneRow<'_>> = lanes.iter().filter(takes_work).copied().collect();
-    // The session's other prompts are no long ones.
-    let size = PromptSize::of(query.prompt, false);
-    let home = lanes::rank_first(&working, size, key).map(|home| home.row);
+    let working: Vec<&BackendRow> =
+        eligible.iter().copied().filter(|row| row.takes_work(query.now)).collect();
+    let home = homes::rank_first(&homes::weigh_rows(&working), key).map(|home| home.row);
     let is_home = |row: &BackendRow| home.is_some_and(|home| home.entry.id == row.entry.id);
-    let others = working.iter().map(|lane| lane.row);
-    let others = others.filter(|row| row.entry.id != target.entry.id);
+    let others = working.into_iter().filter(|row| row.entry.id != target.entry.id);
     // The other entries send the shared parts to their first server too, so it holds them.
     let expected = |row: &BackendRow| if is_home(row) { shared } else { held(row) };
     let source = others.max_by_key(|row| expected(row))?;
     (expected(source) >= held(target) + FETCH_LEAST).then_some(source)
 }
 
-fn prompt_size(query: &PlaceQuery<'_>) -> PromptSize {
-    PromptSize::of(query.prompt, reads_long(query))
-}
-
-/// Returns what it costs others, and the request itself, to be placed at a server for other prompts.
-fn misplaced_cost(lane: &LaneRow<'_>, size: PromptSize, lanes: &[LaneRow<'_>]) -> f64 {
-    if lane.suits(size) || !lanes.iter().any(|lane| lane.suits(size)) {
-        return 0.0;
-    }
-    match (lane.lane, size) {
-        (ServerLane::Long, _) => PAUSED_COST,
-        (_, PromptSize::Long) => DISTURB_COST,
-        _ => CROWDING_COST,
-    }
-}
-
 /// Tells whether the reading of a prompt pauses the streams beside it for longer than they bear.
 ///
 /// An engine reads a prompt in chunks between the tokens of the other streams: at 57 tokens a
 /// millisecond, 30,000 tokens hold up the seven tokens of one event for 540 ms and more.
 fn reads_long(query: &PlaceQuery<'_>) -> bool {
     let reading = own_tokens(query) as f64 / READ_RATE;
-    reading > query.bounds.pause.as_secs_f64() * 1_000.0 * PAUSE_PART
-        && !query.bounds.pause.is_zero()
+    reading > query.pause.as_secs_f64() * 1_000.0 * PAUSE_PART && !query.pause.is_zero()
 }
 
 /// Returns the prompt's tokens behind its shared parts, which no server has read.
@@ -199,8 +128,8 @@
 
 /// Returns the expected time to the first event, in milliseconds, with what placing there costs
 /// others.
-fn estimate_cost(lane: &LaneRow<'_>, query: &PlaceQuery<'_>, is_home: bool) -> f64 {
-    let row = lane.row;
+fn estimate_cost(speed: &SpeedRow<'_>, query: &PlaceQuery<'_>, is_home: bool) -> f64 {
+    let row = speed.row;
     let own = row.flights.len() as f64;
     let distance = if *row.entry.data_centre == *query.data_centre { 0.0 } else { DISTANCE_COST };
     if query.prompt == 0 {
@@ -219,11 +148,6 @@
     let backlog: f64 = waiting.map(|flight| flight.fresh as f64).sum();
     let full = (own + 1.0) / row.entry.slots.max(1) as f64;
     let crowd = if full > 1.0 { (full - 1.0) * 2_000.0 } else { 0.0 };
-    let seen = match query.loads.get(&row.entry.id) {
-        Some(load) => load.reading as f64 * READING_COST + load.streaming as f64 * STREAMING_COST,
-        None if query.loads.is_empty() => 0.0,
-        None => UNSEEN_COST,
-    };
     let reading = (fresh + backlog) / READ_RATE + own * SEQUENCE_COST;
-    distance + fetch + reading * lane.factor + seen + crowd
+    distance + fetch + reading * speed.factor + crowd
 }
