Unread work is limited by what servers read of it

Cause: in a burst nearly everything was sent, first events took 0.9 s at the median against an aim of 0.4 to 0.6, and callers left after their prompts had been read. Change: an entry measures what the servers of a service read of its prompts in a second.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use toucanrail::admissions::AdmissionQuery;
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::ids::ServiceName;
@@ -24,6 +25,10 @@
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 /// When to come back where the money is granted elsewhere or the store is away.
 const GRANT_RETRY: Duration = Duration::from_millis(800);
+/// Part of a route's time that a caller has left at most if it was refused before and came back.
+const RETURNED_PART: f64 = 0.9;
+/// Part of the time after which refused callers come back over which they are spread.
+const RETURN_SPREAD: f64 = 0.3;
 /// Time that a stopped entry needs to be back, where the balancer knows no other.
 const STOP_RETRY: Duration = Duration::from_millis(700);
 /// Time after SIGTERM in which new requests are served whatever their length: the balancer sends new
@@ -133,6 +138,7 @@
         deadline: arrived + waits,
         budget: None,
     };
+    check_load(gateway, &plan)?;
     plan.budget = hold_budget(gateway, &plan).await?;
     gateway.note_fresh(&plan.service);
     Ok(plan)
@@ -151,6 +157,19 @@
     Err(EntryRefusal { code: codetable::STOPPING, retry_after: Some(grace + STOP_RETRY) })
 }
 
+/// Refuses at once what the servers cannot begin in time.
+fn check_load(gateway: &Gateway, plan: &CallPlan<'_>) -> Result<(), EntryRefusal> {
+    let waits = plan.facts.timeout.unwrap_or(plan.route.timeout);
+    let returned = waits < plan.route.timeout.mul_f64(RETURNED_PART);
+    let query = AdmissionQuery { rank: plan.urgency, returned };
+    if gateway.admits(&plan.service, query) {
+        return Ok(());
+    }
+    // Later than that nobody comes back.
+    let wait = (waits / 3).mul_f64(1.0 - RETURN_SPREAD * fastrand::f64());
+    Err(EntryRefusal { code: codetable::OVERLOADED, retry_after: Some(wait) })
+}
+
 fn match_request(
     gateway: &Gateway,
     head: &RequestHead,
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use smol::future::FutureExt;
+use toucanrail::admissions::WaitRow;
 use toucanrail::attempting::AttemptFate;
 use toucanrail::backends::{BackendEntry, FlightRow};
 use toucanrail::framing::BodyFramer;
@@ -138,8 +139,11 @@
     });
     let row = FlightRow { sent_at: gateway.now(), fresh, begun: false };
     let number = tables.backends.note_sent(&target.id, row, parts);
+    let work = prompt.map_or(1.0, |_| fresh as f64);
+    let row = WaitRow { sent_at: row.sent_at, aim: plan.route.aim, work };
+    tables.limits.entry(Arc::clone(&target.service)).or_default().note_sent(number, row);
     drop(tables);
-    FlightGuard::new(gateway, &target.id, number)
+    FlightGuard::new(gateway, target, number)
 }
 
 /// Ends with `TimedOut` once a silent server is to be given up for another one.
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -76,6 +76,7 @@
         routes: RouteTable::new(),
         backends: BackendTable::new(),
         retries: BTreeMap::new(),
+        limits: BTreeMap::new(),
     };
     Ok(Gateway {
         settings,
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -8,7 +8,8 @@
 
 use event_listener::Event;
 use smol::LocalExecutor;
-use toucanrail::backends::{BackendId, BackendTable, FlightId};
+use toucanrail::admissions::{AdmissionLimit, AdmissionQuery};
+use toucanrail::backends::{BackendEntry, BackendId, BackendTable, FlightId};
 use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
 use toucanrail::retries::{RetryBounds, RetryBudget};
@@ -44,6 +45,8 @@
     pub backends: BackendTable,
     /// Retries, by service.
     pub retries: BTreeMap<ServiceName, RetryBudget>,
+    /// Unread work and its limit, by service.
+    pub limits: BTreeMap<ServiceName, AdmissionLimit>,
 }
 
 /// One running gateway.
@@ -130,6 +133,13 @@
         self.with_budget(service, |budget| budget.may_spend(now))
     }
 
+    /// Tells whether the servers of a service can begin one more request in time.
+    pub fn admits(&self, service: &ServiceName, query: AdmissionQuery) -> bool {
+        let now = self.now();
+        let mut tables = self.tables.borrow_mut();
+        tables.limits.entry(Arc::clone(service)).or_default().admits(query, now)
+    }
+
     fn with_budget<Value, Work>(&self, service: &ServiceName, work: Work) -> Value
     where
         Work: FnOnce(&mut RetryBudget) -> Value,
@@ -186,24 +196,35 @@
 pub struct FlightGuard {
     gateway: Rc<Gateway>,
     backend: BackendId,
+    service: ServiceName,
     number: FlightId,
 }
 
 impl FlightGuard {
     /// Guards a flight that was noted.
-    pub fn new(gateway: &Rc<Gateway>, backend: &BackendId, number: FlightId) -> Self {
-        Self { gateway: Rc::clone(gateway), backend: Arc::clone(backend), number }
+    pub fn new(gateway: &Rc<Gateway>, target: &BackendEntry, number: FlightId) -> Self {
+        let (backend, service) = (Arc::clone(&target.id), Arc::clone(&target.service));
+        Self { gateway: Rc::clone(gateway), backend, service, number }
     }
 
     /// Notes that the answer has begun.
     pub fn note_begun(&self) {
         let now = self.gateway.now();
-        self.gateway.tables.borrow_mut().backends.note_begun(&self.backend, self.number, now);
+        let mut tables = self.gateway.tables.borrow_mut();
+        tables.backends.note_begun(&self.backend, self.number, now);
+        if let Some(limit) = tables.limits.get_mut(&self.service) {
+            limit.note_begun(self.number, now);
+        }
     }
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        self.gateway.tables.borrow_mut().backends.note_ended(&self.backend, self.number);
+        let now = self.gateway.now();
+        let mut tables = self.gateway.tables.borrow_mut();
+        tables.backends.note_ended(&self.backend, self.number);
+        if let Some(limit) = tables.limits.get_mut(&self.service) {
+            limit.note_ended(self.number, now);
+        }
     }
 }
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -38,6 +38,7 @@
 //! ```
 
 pub mod accounts;
+pub mod admissions;
 pub mod archives;
 pub mod attempting;
 pub mod backends;
