What an earlier run of a VM holds is not waited for

Ruled out: grants of lenders that live (their settlements bring money back, and 503 stays right there). Change: what stands granted to a run of a VM that has a later run among the holders does not count as left; a request that only this would cover is refused for good at once. No money moves by it.

--- a/toucanrail/src/budgets.rs
+++ b/toucanrail/src/budgets.rs
@@ -10,7 +10,9 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RequestId, RunId, Sequence, ServiceName};
+use crate::ids::{
+    self, AgentId, CustomerId, EntryId, Epoch, RequestId, RunId, Sequence, ServiceName,
+};
 use crate::ids::{ShardName, Tokens};
 use crate::messages::MirrorObject;
 use crate::paths;
@@ -269,6 +271,34 @@
 }
 
 impl BudgetShard {
+    /// Returns what stands granted to runs of VMs that have another run among the holders since. Nobody
+    /// can settle it, so that no wait brings it back.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::budgets::{BudgetAccount, BudgetShard};
+    /// let mut shard = BudgetShard::default();
+    /// let mut account = BudgetAccount::default();
+    /// for (holder, granted) in [("vm-1.a", 5), ("vm-2.b", 7), ("vm-1.c", 9)] {
+    ///     shard.open_tenure(&holder.into());
+    ///     account.grants.insert(holder.into(), granted);
+    /// }
+    /// assert_eq!(shard.stranded(&account), 5);
+    /// ```
+    pub fn stranded(&self, account: &BudgetAccount) -> Tokens {
+        let replaced = account.grants.iter().filter(|(holder, _)| self.is_replaced(holder));
+        replaced.map(|(_, granted)| granted).sum()
+    }
+
+    /// Tells whether a holder's VM runs another process now.
+    fn is_replaced(&self, holder: &EntryId) -> bool {
+        let epoch = self.holders.get(holder).map_or(0, |row| row.epoch);
+        let later = |(other, row): (&EntryId, &HolderRow)| {
+            row.epoch > epoch && ids::vm_of(other) == ids::vm_of(holder)
+        };
+        self.holders.iter().any(later)
+    }
+
     /// Opens a tenure for an entry that has none and returns its epoch.
     pub fn open_tenure(&mut self, entry: &EntryId) -> Epoch {
         if let Some(row) = self.holders.get(entry) {
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -104,15 +104,21 @@
     }
 
     /// Tells whether a customer's balance, as last seen, provably does not cover an amount: what
-    /// others hold unspent is counted as left.
+    /// others hold unspent is counted as left, unless they are earlier runs of a VM that has started
+    /// again.
     pub fn is_uncovered(&self, customer: &CustomerId, amount: Tokens) -> bool {
         let tenure = self.homes.get(customer).and_then(|shard| self.shards.get(shard));
         let cached = tenure.and_then(|tenure| tenure.cached.as_ref());
-        let known = cached.and_then(|(_, shard)| shard.accounts.get(customer));
+        let Some((_, shard)) = cached else {
+            return false;
+        };
+        let known = shard.accounts.get(customer);
         let (Some(known), Some(account)) = (known, self.accounts.get(customer)) else {
             return false;
         };
-        let gone = known.billed + known.written_off + known.frozen.values().sum::<Tokens>();
+        let stranded = shard.stranded(known);
+        let gone =
+            known.billed + known.written_off + known.frozen.values().sum::<Tokens>() + stranded;
         let own = account.held + account.unsettled_total() + account.settling;
         known.prepaid.max(account.prepaid) < gone + own + amount
     }
--- a/toucanrail/src/ids.rs
+++ b/toucanrail/src/ids.rs
@@ -30,3 +30,13 @@
 pub type Sequence = u64;
 /// Version of an object; the platform's service raises it with every write to any object.
 pub type Version = u64;
+
+/// Returns the name of the VM in the id of a process's run.
+///
+/// # Examples
+/// ```
+/// assert_eq!(toucanrail::ids::vm_of("side-1.261e3eed"), "side-1");
+/// ```
+pub fn vm_of(run: &str) -> &str {
+    run.rsplit_once('.').map_or(run, |(vm, _)| vm)
+}
--- a/toucanrail/tests/outage_grants.rs
+++ b/toucanrail/tests/outage_grants.rs
@@ -276,6 +276,27 @@
     assert!(holder.table.hold(&holder.customer, 2 * PREPAID).is_ok());
 }
 
+/// All VMs lose power, and a customer's last tokens stay granted to a lender that is no more. Its callers
+/// were told to come back, came back, and were refused again for the rest of the day.
+#[test]
+fn restarted_lender() {
+    let mut store = ShardStore::default();
+    let mut before = Holder::new("side-1.a");
+    while before.serve_request(&mut store) {
+        let account = &store.shard().accounts[&before.customer];
+        if account.unallocated() == 0 {
+            break;
+        }
+    }
+    let left = store.shard().accounts[&before.customer].grants["side-1.a"];
+    assert!(left > REQUEST);
+    for (name, uncovered) in [("side-2.b", false), ("side-1.c", true)] {
+        let mut after = Holder::new(name);
+        assert!(!after.serve_request(&mut store), "{name}");
+        assert_eq!(after.table.is_uncovered(&after.customer, REQUEST), uncovered, "{name}");
+    }
+}
+
 proptest! {
     /// Whatever entries do, die or lose, never more is billed and granted than is prepaid.
     #[test]
