What the steps of a request share is a module of its own

admitting, dispatching, sending and relaying imported one another in a ring for CallPlan, AttemptContext and StreamState, and sighting joined it. They stand in calls now: a request goes through admitting, dispatching, sending and relaying, and none of them is imported by a later one. No behaviour changes.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -7,7 +7,6 @@
 use toucanrail::admissions::AdmissionQuery;
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
-use toucanrail::ids::ServiceName;
 use toucanrail::matching::{CustomerFacts, RouteRule};
 use toucanrail_platform::requests::{self, RequestFacts};
 use toucanrail_wire::heads::RequestHead;
@@ -15,6 +14,7 @@
 use crate::answering::{self, CallerSide};
 use crate::borrowing::{self, BudgetGuard, BudgetNeed};
 use crate::budgeting::HoldFailure;
+use crate::calls::CallPlan;
 use crate::dispatching;
 use crate::states::Gateway;
 
@@ -37,38 +37,6 @@
 /// Taken off the grace period for what must surely end within it.
 const STOP_MARGIN: Duration = Duration::from_millis(1_300);
 
-/// One admitted request.
-#[derive(Debug)]
-pub struct CallPlan<'call> {
-    /// Its head, as it came.
-    pub head: &'call RequestHead,
-    /// Its body.
-    pub body: &'call [u8],
-    /// What the head says.
-    pub facts: RequestFacts,
-    /// Its route.
-    pub route: Arc<RouteRule>,
-    /// Who pays; none on a public route.
-    pub customer: Option<Arc<CustomerFacts>>,
-    /// The service chosen for it.
-    pub service: ServiceName,
-    /// When it arrived.
-    pub arrived: Instant,
-    /// When it must have its answer.
-    pub deadline: Instant,
-    /// Rank at the servers.
-    pub urgency: u8,
-    /// The budget held for it.
-    pub budget: Option<BudgetGuard>,
-}
-
-impl CallPlan<'_> {
-    /// Returns the time left.
-    pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-}
-
 /// A refusal before anything was sent.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EntryRefusal {
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -11,11 +11,10 @@
 use toucanrail::codetable;
 use toucanrail::placing::{self, PlaceQuery};
 
-use crate::admitting::CallPlan;
 use crate::answering::{self, CallerSide};
 use crate::borrowing::BudgetGuard;
-use crate::relaying::StreamState;
-use crate::sending::{self, AttemptContext, AttemptEnd, FailedAnswer};
+use crate::calls::{AttemptContext, AttemptEnd, CallPlan, FailedAnswer, StreamState};
+use crate::sending;
 use crate::states::Gateway;
 
 /// Bounds of the time after which a declined caller may come back; spread, so that those who were
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod answering;
 pub mod borrowing;
 pub mod budgeting;
+pub mod calls;
 pub mod dispatching;
 pub mod following;
 pub mod gauging;
--- a/toucanrail-gateway/src/relaying.rs
+++ b/toucanrail-gateway/src/relaying.rs
@@ -6,13 +6,12 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use toucanrail::attempting::AttemptFate;
-use toucanrail::events::EventScanner;
 use toucanrail::framing::BodyFramer;
 use toucanrail::silences::SilenceWatch;
 use toucanrail_wire::clocks;
 
 use crate::answering::CallerSide;
-use crate::sending::{AttemptContext, AttemptEnd, FailedAnswer, OpenExchange};
+use crate::calls::{AttemptContext, AttemptEnd, FailedAnswer, OpenExchange, StreamState};
 use crate::sighting;
 use crate::states::FlightGuard;
 
@@ -25,29 +24,6 @@
 /// Largest body that is read whole before it is passed on.
 const BODY_LIMIT: usize = 8 * 1024 * 1024;
 
-/// A stream across the attempts that make it.
-#[derive(Debug)]
-pub struct StreamState {
-    scanner: EventScanner,
-    /// When the first bytes of an answer were passed on.
-    pub first_at: Option<Instant>,
-    /// Longest pause between events, for logs.
-    pub pause: Duration,
-}
-
-impl StreamState {
-    /// Starts a stream, behind the event that the caller has already.
-    pub fn new(last_event: Option<u64>) -> Self {
-        let scanner = EventScanner { last_id: last_event, ..EventScanner::new() };
-        Self { scanner, first_at: None, pause: Duration::ZERO }
-    }
-
-    /// Returns the last event that was passed on.
-    pub fn last_event(&self) -> Option<u64> {
-        self.scanner.last_id
-    }
-}
-
 /// Reads a body to its end.
 pub async fn read_rest(exchange: &mut OpenExchange, body: &mut Vec<u8>) -> io::Result<()> {
     loop {
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -1,7 +1,6 @@
 //! One attempt at one backend server: a connection, the request, and the head of its answer.
 
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,11 +15,10 @@
 use toucanrail_wire::channels::BufferedChannel;
 use toucanrail_wire::clocks;
 use toucanrail_wire::heads::AnswerHead;
-use toucanrail_wire::keeping;
 
-use crate::admitting::CallPlan;
 use crate::answering::CallerSide;
-use crate::relaying::{self, StreamState};
+use crate::calls::{AttemptContext, AttemptEnd, CallPlan, OpenExchange, StreamState};
+use crate::relaying;
 use crate::sighting;
 use crate::states::{FlightGuard, Gateway};
 
@@ -40,66 +38,6 @@
 /// Least such time; a stalled network must not double the load.
 const SILENCE_LEAST: Duration = Duration::from_millis(300);
 
-/// A failure that a server answered.
-#[derive(Debug)]
-pub struct FailedAnswer {
-    /// Its head.
-    pub head: AnswerHead,
-    /// Its body.
-    pub body: Vec<u8>,
-}
-
-/// One attempt: whose request, and where it goes.
-#[derive(Debug, Clone, Copy)]
-pub struct AttemptContext<'run, 'call> {
-    /// The gateway.
-    pub gateway: &'run Rc<Gateway>,
-    /// The request.
-    pub plan: &'run CallPlan<'call>,
-    /// The server.
-    pub target: &'run BackendEntry,
-    /// A server that holds the prompt's shared parts.
-    pub source: Option<SocketAddr>,
-    /// Whether another attempt may follow although this one was sent.
-    pub may_move: bool,
-}
-
-/// How one attempt ended.
-#[derive(Debug)]
-pub enum AttemptEnd {
-    /// The caller has the whole answer.
-    Whole,
-    /// The server answered with a failure, which the caller does not have yet.
-    Failed(FailedAnswer),
-    /// There is no answer.
-    Ended(AttemptFate),
-    /// The caller takes no answer any more.
-    CallerGone,
-}
-
-/// An answer whose head is here.
-#[derive(Debug)]
-pub struct OpenExchange {
-    /// The connection.
-    pub channel: BufferedChannel,
-    /// The head.
-    pub head: AnswerHead,
-    /// Where the body ends.
-    pub framer: BodyFramer,
-    /// Whether all of the request was sent.
-    pub sent_whole: bool,
-}
-
-impl OpenExchange {
-    /// Keeps the connection for the next request, if nothing is due on it.
-    pub fn keep_channel(self, gateway: &Gateway, backend: &Arc<str>) {
-        if self.framer.is_done() && self.sent_whole && !self.head.close {
-            let stated = self.head.fields.get("keep-alive").and_then(keeping::read_keep_alive);
-            gateway.channels.keep(backend, self.channel, stated);
-        }
-    }
-}
-
 /// Sends the request to one server and passes its answer on.
 pub async fn run_attempt(
     context: &AttemptContext<'_, '_>,
--- a/toucanrail-gateway/src/sighting.rs
+++ b/toucanrail-gateway/src/sighting.rs
@@ -11,9 +11,9 @@
 use toucanrail::paces::LoadReport;
 use toucanrail::silences::{RunSight, SilenceWatch};
 
+use crate::calls::AttemptContext;
 use crate::lending::REPORT_PATH;
 use crate::peering;
-use crate::sending::AttemptContext;
 use crate::states::Gateway;
 
 /// Longest wait for a relay, which asks the server beside it.
