The limit counts requests, and a step lasts until enough of them tell

Change: a step lasts until eight first events tell, at most a second; the limit is in requests, those that get their first event in 0.8 of the hoped-for time. Refusals for load are logged with what decided them.

--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -77,8 +77,7 @@
     });
     let row = FlightRow { sent_at: gateway.now(), fresh, begun: false };
     let number = tables.backends.note_sent(&target.id, row, parts);
-    let work = prompt.map_or(1.0, |_| fresh as f64);
-    let row = WaitRow { sent_at: row.sent_at, aim: plan.route.aim, work };
+    let row = WaitRow { sent_at: row.sent_at, aim: plan.route.aim };
     tables.limits.entry(Arc::clone(&target.service)).or_default().note_sent(number, row);
     drop(tables);
     FlightGuard::new(gateway, target, number)
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -137,7 +137,16 @@
     pub fn admits(&self, service: &ServiceName, query: AdmissionQuery) -> bool {
         let now = self.now();
         let mut tables = self.tables.borrow_mut();
-        tables.limits.entry(Arc::clone(service)).or_default().admits(query, now)
+        let row = tables.limits.entry(Arc::clone(service)).or_default();
+        let admits = row.admits(query, now);
+        if !admits {
+            let (waiting, limit) = row.waiting();
+            tracing::info!(
+                event = "load_refused", %service, waiting, limit, rank = query.rank,
+                returned = query.returned,
+            );
+        }
+        admits
     }
 
     fn with_budget<Value, Work>(&self, service: &ServiceName, work: Work) -> Value
--- a/toucanrail/src/admissions.rs
+++ b/toucanrail/src/admissions.rs
@@ -1,4 +1,4 @@
-//! How much unread work an entry keeps at the servers of one service.
+//! How many requests without a first event an entry keeps at the servers of one service.
 //!
 //! The load it answers: more prompts than the servers read in time. Sent all the same they wait in the
 //! servers' queues, each first event is late, and callers leave after their prompts were read in vain.
@@ -12,13 +12,13 @@
 
 use crate::backends::FlightId;
 
-/// Part of late first events from which the work is limited.
+/// Part of late first events from which requests are limited.
 const LATE_LIMIT: f64 = 0.4;
 /// Fewest first events that tell.
-const SAMPLE_LEAST: u32 = 4;
-/// Part of the hoped-for time in which the work under the limit is read.
-const WAIT_PART: f64 = 0.9;
-/// Time over which the rate of reading is smoothed.
+const SAMPLE_LEAST: u32 = 8;
+/// Part of the hoped-for time in which the requests under the limit begin.
+const WAIT_PART: f64 = 0.8;
+/// Time over which the rate of first events is smoothed.
 const RATE_TIME: Duration = Duration::from_secs(1);
 /// Part of the limit from which it counts as used.
 const USED_PART: f64 = 0.8;
@@ -26,8 +26,9 @@
 const CALM_STEPS: u32 = 10;
 /// Weight of a new request in the smoothed hoped-for time.
 const AIM_WEIGHT: f64 = 0.05;
-/// Shortest step.
+/// Bounds of a step, which lasts until enough first events tell.
 const STEP_LEAST: Duration = Duration::from_millis(100);
+const STEP_LIMIT: Duration = Duration::from_secs(1);
 /// Part of the limit that each rank behind the first leaves to those before it.
 const RANK_PART: f64 = 0.1;
 const RANK_LIMIT: u8 = 3;
@@ -41,8 +42,6 @@
     pub sent_at: Duration,
     /// Time within which its first event is hoped for.
     pub aim: Duration,
-    /// Prompt tokens to read, or one for a call of a plain service.
-    pub work: f64,
 }
 
 impl WaitRow {
@@ -60,24 +59,23 @@
     pub returned: bool,
 }
 
-/// The unread work of one entry at one service, and its limit.
+/// The requests of one entry that wait for their first event at one service, and their limit.
 #[derive(Debug, Default, Serialize)]
 pub struct AdmissionLimit {
     limit: Option<f64>,
     rows: BTreeMap<FlightId, WaitRow>,
-    work: f64,
-    /// Most work in this step, and what was read in it.
-    peak: f64,
-    read: f64,
-    /// Smoothed work that is read in a second, and the smoothed hoped-for time.
+    /// Most of them in this step.
+    peak: usize,
+    /// First events in this step, and, smoothed, in a second.
+    begun: u32,
     rate: f64,
+    /// The smoothed hoped-for time.
     aim: Duration,
     timely: u32,
     late: u32,
     refused: u32,
     calm: u32,
     step_began: Duration,
-    step_ends: Duration,
 }
 
 impl AdmissionLimit {
@@ -100,24 +98,28 @@
         };
         let back = if query.returned { RETURN_PART } else { 0.0 };
         let part = 1.0 + back - RANK_PART * f64::from(query.rank.min(RANK_LIMIT));
-        let admits = self.rows.is_empty() || self.work < limit * part;
+        let admits = self.rows.is_empty() || (self.rows.len() as f64) < limit * part;
         self.refused += u32::from(!admits);
         admits
     }
 
+    /// Returns how many requests wait for their first event, and the limit while there is one; for logs.
+    pub fn waiting(&self) -> (usize, Option<f64>) {
+        (self.rows.len(), self.limit)
+    }
+
     /// Notes a request that was sent.
     pub fn note_sent(&mut self, number: FlightId, row: WaitRow) {
         self.end_step(row.sent_at);
         let weight = if self.aim.is_zero() { 1.0 } else { AIM_WEIGHT };
         self.aim = self.aim.mul_f64(1.0 - weight) + row.aim.mul_f64(weight);
-        self.work += row.work;
-        self.peak = self.peak.max(self.work);
         self.rows.insert(number, row);
+        self.peak = self.peak.max(self.rows.len());
     }
 
     /// Notes a first event.
     pub fn note_begun(&mut self, number: FlightId, now: Duration) {
-        self.read += self.note_done(number, now);
+        self.begun += u32::from(self.note_done(number, now));
     }
 
     /// Notes the end of a request; after its first event that changes nothing.
@@ -125,37 +127,40 @@
         self.note_done(number, now);
     }
 
-    fn note_done(&mut self, number: FlightId, now: Duration) -> f64 {
+    /// Takes a request out; false if it had its first event before.
+    fn note_done(&mut self, number: FlightId, now: Duration) -> bool {
         self.end_step(now);
         let Some(row) = self.rows.remove(&number) else {
-            return 0.0;
+            return false;
         };
-        self.work = (self.work - row.work).max(0.0);
         if row.is_late(now) {
             self.late += 1;
         } else {
             self.timely += 1;
         }
-        row.work
+        true
     }
 
     /// Changes the limit by what the last step brought, once it is over.
     fn end_step(&mut self, now: Duration) {
-        if now < self.step_ends {
+        let lasted = now.saturating_sub(self.step_began);
+        if lasted < (self.aim / 2).max(STEP_LEAST) {
+            return;
+        }
+        if lasted < STEP_LIMIT && self.count_done(now).1 < SAMPLE_LEAST {
             return;
         }
         self.smooth_rate(now);
         self.change_limit(now);
         self.step_began = now;
-        self.step_ends = now + (self.aim / 2).max(STEP_LEAST);
-        (self.peak, self.read) = (self.work, 0.0);
+        (self.peak, self.begun) = (self.rows.len(), 0);
         (self.timely, self.late, self.refused) = (0, 0, 0);
     }
 
     fn smooth_rate(&mut self, now: Duration) {
         let length = now.saturating_sub(self.step_began).as_secs_f64();
         let weight = (length / RATE_TIME.as_secs_f64()).min(1.0);
-        self.rate += (self.read / length.max(f64::MIN_POSITIVE) - self.rate) * weight;
+        self.rate += (f64::from(self.begun) / length.max(f64::MIN_POSITIVE) - self.rate) * weight;
     }
 
     fn change_limit(&mut self, now: Duration) {
@@ -164,24 +169,30 @@
         self.limit = match self.limit {
             _ if self.is_late(now) => Some(target),
             Some(_) if self.calm >= CALM_STEPS => None,
-            Some(limit) if self.peak >= limit * USED_PART => Some(limit.max(target)),
+            Some(limit) if self.peak as f64 >= limit * USED_PART => Some(limit.max(target)),
             limit => limit,
         };
     }
 
     /// Tells whether too many first events of this step are late.
     fn is_late(&self, now: Duration) -> bool {
-        // What waits for too long tells of the load before its first event does.
+        let (late, count) = self.count_done(now);
+        count >= SAMPLE_LEAST && f64::from(late) > f64::from(count) * LATE_LIMIT
+    }
+
+    /// Counts the late first events of this step, and all. What waits for too long is among both: it tells
+    /// of the load before its first event does.
+    fn count_done(&self, now: Duration) -> (u32, u32) {
         let waiting = self.rows.values().filter(|row| row.is_late(now)).count();
         let late = self.late + waiting as u32;
-        let count = self.timely + late;
-        count >= SAMPLE_LEAST && f64::from(late) > f64::from(count) * LATE_LIMIT
+        (late, self.timely + late)
     }
 
-    /// Returns the work that is read within the hoped-for time, if the servers go on as they do.
+    /// Returns how many requests get their first event within the hoped-for time, if the servers go on as
+    /// they do.
     ///
-    /// They are busy then, and what they read of this entry's prompts is its part of them. Work that
-    /// waits for a shorter time than this raises the rate, and so the limit.
+    /// They are busy then, and what they begin for this entry is its part of them. Requests that wait for
+    /// a shorter time than this raise the rate, and so the limit.
     fn target(&self) -> f64 {
         self.rate * self.aim.as_secs_f64() * WAIT_PART
     }
--- a/toucanrail/tests/admission_limits.rs
+++ b/toucanrail/tests/admission_limits.rs
@@ -59,7 +59,7 @@
             return;
         }
         self.next += 1;
-        self.limit.note_sent(self.next, WaitRow { sent_at: self.now, aim: AIM, work });
+        self.limit.note_sent(self.next, WaitRow { sent_at: self.now, aim: AIM });
         self.queue.push_back((self.next, self.now, work));
     }
 
