What is lost is given up without a retry too; long prompts have no cost of their own

Cause: a request that its server knows nothing of any more was held to the end of its time where no retry was left, though no answer could come. Found when the diff was read; lost_answers states it. Change: silences tells a lost request from a server of which there is no word; the first is given up at once, the second only where another server may be tried.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -119,7 +119,6 @@
             data_centre: &self.gateway.settings.data_centre,
             parts: prompt.map_or(&[], |prompt| &prompt.parts),
             prompt: prompt.map_or(0, |prompt| prompt.prompt),
-            pause: self.plan.route.gap,
             now,
             dice: fastrand::f64(),
         };
--- a/toucanrail-gateway/src/sighting.rs
+++ b/toucanrail-gateway/src/sighting.rs
@@ -9,7 +9,7 @@
 use smol::lock::Mutex;
 use toucanrail::backends::{BackendEntry, BackendId};
 use toucanrail::paces::LoadReport;
-use toucanrail::silences::{RunSight, SilenceWatch};
+use toucanrail::silences::{RunSight, SilenceVerdict, SilenceWatch};
 
 use crate::calls::AttemptContext;
 use crate::lending::REPORT_PATH;
@@ -76,8 +76,7 @@
     })
 }
 
-/// Waits until a server that does not answer is to be given up: it has no trace of the request, or there
-/// is no sign of the server itself, and a further attempt is allowed.
+/// Waits until a server that does not answer is to be given up.
 pub async fn watch_silence(context: &AttemptContext<'_, '_>, patience: Duration) {
     let mut watch = SilenceWatch::default();
     smol::Timer::after(patience).await;
@@ -86,7 +85,8 @@
     }
 }
 
-/// Takes a look for one request that has `received` events, and tells whether it is to be given up.
+/// Takes a look for one request that has `received` events, and tells whether it is to be given up: no
+/// answer will come, or there is no sign of the server and another one may be tried instead.
 pub async fn is_lost(
     context: &AttemptContext<'_, '_>,
     watch: &mut SilenceWatch,
@@ -94,14 +94,18 @@
 ) -> bool {
     let AttemptContext { gateway, plan, target, .. } = *context;
     let sight = see_run(context).await;
-    let lost = watch.is_lost(sight, received);
-    let may_retry = gateway.may_retry(&plan.service);
+    let verdict = watch.judge(sight, received);
+    let lost = match verdict {
+        SilenceVerdict::Works => false,
+        SilenceVerdict::Lost => true,
+        SilenceVerdict::Unseen => gateway.may_retry(&plan.service),
+    };
     if lost {
         tracing::info!(
-            event = "silence_judged", request = %plan.facts.id, server = %target.id, may_retry,
-            received, seen = sight.is_some(), waiting = sight.map(|sight| sight.waiting),
+            event = "silence_judged", request = %plan.facts.id, server = %target.id,
+            verdict = ?verdict, received, waiting = sight.map(|sight| sight.waiting),
             events = sight.and_then(|sight| sight.events),
         );
     }
-    lost && may_retry
+    lost
 }
--- a/toucanrail-gateway/tests/silent_servers.rs
+++ b/toucanrail-gateway/tests/silent_servers.rs
@@ -45,6 +45,19 @@
     platform::call_raw(gateway.callers, &request("POST", "/resume/a", id, &more, "p"))
 }
 
+/// Asks until the slow server had a request, and checks that the other one answered it soon.
+fn check_moved(gateway: &Process, slow: &Backend, other: &Backend) {
+    let start = Instant::now();
+    // Which server comes first is not known, but one of some requests goes to the slow one.
+    for number in 0..20 {
+        if count_prompts(slow) == 0 {
+            assert!(ask(gateway, &format!("r{number}")).contains("whole"));
+        }
+    }
+    assert!(count_prompts(slow) == 1 && count_prompts(other) > 0);
+    assert!(start.elapsed() < Duration::from_millis(1_900), "{:?}", start.elapsed());
+}
+
 /// A server's queue is long, and the entry took it for dead: it sent the request to another one, or
 /// closed the connection and answered 502 to a caller whose prompt was billed.
 #[test]
@@ -74,15 +87,7 @@
     for runs in ["", "[\"r1\",50,4,1]"] {
         let reports = Box::leak(report(0, runs).into_boxed_str());
         let (_store, slow, others, _relay, gateway) = start_slow(reports, true);
-        // Which server comes first is not known, but one of some requests goes to the slow one.
-        let start = Instant::now();
-        for number in 0..20 {
-            if count_prompts(&slow) == 0 {
-                assert!(ask(&gateway, &format!("r{number}")).contains("whole"));
-            }
-        }
-        assert!(count_prompts(&slow) == 1 && count_prompts(&others[0]) > 0);
-        assert!(start.elapsed() < Duration::from_millis(1_900), "{:?}", start.elapsed());
+        check_moved(&gateway, &slow, &others[0]);
     }
 }
 
@@ -90,12 +95,30 @@
 #[test]
 fn dead_server() {
     let (_store, slow, others, _relay, gateway) = start_slow("", true);
-    let start = Instant::now();
-    for number in 0..20 {
-        if count_prompts(&slow) == 0 {
-            assert!(ask(&gateway, &format!("r{number}")).contains("whole"));
+    check_moved(&gateway, &slow, &others[0]);
+}
+
+/// A server lost more answers than there are retries. Callers without one were kept waiting to the end of
+/// their time for an answer that was known never to come.
+#[test]
+fn lost_answers() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, message: &Message| match message.target() {
+        "/api/report" => Act::Answer(report(0, "")),
+        _ => Act::Answer("PAUSE".repeat(300)),
+    });
+    platform::configure_total(&store, 1, &[&backend], 100_000);
+    let _relay = Process::start_relay_beside(&store, "side-1", &backend);
+    let gateway = Process::start_gateway(&store);
+    let gateway = &gateway;
+    std::thread::scope(|scope| {
+        for number in 0..16 {
+            scope.spawn(move || {
+                let start = Instant::now();
+                let answer = ask(gateway, &format!("r{number}"));
+                assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+                assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+            });
         }
-    }
-    assert!(count_prompts(&slow) == 1 && count_prompts(&others[0]) > 0);
-    assert!(start.elapsed() < Duration::from_millis(1_900), "{:?}", start.elapsed());
+    });
 }
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -1,7 +1,7 @@
 //! The choice of a backend server for one request, by when its answer is expected to begin.
 //!
-//! The load it answers: long prompts that delay every stream beside them, prompt parts that are
-//! cached at some servers, and other entries that place at the same time without a word.
+//! The load it answers: prompts of unlike size at servers of unlike speed, prompt parts that are cached at
+//! some of them, and other entries that place at the same time without a word.
 
 use std::time::Duration;
 
@@ -22,16 +22,12 @@
 /// reading time. It delays every stream at that server and pushes other parts out of its memory, so a
 /// session moves away from its server only for a wait that would make its answer late.
 const AGAIN_FACTOR: f64 = 6.0;
-/// The same for a long prompt, beside which its shared part is small: it rather moves than waits.
-const LONG_AGAIN_FACTOR: f64 = 1.5;
-
 /// Cost of shared parts that a server fetches from the one that holds them, in milliseconds: some five
 /// for the transfer, the rest for its price.
 const FETCH_COST: f64 = 60.0;
 /// Least tokens of shared parts that are fetched; fewer are read as fast.
 const FETCH_LEAST: Tokens = 1_024;
-/// Part of the pause that streams bear which the reading of one prompt may take beside them.
-const PAUSE_PART: f64 = 0.35;
+
 /// What the choice depends on besides the servers.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceQuery<'request> {
@@ -41,8 +37,6 @@
     pub parts: &'request [PromptPart],
     /// All prompt tokens; 0 for a plain service.
     pub prompt: Tokens,
-    /// Longest pause between events that callers bear; 0 for a plain service.
-    pub pause: Duration,
     /// Time, since the process's start.
     pub now: Duration,
     /// A draw in `0..1`, for a server that returns after failures.
@@ -55,8 +49,7 @@
 /// ```
 /// use toucanrail::placing::{self, PlaceQuery};
 /// let query = PlaceQuery {
-///     data_centre: "a", parts: &[], prompt: 0, pause: Default::default(),
-///     now: Default::default(), dice: 0.5,
+///     data_centre: "a", parts: &[], prompt: 0, now: Default::default(), dice: 0.5,
 /// };
 /// assert!(placing::pick_backend(&[], &query).is_none());
 /// ```
@@ -105,15 +98,6 @@
     (expected(source) >= held(target) + FETCH_LEAST).then_some(source)
 }
 
-/// Tells whether the reading of a prompt pauses the streams beside it for longer than they bear.
-///
-/// An engine reads a prompt in chunks between the tokens of the other streams: at 57 tokens a
-/// millisecond, 30,000 tokens hold up the seven tokens of one event for 540 ms and more.
-fn reads_long(query: &PlaceQuery<'_>) -> bool {
-    let reading = own_tokens(query) as f64 / READ_RATE;
-    reading > query.pause.as_secs_f64() * 1_000.0 * PAUSE_PART && !query.pause.is_zero()
-}
-
 /// Returns the prompt's tokens behind its shared parts, which no server has read.
 fn own_tokens(query: &PlaceQuery<'_>) -> Tokens {
     let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
@@ -140,10 +124,9 @@
     // The other entries send the shared parts to their first server too, so it holds them.
     let missing = row.fresh_tokens(query.parts, query.prompt) as f64 - own_part;
     let again = if is_home { 0.0 } else { missing.max(0.0) };
-    let factor = if reads_long(query) { LONG_AGAIN_FACTOR } else { AGAIN_FACTOR };
     let fetches = again >= FETCH_LEAST as f64;
     let (again, fetch) = if fetches { (0.0, FETCH_COST) } else { (again, 0.0) };
-    let fresh = own_part + again * (1.0 + factor);
+    let fresh = own_part + again * (1.0 + AGAIN_FACTOR);
     let waiting = row.flights.values().filter(|flight| !flight.begun);
     let backlog: f64 = waiting.map(|flight| flight.fresh as f64).sum();
     let full = (own + 1.0) / row.entry.slots.max(1) as f64;
--- a/toucanrail/src/silences.rs
+++ b/toucanrail/src/silences.rs
@@ -46,6 +46,17 @@
     }
 }
 
+/// What a look at a silent server says of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceVerdict {
+    /// It runs, or may be in the queue.
+    Works,
+    /// The server knows nothing of it, or made events that did not come: no answer will.
+    Lost,
+    /// There is no word of the server; it may still answer.
+    Unseen,
+}
+
 /// The looks at one silent server.
 #[derive(Debug, Default)]
 pub struct SilenceWatch {
@@ -53,21 +64,22 @@
 }
 
 impl SilenceWatch {
-    /// Takes a look, none where the server or its relay did not answer; true if the request is lost.
+    /// Takes a look, none where the server or its relay did not answer, at a request that has `received`
+    /// events.
     ///
     /// # Examples
     /// ```
-    /// use toucanrail::silences::{RunSight, SilenceWatch};
+    /// use toucanrail::silences::{RunSight, SilenceVerdict, SilenceWatch};
     /// let mut watch = SilenceWatch::default();
     /// let queued = RunSight { waiting: 4, events: None };
-    /// assert!(!watch.is_lost(Some(queued), 0));
-    /// assert!(watch.is_lost(None, 0));
+    /// assert_eq!(watch.judge(Some(queued), 0), SilenceVerdict::Works);
+    /// assert_eq!(watch.judge(None, 0), SilenceVerdict::Unseen);
     /// ```
-    pub fn is_lost(&mut self, sight: Option<RunSight>, received: u64) -> bool {
+    pub fn judge(&mut self, sight: Option<RunSight>, received: u64) -> SilenceVerdict {
         let Some(sight) = sight else {
-            return true;
+            return SilenceVerdict::Unseen;
         };
         self.misses = if sight.explains(received) { 0 } else { self.misses + 1 };
-        self.misses >= MISS_LIMIT
+        if self.misses < MISS_LIMIT { SilenceVerdict::Works } else { SilenceVerdict::Lost }
     }
 }
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -9,7 +9,6 @@
 use toucanrail::placing::{self, PlaceQuery};
 
 const NOW: Duration = Duration::from_secs(10);
-const PAUSE: Duration = Duration::from_millis(600);
 
 fn entry(id: &str) -> BackendEntry {
     BackendEntry {
@@ -50,7 +49,7 @@
 /// Makes the query of a request whose prompt is these parts.
 fn make_query<'call>(data_centre: &'call str, parts: &'call [PromptPart]) -> PlaceQuery<'call> {
     let prompt = parts.iter().map(|part| part.tokens).sum();
-    PlaceQuery { data_centre, parts, prompt, pause: PAUSE, now: NOW, dice: 0.5 }
+    PlaceQuery { data_centre, parts, prompt, now: NOW, dice: 0.5 }
 }
 
 fn flight(fresh: u64) -> FlightRow {
