A stopping process leaves half a second for its own end

Ruled out: an earlier end of the first wait, which would cut answers off. Change: 0.2 s -> 0.5 s; the last sixth of the grace time is the callers' own risk by the users' rules.

--- a/toucanrail-gateway/src/stopping.rs
+++ b/toucanrail-gateway/src/stopping.rs
@@ -18,7 +18,7 @@
 /// Taken off the grace period: after that the platform kills.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_100);
 /// Taken off the grace period for the process's own end.
-const EXIT_MARGIN: Duration = Duration::from_millis(200);
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Longest wait for lenders to take the last ends.
 const ENDS_BOUND: Duration = Duration::from_millis(300);
 const STEP: Duration = Duration::from_millis(50);
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -9,7 +9,7 @@
 use crate::homes::{self, SpeedRow};
 use crate::ids::Tokens;
 
-/// Prompt tokens that an engine reads in a millisecond; from the users' engine sheet.
+/// Prompt tokens that an engine is taken to read in a millisecond: the scale of the costs below.
 const READ_RATE: f64 = 56.9;
 /// Cost of one more sequence in a batch, in milliseconds of everybody's first event: a step takes
 /// about 0.1 ms longer a sequence, over the steps until the prompt is read.
