The dump of an entry's state shows the limits of its services

Found when the diff was read: an operator saw refusals for load in the log, and not what limited them.

--- a/toucanrail-gateway/src/inspecting.rs
+++ b/toucanrail-gateway/src/inspecting.rs
@@ -1,5 +1,6 @@
 //! The addresses for the platform and operators: readiness, metrics and the dump of the state.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -7,9 +8,11 @@
 
 use serde::Serialize;
 use smol::Async;
+use toucanrail::admissions::AdmissionLimit;
 use toucanrail::backends::BackendTable;
 use toucanrail::detours::DetourTable;
 use toucanrail::grants::GrantTable;
+use toucanrail::ids::ServiceName;
 use toucanrail_platform::names;
 use toucanrail_wire::channels::BufferedChannel;
 use toucanrail_wire::clocks;
@@ -31,6 +34,7 @@
     store_age_ms: u64,
     store_ways: DetourTable,
     backends: &'tables BackendTable,
+    limits: &'tables BTreeMap<ServiceName, AdmissionLimit>,
     grants: &'tables GrantTable,
 }
 
@@ -82,6 +86,7 @@
         store_age_ms: gateway.store.age().as_millis() as u64,
         store_ways: gateway.store.ways(),
         backends: &tables.backends,
+        limits: &tables.limits,
         grants: &grants,
     };
     // Only maps with keys other than text can fail here.
