--- a/toucanrail/src/paces.rs
+++ b/toucanrail/src/paces.rs
@@ -13,8 +13,7 @@
 
 use crate::ids::RequestId;
 
-/// Sequences in a batch that double the time of a step: each lengthens it by 0.102 ms of 3.09, by the
-/// users' engine sheet.
+/// Sequences in a batch that are taken to double the time of a step.
 const BATCH_COST: f64 = 30.0;
 /// Fewest events of a run between two reports, times the root of the runs: one event more or less a run
 /// is then some 4 % of all.
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -11,8 +11,7 @@
 
 /// Prompt tokens that an engine is taken to read in a millisecond: the scale of the costs below.
 const READ_RATE: f64 = 56.9;
-/// Cost of one more sequence in a batch, in milliseconds of everybody's first event: a step takes
-/// about 0.1 ms longer a sequence, over the steps until the prompt is read.
+/// Cost of one more sequence in a batch, in milliseconds of everybody's first event.
 const SEQUENCE_COST: f64 = 4.0;
 /// Cost of one request at a plain service's server, against its slots, in milliseconds.
 const CALL_COST: f64 = 60.0;
