A customer's shard is looked up in one place

Found when the whole change was read again: is_uncovered and known_balance each found the shard as last seen on their own, beside known_shard, which does that.

--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -98,8 +98,7 @@
 
     /// Returns what an account has prepaid, unspent and unallocated, as last seen; for logs.
     pub fn known_balance(&self, customer: &CustomerId) -> Option<(Tokens, Tokens, Tokens)> {
-        let (_, shard) = self.shards.get(self.homes.get(customer)?)?.cached.as_ref()?;
-        let known = shard.accounts.get(customer)?;
+        let known = self.known_shard(self.homes.get(customer)?)?.accounts.get(customer)?;
         Some((known.prepaid, known.unspent(), known.unallocated()))
     }
 
@@ -107,9 +106,8 @@
     /// others hold unspent is counted as left, unless they are earlier runs of a VM that has started
     /// again.
     pub fn is_uncovered(&self, customer: &CustomerId, amount: Tokens) -> bool {
-        let tenure = self.homes.get(customer).and_then(|shard| self.shards.get(shard));
-        let cached = tenure.and_then(|tenure| tenure.cached.as_ref());
-        let Some((_, shard)) = cached else {
+        let home = self.homes.get(customer);
+        let Some(shard) = home.and_then(|home| self.known_shard(home)) else {
             return false;
         };
         let known = shard.accounts.get(customer);
