Fleets of the tests have secrets of their own

outage_restart of configuration failed once beside load: "waited in vain for 97" after 31 s.

Cause: tests run side by side, each with a fleet on ports that the kernel chooses, and all fleets shared one secret. The port of the killed entry goes to a process of another test's fleet; the woken entry asks it, the seal fits, and it takes that store's higher version for the newest. Its own change is older than that and is never asked for again.

Ruled out: slowness (ten runs beside six busy processes took 1.2 to 2.1 s), the killed entry's answers (none), the woken one's choice of whom to ask (it asks until one answers).

Change: each fleet of the tests has a secret. foreign_peer puts a process of another deployment at the killed entry's address.

Conclusion: a fault of the tests' set-up; the product refuses what is not sealed with its own secret.

--- a/toucanrail-daemons/tests/configuration.rs
+++ b/toucanrail-daemons/tests/configuration.rs
@@ -102,6 +102,32 @@
     });
 }
 
+/// A process of another deployment listens where a killed entry did, and its store is further on. Its
+/// versions must not pass for this deployment's: what is new here would never be asked for again.
+#[test]
+fn foreign_peer() {
+    smol::block_on(async {
+        let fleet = Fleet::start(10_000).await;
+        let (_agent, mut entries) = start(&fleet).await;
+        let other = Fleet::start(10_000).await;
+        for output in 100..110 {
+            other.apply(&catalogue(output)).await.unwrap();
+        }
+        entries[2].signal("STOP");
+        fleet.apply(&catalogue(97)).await.unwrap();
+        wait_output(&fleet, &[&entries[0], &entries[1]], 97).await;
+        fleet.platform.faults.change(|plan| plan.down = true);
+        entries[1].kill();
+        let taken = entries[1].inner.unwrap().to_string();
+        let _foreign = other.entry("entry-0", &[("inner", &taken)]);
+        entries[0].signal("STOP");
+        entries[2].signal("CONT");
+        smol::Timer::after(FORCE_BOUND).await;
+        entries[0].signal("CONT");
+        wait_output(&fleet, &[&entries[2]], 97).await;
+    });
+}
+
 /// Somebody writes a broken entry past the command line: it is refused, the last good one stays,
 /// and the state says why.
 #[test]
--- a/toucanrail-daemons/tests/fleet/mod.rs
+++ b/toucanrail-daemons/tests/fleet/mod.rs
@@ -25,7 +25,6 @@
 
 /// The bearer key of the customer `acme`.
 pub const KEY: &str = "demo-key";
-const FLEET_KEY: &str = "demo-fleet";
 /// Longest wait for anything that a test waits for; a failure, not a pace.
 pub const BOUND: Duration = Duration::from_secs(30);
 const LOOK_STEP: Duration = Duration::from_millis(20);
@@ -96,18 +95,19 @@
     pub store: SocketAddr,
     pub tools: OperatorTools,
     pub pool: ConnectionPool,
+    /// Its secret; fleets run side by side, and take over one another's ports.
+    key: String,
 }
 
 impl Fleet {
     /// Starts the platform with the demo's catalogue and the given opening budget.
     pub async fn start(budget: u64) -> Self {
         let (platform, store) = platforms::start("127.0.0.1:0", Duration::ZERO).unwrap();
-        let fleet = Self {
-            platform,
-            store,
-            tools: demos::operator_tools(store),
-            pool: ConnectionPool::new(ClientLimits::default()),
-        };
+        let key = format!("fleet-{:016x}", fastrand::u64(..));
+        let mut tools = demos::operator_tools(store);
+        tools.fleet_key.clone_from(&key);
+        let pool = ConnectionPool::new(ClientLimits::default());
+        let fleet = Self { platform, store, tools, pool, key };
         let digest = toucanrail::paths::hash_text(KEY);
         let text = demos::CATALOGUE.replace("DIGEST", &digest);
         let text = text.replace("opening-budget = 100000", &format!("opening-budget = {budget}"));
@@ -133,7 +133,7 @@
             ("name", name.to_owned()),
             ("listen", "127.0.0.1:0".to_owned()),
             ("store", self.store.to_string()),
-            ("fleet-key", FLEET_KEY.to_owned()),
+            ("fleet-key", self.key.clone()),
         ]
     }
 
