A caller's leaving is seen before its request is sent on

Cause: an entry that is behind learns of a lender's answer, or of a new request, and of the end of the caller's connection in one look at its sockets. The answer was polled first and sent the request on; the end was noticed one step later.

Ruled out: waits that are not ended by the caller's leaving; every wait of a request (loan, sign of life, connection, fetch) is a part of the future that the departure drops.

Change: the departure is polled first.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -92,7 +92,8 @@
             admitting::answer_request(gateway, &head, &body, &mut caller, arrived).await;
             true
         };
-        let answered = answering.or(watch_departure(&mut channel)).await;
+        // First: a step of the answer would send on a request whose caller is known to have left.
+        let answered = watch_departure(&mut channel).or(answering).await;
         drop(guard);
         if !answered {
             gateway.board.count_result(codetable::CANCELLED);
--- /dev/null
+++ b/toucanrail-gateway/tests/departed_callers.rs
@@ -0,0 +1,78 @@
+//! Callers that leave while their request has not been sent on.
+
+mod platform;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use platform::{Act, Backend, Process, Store, request};
+
+/// Long enough for bytes and for the end of a connection to arrive, shorter than any timeout of a loan.
+const ARRIVAL: Duration = Duration::from_millis(80);
+/// Long enough for a request to reach the server, had it been sent on.
+const DELIVERY: Duration = Duration::from_millis(600);
+
+fn send(gateway: &Process, text: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(gateway.callers).expect("a connection");
+    caller.write_all(text.as_bytes()).expect("to write");
+    caller
+}
+
+fn count_seen(backend: &Backend, id: &str) -> usize {
+    backend.seen().iter().filter(|message| message.field("x-attempt-id") == Some(id)).count()
+}
+
+/// An entry that is behind finds a request together with the end of its caller's connection, and must
+/// not send it on.
+#[test]
+fn unread_request() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(platform::signed("fine")));
+    platform::configure(&store, 1, &[&backend]);
+    let gateway = Process::start_gateway(&store);
+    let first = platform::call(gateway.callers, &request("GET", "/safe/a", "r1", "", ""));
+    assert_eq!(first.unwrap().status(), 200);
+    gateway.signal("STOP");
+    drop(send(&gateway, &request("GET", "/safe/a", "r2", "", "")));
+    thread::sleep(ARRIVAL);
+    gateway.signal("CONT");
+    thread::sleep(DELIVERY);
+    assert_eq!(count_seen(&backend, "r2"), 0);
+}
+
+/// A frozen lender answers when the caller has left, and the entry learns of both at once: the request
+/// must not be sent on.
+#[test]
+fn late_loan() {
+    let store = Store::start();
+    let events = platform::chunk("id: 1\ndata: x\n\n");
+    let answer = [platform::STREAM, &events, "0\r\n\r\n"].concat();
+    let backend = Backend::start("i-1", move |_, _| Act::Answer(answer.clone()));
+    platform::configure_total(&store, 1, &[&backend], 100_000);
+    let relay = Process::start_relay(&store, "side-1");
+    platform::wait_until("the relay", || store.has("relays", "side-1"));
+    let gateway = Process::start_gateway(&store);
+    let prompt = |id: &str| request("POST", "/stream/a", id, platform::PROMPT, "p");
+    let ask = |id: &str| {
+        platform::call_raw(
+            gateway.callers,
+            &prompt(id).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"),
+        )
+    };
+    platform::wait_until("a loan", || {
+        assert!(ask("r1").starts_with("HTTP/1.1 200"));
+        store.granted("acme").keys().any(|holder| holder.starts_with("side-1"))
+    });
+    relay.signal("STOP");
+    let caller = send(&gateway, &prompt("r2"));
+    thread::sleep(ARRIVAL);
+    gateway.signal("STOP");
+    drop(caller);
+    relay.signal("CONT");
+    thread::sleep(ARRIVAL);
+    gateway.signal("CONT");
+    thread::sleep(DELIVERY);
+    assert_eq!(count_seen(&backend, "r2"), 0);
+}
