Grants are filled up when nearly used, with a second of burn ahead at least

Cause: an account was topped up below 0.4 of what it should have ahead, and what it should have ahead shrinks with what is unspent and with what the dead hold.

A request that finds its grant short waits for one call, 10 ms, of the 500 that it has; each write fills all grants of its shard up.

Change: top up below 0.1; one second of burn is ahead whatever is left or stranded; an amount that the shard as known cannot cover is refused without a look.

--- a/toucanrail-gateway/src/budgeting.rs
+++ b/toucanrail-gateway/src/budgeting.rs
@@ -135,6 +135,9 @@
         if let Ok(hold) = self.grants.borrow_mut().hold(customer, amount) {
             return Ok(hold);
         }
+        if self.grants.borrow().is_uncovered(customer, amount) {
+            return Err(HoldFailure::Uncovered);
+        }
         let now = self.store.now();
         let note = self.short.borrow().get(customer).copied();
         if let Some(note) = note.filter(|note| now < note.until && amount >= note.amount) {
--- a/toucanrail/src/policies.rs
+++ b/toucanrail/src/policies.rs
@@ -7,8 +7,12 @@
 /// Usage a second under which an account counts as idle and keeps nothing ahead.
 const IDLE_BURN: f64 = 0.01;
 
-/// Part of the wanted amount ahead under which a grant that rides through outages is topped up.
-const TOP_UP_PART: f64 = 0.4;
+/// Part of the wanted amount ahead under which a grant that rides through outages is topped up. A request
+/// that finds it short waits for one call, and every write fills all grants of its shard.
+const TOP_UP_PART: f64 = 0.1;
+/// Burn that a grant in use covers at least, whatever is left or stands granted to the dead: where it covers
+/// less than a request, each request costs a call.
+const LEAST_HORIZON: Duration = Duration::from_secs(1);
 
 /// Part of what is unspent that a grant that rides through outages may be ahead. Early in a budget it
 /// bears an outage of some seconds; near its end a dead holder must not take what callers still need.
@@ -131,10 +135,11 @@
         if view.shortage == 0 && view.burn < IDLE_BURN {
             return 0;
         }
-        let steady = (view.burn * horizon.as_secs_f64()) as Tokens;
+        let burn_for = |time: Duration| (view.burn * time.as_secs_f64()) as Tokens;
         let bearable = ((view.prepaid as f64 * part) as Tokens).saturating_sub(view.others);
         let share = (view.unspent as f64 * UNSPENT_PART) as Tokens;
-        steady.min(bearable).min(share).max(floor)
+        let ahead = burn_for(horizon).min(bearable).min(share);
+        ahead.max(burn_for(LEAST_HORIZON.min(horizon))).max(floor)
     }
 
     /// Near exhaustion a long horizon would strand the last tokens at one entry while another
