A relay that starts again keeps its entry and its server's pace

Cause: a relay that starts again found its entry with a pace, which its own lacked, overwrote it, and wrote it anew when it had measured: two calls for each of 117 relays after a power loss, with paces unknown meanwhile.

Change: an entry that differs only by a pace that this run has not measured is taken over.

--- a/toucanrail-gateway/src/registering.rs
+++ b/toucanrail-gateway/src/registering.rs
@@ -93,7 +93,8 @@
         match self.call(&StoreCall::Get { path }).await {
             StoreReply::Found { version, value } => {
                 self.expect = WriteExpectation::At(version);
-                storecalls::decode_value::<RelayEntry>(&value).as_ref() == Some(&self.entry)
+                let known = storecalls::decode_value::<RelayEntry>(&value);
+                known.is_some_and(|known| self.adopt(known))
             }
             StoreReply::Missing => {
                 self.expect = WriteExpectation::Absent;
@@ -103,6 +104,19 @@
         }
     }
 
+    /// Takes the entry of this VM as it stands in the store; false if it says something else.
+    ///
+    /// A pace that an earlier run measured holds on while this one has none: a fleet that lost power writes
+    /// nothing then.
+    fn adopt(&mut self, known: RelayEntry) -> bool {
+        let pace_us = self.entry.pace_us.or(known.pace_us);
+        let same = known == RelayEntry { pace_us, ..self.entry.clone() };
+        if same {
+            self.entry = known;
+        }
+        same
+    }
+
     async fn call(&self, call: &StoreCall) -> StoreReply {
         self.client.call(self.settings.store, call, CALL_BOUND).await
     }
