In an outage boards are asked, and the store itself every two seconds at most

Cause: a board that does not hear from the store was passed over like a dead one, for three seconds and more.

Change: four boards instead of two; a stale one is passed over for one second and the next one asked; where all are stale, an entry tries the store itself every one to two seconds (the store may turn the boards away and serve it); a board that has never had an answer says so at once.

--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use toucanrail::boards;
+use toucanrail::boards::{self, OutageTimer};
 use toucanrail::ids::Version;
 use toucanrail::messages::{MirrorChange, MirrorObject, NewsOrder, NewsReply};
 use toucanrail_platform::stores::{ListFreshness, StoreFailure};
@@ -23,6 +23,8 @@
 /// Wait of one question to a board, and what is added before it counts as unanswered.
 const BOARD_WAIT: Duration = Duration::from_millis(800);
 const BOARD_SLACK: Duration = Duration::from_millis(400);
+/// Time for which a board that does not hear from the store is passed over.
+const STALE_REST: Duration = Duration::from_secs(1);
 /// Pause after a call that failed, doubled up to the limit.
 const PAUSE_LEAST: Duration = Duration::from_millis(80);
 const PAUSE_LIMIT: Duration = Duration::from_millis(640);
@@ -81,24 +83,35 @@
     }
 }
 
+/// What one loop knows of its kind.
+#[derive(Debug)]
+struct FollowState {
+    /// The revision up to which every change is known; none before the first listing.
+    revision: Option<Version>,
+    /// The last answer.
+    heard: Duration,
+    /// When the store is asked although no board hears from it.
+    outage: OutageTimer,
+}
+
 async fn follow<Taker>(gateway: Rc<Gateway>, mut taker: Taker)
 where
     Taker: KindTaker,
 {
-    let mut revision = None;
+    let outage = OutageTimer::default();
+    let mut state = FollowState { revision: None, heard: gateway.now(), outage };
     let mut pause = PAUSE_LEAST;
-    let mut heard = gateway.now();
     loop {
-        match step(&gateway, &mut taker, revision, heard).await {
+        match step(&gateway, &mut taker, &mut state).await {
             Ok(next) => {
-                revision = Some(next);
-                heard = gateway.now();
+                state.revision = Some(next);
+                state.heard = gateway.now();
                 pause = PAUSE_LEAST;
                 gateway.store.note_use(Taker::KIND, true);
             }
             Err(StoreFailure::Forgotten) => {
                 tracing::info!(event = "history_gone", kind = Taker::KIND);
-                revision = None;
+                state.revision = None;
             }
             Err(failure) => {
                 tracing::debug!(event = "store_failed", kind = Taker::KIND, %failure);
@@ -114,17 +127,18 @@
 async fn step<Taker>(
     gateway: &Gateway,
     taker: &mut Taker,
-    revision: Option<Version>,
-    heard: Duration,
+    state: &mut FollowState,
 ) -> Result<Version, StoreFailure>
 where
     Taker: KindTaker,
 {
-    let news = match ask_board(gateway, Taker::KIND, revision).await {
-        Some(news) => news,
-        None => ask_store(gateway, Taker::KIND, revision).await?,
+    let revision = state.revision;
+    let news = match ask_boards(gateway, Taker::KIND, revision).await {
+        BoardAnswer::News(news) => news,
+        BoardAnswer::Outage => ask_outage(gateway, Taker::KIND, state).await?,
+        BoardAnswer::Silent => ask_store(gateway, Taker::KIND, revision).await?,
     };
-    taker.note_return(gateway, gateway.now().saturating_sub(heard));
+    taker.note_return(gateway, gateway.now().saturating_sub(state.heard));
     match news {
         NewsReply::Listing { objects, revision } => {
             taker.take_all(gateway, &objects);
@@ -136,8 +150,28 @@
             }
             Ok(seen.max(revision.unwrap_or_default()))
         }
-        NewsReply::Stale => Err(StoreFailure::NoAnswer(std::io::ErrorKind::TimedOut.into())),
+        NewsReply::Stale => Err(no_answer()),
+    }
+}
+
+fn no_answer() -> StoreFailure {
+    StoreFailure::NoAnswer(std::io::ErrorKind::TimedOut.into())
+}
+
+/// Asks a store that no board hears from: it may turn the boards' VMs away and serve this one.
+async fn ask_outage(
+    gateway: &Gateway,
+    kind: &str,
+    state: &mut FollowState,
+) -> Result<NewsReply, StoreFailure> {
+    if !state.outage.is_over(gateway.now()) {
+        return Err(no_answer());
+    }
+    let asked = ask_store(gateway, kind, state.revision).await;
+    if asked.is_err() {
+        state.outage.note_failure(gateway.now(), fastrand::f64());
     }
+    asked
 }
 
 async fn ask_store(
@@ -154,32 +188,57 @@
     Ok(NewsReply::Changes { changes: watched.changes, revision: watched.revision })
 }
 
-/// Asks the board of the region; none where there is none, or it is silent or stale.
+/// What the boards of the region say.
+#[derive(Debug)]
+enum BoardAnswer {
+    /// What one of them knows.
+    News(NewsReply),
+    /// None of them hears from the store.
+    Outage,
+    /// None of them answers, or there are none.
+    Silent,
+}
+
+/// Asks the boards of the region in their order.
 ///
 /// A board that fails is passed over for a while, and this entry asks the store itself at once: what it
-/// knows is never older than the board's patience and its own together.
-async fn ask_board(gateway: &Gateway, kind: &str, after: Option<Version>) -> Option<NewsReply> {
-    let now = gateway.now();
-    let mut boards = boards::pick_boards(&gateway.store.lenders()).into_iter();
-    let (board, address) = boards.find(|(name, _)| !gateway.boards.is_resting(name, now))?;
+/// knows is never older than one board's patience and its own together. A stale board says so at once,
+/// and the next one is asked.
+async fn ask_boards(gateway: &Gateway, kind: &str, after: Option<Version>) -> BoardAnswer {
+    let boards = boards::pick_boards(&gateway.store.lenders());
+    let answering =
+        boards.iter().filter(|(name, _)| !gateway.boards.is_resting(name, gateway.now()));
     let order = NewsOrder { kind: Arc::from(kind), after, wait: BOARD_WAIT };
-    let bound = BOARD_WAIT + BOARD_SLACK;
-    let asked = peering::call_peer(gateway, &board, address, NEWS_PATH, &order, bound).await;
-    let reason = match asked {
-        // An older listing than what is known would bring servers back that have left.
-        Ok(NewsReply::Listing { revision, .. }) if after.is_some_and(|after| revision < after) => {
-            "behind".to_owned()
-        }
-        Ok(NewsReply::Stale) => "stale".to_owned(),
-        Ok(reply) => {
-            gateway.boards.forget_rest(&board);
-            return Some(reply);
+    let mut stale = false;
+    for (board, address) in answering {
+        if gateway.stale_boards.is_resting(board, gateway.now()) {
+            stale = true;
+            continue;
         }
-        Err(error) => error.to_string(),
-    };
-    tracing::info!(event = "board_failed", %board, kind, reason);
-    gateway.boards.rest(&board, gateway.now());
-    None
+        let bound = BOARD_WAIT + BOARD_SLACK;
+        let asked = peering::call_peer(gateway, board, *address, NEWS_PATH, &order, bound).await;
+        let reason = match asked {
+            // An older listing than what is known would bring servers back that have left.
+            Ok(NewsReply::Listing { revision, .. }) if after.is_some_and(|at| revision < at) => {
+                "behind".to_owned()
+            }
+            Ok(NewsReply::Stale) => {
+                tracing::info!(event = "board_stale", %board, kind);
+                gateway.stale_boards.rest_for(board, gateway.now(), STALE_REST);
+                stale = true;
+                continue;
+            }
+            Ok(reply) => {
+                gateway.boards.forget_rest(board);
+                return BoardAnswer::News(reply);
+            }
+            Err(error) => error.to_string(),
+        };
+        tracing::info!(event = "board_failed", %board, kind, reason);
+        gateway.boards.rest(board, gateway.now());
+        return BoardAnswer::Silent;
+    }
+    if stale { BoardAnswer::Outage } else { BoardAnswer::Silent }
 }
 
 struct ConfigTaker;
--- a/toucanrail-gateway/src/peering.rs
+++ b/toucanrail-gateway/src/peering.rs
@@ -50,6 +50,11 @@
         rests.insert(Arc::clone(peer), PeerRest { until: now + time, time });
     }
 
+    /// Passes a relay over for a stated time.
+    pub fn rest_for(&self, peer: &Arc<str>, now: Duration, time: Duration) {
+        self.rests.borrow_mut().insert(Arc::clone(peer), PeerRest { until: now + time, time });
+    }
+
     /// Notes that a relay answered.
     pub fn forget_rest(&self, peer: &Arc<str>) {
         self.rests.borrow_mut().remove(peer);
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -85,6 +85,7 @@
         keeper: Rc::new(keeper),
         desk: LoanDesk::default(),
         boards: PeerRests::default(),
+        stale_boards: PeerRests::default(),
         sights: SightBoard::default(),
         board,
         executor,
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -82,8 +82,10 @@
     pub keeper: Rc<BudgetKeeper>,
     /// What it knows of lenders.
     pub desk: LoanDesk,
-    /// Boards that are passed over.
+    /// Boards that failed and are passed over.
     pub boards: PeerRests,
+    /// Boards that did not hear from the store a moment ago.
+    pub stale_boards: PeerRests,
     /// Reports of servers that did not answer.
     pub sights: SightBoard,
 }
--- a/toucanrail-gateway/tests/fleet_boards.rs
+++ b/toucanrail-gateway/tests/fleet_boards.rs
@@ -68,3 +68,19 @@
     expect_change(&store, &backend, &gateway);
     relay.signal("CONT");
 }
+
+/// The store does not answer for some seconds. Once it is back the board is asked again: entries that went
+/// on to watch for themselves were all woken by each server that registered anew.
+#[test]
+fn stale_board() {
+    let (store, backend, _relay, gateway) = start_board();
+    for hold in [true, false] {
+        store.hold("config", hold);
+        store.hold("servers", hold);
+        thread::sleep(Duration::from_millis(if hold { 4_500 } else { 2_500 }));
+    }
+    let before = store.watches();
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(store.watches(), before);
+    expect_change(&store, &backend, &gateway);
+}
--- a/toucanrail/src/boards.rs
+++ b/toucanrail/src/boards.rs
@@ -24,10 +24,14 @@
 /// Fewest relays of a fleet that uses boards: in a smaller one few entries watch, and a board's short
 /// watches cost as many calls as theirs.
 const RELAY_LEAST: usize = 24;
-/// Boards that entries of one region choose from; the second stands in for the first.
-const BOARD_COUNT: usize = 2;
+/// Boards that entries of one region choose from, each standing in for those before it. Where a part of all
+/// VMs is turned away by the store, one of them is hardly ever without it.
+const BOARD_COUNT: usize = 4;
 /// What boards are ranked by.
 const BOARD_KEY: &str = "board";
+/// Longest time between an entry's own calls to a store that no board hears from; they are spread over the
+/// second half of it.
+const OUTAGE_PAUSE: Duration = Duration::from_secs(2);
 
 /// One kind as a relay last saw it.
 #[derive(Debug, Default, Serialize)]
@@ -96,7 +100,7 @@
     }
 
     /// Returns what an entry does not know that has seen all up to `after`; none if there is nothing
-    /// yet, as before the first listing.
+    /// yet, as before the first answer of the store.
     ///
     /// # Examples
     /// ```
@@ -109,7 +113,9 @@
     /// assert!(matches!(table.news(None, Duration::ZERO), Some(NewsReply::Listing { .. })));
     /// ```
     pub fn news(&self, after: Option<Version>, now: Duration) -> Option<NewsReply> {
-        self.heard_at?;
+        if self.heard_at.is_none() && !self.is_silent {
+            return None;
+        }
         if self.is_stale(now) {
             return Some(NewsReply::Stale);
         }
@@ -132,6 +138,37 @@
     }
 }
 
+/// Says when an entry asks the store itself although no board hears from it.
+///
+/// The store may turn the boards' VMs away and serve the entry's, so it has to try; but where the store is
+/// down for all, tens of entries that retry make most of a fleet's calls.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct OutageTimer {
+    until: Duration,
+}
+
+impl OutageTimer {
+    /// Tells whether the entry may ask now.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// let mut timer = toucanrail::boards::OutageTimer::default();
+    /// assert!(timer.is_over(Duration::ZERO));
+    /// timer.note_failure(Duration::ZERO, 0.5);
+    /// assert!(!timer.is_over(Duration::from_secs(1)));
+    /// assert!(timer.is_over(Duration::from_secs(2)));
+    /// ```
+    pub fn is_over(&self, now: Duration) -> bool {
+        now >= self.until
+    }
+
+    /// Notes that the store did not answer; `dice` in `0..1` spreads entries.
+    pub fn note_failure(&mut self, now: Duration, dice: f64) {
+        self.until = now + OUTAGE_PAUSE.mul_f64(0.5 + 0.5 * dice);
+    }
+}
+
 /// Returns the relays that an entry asks, in its order; none where the fleet is small.
 ///
 /// # Examples
--- a/toucanrail/tests/board_news.rs
+++ b/toucanrail/tests/board_news.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use toucanrail::boards::{BoardTable, FRESH_BOUND};
+use toucanrail::boards::{BoardTable, FRESH_BOUND, OutageTimer};
 use toucanrail::ids::Version;
 use toucanrail::messages::{MirrorChange, MirrorObject, NewsReply};
 
@@ -87,6 +87,36 @@
     }
 }
 
+/// A board that was never asked begins in an outage. Its entries waited for its first listing for as long
+/// as for news, in vain.
+#[test]
+fn fresh_board() {
+    let mut table = BoardTable::new();
+    assert_eq!(table.news(None, NOW), None);
+    table.note_silence();
+    assert_eq!(table.news(None, NOW), Some(NewsReply::Stale));
+}
+
+/// The store is down for four seconds, and 68 entries look every 640 ms at the latest whether they may ask
+/// it. Retries of the entries were most of the calls of such a day.
+#[test]
+fn outage_calls() {
+    let step = Duration::from_millis(640);
+    let mut calls = 0;
+    for entry in 0..68 {
+        let mut timer = OutageTimer::default();
+        let mut now = NOW;
+        while now < NOW + Duration::from_secs(4) {
+            if timer.is_over(now) {
+                calls += 1;
+                timer.note_failure(now, f64::from(entry) / 68.0);
+            }
+            now += step;
+        }
+    }
+    assert!(calls <= 68 * 4, "{calls} calls");
+}
+
 proptest! {
     /// Whenever an entry has asked, it knows what the board knew, or more.
     #[test]
