Entries host relays in a fleet that has none

The small twin of the large site has entries alone.

Cause: without relays each entry holds grants of its own and watches for itself. 18 entries take what is left of each budget from one another, lose races for four objects, and call the store 150 to 500 times a second.

Change: an entry that knows the list of relays, and that none of them stands on a VM of its own, hosts one: it lends, passes connections on to the store while it reaches it itself, and keeps a board. Relays on VMs of their own go first as soon as there are any. A stopping entry ends its loans as a relay does. Tests use three ports in a row for each process instead of two.

--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -8,8 +8,8 @@
 //!
 //! The second program of this crate stands beside backend servers: `tunnelling` passes connections to
 //! the store on, `lending` serves entries from the same `budgeting`, `mirroring` tells them what
-//! changed in the store, and `registering` how fast the server is. Decisions come from the
-//! library; this crate holds sockets and timers.
+//! changed in the store, and `registering` how fast the server is. Where no VM has such a relay, entries
+//! host them (`hosting`). Decisions come from the library; this crate holds sockets and timers.
 //!
 //! # Examples
 //! ```no_run
@@ -33,6 +33,7 @@
 pub mod dispatching;
 pub mod following;
 pub mod gauging;
+pub mod hosting;
 pub mod inspecting;
 pub mod launching;
 pub mod lending;
--- a/toucanrail-gateway/src/registering.rs
+++ b/toucanrail-gateway/src/registering.rs
@@ -1,5 +1,6 @@
 //! A relay's entry in the store: where it is reached, and the pace of the server beside it.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,15 +35,20 @@
     expect: WriteExpectation,
 }
 
-/// Writes the relay's entry until the store has it, and again when the server's pace has changed.
-pub async fn keep_entry(settings: NodeSettings, gauge: Option<Rc<ServerGauge>>) {
-    let entry = RelayEntry {
-        address: settings.inner,
+/// Makes the entry of a relay that passes connections on at `address`.
+pub fn make_entry(settings: &NodeSettings, address: SocketAddr, hosted: bool) -> RelayEntry {
+    RelayEntry {
+        address,
         lending: settings.lending,
         data_centre: Arc::clone(&settings.data_centre),
         region: Arc::clone(&settings.region),
         pace_us: None,
-    };
+        hosted,
+    }
+}
+
+/// Writes the relay's entry until the store has it, and again when the server's pace has changed.
+pub async fn keep_entry(settings: NodeSettings, entry: RelayEntry, gauge: Option<Rc<ServerGauge>>) {
     let client = StoreClient::new(CONNECT_BOUND);
     let expect = WriteExpectation::Absent;
     let mut registration = Registration { client, settings, entry, expect };
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -23,6 +23,7 @@
 use crate::borrowing::{self, LoanDesk};
 use crate::budgeting::{self, BudgetKeeper};
 use crate::following;
+use crate::hosting;
 use crate::inspecting;
 use crate::peering::PeerRests;
 use crate::sighting::SightBoard;
@@ -58,6 +59,7 @@
     executor.spawn(following::sweep(Rc::clone(&held))).detach();
     executor.spawn(budgeting::run_syncs(Rc::clone(&held.keeper))).detach();
     executor.spawn(borrowing::send_ends(Rc::clone(&held))).detach();
+    executor.spawn(hosting::host_relay(Rc::clone(&held))).detach();
     smol::block_on(executor.run(stopping::wait_end(held)));
     Ok(())
 }
@@ -86,6 +88,7 @@
         desk: LoanDesk::default(),
         boards: PeerRests::default(),
         stale_boards: PeerRests::default(),
+        hosted: RefCell::new(None),
         sights: SightBoard::default(),
         board,
         executor,
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -21,6 +21,7 @@
 
 use crate::borrowing::LoanDesk;
 use crate::budgeting::BudgetKeeper;
+use crate::lending::LoanOffice;
 use crate::peering::PeerRests;
 use crate::sighting::SightBoard;
 use crate::storing::StoreAccess;
@@ -86,6 +87,8 @@
     pub boards: PeerRests,
     /// Boards that did not hear from the store a moment ago.
     pub stale_boards: PeerRests,
+    /// The relay that this entry hosts.
+    pub hosted: RefCell<Option<Rc<LoanOffice>>>,
     /// Reports of servers that did not answer.
     pub sights: SightBoard,
 }
--- a/toucanrail-gateway/src/stopping.rs
+++ b/toucanrail-gateway/src/stopping.rs
@@ -10,6 +10,7 @@
 
 use crate::borrowing;
 use crate::budgeting;
+use crate::lending::{self, LoanOffice};
 use crate::states::Gateway;
 
 /// Time after SIGTERM for which idle connections stay open: the balancer learns in this time that
@@ -17,6 +18,8 @@
 const IDLE_NOTICE: Duration = Duration::from_millis(2_500);
 /// Taken off the grace period: after that the platform kills.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_100);
+/// Taken off the grace period for the end of loans of a relay that is hosted here.
+const LOANS_MARGIN: Duration = Duration::from_millis(1_800);
 /// Taken off the grace period for the process's own end.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Longest wait for lenders to take the last ends.
@@ -55,6 +58,10 @@
     let since = Instant::now();
     gateway.stopping.set(Some(since));
     tracing::info!(event = "stop", in_flight = gateway.in_flight.get());
+    let lending = gateway.hosted.borrow().as_ref().map(|office| {
+        let bound = gateway.settings.grace.saturating_sub(LOANS_MARGIN);
+        gateway.executor.spawn(drain_loans(Rc::clone(office), bound))
+    });
     smol::Timer::after(IDLE_NOTICE).await;
     gateway.closes_idle.set(true);
     gateway.leaving.notify(usize::MAX);
@@ -63,6 +70,9 @@
     // Before the waits below: what is admitted in one of them would be cut off at its end.
     gateway.closed.set(true);
     clocks::bounded(ENDS_BOUND, borrowing::flush_ends(gateway)).await;
+    if let Some(lending) = lending {
+        lending.await;
+    }
     budgeting::leave(&gateway.keeper).await;
     wait_idle(gateway, since, grace.saturating_sub(EXIT_MARGIN)).await;
     tracing::info!(
@@ -72,6 +82,10 @@
     );
 }
 
+async fn drain_loans(office: Rc<LoanOffice>, bound: Duration) {
+    lending::drain(&office, bound).await;
+}
+
 /// Waits until nothing is in flight, at most until `limit` after the signal.
 async fn wait_idle(gateway: &Gateway, since: Instant, limit: Duration) {
     while gateway.in_flight.get() > 0 && since.elapsed() < limit {
--- a/toucanrail-gateway/src/storing.rs
+++ b/toucanrail-gateway/src/storing.rs
@@ -31,6 +31,8 @@
 /// relays themselves register in this time.
 const RELAY_FIRST: Duration = Duration::from_secs(4);
 const RELAY_FIRST_REFRESH: Duration = Duration::from_secs(1);
+/// The same time where entries host the relays, which they do once there are no others.
+const HOSTED_FIRST: Duration = Duration::from_secs(10);
 /// Longest wait for a listing of the relays, or for a try of the direct way.
 const PROBE_BOUND: Duration = Duration::from_millis(600);
 const PROBE_STEP: Duration = Duration::from_millis(250);
@@ -41,6 +43,7 @@
     client: StoreClient,
     patience: Cell<AnswerPatience>,
     ways: RefCell<DetourTable>,
+    relays_listed: Cell<bool>,
     moved: Event,
     clock: ProcessClock,
     /// Last answer of the store to anything.
@@ -57,6 +60,7 @@
             client,
             patience,
             ways: ways.into(),
+            relays_listed: Cell::new(false),
             moved: Event::new(),
             clock,
             heard: Cell::new(None),
@@ -120,6 +124,21 @@
         self.ways.borrow().paces()
     }
 
+    /// Tells whether calls go to the store directly.
+    pub fn is_direct(&self) -> bool {
+        self.ways.borrow().way().0 == StoreWay::Direct
+    }
+
+    /// Tells whether the relays were listed, and none stands on a VM of its own.
+    pub fn lacks_relays(&self) -> bool {
+        self.relays_listed.get() && self.ways.borrow().is_hosted()
+    }
+
+    /// Tells whether the store lists a relay of this name.
+    pub fn has_relay(&self, name: &str) -> bool {
+        self.ways.borrow().has_relay(name)
+    }
+
     /// Returns how many relays stand in the store, as last listed.
     pub fn count_relays(&self) -> usize {
         self.ways.borrow().count_relays()
@@ -220,6 +239,7 @@
         let now = store.now();
         let pause = match now {
             now if now < RELAY_FIRST => RELAY_FIRST_REFRESH,
+            now if now < HOSTED_FIRST && store.lacks_relays() => RELAY_FIRST_REFRESH,
             _ if store.ways.borrow().lacks_paces() => unmeasured,
             _ => RELAY_REFRESH,
         };
@@ -249,5 +269,6 @@
         entry.map(|entry| (object.name, entry))
     });
     store.ways.borrow_mut().take_relays(entries);
+    store.relays_listed.set(true);
     true
 }
--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -46,7 +46,8 @@
     let executor = Rc::new(LocalExecutor::new());
     let listener = Async::<TcpListener>::bind(settings.inner)?;
     tracing::info!(event = "start", role = "relay", vm = %settings.vm, inner = %settings.inner);
-    executor.spawn(serve(Rc::clone(&executor), listener, settings.store)).detach();
+    let passing = pass_connections(Rc::clone(&executor), listener, settings.store, || true);
+    executor.spawn(passing).detach();
     let office = Rc::new(make_office(settings, tuning, &executor)?);
     let entries = Async::<TcpListener>::bind(settings.lending)?;
     let lending = lending::serve_entries(Rc::clone(&executor), Rc::clone(&office), entries);
@@ -54,7 +55,8 @@
     executor.spawn(budgeting::run_syncs(Rc::clone(&office.keeper))).detach();
     executor.spawn(smooth_burn(Rc::clone(&office))).detach();
     let gauge = office.gauge.as_ref().map(Rc::clone);
-    executor.spawn(registering::keep_entry(settings.clone(), gauge)).detach();
+    let entry = registering::make_entry(settings, settings.inner, false);
+    executor.spawn(registering::keep_entry(settings.clone(), entry, gauge)).detach();
     smol::block_on(executor.run(async {
         wait_stop().await;
         lending::drain(&office, settings.grace.saturating_sub(GRACE_MARGIN)).await;
@@ -106,12 +108,21 @@
 }
 
 /// Passes connections on; either end may close at any time, and the entry sees a failed call.
-async fn serve(
+///
+/// While the store is not in reach of this process itself they are closed at once: the entry tries another
+/// relay.
+pub async fn pass_connections<Reach>(
     executor: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
     store: SocketAddr,
-) {
-    let serve = |socket| pass_connection(socket, store);
+    reaches: Reach,
+) where
+    Reach: Fn() -> bool,
+{
+    let serve = |socket| {
+        let passes = reaches();
+        async move { if passes { pass_connection(socket, store).await } else { Ok(()) } }
+    };
     listening::serve_each(&executor, listener, CONNECTION_LIMIT, serve, || ()).await;
 }
 
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -34,13 +34,16 @@
 /// Test programs that get different ports.
 const PORT_BLOCKS: u32 = 200;
 
-/// Returns a port that nobody listens on, and the one behind it.
-fn free_ports() -> u16 {
+/// Ports of one process towards the others, which follow one another.
+const INNER_PORTS: u16 = 3;
+
+/// Returns the first of some ports in a row that nobody listens on.
+fn free_ports(count: u16) -> u16 {
     loop {
         let base = PORT_BASE + (std::process::id() % PORT_BLOCKS) as u16 * PORT_COUNT;
-        let port = base + NEXT_PORT.fetch_add(2, Ordering::Relaxed) % PORT_COUNT;
+        let port = base + NEXT_PORT.fetch_add(count, Ordering::Relaxed) % (PORT_COUNT - count);
         let free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
-        if free(port) && free(port + 1) {
+        if (port..port + count).all(free) {
             return port;
         }
     }
@@ -458,6 +461,14 @@
         process
     }
 
+    /// Starts a gateway on a VM of this name and waits until it is ready.
+    pub fn start_gateway_on(store: &Store, vm: &str) -> Self {
+        let program = env!("CARGO_BIN_EXE_toucanrail-gateway");
+        let process = Self::start(program, store.address, vm, None);
+        process.wait_ready(true);
+        process
+    }
+
     /// Starts a gateway that finds no configuration.
     pub fn start_unready(store: &Store) -> Self {
         Self::start(env!("CARGO_BIN_EXE_toucanrail-gateway"), store.address, "front-1", None)
@@ -504,8 +515,8 @@
         vm: &str,
         app: Option<SocketAddr>,
     ) -> Self {
-        let port = || SocketAddr::from(([127, 0, 0, 1], free_ports()));
-        let (callers, readiness, inner) = (port(), port(), free_ports());
+        let port = || SocketAddr::from(([127, 0, 0, 1], free_ports(1)));
+        let (callers, readiness, inner) = (port(), port(), free_ports(INNER_PORTS));
         let app = app.map_or(String::new(), |app| format!("app = \"{app}\"\n"));
         let text = format!(
             "{app}node = \"{vm}\"\nzone = \"a\"\nip = \"127.0.0.1\"\ninternal_ports = [{inner}, {}]\n\
--- a/toucanrail/src/detours.rs
+++ b/toucanrail/src/detours.rs
@@ -35,6 +35,9 @@
     /// Time of one event of a stream at the server on its VM, in microseconds, as it measured.
     #[serde(default)]
     pub pace_us: Option<u64>,
+    /// Whether it is a part of an entry, in a fleet without VMs for relays; others go before it.
+    #[serde(default)]
+    pub hosted: bool,
 }
 
 /// One way to the store.
@@ -147,7 +150,7 @@
     fn pick_relay(&self, dice: f64, now: Duration) -> Option<RelayName> {
         let rested =
             |row: &RelayRow| row.failed_at.is_none_or(|failed| now.saturating_sub(failed) > REST);
-        let rested: Vec<_> = self.relays.iter().filter(|(_, row)| rested(row)).collect();
+        let rested: Vec<_> = self.ranked_relays().filter(|(_, row)| rested(row)).collect();
         let near = |row: &RelayRow| row.entry.data_centre == self.data_centre;
         let nearby: Vec<_> = rested.iter().copied().filter(|(_, row)| near(row)).collect();
         let choice = if nearby.is_empty() { &rested } else { &nearby };
@@ -156,6 +159,23 @@
         choice.get(at).map(|(name, _)| Arc::clone(name))
     }
 
+    /// Returns the relays that are used: those on VMs of their own, or where there is none those that
+    /// entries host.
+    fn ranked_relays(&self) -> impl Iterator<Item = (&RelayName, &RelayRow)> {
+        let hosted = self.is_hosted();
+        self.relays.iter().filter(move |(_, row)| row.entry.hosted == hosted)
+    }
+
+    /// Tells whether no relay stands on a VM of its own.
+    pub fn is_hosted(&self) -> bool {
+        self.relays.values().all(|row| row.entry.hosted)
+    }
+
+    /// Tells whether the store lists a relay of this name.
+    pub fn has_relay(&self, name: &str) -> bool {
+        self.relays.contains_key(name)
+    }
+
     /// Returns how many relays there are.
     pub fn count_relays(&self) -> usize {
         self.relays.len()
@@ -169,7 +189,7 @@
 
     /// Tells whether there is a relay that has not measured its server yet.
     pub fn lacks_paces(&self) -> bool {
-        self.relays.values().any(|row| row.entry.pace_us.is_none())
+        self.relays.values().any(|row| row.entry.pace_us.is_none() && !row.entry.hosted)
     }
 
     /// Returns the paces of the servers that relays measured, by the address of their VM.
@@ -187,8 +207,8 @@
     /// customer met in its account, and a third of all calls to the store were lost races.
     pub fn lenders(&self) -> Vec<(RelayName, SocketAddr)> {
         let near = |row: &RelayRow| row.entry.region == self.region;
-        let any = self.relays.values().any(near);
-        let rows = self.relays.iter().filter(|(_, row)| !any || near(row));
+        let any = self.ranked_relays().any(|(_, row)| near(row));
+        let rows = self.ranked_relays().filter(|(_, row)| !any || near(row));
         rows.map(|(name, row)| (Arc::clone(name), row.entry.lending)).collect()
     }
 
--- a/toucanrail/tests/store_detours.rs
+++ b/toucanrail/tests/store_detours.rs
@@ -14,7 +14,7 @@
 fn relay(port: u16, data_centre: &str) -> RelayEntry {
     let address = SocketAddr::from(([10, 0, 0, 2], port));
     let (data_centre, region) = (Arc::from(data_centre), Arc::from("r"));
-    RelayEntry { address, lending: address, data_centre, region, pace_us: None }
+    RelayEntry { address, lending: address, data_centre, region, pace_us: None, hosted: false }
 }
 
 fn make_table() -> DetourTable {
@@ -118,3 +118,23 @@
     }
     assert_eq!(patience.wait(), Duration::from_millis(300));
 }
+
+/// Entries host relays in a fleet that has no others; once there are some, budgets and the way to the store
+/// go through those.
+#[test]
+fn hosted_relays() {
+    let mut table = make_table();
+    let hosted = |port| RelayEntry { hosted: true, ..relay(port, "a") };
+    let names = |table: &DetourTable| {
+        let lenders = table.lenders();
+        lenders.into_iter().map(|(name, _)| name.to_string()).collect::<Vec<_>>()
+    };
+    table.take_relays([(Arc::from("front-1"), hosted(8)), (Arc::from("front-2"), hosted(9))]);
+    assert!(table.is_hosted());
+    assert_eq!(names(&table), ["front-1", "front-2"]);
+    table.take_relays([(Arc::from("front-1"), hosted(8)), (Arc::from("side-1"), relay(1, "b"))]);
+    assert!(!table.is_hosted());
+    assert_eq!(names(&table), ["side-1"]);
+    table.note_failure(&StoreWay::Direct, 0.0, Duration::from_secs(1));
+    assert_eq!(table.way().0, StoreWay::Relay(Arc::from("side-1")));
+}
