Servers are asked for their load before a prompt is placed, where places are scarce

The load: a burst of 2.5 times the usual traffic on the large site, whose servers run 16 requests at once. A third of all streams began seconds late while the median took 130 ms.

Cause: an entry sees one sixty-eighth of what runs at a server. It sent prompts into the queue of a session's server, where they waited for a place, while other servers had places free.

Ruled out: limits of the entries (they stood at 1 to 5 requests each and refused 6,343 tries), reading (105 ms at the median).

Tests: scarce_places replays the load with twelve servers before 24 entries, over a tenth of whose requests wait too long unasked.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -10,17 +10,22 @@
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::placing::{self, PlaceQuery};
+use toucanrail::probes::{self, ProbeRow};
+use toucanrail_wire::clocks;
 
 use crate::answering::{self, CallerSide};
 use crate::borrowing::BudgetGuard;
 use crate::calls::{AttemptContext, AttemptEnd, CallPlan, FailedAnswer, StreamState};
 use crate::sending;
+use crate::sighting;
 use crate::states::Gateway;
 
 /// Bounds of the time after which a declined caller may come back; spread, so that those who were
 /// declined together do not return together.
 const RETRY_LEAST: Duration = Duration::from_millis(250);
 const RETRY_SPREAD: Duration = Duration::from_millis(500);
+/// Longest wait for the load of servers: most relays answer within some milliseconds.
+const PROBE_BOUND: Duration = Duration::from_millis(40);
 
 /// How a request ended, for its log line.
 #[derive(Debug, Clone, Copy)]
@@ -72,7 +77,8 @@
 impl DispatchRun<'_, '_> {
     async fn serve(&mut self, caller: &mut CallerSide) -> RequestEnd {
         loop {
-            let Some((target, source)) = self.pick_target() else {
+            let probed = self.probe_servers().await;
+            let Some((target, source)) = self.pick_target(&probed) else {
                 let step = self.tally.give_up(self.last_fate());
                 return self.finish(step, caller).await;
             };
@@ -109,20 +115,53 @@
         if self.failure.is_some() { AttemptFate::Failed } else { AttemptFate::NotSent }
     }
 
-    /// Picks the server, and the one that holds the prompt's shared parts where that is another.
-    fn pick_target(&self) -> Option<(BackendEntry, Option<SocketAddr>)> {
-        let now = self.gateway.now();
-        let tables = self.gateway.tables.borrow();
-        let eligible = tables.backends.eligible(&self.plan.service, &self.tried, now);
+    fn place_query(&self) -> PlaceQuery<'_> {
         let prompt = self.plan.facts.prompt.as_ref();
-        let query = PlaceQuery {
+        PlaceQuery {
             data_centre: &self.gateway.settings.data_centre,
             parts: prompt.map_or(&[], |prompt| &prompt.parts),
             prompt: prompt.map_or(0, |prompt| prompt.prompt),
-            now,
+            now: self.gateway.now(),
             dice: fastrand::f64(),
+        }
+    }
+
+    /// Asks the relays beside some servers for their load, where prompts wait longer than they should.
+    async fn probe_servers(&self) -> Vec<ProbeRow> {
+        let Gateway { executor, .. } = &**self.gateway;
+        if self.plan.facts.prompt.is_none() || !self.gateway.wants_probe(&self.plan.service) {
+            return Vec::new();
+        }
+        let query = self.place_query();
+        let candidates = {
+            let tables = self.gateway.tables.borrow();
+            let eligible = tables.backends.eligible(&self.plan.service, &self.tried, query.now);
+            let dice = [fastrand::f64(), fastrand::f64()];
+            probes::pick_candidates(&eligible, &query, dice)
         };
-        let row = placing::pick_backend(&eligible, &query)?;
+        let probing = candidates.into_iter().map(|entry| {
+            let gateway = Rc::clone(self.gateway);
+            executor.spawn(async move {
+                let seeing = sighting::see_load(&gateway, &entry);
+                let report = clocks::bounded(PROBE_BOUND, seeing).await.flatten();
+                (entry, report)
+            })
+        });
+        let mut probed = Vec::new();
+        for task in probing.collect::<Vec<_>>() {
+            probed.push(task.await);
+        }
+        self.gateway.take_reports(&self.plan.service, &probed);
+        probed
+    }
+
+    /// Picks the server, and the one that holds the prompt's shared parts where that is another.
+    fn pick_target(&self, probed: &[ProbeRow]) -> Option<(BackendEntry, Option<SocketAddr>)> {
+        let query = self.place_query();
+        let tables = self.gateway.tables.borrow();
+        let eligible = tables.backends.eligible(&self.plan.service, &self.tried, query.now);
+        let chosen = probes::pick_probed(&eligible, &query, probed, self.plan.route.aim);
+        let row = chosen.or_else(|| placing::pick_backend(&eligible, &query))?;
         let source = placing::pick_source(&eligible, &query, row);
         Some((row.entry.clone(), source.map(|source| source.entry.address)))
     }
--- a/toucanrail-gateway/src/sighting.rs
+++ b/toucanrail-gateway/src/sighting.rs
@@ -50,9 +50,9 @@
     }
 }
 
-/// Looks at one request at its server; none where the server or its relay does not answer.
-async fn see_run(context: &AttemptContext<'_, '_>) -> Option<RunSight> {
-    let AttemptContext { gateway, plan, target, .. } = *context;
+/// Returns a server's load as its relay tells it, some tenths of a second old at most; none where either
+/// of them does not answer.
+pub async fn see_load(gateway: &Gateway, target: &BackendEntry) -> Option<LoadReport> {
     let row = gateway.sights.row(&target.id);
     // Held through the look: who comes meanwhile waits for this one.
     let mut row = row.lock().await;
@@ -61,9 +61,9 @@
         Some(seen) => seen,
         None => SightRow { report: ask_report(gateway, target).await, taken_at: gateway.now() },
     };
-    let sight = seen.report.as_ref().map(|report| RunSight::find(report, &plan.facts.id));
+    let report = seen.report.clone();
     *row = Some(seen);
-    sight
+    report
 }
 
 async fn ask_report(gateway: &Gateway, server: &BackendEntry) -> Option<LoadReport> {
@@ -93,7 +93,8 @@
     received: u64,
 ) -> bool {
     let AttemptContext { gateway, plan, target, .. } = *context;
-    let sight = see_run(context).await;
+    let report = see_load(gateway, target).await;
+    let sight = report.as_ref().map(|report| RunSight::find(report, &plan.facts.id));
     let verdict = watch.judge(sight, received);
     let lost = match verdict {
         SilenceVerdict::Works => false,
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -79,6 +79,7 @@
         backends: BackendTable::new(),
         retries: BTreeMap::new(),
         limits: BTreeMap::new(),
+        places: BTreeMap::new(),
     };
     Ok(Gateway {
         settings,
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -12,6 +12,7 @@
 use toucanrail::backends::{BackendEntry, BackendId, BackendTable, FlightId};
 use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
+use toucanrail::probes::{PlaceGauge, ProbeRow};
 use toucanrail::retries::{RetryBounds, RetryBudget};
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_daemons::starting::ProcessClock;
@@ -48,6 +49,8 @@
     pub retries: BTreeMap<ServiceName, RetryBudget>,
     /// Unread work and its limit, by service.
     pub limits: BTreeMap<ServiceName, AdmissionLimit>,
+    /// Free places at the servers, by service.
+    pub places: BTreeMap<ServiceName, PlaceGauge>,
 }
 
 /// One running gateway.
@@ -154,6 +157,22 @@
         admits
     }
 
+    /// Tells whether servers of a service are to be asked for their load before a request is placed:
+    /// requests wait longer for their first event than they should, and places may be scarce.
+    pub fn wants_probe(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let tables = self.tables.borrow();
+        let places = tables.places.get(service).copied().unwrap_or_default();
+        let pressed = tables.limits.get(service).is_some_and(|limit| limit.is_pressed(now));
+        pressed && places.wants_probe(fastrand::f64())
+    }
+
+    /// Takes what servers of a service reported.
+    pub fn take_reports(&self, service: &ServiceName, probed: &[ProbeRow]) {
+        let mut tables = self.tables.borrow_mut();
+        tables.places.entry(Arc::clone(service)).or_default().take_reports(probed);
+    }
+
     fn with_budget<Value, Work>(&self, service: &ServiceName, work: Work) -> Value
     where
         Work: FnOnce(&mut RetryBudget) -> Value,
--- a/toucanrail/src/admissions.rs
+++ b/toucanrail/src/admissions.rs
@@ -103,6 +103,13 @@
         admits
     }
 
+    /// Tells whether requests wait longer than they should: there is a limit, or one of them has waited for
+    /// half of its hoped-for time.
+    pub fn is_pressed(&self, now: Duration) -> bool {
+        let waits_long = |row: &WaitRow| now.saturating_sub(row.sent_at) > row.aim / 2;
+        self.limit.is_some() || self.rows.values().any(waits_long)
+    }
+
     /// Returns how many requests wait for their first event, and the limit while there is one; for logs.
     pub fn waiting(&self) -> (usize, Option<f64>) {
         (self.rows.len(), self.limit)
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod patience;
 pub mod placing;
 pub mod policies;
+pub mod probes;
 pub mod reclaims;
 pub mod records;
 pub mod replays;
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -59,14 +59,19 @@
     let ramped = eligible.iter().filter(|row| row.ejection.is_ramped(query.now, query.dice));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
     let rows = if ramped.is_empty() { eligible } else { &ramped };
+    let costs = estimate_costs(rows, query);
+    let best = rows.iter().zip(costs).min_by(|(_, one), (_, other)| one.total_cmp(other));
+    best.map(|(best, _)| *best)
+}
+
+/// Returns the expected cost of each of some servers, in their order: the time to the first event with what
+/// placing there costs others, in milliseconds.
+pub(crate) fn estimate_costs(rows: &[&BackendRow], query: &PlaceQuery<'_>) -> Vec<f64> {
     let rows = homes::weigh_rows(rows);
     let home = session_key(query).and_then(|key| homes::rank_first(&rows, key));
-    let cost = |one: &SpeedRow<'_>| {
-        let is_home = home.is_some_and(|home| home.row.entry.id == one.row.entry.id);
-        estimate_cost(one, query, is_home)
-    };
-    let best = rows.iter().min_by(|one, other| cost(one).total_cmp(&cost(other)));
-    best.map(|best| best.row)
+    let is_home =
+        |one: &SpeedRow<'_>| home.is_some_and(|home| home.row.entry.id == one.row.entry.id);
+    rows.iter().map(|one| estimate_cost(one, query, is_home(one))).collect()
 }
 
 /// Returns the server from which `target` may fetch shared parts of the prompt; none where no other is
--- /dev/null
+++ b/toucanrail/src/probes.rs
@@ -0,0 +1,142 @@
+//! The choice among a few servers whose load was just asked for.
+//!
+//! The load it answers: servers whose places are nearly all taken, before entries that each send them few of
+//! their requests. An entry of 68 sees a sixty-eighth of what runs at a server. Requests then wait for
+//! seconds in the queue of one server, while another has places free. The relays beside the servers know.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::backends::{BackendEntry, BackendRow};
+use crate::paces::LoadReport;
+use crate::placing::{self, PlaceQuery};
+
+/// Servers that are asked besides the one that would be chosen unasked. With two the longest queue of a
+/// fleet is already short; each further one costs a call and shortens it little.
+pub const SAMPLE_COUNT: usize = 2;
+/// Hoped-for times for which a request is taken to run: a server with many places frees one of them sooner.
+const RUN_AIMS: f64 = 4.0;
+
+/// Part of the reports without a free place from which servers are asked before each request.
+const SCARCE_PART: f64 = 0.1;
+/// Part of the requests before which servers are asked while places are not known to be scarce.
+const LOOK_PART: f64 = 0.06;
+/// Weight of a new report.
+const REPORT_WEIGHT: f64 = 0.1;
+
+/// How scarce free places are at the servers of one service, by the reports so far.
+///
+/// Where servers have places free, a probe tells nothing and delays the request.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Serialize)]
+pub struct PlaceGauge {
+    /// Smoothed part of the reports without a free place.
+    full: f64,
+}
+
+impl PlaceGauge {
+    /// Tells whether servers are to be asked before a request; `dice` in `0..1` picks the looks.
+    ///
+    /// # Examples
+    /// ```
+    /// let gauge = toucanrail::probes::PlaceGauge::default();
+    /// assert!(gauge.wants_probe(0.0) && !gauge.wants_probe(0.5));
+    /// ```
+    pub fn wants_probe(&self, dice: f64) -> bool {
+        self.full > SCARCE_PART || dice < LOOK_PART
+    }
+
+    /// Takes what servers reported.
+    pub fn take_reports(&mut self, probed: &[ProbeRow]) {
+        for (entry, report) in probed {
+            let Some(report) = report else {
+                continue;
+            };
+            let is_full = count_over(entry, report) > 0;
+            self.full += (f64::from(u8::from(is_full)) - self.full) * REPORT_WEIGHT;
+        }
+    }
+}
+
+/// Returns how many requests must end at a server before another one begins.
+fn count_over(entry: &BackendEntry, report: &LoadReport) -> u64 {
+    let taken = report.runs.len() as u64 + report.waiting;
+    (taken + 1).saturating_sub(entry.slots)
+}
+
+/// A server that was asked for its load; without a report where it, or its relay, did not answer.
+pub type ProbeRow = (BackendEntry, Option<LoadReport>);
+
+/// Returns the servers to ask: the one that is expected to be the best, and some that are drawn by `dice`,
+/// each in `0..1`.
+///
+/// # Examples
+/// ```
+/// use toucanrail::{placing::PlaceQuery, probes};
+/// let query = PlaceQuery {
+///     data_centre: "a", parts: &[], prompt: 0, now: Default::default(), dice: 0.5,
+/// };
+/// assert!(probes::pick_candidates(&[], &query, [0.2, 0.7]).is_empty());
+/// ```
+pub fn pick_candidates(
+    eligible: &[&BackendRow],
+    query: &PlaceQuery<'_>,
+    dice: [f64; SAMPLE_COUNT],
+) -> Vec<BackendEntry> {
+    let Some(best) = placing::pick_backend(eligible, query) else {
+        return Vec::new();
+    };
+    let others = eligible.iter().copied().filter(|row| row.entry.id != best.entry.id);
+    let mut others: Vec<&BackendRow> = others.collect();
+    let mut candidates = vec![best.entry.clone()];
+    for draw in dice {
+        let Some(last) = others.len().checked_sub(1) else {
+            break;
+        };
+        let at = ((others.len() as f64 * draw) as usize).min(last);
+        candidates.push(others.swap_remove(at).entry.clone());
+    }
+    candidates
+}
+
+/// Picks the server with the least expected cost among those that were asked, by what they report of their
+/// load: the requests that must end before another one begins cost the time in which so many places come
+/// free. A server without a report counts as one with free places.
+///
+/// What this entry has sent while they were asked is known from `eligible`; none is returned if all of them
+/// have left meanwhile.
+///
+/// # Examples
+/// ```
+/// use std::time::Duration;
+/// use toucanrail::{placing::PlaceQuery, probes};
+/// let query = PlaceQuery {
+///     data_centre: "a", parts: &[], prompt: 0, now: Default::default(), dice: 0.5,
+/// };
+/// assert!(probes::pick_probed(&[], &query, &[], Duration::from_secs(1)).is_none());
+/// ```
+pub fn pick_probed<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlaceQuery<'_>,
+    probed: &[ProbeRow],
+    aim: Duration,
+) -> Option<&'rows BackendRow> {
+    let costs = placing::estimate_costs(eligible, query);
+    let asked = eligible.iter().zip(costs).filter_map(|(row, cost)| {
+        let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
+        let wait = report.as_ref().map_or(0.0, |report| estimate_wait(&row.entry, report, aim));
+        Some((*row, cost + wait))
+    });
+    let best = asked.min_by(|(_, one), (_, other)| one.total_cmp(other));
+    best.map(|(row, _)| row)
+}
+
+/// Returns the expected wait for a place at a server, in milliseconds.
+///
+/// Prompts that are being read count for nothing: where places are free, a session that moves away from
+/// its server is read twice, which costs more than the wait.
+fn estimate_wait(entry: &BackendEntry, report: &LoadReport, aim: Duration) -> f64 {
+    let over = count_over(entry, report);
+    let run = aim.mul_f64(RUN_AIMS * 1_000.0).as_secs_f64();
+    run * over as f64 / entry.slots.max(1) as f64
+}
--- /dev/null
+++ b/toucanrail/tests/load_probes.rs
@@ -0,0 +1,181 @@
+//! Load probes before a placement, against placing by what an entry knows itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::backends::{BackendEntry, BackendTable, FlightRow, PromptPart};
+use toucanrail::paces::{LoadReport, RunRow};
+use toucanrail::placing;
+use toucanrail::placing::PlaceQuery;
+use toucanrail::probes::{self, PlaceGauge, ProbeRow};
+
+const AIM: Duration = Duration::from_millis(500);
+const SLOTS: u64 = 16;
+const SERVERS: usize = 12;
+const ENTRIES: usize = 24;
+/// Time for which a request runs once it has a place, and between two requests: 85 % of all places are
+/// taken.
+const RUN: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_millis(18);
+const REQUESTS: usize = 3_000;
+
+fn entry(at: usize) -> BackendEntry {
+    BackendEntry {
+        id: Arc::from(format!("s{at}")),
+        service: Arc::from("llm"),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_centre: Arc::from("a"),
+        slots: SLOTS,
+        draining: false,
+        born: 1,
+        revision: 1,
+    }
+}
+
+fn make_table() -> BackendTable {
+    let mut table = BackendTable::new();
+    for at in 0..SERVERS {
+        table.take_entry(entry(at));
+    }
+    table
+}
+
+fn make_report(running: u64, waiting: u64) -> LoadReport {
+    let row = |at| RunRow { request: Arc::from(format!("r{at}")), events: 1 };
+    LoadReport { born: 1, waiting, runs: (0..running).map(row).collect() }
+}
+
+fn make_query(parts: &[PromptPart], now: Duration) -> PlaceQuery<'_> {
+    let prompt = parts.iter().map(|part| part.tokens).sum();
+    PlaceQuery { data_centre: "a", parts, prompt, now, dice: 0.5 }
+}
+
+fn make_parts(session: u64, own: u64) -> [PromptPart; 3] {
+    [(1, 100), (1_000 + session, 100), (100_000 + own, 600)]
+        .map(|(id, tokens)| PromptPart { id, tokens })
+}
+
+/// The server that an entry takes for the best has no place free, which it cannot know; another has.
+#[test]
+fn full_server() {
+    let table = make_table();
+    let parts = make_parts(7, 1);
+    let query = make_query(&parts, RUN);
+    let eligible = table.eligible("llm", &[], RUN);
+    let candidates = probes::pick_candidates(&eligible, &query, [0.1, 0.9]);
+    assert_eq!(candidates.len(), 3);
+    let home = Arc::clone(&candidates[0].id);
+    let load = |at: usize| if at == 0 { make_report(SLOTS, 4) } else { make_report(3, 0) };
+    let probed: Vec<ProbeRow> =
+        candidates.into_iter().enumerate().map(|(at, entry)| (entry, Some(load(at)))).collect();
+    let chosen = probes::pick_probed(&eligible, &query, &probed, AIM).expect("a server");
+    assert_ne!(chosen.entry.id, home);
+}
+
+/// Nothing is known of servers whose relays do not answer: the request goes where it would go unasked.
+#[test]
+fn silent_relays() {
+    let table = make_table();
+    let parts = make_parts(7, 1);
+    let query = make_query(&parts, RUN);
+    let eligible = table.eligible("llm", &[], RUN);
+    let candidates = probes::pick_candidates(&eligible, &query, [0.1, 0.9]);
+    let probed: Vec<ProbeRow> = candidates.into_iter().map(|entry| (entry, None)).collect();
+    let chosen = probes::pick_probed(&eligible, &query, &probed, AIM).map(|row| &row.entry.id);
+    assert_eq!(chosen, placing::pick_backend(&eligible, &query).map(|row| &row.entry.id));
+}
+
+/// Probes delayed each request of a fleet whose servers had places free, and told nothing.
+#[test]
+fn free_places() {
+    let mut gauge = PlaceGauge::default();
+    let free: Vec<ProbeRow> = (0..3).map(|at| (entry(at), Some(make_report(5, 0)))).collect();
+    let full: Vec<ProbeRow> = (0..3).map(|at| (entry(at), Some(make_report(SLOTS, 2)))).collect();
+    gauge.take_reports(&free);
+    assert!(!gauge.wants_probe(0.5));
+    gauge.take_reports(&full);
+    assert!(gauge.wants_probe(0.5));
+    for _ in 0..20 {
+        gauge.take_reports(&free);
+    }
+    assert!(!gauge.wants_probe(0.5));
+}
+
+/// One request as its server sees it.
+#[derive(Clone, Copy)]
+struct PlacedRow {
+    begins: Duration,
+    ends: Duration,
+}
+
+/// A server with a queue: a request begins as soon as one of the places is free.
+#[derive(Default)]
+struct QueueSim {
+    rows: Vec<PlacedRow>,
+}
+
+impl QueueSim {
+    /// Places a request and returns when it begins.
+    fn place(&mut self, now: Duration) -> Duration {
+        let mut ends: Vec<Duration> =
+            self.rows.iter().map(|row| row.ends).filter(|ends| *ends > now).collect();
+        ends.sort_unstable();
+        let over = (ends.len() + 1).saturating_sub(SLOTS as usize);
+        let begins = over.checked_sub(1).map_or(now, |at| ends[at]);
+        self.rows.push(PlacedRow { begins, ends: begins + RUN });
+        begins
+    }
+
+    fn report(&self, now: Duration) -> LoadReport {
+        let running = self.rows.iter().filter(|row| row.begins <= now && row.ends > now).count();
+        let waiting = self.rows.iter().filter(|row| row.begins > now).count();
+        make_report(running as u64, waiting as u64)
+    }
+}
+
+/// Serves the load through entries that each see a part of it, and returns how many requests wait for a
+/// place for longer than hoped for.
+fn count_late(probes_first: bool) -> usize {
+    let mut dice = fastrand::Rng::with_seed(1);
+    let mut tables: Vec<BackendTable> = (0..ENTRIES).map(|_| make_table()).collect();
+    let mut servers: BTreeMap<Arc<str>, QueueSim> = BTreeMap::new();
+    let mut late = 0;
+    for number in 0..REQUESTS {
+        let now = PAUSE * number as u32;
+        let table = &mut tables[number % ENTRIES];
+        let parts = make_parts(dice.u64(0..40), number as u64);
+        let query = make_query(&parts, now);
+        let eligible = table.eligible("llm", &[], now);
+        let draws = [dice.f64(), dice.f64()];
+        let candidates = probes::pick_candidates(&eligible, &query, draws);
+        let probed: Vec<ProbeRow> = candidates
+            .into_iter()
+            .map(|entry| {
+                let report = servers.entry(Arc::clone(&entry.id)).or_default().report(now);
+                (entry, Some(report))
+            })
+            .collect();
+        let chosen = if probes_first {
+            probes::pick_probed(&eligible, &query, &probed, AIM)
+        } else {
+            placing::pick_backend(&eligible, &query)
+        };
+        let id = Arc::clone(&chosen.expect("a server").entry.id);
+        let begins = servers.entry(Arc::clone(&id)).or_default().place(now);
+        let flight = FlightRow { sent_at: now, fresh: 0, begun: true };
+        table.note_sent(&id, flight, &parts);
+        late += usize::from(begins - now > AIM);
+    }
+    late
+}
+
+/// Nearly all places are taken, and entries that see a twenty-fourth of the load each sent requests into the
+/// queue of one server while another had places free. Asked for, hardly one waits.
+#[test]
+fn scarce_places() {
+    let (unasked, asked) = (count_late(false), count_late(true));
+    assert!(unasked > REQUESTS / 10, "{unasked} late without probes: no load that tells");
+    assert!(asked * 20 < REQUESTS, "{asked} late with probes, {unasked} without");
+}
