--- a/toucanrail/tests/load_probes.rs
+++ b/toucanrail/tests/load_probes.rs
@@ -166,7 +166,7 @@
         let begins = servers.entry(Arc::clone(&id)).or_default().place(now);
         let flight = FlightRow { sent_at: now, fresh: 0, begun: true };
         table.note_sent(&id, flight, &parts);
-        late += usize::from(begins - now > AIM);
+        late += usize::from(begins.saturating_sub(now) > AIM);
     }
     late
 }
