--- a/toucanrail-gateway/src/budgeting.rs
+++ b/toucanrail-gateway/src/budgeting.rs
@@ -135,6 +135,7 @@
         if let Ok(hold) = self.grants.borrow_mut().hold(customer, amount) {
             return Ok(hold);
         }
+        // No look could change this: totals come with the configuration, and what is billed only grows.
         if self.grants.borrow().is_uncovered(customer, amount) {
             return Err(HoldFailure::Uncovered);
         }
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -128,7 +128,6 @@
 
     /// Asks the relays beside some servers for their load, where prompts wait longer than they should.
     async fn probe_servers(&self) -> Vec<ProbeRow> {
-        let Gateway { executor, .. } = &**self.gateway;
         if self.plan.facts.prompt.is_none() || !self.gateway.wants_probe(&self.plan.service) {
             return Vec::new();
         }
@@ -141,7 +140,7 @@
         };
         let probing = candidates.into_iter().map(|entry| {
             let gateway = Rc::clone(self.gateway);
-            executor.spawn(async move {
+            self.gateway.executor.spawn(async move {
                 let seeing = sighting::see_load(&gateway, &entry);
                 let report = clocks::bounded(PROBE_BOUND, seeing).await.flatten();
                 (entry, report)
@@ -152,9 +151,21 @@
             probed.push(task.await);
         }
         self.gateway.take_reports(&self.plan.service, &probed);
+        self.log_probes(&probed);
         probed
     }
 
+    fn log_probes(&self, probed: &[ProbeRow]) {
+        let loads = probed.iter().map(|(entry, report)| {
+            let load = report.as_ref().map(|report| (report.runs.len(), report.waiting));
+            (&entry.id, load, entry.slots)
+        });
+        tracing::info!(
+            event = "servers_probed", request = %self.plan.facts.id,
+            running_waiting_slots = ?loads.collect::<Vec<_>>(),
+        );
+    }
+
     /// Picks the server, and the one that holds the prompt's shared parts where that is another.
     fn pick_target(&self, probed: &[ProbeRow]) -> Option<(BackendEntry, Option<SocketAddr>)> {
         let query = self.place_query();
--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -21,7 +21,7 @@
 /// Time in which relays on VMs of their own register in a fleet that starts.
 const RELAY_TIME: Duration = Duration::from_secs(4);
 /// How often it is looked whether there are any.
-const LOOK_PAUSE: Duration = Duration::from_millis(250);
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
 
 /// Hosts a relay once it is known that no VM of its own has one.
 pub async fn host_relay(gateway: Rc<Gateway>) {
--- a/toucanrail/src/accounts.rs
+++ b/toucanrail/src/accounts.rs
@@ -35,7 +35,6 @@
     /// Weight of the ticks in `burn`; corrects it for the time before the first.
     burn_weight: f64,
     burn_sum: f64,
-    /// Whether a request began to wait since the last plan.
     /// Whether a request began to wait that no plan has seen.
     pub unseen: bool,
 }
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -1,8 +1,8 @@
 //! The choice among a few servers whose load was just asked for.
 //!
-//! The load it answers: servers whose places are nearly all taken, before entries that each send them few of
-//! their requests. An entry of 68 sees a sixty-eighth of what runs at a server. Requests then wait for
-//! seconds in the queue of one server, while another has places free. The relays beside the servers know.
+//! The load it answers: servers whose places are nearly all taken, and many entries that each send them few of
+//! their requests. A request then waits for seconds in the queue of one server while another has places free,
+//! and its entry cannot know. The relays beside the servers do.
 
 use std::time::Duration;
 
@@ -12,12 +12,10 @@
 use crate::paces::LoadReport;
 use crate::placing::{self, PlaceQuery};
 
-/// Servers that are asked besides the one that would be chosen unasked. With two the longest queue of a
-/// fleet is already short; each further one costs a call and shortens it little.
+/// Servers that are asked besides the one that would be chosen unasked.
 pub const SAMPLE_COUNT: usize = 2;
 /// Hoped-for times for which a request is taken to run: a server with many places frees one of them sooner.
 const RUN_AIMS: f64 = 4.0;
-
 /// Part of the reports without a free place from which servers are asked before each request.
 const SCARCE_PART: f64 = 0.1;
 /// Part of the requests before which servers are asked while places are not known to be scarce.
