Callers are told just before they give up

Change: an attempt that has no beginning yet ends 40 ms before its caller gives up for want of an event, or at the end of its time, with 504. Whoever would have left gets a final answer instead; nobody who would have been served loses more than these 40 ms.

Before: silent_server failed (its caller had left).

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -14,7 +14,7 @@
 use crate::answering::{self, CallerSide};
 use crate::borrowing::{self, BudgetGuard, BudgetNeed};
 use crate::budgeting::HoldFailure;
-use crate::calls::CallPlan;
+use crate::calls::{CallPlan, DEADLINE_MARGIN};
 use crate::dispatching;
 use crate::states::Gateway;
 
@@ -103,7 +103,7 @@
         customer,
         service,
         arrived,
-        deadline: arrived + waits,
+        deadline: arrived + waits.saturating_sub(DEADLINE_MARGIN),
         budget: None,
     };
     check_load(gateway, &plan)?;
--- a/toucanrail-gateway/src/calls.rs
+++ b/toucanrail-gateway/src/calls.rs
@@ -19,6 +19,10 @@
 use crate::borrowing::BudgetGuard;
 use crate::states::Gateway;
 
+/// Taken off the time that a caller waits: its answer must be there before it gives up by itself. What goes on
+/// at a server behind a caller that has left is in vain, and a server that stands still cannot be told.
+pub const DEADLINE_MARGIN: Duration = Duration::from_millis(40);
+
 /// One admitted request.
 #[derive(Debug)]
 pub struct CallPlan<'call> {
@@ -49,6 +53,12 @@
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
+
+    /// Returns the time left until the caller gives up for want of a beginning.
+    pub fn left_to_begin(&self) -> Duration {
+        let begun_by = self.arrived + self.route.patience().saturating_sub(DEADLINE_MARGIN);
+        self.left().min(begun_by.saturating_duration_since(Instant::now()))
+    }
 }
 
 /// A failure that a server answered.
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -117,10 +117,10 @@
     bytes.extend_from_slice(plan.body);
     let exchange = exchange_heads(&mut channel, &bytes, &plan.facts.id);
     let watched = exchange.or(watch_server(context));
-    let (head, sent_whole) = match clocks::within(plan.left(), watched).await {
+    let (head, sent_whole) = match clocks::within(plan.left_to_begin(), watched).await {
         Ok(found) => found,
         Err(error) if error.kind() == io::ErrorKind::TimedOut => {
-            let over = plan.left().is_zero();
+            let over = plan.left_to_begin().is_zero();
             return Err(if over { AttemptFate::TimedOut } else { AttemptFate::Lost });
         }
         Err(error) => {
--- a/toucanrail-gateway/tests/departed_callers.rs
+++ b/toucanrail-gateway/tests/departed_callers.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform::{Act, Backend, Process, Store, request};
 
@@ -76,3 +76,34 @@
     thread::sleep(DELIVERY);
     assert_eq!(count_seen(&backend, "r2"), 0);
 }
+
+/// A server stands still with its VM. Its callers left by themselves at the end of their time, as far as they
+/// could know while their requests went on; they are told before.
+#[test]
+fn silent_server() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer("PAUSE".repeat(100)));
+    platform::configure(&store, 1, &[&backend]);
+    let gateway = Process::start_gateway(&store);
+    let text = request("POST", "/once/a", "r1", "", "order").replace(": 8000", ": 1000");
+    let start = Instant::now();
+    let answer = platform::call(gateway.callers, &text).unwrap();
+    assert_eq!(answer.status(), 504);
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+}
+
+/// The same for a stream, whose callers give up before the end of their time when no
+/// event comes.
+#[test]
+fn silent_stream() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer("PAUSE".repeat(250)));
+    platform::configure_total(&store, 1, &[&backend], 100_000);
+    let gateway = Process::start_gateway(&store);
+    let text = request("POST", "/stream/a", "r1", platform::PROMPT, "p");
+    let start = Instant::now();
+    let answer = platform::call(gateway.callers, &text).unwrap();
+    assert_eq!(answer.status(), 504);
+    // The route of the tests accepts pauses of 600 ms: its callers wait for eight times that.
+    assert!(start.elapsed() < Duration::from_millis(4_800), "{:?}", start.elapsed());
+}
--- a/toucanrail/src/matching.rs
+++ b/toucanrail/src/matching.rs
@@ -9,6 +9,12 @@
 
 use crate::ids::{CustomerId, ServiceName, Tokens, Version};
 
+/// Gap between events at which callers give a stream up, the first event included: the longest of this time
+/// and of multiples of the route's hoped-for time and accepted pause.
+const EVENT_PATIENCE: Duration = Duration::from_secs(2);
+const AIM_PATIENCE: u32 = 4;
+const GAP_PATIENCE: u32 = 8;
+
 /// How often a request of a route may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum RouteKind {
@@ -72,6 +78,15 @@
 }
 
 impl RouteRule {
+    /// Returns how long a caller of a stream waits for an event before it gives up; the whole time for other
+    /// requests.
+    pub fn patience(&self) -> Duration {
+        if !self.kind.is_stream() {
+            return self.timeout;
+        }
+        EVENT_PATIENCE.max(self.aim * AIM_PATIENCE).max(self.gap * GAP_PATIENCE)
+    }
+
     /// Picks the service of one request; `dice` in `0..1` spreads requests over the shares.
     pub fn pick_service(&self, dice: f64) -> Option<&ServiceName> {
         let total: u32 = self.targets.iter().map(|target| target.weight).sum();
