Without probes the servers' costs are weighed once

pick_probed weighed all servers of a service although none had been asked, and pick_backend weighed them again: in calm, twice for each request. It returns at once then; what is chosen stays the same. load_probes and backend_placing pass; clippy and fmt are clean.

--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -119,6 +119,9 @@
     probed: &[ProbeRow],
     aim: Duration,
 ) -> Option<&'rows BackendRow> {
+    if probed.is_empty() {
+        return None;
+    }
     let costs = placing::estimate_costs(eligible, query);
     let asked = eligible.iter().zip(costs).filter_map(|(row, cost)| {
         let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
