Evacuations are followed, cold servers get only what their relays permit, regions bind

Cause: nothing knew an evacuation or a cold server.

Ruled out: clocks that agree and shares by the number of living entries (nothing tells that number, and entries that are cut off count too), one draw by hash for each entry and moment (bound to hold only in the mean).

Change: evacuations are followed like the servers, by boards with longer watches; an entry is not ready and sends nothing before they are listed; the servers of a data centre close one after the other within a fifth of the bound, and parts are fetched from them for two fifths. Servers that are taken back, that a connection was lost to or that say so are cold.

--- a/toucanrail-gateway/src/calls.rs
+++ b/toucanrail-gateway/src/calls.rs
@@ -17,6 +17,7 @@
 use toucanrail_wire::keeping;
 
 use crate::borrowing::BudgetGuard;
+use crate::permitting::SendPermit;
 use crate::states::Gateway;
 
 /// Taken off the time that a caller waits: its answer must be there before it gives up by itself. What goes on
@@ -81,6 +82,8 @@
     pub target: &'run BackendEntry,
     /// A server that holds the prompt's shared parts.
     pub source: Option<SocketAddr>,
+    /// Whether the server may get the request.
+    pub permit: SendPermit,
     /// Whether another attempt may follow although this one was sent.
     pub may_move: bool,
 }
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -1,14 +1,16 @@
 //! One admitted request: servers are tried until it has its answer or none may be tried any more.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use toucanrail::attempting::{AttemptFate, AttemptTally, NextStep};
-use toucanrail::backends::{BackendEntry, BackendId};
+use toucanrail::backends::{BackendEntry, BackendId, BackendRow, BackendTable};
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
+use toucanrail::matching;
 use toucanrail::placing::{self, PlaceQuery};
 use toucanrail::probes::{self, ProbeRow};
 use toucanrail_wire::clocks;
@@ -16,6 +18,7 @@
 use crate::answering::{self, CallerSide};
 use crate::borrowing::BudgetGuard;
 use crate::calls::{AttemptContext, AttemptEnd, CallPlan, FailedAnswer, StreamState};
+use crate::permitting::{self, SendPermit};
 use crate::sending;
 use crate::sighting;
 use crate::states::Gateway;
@@ -27,6 +30,11 @@
 /// Longest wait for the load of servers: most relays answer within some milliseconds.
 const PROBE_BOUND: Duration = Duration::from_millis(40);
 
+/// Part of the hoped-for time for which a request waits for permits where all servers are cold, and the time
+/// over which those that wait for the same one are spread.
+const PERMIT_PART: f64 = 0.8;
+const PERMIT_SPREAD: Duration = Duration::from_millis(60);
+
 /// How a request ended, for its log line.
 #[derive(Debug, Clone, Copy)]
 enum RequestEnd {
@@ -82,8 +90,16 @@
                 let step = self.tally.give_up(self.last_fate());
                 return self.finish(step, caller).await;
             };
+            if !self.wait_permits(&target).await {
+                let step = self.tally.give_up(self.last_fate());
+                return self.finish(step, caller).await;
+            }
+            let permit = permitting::take_permit(self.gateway, &target).await;
+            if permit == SendPermit::Denied {
+                continue;
+            }
             self.tried.push(Arc::clone(&target.id));
-            let fate = match self.attempt(&target, source, caller).await {
+            let fate = match self.attempt(&target, source, permit, caller).await {
                 AttemptEnd::Whole => return RequestEnd::Whole,
                 AttemptEnd::CallerGone => return RequestEnd::CallerGone,
                 AttemptEnd::Failed(answer) => {
@@ -102,6 +118,26 @@
         }
     }
 
+    /// Waits until a permit for a cold server may be had again, where no other server is free; false if that
+    /// is too late.
+    async fn wait_permits(&self, target: &BackendEntry) -> bool {
+        let now = self.gateway.now();
+        let wait = {
+            let tables = self.gateway.tables.borrow();
+            let row = tables.backends.get(&target.id);
+            row.map_or(Duration::ZERO, |row| row.permit_wait(now))
+        };
+        if wait.is_zero() {
+            return true;
+        }
+        let wait = wait + PERMIT_SPREAD.mul_f64(fastrand::f64());
+        let fits = self.plan.arrived.elapsed() + wait < self.plan.route.aim.mul_f64(PERMIT_PART);
+        if fits {
+            smol::Timer::after(wait).await;
+        }
+        fits
+    }
+
     /// Only a request that was sent before is a retry to the service.
     fn may_try_again(&self) -> bool {
         let allowed = self.tally.sent == 0 || self.gateway.try_retry(&self.plan.service);
@@ -126,6 +162,28 @@
         }
     }
 
+    /// Returns the servers that the request may go to next.
+    fn list_eligible<'table>(
+        &self,
+        table: &'table BackendTable,
+        now: Duration,
+    ) -> Vec<&'table BackendRow> {
+        let mut eligible = table.eligible(&self.plan.service, &self.tried, now);
+        eligible.retain(|row| self.allows(row));
+        eligible
+    }
+
+    /// Tells whether the request may reach a server: it was not tried yet, and stands in a region that route
+    /// and customer allow.
+    fn allows(&self, row: &BackendRow) -> bool {
+        let anywhere = BTreeSet::new();
+        let customer = self.plan.customer.as_ref().map_or(&anywhere, |customer| &customer.regions);
+        let region = self.gateway.settings.regions.get(&row.entry.data_centre);
+        let rules = [&self.plan.route.regions, customer];
+        !self.tried.contains(&row.entry.id)
+            && matching::allows_region(rules, region.map(|region| &**region))
+    }
+
     /// Asks the relays beside some servers for their load, where prompts wait longer than they should.
     async fn probe_servers(&self) -> Vec<ProbeRow> {
         if self.plan.facts.prompt.is_none() || !self.gateway.wants_probe(&self.plan.service) {
@@ -134,7 +192,7 @@
         let query = self.place_query();
         let candidates = {
             let tables = self.gateway.tables.borrow();
-            let eligible = tables.backends.eligible(&self.plan.service, &self.tried, query.now);
+            let eligible = self.list_eligible(&tables.backends, query.now);
             let dice = [fastrand::f64(), fastrand::f64()];
             probes::pick_candidates(&eligible, &query, dice)
         };
@@ -170,10 +228,12 @@
     fn pick_target(&self, probed: &[ProbeRow]) -> Option<(BackendEntry, Option<SocketAddr>)> {
         let query = self.place_query();
         let tables = self.gateway.tables.borrow();
-        let eligible = tables.backends.eligible(&self.plan.service, &self.tried, query.now);
+        let eligible = self.list_eligible(&tables.backends, query.now);
         let chosen = probes::pick_probed(&eligible, &query, probed, self.plan.route.aim);
         let row = chosen.or_else(|| placing::pick_backend(&eligible, &query))?;
-        let source = placing::pick_source(&eligible, &query, row);
+        let sources = tables.backends.sources(&self.plan.service, query.now);
+        let sources: Vec<&BackendRow> = sources.filter(|row| self.allows(row)).collect();
+        let source = placing::pick_source(&sources, &query, row);
         Some((row.entry.clone(), source.map(|source| source.entry.address)))
     }
 
@@ -181,13 +241,14 @@
         &mut self,
         target: &BackendEntry,
         source: Option<SocketAddr>,
+        permit: SendPermit,
         caller: &mut CallerSide,
     ) -> AttemptEnd {
         // A further attempt must be possible for an early end of this one to be of use.
         let spare = AttemptTally { sent: self.tally.sent + 1, may_have_run: true, ..self.tally };
         let may_move = spare.may_send(self.plan.left());
-        let context =
-            AttemptContext { gateway: self.gateway, plan: self.plan, target, source, may_move };
+        let (gateway, plan) = (self.gateway, self.plan);
+        let context = AttemptContext { gateway, plan, target, source, permit, may_move };
         let end = sending::run_attempt(&context, caller, &mut self.stream).await;
         self.tally.begun = caller.begun;
         end
@@ -202,12 +263,18 @@
         let mut tables = self.gateway.tables.borrow_mut();
         match fate {
             AttemptFate::NotSent => tables.backends.note_down(&target.id, now),
-            AttemptFate::Declined => {}
+            AttemptFate::Declined | AttemptFate::Withheld => {}
             AttemptFate::Failed
             | AttemptFate::Lost
             | AttemptFate::Broken
             | AttemptFate::TimedOut => tables.backends.note_failure(&target.id, now),
         }
+        if matches!(fate, AttemptFate::NotSent | AttemptFate::Lost | AttemptFate::Broken) {
+            // It may be gone and start anew before its next registration is known here.
+            if let Some(rule) = tables.routes.cold_rule(&target.service) {
+                tables.backends.note_cold(&target.id, rule.time, now);
+            }
+        }
         drop(tables);
         tracing::info!(
             event = "attempt_failed", request = %self.plan.facts.id, server = %target.id,
--- a/toucanrail-gateway/src/following.rs
+++ b/toucanrail-gateway/src/following.rs
@@ -1,4 +1,4 @@
-//! The loops that follow the store: the configuration and the backend servers.
+//! The loops that follow the store: the configuration, the backend servers and the evacuations.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -13,15 +13,17 @@
 
 use crate::mirroring::NEWS_PATH;
 use crate::peering;
-use crate::states::Gateway;
+use crate::states::{Gateway, GatewayTables};
 
 /// Wait of one watch. Each watch is a counted call, and a connection that turned silent shows only
 /// when its watch is overdue; both follows change within 2 s then.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Added before a watch or listing counts as unanswered.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
-/// Wait of one question to a board, and what is added before it counts as unanswered.
+/// Wait of one question to a board, the same for evacuations, and what is added before it counts as
+/// unanswered.
 const BOARD_WAIT: Duration = Duration::from_millis(800);
+const EVACUATION_BOARD_WAIT: Duration = Duration::from_millis(1_500);
 const BOARD_SLACK: Duration = Duration::from_millis(400);
 /// Time for which a board that does not hear from the store is passed over.
 const STALE_REST: Duration = Duration::from_secs(1);
@@ -40,6 +42,8 @@
 trait KindTaker {
     /// The kind.
     const KIND: &'static str;
+    /// Wait of one question to a board.
+    const BOARD_WAIT: Duration = BOARD_WAIT;
 
     /// Takes all objects.
     fn take_all(&mut self, gateway: &Gateway, objects: &[MirrorObject]);
@@ -47,8 +51,8 @@
     /// Takes one change.
     fn take_change(&mut self, gateway: &Gateway, change: &MirrorChange);
 
-    /// Notes that the store answered after a silence.
-    fn note_return(&mut self, gateway: &Gateway, silence: Duration);
+    /// Notes how long ago what comes now may have happened, and for how long the store was silent before.
+    fn note_return(&mut self, gateway: &Gateway, silence: Duration, age: Duration);
 }
 
 /// Follows the configuration.
@@ -61,6 +65,13 @@
     follow(gateway, ServerTaker { returned: None }).await;
 }
 
+/// Follows the evacuations, where the operator orders any.
+pub async fn follow_evacuations(gateway: Rc<Gateway>) {
+    if gateway.settings.evacuation_bound.is_some() {
+        follow(gateway, EvacuationTaker { age: Duration::ZERO }).await;
+    }
+}
+
 /// Drops servers that did not come back after an outage, and connections that are too old; takes the
 /// servers' paces as relays measured them.
 pub async fn sweep(gateway: Rc<Gateway>) {
@@ -133,12 +144,13 @@
     Taker: KindTaker,
 {
     let revision = state.revision;
-    let news = match ask_boards(gateway, Taker::KIND, revision).await {
+    let age = gateway.now().saturating_sub(state.heard);
+    let news = match ask_boards::<Taker>(gateway, revision).await {
         BoardAnswer::News(news) => news,
         BoardAnswer::Outage => ask_outage(gateway, Taker::KIND, state).await?,
         BoardAnswer::Silent => ask_store(gateway, Taker::KIND, revision).await?,
     };
-    taker.note_return(gateway, gateway.now().saturating_sub(state.heard));
+    taker.note_return(gateway, gateway.now().saturating_sub(state.heard), age);
     match news {
         NewsReply::Listing { objects, revision } => {
             taker.take_all(gateway, &objects);
@@ -204,18 +216,22 @@
 /// A board that fails is passed over for a while, and this entry asks the store itself at once: what it
 /// knows is never older than one board's patience and its own together. A stale board says so at once,
 /// and the next one is asked.
-async fn ask_boards(gateway: &Gateway, kind: &str, after: Option<Version>) -> BoardAnswer {
+async fn ask_boards<Taker>(gateway: &Gateway, after: Option<Version>) -> BoardAnswer
+where
+    Taker: KindTaker,
+{
+    let kind = Taker::KIND;
     let boards = boards::pick_boards(&gateway.store.lenders());
     let answering =
         boards.iter().filter(|(name, _)| !gateway.boards.is_resting(name, gateway.now()));
-    let order = NewsOrder { kind: Arc::from(kind), after, wait: BOARD_WAIT };
+    let order = NewsOrder { kind: Arc::from(kind), after, wait: Taker::BOARD_WAIT };
     let mut stale = false;
     for (board, address) in answering {
         if gateway.stale_boards.is_resting(board, gateway.now()) {
             stale = true;
             continue;
         }
-        let bound = BOARD_WAIT + BOARD_SLACK;
+        let bound = Taker::BOARD_WAIT + BOARD_SLACK;
         let asked = peering::call_peer(gateway, board, *address, NEWS_PATH, &order, bound).await;
         let reason = match asked {
             // An older listing than what is known would bring servers back that have left.
@@ -282,7 +298,7 @@
         }
     }
 
-    fn note_return(&mut self, _: &Gateway, _: Duration) {}
+    fn note_return(&mut self, _: &Gateway, _: Duration, _: Duration) {}
 }
 
 struct ServerTaker {
@@ -294,19 +310,26 @@
     fn take(gateway: &Gateway, object: &MirrorObject) -> bool {
         match registrations::decode_server(&object.name, object.version, &object.value) {
             Ok(entry) => {
+                let now = gateway.now();
                 let mut tables = gateway.tables.borrow_mut();
                 let known = tables.backends.get(&entry.id).map(|row| row.entry.clone());
                 if known.as_ref() != Some(&entry) {
                     tracing::info!(
                         event = "server_entry", server = %entry.id, service = %entry.service,
                         address = %entry.address, draining = entry.draining,
-                        revision = object.version,
+                        cold_ms = entry.cold.as_millis() as u64, revision = object.version,
                     );
-                    if known.is_some_and(|known| known.born != entry.born) || entry.draining {
+                    let reborn = known.as_ref().is_some_and(|known| known.born != entry.born);
+                    if reborn || entry.draining {
                         gateway.channels.forget(&entry.id);
                     }
                 }
+                // A listing repeats what was said some time ago.
+                let cold = if known.as_ref() == Some(&entry) { Duration::ZERO } else { entry.cold };
                 tables.backends.take_entry(entry);
+                if !cold.is_zero() {
+                    tables.backends.note_cold(&object.name, cold, now);
+                }
                 true
             }
             Err(reason) => {
@@ -355,9 +378,57 @@
         }
     }
 
-    fn note_return(&mut self, gateway: &Gateway, silence: Duration) {
+    fn note_return(&mut self, gateway: &Gateway, silence: Duration, _: Duration) {
         if silence > OUTAGE_LEAST {
             self.returned = Some(gateway.now());
         }
     }
 }
+
+struct EvacuationTaker {
+    /// How long ago what comes now may have happened.
+    age: Duration,
+}
+
+impl EvacuationTaker {
+    fn reopen(gateway: &Gateway, data_centre: &str) {
+        let now = gateway.now();
+        let mut tables = gateway.tables.borrow_mut();
+        let GatewayTables { routes, backends, .. } = &mut *tables;
+        backends.reopen(data_centre, now, |service| {
+            routes.cold_rule(service).map_or(Duration::ZERO, |rule| rule.time)
+        });
+        tracing::info!(event = "evacuation_over", data_centre);
+    }
+}
+
+impl KindTaker for EvacuationTaker {
+    const KIND: &'static str = names::EVACUATION_KIND;
+    const BOARD_WAIT: Duration = EVACUATION_BOARD_WAIT;
+
+    fn take_all(&mut self, gateway: &Gateway, objects: &[MirrorObject]) {
+        let listed = objects.iter().map(|object| Arc::clone(&object.name)).collect();
+        let now = gateway.now();
+        let over = gateway.tables.borrow_mut().backends.evacuations.take_listing(&listed, now);
+        for data_centre in &over {
+            Self::reopen(gateway, data_centre);
+        }
+        tracing::info!(event = "evacuations_listed", in_force = ?listed);
+    }
+
+    fn take_change(&mut self, gateway: &Gateway, change: &MirrorChange) {
+        let data_centre = &change.object.name;
+        if change.removed {
+            Self::reopen(gateway, data_centre);
+            return;
+        }
+        let now = gateway.now();
+        gateway.tables.borrow_mut().backends.evacuations.note_closed(data_centre, self.age, now);
+        let (age_ms, revision) = (self.age.as_millis() as u64, change.object.version);
+        tracing::info!(event = "evacuation", %data_centre, age_ms, revision);
+    }
+
+    fn note_return(&mut self, _: &Gateway, _: Duration, age: Duration) {
+        self.age = age;
+    }
+}
--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use smol::Async;
+use toucanrail::coldstarts::PermitTable;
 
 use crate::lending::{self, LoanOffice};
 use crate::mirroring::NewsOffice;
@@ -60,6 +61,7 @@
         loans: RefCell::default(),
         leaving: Cell::new(false),
         news: NewsOffice::new(Rc::clone(&gateway.store), Rc::clone(executor)),
+        permits: PermitTable::new(gateway.now()).into(),
         gauge: None,
     });
     let lending = lending::serve_entries(Rc::clone(executor), Rc::clone(&office), entries);
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use smol::{Async, LocalExecutor};
+use toucanrail::coldstarts::{PermitOrder, PermitReply, PermitTable};
 use toucanrail::loans::{LoanEnd, LoanOrder, LoanReply, LoanTable};
 use toucanrail_wire::calling;
 use toucanrail_wire::channels::BufferedChannel;
@@ -26,6 +27,9 @@
 /// the lender, if there is one.
 pub const REPORT_PATH: &str = "/report";
 
+/// Call with a [`PermitOrder`], answered with a [`PermitReply`].
+pub const PERMIT_PATH: &str = "/permit";
+
 /// Call with nothing, answered with `true` at once.
 pub const ALIVE_PATH: &str = "/alive";
 
@@ -45,6 +49,8 @@
     pub leaving: Cell<bool>,
     /// What it tells entries of the store.
     pub news: NewsOffice,
+    /// The permits that it gave for cold servers.
+    pub permits: RefCell<PermitTable>,
     /// The server beside it.
     pub gauge: Option<Rc<ServerGauge>>,
 }
@@ -79,6 +85,10 @@
                 calling::reply(&channel, &office.news.answer(&order).await).await?;
             }
             ALIVE_PATH => calling::reply(&channel, &true).await?,
+            PERMIT_PATH => {
+                let order = calling::decode(&body)?;
+                calling::reply(&channel, &give_permit(office, &order)).await?;
+            }
             REPORT_PATH => {
                 let report = match &office.gauge {
                     Some(gauge) => gauge.see().await,
@@ -120,6 +130,12 @@
     }
 }
 
+fn give_permit(office: &LoanOffice, order: &PermitOrder) -> PermitReply {
+    let reply = office.permits.borrow_mut().give(order, office.news.now());
+    tracing::info!(event = "permit", server = %order.server, limit = order.limit, reply = ?reply);
+    reply
+}
+
 fn end(office: &LoanOffice, ends: Vec<LoanEnd>) {
     for end in ends {
         let hold = office.loans.borrow_mut().end(&end.loan);
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! The second program of this crate stands beside backend servers: `tunnelling` passes connections to
 //! the store on, `lending` serves entries from the same `budgeting`, `mirroring` tells them what
-//! changed in the store, and `registering` how fast the server is. Where no VM has such a relay, entries
+//! changed in the store, and `registering` how fast the server is; a server that has just started gets
+//! only what `permitting` had a permit for. Where no VM has such a relay, entries
 //! host them (`hosting`). Decisions come from the library; this crate holds sockets and timers.
 //!
 //! # Examples
@@ -41,6 +42,7 @@
 pub mod logging;
 pub mod mirroring;
 pub mod peering;
+pub mod permitting;
 pub mod registering;
 pub mod relaying;
 pub mod sending;
--- a/toucanrail-gateway/src/mirroring.rs
+++ b/toucanrail-gateway/src/mirroring.rs
@@ -18,10 +18,13 @@
 /// Call with a [`NewsOrder`], answered with a [`NewsReply`].
 pub const NEWS_PATH: &str = "/news";
 
-/// Wait of one watch, and what is added before it counts as unanswered: together less than the time
-/// after which the board is stale.
+/// Wait of one watch of what must be in force within two seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(500);
+/// Wait of one watch of evacuations, which may take longer.
+const EVACUATION_WAIT: Duration = Duration::from_millis(1_500);
+/// Added before a watch counts as unanswered, and before the board is stale.
 const ANSWER_SLACK: Duration = Duration::from_millis(300);
+const STALE_SLACK: Duration = Duration::from_millis(400);
 /// Pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Time without a question after which a relay watches no more: it is not one that entries ask.
@@ -30,14 +33,32 @@
 const ORDER_LIMIT: Duration = Duration::from_secs(5);
 
 /// The board of one kind.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct KindBoard {
+    /// Wait of one watch.
+    wait: Duration,
     table: RefCell<BoardTable>,
     asked_at: Cell<Duration>,
     watching: Cell<bool>,
     changed: Event,
 }
 
+impl KindBoard {
+    fn new(wait: Duration) -> Self {
+        let table = RefCell::new(Self::empty_table(wait));
+        let (asked_at, watching) = (Cell::default(), Cell::default());
+        Self { wait, table, asked_at, watching, changed: Event::new() }
+    }
+
+    fn empty_table(wait: Duration) -> BoardTable {
+        BoardTable::with_freshness(wait + STALE_SLACK)
+    }
+
+    fn forget(&self) {
+        *self.table.borrow_mut() = Self::empty_table(self.wait);
+    }
+}
+
 /// The boards of one relay.
 #[derive(Debug)]
 pub struct NewsOffice {
@@ -49,8 +70,18 @@
 impl NewsOffice {
     /// Makes boards that nobody has asked yet.
     pub fn new(store: Rc<StoreAccess>, executor: Rc<LocalExecutor<'static>>) -> Self {
-        let kinds = [names::CONFIG_KIND, names::SERVER_KIND];
-        Self { store, executor, boards: kinds.map(|kind| (kind, Rc::default())).into() }
+        let kinds = [
+            (names::CONFIG_KIND, WATCH_WAIT),
+            (names::SERVER_KIND, WATCH_WAIT),
+            (names::EVACUATION_KIND, EVACUATION_WAIT),
+        ];
+        let boards = kinds.map(|(kind, wait)| (kind, Rc::new(KindBoard::new(wait))));
+        Self { store, executor, boards: boards.into() }
+    }
+
+    /// Returns the time since the process's start.
+    pub fn now(&self) -> Duration {
+        self.store.now()
     }
 
     /// Answers one question: at once where there is news, else when there is, or after its wait.
@@ -85,7 +116,7 @@
 async fn watch(store: Rc<StoreAccess>, kind: &'static str, board: Rc<KindBoard>) {
     tracing::info!(event = "board_opened", kind);
     while store.now().saturating_sub(board.asked_at.get()) < ASKED_TIME {
-        let done = step(&store, kind, &board.table).await;
+        let done = step(&store, kind, &board).await;
         store.note_use(kind, done.is_ok());
         match done {
             Ok(false) => {}
@@ -93,7 +124,7 @@
                 board.changed.notify(usize::MAX);
             }
             Err(StoreFailure::Forgotten) => {
-                *board.table.borrow_mut() = BoardTable::new();
+                board.forget();
             }
             Err(failure) => {
                 tracing::debug!(event = "store_failed", kind, %failure);
@@ -104,25 +135,22 @@
             }
         }
     }
-    *board.table.borrow_mut() = BoardTable::new();
+    board.forget();
     board.watching.set(false);
     tracing::info!(event = "board_closed", kind);
 }
 
 /// Lists the kind, or waits for its next changes; tells whether there are any.
-async fn step(
-    store: &StoreAccess,
-    kind: &str,
-    table: &RefCell<BoardTable>,
-) -> Result<bool, StoreFailure> {
+async fn step(store: &StoreAccess, kind: &str, board: &KindBoard) -> Result<bool, StoreFailure> {
+    let KindBoard { wait, table, .. } = board;
     let known = table.borrow().revision();
     let Some(revision) = known else {
-        let bound = WATCH_WAIT + ANSWER_SLACK;
+        let bound = *wait + ANSWER_SLACK;
         let listing = store.list_kind(kind, ListFreshness::Latest, bound).await?;
         table.borrow_mut().take_listing(listing.objects, listing.revision, store.now());
         return Ok(true);
     };
-    let watched = store.watch_kind(kind, revision, WATCH_WAIT, ANSWER_SLACK).await?;
+    let watched = store.watch_kind(kind, revision, *wait, ANSWER_SLACK).await?;
     let changed = !watched.changes.is_empty();
     table.borrow_mut().take_changes(watched.changes, watched.revision, store.now());
     Ok(changed)
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -109,6 +109,9 @@
         last_event,
         body: (!bodiless).then_some(plan.body.len()),
     };
+    if !context.permit.is_valid() {
+        return Err(AttemptFate::Withheld);
+    }
     if let Some(budget) = &plan.budget {
         // From here on the server may read the prompt, whether the caller stays or not.
         budget.note_sent(true);
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -12,6 +12,7 @@
 use smol::{Async, LocalExecutor};
 use toucanrail::backends::BackendTable;
 use toucanrail::detours::DetourTable;
+use toucanrail::evacuations::EvacuationTable;
 use toucanrail::matching::RouteTable;
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_daemons::starting::{self, ProcessClock};
@@ -56,6 +57,7 @@
     executor.spawn(ways).detach();
     executor.spawn(following::follow_config(Rc::clone(&held))).detach();
     executor.spawn(following::follow_servers(Rc::clone(&held))).detach();
+    executor.spawn(following::follow_evacuations(Rc::clone(&held))).detach();
     executor.spawn(following::sweep(Rc::clone(&held))).detach();
     executor.spawn(budgeting::run_syncs(Rc::clone(&held.keeper))).detach();
     executor.spawn(borrowing::send_ends(Rc::clone(&held))).detach();
@@ -74,9 +76,10 @@
     let store = Rc::new(StoreAccess::new(StoreClient::new(STORE_CONNECT), ways, clock));
     let keeper =
         BudgetKeeper::new(&id, Rc::clone(&store), tuning, board.clone(), Rc::clone(&executor));
+    let evacuations = settings.evacuation_bound.map(EvacuationTable::awaiting).unwrap_or_default();
     let tables = GatewayTables {
         routes: RouteTable::new(),
-        backends: BackendTable::new(),
+        backends: BackendTable::with_evacuations(evacuations),
         retries: BTreeMap::new(),
         limits: BTreeMap::new(),
         places: BTreeMap::new(),
--- a/toucanrail-gateway/src/states.rs
+++ b/toucanrail-gateway/src/states.rs
@@ -104,11 +104,13 @@
 
     /// Tells whether new callers are welcome.
     ///
-    /// Configuration and servers are listed by two calls at the same time. An entry that is ready
-    /// after the first one refuses every request for want of servers until the second one.
+    /// Configuration, servers and evacuations are listed by calls at the same time. An entry that is ready
+    /// after the first one refuses every request for want of servers until the last one.
     pub fn is_ready(&self) -> bool {
         let tables = self.tables.borrow();
-        let informed = tables.routes.version() > 0 && tables.backends.is_listed();
+        let informed = tables.routes.version() > 0
+            && tables.backends.is_listed()
+            && tables.backends.evacuations.is_known();
         informed && self.stopping.get().is_none() && !self.is_cut_off()
     }
 
--- a/toucanrail-gateway/src/tunnelling.rs
+++ b/toucanrail-gateway/src/tunnelling.rs
@@ -14,6 +14,7 @@
 use smol::future::FutureExt;
 use smol::stream::StreamExt;
 use smol::{Async, LocalExecutor};
+use toucanrail::coldstarts::PermitTable;
 use toucanrail::detours::DetourTable;
 use toucanrail_daemons::observing::MetricBoard;
 use toucanrail_daemons::starting::{self, ProcessClock};
@@ -80,13 +81,14 @@
     let store = Rc::new(StoreAccess::new(client, ways, ProcessClock::start()));
     let watching = storing::keep_ways(Rc::clone(&store), settings.store, RELAY_REFRESH);
     executor.spawn(watching).detach();
+    let permits = PermitTable::new(store.now()).into();
     let news = NewsOffice::new(Rc::clone(&store), Rc::clone(executor));
     let keeper = Rc::new(BudgetKeeper::new(&id, store, tuning, board, Rc::clone(executor)));
     let server = settings.server;
     let gauge =
         server.map(|server| Rc::new(ServerGauge::new(StoreClient::new(CONNECT_BOUND), server)));
     let (loans, leaving) = (RefCell::default(), Cell::new(false));
-    Ok(LoanOffice { keeper, loans, leaving, news, gauge })
+    Ok(LoanOffice { keeper, loans, leaving, news, permits, gauge })
 }
 
 async fn smooth_burn(office: Rc<LoanOffice>) {
--- /dev/null
+++ b/toucanrail-gateway/tests/cold_servers.rs
@@ -0,0 +1,76 @@
+//! Servers that have just started get no more than they bear.
+
+mod platform;
+
+use std::thread;
+use std::time::Duration;
+
+use platform::{Act, Backend, Process, Store, request};
+use serde_json::json;
+
+/// Requests in a second that a cold server bears, by the settings and the configuration below.
+const BOUND: usize = 20;
+
+/// A store, one server, the relay beside it and two gateways that do not know one another.
+fn start_service(relayed: bool) -> (Store, Backend, Vec<Process>, Option<Process>) {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Act::Answer(platform::signed("seven")));
+    platform::configure(&store, 1, &[&backend]);
+    platform::configure_field(&store, 2, "services", "cold_start_s", &json!(3.0));
+    platform::configure_field(&store, 3, "services", "cold_per_s", &json!(10.0));
+    let relay = relayed.then(|| Process::start_relay_beside(&store, "side-1", &backend));
+    let gateways = (0..2).map(|_| Process::start_bounded(&store)).collect();
+    // Relays are listed within a second.
+    thread::sleep(Duration::from_millis(1_500));
+    (store, backend, gateways, relay)
+}
+
+/// Counts the requests that a server got, without the relay's questions for its load.
+fn count_seen(backend: &Backend) -> usize {
+    backend.seen().iter().filter(|message| message.head.starts_with("POST ")).count()
+}
+
+/// Sends a burst through all gateways at once; returns how many were answered.
+fn send_burst(gateways: &[Process], count: usize) -> usize {
+    let senders: Vec<_> = (0..count)
+        .map(|number| {
+            let callers = gateways[number % gateways.len()].callers;
+            thread::spawn(move || {
+                let text = request("POST", "/once/a", &format!("r{number}"), "", "x");
+                platform::call(callers, &text).is_some_and(|answer| answer.status() == 200)
+            })
+        })
+        .collect();
+    senders.into_iter().filter_map(|sender| sender.join().ok()).filter(|served| *served).count()
+}
+
+/// A server is back, cold and idle, and two gateways turn to it with all that callers send. It gets what it
+/// bears; the other requests are refused as not run.
+#[test]
+fn cold_burst() {
+    let (store, backend, gateways, _relay) = start_service(true);
+    platform::register(&store, &backend, "a", 60_000);
+    thread::sleep(Duration::from_millis(500));
+    let served = send_burst(&gateways, 60);
+    let seen = count_seen(&backend);
+    assert!((5..=BOUND).contains(&seen), "{seen}");
+    assert_eq!(served, seen);
+}
+
+/// The relay beside a cold server is dead. Nothing is sent without its permit.
+#[test]
+fn dead_relay() {
+    let (store, backend, gateways, relay) = start_service(true);
+    relay.as_ref().expect("a relay").signal("KILL");
+    platform::register(&store, &backend, "a", 60_000);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!((send_burst(&gateways, 10), count_seen(&backend)), (0, 0));
+}
+
+/// A server that is not cold gets everything, without a question.
+#[test]
+fn warm_burst() {
+    let (_store, backend, gateways, _relay) = start_service(true);
+    assert_eq!(send_burst(&gateways, 60), 60);
+    assert_eq!(count_seen(&backend), 60);
+}
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -451,6 +451,9 @@
     settings: PathBuf,
 }
 
+/// Bounds of settings where data centres are emptied and cold servers spared.
+const PLACE_BOUNDS: &str = "evac_ms = 5000\ncold_over = 1.5\ncold_slack = 5\n";
+
 static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
 
 impl Process {
@@ -474,6 +477,12 @@
         Self::start(env!("CARGO_BIN_EXE_toucanrail-gateway"), store.address, "front-1", None)
     }
 
+    /// Starts a gateway where data centres are emptied and cold servers spared.
+    pub fn start_bounded(store: &Store) -> Self {
+        let program = env!("CARGO_BIN_EXE_toucanrail-gateway");
+        Self::start_with(program, store.address, "front-1", None, PLACE_BOUNDS)
+    }
+
     /// Starts a relay.
     pub fn start_relay(store: &Store, vm: &str) -> Self {
         Self::start(env!("CARGO_BIN_EXE_toucanrail-relay"), store.inner, vm, None)
@@ -490,8 +499,18 @@
     /// Starts a process and waits until it listens; another one with other ports where it ended first,
     /// as when a port was taken meanwhile.
     fn start(program: &'static str, store: SocketAddr, vm: &str, app: Option<SocketAddr>) -> Self {
+        Self::start_with(program, store, vm, app, "")
+    }
+
+    fn start_with(
+        program: &'static str,
+        store: SocketAddr,
+        vm: &str,
+        app: Option<SocketAddr>,
+        bounds: &str,
+    ) -> Self {
         loop {
-            let mut process = Self::try_start(program, store, vm, app);
+            let mut process = Self::try_start(program, store, vm, app, bounds);
             if process.listens() {
                 return process;
             }
@@ -514,6 +533,7 @@
         store: SocketAddr,
         vm: &str,
         app: Option<SocketAddr>,
+        bounds: &str,
     ) -> Self {
         let port = || SocketAddr::from(([127, 0, 0, 1], free_ports(1)));
         let (callers, readiness, inner) = (port(), port(), free_ports(INNER_PORTS));
@@ -522,6 +542,7 @@
             "{app}node = \"{vm}\"\nzone = \"a\"\nip = \"127.0.0.1\"\ninternal_ports = [{inner}, {}]\n\
              [listen]\nfront = \"{callers}\"\nreadiness_address = \"{readiness}\"\n\
              [bounds]\ngrace_s = 4\nretry_budget_ratio = 0.2\nbudget_slack = 52\nbudget_window_s = 10\n\
+             {bounds}[zones]\na = \"north\"\nb = \"south\"\n\
              [provider]\naddress = \"{store}\"\n",
             inner + 9
         );
@@ -650,6 +671,24 @@
     configure_all(store, version, backends, total, None);
 }
 
+/// Writes a server's registration anew, in a data centre and with the time for which it is cold.
+pub fn register(store: &Store, backend: &Backend, data_centre: &str, cold_ms: u64) {
+    let mut entry = backend.entry("desk");
+    entry["zone"] = json!(data_centre);
+    entry["cold_remaining_ms"] = json!(cold_ms);
+    store.put("servers", &backend.id, entry);
+}
+
+/// Writes the configuration with another value of one field of all routes, customers or services.
+pub fn configure_field(store: &Store, version: u64, table: &str, field: &str, value: &Value) {
+    let mut config = last_config(store);
+    config["version"] = json!(version);
+    for row in config[table].as_array_mut().expect("a table") {
+        row[field] = value.clone();
+    }
+    store.put("config", "main", config);
+}
+
 /// Returns the configuration as last written.
 pub fn last_config(store: &Store) -> Value {
     store.get("config", "main").expect("a configuration")
--- a/toucanrail/src/attempting.rs
+++ b/toucanrail/src/attempting.rs
@@ -18,6 +18,8 @@
 pub enum AttemptFate {
     /// Nothing of the request reached a server.
     NotSent,
+    /// Nothing was sent, through no fault of the server's.
+    Withheld,
     /// The server says that it did not run the request and never will.
     Declined,
     /// The server answered with a failure of its own.
@@ -67,7 +69,7 @@
     /// Notes how an attempt ended.
     pub fn note(&mut self, fate: AttemptFate) {
         match fate {
-            AttemptFate::NotSent => {}
+            AttemptFate::NotSent | AttemptFate::Withheld => {}
             AttemptFate::Declined => self.sent += 1,
             AttemptFate::Failed
             | AttemptFate::Lost
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::ejections::EjectionState;
+use crate::evacuations::EvacuationTable;
 use crate::ids::{DataCentre, ServiceName, Tokens, Version};
 
 /// Id of a backend server, new with most of its starts.
@@ -60,6 +61,8 @@
     pub draining: bool,
     /// When it started, in Unix milliseconds; another time under the same id is another process.
     pub born: u64,
+    /// How much longer it was cold when it wrote this.
+    pub cold: Duration,
     /// The store's revision of this entry.
     pub revision: Version,
 }
@@ -87,6 +90,10 @@
     /// End of the time in which no connection is tried.
     pub down_until: Duration,
     downs: u32,
+    /// End of the time in which it is cold, or may be, and gets nothing without a permit.
+    pub cold_until: Duration,
+    /// End of the time in which no permit for it is asked for.
+    pub permits_until: Duration,
     /// Smoothed time to an answer, or to a stream's first event, in seconds.
     pub latency: f64,
     /// When its entry went missing; it may come back.
@@ -107,6 +114,8 @@
             ejection: EjectionState::default(),
             down_until: Duration::ZERO,
             downs: 0,
+            cold_until: Duration::ZERO,
+            permits_until: Duration::ZERO,
             latency: 0.0,
             missing_since: None,
             replaced: false,
@@ -117,7 +126,20 @@
 
     /// Tells whether new work may go there.
     pub fn takes_work(&self, now: Duration) -> bool {
-        !self.entry.draining && now >= self.down_until && !self.ejection.is_ejected(now)
+        !self.entry.draining
+            && now >= self.down_until
+            && self.permit_wait(now).is_zero()
+            && !self.ejection.is_ejected(now)
+    }
+
+    /// Returns the time until a permit for it may be had again; none is needed once it is not cold.
+    pub fn permit_wait(&self, now: Duration) -> Duration {
+        if self.is_cold(now) { self.permits_until.saturating_sub(now) } else { Duration::ZERO }
+    }
+
+    /// Tells whether it gets nothing without a permit.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
     }
 
     /// Tells whether its entry went missing and did not come back in time.
@@ -154,6 +176,8 @@
 #[derive(Debug, Default, Serialize)]
 pub struct BackendTable {
     rows: BTreeMap<BackendId, BackendRow>,
+    /// The data centres that get nothing new.
+    pub evacuations: EvacuationTable,
     is_listed: bool,
     next_flight: FlightId,
 }
@@ -164,6 +188,11 @@
         Self::default()
     }
 
+    /// Makes a table without servers, where some data centres may get nothing new.
+    pub fn with_evacuations(evacuations: EvacuationTable) -> Self {
+        Self { evacuations, ..Self::default() }
+    }
+
     /// Takes a server's entry as it now is in the store.
     ///
     /// A server that started again under its id holds and knows nothing of before, so its row
@@ -253,11 +282,13 @@
         now: Duration,
     ) -> Vec<&'table BackendRow> {
         let fits = |row: &&BackendRow| {
+            let BackendEntry { id, data_centre, .. } = &row.entry;
             *row.entry.service == *service
                 && !row.entry.draining
                 && !row.replaced
                 && !row.is_lapsed(now)
-                && !tried.contains(&row.entry.id)
+                && !tried.contains(id)
+                && self.evacuations.takes_work(data_centre, id, now)
         };
         let rows: Vec<&BackendRow> = self.rows.values().filter(fits).collect();
         let working: Vec<&BackendRow> =
@@ -265,6 +296,22 @@
         if working.is_empty() { rows } else { working }
     }
 
+    /// Returns the servers of a service that prompt parts may be fetched from: those that may take work, and
+    /// those that a moment ago might.
+    pub fn sources<'table>(
+        &'table self,
+        service: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = &'table BackendRow> {
+        self.rows.values().filter(move |row| {
+            *row.entry.service == *service
+                && !row.replaced
+                && !row.is_lapsed(now)
+                && row.takes_work(now)
+                && self.evacuations.allows_fetch(&row.entry.data_centre, now)
+        })
+    }
+
     /// Notes a request sent and returns its number.
     ///
     /// # Examples
@@ -328,6 +375,34 @@
         }
     }
 
+    /// Notes that a server is cold, or may be, for some time.
+    pub fn note_cold(&mut self, id: &str, time: Duration, now: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.cold_until = row.cold_until.max(now.max(row.down_until) + time);
+        }
+    }
+
+    /// Notes that no permit for a cold server is to be had for some time.
+    pub fn note_no_permit(&mut self, id: &str, until: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.permits_until = until;
+        }
+    }
+
+    /// Takes the servers of a data centre back into use.
+    ///
+    /// They may have been started anew while it was empty, and what they say of it comes by another way: all
+    /// of them count as cold, for the time that `cold_time` tells of their service.
+    pub fn reopen<ColdTime>(&mut self, data_centre: &str, now: Duration, cold_time: ColdTime)
+    where
+        ColdTime: Fn(&str) -> Duration,
+    {
+        self.evacuations.note_reopened(data_centre);
+        for row in self.rows.values_mut().filter(|row| *row.entry.data_centre == *data_centre) {
+            row.cold_until = row.cold_until.max(now + cold_time(&row.entry.service));
+        }
+    }
+
     /// Notes that a server says by its own answer that it is not the one its entry names, or that
     /// it is leaving.
     pub fn note_leaving(&mut self, id: &str) {
--- a/toucanrail/src/boards.rs
+++ b/toucanrail/src/boards.rs
@@ -16,7 +16,7 @@
 use crate::loans;
 use crate::messages::{MirrorChange, MirrorObject, NewsReply};
 
-/// Time since the store's last answer from which a board answers nothing: an entry then asks the store
+/// Usual time since the store's last answer from which a board answers nothing: an entry then asks the store
 /// itself, well within the two seconds in which a change must be known. A board's watch waits for less.
 pub const FRESH_BOUND: Duration = Duration::from_millis(900);
 /// Changes kept for entries that are behind; a release of a large service makes some hundred.
@@ -34,8 +34,10 @@
 const OUTAGE_PAUSE: Duration = Duration::from_secs(2);
 
 /// One kind as a relay last saw it.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Serialize)]
 pub struct BoardTable {
+    /// Time since the store's last answer from which the table is stale.
+    fresh: Duration,
     objects: BTreeMap<Arc<str>, MirrorObject>,
     changes: VecDeque<(Version, MirrorChange)>,
     /// All changes behind this revision are in `changes`.
@@ -48,7 +50,20 @@
 impl BoardTable {
     /// Makes an empty table, which has no news.
     pub fn new() -> Self {
-        Self::default()
+        Self::with_freshness(FRESH_BOUND)
+    }
+
+    /// Makes an empty table that is stale some time after the store's last answer.
+    pub fn with_freshness(fresh: Duration) -> Self {
+        Self {
+            fresh,
+            objects: BTreeMap::new(),
+            changes: VecDeque::new(),
+            complete_after: 0,
+            revision: 0,
+            heard_at: None,
+            is_silent: false,
+        }
     }
 
     /// Returns the revision from which a watch goes on; none before the first listing.
@@ -95,7 +110,7 @@
 
     /// Tells whether the store's last call had no answer, or it has been silent for too long.
     pub fn is_stale(&self, now: Duration) -> bool {
-        let old = self.heard_at.is_none_or(|heard| now.saturating_sub(heard) > FRESH_BOUND);
+        let old = self.heard_at.is_none_or(|heard| now.saturating_sub(heard) > self.fresh);
         old || self.is_silent
     }
 
@@ -138,6 +153,12 @@
     }
 }
 
+impl Default for BoardTable {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// Says when an entry asks the store itself although no board hears from it.
 ///
 /// The store may turn the boards' VMs away and serve the entry's, so it has to try; but where the store is
--- a/toucanrail/src/matching.rs
+++ b/toucanrail/src/matching.rs
@@ -7,7 +7,8 @@
 
 use serde::Serialize;
 
-use crate::ids::{CustomerId, ServiceName, Tokens, Version};
+use crate::coldstarts::ColdRule;
+use crate::ids::{CustomerId, Region, ServiceName, Tokens, Version};
 
 /// Gap between events at which callers give a stream up, the first event included: the longest of this time
 /// and of multiples of the route's hoped-for time and accepted pause.
@@ -75,6 +76,8 @@
     pub attempts: u32,
     /// Whether it needs no key.
     pub public: bool,
+    /// The only regions whose servers may run its requests; empty for all.
+    pub regions: BTreeSet<Region>,
 }
 
 impl RouteRule {
@@ -123,6 +126,8 @@
     pub connections: u32,
     /// Its engines, if it is a model service.
     pub engine: Option<EngineFacts>,
+    /// How its servers start, where they are slow at first.
+    pub cold: Option<ColdRule>,
 }
 
 /// One customer.
@@ -137,6 +142,8 @@
     pub priority: Option<u8>,
     /// All tokens it may use; none where its use is not limited.
     pub prepaid: Option<Tokens>,
+    /// The only regions whose servers may run its requests; empty for all.
+    pub regions: BTreeSet<Region>,
 }
 
 /// Bounds on what callers send.
@@ -187,6 +194,27 @@
     pub priority: Option<u8>,
     /// All tokens it may use; none where its use is not limited.
     pub prepaid: Option<Tokens>,
+    /// The only regions whose servers may run its requests; empty for all.
+    pub regions: BTreeSet<Region>,
+}
+
+/// Tells whether a route and a customer both let a region's servers run a request.
+///
+/// # Examples
+/// ```
+/// use std::{collections::BTreeSet, sync::Arc};
+/// use toucanrail::matching;
+/// let north = BTreeSet::from([Arc::from("north")]);
+/// let anywhere = BTreeSet::new();
+/// assert!(matching::allows_region([&anywhere, &north], Some("north")));
+/// assert!(!matching::allows_region([&anywhere, &north], Some("south")));
+/// assert!(!matching::allows_region([&anywhere, &north], None));
+/// ```
+pub fn allows_region(rules: [&BTreeSet<Region>; 2], region: Option<&str>) -> bool {
+    let allows = |rule: &&BTreeSet<Region>| {
+        rule.is_empty() || region.is_some_and(|region| rule.contains(region))
+    };
+    rules.iter().all(allows)
 }
 
 /// The configuration in force, indexed for requests.
@@ -243,6 +271,7 @@
             name: Arc::clone(&rule.name),
             priority: rule.priority,
             prepaid: rule.prepaid,
+            regions: rule.regions,
         };
         let facts = Arc::new(facts);
         for key in rule.keys {
@@ -309,6 +338,11 @@
         engine.map_or(1, |engine| engine.stride)
     }
 
+    /// Returns how a service's servers start, where they are slow at first.
+    pub fn cold_rule(&self, service: &str) -> Option<ColdRule> {
+        self.service(service).and_then(|service| service.cold)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(BTreeMap::len).sum()
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -17,6 +17,8 @@
 const CALL_COST: f64 = 60.0;
 /// Cost of a server in another data centre, in milliseconds: its bytes are billed.
 const DISTANCE_COST: f64 = 5.0;
+/// Cost of a server that has just started, in milliseconds: it is slow, and each request waits for a permit.
+const COLD_COST: f64 = 100.0;
 /// Cost of a shared token that one server reads although another holds it, as a multiple of its
 /// reading time. It delays every stream at that server and pushes other parts out of its memory, so a
 /// session moves away from its server only for a wait that would make its answer late.
@@ -119,7 +121,11 @@
 fn estimate_cost(speed: &SpeedRow<'_>, query: &PlaceQuery<'_>, is_home: bool) -> f64 {
     let row = speed.row;
     let own = row.flights.len() as f64;
-    let distance = if *row.entry.data_centre == *query.data_centre { 0.0 } else { DISTANCE_COST };
+    let far = *row.entry.data_centre != *query.data_centre;
+    let distance = if far { DISTANCE_COST } else { 0.0 };
+    let cold = if row.is_cold(query.now) { COLD_COST } else { 0.0 };
+    let permit = row.permit_wait(query.now).as_secs_f64() * 1_000.0;
+    let distance = distance + cold + permit;
     if query.prompt == 0 {
         let slots = row.entry.slots.max(1) as f64;
         return distance + own / slots * CALL_COST + row.latency * 1_000.0 * 0.1;
--- a/toucanrail/tests/backend_placing.rs
+++ b/toucanrail/tests/backend_placing.rs
@@ -19,6 +19,7 @@
         slots: 64,
         draining: false,
         born: 1,
+        cold: Duration::ZERO,
         revision: 1,
     }
 }
--- a/toucanrail/tests/load_probes.rs
+++ b/toucanrail/tests/load_probes.rs
@@ -30,6 +30,7 @@
         slots: SLOTS,
         draining: false,
         born: 1,
+        cold: Duration::ZERO,
         revision: 1,
     }
 }
--- a/toucanrail/tests/route_matching.rs
+++ b/toucanrail/tests/route_matching.rs
@@ -25,6 +25,7 @@
         priority: 0,
         attempts: 1,
         public: false,
+        regions: BTreeSet::new(),
     }
 }
 
@@ -72,6 +73,7 @@
         keys: keys.iter().map(|key| Arc::from(*key)).collect::<BTreeSet<_>>(),
         priority: None,
         prepaid: None,
+        regions: BTreeSet::new(),
     };
     let config = |version, keys: &[&str]| FleetConfig {
         version,
