Callers refused in an outage of the store come back as late as they may

Ruled out: spreading alone (the outage lasts longer than any spread of a second); the same wait for entries that are cut off (others serve at once, these keep the short wait).

Change: returns.rs decides all waits of refused callers in one place; an outage, seen by a lender that answers while the store has been silent for a second, has the longest wait that callers honour.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -8,6 +8,7 @@
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::matching::{CustomerFacts, RouteRule};
+use toucanrail::returns::{self, RefusalCause};
 use toucanrail_platform::requests::{self, RequestFacts};
 use toucanrail_wire::heads::RequestHead;
 
@@ -21,14 +22,10 @@
 /// Age of the last contact with the store from which an unknown key or route may be a new one that
 /// has not arrived: the caller is then sent elsewhere instead of away. Twice a watch's wait.
 const KNOWLEDGE_AGE: Duration = Duration::from_secs(3);
-/// When to come back to an entry that knows no configuration yet, or that is cut off.
-const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
-/// When to come back where the money is granted elsewhere or the store is away.
-const GRANT_RETRY: Duration = Duration::from_millis(800);
+/// Silence of the store, with lenders that answer, from which it is taken to be away for all.
+const OUTAGE_LEAST: Duration = Duration::from_millis(1_000);
 /// Part of a route's time that a caller has left at most if it was refused before and came back.
 const RETURNED_PART: f64 = 0.9;
-/// Part of the time after which refused callers come back over which they are spread.
-const RETURN_SPREAD: f64 = 0.3;
 /// Time that a stopped entry needs to be back, where the balancer knows no other.
 const STOP_RETRY: Duration = Duration::from_millis(700);
 /// Time after SIGTERM in which new requests are served whatever their length: the balancer sends new
@@ -133,8 +130,7 @@
     if gateway.admits(&plan.service, query) {
         return Ok(());
     }
-    // Later than that nobody comes back.
-    let wait = (waits / 3).mul_f64(1.0 - RETURN_SPREAD * fastrand::f64());
+    let wait = returns::pick_wait(RefusalCause::Overload, waits, fastrand::f64());
     Err(EntryRefusal { code: codetable::OVERLOADED, retry_after: Some(wait) })
 }
 
@@ -144,7 +140,8 @@
     facts: &RequestFacts,
 ) -> Result<(Arc<RouteRule>, Option<Arc<CustomerFacts>>), EntryRefusal> {
     let tables = gateway.tables.borrow();
-    let later = Some(UNKNOWN_RETRY);
+    let left = facts.timeout.unwrap_or(Duration::MAX);
+    let later = Some(returns::pick_wait(RefusalCause::Uninformed, left, fastrand::f64()));
     if tables.routes.version() == 0 {
         return Err(EntryRefusal { code: codetable::STORE_UNAVAILABLE, retry_after: later });
     }
@@ -196,9 +193,10 @@
     taken.map(Some).map_err(|failure| match failure {
         HoldFailure::Uncovered => codetable::BUDGET_EXHAUSTED.into(),
         HoldFailure::Short => {
-            let wait = GRANT_RETRY.mul_f64(0.75 + 0.5 * fastrand::f64());
-            let code = codetable::BUDGET_UNCONFIRMED;
-            EntryRefusal { code, retry_after: Some(wait.min(plan.left() / 3)) }
+            let is_outage = gateway.store.age() > OUTAGE_LEAST && !gateway.desk.unanswered.get();
+            let cause = if is_outage { RefusalCause::Outage } else { RefusalCause::Unconfirmed };
+            let wait = returns::pick_wait(cause, plan.left(), fastrand::f64());
+            EntryRefusal { code: codetable::BUDGET_UNCONFIRMED, retry_after: Some(wait) }
         }
     })
 }
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -13,6 +13,7 @@
 use toucanrail::matching;
 use toucanrail::placing::{self, PlaceQuery};
 use toucanrail::probes::{self, ProbeRow};
+use toucanrail::returns::{self, RefusalCause};
 use toucanrail_wire::clocks;
 
 use crate::answering::{self, CallerSide};
@@ -23,10 +24,6 @@
 use crate::sighting;
 use crate::states::Gateway;
 
-/// Bounds of the time after which a declined caller may come back; spread, so that those who were
-/// declined together do not return together.
-const RETRY_LEAST: Duration = Duration::from_millis(250);
-const RETRY_SPREAD: Duration = Duration::from_millis(500);
 /// Longest wait for the load of servers: most relays answer within some milliseconds.
 const PROBE_BOUND: Duration = Duration::from_millis(40);
 
@@ -300,8 +297,8 @@
 
     async fn refuse(&self, code: ResultCode, caller: &mut CallerSide) -> RequestEnd {
         let run = self.tally.run_state();
-        let wait = RETRY_LEAST + RETRY_SPREAD.mul_f64(fastrand::f64());
-        let wait = (run == RunState::NotRun).then(|| wait.min(self.plan.left() / 3));
+        let wait = returns::pick_wait(RefusalCause::Declined, self.plan.left(), fastrand::f64());
+        let wait = (run == RunState::NotRun).then_some(wait);
         let note = answering::make_note(code, run, wait);
         // A caller that is gone needs no refusal.
         caller.send_refusal(&note).await.ok();
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod records;
 pub mod replays;
 pub mod retries;
+pub mod returns;
 pub mod routing;
 pub mod scanners;
 pub mod seals;
