--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -23,7 +23,7 @@
 /// has not arrived: the caller is then sent elsewhere instead of away. Twice a watch's wait.
 const KNOWLEDGE_AGE: Duration = Duration::from_secs(3);
 /// Silence of the store, with lenders that answer, from which it is taken to be away for all.
-const OUTAGE_LEAST: Duration = Duration::from_millis(1_000);
+const OUTAGE_LEAST: Duration = Duration::from_secs(1);
 /// Part of a route's time that a caller has left at most if it was refused before and came back.
 const RETURNED_PART: f64 = 0.9;
 /// Time that a stopped entry needs to be back, where the balancer knows no other.
