Before a long prompt is placed, relays beside five servers are asked

Change: a prompt of 16,384 tokens and more is placed by fresh reports of the best server and four drawn ones; streams beside it and prompts that are being read cost parts of its reading time.

The module homes is affinity now, since regions of routes and evacuations make the other name ambiguous.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -181,17 +181,21 @@
             && matching::allows_region(rules, region.map(|region| &**region))
     }
 
-    /// Asks the relays beside some servers for their load, where prompts wait longer than they should.
+    /// Asks the relays beside some servers for their load, where prompts wait longer than they should and for
+    /// long prompts.
     async fn probe_servers(&self) -> Vec<ProbeRow> {
-        if self.plan.facts.prompt.is_none() || !self.gateway.wants_probe(&self.plan.service) {
+        let Some(prompt) = &self.plan.facts.prompt else {
+            return Vec::new();
+        };
+        if !probes::is_long(prompt.prompt) && !self.gateway.wants_probe(&self.plan.service) {
             return Vec::new();
         }
         let query = self.place_query();
         let candidates = {
             let tables = self.gateway.tables.borrow();
             let eligible = self.list_eligible(&tables.backends, query.now);
-            let dice = [fastrand::f64(), fastrand::f64()];
-            probes::pick_candidates(&eligible, &query, dice)
+            let dice: [f64; probes::SAMPLE_COUNT] = std::array::from_fn(|_| fastrand::f64());
+            probes::pick_candidates(&eligible, &query, &dice)
         };
         let probing = candidates.into_iter().map(|entry| {
             let gateway = Rc::clone(self.gateway);
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -39,6 +39,7 @@
 
 pub mod accounts;
 pub mod admissions;
+pub mod affinity;
 pub mod archives;
 pub mod attempting;
 pub mod backends;
@@ -56,7 +57,7 @@
 pub mod frames;
 pub mod framing;
 pub mod grants;
-pub mod homes;
+
 pub mod ids;
 pub mod ledgers;
 pub mod limits;
--- a/toucanrail/src/placing.rs
+++ b/toucanrail/src/placing.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
+use crate::affinity::{self, SpeedRow};
 use crate::backends::{BackendRow, PromptPart};
-use crate::homes::{self, SpeedRow};
 use crate::ids::Tokens;
 
 /// Prompt tokens that an engine is taken to read in a millisecond: the scale of the costs below.
@@ -69,11 +69,11 @@
 /// Returns the expected cost of each of some servers, in their order: the time to the first event with what
 /// placing there costs others, in milliseconds.
 pub(crate) fn estimate_costs(rows: &[&BackendRow], query: &PlaceQuery<'_>) -> Vec<f64> {
-    let rows = homes::weigh_rows(rows);
-    let home = session_key(query).and_then(|key| homes::rank_first(&rows, key));
-    let is_home =
-        |one: &SpeedRow<'_>| home.is_some_and(|home| home.row.entry.id == one.row.entry.id);
-    rows.iter().map(|one| estimate_cost(one, query, is_home(one))).collect()
+    let rows = affinity::weigh_rows(rows);
+    let first = session_key(query).and_then(|key| affinity::rank_first(&rows, key));
+    let is_first =
+        |one: &SpeedRow<'_>| first.is_some_and(|first| first.row.entry.id == one.row.entry.id);
+    rows.iter().map(|one| estimate_cost(one, query, is_first(one))).collect()
 }
 
 /// Returns the server from which `target` may fetch shared parts of the prompt; none where no other is
@@ -95,15 +95,20 @@
     let held = |row: &BackendRow| row.held_tokens(query.parts).min(shared);
     let working: Vec<&BackendRow> =
         eligible.iter().copied().filter(|row| row.takes_work(query.now)).collect();
-    let home = homes::rank_first(&homes::weigh_rows(&working), key).map(|home| home.row);
-    let is_home = |row: &BackendRow| home.is_some_and(|home| home.entry.id == row.entry.id);
+    let first = affinity::rank_first(&affinity::weigh_rows(&working), key).map(|first| first.row);
+    let is_first = |row: &BackendRow| first.is_some_and(|first| first.entry.id == row.entry.id);
     let others = working.into_iter().filter(|row| row.entry.id != target.entry.id);
     // The other entries send the shared parts to their first server too, so it holds them.
-    let expected = |row: &BackendRow| if is_home(row) { shared } else { held(row) };
+    let expected = |row: &BackendRow| if is_first(row) { shared } else { held(row) };
     let source = others.max_by_key(|row| expected(row))?;
     (expected(source) >= held(target) + FETCH_LEAST).then_some(source)
 }
 
+/// Returns the time in which an engine is taken to read some tokens, in milliseconds.
+pub(crate) fn reading_time(tokens: Tokens) -> f64 {
+    tokens as f64 / READ_RATE
+}
+
 /// Returns the prompt's tokens behind its shared parts, which no server has read.
 fn own_tokens(query: &PlaceQuery<'_>) -> Tokens {
     let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
@@ -118,7 +123,7 @@
 
 /// Returns the expected time to the first event, in milliseconds, with what placing there costs
 /// others.
-fn estimate_cost(speed: &SpeedRow<'_>, query: &PlaceQuery<'_>, is_home: bool) -> f64 {
+fn estimate_cost(speed: &SpeedRow<'_>, query: &PlaceQuery<'_>, is_first: bool) -> f64 {
     let row = speed.row;
     let own = row.flights.len() as f64;
     let far = *row.entry.data_centre != *query.data_centre;
@@ -133,7 +138,7 @@
     let own_part = own_tokens(query) as f64;
     // The other entries send the shared parts to their first server too, so it holds them.
     let missing = row.fresh_tokens(query.parts, query.prompt) as f64 - own_part;
-    let again = if is_home { 0.0 } else { missing.max(0.0) };
+    let again = if is_first { 0.0 } else { missing.max(0.0) };
     let fetches = again >= FETCH_LEAST as f64;
     let (again, fetch) = if fetches { (0.0, FETCH_COST) } else { (again, 0.0) };
     let fresh = own_part + again * (1.0 + AGAIN_FACTOR);
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -2,24 +2,33 @@
 //!
 //! The load it answers: servers whose places are nearly all taken, and many entries that each send them few of
 //! their requests. A request then waits for seconds in the queue of one server while another has places free,
-//! and its entry cannot know. The relays beside the servers do.
+//! and its entry cannot know. The relays beside the servers do. The same holds at any load for long prompts:
+//! while one is read, all streams of its server pause, and a second one there begins late.
 
 use std::time::Duration;
 
 use serde::Serialize;
 
 use crate::backends::{BackendEntry, BackendRow};
+use crate::ids::Tokens;
 use crate::paces::LoadReport;
 use crate::placing::{self, PlaceQuery};
 
 /// Servers that are asked besides the one that would be chosen unasked.
-pub const SAMPLE_COUNT: usize = 2;
+pub const SAMPLE_COUNT: usize = 4;
 /// Hoped-for times for which a request is taken to run: a server with many places frees one of them sooner.
 const RUN_AIMS: f64 = 4.0;
 /// Part of the reports without a free place from which servers are asked before each request.
 const SCARCE_PART: f64 = 0.1;
 /// Part of the requests before which servers are asked while places are not known to be scarce.
 const LOOK_PART: f64 = 0.06;
+/// Prompt tokens to read from which servers are asked before the request is placed: all streams beside them
+/// pause meanwhile.
+const LONG_PROMPT: Tokens = 16_384;
+/// Cost of a long prompt for one stream beside it, and for one prompt that is being read before it, as parts of
+/// its reading time.
+const STREAM_PART: f64 = 0.02;
+const QUEUED_PART: f64 = 0.15;
 /// Weight of a new report.
 const REPORT_WEIGHT: f64 = 0.1;
 
@@ -62,6 +71,16 @@
     (taken + 1).saturating_sub(entry.slots)
 }
 
+/// Tells whether a prompt is so long that servers are to be asked before it is placed, wherever that is.
+///
+/// # Examples
+/// ```
+/// assert!(toucanrail::probes::is_long(40_000) && !toucanrail::probes::is_long(4_000));
+/// ```
+pub fn is_long(prompt: Tokens) -> bool {
+    prompt >= LONG_PROMPT
+}
+
 /// A server that was asked for its load; without a report where it, or its relay, did not answer.
 pub type ProbeRow = (BackendEntry, Option<LoadReport>);
 
@@ -74,12 +93,12 @@
 /// let query = PlaceQuery {
 ///     data_centre: "a", parts: &[], prompt: 0, now: Default::default(), dice: 0.5,
 /// };
-/// assert!(probes::pick_candidates(&[], &query, [0.2, 0.7]).is_empty());
+/// assert!(probes::pick_candidates(&[], &query, &[0.2, 0.7]).is_empty());
 /// ```
 pub fn pick_candidates(
     eligible: &[&BackendRow],
     query: &PlaceQuery<'_>,
-    dice: [f64; SAMPLE_COUNT],
+    dice: &[f64],
 ) -> Vec<BackendEntry> {
     let Some(best) = placing::pick_backend(eligible, query) else {
         return Vec::new();
@@ -91,7 +110,7 @@
         let Some(last) = others.len().checked_sub(1) else {
             break;
         };
-        let at = ((others.len() as f64 * draw) as usize).min(last);
+        let at = ((others.len() as f64 * *draw) as usize).min(last);
         candidates.push(others.swap_remove(at).entry.clone());
     }
     candidates
@@ -125,13 +144,25 @@
     let costs = placing::estimate_costs(eligible, query);
     let asked = eligible.iter().zip(costs).filter_map(|(row, cost)| {
         let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
-        let wait = report.as_ref().map_or(0.0, |report| estimate_wait(&row.entry, report, aim));
-        Some((*row, cost + wait))
+        let report = report.as_ref();
+        let wait = report.map_or(0.0, |report| estimate_wait(&row.entry, report, aim));
+        let harm = report.map_or(0.0, |report| estimate_harm(report, query.prompt));
+        Some((*row, cost + wait + harm))
     });
     let best = asked.min_by(|(_, one), (_, other)| one.total_cmp(other));
     best.map(|(row, _)| row)
 }
 
+/// Returns what a long prompt costs the streams beside it and those that wait behind it, in milliseconds.
+fn estimate_harm(report: &LoadReport, prompt: Tokens) -> f64 {
+    if !is_long(prompt) {
+        return 0.0;
+    }
+    let reading = report.count_reading() as f64;
+    let streams = report.runs.len() as f64 - reading + report.waiting as f64;
+    placing::reading_time(prompt) * (STREAM_PART * streams + QUEUED_PART * reading)
+}
+
 /// Returns the expected wait for a place at a server, in milliseconds.
 ///
 /// Prompts that are being read count for nothing: where places are free, a session that moves away from
--- a/toucanrail/tests/load_probes.rs
+++ b/toucanrail/tests/load_probes.rs
@@ -65,7 +65,7 @@
     let parts = make_parts(7, 1);
     let query = make_query(&parts, RUN);
     let eligible = table.eligible("llm", &[], RUN);
-    let candidates = probes::pick_candidates(&eligible, &query, [0.1, 0.9]);
+    let candidates = probes::pick_candidates(&eligible, &query, &[0.1, 0.9]);
     assert_eq!(candidates.len(), 3);
     let home = Arc::clone(&candidates[0].id);
     let load = |at: usize| if at == 0 { make_report(SLOTS, 4) } else { make_report(3, 0) };
@@ -82,7 +82,7 @@
     let parts = make_parts(7, 1);
     let query = make_query(&parts, RUN);
     let eligible = table.eligible("llm", &[], RUN);
-    let candidates = probes::pick_candidates(&eligible, &query, [0.1, 0.9]);
+    let candidates = probes::pick_candidates(&eligible, &query, &[0.1, 0.9]);
     let probed: Vec<ProbeRow> = candidates.into_iter().map(|entry| (entry, None)).collect();
     let chosen = probes::pick_probed(&eligible, &query, &probed, AIM).map(|row| &row.entry.id);
     assert_eq!(chosen, placing::pick_backend(&eligible, &query).map(|row| &row.entry.id));
@@ -150,7 +150,7 @@
         let query = make_query(&parts, now);
         let eligible = table.eligible("llm", &[], now);
         let draws = [dice.f64(), dice.f64()];
-        let candidates = probes::pick_candidates(&eligible, &query, draws);
+        let candidates = probes::pick_candidates(&eligible, &query, &draws);
         let probed: Vec<ProbeRow> = candidates
             .into_iter()
             .map(|entry| {
@@ -180,3 +180,69 @@
     assert!(unasked > REQUESTS / 10, "{unasked} late without probes: no load that tells");
     assert!(asked * 20 < REQUESTS, "{asked} late with probes, {unasked} without");
 }
+
+/// Time for which a long prompt is read, and between two of them: 60 % of all servers read one.
+const READ: Duration = Duration::from_millis(700);
+const READ_PAUSE: Duration = Duration::from_millis(97);
+const LONG_PARTS: [u64; 3] = [100, 4_900, 35_000];
+
+/// Counts the long prompts of many entries that come to a server where another one is being read.
+fn count_doubled(probes_first: bool) -> usize {
+    let mut dice = fastrand::Rng::with_seed(2);
+    let mut tables: Vec<BackendTable> = (0..ENTRIES).map(|_| make_table()).collect();
+    let mut read_until: BTreeMap<Arc<str>, Duration> = BTreeMap::new();
+    let mut doubled = 0;
+    for number in 0..REQUESTS {
+        let now = READ_PAUSE * number as u32;
+        let table = &mut tables[number % ENTRIES];
+        let ids = [1, 1_000 + dice.u64(0..40), 100_000 + number as u64];
+        let parts = [0, 1, 2].map(|at| PromptPart { id: ids[at], tokens: LONG_PARTS[at] });
+        let query = make_query(&parts, now);
+        let eligible = table.eligible("llm", &[], now);
+        let draws = [(); probes::SAMPLE_COUNT].map(|()| dice.f64());
+        let candidates = probes::pick_candidates(&eligible, &query, &draws);
+        let probed: Vec<ProbeRow> = candidates
+            .into_iter()
+            .map(|entry| {
+                let reads = read_until.get(&entry.id).is_some_and(|until| *until > now);
+                let run = RunRow { request: Arc::from("r"), events: 0 };
+                let runs = if reads { vec![run] } else { Vec::new() };
+                (entry, Some(LoadReport { born: 1, waiting: 0, runs }))
+            })
+            .collect();
+        let chosen = if probes_first {
+            probes::pick_probed(&eligible, &query, &probed, AIM)
+        } else {
+            placing::pick_backend(&eligible, &query)
+        };
+        let id = Arc::clone(&chosen.expect("a server").entry.id);
+        let until = read_until.entry(Arc::clone(&id)).or_default();
+        doubled += usize::from(*until > now);
+        *until = now.max(*until) + READ;
+        let flight = FlightRow { sent_at: now, fresh: 0, begun: true };
+        table.note_sent(&id, flight, &parts);
+    }
+    doubled
+}
+
+/// An entry sees one in twenty-four of the long prompts, and sent every second one to a server that was reading
+/// another: both began late, and every stream beside them paused for twice as long.
+#[test]
+fn long_prompts() {
+    let (unasked, asked) = (count_doubled(false), count_doubled(true));
+    assert!(unasked > REQUESTS / 4, "{unasked} doubled without probes: no load that tells");
+    assert!(asked * 3 < unasked, "{asked} doubled with probes, {unasked} without");
+}
+
+/// Of servers that read nothing a long prompt goes to the one with the fewest streams, which all pause.
+#[test]
+fn fewest_streams() {
+    let table = make_table();
+    let parts = [PromptPart { id: 1, tokens: 100 }, PromptPart { id: 2, tokens: 40_000 }];
+    let query = make_query(&parts, RUN);
+    let eligible = table.eligible("llm", &[], RUN);
+    let probed: Vec<ProbeRow> =
+        (0..5).map(|at| (entry(at), Some(make_report(12 - 2 * at as u64, 0)))).collect();
+    let chosen = probes::pick_probed(&eligible, &query, &probed, AIM).expect("a server");
+    assert_eq!(*chosen.entry.id, *"s4");
+}
