Only the relay beside a cold server gives its permits

Cause: found by reading. An entry that had not listed the relay beside a cold server asked the first one by rank, while others asked the one beside it: two relays, each giving 14 of the 20 requests that the server bears. Relays are listed each 2 to 12 s, and a server on a VM that was just added is cold.

Ruled out: half of the permits from each (what is beside is known nearly always); asking both.

Change: the first relay by rank stands in only where the fleet hosts its relays. unlisted_relay failed before (10 of 10 requests sent), passes now.

Conclusion: kept; in a hosted fleet entries with unlike lists may still ask two relays, which is open.

--- a/toucanrail-gateway/src/permitting.rs
+++ b/toucanrail-gateway/src/permitting.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use toucanrail::backends::{BackendEntry, BackendId};
+use toucanrail::backends::BackendEntry;
 use toucanrail::coldstarts::{self, PERMIT_TIME, PermitOrder, PermitReply};
 use toucanrail::detours::RelayName;
 use toucanrail::loans;
@@ -69,8 +69,7 @@
 
 async fn ask_relay(gateway: &Gateway, target: &BackendEntry, limit: usize) -> PermitReply {
     let server = &target.id;
-    let beside = gateway.store.relay_at(target.address.ip());
-    let Some((relay, address)) = beside.or_else(|| stand_in(gateway, server)) else {
+    let Some((relay, address)) = find_relay(gateway, target) else {
         return PermitReply::After(SILENCE_TIME);
     };
     let order = PermitOrder { server: Arc::clone(server), limit };
@@ -82,7 +81,14 @@
     })
 }
 
-/// Returns the relay that gives a server's permits where none stands beside it; all entries find the same.
-fn stand_in(gateway: &Gateway, server: &BackendId) -> Option<(RelayName, SocketAddr)> {
-    loans::rank_lenders(&gateway.store.lenders(), server).into_iter().next()
+/// Returns the relay that gives a server's permits: the one beside it, or in a fleet that hosts its relays
+/// the first by rank.
+///
+/// Entries list the relays at different times. Where the relay beside a server is not known yet there is no
+/// other: two of them would give twice as many.
+fn find_relay(gateway: &Gateway, target: &BackendEntry) -> Option<(RelayName, SocketAddr)> {
+    if gateway.store.lacks_relays() {
+        return loans::rank_lenders(&gateway.store.lenders(), &target.id).into_iter().next();
+    }
+    gateway.store.relay_at(target.address.ip())
 }
--- a/toucanrail-gateway/tests/cold_servers.rs
+++ b/toucanrail-gateway/tests/cold_servers.rs
@@ -74,3 +74,21 @@
     assert_eq!(send_burst(&gateways, 60), 60);
     assert_eq!(count_seen(&backend), 60);
 }
+
+/// The relay beside a cold server is not known yet, and another one is. Were it asked, each of the two would
+/// give as many permits as the server bears.
+#[test]
+fn unlisted_relay() {
+    let (store, backend, gateways, _relay) = start_service(false);
+    let other = Process::start_relay(&store, "side-9");
+    platform::wait_until("the other relay", || store.has("relays", "side-9"));
+    let mut entry = store.get("relays", "side-9").expect("its entry");
+    let address = entry["address"].as_str().expect("an address").replace("127.0.0.1", "127.0.0.9");
+    entry["address"] = json!(address);
+    store.put("relays", "side-9", entry);
+    thread::sleep(Duration::from_millis(2_500));
+    platform::register(&store, &backend, "a", 60_000);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!((send_burst(&gateways, 10), count_seen(&backend)), (0, 0));
+    drop(other);
+}
