--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -477,10 +477,12 @@
         Self::start(env!("CARGO_BIN_EXE_toucanrail-gateway"), store.address, "front-1", None)
     }
 
-    /// Starts a gateway where data centres are emptied and cold servers spared.
+    /// Starts a gateway where data centres are emptied and cold servers spared, and waits until it is ready.
     pub fn start_bounded(store: &Store) -> Self {
         let program = env!("CARGO_BIN_EXE_toucanrail-gateway");
-        Self::start_with(program, store.address, "front-1", None, PLACE_BOUNDS)
+        let process = Self::start_with(program, store.address, "front-1", None, PLACE_BOUNDS);
+        process.wait_ready(true);
+        process
     }
 
     /// Starts a relay.
