--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -29,7 +29,7 @@
 
 /// Part of the hoped-for time for which a request waits for permits where all servers are cold, and the time
 /// over which those that wait for the same one are spread.
-const PERMIT_PART: f64 = 0.8;
+const PERMIT_WAIT_PART: f64 = 0.8;
 const PERMIT_SPREAD: Duration = Duration::from_millis(60);
 
 /// How a request ended, for its log line.
@@ -128,7 +128,8 @@
             return true;
         }
         let wait = wait + PERMIT_SPREAD.mul_f64(fastrand::f64());
-        let fits = self.plan.arrived.elapsed() + wait < self.plan.route.aim.mul_f64(PERMIT_PART);
+        let fits =
+            self.plan.arrived.elapsed() + wait < self.plan.route.aim.mul_f64(PERMIT_WAIT_PART);
         if fits {
             smol::Timer::after(wait).await;
         }
@@ -170,15 +171,13 @@
         eligible
     }
 
-    /// Tells whether the request may reach a server: it was not tried yet, and stands in a region that route
-    /// and customer allow.
+    /// Tells whether a server stands in a region that route and customer allow.
     fn allows(&self, row: &BackendRow) -> bool {
         let anywhere = BTreeSet::new();
         let customer = self.plan.customer.as_ref().map_or(&anywhere, |customer| &customer.regions);
         let region = self.gateway.settings.regions.get(&row.entry.data_centre);
         let rules = [&self.plan.route.regions, customer];
-        !self.tried.contains(&row.entry.id)
-            && matching::allows_region(rules, region.map(|region| &**region))
+        matching::allows_region(rules, region.map(|region| &**region))
     }
 
     /// Asks the relays beside some servers for their load, where prompts wait longer than they should and for
@@ -232,8 +231,8 @@
         let eligible = self.list_eligible(&tables.backends, query.now);
         let chosen = probes::pick_probed(&eligible, &query, probed, self.plan.route.aim);
         let row = chosen.or_else(|| placing::pick_backend(&eligible, &query))?;
-        let sources = tables.backends.sources(&self.plan.service, query.now);
-        let sources: Vec<&BackendRow> = sources.filter(|row| self.allows(row)).collect();
+        let mut sources = tables.backends.sources(&self.plan.service, &self.tried, query.now);
+        sources.retain(|row| self.allows(row));
         let source = placing::pick_source(&sources, &query, row);
         Some((row.entry.clone(), source.map(|source| source.entry.address)))
     }
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -281,16 +281,11 @@
         tried: &[BackendId],
         now: Duration,
     ) -> Vec<&'table BackendRow> {
-        let fits = |row: &&BackendRow| {
-            let BackendEntry { id, data_centre, .. } = &row.entry;
-            *row.entry.service == *service
-                && !row.entry.draining
-                && !row.replaced
-                && !row.is_lapsed(now)
-                && !tried.contains(id)
-                && self.evacuations.takes_work(data_centre, id, now)
-        };
-        let rows: Vec<&BackendRow> = self.rows.values().filter(fits).collect();
+        let rows = self.list_untried(service, tried, now).filter(|row| {
+            let BackendEntry { id, data_centre, draining, .. } = &row.entry;
+            !draining && self.evacuations.takes_work(data_centre, id, now)
+        });
+        let rows: Vec<&BackendRow> = rows.collect();
         let working: Vec<&BackendRow> =
             rows.iter().copied().filter(|row| row.takes_work(now)).collect();
         if working.is_empty() { rows } else { working }
@@ -301,14 +296,27 @@
     pub fn sources<'table>(
         &'table self,
         service: &str,
+        tried: &[BackendId],
+        now: Duration,
+    ) -> Vec<&'table BackendRow> {
+        let rows = self.list_untried(service, tried, now).filter(|row| {
+            row.takes_work(now) && self.evacuations.allows_fetch(&row.entry.data_centre, now)
+        });
+        rows.collect()
+    }
+
+    /// Lists the servers of a service that are still where their entries say, and were not tried yet.
+    fn list_untried<'table>(
+        &'table self,
+        service: &str,
+        tried: &[BackendId],
         now: Duration,
     ) -> impl Iterator<Item = &'table BackendRow> {
         self.rows.values().filter(move |row| {
             *row.entry.service == *service
                 && !row.replaced
                 && !row.is_lapsed(now)
-                && row.takes_work(now)
-                && self.evacuations.allows_fetch(&row.entry.data_centre, now)
+                && !tried.contains(&row.entry.id)
         })
     }
 
--- a/toucanrail/src/evacuations.rs
+++ b/toucanrail/src/evacuations.rs
@@ -88,9 +88,9 @@
         self.rows.entry(Arc::clone(data_centre)).or_insert(row);
     }
 
-    /// Notes that a data centre is taken back; false if it was not being emptied.
-    pub fn note_reopened(&mut self, data_centre: &str) -> bool {
-        self.rows.remove(data_centre).is_some()
+    /// Notes that a data centre is taken back.
+    pub fn note_reopened(&mut self, data_centre: &str) {
+        self.rows.remove(data_centre);
     }
 
     /// Tells whether a server may get new work.
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -22,11 +22,11 @@
 const SCARCE_PART: f64 = 0.1;
 /// Part of the requests before which servers are asked while places are not known to be scarce.
 const LOOK_PART: f64 = 0.06;
-/// Prompt tokens to read from which servers are asked before the request is placed: all streams beside them
-/// pause meanwhile.
+/// Tokens of a prompt from which servers are asked before it is placed: all streams beside it pause while it
+/// is read.
 const LONG_PROMPT: Tokens = 16_384;
-/// Cost of a long prompt for one stream beside it, and for one prompt that is being read before it, as parts of
-/// its reading time.
+/// Costs of one stream beside a long prompt, and of one prompt that is read before it, as parts of its reading
+/// time.
 const STREAM_PART: f64 = 0.02;
 const QUEUED_PART: f64 = 0.15;
 /// Weight of a new report.
@@ -153,13 +153,13 @@
     best.map(|(row, _)| row)
 }
 
-/// Returns what a long prompt costs the streams beside it and those that wait behind it, in milliseconds.
+/// Returns what a long prompt costs the streams beside it, and what the prompts before it cost, in milliseconds.
 fn estimate_harm(report: &LoadReport, prompt: Tokens) -> f64 {
     if !is_long(prompt) {
         return 0.0;
     }
     let reading = report.count_reading() as f64;
-    let streams = report.runs.len() as f64 - reading + report.waiting as f64;
+    let streams = report.runs.iter().filter(|run| run.events > 0).count() as f64;
     placing::reading_time(prompt) * (STREAM_PART * streams + QUEUED_PART * reading)
 }
 
--- a/toucanrail/tests/load_probes.rs
+++ b/toucanrail/tests/load_probes.rs
@@ -111,22 +111,31 @@
     ends: Duration,
 }
 
+/// A model of a server.
+trait ServerSim: Default {
+    /// Places a request; true if that was a bad choice.
+    fn place(&mut self, now: Duration) -> bool;
+
+    /// Returns what its relay tells.
+    fn report(&self, now: Duration) -> LoadReport;
+}
+
 /// A server with a queue: a request begins as soon as one of the places is free.
 #[derive(Default)]
 struct QueueSim {
     rows: Vec<PlacedRow>,
 }
 
-impl QueueSim {
-    /// Places a request and returns when it begins.
-    fn place(&mut self, now: Duration) -> Duration {
+impl ServerSim for QueueSim {
+    /// The request waits for a place for longer than hoped for.
+    fn place(&mut self, now: Duration) -> bool {
         let mut ends: Vec<Duration> =
             self.rows.iter().map(|row| row.ends).filter(|ends| *ends > now).collect();
         ends.sort_unstable();
         let over = (ends.len() + 1).saturating_sub(SLOTS as usize);
         let begins = over.checked_sub(1).map_or(now, |at| ends[at]);
         self.rows.push(PlacedRow { begins, ends: begins + RUN });
-        begins
+        begins.saturating_sub(now) > AIM
     }
 
     fn report(&self, now: Duration) -> LoadReport {
@@ -136,20 +145,33 @@
     }
 }
 
-/// Serves the load through entries that each see a part of it, and returns how many requests wait for a
-/// place for longer than hoped for.
-fn count_late(probes_first: bool) -> usize {
-    let mut dice = fastrand::Rng::with_seed(1);
+/// Some requests that many entries place, one after the other.
+struct LoadPlan<Parts> {
+    seed: u64,
+    pause: Duration,
+    /// Servers drawn for each probe.
+    drawn: usize,
+    /// Makes the prompt of a session's request, by its number.
+    make_parts: Parts,
+}
+
+/// Serves a load through entries that each see a part of it, and counts the bad choices.
+fn count_bad<Server, Parts>(plan: &LoadPlan<Parts>, probes_first: bool) -> usize
+where
+    Server: ServerSim,
+    Parts: Fn(u64, u64) -> [PromptPart; 3],
+{
+    let mut dice = fastrand::Rng::with_seed(plan.seed);
     let mut tables: Vec<BackendTable> = (0..ENTRIES).map(|_| make_table()).collect();
-    let mut servers: BTreeMap<Arc<str>, QueueSim> = BTreeMap::new();
-    let mut late = 0;
+    let mut servers: BTreeMap<Arc<str>, Server> = BTreeMap::new();
+    let mut bad = 0;
     for number in 0..REQUESTS {
-        let now = PAUSE * number as u32;
+        let now = plan.pause * number as u32;
         let table = &mut tables[number % ENTRIES];
-        let parts = make_parts(dice.u64(0..40), number as u64);
+        let parts = (plan.make_parts)(dice.u64(0..40), number as u64);
         let query = make_query(&parts, now);
         let eligible = table.eligible("llm", &[], now);
-        let draws = [dice.f64(), dice.f64()];
+        let draws: Vec<f64> = (0..plan.drawn).map(|_| dice.f64()).collect();
         let candidates = probes::pick_candidates(&eligible, &query, &draws);
         let probed: Vec<ProbeRow> = candidates
             .into_iter()
@@ -164,19 +186,19 @@
             placing::pick_backend(&eligible, &query)
         };
         let id = Arc::clone(&chosen.expect("a server").entry.id);
-        let begins = servers.entry(Arc::clone(&id)).or_default().place(now);
+        bad += usize::from(servers.entry(Arc::clone(&id)).or_default().place(now));
         let flight = FlightRow { sent_at: now, fresh: 0, begun: true };
         table.note_sent(&id, flight, &parts);
-        late += usize::from(begins.saturating_sub(now) > AIM);
     }
-    late
+    bad
 }
 
 /// Nearly all places are taken, and entries that see a twenty-fourth of the load each sent requests into the
 /// queue of one server while another had places free. Asked for, hardly one waits.
 #[test]
 fn scarce_places() {
-    let (unasked, asked) = (count_late(false), count_late(true));
+    let plan = LoadPlan { seed: 1, pause: PAUSE, drawn: 2, make_parts };
+    let [unasked, asked] = [false, true].map(|asks| count_bad::<QueueSim, _>(&plan, asks));
     assert!(unasked > REQUESTS / 10, "{unasked} late without probes: no load that tells");
     assert!(asked * 20 < REQUESTS, "{asked} late with probes, {unasked} without");
 }
@@ -186,50 +208,39 @@
 const READ_PAUSE: Duration = Duration::from_millis(97);
 const LONG_PARTS: [u64; 3] = [100, 4_900, 35_000];
 
-/// Counts the long prompts of many entries that come to a server where another one is being read.
-fn count_doubled(probes_first: bool) -> usize {
-    let mut dice = fastrand::Rng::with_seed(2);
-    let mut tables: Vec<BackendTable> = (0..ENTRIES).map(|_| make_table()).collect();
-    let mut read_until: BTreeMap<Arc<str>, Duration> = BTreeMap::new();
-    let mut doubled = 0;
-    for number in 0..REQUESTS {
-        let now = READ_PAUSE * number as u32;
-        let table = &mut tables[number % ENTRIES];
-        let ids = [1, 1_000 + dice.u64(0..40), 100_000 + number as u64];
-        let parts = [0, 1, 2].map(|at| PromptPart { id: ids[at], tokens: LONG_PARTS[at] });
-        let query = make_query(&parts, now);
-        let eligible = table.eligible("llm", &[], now);
-        let draws = [(); probes::SAMPLE_COUNT].map(|()| dice.f64());
-        let candidates = probes::pick_candidates(&eligible, &query, &draws);
-        let probed: Vec<ProbeRow> = candidates
-            .into_iter()
-            .map(|entry| {
-                let reads = read_until.get(&entry.id).is_some_and(|until| *until > now);
-                let run = RunRow { request: Arc::from("r"), events: 0 };
-                let runs = if reads { vec![run] } else { Vec::new() };
-                (entry, Some(LoadReport { born: 1, waiting: 0, runs }))
-            })
-            .collect();
-        let chosen = if probes_first {
-            probes::pick_probed(&eligible, &query, &probed, AIM)
-        } else {
-            placing::pick_backend(&eligible, &query)
-        };
-        let id = Arc::clone(&chosen.expect("a server").entry.id);
-        let until = read_until.entry(Arc::clone(&id)).or_default();
-        doubled += usize::from(*until > now);
-        *until = now.max(*until) + READ;
-        let flight = FlightRow { sent_at: now, fresh: 0, begun: true };
-        table.note_sent(&id, flight, &parts);
+fn make_long_parts(session: u64, number: u64) -> [PromptPart; 3] {
+    let ids = [1, 1_000 + session, 100_000 + number];
+    [0, 1, 2].map(|at| PromptPart { id: ids[at], tokens: LONG_PARTS[at] })
+}
+
+/// A server that reads one prompt after the other.
+#[derive(Default)]
+struct ReadingSim {
+    until: Duration,
+}
+
+impl ServerSim for ReadingSim {
+    /// Another prompt is being read.
+    fn place(&mut self, now: Duration) -> bool {
+        let is_reading = self.until > now;
+        self.until = now.max(self.until) + READ;
+        is_reading
+    }
+
+    fn report(&self, now: Duration) -> LoadReport {
+        let run = RunRow { request: Arc::from("r"), events: 0 };
+        let runs = if self.until > now { vec![run] } else { Vec::new() };
+        LoadReport { born: 1, waiting: 0, runs }
     }
-    doubled
 }
 
 /// An entry sees one in twenty-four of the long prompts, and sent every second one to a server that was reading
 /// another: both began late, and every stream beside them paused for twice as long.
 #[test]
 fn long_prompts() {
-    let (unasked, asked) = (count_doubled(false), count_doubled(true));
+    let (drawn, make_parts) = (probes::SAMPLE_COUNT, make_long_parts);
+    let plan = LoadPlan { seed: 2, pause: READ_PAUSE, drawn, make_parts };
+    let [unasked, asked] = [false, true].map(|asks| count_bad::<ReadingSim, _>(&plan, asks));
     assert!(unasked > REQUESTS / 4, "{unasked} doubled without probes: no load that tells");
     assert!(asked * 3 < unasked, "{asked} doubled with probes, {unasked} without");
 }
--- a/toucanrail/tests/zone_evacuations.rs
+++ b/toucanrail/tests/zone_evacuations.rs
@@ -110,7 +110,7 @@
     let source = |table: &BackendTable, now: Duration| {
         let query = PlaceQuery { data_centre: "a", parts: &parts, prompt: 12_000, now, dice: 0.5 };
         let eligible = table.eligible("llm", &[], now);
-        let sources: Vec<_> = table.sources("llm", now).collect();
+        let sources = table.sources("llm", &[], now);
         let target = placing::pick_backend(&eligible, &query).expect("a server");
         let source = placing::pick_source(&sources, &query, target);
         (target.entry.clone(), source.map(|source| Arc::clone(&source.entry.id)))
