Log the rate limits that backend servers state

A server in need states in its responses how many requests a second it takes from all VMs together. Entries did not decode the field, so that their logs could not tell an entry that does not know of a limit from one that knows of it and exceeds it with others.

The table of servers keeps the latest limit; only the response to a request that was sent after the limit was stated ends it, as responses may overtake each other. A change of belief is logged as rate_limit, and limited_sends counts the requests sent to limited servers. Placement is unchanged.

--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -54,6 +54,7 @@
         Err(outcome) => return AttemptResult::Incomplete(outcome),
     };
     let info = requests::parse_response(&exchange.head, &plan.info.id);
+    flight.record_rate_limit(info.rate_limit);
     if info.declined {
         return finish_declined(context, exchange).await;
     }
@@ -81,6 +82,9 @@
         let row = tables.backends.get(&target.id);
         row.map_or(prompt.prompt_tokens, |row| row.uncached_tokens(parts, prompt.prompt_tokens))
     });
+    if tables.backends.get(&target.id).is_some_and(|row| row.rate_limit.is_some()) {
+        gateway.metrics.count_event("limited_sends");
+    }
     let row = FlightRow { sent_at: gateway.now(), uncached, begun: false };
     let number = tables.backends.record_sent(&target.id, row, parts);
     let row = PendingRow { sent_at: row.sent_at, latency_target: plan.route.latency_target };
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -255,6 +255,17 @@
             limit.record_first_event(self.number, now);
         }
     }
+
+    /// Records the rate limit that the server's response states, or that it states none.
+    pub fn record_rate_limit(&self, stated: Option<f64>) {
+        let now = self.gateway.now();
+        let mut tables = self.gateway.tables.borrow_mut();
+        if tables.backends.record_rate_limit(&self.backend, self.number, stated, now) {
+            let row = tables.backends.get(&self.backend);
+            let rate = row.and_then(|row| row.rate_limit).map(|limit| limit.rate);
+            tracing::info!(event = "rate_limit", server = %self.backend, rate);
+        }
+    }
 }
 
 impl Drop for FlightGuard {
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -14,6 +14,7 @@
 use crate::ejections::EjectionState;
 use crate::evacuations::EvacuationTable;
 use crate::ids::{DataCentre, ServiceName, Tokens, Version};
+use crate::rate_limits::RateLimit;
 
 /// Id of a backend server; most restarts assign a new one.
 pub type BackendId = Arc<str>;
@@ -100,6 +101,8 @@
     /// Time before which no permit for the server is requested.
     #[serde(rename = "permits_until")]
     pub permit_retry_at: Duration,
+    /// Rate limit that the server's responses state, if any.
+    pub rate_limit: Option<RateLimit>,
     /// Smoothed time to a response, or to a stream's first event, in seconds.
     pub latency: f64,
     /// When the server's registration went missing, if it did; it may come back.
@@ -122,6 +125,7 @@
             connect_failures: 0,
             cold_until: Duration::ZERO,
             permit_retry_at: Duration::ZERO,
+            rate_limit: None,
             latency: 0.0,
             missing_since: None,
             replaced: false,
@@ -365,6 +369,30 @@
         }
     }
 
+    /// Records the rate limit that the response to a request in flight states, or that it states
+    /// none. Returns whether the server's limit has changed.
+    ///
+    /// Only the response to a request that was sent after the limit was stated ends it: responses
+    /// on different connections may overtake each other.
+    pub fn record_rate_limit(
+        &mut self,
+        id: &str,
+        number: FlightId,
+        stated: Option<f64>,
+        now: Duration,
+    ) -> bool {
+        let Some(row) = self.rows.get_mut(id) else {
+            return false;
+        };
+        let sent_at = row.flights.get(&number).map_or(Duration::ZERO, |flight| flight.sent_at);
+        let known = row.rate_limit;
+        row.rate_limit = match stated {
+            Some(rate) => Some(RateLimit { rate, stated_at: now }),
+            None => known.filter(|limit| sent_at <= limit.stated_at),
+        };
+        row.rate_limit.map(|limit| limit.rate) != known.map(|limit| limit.rate)
+    }
+
     /// Updates the paces of all servers from the relays' measurements, by VM address.
     pub fn apply_paces(&mut self, paces: &BTreeMap<IpAddr, Duration>) {
         for row in self.rows.values_mut() {
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod placement;
 pub mod policies;
 pub mod probes;
+pub mod rate_limits;
 pub mod reclaims;
 pub mod records;
 pub mod replays;
