--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
@@ -58,7 +58,15 @@
 where
     Handler: Fn(TcpStream) + Send + Sync + 'static,
 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    spawn_server_on(Ipv4Addr::LOCALHOST, handler)
+}
+
+/// Like [`spawn_server`], on another loopback address.
+fn spawn_server_on<Handler>(ip: Ipv4Addr, handler: Handler) -> SocketAddr
+where
+    Handler: Fn(TcpStream) + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind((ip, 0)).expect("a port");
     let address = listener.local_addr().expect("an address");
     let handler = Arc::new(handler);
     thread::spawn(move || {
@@ -370,12 +378,20 @@
     /// Starts a server that reacts to each request as `script` says, which gets the request's
     /// number from 0.
     pub fn start<Script>(id: &str, script: Script) -> Self
+    where
+        Script: Fn(usize, &Message) -> Action + Send + Sync + 'static,
+    {
+        Self::start_on(Ipv4Addr::LOCALHOST, id, script)
+    }
+
+    /// Like [`start`](Self::start), on another loopback address, as on a VM of its own.
+    pub fn start_on<Script>(ip: Ipv4Addr, id: &str, script: Script) -> Self
     where
         Script: Fn(usize, &Message) -> Action + Send + Sync + 'static,
     {
         let seen: Arc<Mutex<Vec<Message>>> = Arc::default();
         let received = Arc::clone(&seen);
-        let address = spawn_server(move |mut stream| {
+        let address = spawn_server_on(ip, move |mut stream| {
             while let Some(message) = read_message(&mut stream) {
                 let number = {
                     let mut received = received.lock().expect("requests");
