Keep the rate limits that servers state by permits for all entries together

What callers saw: a server that cannot keep up said how many requests a second it takes from all VMs together, and went on getting its usual share; requests placed there wait in its queue, or fail with it.

Cause: entries placed requests by load alone. Nothing acted on the stated limit, and an entry on its own could not have kept it, since entries do not know each other's traffic. Class: a bound on all entries together that each judges alone, by knowledge that reaches it in passing. The same class had been met for cold servers, by permits of the relay beside each.

Ruled out: shares of the limit for each entry, because entries cannot count each other, and what a share leaves unused is lost; the server's own report, which is some tenths of a second old.

Change: a server that states a limit gets a request only by permit, like a cold one. Whether a server is cold and whether it states a limit is checked in one call. Hosted relays are ranked among those of all regions, for cold servers too: ranked by region, two regions asked two relays for one server's permits.

--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use smol::Async;
-use toucanrail::coldstarts::PermitTable;
+use toucanrail::permits::PermitTable;
 
 use crate::change_feed::ChangeFeed;
 use crate::relay;
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -12,8 +12,9 @@
 //! A *relay* (program `toucanrail-relay`) runs beside a backend server: [`relay`] forwards
 //! connections to the store, [`relay_api`] lends entries budget from the same [`grant_manager`],
 //! [`change_feed`] tells them about changes in the store, and [`relay_registration`] reports how
-//! fast the server is. A server that has just started only receives requests that got a permit
-//! ([`permits`]). If no VM runs a relay, entries host relays themselves ([`hosting`]).
+//! fast the server is. A server that has just started or states a rate limit only receives requests
+//! that got a permit ([`permits`]). If no VM runs a relay, entries host relays themselves
+//! ([`hosting`]).
 //!
 //! Decisions are made in the `toucanrail` library; this crate owns sockets and timers.
 //!
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -1,7 +1,7 @@
 //! The calls that a relay serves for entries.
 //!
 //! A relay is a lender, which holds grants of customers' budgets and lends them to entries request
-//! by request. It also serves the change feed, load reports and permits for cold servers.
+//! by request. It also serves the change feed, load reports and permits.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use smol::{Async, LocalExecutor};
-use toucanrail::coldstarts::{PermitReply, PermitRequest, PermitTable};
 use toucanrail::loans::{LoanEnd, LoanReply, LoanRequest, LoanTable};
+use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::rpc;
 use toucanrail_wire::time_limits;
@@ -53,7 +53,7 @@
     pub stopping: Cell<bool>,
     /// Changes of store objects, for entries that query them.
     pub change_feed: ChangeFeed,
-    /// The permits granted for cold servers.
+    /// The permits granted for servers that are cold or state a rate limit.
     pub permits: RefCell<PermitTable>,
     /// Reads the load of the backend server beside the relay, if there is one.
     pub report_client: Option<Rc<ReportClient>>,
@@ -138,7 +138,9 @@
 
 fn grant_permit(api: &RelayApi, request: &PermitRequest) -> PermitReply {
     let reply = api.permits.borrow_mut().grant(request, api.change_feed.now());
-    tracing::info!(event = "permit", server = %request.server, limit = request.limit, reply = ?reply);
+    let PermitRequest { server, limit, stated } = request;
+    let rate = stated.map(|stated| stated.rate);
+    tracing::info!(event = "permit", %server, limit, rate, reply = ?reply);
     reply
 }
 
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -100,6 +100,7 @@
         stale_boards: RelayBackoff::default(),
         hosted_relay: RefCell::new(None),
         load_reports: ReportCache::default(),
+        permit_failures: RefCell::default(),
         metrics,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -12,6 +12,7 @@
 use toucanrail::backends::{BackendEntry, BackendId, BackendTable, FlightId};
 use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
+use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
 use toucanrail::retries::{RetryBudget, RetryLimits};
 use toucanrail_daemons::metrics::ProcessMetrics;
@@ -95,6 +96,8 @@
     pub hosted_relay: RefCell<Option<Rc<RelayApi>>>,
     /// Recent load reports of servers.
     pub load_reports: ReportCache,
+    /// Relays that did not respond to permit requests.
+    pub permit_failures: RefCell<RelayFailures>,
 }
 
 impl Gateway {
--- a/toucanrail-gateway/src/store_access.rs
+++ b/toucanrail-gateway/src/store_access.rs
@@ -118,6 +118,11 @@
         self.endpoints.borrow().lenders()
     }
 
+    /// Returns the relays of all regions, and the addresses at which they serve entries.
+    pub fn relays(&self) -> Vec<(RelayName, SocketAddr)> {
+        self.endpoints.borrow().relays()
+    }
+
     /// Returns the relay on a VM, and the address on which it serves entries.
     pub fn relay_at(&self, vm: IpAddr) -> Option<(RelayName, SocketAddr)> {
         self.endpoints.borrow().relay_at(vm)
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -142,13 +142,21 @@
             && !self.ejection.is_ejected(now)
     }
 
-    /// Returns the time until a permit may be requested again; zero if none is needed because the
-    /// server is not cold.
+    /// Returns the time until a permit may be requested again; zero if none is needed.
     pub fn permit_delay(&self, now: Duration) -> Duration {
-        if self.is_cold(now) { self.permit_retry_at.saturating_sub(now) } else { Duration::ZERO }
+        if self.needs_permit(now) {
+            self.permit_retry_at.saturating_sub(now)
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// Returns whether the server gets no request without a permit.
+    pub fn needs_permit(&self, now: Duration) -> bool {
+        self.is_cold(now) || self.rate_limit.is_some()
+    }
+
+    /// Returns whether the server is or may be cold.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.cold_until
     }
@@ -432,7 +440,7 @@
         }
     }
 
-    /// Records that no permit for a cold server is available before `until`.
+    /// Records that no permit for a server is available before `until`.
     pub fn record_permit_denied(&mut self, id: &str, until: Duration) {
         if let Some(row) = self.rows.get_mut(id) {
             row.permit_retry_at = until;
--- a/toucanrail/src/coldstarts.rs
+++ b/toucanrail/src/coldstarts.rs
@@ -12,12 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::backends::BackendId;
+use crate::permits::PERMIT_VALIDITY;
 
-/// Time after the permit was requested within which the request must be sent.
-pub const PERMIT_VALIDITY: Duration = Duration::from_millis(150);
 /// Window in which arrivals at a cold server are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Fraction of a cold server's maximum arrivals for which permits are issued.
@@ -44,7 +43,7 @@
     pub extra: f64,
 }
 
-/// Returns the maximum number of permits for one cold server within [`PermitTable::WINDOW`]; at
+/// Returns the maximum number of permits for one cold server within [`ColdTable::WINDOW`]; at
 /// least one.
 ///
 /// # Examples
@@ -60,32 +59,14 @@
     (max_rate * PERMIT_FRACTION).max(1.0) as usize
 }
 
-/// An entry's request for a permit to send one request to a cold server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PermitRequest {
-    /// The server.
-    pub server: BackendId,
-    /// Maximum number of permits within [`PermitTable::WINDOW`].
-    pub limit: usize,
-}
-
-/// A relay's reply to a permit request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PermitReply {
-    /// The request may be sent now.
-    Given,
-    /// No permit is available for this time.
-    After(Duration),
-}
-
-/// Permits that one relay has issued recently, by server.
+/// Permits that one relay has issued recently for cold servers, by server.
 #[derive(Debug)]
-pub struct PermitTable {
+pub struct ColdTable {
     started: Duration,
     rows: BTreeMap<BackendId, VecDeque<Duration>>,
 }
 
-impl PermitTable {
+impl ColdTable {
     /// Time over which permits are counted. The requests that arrive at a server within one second
     /// were permitted within that second or, before it, within the validity of a permit.
     pub const WINDOW: Duration = RATE_WINDOW.saturating_add(PERMIT_VALIDITY);
@@ -95,7 +76,8 @@
         Self { started, rows: BTreeMap::new() }
     }
 
-    /// Issues a permit unless the limit is reached.
+    /// Takes a permit unless `limit` is reached. Returns the time until one is available; zero if it
+    /// was taken. A server without a limit is not recorded.
     ///
     /// Before a restart, the relay may have issued permits that this table does not know of, so
     /// fewer are issued at first.
@@ -103,29 +85,31 @@
     /// # Examples
     /// ```
     /// use std::{sync::Arc, time::Duration};
-    /// use toucanrail::coldstarts::{PermitReply, PermitRequest, PermitTable};
-    /// let mut table = PermitTable::new(Duration::ZERO);
-    /// let request = PermitRequest { server: Arc::from("s"), limit: 1 };
-    /// let now = Duration::from_secs(2);
-    /// assert_eq!(table.grant(&request, now), PermitReply::Given);
-    /// assert_eq!(table.grant(&request, now), PermitReply::After(PermitTable::WINDOW));
+    /// use toucanrail::coldstarts::ColdTable;
+    /// let (server, now) = (Arc::from("s"), Duration::from_secs(2));
+    /// let mut table = ColdTable::new(Duration::ZERO);
+    /// assert_eq!(table.take_permit(&server, 1, now), Duration::ZERO);
+    /// assert_eq!(table.take_permit(&server, 1, now), ColdTable::WINDOW);
     /// ```
-    pub fn grant(&mut self, request: &PermitRequest, now: Duration) -> PermitReply {
+    pub fn take_permit(&mut self, server: &BackendId, limit: usize, now: Duration) -> Duration {
+        if limit == usize::MAX {
+            return Duration::ZERO;
+        }
         let age = |issued_at: &Duration| now.saturating_sub(*issued_at);
         self.rows
             .retain(|_, row| row.back().is_some_and(|issued_at| age(issued_at) < Self::WINDOW));
-        let row = self.rows.entry(Arc::clone(&request.server)).or_default();
+        let row = self.rows.entry(Arc::clone(server)).or_default();
         while row.front().is_some_and(|issued_at| age(issued_at) >= Self::WINDOW) {
             row.pop_front();
         }
         let recently_started = age(&self.started) < Self::WINDOW;
         let fraction = if recently_started { RESTART_FRACTION } else { 1.0 };
-        if row.len() < (request.limit as f64 * fraction).ceil() as usize {
+        if row.len() < (limit as f64 * fraction).ceil() as usize {
             row.push_back(now);
-            return PermitReply::Given;
+            return Duration::ZERO;
         }
         let oldest =
             if recently_started { self.started } else { row.front().copied().unwrap_or(now) };
-        PermitReply::After(Self::WINDOW.saturating_sub(age(&oldest)))
+        Self::WINDOW.saturating_sub(age(&oldest))
     }
 }
--- a/toucanrail/src/endpoints.rs
+++ b/toucanrail/src/endpoints.rs
@@ -178,6 +178,12 @@
         self.relays.iter().filter(move |(_, row)| row.entry.hosted == hosted)
     }
 
+    /// Returns the relays of all regions, and the addresses at which they serve entries.
+    pub fn relays(&self) -> Vec<(RelayName, SocketAddr)> {
+        let rows = self.usable_relays();
+        rows.map(|(name, row)| (Arc::clone(name), row.entry.lending)).collect()
+    }
+
     /// Returns whether no relay has a VM of its own, so that relays hosted by entries are used.
     pub fn uses_hosted_relays(&self) -> bool {
         self.relays.values().all(|row| row.entry.hosted)
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -68,6 +68,8 @@
 pub mod mirrors;
 pub mod paces;
 pub mod paths;
+pub mod permit_relays;
+pub mod permits;
 pub mod placement;
 pub mod policies;
 pub mod probes;
--- a/toucanrail/tests/cold_starts.rs
+++ b/toucanrail/tests/cold_starts.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use toucanrail::coldstarts::{
-    self, ColdRule, ColdSlack, PERMIT_VALIDITY, PermitReply, PermitRequest, PermitTable,
-};
+use toucanrail::coldstarts::{self, ColdRule, ColdSlack, ColdTable};
+use toucanrail::permits::{PERMIT_VALIDITY, PermitReply, PermitRequest, PermitTable};
 
 const RULE: ColdRule = ColdRule { time: Duration::from_secs(3), rate: 10.0 };
 const SLACK: ColdSlack = ColdSlack { factor: 1.5, extra: 5.0 };
@@ -15,7 +14,11 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 fn permit_request() -> PermitRequest {
-    PermitRequest { server: Arc::from("s"), limit: coldstarts::permit_limit(RULE, SLACK) }
+    PermitRequest {
+        server: Arc::from("s"),
+        limit: coldstarts::permit_limit(RULE, SLACK),
+        stated: None,
+    }
 }
 
 /// Returns the maximum number of arrivals within one second, including both ends.
@@ -39,7 +42,7 @@
         let mut requests = requests;
         requests.sort_unstable();
         let mut table = PermitTable::new(Duration::ZERO);
-        let start = PermitTable::WINDOW;
+        let start = ColdTable::WINDOW;
         let killed_at = killed_at.map(|at| start + Duration::from_millis(at));
         let mut restarted = false;
         let mut arrivals = Vec::new();
@@ -65,7 +68,7 @@
 #[test]
 fn rate_served() {
     let mut table = PermitTable::new(Duration::ZERO);
-    let start = PermitTable::WINDOW;
+    let start = ColdTable::WINDOW;
     let given = (0..3_000_u64)
         .filter(|at| {
             table.grant(&permit_request(), start + Duration::from_millis(*at)) == PermitReply::Given
@@ -79,7 +82,7 @@
 #[test]
 fn advised_delay() {
     let mut table = PermitTable::new(Duration::ZERO);
-    let now = PermitTable::WINDOW * 2;
+    let now = ColdTable::WINDOW * 2;
     for _ in 0..permit_request().limit {
         assert_eq!(table.grant(&permit_request(), now), PermitReply::Given);
     }
