Log the rest that a server asks for when it declines a request

A server that turns a request away with 503 may state in Retry-After for how long it wants nothing from the entry. Entries did not decode the field of a server's response, so that their logs could not tell an entry that does not know of the rest from one that knows of it and sends all the same.

The adapter decodes it for 503 and 429, and declined logs it as rest_ms. Placement is unchanged.

--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -56,7 +56,7 @@
     let info = requests::parse_response(&exchange.head, &plan.info.id);
     flight.record_rate_limit(info.rate_limit);
     if info.declined {
-        return finish_declined(context, exchange).await;
+        return finish_declined(context, exchange, info.rest).await;
     }
     let succeeded = (200..300).contains(&exchange.head.status);
     if succeeded && !info.signed {
@@ -243,6 +243,7 @@
 async fn finish_declined(
     context: &AttemptContext<'_, '_>,
     mut exchange: OpenExchange,
+    rest: Option<Duration>,
 ) -> AttemptResult {
     let AttemptContext { gateway, plan, target, .. } = *context;
     let status = exchange.head.status;
@@ -252,6 +253,7 @@
     }
     tracing::info!(
         event = "declined", request = %plan.info.id, server = %target.id, status,
+        rest_ms = rest.map(|rest| rest.as_millis() as u64),
     );
     let mut body = Vec::new();
     let timeout = CONNECT_TIMEOUT.min(plan.time_left());
