Leave servers that ask for rest alone, and tell callers when it ends

What callers saw: while five of 18 model servers turned requests away, a fifth to a half of all requests to models were refused with 429 for nine seconds, although the other 13 servers took theirs. Each of the five had asked every entry for 3 s of rest and got up to 26 requests in it.

Cause: entries dropped the rest that a server states in Retry-After when it turns a request away. A server that answers at once has nothing in flight, so that placement took it for the idlest and sent it four times as much as before. Most refused requests spent their first attempt there, and the retry budget was gone. Class: a statement that reaches the entry in a response is dropped, and placement judges by traffic alone, by which a server that refuses looks better than one that works.

Change: a server that answers 503 or 429 with Retry-After gets nothing from the entry until that time has passed, nor in the fallback that is used when no server works, nor after a request has waited for its permit. A response of an earlier process under the same id says nothing of the present one. If all servers of a service rest, a request is refused at once, and its caller is told when the first of them takes requests again, spread over half a second.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -95,7 +95,7 @@
                 return self.finish(step, writer).await;
             }
             let permit = permits::request_permit(self.gateway, &target).await;
-            if permit == SendPermit::Denied {
+            if permit == SendPermit::Denied || self.is_resting(&target) {
                 continue;
             }
             self.tried.push(Arc::clone(&target.id));
@@ -139,6 +139,14 @@
         fits
     }
 
+    /// Returns whether a server has asked for rest, as it may have while the request waited for its
+    /// permit.
+    fn is_resting(&self, target: &BackendEntry) -> bool {
+        let now = self.gateway.now();
+        let tables = self.gateway.tables.borrow();
+        tables.backends.get(&target.id).is_some_and(|row| row.is_resting(now))
+    }
+
     /// Takes a retry from the service's retry budget. Only a request that has already been sent to
     /// a server counts as a retry.
     fn may_retry(&self) -> bool {
@@ -315,11 +323,8 @@
 
     async fn refuse(&self, code: ResultCode, writer: &mut ResponseWriter) -> RequestEnd {
         let run = self.history.run_state();
-        let wait = retry_delays::pick_delay(
-            RefusalCause::Declined,
-            self.plan.time_left(),
-            fastrand::f64(),
-        );
+        let wait =
+            retry_delays::pick_delay(self.refusal_cause(), self.plan.time_left(), fastrand::f64());
         let wait = (run == RunState::NotRun).then_some(wait);
         let details = responding::make_refusal(code, run, wait);
         // The caller may have disconnected; then nobody needs the refusal.
@@ -327,6 +332,15 @@
         RequestEnd::Refused(code)
     }
 
+    /// Returns the cause of a refusal, on which the caller's delay depends.
+    fn refusal_cause(&self) -> RefusalCause {
+        let now = self.gateway.now();
+        let tables = self.gateway.tables.borrow();
+        let any_eligible = !tables.backends.eligible(&self.plan.service, &[], now).is_empty();
+        let rest = tables.backends.rest_left(&self.plan.service, now);
+        rest.filter(|_| !any_eligible).map_or(RefusalCause::Declined, RefusalCause::Resting)
+    }
+
     fn count_end(&self, end: RequestEnd) {
         let code = match end {
             RequestEnd::Whole => codetable::OK,
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -55,6 +55,9 @@
     };
     let info = requests::parse_response(&exchange.head, &plan.info.id);
     flight.record_rate_limit(info.rate_limit);
+    if let Some(rest) = info.rest {
+        flight.record_rest(rest);
+    }
     if info.declined {
         return finish_declined(context, exchange, info.rest).await;
     }
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -259,6 +259,13 @@
         }
     }
 
+    /// Records that the server wants no requests from this entry for some time.
+    pub fn record_rest(&self, rest: Duration) {
+        let now = self.gateway.now();
+        let mut tables = self.gateway.tables.borrow_mut();
+        tables.backends.record_rest(&self.backend, self.number, rest, now);
+    }
+
     /// Records the rate limit that the server's response states, or that it states none.
     pub fn record_rate_limit(&self, stated: Option<f64>) {
         let now = self.gateway.now();
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -103,6 +103,8 @@
     pub permit_retry_at: Duration,
     /// Rate limit that the server's responses state, if any.
     pub rate_limit: Option<RateLimit>,
+    /// Time until which the server wants no requests from this entry.
+    pub rest_until: Duration,
     /// Smoothed time to a response, or to a stream's first event, in seconds.
     pub latency: f64,
     /// When the server's registration went missing, if it did; it may come back.
@@ -126,6 +128,7 @@
             cold_until: Duration::ZERO,
             permit_retry_at: Duration::ZERO,
             rate_limit: None,
+            rest_until: Duration::ZERO,
             latency: 0.0,
             missing_since: None,
             replaced: false,
@@ -137,6 +140,7 @@
     /// Returns whether the server may get new work.
     pub fn accepts_work(&self, now: Duration) -> bool {
         !self.entry.draining
+            && !self.is_resting(now)
             && now >= self.down_until
             && self.permit_delay(now).is_zero()
             && !self.ejection.is_ejected(now)
@@ -151,6 +155,11 @@
         }
     }
 
+    /// Returns whether the server wants no requests from this entry.
+    pub fn is_resting(&self, now: Duration) -> bool {
+        now < self.rest_until
+    }
+
     /// Returns whether the server gets no request without a permit.
     pub fn needs_permit(&self, now: Duration) -> bool {
         self.is_cold(now) || self.rate_limit.is_some()
@@ -297,7 +306,8 @@
     /// Returns the servers of a service that may get new work and were not tried yet.
     ///
     /// If all of them are ejected or down, returns those that the store still lists as ready: a
-    /// wrong guess must not refuse a request that a server could serve.
+    /// wrong guess must not refuse a request that a server could serve. A server that rests said so
+    /// itself and is never returned.
     pub fn eligible<'table>(
         &'table self,
         service: &str,
@@ -306,7 +316,7 @@
     ) -> Vec<&'table BackendRow> {
         let rows = self.untried_servers(service, tried, now).filter(|row| {
             let BackendEntry { id, data_centre, draining, .. } = &row.entry;
-            !draining && self.evacuations.accepts_work(data_centre, id, now)
+            !draining && !row.is_resting(now) && self.evacuations.accepts_work(data_centre, id, now)
         });
         let rows: Vec<&BackendRow> = rows.collect();
         let working: Vec<&BackendRow> =
@@ -401,6 +411,25 @@
         row.rate_limit.map(|limit| limit.rate) != known.map(|limit| limit.rate)
     }
 
+    /// Records that a server wants no requests from this entry for some time.
+    ///
+    /// Nothing is recorded for another process that has started under the same id since the request
+    /// was sent: its row has no such request in flight.
+    pub fn record_rest(&mut self, id: &str, number: FlightId, rest: Duration, now: Duration) {
+        let row = self.rows.get_mut(id).filter(|row| row.flights.contains_key(&number));
+        if let Some(row) = row {
+            row.rest_until = row.rest_until.max(now.saturating_add(rest));
+        }
+    }
+
+    /// Returns the time until the first of a service's resting servers takes requests again, or
+    /// `None` if none rests.
+    pub fn rest_left(&self, service: &str, now: Duration) -> Option<Duration> {
+        let rows = self.rows.values().filter(|row| *row.entry.service == *service);
+        let resting = rows.filter(|row| !row.entry.draining && row.is_resting(now));
+        resting.map(|row| row.rest_until.saturating_sub(now)).min()
+    }
+
     /// Updates the paces of all servers from the relays' measurements, by VM address.
     pub fn apply_paces(&mut self, paces: &BTreeMap<IpAddr, Duration>) {
         for row in self.rows.values_mut() {
--- a/toucanrail/src/retry_delays.rs
+++ b/toucanrail/src/retry_delays.rs
@@ -2,8 +2,8 @@
 //!
 //! Many callers may be refused at the same moment. Most of them retry once, after the delay they
 //! were given, and are lost if they are refused again. The delays are therefore spread, and depend
-//! on the cause: another entry can serve the caller at once, a full server has free slots soon, and
-//! an outage lasts longer.
+//! on the cause: another entry can serve the caller at once, a full server has free slots soon, a
+//! server that rests says for how long, and an outage lasts longer.
 
 use std::time::Duration;
 
@@ -32,6 +32,8 @@
     Outage,
     /// Every server that was tried declined, or none could be tried.
     Declined,
+    /// All servers rest; the first of them takes requests again after this time.
+    Resting(Duration),
 }
 
 /// Returns the delay after which a caller with `left` of its time should retry; `random` in `0..1`
@@ -55,6 +57,7 @@
         RefusalCause::Overload | RefusalCause::Outage => longest.mul_f64(1.0 - JITTER * random),
         RefusalCause::Unconfirmed => GRANT_DELAY.mul_f64(0.75 + 0.5 * random),
         RefusalCause::Declined => MIN_DECLINED_DELAY + DECLINED_JITTER.mul_f64(random),
+        RefusalCause::Resting(rest) => rest.saturating_add(DECLINED_JITTER.mul_f64(random)),
     };
     delay.min(longest)
 }
--- a/toucanrail/tests/retry_delays.rs
+++ b/toucanrail/tests/retry_delays.rs
@@ -35,6 +35,7 @@
         RefusalCause::Outage,
         RefusalCause::Unconfirmed,
         RefusalCause::Declined,
+        RefusalCause::Resting(Duration::from_secs(1)),
     ];
     for cause in causes {
         let waits = [0.0, 0.5, 0.99].map(|random| retry_delays::pick_delay(cause, LEFT, random));
@@ -44,3 +45,13 @@
         assert!(short <= Duration::from_millis(100), "{cause:?}");
     }
 }
+
+/// All servers rest. Callers that retried before the first of them takes requests again were
+/// refused a second time.
+#[test]
+fn retry_after_rest() {
+    let rest = Duration::from_secs(2);
+    for random in [0.0, 0.5, 0.99] {
+        assert!(retry_delays::pick_delay(RefusalCause::Resting(rest), LEFT, random) >= rest);
+    }
+}
