Send nothing to a server that has stated that it is leaving

What callers would see: requests that are cut off when the server exits. A server that leaves now says so in all its responses, possibly before its registration does, and some servers never register as leaving.

Cause: the entry decoded neither the statement nor kept what it learned from a response: a renewed registration replaced the mark that 421 sets. Found while looking for other statements in responses that are dropped; the same class as a server's rest.

Change: the adapter decodes the statement, and the server gets no request and no fetch from then on, until another process starts under its id. A request that has waited for its permit checks it again before it is sent.

Test: stated_departure renews the registration as ready five times a second.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -95,7 +95,7 @@
                 return self.finish(step, writer).await;
             }
             let permit = permits::request_permit(self.gateway, &target).await;
-            if permit == SendPermit::Denied || self.is_resting(&target) {
+            if permit == SendPermit::Denied || self.refuses_work(&target) {
                 continue;
             }
             self.tried.push(Arc::clone(&target.id));
@@ -139,12 +139,12 @@
         fits
     }
 
-    /// Returns whether a server has asked for rest, as it may have while the request waited for its
-    /// permit.
-    fn is_resting(&self, target: &BackendEntry) -> bool {
+    /// Returns whether a server rests or leaves, as it may have stated while the request waited for
+    /// its permit.
+    fn refuses_work(&self, target: &BackendEntry) -> bool {
         let now = self.gateway.now();
         let tables = self.gateway.tables.borrow();
-        tables.backends.get(&target.id).is_some_and(|row| row.is_resting(now))
+        tables.backends.get(&target.id).is_some_and(|row| row.is_resting(now) || row.is_leaving())
     }
 
     /// Takes a retry from the service's retry budget. Only a request that has already been sent to
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -58,6 +58,9 @@
     if let Some(rest) = info.rest {
         flight.record_rest(rest);
     }
+    if info.leaving {
+        flight.record_leaving();
+    }
     if info.declined {
         return finish_declined(context, exchange, info.rest).await;
     }
@@ -251,7 +254,7 @@
     let AttemptContext { gateway, plan, target, .. } = *context;
     let status = exchange.head.status;
     if status == 421 {
-        gateway.tables.borrow_mut().backends.record_leaving(&target.id);
+        gateway.tables.borrow_mut().backends.record_other_server(&target.id);
         gateway.connections.evict(&target.id);
     }
     tracing::info!(
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -266,6 +266,16 @@
         tables.backends.record_rest(&self.backend, self.number, rest, now);
     }
 
+    /// Records that the server stated that it is leaving.
+    pub fn record_leaving(&self) {
+        let is_news =
+            self.gateway.tables.borrow_mut().backends.record_leaving(&self.backend, self.number);
+        if is_news {
+            self.gateway.connections.evict(&self.backend);
+            tracing::info!(event = "server_leaving", server = %self.backend);
+        }
+    }
+
     /// Records the rate limit that the server's response states, or that it states none.
     pub fn record_rate_limit(&self, stated: Option<f64>) {
         let now = self.gateway.now();
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -105,6 +105,9 @@
     pub rate_limit: Option<RateLimit>,
     /// Time until which the server wants no requests from this entry.
     pub rest_until: Duration,
+    /// Whether the server stated in a response that it is leaving. Its registration may still say
+    /// that it is ready.
+    pub has_announced_leave: bool,
     /// Smoothed time to a response, or to a stream's first event, in seconds.
     pub latency: f64,
     /// When the server's registration went missing, if it did; it may come back.
@@ -129,6 +132,7 @@
             permit_retry_at: Duration::ZERO,
             rate_limit: None,
             rest_until: Duration::ZERO,
+            has_announced_leave: false,
             latency: 0.0,
             missing_since: None,
             replaced: false,
@@ -139,7 +143,7 @@
 
     /// Returns whether the server may get new work.
     pub fn accepts_work(&self, now: Duration) -> bool {
-        !self.entry.draining
+        !self.is_leaving()
             && !self.is_resting(now)
             && now >= self.down_until
             && self.permit_delay(now).is_zero()
@@ -155,6 +159,11 @@
         }
     }
 
+    /// Returns whether the server is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.draining || self.has_announced_leave
+    }
+
     /// Returns whether the server wants no requests from this entry.
     pub fn is_resting(&self, now: Duration) -> bool {
         now < self.rest_until
@@ -315,8 +324,10 @@
         now: Duration,
     ) -> Vec<&'table BackendRow> {
         let rows = self.untried_servers(service, tried, now).filter(|row| {
-            let BackendEntry { id, data_centre, draining, .. } = &row.entry;
-            !draining && !row.is_resting(now) && self.evacuations.accepts_work(data_centre, id, now)
+            let BackendEntry { id, data_centre, .. } = &row.entry;
+            !row.is_leaving()
+                && !row.is_resting(now)
+                && self.evacuations.accepts_work(data_centre, id, now)
         });
         let rows: Vec<&BackendRow> = rows.collect();
         let working: Vec<&BackendRow> =
@@ -426,7 +437,7 @@
     /// `None` if none rests.
     pub fn rest_left(&self, service: &str, now: Duration) -> Option<Duration> {
         let rows = self.rows.values().filter(|row| *row.entry.service == *service);
-        let resting = rows.filter(|row| !row.entry.draining && row.is_resting(now));
+        let resting = rows.filter(|row| !row.is_leaving() && row.is_resting(now));
         resting.map(|row| row.rest_until.saturating_sub(now)).min()
     }
 
@@ -495,9 +506,18 @@
         }
     }
 
-    /// Records that a server declared in a response that it is leaving, or that it is not the
-    /// server that is registered at its address.
-    pub fn record_leaving(&mut self, id: &str) {
+    /// Records that a server stated in a response that it is leaving. Returns whether that is news.
+    ///
+    /// Unlike its registration, which may be renewed as ready, the statement holds until another
+    /// process starts under its id.
+    pub fn record_leaving(&mut self, id: &str, number: FlightId) -> bool {
+        let row = self.rows.get_mut(id).filter(|row| row.flights.contains_key(&number));
+        row.is_some_and(|row| !std::mem::replace(&mut row.has_announced_leave, true))
+    }
+
+    /// Records that the server at an address is not the one that is registered there. A later
+    /// registration may prove otherwise.
+    pub fn record_other_server(&mut self, id: &str) {
         if let Some(row) = self.rows.get_mut(id) {
             row.entry.draining = true;
         }
