Keep what a server stated while its registration is missing

What callers would see: requests at a server that has asked for rest, states a rate limit or leaves, once its registration has lapsed in an outage of the store and come back.

Cause: the statements lived in the row of the registration, which is removed when the registration is missing for too long, and a response to a request that was still in flight found no row. Class: what is true of a process was kept with the record by which it is found.

Change: statements belong to a process, given by id and start time, in a module of their own. Recording them is one call, which replaces three.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -144,7 +144,10 @@
     fn refuses_work(&self, target: &BackendEntry) -> bool {
         let now = self.gateway.now();
         let tables = self.gateway.tables.borrow();
-        tables.backends.get(&target.id).is_some_and(|row| row.is_resting(now) || row.is_leaving())
+        tables
+            .backends
+            .get(&target.id)
+            .is_some_and(|row| row.statements.is_resting(now) || row.is_leaving())
     }
 
     /// Takes a retry from the service's retry budget. Only a request that has already been sent to
--- a/toucanrail-gateway/src/permits.rs
+++ b/toucanrail-gateway/src/permits.rs
@@ -68,7 +68,7 @@
     let cold_limit = rule
         .zip(gateway.settings.cold_slack)
         .map(|(rule, slack)| coldstarts::permit_limit(rule, slack));
-    let stated = row.rate_limit.map(|limit| limit.stated_rate(now));
+    let stated = row.statements.rate_limit.map(|limit| limit.stated_rate(now));
     if cold_limit.is_none() && stated.is_none() {
         return None;
     }
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -54,13 +54,7 @@
         Err(outcome) => return AttemptResult::Incomplete(outcome),
     };
     let info = requests::parse_response(&exchange.head, &plan.info.id);
-    flight.record_rate_limit(info.rate_limit);
-    if let Some(rest) = info.rest {
-        flight.record_rest(rest);
-    }
-    if info.leaving {
-        flight.record_leaving();
-    }
+    flight.record_statements(&info);
     if info.declined {
         return finish_declined(context, exchange, info.rest).await;
     }
@@ -88,15 +82,16 @@
         let row = tables.backends.get(&target.id);
         row.map_or(prompt.prompt_tokens, |row| row.uncached_tokens(parts, prompt.prompt_tokens))
     });
-    if tables.backends.get(&target.id).is_some_and(|row| row.rate_limit.is_some()) {
+    if tables.backends.get(&target.id).is_some_and(|row| row.statements.rate_limit.is_some()) {
         gateway.metrics.count_event("limited_sends");
     }
-    let row = FlightRow { sent_at: gateway.now(), uncached, begun: false };
+    let sent_at = gateway.now();
+    let row = FlightRow { sent_at, uncached, begun: false };
     let number = tables.backends.record_sent(&target.id, row, parts);
-    let row = PendingRow { sent_at: row.sent_at, latency_target: plan.route.latency_target };
+    let row = PendingRow { sent_at, latency_target: plan.route.latency_target };
     tables.limits.entry(Arc::clone(&target.service)).or_default().record_sent(number, row);
     drop(tables);
-    FlightGuard::new(gateway, target, number)
+    FlightGuard::new(gateway, target, number, sent_at)
 }
 
 /// Completes, with a `TimedOut` error, once an unresponsive server should be given up for another
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -9,15 +9,17 @@
 use event_listener::Event;
 use smol::LocalExecutor;
 use toucanrail::admissions::{AdmissionLimit, AdmissionQuery};
-use toucanrail::backends::{BackendEntry, BackendId, BackendTable, FlightId};
+use toucanrail::backends::{BackendEntry, BackendTable, FlightId};
 use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
 use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
 use toucanrail::retries::{RetryBudget, RetryLimits};
+use toucanrail::statements::ServerProcess;
 use toucanrail_daemons::metrics::ProcessMetrics;
 use toucanrail_daemons::starting::ProcessClock;
 use toucanrail_platform::names;
+use toucanrail_platform::requests::ResponseInfo;
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_wire::keepalive::KeepAlivePool;
 
@@ -237,53 +239,49 @@
 #[derive(Debug)]
 pub struct FlightGuard {
     gateway: Rc<Gateway>,
-    backend: BackendId,
+    process: ServerProcess,
     service: ServiceName,
     number: FlightId,
+    sent_at: Duration,
 }
 
 impl FlightGuard {
     /// Creates the guard of a registered request.
-    pub fn new(gateway: &Rc<Gateway>, target: &BackendEntry, number: FlightId) -> Self {
-        let (backend, service) = (Arc::clone(&target.id), Arc::clone(&target.service));
-        Self { gateway: Rc::clone(gateway), backend, service, number }
+    pub fn new(
+        gateway: &Rc<Gateway>,
+        target: &BackendEntry,
+        number: FlightId,
+        sent_at: Duration,
+    ) -> Self {
+        let (process, service) = (target.process(), Arc::clone(&target.service));
+        Self { gateway: Rc::clone(gateway), process, service, number, sent_at }
     }
 
     /// Records that the response has started.
     pub fn record_response_start(&self) {
         let now = self.gateway.now();
         let mut tables = self.gateway.tables.borrow_mut();
-        tables.backends.record_first_event(&self.backend, self.number, now);
+        tables.backends.record_first_event(&self.process.id, self.number, now);
         if let Some(limit) = tables.limits.get_mut(&self.service) {
             limit.record_first_event(self.number, now);
         }
     }
 
-    /// Records that the server wants no requests from this entry for some time.
-    pub fn record_rest(&self, rest: Duration) {
+    /// Records what the server states in the head of its response.
+    pub fn record_statements(&self, info: &ResponseInfo) {
         let now = self.gateway.now();
         let mut tables = self.gateway.tables.borrow_mut();
-        tables.backends.record_rest(&self.backend, self.number, rest, now);
-    }
-
-    /// Records that the server stated that it is leaving.
-    pub fn record_leaving(&self) {
-        let is_news =
-            self.gateway.tables.borrow_mut().backends.record_leaving(&self.backend, self.number);
-        if is_news {
-            self.gateway.connections.evict(&self.backend);
-            tracing::info!(event = "server_leaving", server = %self.backend);
+        let statements = tables.backends.statements_mut(&self.process);
+        if let Some(rest) = info.rest {
+            statements.record_rest(rest, now);
         }
-    }
-
-    /// Records the rate limit that the server's response states, or that it states none.
-    pub fn record_rate_limit(&self, stated: Option<f64>) {
-        let now = self.gateway.now();
-        let mut tables = self.gateway.tables.borrow_mut();
-        if tables.backends.record_rate_limit(&self.backend, self.number, stated, now) {
-            let row = tables.backends.get(&self.backend);
-            let rate = row.and_then(|row| row.rate_limit).map(|limit| limit.rate);
-            tracing::info!(event = "rate_limit", server = %self.backend, rate);
+        let server = &self.process.id;
+        if statements.record_rate_limit(info.rate_limit, self.sent_at, now) {
+            tracing::info!(event = "rate_limit", %server, rate = info.rate_limit);
+        }
+        if info.leaving && !std::mem::replace(&mut statements.is_leaving, true) {
+            self.gateway.connections.evict(server);
+            tracing::info!(event = "server_leaving", %server);
         }
     }
 }
@@ -292,7 +290,7 @@
     fn drop(&mut self) {
         let now = self.gateway.now();
         let mut tables = self.gateway.tables.borrow_mut();
-        tables.backends.record_ended(&self.backend, self.number);
+        tables.backends.record_ended(&self.process.id, self.number);
         if let Some(limit) = tables.limits.get_mut(&self.service) {
             limit.record_ended(self.number, now);
         }
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -14,7 +14,7 @@
 use crate::ejections::EjectionState;
 use crate::evacuations::EvacuationTable;
 use crate::ids::{DataCentre, ServiceName, Tokens, Version};
-use crate::rate_limits::RateLimit;
+use crate::statements::{RememberedStatements, ServerProcess, ServerStatements};
 
 /// Id of a backend server; most restarts assign a new one.
 pub type BackendId = Arc<str>;
@@ -71,6 +71,13 @@
     pub revision: Version,
 }
 
+impl BackendEntry {
+    /// Returns the process that registered.
+    pub fn process(&self) -> ServerProcess {
+        ServerProcess { id: Arc::clone(&self.id), started_at: self.started_at }
+    }
+}
+
 /// One request of this entry at a server.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct FlightRow {
@@ -101,13 +108,8 @@
     /// Time before which no permit for the server is requested.
     #[serde(rename = "permits_until")]
     pub permit_retry_at: Duration,
-    /// Rate limit that the server's responses state, if any.
-    pub rate_limit: Option<RateLimit>,
-    /// Time until which the server wants no requests from this entry.
-    pub rest_until: Duration,
-    /// Whether the server stated in a response that it is leaving. Its registration may still say
-    /// that it is ready.
-    pub has_announced_leave: bool,
+    /// What the server stated in its responses.
+    pub statements: ServerStatements,
     /// Smoothed time to a response, or to a stream's first event, in seconds.
     pub latency: f64,
     /// When the server's registration went missing, if it did; it may come back.
@@ -121,7 +123,7 @@
 }
 
 impl BackendRow {
-    fn new(entry: BackendEntry) -> Self {
+    fn new(entry: BackendEntry, statements: ServerStatements) -> Self {
         Self {
             entry,
             flights: BTreeMap::new(),
@@ -130,9 +132,7 @@
             connect_failures: 0,
             cold_until: Duration::ZERO,
             permit_retry_at: Duration::ZERO,
-            rate_limit: None,
-            rest_until: Duration::ZERO,
-            has_announced_leave: false,
+            statements,
             latency: 0.0,
             missing_since: None,
             replaced: false,
@@ -144,7 +144,7 @@
     /// Returns whether the server may get new work.
     pub fn accepts_work(&self, now: Duration) -> bool {
         !self.is_leaving()
-            && !self.is_resting(now)
+            && !self.statements.is_resting(now)
             && now >= self.down_until
             && self.permit_delay(now).is_zero()
             && !self.ejection.is_ejected(now)
@@ -161,17 +161,12 @@
 
     /// Returns whether the server is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.entry.draining || self.has_announced_leave
-    }
-
-    /// Returns whether the server wants no requests from this entry.
-    pub fn is_resting(&self, now: Duration) -> bool {
-        now < self.rest_until
+        self.entry.draining || self.statements.is_leaving
     }
 
     /// Returns whether the server gets no request without a permit.
     pub fn needs_permit(&self, now: Duration) -> bool {
-        self.is_cold(now) || self.rate_limit.is_some()
+        self.is_cold(now) || self.statements.rate_limit.is_some()
     }
 
     /// Returns whether the server is or may be cold.
@@ -213,6 +208,8 @@
 #[derive(Debug, Default, Serialize)]
 pub struct BackendTable {
     rows: BTreeMap<BackendId, BackendRow>,
+    #[serde(skip)]
+    remembered: RememberedStatements,
     /// Data centres that get no new work.
     pub evacuations: EvacuationTable,
     is_listed: bool,
@@ -245,7 +242,9 @@
                 row.missing_since = None;
             }
             _ => {
-                self.rows.insert(Arc::clone(&entry.id), BackendRow::new(entry));
+                self.remove_row(&entry.id);
+                let statements = self.remembered.take(&entry.process());
+                self.rows.insert(Arc::clone(&entry.id), BackendRow::new(entry, statements));
             }
         }
         self.mark_replaced(address);
@@ -275,9 +274,15 @@
             (Some(returned), Some(row)) => {
                 row.missing_since.get_or_insert(returned);
             }
-            _ => {
-                self.rows.remove(id);
-            }
+            _ => self.remove_row(id),
+        }
+    }
+
+    /// Removes a server. What it stated is kept for the case that its registration comes back.
+    fn remove_row(&mut self, id: &str) {
+        let row = self.rows.remove(id);
+        if let Some(row) = row.filter(|row| row.statements != ServerStatements::default()) {
+            self.remembered.insert(row.entry.process(), row.statements);
         }
     }
 
@@ -286,7 +291,7 @@
         let expired = self.rows.values().filter(|row| row.is_expired(now));
         let expired: Vec<BackendId> = expired.map(|row| Arc::clone(&row.entry.id)).collect();
         for id in &expired {
-            self.rows.remove(id);
+            self.remove_row(id);
         }
         expired
     }
@@ -326,7 +331,7 @@
         let rows = self.untried_servers(service, tried, now).filter(|row| {
             let BackendEntry { id, data_centre, .. } = &row.entry;
             !row.is_leaving()
-                && !row.is_resting(now)
+                && !row.statements.is_resting(now)
                 && self.evacuations.accepts_work(data_centre, id, now)
         });
         let rows: Vec<&BackendRow> = rows.collect();
@@ -398,38 +403,11 @@
         }
     }
 
-    /// Records the rate limit that the response to a request in flight states, or that it states
-    /// none. Returns whether the server's limit has changed.
-    ///
-    /// Only the response to a request that was sent after the limit was stated ends it: responses
-    /// on different connections may overtake each other.
-    pub fn record_rate_limit(
-        &mut self,
-        id: &str,
-        number: FlightId,
-        stated: Option<f64>,
-        now: Duration,
-    ) -> bool {
-        let Some(row) = self.rows.get_mut(id) else {
-            return false;
-        };
-        let sent_at = row.flights.get(&number).map_or(Duration::ZERO, |flight| flight.sent_at);
-        let known = row.rate_limit;
-        row.rate_limit = match stated {
-            Some(rate) => Some(RateLimit { rate, stated_at: now }),
-            None => known.filter(|limit| sent_at <= limit.stated_at),
-        };
-        row.rate_limit.map(|limit| limit.rate) != known.map(|limit| limit.rate)
-    }
-
-    /// Records that a server wants no requests from this entry for some time.
-    ///
-    /// Nothing is recorded for another process that has started under the same id since the request
-    /// was sent: its row has no such request in flight.
-    pub fn record_rest(&mut self, id: &str, number: FlightId, rest: Duration, now: Duration) {
-        let row = self.rows.get_mut(id).filter(|row| row.flights.contains_key(&number));
-        if let Some(row) = row {
-            row.rest_until = row.rest_until.max(now.saturating_add(rest));
+    /// Returns the statements of a process, to be changed, whether or not it is registered.
+    pub fn statements_mut(&mut self, process: &ServerProcess) -> &mut ServerStatements {
+        match self.rows.get_mut(&process.id) {
+            Some(row) if row.entry.started_at == process.started_at => &mut row.statements,
+            _ => self.remembered.get_mut(process),
         }
     }
 
@@ -437,8 +415,8 @@
     /// `None` if none rests.
     pub fn rest_left(&self, service: &str, now: Duration) -> Option<Duration> {
         let rows = self.rows.values().filter(|row| *row.entry.service == *service);
-        let resting = rows.filter(|row| !row.is_leaving() && row.is_resting(now));
-        resting.map(|row| row.rest_until.saturating_sub(now)).min()
+        let resting = rows.filter(|row| !row.is_leaving() && row.statements.is_resting(now));
+        resting.map(|row| row.statements.rest_until.saturating_sub(now)).min()
     }
 
     /// Updates the paces of all servers from the relays' measurements, by VM address.
@@ -506,15 +484,6 @@
         }
     }
 
-    /// Records that a server stated in a response that it is leaving. Returns whether that is news.
-    ///
-    /// Unlike its registration, which may be renewed as ready, the statement holds until another
-    /// process starts under its id.
-    pub fn record_leaving(&mut self, id: &str, number: FlightId) -> bool {
-        let row = self.rows.get_mut(id).filter(|row| row.flights.contains_key(&number));
-        row.is_some_and(|row| !std::mem::replace(&mut row.has_announced_leave, true))
-    }
-
     /// Records that the server at an address is not the one that is registered there. A later
     /// registration may prove otherwise.
     pub fn record_other_server(&mut self, id: &str) {
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod signatures;
 pub mod silences;
 pub mod sse;
+pub mod statements;
 pub mod storecalls;
 pub mod syncs;
 pub mod tenures;
--- a/toucanrail/tests/rate_limits.rs
+++ b/toucanrail/tests/rate_limits.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use toucanrail::backends::{BackendEntry, BackendTable, FlightRow};
 use toucanrail::permit_relays::{PermitRelay, RelayFailures};
 use toucanrail::permits::{PERMIT_VALIDITY, PermitReply, PermitRequest, PermitTable};
 use toucanrail::rate_limits::StatedRate;
+use toucanrail::statements::ServerStatements;
 
 /// Window in which arrivals at a limited server are counted, in milliseconds.
 const WINDOW: u64 = 4_000;
@@ -151,36 +151,14 @@
     assert_eq!(pick(&failures, 2_600), Some(true));
 }
 
-fn make_table() -> BackendTable {
-    let mut table = BackendTable::new();
-    table.apply_entry(BackendEntry {
-        id: Arc::from("s"),
-        service: Arc::from("llm"),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        data_centre: Arc::from("a"),
-        slots: 64,
-        draining: false,
-        started_at: 1,
-        cold: Duration::ZERO,
-        revision: 1,
-    });
-    table
-}
-
 /// Responses overtake each other: one to a request from before the limit arrives after it. Guards
 /// against a limit that ends too early.
 #[test]
 fn overtaken_response() {
-    let mut table = make_table();
-    let send = |table: &mut BackendTable, now: u64| {
-        table.record_sent("s", FlightRow { sent_at: at(now), uncached: 0, begun: false }, &[])
-    };
-    let early = send(&mut table, 0);
-    let first = send(&mut table, 10);
-    assert!(table.record_rate_limit("s", first, Some(2.0), at(50)));
-    assert!(!table.record_rate_limit("s", early, None, at(60)));
-    assert!(table.get("s").is_some_and(|row| row.needs_permit(at(60))));
-    let late = send(&mut table, 70);
-    assert!(table.record_rate_limit("s", late, None, at(90)));
-    assert!(table.get("s").is_some_and(|row| !row.needs_permit(at(90))));
+    let mut statements = ServerStatements::default();
+    assert!(statements.record_rate_limit(Some(2.0), at(10), at(50)));
+    assert!(!statements.record_rate_limit(None, at(0), at(60)));
+    assert_eq!(statements.rate_limit.map(|limit| limit.rate), Some(2.0));
+    assert!(statements.record_rate_limit(None, at(70), at(90)));
+    assert_eq!(statements.rate_limit, None);
 }
--- a/toucanrail/tests/server_rests.rs
+++ b/toucanrail/tests/server_rests.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use toucanrail::backends::{BackendEntry, BackendTable, FlightId, FlightRow};
+use toucanrail::backends::{BackendEntry, BackendTable};
 
 const REST: Duration = Duration::from_secs(3);
 
@@ -34,8 +34,9 @@
     table
 }
 
-fn send(table: &mut BackendTable, id: &str, now: Duration) -> FlightId {
-    table.record_sent(id, FlightRow { sent_at: now, uncached: 0, begun: false }, &[])
+/// Records that the first process of a server asks for rest.
+fn rest(table: &mut BackendTable, id: &str, time: Duration, now: Duration) {
+    table.statements_mut(&make_entry(id, 1).process()).record_rest(time, now);
 }
 
 fn eligible(table: &BackendTable, now: Duration) -> Vec<&str> {
@@ -47,8 +48,7 @@
 #[test]
 fn no_fallback_to_rest() {
     let mut table = make_table(&["s1", "s2"]);
-    let flight = send(&mut table, "s1", at(0));
-    table.record_rest("s1", flight, REST, at(0));
+    rest(&mut table, "s1", REST, at(0));
     table.record_connect_failure("s2", at(0));
     assert_eq!(eligible(&table, at(10)), ["s2"]);
     assert_eq!(eligible(&table, at(2_999)), ["s2"]);
@@ -60,9 +60,8 @@
 #[test]
 fn longest_rest() {
     let mut table = make_table(&["s1"]);
-    let (first, second) = (send(&mut table, "s1", at(0)), send(&mut table, "s1", at(0)));
-    table.record_rest("s1", first, REST, at(10));
-    table.record_rest("s1", second, Duration::from_millis(100), at(20));
+    rest(&mut table, "s1", REST, at(10));
+    rest(&mut table, "s1", Duration::from_millis(100), at(20));
     table.apply_entry(make_entry("s1", 1));
     assert!(eligible(&table, at(3_000)).is_empty());
     assert_eq!(table.rest_left("llm", at(2_000)), Some(Duration::from_millis(1_010)));
@@ -74,8 +73,7 @@
 #[test]
 fn previous_process() {
     let mut table = make_table(&["s1"]);
-    let flight = send(&mut table, "s1", at(0));
     table.apply_entry(make_entry("s1", 2));
-    table.record_rest("s1", flight, REST, at(10));
+    rest(&mut table, "s1", REST, at(10));
     assert_eq!(eligible(&table, at(20)), ["s1"]);
 }
