Ascribe no statements of another server to the one that was meant

A server answers 421 if a request is meant for another one. What it states about itself in that response was recorded for the other one; a leaving server at an address that is taken over could so end all work for its successor. Statements of responses with 421 are passed over.

Test: other_servers_departure failed before (no response within 20 s).

--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -31,6 +31,8 @@
 /// shorter it is, the less likely the server closes the connection at that very moment.
 const ONCE_MAX_IDLE: Duration = Duration::from_millis(800);
 const REPEATABLE_MAX_IDLE: Duration = Duration::from_secs(10);
+/// Status of a response by another server than the one that the request was sent to.
+const OTHER_SERVER_STATUS: u16 = 421;
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Number of responses to other requests that are skipped on one connection before it is given up.
@@ -54,7 +56,9 @@
         Err(outcome) => return AttemptResult::Incomplete(outcome),
     };
     let info = requests::parse_response(&exchange.head, &plan.info.id);
-    flight.record_statements(&info);
+    if exchange.head.status != OTHER_SERVER_STATUS {
+        flight.record_statements(&info);
+    }
     if info.declined {
         return finish_declined(context, exchange, info.rest).await;
     }
@@ -248,7 +252,7 @@
 ) -> AttemptResult {
     let AttemptContext { gateway, plan, target, .. } = *context;
     let status = exchange.head.status;
-    if status == 421 {
+    if status == OTHER_SERVER_STATUS {
         gateway.tables.borrow_mut().backends.record_other_server(&target.id);
         gateway.connections.evict(&target.id);
     }
@@ -260,7 +264,7 @@
     let timeout = CONNECT_TIMEOUT.min(plan.time_left());
     let read =
         time_limits::io_timeout(timeout, forwarding::read_body(&mut exchange, &mut body)).await;
-    if read.is_ok() && status != 421 {
+    if read.is_ok() && status != OTHER_SERVER_STATUS {
         exchange.release_connection(gateway, &target.id);
     }
     AttemptResult::Incomplete(AttemptOutcome::Declined)
--- a/toucanrail-gateway/tests/departing_servers.rs
+++ b/toucanrail-gateway/tests/departing_servers.rs
@@ -62,3 +62,22 @@
     let late = arrivals.iter().filter(|at| **at > stated_at + DRAIN_TIMEOUT).count();
     assert_eq!(late, 0);
 }
+
+/// Another server that is leaving answers at the address of a registered one, which then takes its
+/// place again. Guards against statements that are ascribed to the wrong server.
+#[test]
+fn other_servers_departure() {
+    let store = Store::start();
+    let server = Backend::start("i-1", |number, _| {
+        Action::Respond(if number == 0 {
+            "HTTP/1.1 421 x\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+        } else {
+            platform::signed_response("seven")
+        })
+    });
+    platform::configure(&store, 1, &[&server]);
+    let gateway = Process::start_gateway(&store);
+    assert_ne!(send(&gateway), Some(200));
+    platform::register(&store, &server, "a", 0);
+    platform::wait_until("a response of the server", || send(&gateway) == Some(200));
+}
