End a stated rate limit only by a response of the server itself

A response without the statement ended the limit, also one that turns the request away: a full server, or something in front of it, may answer 503 without stating the limit. In a server that declines most requests the entry then sent its usual share after each refusal. Found by reading.

Only a response with the server's signature ends the limit now.

--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -276,7 +276,9 @@
             statements.record_rest(rest, now);
         }
         let server = &self.process.id;
-        if statements.record_rate_limit(info.rate_limit, self.sent_at, now) {
+        // A failure may come from something in front of the server, which knows no limit.
+        let tells_limit = info.rate_limit.is_some() || info.signed;
+        if tells_limit && statements.record_rate_limit(info.rate_limit, self.sent_at, now) {
             tracing::info!(event = "rate_limit", %server, rate = info.rate_limit);
         }
         if info.leaving && !std::mem::replace(&mut statements.is_leaving, true) {
--- a/toucanrail-gateway/tests/limited_servers.rs
+++ b/toucanrail-gateway/tests/limited_servers.rs
@@ -26,10 +26,16 @@
 /// Time that the other server takes for a response.
 const SLOW_RESPONSE: Duration = Duration::from_millis(100);
 
-/// A server that states a limit while `limited` is set.
+/// Response of a server that is full, which does not state the limit.
+const DECLINED: &str = "HTTP/1.1 503 x\r\nX-Attempt-Id: ID\r\nX-Not-Executed: 1\r\n\
+    Content-Length: 0\r\n\r\n";
+
+/// A server that states a limit while `limited` is set, and declines requests in between if
+/// `declining` is set.
 struct LimitedServer {
     backend: Backend,
     limited: Arc<AtomicBool>,
+    declining: Arc<AtomicBool>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
@@ -37,12 +43,17 @@
     fn start(ip: Ipv4Addr) -> Self {
         let limited = Arc::new(AtomicBool::new(true));
         let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
-        let (is_limited, recorded) = (Arc::clone(&limited), Arc::clone(&arrivals));
-        let backend = Backend::start_on(ip, "i-1", move |_, message| {
+        let declining = Arc::new(AtomicBool::new(false));
+        let (is_limited, is_declining) = (Arc::clone(&limited), Arc::clone(&declining));
+        let recorded = Arc::clone(&arrivals);
+        let backend = Backend::start_on(ip, "i-1", move |number, message| {
             // The relay's calls for the load report do not count.
             if message.head.starts_with("POST ") {
                 recorded.lock().expect("arrivals").push(Instant::now());
             }
+            if is_declining.load(Ordering::Relaxed) && number % 8 != 0 {
+                return Action::Respond(DECLINED.to_owned());
+            }
             let field = format!("X-Replica-Signature: s\r\nServer-Limit: {RATE:.1}\r\n");
             let text = platform::signed_response("limited");
             Action::Respond(if is_limited.load(Ordering::Relaxed) {
@@ -51,7 +62,7 @@
                 text
             })
         });
-        Self { backend, limited, arrivals }
+        Self { backend, limited, declining, arrivals }
     }
 
     fn arrivals_since(&self, start: Instant) -> Vec<Instant> {
@@ -191,3 +202,16 @@
     let total = service.limited.arrivals_since(start).len();
     assert!(total > 2 * MAX_ARRIVALS, "{total}");
 }
+
+/// A limited server declines most of its requests by responses that do not state the limit. Guards
+/// against a limit that such a response ends.
+#[test]
+fn limit_outlasts_refusals() {
+    let service = LimitedService::start(Ipv4Addr::LOCALHOST, 1);
+    service.await_limits();
+    service.limited.declining.store(true, Ordering::Relaxed);
+    let start = Instant::now();
+    service.send_load();
+    let most = service.limited.count_most(start);
+    assert!(most <= MAX_ARRIVALS, "{most} in a window");
+}
