Forget failures of a relay that lie back, so that no stand-in comes too soon

A relay that had failed once and was asked again much later counted as failing since then, and another one stood in for it at its next failure, while a restart is waited for otherwise. Failures are dropped 10 s after the relay was due to be asked again.

Test: old_failure failed before.

--- a/toucanrail/src/permit_relays.rs
+++ b/toucanrail/src/permit_relays.rs
@@ -18,6 +18,8 @@
 /// Interval at which a relay that another one stands in for is asked again. Meanwhile both may
 /// issue permits to different entries.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after a failure from which the relay is not considered to fail any more.
+const ROW_RETENTION: Duration = Duration::from_secs(10);
 /// Fraction of a rate limit for which a relay on another VM than the server's issues permits.
 /// Entries that list or reach different relays may ask two of them.
 const REMOTE_FRACTION: f64 = 0.6;
@@ -78,6 +80,7 @@
 
     /// Records that a relay did not respond.
     pub fn record_failure(&mut self, relay: &RelayName, now: Duration) {
+        self.rows.retain(|_, row| now.saturating_sub(row.retry_at) < ROW_RETENTION);
         let retry_at = now + RETRY_INTERVAL;
         let row = self.rows.entry(Arc::clone(relay)).or_insert(FailureRow { since: now, retry_at });
         row.retry_at = retry_at;
--- a/toucanrail/tests/rate_limits.rs
+++ b/toucanrail/tests/rate_limits.rs
@@ -151,6 +151,19 @@
     assert_eq!(pick(&failures, 2_600), Some(true));
 }
 
+/// A relay fails now and again, with long pauses. Guards against a stand-in at the first failure
+/// because of one long ago.
+#[test]
+fn old_failure() {
+    let relays = [make_relay("near", true), make_relay("far", false)];
+    let mut failures = RelayFailures::default();
+    for now in [0, 60_000] {
+        failures.record_failure(&relays[0].name, at(now));
+        let picked = failures.pick_relay(&relays, at(now + 100));
+        assert_eq!(picked.map(|relay| relay.is_beside), Some(true), "{now}");
+    }
+}
+
 /// Responses overtake each other: one to a request from before the limit arrives after it. Guards
 /// against a limit that ends too early.
 #[test]
