--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -29,7 +29,7 @@
 /// Maximum wait for load reports; most relays respond within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// If all servers need permits, a request waits for a permit for at most this fraction of the route's
+/// If all servers need permits, a request waits for one for at most this fraction of the route's
 /// latency target. Requests that wait for the same permit are spread over `PERMIT_JITTER`.
 const PERMIT_WAIT_RATIO: f64 = 0.8;
 const PERMIT_JITTER: Duration = Duration::from_millis(60);
@@ -118,8 +118,8 @@
         }
     }
 
-    /// If only servers that need permits are left, waits until the chosen one may give permits again. Returns
-    /// false if that would take too long.
+    /// If only servers that need permits are left, waits until one for the chosen server may be
+    /// available again. Returns false if that would take too long.
     async fn wait_for_permit(&self, target: &BackendEntry) -> bool {
         let now = self.gateway.now();
         let wait = {
--- a/toucanrail-gateway/src/permits.rs
+++ b/toucanrail-gateway/src/permits.rs
@@ -72,7 +72,7 @@
     if cold_limit.is_none() && stated.is_none() {
         return None;
     }
-    let (server, limit) = (Arc::clone(&target.id), cold_limit.unwrap_or(usize::MAX));
+    let (server, limit) = (Arc::clone(&target.id), cold_limit.unwrap_or(coldstarts::NO_LIMIT));
     Some(PermitRequest { server, limit, stated })
 }
 
@@ -82,8 +82,7 @@
     request: &PermitRequest,
 ) -> PermitReply {
     let server = &target.id;
-    let is_cold = request.limit != usize::MAX;
-    let Some(relay) = find_relay(gateway, target, is_cold) else {
+    let Some(relay) = find_relay(gateway, target, request.is_for_cold()) else {
         return PermitReply::After(UNANSWERED_DELAY);
     };
     let PermitRelay { name, address, .. } = &relay;
--- a/toucanrail/src/coldstarts.rs
+++ b/toucanrail/src/coldstarts.rs
@@ -17,6 +17,8 @@
 use crate::backends::BackendId;
 use crate::permits::PERMIT_VALIDITY;
 
+/// Limit of a server that is not cold.
+pub const NO_LIMIT: usize = usize::MAX;
 /// Window in which arrivals at a cold server are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Fraction of a cold server's maximum arrivals for which permits are issued.
@@ -76,8 +78,8 @@
         Self { started, rows: BTreeMap::new() }
     }
 
-    /// Takes a permit unless `limit` is reached. Returns the time until one is available; zero if it
-    /// was taken. A server without a limit is not recorded.
+    /// Takes a permit unless `limit` is reached. Returns the time until one is available, which is
+    /// zero if it was taken. With [`NO_LIMIT`], nothing is recorded.
     ///
     /// Before a restart, the relay may have issued permits that this table does not know of, so
     /// fewer are issued at first.
@@ -92,7 +94,7 @@
     /// assert_eq!(table.take_permit(&server, 1, now), ColdTable::WINDOW);
     /// ```
     pub fn take_permit(&mut self, server: &BackendId, limit: usize, now: Duration) -> Duration {
-        if limit == usize::MAX {
+        if limit == NO_LIMIT {
             return Duration::ZERO;
         }
         let age = |issued_at: &Duration| now.saturating_sub(*issued_at);
--- a/toucanrail/src/permits.rs
+++ b/toucanrail/src/permits.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::backends::BackendId;
-use crate::coldstarts::ColdTable;
+use crate::coldstarts::{self, ColdTable};
 use crate::rate_limits::{RateTable, StatedRate};
 
 /// Time after the permit was requested within which the request must be sent.
@@ -19,14 +19,20 @@
 pub struct PermitRequest {
     /// The server.
     pub server: BackendId,
-    /// Maximum number of permits within [`ColdTable::WINDOW`]; `usize::MAX` if the server is not
-    /// cold.
+    /// Maximum number of permits within [`ColdTable::WINDOW`], or [`coldstarts::NO_LIMIT`].
     pub limit: usize,
     /// The rate limit that the server stated, if any.
     #[serde(default)]
     pub stated: Option<StatedRate>,
 }
 
+impl PermitRequest {
+    /// Returns whether the permit is for a cold server.
+    pub fn is_for_cold(&self) -> bool {
+        self.limit != coldstarts::NO_LIMIT
+    }
+}
+
 /// A relay's reply to a permit request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PermitReply {
--- a/toucanrail/tests/rate_limits.rs
+++ b/toucanrail/tests/rate_limits.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use toucanrail::coldstarts;
 use toucanrail::permit_relays::{PermitRelay, RelayFailures};
 use toucanrail::permits::{PERMIT_VALIDITY, PermitReply, PermitRequest, PermitTable};
 use toucanrail::rate_limits::StatedRate;
@@ -21,7 +22,7 @@
 
 fn make_request(rate: f64, age: u64) -> PermitRequest {
     let stated = Some(StatedRate { rate, age: Duration::from_millis(age) });
-    PermitRequest { server: Arc::from("s"), limit: usize::MAX, stated }
+    PermitRequest { server: Arc::from("s"), limit: coldstarts::NO_LIMIT, stated }
 }
 
 /// Returns the maximum number of arrivals within one window.
