Test that permit requests of two versions decode side by side

During an upgrade, entries and relays of two versions run together. A request of the previous version has no rate limit, and its relay reads the new one's limit as the largest number and gives permits as before. Passes without a change; guards the encoding.

--- a/toucanrail/tests/rate_limits.rs
+++ b/toucanrail/tests/rate_limits.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use serde::{Deserialize, Serialize};
 use toucanrail::coldstarts;
 use toucanrail::permit_relays::{PermitRelay, RelayFailures};
 use toucanrail::permits::{PERMIT_VALIDITY, PermitReply, PermitRequest, PermitTable};
@@ -176,3 +177,23 @@
     assert!(statements.record_rate_limit(None, at(70), at(90)));
     assert_eq!(statements.rate_limit, None);
 }
+
+/// A permit request of the previous version, which knows no rate limits.
+#[derive(Debug, Serialize, Deserialize)]
+struct OldRequest {
+    server: Arc<str>,
+    limit: usize,
+}
+
+/// Entries and relays of two versions run side by side during an upgrade. Guards against permit
+/// requests that one of them cannot decode.
+#[test]
+fn previous_version() {
+    let old = OldRequest { server: Arc::from("s"), limit: 14 };
+    let request: PermitRequest =
+        rmp_serde::from_slice(&rmp_serde::to_vec_named(&old).unwrap()).unwrap();
+    assert_eq!(request, PermitRequest { server: Arc::from("s"), limit: 14, stated: None });
+    let bytes = rmp_serde::to_vec_named(&make_request(2.0, 0)).unwrap();
+    let old: OldRequest = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(old.limit, coldstarts::NO_LIMIT);
+}
