Entries learn relays from boards, relays list a page of them

Cause: on the fleet of 356 entries and 625 relays every process lists all relays, four pages of 156 KB together, each second for four seconds and then each 12 s, and entries each 2 s for as long as the pace of any server is unknown. Entries also took the absence of relays in a stale copy for proof that there are none, hosted relays at 4 s, and from then on each held its own grants (74 % of all requests refused).

Ruled out: processor time (0.0035 cores of an entry on average) and memory (38.7 MB at most).

Changes: - an entry lists the relays when it starts, and gets their changes from a board, in the same way as configuration and servers; it asks once a second, so that changes within it share one reply; - one board in use for 128 relays instead of one in all; each entry has its own order among them, so that the entries of a board that fails are spread over the others; - a relay needs detours to the store only: it lists one page after its own name, three seconds after its start and then once a minute; - in a fleet that starts for the first time, entries let the relays register before they list them, and ask boards, not the store, for everything else; - a board that fails at once lets the entry ask the next one; if it failed slowly, the store is asked as before; - an entry hosts a relay only after a listing of the store's current state shows none, four seconds after the first listing.

--- a/toucanrail-gateway/src/change_feed.rs
+++ b/toucanrail-gateway/src/change_feed.rs
@@ -13,15 +13,15 @@
 use toucanrail_platform::names;
 use toucanrail_platform::stores::{ListFreshness, StoreError};
 
-use crate::store_access::StoreAccess;
+use crate::store_access::{RELAY_KIND, StoreAccess};
 
 /// Path of a call that takes a [`ChangesQuery`] and returns a [`ChangesReply`].
 pub const CHANGES_PATH: &str = "/news";
 
 /// Long-poll wait of a watch on objects that must be in force within two seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(500);
-/// Long-poll wait of a watch on evacuations, which may take longer to come into force.
-const EVACUATION_WAIT: Duration = Duration::from_millis(1_500);
+/// Long-poll wait of a watch on evacuations and relays, which may take longer to come into force.
+const SLOW_WAIT: Duration = Duration::from_millis(1_500);
 /// Added to the wait before a watch counts as unanswered, and before the board counts as stale.
 const RESPONSE_SLACK: Duration = Duration::from_millis(300);
 const STALE_SLACK: Duration = Duration::from_millis(400);
@@ -75,7 +75,8 @@
         let kinds = [
             (names::CONFIG_KIND, WATCH_WAIT),
             (names::SERVER_KIND, WATCH_WAIT),
-            (names::EVACUATION_KIND, EVACUATION_WAIT),
+            (names::EVACUATION_KIND, SLOW_WAIT),
+            (RELAY_KIND, SLOW_WAIT),
         ];
         let boards = kinds.map(|(kind, wait)| (kind, Rc::new(KindBoard::new(wait))));
         Self { store, executor, boards: boards.into() }
--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -13,6 +13,7 @@
 
 use smol::Async;
 use toucanrail::permits::PermitTable;
+use toucanrail_platform::stores::ListFreshness;
 
 use crate::change_feed::ChangeFeed;
 use crate::relay;
@@ -20,14 +21,16 @@
 use crate::relay_registration;
 use crate::state::Gateway;
 
-/// Time in which relays on VMs of their own register when a fleet starts.
+/// Time in which relays on VMs of their own register when a fleet starts, or when the store is back.
 const REGISTRATION_TIME: Duration = Duration::from_secs(4);
 /// Interval at which an entry checks whether there are any.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Starts a hosted relay once it is known that no VM of its own runs one.
 pub async fn host_relay(gateway: Rc<Gateway>) {
-    while !should_host(&gateway) {
+    // A listing from a stale copy lacks relays that have just registered. If entries took that for
+    // proof and hosted relays, each budget would have as many holders as there are entries.
+    while !(should_host(&gateway) && confirm_no_relay(&gateway).await) {
         smol::Timer::after(CHECK_INTERVAL).await;
     }
     match start(&gateway) {
@@ -44,10 +47,19 @@
 /// wait for others to register.
 fn should_host(gateway: &Gateway) -> bool {
     let store = &gateway.store;
-    let waited = store.has_relay(&gateway.settings.vm) || gateway.now() > REGISTRATION_TIME;
+    let listed = store.time_since_relays_listed();
+    let waited = store.has_relay(&gateway.settings.vm)
+        || listed.is_some_and(|since| since > REGISTRATION_TIME);
     waited && store.has_only_hosted_relays() && gateway.stop_requested.get().is_none()
 }
 
+/// Lists the relays from the store's current state. Returns whether it shows none on a VM of its
+/// own.
+async fn confirm_no_relay(gateway: &Gateway) -> bool {
+    let store = &gateway.store;
+    store.list_relays(ListFreshness::Latest).await && store.has_only_hosted_relays()
+}
+
 fn start(gateway: &Rc<Gateway>) -> io::Result<Rc<RelayApi>> {
     let settings = &gateway.settings;
     let executor = &gateway.executor;
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod relay;
 pub mod relay_api;
 pub mod relay_client;
+pub mod relay_listing;
 pub mod relay_registration;
 pub mod report_client;
 pub mod request_context;
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -27,9 +27,10 @@
 use crate::grant_manager::{self, GrantManager};
 use crate::listening;
 use crate::relay_api::{self, RelayApi};
+use crate::relay_listing;
 use crate::relay_registration;
 use crate::report_client::ReportClient;
-use crate::store_access::{self, RELAY_LIST_INTERVAL, StoreAccess};
+use crate::store_access::{self, StoreAccess};
 use crate::tuning::GatewayTuning;
 
 /// Maximum number of open connections: several for each entry of a large fleet.
@@ -82,9 +83,9 @@
     let endpoints = EndpointTable::new(settings.store, data_centre, Arc::clone(&settings.region));
     let client = StoreClient::new(CONNECT_TIMEOUT);
     let store = Rc::new(StoreAccess::new(client, endpoints, ProcessClock::start()));
-    let measuring =
-        store_access::maintain_endpoint(Rc::clone(&store), settings.store, RELAY_LIST_INTERVAL);
-    executor.spawn(measuring).detach();
+    executor.spawn(store_access::probe_endpoint(Rc::clone(&store), settings.store)).detach();
+    let vm = Rc::from(&*settings.vm);
+    executor.spawn(relay_listing::list_detours(Rc::clone(&store), vm)).detach();
     let permits = PermitTable::new(store.now()).into();
     let change_feed = ChangeFeed::new(Rc::clone(&store), Rc::clone(executor));
     let grant_manager =
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -27,9 +27,10 @@
 use crate::liveness::ReportCache;
 use crate::loan_client::{self, LoanClient};
 use crate::relay_client::RelayBackoff;
+use crate::relay_listing;
 use crate::state::{Gateway, GatewayTables};
 use crate::stopping;
-use crate::store_access::{self, StoreAccess, UNMEASURED_LIST_INTERVAL};
+use crate::store_access::{self, StoreAccess};
 use crate::store_watch;
 use crate::tuning::GatewayTuning;
 
@@ -53,12 +54,9 @@
     executor.spawn(accepting::serve_callers(Rc::clone(&shared), callers)).detach();
     executor.spawn(admin::serve_admin(Rc::clone(&shared), readiness)).detach();
     executor.spawn(admin::serve_admin(Rc::clone(&shared), internal)).detach();
-    let maintaining = store_access::maintain_endpoint(
-        Rc::clone(&shared.store),
-        shared.settings.store,
-        UNMEASURED_LIST_INTERVAL,
-    );
-    executor.spawn(maintaining).detach();
+    let probing = store_access::probe_endpoint(Rc::clone(&shared.store), shared.settings.store);
+    executor.spawn(probing).detach();
+    executor.spawn(relay_listing::watch_relays(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_config(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_servers(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_evacuations(Rc::clone(&shared))).detach();
--- a/toucanrail-gateway/src/store_access.rs
+++ b/toucanrail-gateway/src/store_access.rs
@@ -5,12 +5,14 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use event_listener::Event;
 use smol::future::FutureExt;
 use toucanrail::endpoints::{EndpointTable, RelayEntry, RelayName, StoreEndpoint};
 use toucanrail::ids::Version;
+use toucanrail::messages::{MirrorChange, MirrorObject};
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
 use toucanrail::timeouts::AdaptiveTimeout;
 use toucanrail_daemons::starting::ProcessClock;
@@ -21,22 +23,9 @@
 
 /// Kind of the relays' entries in the store.
 pub const RELAY_KIND: &str = "relays";
-/// Interval between listings of the relays, which change only with their VMs. A listing from a
-/// stale copy counts as a tenth of a call.
-pub const RELAY_LIST_INTERVAL: Duration = Duration::from_secs(12);
-/// The same for an entry while the pace of a backend server is unknown.
-pub const UNMEASURED_LIST_INTERVAL: Duration = Duration::from_secs(2);
-/// Time after the start in which relays are listed often, and the interval then. A restarted entry
-/// may be cut off moments later and would have no relays and lenders until the network recovers; in
-/// a fleet that starts, the relays themselves register in this time.
-const STARTUP_TIME: Duration = Duration::from_secs(4);
-const STARTUP_LIST_INTERVAL: Duration = Duration::from_secs(1);
-/// The same time in a fleet with hosted relays only, which start once it is known that there are no
-/// others.
-const HOSTED_STARTUP_TIME: Duration = Duration::from_secs(10);
 /// Timeout of a listing of the relays and of a probe of the direct endpoint.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
-/// Interval at which [`maintain_endpoint`] checks what is due.
+/// Interval at which [`probe_endpoint`] checks whether a probe is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A process's access to the store, and the endpoints that lead to it.
@@ -45,7 +34,10 @@
     client: StoreClient,
     timeout: Cell<AdaptiveTimeout>,
     endpoints: RefCell<EndpointTable>,
-    relays_listed: Cell<bool>,
+    /// Time of the first listing of the relays.
+    relays_listed_at: Cell<Option<Duration>>,
+    /// Notified at the first listing of the relays.
+    relays_listed: Event,
     /// Notified when another endpoint is used from now on.
     endpoint_changed: Event,
     clock: ProcessClock,
@@ -63,7 +55,8 @@
             client,
             timeout,
             endpoints: endpoints.into(),
-            relays_listed: Cell::new(false),
+            relays_listed_at: Cell::new(None),
+            relays_listed: Event::new(),
             endpoint_changed: Event::new(),
             clock,
             responded_at: Cell::new(None),
@@ -140,7 +133,75 @@
 
     /// Returns whether the relays have been listed and none runs on a VM of its own.
     pub fn has_only_hosted_relays(&self) -> bool {
-        self.relays_listed.get() && self.endpoints.borrow().uses_hosted_relays()
+        self.relays_listed_at.get().is_some() && self.endpoints.borrow().uses_hosted_relays()
+    }
+
+    /// Returns the time since the relays were first listed, or `None` if they have not been.
+    pub fn time_since_relays_listed(&self) -> Option<Duration> {
+        self.relays_listed_at.get().map(|at| self.now().saturating_sub(at))
+    }
+
+    /// Waits until the relays have been listed.
+    pub async fn wait_relays_listed(&self) {
+        let listed = self.relays_listed.listen();
+        if self.relays_listed_at.get().is_none() {
+            listed.await;
+        }
+    }
+
+    /// Returns whether a relay has not yet stated the pace of the server beside it.
+    pub fn has_unmeasured_server(&self) -> bool {
+        self.endpoints.borrow().has_unmeasured_server()
+    }
+
+    /// Lists all relays. Returns whether the store responded.
+    pub async fn list_relays(&self, freshness: ListFreshness) -> bool {
+        let listed = self.list_kind(RELAY_KIND, freshness, PROBE_TIMEOUT).await;
+        self.apply_relay_listing(listed)
+    }
+
+    /// Lists the relays that follow `name` in the order of names, up to one page. Returns whether
+    /// the store responded.
+    ///
+    /// For a process that needs a few relays only: if each relay listed all others, the listings
+    /// would grow with the square of the fleet.
+    pub async fn list_relays_after(&self, name: &str) -> bool {
+        let (endpoint, address) = self.endpoints.borrow().current();
+        let listed = self.client.list_from(address, RELAY_KIND, name, PROBE_TIMEOUT).await;
+        self.record_endpoint_result(&endpoint, &listed);
+        self.apply_relay_listing(listed)
+    }
+
+    fn apply_relay_listing(&self, listed: Result<KindListing, StoreError>) -> bool {
+        match listed {
+            Ok(listing) => {
+                self.set_relays(&listing.objects);
+                true
+            }
+            Err(failure) => {
+                tracing::debug!(event = "relays_not_listed", %failure);
+                false
+            }
+        }
+    }
+
+    /// Replaces the known relays.
+    pub fn set_relays(&self, objects: &[MirrorObject]) {
+        let entries = objects.iter().filter_map(|object| {
+            let entry: Option<RelayEntry> = storecalls::decode_value(&object.value);
+            entry.map(|entry| (Arc::clone(&object.name), entry))
+        });
+        self.endpoints.borrow_mut().set_relays(entries);
+        if self.relays_listed_at.get().is_none() {
+            self.relays_listed_at.set(Some(self.now()));
+            self.relays_listed.notify(usize::MAX);
+        }
+    }
+
+    /// Applies a change of one relay's entry.
+    pub fn apply_relay_change(&self, change: &MirrorChange) {
+        let entry = storecalls::decode_value(&change.object.value).filter(|_| !change.removed);
+        self.endpoints.borrow_mut().apply_change(&change.object.name, entry);
     }
 
     /// Returns whether the store lists a relay of this name.
@@ -241,49 +302,13 @@
     }
 }
 
-/// Keeps the list of relays up to date, and returns to the direct endpoint when it works again.
-///
-/// `unmeasured` is the interval between listings while a relay has not stated its server's pace
-/// yet. Entries that place prompts set a short one: until the pace is known, a slow server gets as
-/// many prompts as a fast one.
-pub async fn maintain_endpoint(store: Rc<StoreAccess>, direct: SocketAddr, unmeasured: Duration) {
-    let mut listed_at: Option<Duration> = None;
+/// Returns to the direct endpoint when it works again.
+pub async fn probe_endpoint(store: Rc<StoreAccess>, direct: SocketAddr) {
     loop {
-        let now = store.now();
-        let pause = match now {
-            now if now < STARTUP_TIME => STARTUP_LIST_INTERVAL,
-            now if now < HOSTED_STARTUP_TIME && store.has_only_hosted_relays() => {
-                STARTUP_LIST_INTERVAL
-            }
-            _ if store.endpoints.borrow().has_unmeasured_server() => unmeasured,
-            _ => RELAY_LIST_INTERVAL,
-        };
-        if listed_at.is_none_or(|at| now.saturating_sub(at) > pause) {
-            let done = list_relays(&store).await;
-            listed_at = done.then(|| store.now()).or(listed_at);
-        }
-        let due = store.endpoints.borrow_mut().start_due_probe(now);
+        smol::Timer::after(CHECK_INTERVAL).await;
+        let due = store.endpoints.borrow_mut().start_due_probe(store.now());
         if due {
             store.probe_direct(direct).await;
         }
-        smol::Timer::after(CHECK_INTERVAL).await;
     }
 }
-
-/// Lists the relays. Returns false if the store did not respond.
-async fn list_relays(store: &StoreAccess) -> bool {
-    let objects = match store.list_kind(RELAY_KIND, ListFreshness::Stale, PROBE_TIMEOUT).await {
-        Ok(listing) => listing.objects,
-        Err(failure) => {
-            tracing::debug!(event = "relays_not_listed", %failure);
-            return false;
-        }
-    };
-    let entries = objects.into_iter().filter_map(|object| {
-        let entry: Option<RelayEntry> = storecalls::decode_value(&object.value);
-        entry.map(|entry| (object.name, entry))
-    });
-    store.endpoints.borrow_mut().set_relays(entries);
-    store.relays_listed.set(true);
-    true
-}
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -5,15 +5,18 @@
 //! store itself.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use toucanrail::boards::{self, OutageBackoff};
+use toucanrail::endpoints::RelayName;
 use toucanrail::ids::Version;
 use toucanrail::messages::{ChangesQuery, ChangesReply, MirrorChange, MirrorObject};
 use toucanrail_platform::stores::{ListFreshness, StoreError};
 use toucanrail_platform::{configs, names, registrations};
+use toucanrail_wire::time_limits;
 
 use crate::change_feed::CHANGES_PATH;
 use crate::relay_client;
@@ -30,6 +33,10 @@
 const BOARD_WAIT: Duration = Duration::from_millis(800);
 const EVACUATION_BOARD_WAIT: Duration = Duration::from_millis(1_500);
 const BOARD_SLACK: Duration = Duration::from_millis(400);
+/// Time within which a board must have failed for the next one to be queried, rather than the store.
+const QUICK_FAILURE: Duration = Duration::from_millis(250);
+/// Maximum wait of a starting entry for the list of relays. Without them it finds no board.
+const MAX_RELAYS_WAIT: Duration = Duration::from_secs(3);
 /// Time for which a board that gets no responses from the store is not queried.
 const STALE_BACKOFF: Duration = Duration::from_secs(1);
 /// Pause after a failed call; it doubles with each consecutive failure, up to the maximum.
@@ -118,6 +125,7 @@
     let outage = OutageBackoff::default();
     let mut state = WatchState { revision: None, responded_at: gateway.now(), outage };
     let mut pause = MIN_RETRY_PAUSE;
+    time_limits::timeout(MAX_RELAYS_WAIT, gateway.store.wait_relays_listed()).await;
     loop {
         match step(&gateway, &mut handler, &mut state).await {
             Ok(next) => {
@@ -151,7 +159,8 @@
 {
     let revision = state.revision;
     let age = gateway.now().saturating_sub(state.responded_at);
-    let update = match query_boards::<Handler>(gateway, revision).await {
+    let (kind, wait) = (Handler::KIND, Handler::BOARD_WAIT);
+    let update = match query_boards(gateway, kind, wait, revision).await {
         BoardOutcome::Updated(update) => update,
         BoardOutcome::Stale => query_in_outage(gateway, Handler::KIND, state).await?,
         BoardOutcome::Unavailable => query_store(gateway, Handler::KIND, revision).await?,
@@ -210,7 +219,7 @@
 
 /// Outcome of a query to the boards of the region.
 #[derive(Debug)]
-enum BoardOutcome {
+pub enum BoardOutcome {
     /// A board responded.
     Updated(ChangesReply),
     /// The boards respond, but get no responses from the store.
@@ -219,27 +228,38 @@
     Unavailable,
 }
 
-/// Queries the boards of the region in order.
+fn pick_boards(gateway: &Gateway) -> Vec<(RelayName, SocketAddr)> {
+    boards::pick_boards(&gateway.store.lenders(), &gateway.settings.vm)
+}
+
+/// Returns whether the fleet is large enough for boards.
+pub fn uses_boards(gateway: &Gateway) -> bool {
+    !pick_boards(gateway).is_empty()
+}
+
+/// Queries the boards of the region in order, for changes of a kind after a revision.
 ///
-/// A board that fails is put in backoff, and this entry queries the store itself immediately, so
-/// that its knowledge is never older than one timeout of a board plus one of its own. A stale board
-/// says so immediately, and the next one is queried.
-async fn query_boards<Handler>(gateway: &Gateway, after: Option<Version>) -> BoardOutcome
-where
-    Handler: KindHandler,
-{
-    let kind = Handler::KIND;
-    let boards = boards::pick_boards(&gateway.store.lenders());
+/// A board that fails is put in backoff. If it took long to fail, this entry queries the store
+/// itself immediately, so that its knowledge is never older than one timeout of a board plus one of
+/// its own. A stale board says so immediately, and the next one is queried.
+pub async fn query_boards(
+    gateway: &Gateway,
+    kind: &str,
+    wait: Duration,
+    after: Option<Version>,
+) -> BoardOutcome {
+    let boards = pick_boards(gateway);
     let available =
         boards.iter().filter(|(name, _)| !gateway.failed_boards.is_active(name, gateway.now()));
-    let query = ChangesQuery { kind: Arc::from(kind), after, wait: Handler::BOARD_WAIT };
+    let query = ChangesQuery { kind: Arc::from(kind), after, wait };
     let mut stale = false;
     for (board, address) in available {
         if gateway.stale_boards.is_active(board, gateway.now()) {
             stale = true;
             continue;
         }
-        let timeout = Handler::BOARD_WAIT + BOARD_SLACK;
+        let timeout = wait + BOARD_SLACK;
+        let asked_at = gateway.now();
         let result =
             relay_client::call_relay(gateway, board, *address, CHANGES_PATH, &query, timeout).await;
         let reason = match result {
@@ -262,7 +282,9 @@
         };
         tracing::info!(event = "board_failed", %board, kind, reason);
         gateway.failed_boards.record_failure(board, gateway.now());
-        return BoardOutcome::Unavailable;
+        if gateway.now().saturating_sub(asked_at) > QUICK_FAILURE {
+            return BoardOutcome::Unavailable;
+        }
     }
     if stale { BoardOutcome::Stale } else { BoardOutcome::Unavailable }
 }
--- a/toucanrail-gateway/tests/fleet_boards.rs
+++ b/toucanrail-gateway/tests/fleet_boards.rs
@@ -55,6 +55,18 @@
     assert_eq!(store.watch_count(), before);
 }
 
+/// The paces of servers are unknown for a while, so that the relays' entries keep changing. Entries
+/// must learn of that from the board: if each listed all relays every two seconds, the listings
+/// would grow with the product of entries and relays.
+#[test]
+fn listed_by_board() {
+    let (store, _backend, _relay, _gateway) = start_board();
+    let [before, _] = store.relay_listing_counts();
+    thread::sleep(Duration::from_secs(5));
+    let [after, _] = store.relay_listing_counts();
+    assert_eq!(after, before);
+}
+
 /// The board is killed. Its entries must not wait for it but watch the store themselves
 /// immediately.
 #[test]
--- a/toucanrail-gateway/tests/hosted_relays.rs
+++ b/toucanrail-gateway/tests/hosted_relays.rs
@@ -62,6 +62,21 @@
     assert!(granted.keys().all(|known| *known != holder), "{granted:?}");
 }
 
+/// The copy of the store that entries list relays from lags behind and shows none. Entries that took
+/// this for proof hosted relays, and each budget had as many holders as there are entries.
+#[test]
+fn stale_copy() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Action::Respond(String::new()));
+    platform::configure_prepaid(&store, 1, &[&backend], 100_000);
+    store.freeze_copy();
+    let _relay = Process::start_relay(&store, "side-1");
+    platform::wait_until("the relay", || store.has("relays", "side-1"));
+    let _entry = Process::start_gateway_on(&store, "front-1");
+    thread::sleep(Duration::from_secs(7));
+    assert!(!store.has("relays", "front-1"));
+}
+
 /// A relay on a VM of its own takes precedence over hosted relays.
 #[test]
 fn dedicated_relay() {
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -139,6 +139,8 @@
     events: Vec<(u64, String, Value)>,
     /// Revision up to which the history has been discarded.
     discarded_until: u64,
+    /// Objects that listings from a stale copy show, if not the current ones.
+    copy: Option<BTreeMap<(String, String), (u64, Value)>>,
 }
 
 /// A fake of the platform's store.
@@ -152,6 +154,8 @@
     cut_off: Arc<AtomicBool>,
     blocked: Arc<Mutex<BTreeSet<String>>>,
     watches: Arc<AtomicU64>,
+    /// Listings of the relays by gateways, and by relays.
+    listings: [Arc<AtomicU64>; 2],
 }
 
 impl Store {
@@ -161,10 +165,12 @@
         let cut_off = Arc::new(AtomicBool::new(false));
         let blocked: Arc<Mutex<BTreeSet<String>>> = Arc::default();
         let watches: Arc<AtomicU64> = Arc::default();
+        let listings: [Arc<AtomicU64>; 2] = Default::default();
         let serve = |cut_off: Option<Arc<AtomicBool>>| {
             let state = Arc::clone(&state);
             let blocked = Arc::clone(&blocked);
             let watches = Arc::clone(&watches);
+            let listings = Arc::clone(&listings[usize::from(cut_off.is_none())]);
             spawn_server(move |mut stream| {
                 while let Some(message) = read_message(&mut stream) {
                     if cut_off.as_ref().is_some_and(|flag| flag.load(Ordering::Relaxed)) {
@@ -175,6 +181,8 @@
                     }
                     if cut_off.is_some() && message.target().contains("watch=") {
                         watches.fetch_add(1, Ordering::Relaxed);
+                    } else if message.target().starts_with("/api/objects/relays?") {
+                        listings.fetch_add(1, Ordering::Relaxed);
                     }
                     let (status, body) = handle_store_request(&state, &message);
                     let body = body.to_string();
@@ -188,7 +196,7 @@
         };
         let address = serve(Some(Arc::clone(&cut_off)));
         let relay_address = serve(None);
-        Self { state, address, relay_address, cut_off, blocked, watches }
+        Self { state, address, relay_address, cut_off, blocked, watches, listings }
     }
 
     /// Returns the store with proxies in front of its address for gateways and its address for
@@ -241,6 +249,17 @@
         self.watches.load(Ordering::Relaxed)
     }
 
+    /// Returns how often gateways, and relays, have listed the relays.
+    pub fn relay_listing_counts(&self) -> [u64; 2] {
+        [&self.listings[0], &self.listings[1]].map(|count| count.load(Ordering::Relaxed))
+    }
+
+    /// From now on, listings from a stale copy show the store as it is at this moment.
+    pub fn freeze_copy(&self) {
+        let mut state = self.state.lock().expect("the store");
+        state.copy = Some(state.objects.clone());
+    }
+
     /// Returns an object's value.
     pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
         let state = self.state.lock().expect("the store");
@@ -310,7 +329,9 @@
     let body: Value = serde_json::from_slice(&message.body).unwrap_or(Value::Null);
     match message.head.split(' ').next() {
         Some("GET") if name.is_empty() => {
-            let items = state.objects.iter().filter(|((known, _), _)| known == kind);
+            let copy = state.copy.as_ref().filter(|_| query.contains("allow_stale=1"));
+            let objects = copy.unwrap_or(&state.objects);
+            let items = objects.iter().filter(|((known, _), _)| known == kind);
             let items: Vec<Value> =
                 items.map(|((_, name), (revision, spec))| object(name, *revision, spec)).collect();
             (200, json!({"items": items, "has_more": false, "store_revision": state.revision}))
--- a/toucanrail/src/boards.rs
+++ b/toucanrail/src/boards.rs
@@ -21,15 +21,19 @@
 /// objects. Entries then ask the store themselves, well within the two seconds in which a change
 /// must be known. A board's watch waits for less than this.
 pub const MAX_AGE: Duration = Duration::from_millis(900);
-/// Number of changes kept for entries that lag behind; a release of a large service makes some
-/// hundreds.
-const MAX_CHANGES: usize = 1_024;
+/// Minimum number of changes kept for entries that lag behind, and the minimum per object: a release
+/// of a service changes each of its servers' registrations two or three times.
+const MIN_CHANGES: usize = 1_024;
+const CHANGES_PER_OBJECT: usize = 4;
 /// Minimum number of relays in a fleet that uses boards. In a smaller one few entries watch the
 /// store, and a board's short watches cost as many calls as theirs.
 const MIN_RELAYS: usize = 24;
-/// Number of boards that entries of one region choose from, each a fallback for those before it. If
-/// the store rejects part of all VMs, it is very unlikely that it rejects all of these.
-const BOARD_COUNT: usize = 4;
+/// Number of relays per board in use. The entries that query boards grow in number with the relays,
+/// so that the load of one board does not grow with the fleet.
+const RELAYS_PER_BOARD: usize = 128;
+/// Number of boards that entries of one region fall back to when those in use fail. If the store
+/// rejects part of all VMs, it is very unlikely that it rejects all of these.
+const SPARE_BOARDS: usize = 3;
 /// Rendezvous key by which relays are ranked as boards.
 const BOARD_KEY: &str = "board";
 /// Maximum time between an entry's own calls to a store that no board can reach; calls are spread
@@ -105,7 +109,8 @@
             }
             self.changes.push_back((self.revision, change));
         }
-        while self.changes.len() > MAX_CHANGES {
+        let max_changes = MIN_CHANGES.max(self.objects.len() * CHANGES_PER_OBJECT);
+        while self.changes.len() > max_changes {
             if let Some((dropped, _)) = self.changes.pop_front() {
                 self.complete_after = dropped;
             }
@@ -199,13 +204,25 @@
 
 /// Returns the relays whose boards an entry asks, in order of preference; none in a small fleet.
 ///
+/// All entries of a region use the same few boards. Each entry has an order of its own among those
+/// in use, so that the entries of a board that fails are spread over all others.
+///
 /// # Examples
 /// ```
-/// assert!(toucanrail::boards::pick_boards(&[]).is_empty());
+/// assert!(toucanrail::boards::pick_boards(&[], "front-1").is_empty());
 /// ```
-pub fn pick_boards(relays: &[(RelayName, SocketAddr)]) -> Vec<(RelayName, SocketAddr)> {
+pub fn pick_boards(
+    relays: &[(RelayName, SocketAddr)],
+    entry: &str,
+) -> Vec<(RelayName, SocketAddr)> {
     if relays.len() < MIN_RELAYS {
         return Vec::new();
     }
-    loans::rank_lenders(relays, BOARD_KEY).into_iter().take(BOARD_COUNT).collect()
+    let in_use = relays.len().div_ceil(RELAYS_PER_BOARD);
+    let mut boards = loans::rank_lenders(relays, BOARD_KEY);
+    boards.truncate(in_use + SPARE_BOARDS);
+    let spares = boards.split_off(in_use);
+    let mut boards = loans::rank_lenders(&boards, entry);
+    boards.extend(spares);
+    boards
 }
--- a/toucanrail/src/endpoints.rs
+++ b/toucanrail/src/endpoints.rs
@@ -59,6 +59,15 @@
     failed_at: Option<Duration>,
 }
 
+impl RelayRow {
+    /// Returns the row of a relay's current entry. It keeps the time of the last failure unless the
+    /// address changed.
+    fn updated(known: Option<Self>, entry: RelayEntry) -> Self {
+        let same = known.filter(|known| known.entry.address == entry.address);
+        Self { failed_at: same.and_then(|row| row.failed_at), entry }
+    }
+}
+
 /// The endpoints known to one entry, and the one in use.
 #[derive(Debug, Clone, Serialize)]
 pub struct EndpointTable {
@@ -97,12 +106,23 @@
     {
         let mut known = std::mem::take(&mut self.relays);
         for (name, entry) in entries {
-            let same_address = |row: &RelayRow| row.entry.address == entry.address;
-            let old = known.remove(&name).filter(same_address);
-            let failed_at = old.and_then(|row| row.failed_at);
-            self.relays.insert(name, RelayRow { entry, failed_at });
+            let old = known.remove(&name);
+            self.relays.insert(name, RelayRow::updated(old, entry));
+        }
+        self.leave_removed_relay();
+    }
+
+    /// Adds or updates one relay, or removes it if `entry` is `None`.
+    pub fn apply_change(&mut self, name: &RelayName, entry: Option<RelayEntry>) {
+        let known = self.relays.remove(name);
+        if let Some(entry) = entry {
+            self.relays.insert(Arc::clone(name), RelayRow::updated(known, entry));
         }
-        // The relay in use may no longer be listed.
+        self.leave_removed_relay();
+    }
+
+    /// Uses the store directly if the relay in use is no longer known.
+    fn leave_removed_relay(&mut self) {
         if self.address_of(&self.current).is_none() {
             self.current = StoreEndpoint::Direct;
             self.changes += 1;
--- a/toucanrail/tests/board_updates.rs
+++ b/toucanrail/tests/board_updates.rs
@@ -1,11 +1,12 @@
 //! Updates that boards give to entries, compared with a direct view of the store.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use toucanrail::boards::{BoardTable, MAX_AGE, OutageBackoff};
+use toucanrail::boards::{self, BoardTable, MAX_AGE, OutageBackoff};
 use toucanrail::ids::Version;
 use toucanrail::messages::{ChangesReply, MirrorChange, MirrorObject};
 
@@ -101,6 +102,49 @@
     assert_eq!(table.updates_since(None, NOW), Some(ChangesReply::Stale));
 }
 
+fn make_relays(count: usize) -> Vec<(Arc<str>, SocketAddr)> {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7341));
+    (0..count).map(|number| (Arc::from(format!("side-{number}")), address)).collect()
+}
+
+/// Counts the entries that query each board; `failed` is not available.
+fn count_entries(relays: usize, entries: usize, failed: Option<&str>) -> BTreeMap<Arc<str>, usize> {
+    let relays = make_relays(relays);
+    let mut counts = BTreeMap::new();
+    for number in 0..entries {
+        let boards = boards::pick_boards(&relays, &format!("front-{number}"));
+        let (board, _) = boards.into_iter().find(|(name, _)| Some(&**name) != failed).unwrap();
+        *counts.entry(board).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// All entries of a large fleet query one board, which has a fifth of a core. The load of a board
+/// must not grow with the fleet.
+#[test]
+fn load_per_board() {
+    for (relays, entries) in [(117, 68), (640, 370), (1_280, 740), (2_560, 1_480)] {
+        let counts = count_entries(relays, entries, None);
+        assert!(counts.values().all(|count| *count <= 110), "{relays} relays: {counts:?}");
+    }
+}
+
+/// A board of a large fleet fails. If all of its entries moved to the same other board, that one
+/// would have twice the load and fail next.
+#[test]
+fn entries_of_failed_board() {
+    for (relays, entries) in [(640, 370), (2_560, 1_480)] {
+        let before = count_entries(relays, entries, None);
+        let failed = before.keys().next().unwrap();
+        let after = count_entries(relays, entries, Some(failed));
+        let moved = before[failed];
+        for (board, count) in &after {
+            let added = count - before.get(board).copied().unwrap_or_default();
+            assert!(added * 2 <= moved, "{relays} relays: {added} of {moved} moved to {board}");
+        }
+    }
+}
+
 /// The store is down for four seconds, and each of 68 entries checks every 640 ms whether it may
 /// ask it. Without a limit, the entries' retries were most of a day's calls.
 #[test]
--- a/toucanrail/tests/store_endpoints.rs
+++ b/toucanrail/tests/store_endpoints.rs
@@ -85,6 +85,25 @@
     assert_eq!(table.current().0, StoreEndpoint::Direct);
 }
 
+/// A board tells an entry of changes of single relays. The relay in use is removed from the store;
+/// another one that failed lately writes its pace and must not be chosen as if it had not failed.
+#[test]
+fn changed_relays() {
+    let mut table = make_table();
+    let now = Duration::from_secs(1);
+    for endpoint in ["near-1", "near-2"] {
+        table.record_failure(&table.current().0, 0.0, now);
+        assert_eq!(table.current().0, StoreEndpoint::Relay(Arc::from(endpoint)));
+    }
+    let measured = RelayEntry { pace_us: Some(9), ..relay(2, "a") };
+    table.apply_change(&Arc::from("near-1"), Some(measured));
+    table.apply_change(&Arc::from("near-2"), None);
+    assert_eq!(table.current().0, StoreEndpoint::Direct);
+    assert_eq!(table.paces().len(), 1);
+    table.record_failure(&StoreEndpoint::Direct, 0.0, now);
+    assert_eq!(table.current().0, StoreEndpoint::Relay(Arc::from("far")));
+}
+
 /// With a lender per data centre, most writes to a customer's account lost the race against the
 /// other lenders. All entries of a region must use the same lenders, whatever their data centre.
 #[test]
