Bound the bytes that an entry holds for callers, and read on while they lag

Cause: an entry read no more of a stream than its caller had taken, so that a server that cuts off responses which stay unread for some seconds cut those of slow callers.

Change: a memory budget of the process (`memory_budgets`, sized by its settings) decides how much may be buffered for one caller and for all, when reading goes on, and which bodies are refused at once (3204, not run, with a time to return). The bound of one backlog is what is free for all: one slow caller may use half, many share evenly. Connections hold what was received only, and their number follows memory and file descriptors.

Ruled out: cutting the largest backlog off; nothing has to be cut, since reading stops.

Left: nothing counts the bytes that one server holds of all entries' requests.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -17,19 +17,20 @@
 use toucanrail_wire::time_limits;
 
 use crate::admitting;
+use crate::buffers::{BodyHold, WriteBacklog};
 use crate::listening;
 use crate::responding::{self, ResponseWriter};
 use crate::state::{Gateway, RequestGuard};
 
-/// Maximum number of open caller connections. Leaves file descriptors for backend servers, the
-/// store and files.
-const MAX_CONNECTIONS: usize = 3_000;
 /// Maximum time for a body to arrive after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a new connection may take to send its first request while the process is stopping.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of bytes of a pipelined request to buffer while the current request is handled.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Bytes beyond it wait at the caller, whose disconnection is then noticed by a failing write only.
+const MAX_PIPELINED_BYTES: usize = 16 * 1024;
+/// Mean time after which a caller that was refused for lack of memory may return.
+const FULL_DELAY: Duration = Duration::from_millis(500);
 /// How long to keep reading from a caller after its response: closing a socket with unread bytes
 /// resets the connection, and the caller could lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
@@ -67,7 +68,8 @@
     };
     // The connection is closed unread, so the caller can safely retry the request at another entry.
     let refuse = || gateway.metrics.count_event("connections_refused");
-    listening::serve_connections(&gateway.executor, listener, MAX_CONNECTIONS, serve, refuse).await;
+    let limit = gateway.settings.limits.max_connections();
+    listening::serve_connections(&gateway.executor, listener, limit, serve, refuse).await;
 }
 
 async fn serve_connection(gateway: &Rc<Gateway>, socket: Async<TcpStream>) -> io::Result<()> {
@@ -82,21 +84,23 @@
         served = true;
         let arrived = Instant::now();
         let guard = RequestGuard::new(gateway);
-        let (head, body) = match read_request(&mut connection, limits).await {
+        let (head, body, hold) = match read_request(gateway, &mut connection, limits).await {
             Ok(request) => request,
             Err(ReadError::Disconnected) => return Ok(()),
             Err(ReadError::Refused(code)) => return refuse(gateway, connection, code).await,
         };
         let close = head.close || gateway.stop_requested.get().is_some();
-        let mut writer = ResponseWriter::new(connection.writer(), close);
+        let backlog = WriteBacklog::new(connection.writer(), &gateway.memory);
+        let mut writer = ResponseWriter::new(backlog, close);
         let responding = async {
             admitting::handle_request(gateway, &head, &body, &mut writer, arrived).await;
+            writer.finish().await.ok();
             true
         };
         // Polled first: once the caller is known to have disconnected, no further step of its
         // request may run, because that step could forward the request to a server.
         let completed = wait_for_disconnect(&mut connection).or(responding).await;
-        drop(guard);
+        drop((guard, hold));
         if !completed {
             gateway.metrics.count_result(codetable::CANCELLED);
             tracing::info!(
@@ -137,13 +141,15 @@
 }
 
 async fn read_request(
+    gateway: &Gateway,
     connection: &mut BufferedConnection,
     limits: CallerLimits,
-) -> Result<(RequestHead, Vec<u8>), ReadError> {
+) -> Result<(RequestHead, Vec<u8>, BodyHold), ReadError> {
     let bytes = time_limits::io_timeout(limits.arrival, connection.read_head(limits.head)).await?;
     let head = RequestHead::parse(&bytes.ok_or(ReadError::Disconnected)?)?;
     let mut decoder = BodyDecoder::for_request(head.length);
     let mut body = Vec::new();
+    let mut hold = BodyHold::new(&gateway.memory);
     if !decoder.is_done() && head.fields.get("expect").is_some() {
         connection.writer().write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
@@ -157,6 +163,9 @@
             if body.len() > limits.body {
                 return Err(ReadError::Refused(codetable::BODY_TOO_LARGE));
             }
+            if !hold.try_raise(body.len()) {
+                return Err(ReadError::Refused(codetable::MEMORY_FULL));
+            }
             if decoder.is_done() {
                 return Ok(());
             }
@@ -166,7 +175,7 @@
         }
     };
     match time_limits::timeout(BODY_TIMEOUT, reading).await {
-        Some(read) => read.map(|()| (head, body)),
+        Some(read) => read.map(|()| (head, body, hold)),
         None => Err(ReadError::Refused(codetable::SLOW_SENDER)),
     }
 }
@@ -178,7 +187,9 @@
 ) -> io::Result<()> {
     gateway.metrics.count_result(code);
     tracing::info!(event = "refused_unread", code = code.number());
-    let details = responding::make_refusal(code, RunState::NotRun, None);
+    let is_full = code == codetable::MEMORY_FULL;
+    let wait = is_full.then(|| FULL_DELAY.mul_f64(0.5 + fastrand::f64()));
+    let details = responding::make_refusal(code, RunState::NotRun, wait);
     connection.writer().write_all(&responding::encode_refusal(&details, true)).await?;
     close_connection(connection, true).await
 }
--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -79,7 +79,7 @@
             let details =
                 responding::make_refusal(refusal.code, RunState::NotRun, refusal.retry_after);
             // The caller may have disconnected; then nobody needs the refusal.
-            writer.send_refusal(&details).await.ok();
+            writer.send_refusal(&details).ok();
         }
     }
 }
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -314,7 +314,7 @@
             NextStep::Forward => match self.failed_response.take() {
                 Some(response) => {
                     // The caller may have disconnected; then nobody needs the response.
-                    writer.send_response(&response.head, &response.body).await.ok();
+                    writer.send_response(&response.head, &response.body).ok();
                     RequestEnd::Delivered
                 }
                 None => self.refuse(codetable::BACKEND_FAILED, writer).await,
@@ -331,7 +331,7 @@
         let wait = (run == RunState::NotRun).then_some(wait);
         let details = responding::make_refusal(code, run, wait);
         // The caller may have disconnected; then nobody needs the refusal.
-        writer.send_refusal(&details).await.ok();
+        writer.send_refusal(&details).ok();
         RequestEnd::Refused(code)
     }
 
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -10,6 +10,7 @@
 use toucanrail::silences::SilenceDetector;
 use toucanrail_wire::time_limits;
 
+use crate::buffers::BodyHold;
 use crate::liveness;
 use crate::request_context::{
     AttemptContext, AttemptResult, FailedResponse, OpenExchange, StreamState,
@@ -24,15 +25,24 @@
 /// accepted one.
 const STALL_FACTOR: u32 = 2;
 const MIN_STALL: Duration = Duration::from_secs(1);
-/// Maximum size of a body that is buffered before it is forwarded.
+/// Interval at which a response waits for memory.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+/// Maximum size of a body that is buffered before it is forwarded, and of one event of a stream.
 const MAX_BUFFERED_BODY: usize = 8 * 1024 * 1024;
 
-/// Reads a body to its end.
-pub async fn read_body(exchange: &mut OpenExchange, body: &mut Vec<u8>) -> io::Result<()> {
+/// Reads a body to its end. Waits while there is no memory for it.
+pub async fn read_body(
+    exchange: &mut OpenExchange,
+    body: &mut Vec<u8>,
+    hold: &mut BodyHold,
+) -> io::Result<()> {
     loop {
         let buffer = &mut exchange.connection.buffer;
         let consumed = exchange.decoder.feed(buffer, body);
         buffer.drain(..consumed);
+        while !hold.try_raise(body.len()) {
+            Timer::after(FULL_PAUSE).await;
+        }
         if exchange.decoder.is_done() {
             return Ok(());
         }
@@ -55,9 +65,9 @@
     stream: &mut StreamState,
 ) -> AttemptResult {
     let mut body = Vec::new();
-    match time_limits::io_timeout(context.plan.time_left(), read_body(&mut exchange, &mut body))
-        .await
-    {
+    let mut hold = BodyHold::new(&context.gateway.memory);
+    let reading = read_body(&mut exchange, &mut body, &mut hold);
+    match time_limits::io_timeout(context.plan.time_left(), reading).await {
         Ok(()) => {}
         Err(error) if error.kind() == io::ErrorKind::TimedOut => {
             return AttemptResult::Incomplete(AttemptOutcome::TimedOut);
@@ -70,7 +80,7 @@
         return AttemptResult::Failed(FailedResponse { head, body });
     }
     stream.first_byte_at = Some(Instant::now());
-    match writer.send_response(&head, &body).await {
+    match writer.send_response(&head, &body) {
         Ok(()) => AttemptResult::Complete,
         Err(_) => AttemptResult::CallerGone,
     }
@@ -108,20 +118,23 @@
             }
         }
         if exchange.decoder.is_done() {
-            return finish_stream(context, exchange, writer, stream, &pending).await;
+            return finish_stream(context, exchange, writer, stream, &pending);
         }
-        if complete_len > 0
-            && !forward_events(writer, &exchange, stream, &pending[..complete_len]).await
+        if complete_len > 0 && !forward_events(writer, &exchange, stream, &pending[..complete_len])
         {
             return AttemptResult::CallerGone;
         }
         pending.drain(..complete_len);
-        if exchange.decoder.is_malformed() {
+        if exchange.decoder.is_malformed() || pending.len() > MAX_BUFFERED_BODY {
             return AttemptResult::Incomplete(truncation_outcome(writer));
         }
-        match read_more(&mut exchange, &mut tick).await {
+        match read_more(&mut exchange, writer, &mut tick).await {
             ReadOutcome::Bytes => {}
+            ReadOutcome::CallerGone => return AttemptResult::CallerGone,
             ReadOutcome::Tick => {
+                if writer.is_stalled() {
+                    return AttemptResult::CallerGone;
+                }
                 if plan.time_left().is_zero() {
                     return AttemptResult::Incomplete(AttemptOutcome::TimedOut);
                 }
@@ -132,7 +145,7 @@
                 }
             }
             ReadOutcome::End if exchange.decoder.ends_with_connection() => {
-                return finish_stream(context, exchange, writer, stream, &pending).await;
+                return finish_stream(context, exchange, writer, stream, &pending);
             }
             ReadOutcome::End => return AttemptResult::Incomplete(truncation_outcome(writer)),
         }
@@ -140,13 +153,25 @@
 }
 
 enum ReadOutcome {
+    /// Bytes were read or taken by the caller.
     Bytes,
     Tick,
     End,
+    CallerGone,
 }
 
-async fn read_more(exchange: &mut OpenExchange, tick: &mut Timer) -> ReadOutcome {
+/// Reads more of a response, unless too much of it is kept for its caller, who takes some of that
+/// meanwhile.
+async fn read_more(
+    exchange: &mut OpenExchange,
+    writer: &mut ResponseWriter,
+    tick: &mut Timer,
+) -> ReadOutcome {
+    let may_grow = writer.may_grow();
     let reading = async {
+        if !may_grow {
+            std::future::pending::<()>().await;
+        }
         match exchange.connection.fill().await {
             Ok(count) if count > 0 => ReadOutcome::Bytes,
             Ok(_) => ReadOutcome::End,
@@ -162,14 +187,17 @@
         smol::stream::StreamExt::next(tick).await;
         ReadOutcome::Tick
     };
-    reading.or(ticking).await
+    let flushing = async {
+        if writer.flush_some().await.is_ok() { ReadOutcome::Bytes } else { ReadOutcome::CallerGone }
+    };
+    reading.or(flushing).or(ticking).await
 }
 
 fn truncation_outcome(writer: &ResponseWriter) -> AttemptOutcome {
     if writer.started { AttemptOutcome::Broken } else { AttemptOutcome::Lost }
 }
 
-async fn forward_events(
+fn forward_events(
     writer: &mut ResponseWriter,
     exchange: &OpenExchange,
     stream: &mut StreamState,
@@ -177,14 +205,14 @@
 ) -> bool {
     stream.first_byte_at.get_or_insert_with(Instant::now);
     let sent = if writer.started {
-        writer.send_events(events).await
+        writer.send_events(events)
     } else {
-        writer.start_stream(&exchange.head, events).await
+        writer.start_stream(&exchange.head, events)
     };
     sent.is_ok()
 }
 
-async fn finish_stream(
+fn finish_stream(
     context: &AttemptContext<'_, '_>,
     exchange: OpenExchange,
     writer: &mut ResponseWriter,
@@ -192,10 +220,10 @@
     remaining: &[u8],
 ) -> AttemptResult {
     stream.first_byte_at.get_or_insert_with(Instant::now);
-    if !writer.started && writer.start_stream(&exchange.head, &[]).await.is_err() {
+    if !writer.started && writer.start_stream(&exchange.head, &[]).is_err() {
         return AttemptResult::CallerGone;
     }
-    let sent = writer.finish_stream(remaining).await;
+    let sent = writer.finish_stream(remaining);
     exchange.release_connection(context.gateway, &context.target.id);
     if sent.is_ok() { AttemptResult::Complete } else { AttemptResult::CallerGone }
 }
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod accepting;
 pub mod admin;
 pub mod admitting;
+pub mod buffers;
 pub mod change_feed;
 pub mod dispatching;
 pub mod forwarding;
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -16,6 +16,7 @@
 use toucanrail_wire::heads::ResponseHead;
 use toucanrail_wire::time_limits;
 
+use crate::buffers::BodyHold;
 use crate::forwarding;
 use crate::liveness;
 use crate::request_context::{
@@ -261,9 +262,10 @@
         rest_ms = rest.map(|rest| rest.as_millis() as u64),
     );
     let mut body = Vec::new();
+    let mut hold = BodyHold::new(&gateway.memory);
     let timeout = CONNECT_TIMEOUT.min(plan.time_left());
-    let read =
-        time_limits::io_timeout(timeout, forwarding::read_body(&mut exchange, &mut body)).await;
+    let reading = forwarding::read_body(&mut exchange, &mut body, &mut hold);
+    let read = time_limits::io_timeout(timeout, reading).await;
     if read.is_ok() && status != OTHER_SERVER_STATUS {
         exchange.release_connection(gateway, &target.id);
     }
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -14,6 +14,7 @@
 use toucanrail::endpoints::EndpointTable;
 use toucanrail::evacuations::EvacuationTable;
 use toucanrail::matching::RouteTable;
+use toucanrail::memory_budgets::MemoryBudget;
 use toucanrail_daemons::metrics::ProcessMetrics;
 use toucanrail_daemons::starting::{self, ProcessClock};
 use toucanrail_platform::settings::NodeSettings;
@@ -88,6 +89,7 @@
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
     };
+    let memory = Rc::new(RefCell::new(MemoryBudget::new(settings.limits)));
     Ok(Gateway {
         settings,
         id,
@@ -99,6 +101,7 @@
         hosted_relay: RefCell::new(None),
         load_reports: ReportCache::default(),
         permit_failures: RefCell::default(),
+        memory,
         metrics,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_wire::keepalive::KeepAlivePool;
 
+use crate::buffers::SharedBudget;
 use crate::grant_manager::GrantManager;
 use crate::liveness::ReportCache;
 use crate::loan_client::LoanClient;
@@ -100,6 +101,8 @@
     pub load_reports: ReportCache,
     /// Relays that did not respond to permit requests.
     pub permit_failures: RefCell<RelayFailures>,
+    /// Bytes held for callers.
+    pub memory: SharedBudget,
 }
 
 impl Gateway {
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -407,12 +407,25 @@
 
     /// Like [`start`](Self::start), on another loopback address, as on a VM of its own.
     pub fn start_on<Script>(ip: Ipv4Addr, id: &str, script: Script) -> Self
+    where
+        Script: Fn(usize, &Message) -> Action + Send + Sync + 'static,
+    {
+        Self::start_with(ip, id, None, script)
+    }
+
+    fn start_with<Script>(
+        ip: Ipv4Addr,
+        id: &str,
+        patience: Option<Duration>,
+        script: Script,
+    ) -> Self
     where
         Script: Fn(usize, &Message) -> Action + Send + Sync + 'static,
     {
         let seen: Arc<Mutex<Vec<Message>>> = Arc::default();
         let received = Arc::clone(&seen);
         let address = spawn_server_on(ip, move |mut stream| {
+            stream.set_write_timeout(patience).expect("a timeout");
             while let Some(message) = read_message(&mut stream) {
                 let number = {
                     let mut received = received.lock().expect("requests");
@@ -438,6 +451,15 @@
         Self { id: id.to_owned(), address, seen }
     }
 
+    /// Like [`start`](Self::start), but the server resets a connection on which a response stays
+    /// unread for `patience`.
+    pub fn start_impatient<Script>(id: &str, patience: Duration, script: Script) -> Self
+    where
+        Script: Fn(usize, &Message) -> Action + Send + Sync + 'static,
+    {
+        Self::start_with(Ipv4Addr::LOCALHOST, id, Some(patience), script)
+    }
+
     /// Starts a server that responds as soon as it has read a request's head, and reads the body
     /// later.
     pub fn start_early_responder(id: &str) -> Self {
@@ -640,6 +662,15 @@
         assert!(sent.expect("kill").success());
     }
 
+    /// Returns the largest amount of memory that the process has used so far, in megabytes.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process's status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+        kilobytes / 1_024
+    }
+
     /// Waits until the process has exited. Returns whether it exited successfully.
     pub fn wait_end(&mut self) -> bool {
         let mut status = None;
--- a/toucanrail-wire/src/connections.rs
+++ b/toucanrail-wire/src/connections.rs
@@ -39,13 +39,13 @@
     /// Reads more bytes into the buffer and returns their number; 0 at the end of the connection.
     pub async fn fill(&mut self) -> io::Result<usize> {
         let buffer = &mut self.buffer;
-        let start = buffer.len();
         self.socket
             .read_with(|mut socket| {
-                buffer.resize(start + READ_SIZE, 0);
-                let read = socket.read(&mut buffer[start..]);
-                buffer.truncate(start + read.as_ref().map_or(0, |count| *count));
-                read
+                // Not read into the buffer itself: an idle connection would keep `READ_SIZE` bytes.
+                let mut chunk = [0; READ_SIZE];
+                let count = socket.read(&mut chunk)?;
+                buffer.extend_from_slice(&chunk[..count]);
+                Ok(count)
             })
             .await
     }
@@ -95,15 +95,30 @@
     /// Writes all bytes.
     pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
-            let count = self.socket.write_with(|mut socket| socket.write(bytes)).await?;
-            if count == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
-            }
+            let count = self.write_some(bytes).await?;
             bytes = &bytes[count..];
         }
         Ok(())
     }
 
+    /// Writes as many bytes as the connection takes at once, and returns their number.
+    pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        let mut socket = self.socket.get_ref();
+        match socket.write(bytes) {
+            Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
+            written => written,
+        }
+    }
+
+    /// Waits until the connection takes some of the bytes, and returns their number.
+    pub async fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
+        match self.socket.write_with(|mut socket| socket.write(bytes)).await? {
+            0 => Err(io::ErrorKind::WriteZero.into()),
+            count => Ok(count),
+        }
+    }
+
     /// Shuts down the write half: the peer reads everything written so far, then the end.
     pub fn finish(&self) -> io::Result<()> {
         self.socket.get_ref().shutdown(Shutdown::Write)
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod loans;
 pub mod matching;
 pub mod members;
+pub mod memory_budgets;
 pub mod messages;
 pub mod meters;
 pub mod mirrors;
