--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -88,11 +88,11 @@
             let probed = self.probe_servers().await;
             let Some((target, source)) = self.pick_target(&probed) else {
                 let step = self.history.final_step(self.last_outcome());
-                return self.finish(step, writer).await;
+                return self.finish(step, writer);
             };
             if !self.wait_for_permit(&target).await {
                 let step = self.history.final_step(self.last_outcome());
-                return self.finish(step, writer).await;
+                return self.finish(step, writer);
             }
             let permit = permits::request_permit(self.gateway, &target).await;
             if permit == SendPermit::Denied || self.refuses_work(&target) {
@@ -114,7 +114,7 @@
                 NextStep::Retry => self.history.final_step(outcome),
                 step => step,
             };
-            return self.finish(step, writer).await;
+            return self.finish(step, writer);
         }
     }
 
@@ -309,7 +309,7 @@
         );
     }
 
-    async fn finish(&mut self, step: NextStep, writer: &mut ResponseWriter) -> RequestEnd {
+    fn finish(&mut self, step: NextStep, writer: &mut ResponseWriter) -> RequestEnd {
         match step {
             NextStep::Forward => match self.failed_response.take() {
                 Some(response) => {
@@ -317,14 +317,14 @@
                     writer.send_response(&response.head, &response.body).ok();
                     RequestEnd::Delivered
                 }
-                None => self.refuse(codetable::BACKEND_FAILED, writer).await,
+                None => self.refuse(codetable::BACKEND_FAILED, writer),
             },
-            NextStep::Fail(code) => self.refuse(code, writer).await,
+            NextStep::Fail(code) => self.refuse(code, writer),
             NextStep::Truncate | NextStep::Retry => RequestEnd::Cut,
         }
     }
 
-    async fn refuse(&self, code: ResultCode, writer: &mut ResponseWriter) -> RequestEnd {
+    fn refuse(&self, code: ResultCode, writer: &mut ResponseWriter) -> RequestEnd {
         let run = self.history.run_state();
         let wait =
             retry_delays::pick_delay(self.refusal_cause(), self.plan.time_left(), fastrand::f64());
--- a/toucanrail-gateway/tests/slow_callers.rs
+++ b/toucanrail-gateway/tests/slow_callers.rs
@@ -109,7 +109,7 @@
         let mut caller = TcpStream::connect(gateway.callers).expect("a connection");
         let text = head.replace("r1", &format!("u{number}"));
         caller.write_all(text.as_bytes()).expect("to write");
-        caller.write_all(&[b'x'; 98_000]).ok();
+        caller.write_all(&vec![b'x'; 98_000]).ok();
         caller
     };
     let callers: Vec<TcpStream> = (0..500).map(unfinished).collect();
--- a/toucanrail/tests/board_updates.rs
+++ b/toucanrail/tests/board_updates.rs
@@ -113,7 +113,8 @@
     let mut counts = BTreeMap::new();
     for number in 0..entries {
         let boards = boards::pick_boards(&relays, &format!("front-{number}"));
-        let (board, _) = boards.into_iter().find(|(name, _)| Some(&**name) != failed).unwrap();
+        let (board, _) =
+            boards.into_iter().find(|(name, _)| Some(&**name) != failed).expect("a board");
         *counts.entry(board).or_insert(0) += 1;
     }
     counts
@@ -135,7 +136,7 @@
 fn entries_of_failed_board() {
     for (relays, entries) in [(640, 370), (2_560, 1_480)] {
         let before = count_entries(relays, entries, None);
-        let failed = before.keys().next().unwrap();
+        let failed = before.keys().next().expect("a board");
         let after = count_entries(relays, entries, Some(failed));
         let moved = before[failed];
         for (board, count) in &after {
