--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod admin;
 pub mod admitting;
 pub mod buffers;
+pub mod call_log;
 pub mod change_feed;
 pub mod dispatching;
 pub mod forwarding;
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use toucanrail_wire::connections::{BufferedConnection, ConnectionWriter};
 use toucanrail_wire::time_limits;
 
+use crate::call_log;
 use crate::change_feed::ChangeFeed;
 use crate::grant_manager::{self, GrantManager};
 use crate::listening;
@@ -57,6 +58,7 @@
     executor.spawn(lending).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&api.grant_manager))).detach();
     executor.spawn(measure_burn(Rc::clone(&api))).detach();
+    executor.spawn(call_log::log_calls()).detach();
     let report_client = api.report_client.as_ref().map(Rc::clone);
     let entry = relay_registration::new_entry(settings, settings.internal, false);
     executor
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -11,6 +11,7 @@
 use toucanrail::admissions::{AdmissionLimit, AdmissionQuery};
 use toucanrail::backends::{BackendEntry, BackendTable, FlightId};
 use toucanrail::ids::{EntryId, ServiceName};
+use toucanrail::link_gauges::LinkGauge;
 use toucanrail::matching::RouteTable;
 use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
@@ -93,7 +94,7 @@
     pub loan_client: LoanClient,
     /// Relays whose boards failed recently; not queried until their backoff ends.
     pub failed_boards: RelayBackoff,
-    /// Relays whose boards recently had no fresh data from the store.
+    /// Boards that recently had no fresh data of a kind from the store, by relay and kind.
     pub stale_boards: RelayBackoff,
     /// Relay hosted by this entry, if any.
     pub hosted_relay: RefCell<Option<Rc<RelayApi>>>,
@@ -103,6 +104,8 @@
     pub permit_failures: RefCell<RelayFailures>,
     /// Bytes held for callers.
     pub memory: SharedBudget,
+    /// Load of this VM's network link.
+    pub link: Cell<LinkGauge>,
 }
 
 impl Gateway {
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -254,7 +254,9 @@
     let query = ChangesQuery { kind: Arc::from(kind), after, wait };
     let mut stale = false;
     for (board, address) in available {
-        if gateway.stale_boards.is_active(board, gateway.now()) {
+        // A board watches each kind by itself, and may be stale in one of them only.
+        let stale_key: RelayName = Arc::from(format!("{board} {kind}"));
+        if gateway.stale_boards.is_active(&stale_key, gateway.now()) {
             stale = true;
             continue;
         }
@@ -270,7 +272,7 @@
             }
             Ok(ChangesReply::Stale) => {
                 tracing::info!(event = "board_stale", %board, kind);
-                gateway.stale_boards.back_off_for(board, gateway.now(), STALE_BACKOFF);
+                gateway.stale_boards.back_off_for(&stale_key, gateway.now(), STALE_BACKOFF);
                 stale = true;
                 continue;
             }
@@ -347,16 +349,20 @@
                 let mut tables = gateway.tables.borrow_mut();
                 let known = tables.backends.get(&entry.id).map(|row| row.entry.clone());
                 if known.as_ref() != Some(&entry) {
-                    tracing::info!(
-                        event = "server_entry", server = %entry.id, service = %entry.service,
-                        address = %entry.address, draining = entry.draining,
-                        cold_ms = entry.cold.as_millis() as u64, revision = object.version,
-                    );
+                    let is_listed = tables.backends.is_listed();
                     let restarted =
                         known.as_ref().is_some_and(|known| known.started_at != entry.started_at);
                     if restarted || entry.draining {
                         gateway.connections.evict(&entry.id);
                     }
+                    // The first listing would make as many lines as the fleet has servers.
+                    if is_listed {
+                        tracing::info!(
+                            event = "server_entry", server = %entry.id, service = %entry.service,
+                            address = %entry.address, draining = entry.draining,
+                            cold_ms = entry.cold.as_millis() as u64, revision = object.version,
+                        );
+                    }
                 }
                 // The remaining cold time of an entry that a listing repeats was stated some time
                 // ago.
@@ -407,6 +413,7 @@
             self.record_missing(gateway, id);
         }
         gateway.tables.borrow_mut().backends.mark_listed();
+        tracing::info!(event = "servers_listed", servers = listed.len(), known = known.len());
     }
 
     fn apply_change(&mut self, gateway: &Gateway, change: &MirrorChange) {
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -560,8 +560,14 @@
     /// Starts a gateway with evacuations and limits for cold servers turned on, and waits until it
     /// is ready.
     pub fn start_with_limits(store: &Store) -> Self {
+        Self::start_with_settings(store, LIMIT_SETTINGS)
+    }
+
+    /// Starts a gateway with more lines of settings, which begin in the table of bounds, and waits
+    /// until it is ready.
+    pub fn start_with_settings(store: &Store, settings: &str) -> Self {
         let program = env!("CARGO_BIN_EXE_toucanrail-gateway");
-        let process = Self::start_with(program, store.address, "front-1", None, LIMIT_SETTINGS);
+        let process = Self::start_with(program, store.address, "front-1", None, settings);
         process.wait_ready(true);
         process
     }
