Boards gather changes before they ask again; starting processes list one page of relays

Change: a board pauses after a watch with changes, 50 ms for the configuration, 150 ms for servers, 500 ms for relays and evacuations; a relay wraps around only if fewer than 16 relays follow its name; an entry that starts lists one page, which is enough to find boards.

--- a/toucanrail-gateway/src/change_feed.rs
+++ b/toucanrail-gateway/src/change_feed.rs
@@ -22,6 +22,11 @@
 const WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Long-poll wait of a watch on evacuations and relays, which may take longer to come into force.
 const SLOW_WAIT: Duration = Duration::from_millis(1_500);
+/// Pause after a watch that returned changes, by kind. Many servers register or change at the same
+/// time; the changes within the pause share one call, and one reply to each entry.
+const CONFIG_PAUSE: Duration = Duration::from_millis(50);
+const SERVER_PAUSE: Duration = Duration::from_millis(150);
+const SLOW_PAUSE: Duration = Duration::from_millis(500);
 /// Added to the wait before a watch counts as unanswered, and before the board counts as stale.
 const RESPONSE_SLACK: Duration = Duration::from_millis(300);
 const STALE_SLACK: Duration = Duration::from_millis(400);
@@ -37,6 +42,8 @@
 struct KindBoard {
     /// Long-poll wait of one watch.
     wait: Duration,
+    /// Pause after a watch that returned changes.
+    pause: Duration,
     table: RefCell<BoardTable>,
     /// Time of the last query.
     queried_at: Cell<Duration>,
@@ -45,19 +52,19 @@
 }
 
 impl KindBoard {
-    fn new(wait: Duration) -> Self {
-        let table = RefCell::new(Self::empty_table(wait));
+    fn new(wait: Duration, pause: Duration) -> Self {
+        let table = RefCell::new(Self::empty_table(wait, pause));
         let (queried_at, watching) = (Cell::default(), Cell::default());
-        Self { wait, table, queried_at, watching, changed: Event::new() }
+        Self { wait, pause, table, queried_at, watching, changed: Event::new() }
     }
 
-    fn empty_table(wait: Duration) -> BoardTable {
-        BoardTable::with_max_age(wait + STALE_SLACK)
+    fn empty_table(wait: Duration, pause: Duration) -> BoardTable {
+        BoardTable::with_max_age(wait + pause + STALE_SLACK)
     }
 
     /// Discards the copy; the next watch begins with a listing.
     fn clear(&self) {
-        *self.table.borrow_mut() = Self::empty_table(self.wait);
+        *self.table.borrow_mut() = Self::empty_table(self.wait, self.pause);
     }
 }
 
@@ -73,12 +80,12 @@
     /// Creates the boards. Watching begins with the first query.
     pub fn new(store: Rc<StoreAccess>, executor: Rc<LocalExecutor<'static>>) -> Self {
         let kinds = [
-            (names::CONFIG_KIND, WATCH_WAIT),
-            (names::SERVER_KIND, WATCH_WAIT),
-            (names::EVACUATION_KIND, SLOW_WAIT),
-            (RELAY_KIND, SLOW_WAIT),
+            (names::CONFIG_KIND, WATCH_WAIT, CONFIG_PAUSE),
+            (names::SERVER_KIND, WATCH_WAIT, SERVER_PAUSE),
+            (names::EVACUATION_KIND, SLOW_WAIT, SLOW_PAUSE),
+            (RELAY_KIND, SLOW_WAIT, SLOW_PAUSE),
         ];
-        let boards = kinds.map(|(kind, wait)| (kind, Rc::new(KindBoard::new(wait))));
+        let boards = kinds.map(|(kind, wait, pause)| (kind, Rc::new(KindBoard::new(wait, pause))));
         Self { store, executor, boards: boards.into() }
     }
 
@@ -128,6 +135,7 @@
             Ok(false) => {}
             Ok(true) => {
                 board.changed.notify(usize::MAX);
+                smol::Timer::after(board.pause).await;
             }
             Err(StoreError::HistoryExpired) => {
                 board.clear();
--- a/toucanrail-gateway/src/relay_listing.rs
+++ b/toucanrail-gateway/src/relay_listing.rs
@@ -41,6 +41,9 @@
 /// Mean interval between a relay's listings of detours, which cost the store as much as the fleet
 /// has relays. It is varied by up to half.
 const DETOUR_LIST_INTERVAL: Duration = Duration::from_secs(60);
+/// Minimum number of detours; a relay with fewer behind it in the order of names lists the first
+/// ones instead.
+const MIN_DETOURS: usize = 16;
 /// Mean time from a relay's start to its first listing; other relays register meanwhile.
 const FIRST_DETOUR_LISTING: Duration = Duration::from_secs(3);
 
@@ -63,9 +66,7 @@
                 revision = apply_update(store, update).or(revision);
                 BOARD_PAUSE
             }
-            BoardOutcome::Unavailable
-                if is_due && store.list_relays(ListFreshness::Stale).await =>
-            {
+            BoardOutcome::Unavailable if is_due && list_from_store(&gateway).await => {
                 listed_at = Some(gateway.now());
                 revision = None;
                 FAILURE_PAUSE
@@ -76,6 +77,20 @@
     }
 }
 
+/// Lists the relays from the store: all of them, unless the first ones are enough to find boards,
+/// which know the rest. Returns whether the store responded.
+async fn list_from_store(gateway: &Gateway) -> bool {
+    let store = &gateway.store;
+    if store.relay_count() > 0 {
+        return store.list_relays(ListFreshness::Stale).await;
+    }
+    let listed = store.list_some_relays(None).await;
+    if !listed || store_watch::uses_boards(gateway) {
+        return listed;
+    }
+    store.list_relays(ListFreshness::Stale).await
+}
+
 /// Returns the interval between listings at the store while no board responds.
 fn list_interval(gateway: &Gateway) -> Duration {
     let store = &gateway.store;
@@ -110,7 +125,10 @@
     let mut pause = FIRST_DETOUR_LISTING;
     loop {
         smol::Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
-        let listed = store.list_relays_after(&vm).await;
+        let mut listed = store.list_some_relays(Some(&vm)).await;
+        if listed && store.relay_count() < MIN_DETOURS {
+            listed = store.list_some_relays(None).await;
+        }
         pause = if listed { DETOUR_LIST_INTERVAL } else { FIRST_DETOUR_LISTING };
     }
 }
--- a/toucanrail-gateway/src/store_access.rs
+++ b/toucanrail-gateway/src/store_access.rs
@@ -160,14 +160,14 @@
         self.apply_relay_listing(listed)
     }
 
-    /// Lists the relays that follow `name` in the order of names, up to one page. Returns whether
-    /// the store responded.
+    /// Lists the relays that follow `after` in the order of names, or the first ones, up to one
+    /// page. Returns whether the store responded.
     ///
-    /// For a process that needs a few relays only: if each relay listed all others, the listings
+    /// For a process that needs a few relays only: if each process listed all of them, the listings
     /// would grow with the square of the fleet.
-    pub async fn list_relays_after(&self, name: &str) -> bool {
+    pub async fn list_some_relays(&self, after: Option<&str>) -> bool {
         let (endpoint, address) = self.endpoints.borrow().current();
-        let listed = self.client.list_from(address, RELAY_KIND, name, PROBE_TIMEOUT).await;
+        let listed = self.client.list_some(address, RELAY_KIND, after, PROBE_TIMEOUT).await;
         self.record_endpoint_result(&endpoint, &listed);
         self.apply_relay_listing(listed)
     }
