Revert the refusals by link load; test programs reserve their range of ports

Hypothesis: a caller that is refused at once by an entry with a full link is served by another entry. The customer's next attempts come back to the same entry (250 refusals a second at front-regina-a-7, none elsewhere until it leaves the rotation at 18 s, then at a-6 alone), so that nothing is gained by refusing them. Open: one client of 166 requests a second fills the 10 Mbit/s link of the entry it is hashed to.

The ranges of ports of two test programs could be the same (process id modulo 200); each program now keeps its range by a socket.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -8,11 +8,9 @@
 use toucanrail::admissions::AdmissionQuery;
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
-use toucanrail::link_gauges::LinkCounts;
 use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail_platform::requests::{self, RequestInfo};
-use toucanrail_wire::connections;
 use toucanrail_wire::heads::RequestHead;
 
 use crate::dispatching;
@@ -32,8 +30,6 @@
 /// A caller whose timeout is below this fraction of the route's timeout is taken to be retrying
 /// after an earlier refusal.
 const RETURNED_TIME_RATIO: f64 = 0.9;
-/// Interval at which the load of the VM's network link is measured.
-const LINK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time a stopped entry needs to restart; used in `Retry-After` in case the balancer knows no other
 /// entry.
 const RESTART_DELAY: Duration = Duration::from_millis(700);
@@ -132,28 +128,11 @@
     Err(AdmissionRefusal { code: codetable::STOPPING, retry_after: Some(grace + RESTART_DELAY) })
 }
 
-/// Measures the load of this VM's network link at regular intervals.
-pub async fn measure_link(gateway: Rc<Gateway>) {
-    loop {
-        smol::Timer::after(LINK_INTERVAL).await;
-        let (received, sent) = connections::transferred_bytes();
-        let mut link = gateway.link.get();
-        link.record_counts(LinkCounts { received, sent }, gateway.now());
-        gateway.link.set(link);
-    }
-}
-
-/// Refuses a request at once if the servers cannot start it in time, or if this VM's link is full.
+/// Refuses a request at once if the servers cannot start it in time.
 fn check_load(gateway: &Gateway, plan: &RequestPlan<'_>) -> Result<(), AdmissionRefusal> {
     let timeout = plan.info.timeout.unwrap_or(plan.route.timeout);
     let returned = timeout < plan.route.timeout.mul_f64(RETURNED_TIME_RATIO);
     let query = AdmissionQuery { rank: plan.urgency, returned };
-    let link = gateway.link.get();
-    if !returned && !link.admits(fastrand::f64()) {
-        tracing::info!(event = "link_refused", request = %plan.info.id, load = link.load());
-        let wait = retry_delays::pick_delay(RefusalCause::BusyEntry, timeout, fastrand::f64());
-        return Err(AdmissionRefusal { code: codetable::LINK_FULL, retry_after: Some(wait) });
-    }
     if gateway.admits(&plan.service, query) {
         return Ok(());
     }
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -13,7 +13,6 @@
 use toucanrail::backends::BackendTable;
 use toucanrail::endpoints::EndpointTable;
 use toucanrail::evacuations::EvacuationTable;
-use toucanrail::link_gauges::LinkGauge;
 use toucanrail::matching::RouteTable;
 use toucanrail::memory_budgets::MemoryBudget;
 use toucanrail_daemons::metrics::ProcessMetrics;
@@ -24,7 +23,6 @@
 
 use crate::accepting;
 use crate::admin;
-use crate::admitting;
 use crate::call_log;
 use crate::grant_manager::{self, GrantManager};
 use crate::hosting;
@@ -66,7 +64,6 @@
     executor.spawn(store_watch::watch_evacuations(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::sweep(Rc::clone(&shared))).detach();
     executor.spawn(call_log::log_calls()).detach();
-    executor.spawn(admitting::measure_link(Rc::clone(&shared))).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
     executor.spawn(hosting::host_relay(Rc::clone(&shared))).detach();
@@ -94,7 +91,6 @@
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
     };
-    let link = Cell::new(LinkGauge::new(settings.link_capacity));
     let memory = Rc::new(RefCell::new(MemoryBudget::new(settings.limits)));
     Ok(Gateway {
         settings,
@@ -108,7 +104,6 @@
         load_reports: ReportCache::default(),
         permit_failures: RefCell::default(),
         memory,
-        link,
         metrics,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -11,7 +11,6 @@
 use toucanrail::admissions::{AdmissionLimit, AdmissionQuery};
 use toucanrail::backends::{BackendEntry, BackendTable, FlightId};
 use toucanrail::ids::{EntryId, ServiceName};
-use toucanrail::link_gauges::LinkGauge;
 use toucanrail::matching::RouteTable;
 use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
@@ -104,8 +103,6 @@
     pub permit_failures: RefCell<RelayFailures>,
     /// Bytes held for callers.
     pub memory: SharedBudget,
-    /// Load of this VM's network link.
-    pub link: Cell<LinkGauge>,
 }
 
 impl Gateway {
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -9,11 +9,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, LazyLock, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -41,10 +41,24 @@
 /// Number of consecutive ports on which one process is reached by other processes.
 const INTERNAL_PORTS: u16 = 3;
 
+/// The first port of this program's range, and the socket that keeps other programs from using the
+/// same range.
+///
+/// Two programs with the same range could take each other's processes for their own: both find a
+/// port free, one of their gateways cannot bind it and exits, and its test goes on with the
+/// other's.
+static PORT_RANGE: LazyLock<(UdpSocket, u16)> = LazyLock::new(|| {
+    let first = std::process::id() % PORT_BLOCKS;
+    let blocks = (first..PORT_BLOCKS).chain(0..first);
+    let bases = blocks.map(|block| PORT_BASE + block as u16 * PORT_COUNT);
+    let reserve = |base: u16| Some((UdpSocket::bind(("127.0.0.1", base)).ok()?, base));
+    bases.into_iter().find_map(reserve).expect("a range of ports")
+});
+
 /// Returns the first of `count` consecutive ports on which nothing listens.
 fn free_ports(count: u16) -> u16 {
     loop {
-        let base = PORT_BASE + (std::process::id() % PORT_BLOCKS) as u16 * PORT_COUNT;
+        let (_, base) = &*PORT_RANGE;
         let port = base + NEXT_PORT.fetch_add(count, Ordering::Relaxed) % (PORT_COUNT - count);
         let free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
         if (port..port + count).all(free) {
--- a/toucanrail/src/retry_delays.rs
+++ b/toucanrail/src/retry_delays.rs
@@ -13,9 +13,6 @@
 const JITTER: f64 = 0.3;
 /// Delay if another entry can serve the caller.
 const OTHER_ENTRY_DELAY: Duration = Duration::from_millis(500);
-/// Maximum delay if only this entry is busy. A caller's next attempt reaches another one, so that
-/// the delay need not outlast the cause.
-const BUSY_ENTRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay if the budget is granted elsewhere or a write was lost.
 const GRANT_DELAY: Duration = Duration::from_millis(800);
 /// Minimum and spread of the delay after servers declined.
@@ -27,8 +24,6 @@
 pub enum RefusalCause {
     /// This entry lacks information or is cut off, while other entries are not.
     Uninformed,
-    /// This entry is busy, while the servers are not.
-    BusyEntry,
     /// The servers cannot begin the request in time.
     Overload,
     /// The customer's budget cannot be confirmed at the moment.
@@ -59,7 +54,6 @@
     let longest = left.mul_f64(MAX_FRACTION);
     let delay = match cause {
         RefusalCause::Uninformed => OTHER_ENTRY_DELAY,
-        RefusalCause::BusyEntry => BUSY_ENTRY_DELAY.mul_f64(random),
         RefusalCause::Overload | RefusalCause::Outage => longest.mul_f64(1.0 - JITTER * random),
         RefusalCause::Unconfirmed => GRANT_DELAY.mul_f64(0.75 + 0.5 * random),
         RefusalCause::Declined => MIN_DECLINED_DELAY + DECLINED_JITTER.mul_f64(random),
