Leave the rotation when the link is full, so that heavy callers move

Refusing does not help, since retries come back.

Change: an entry whose link was over 0.75 of its stated capacity for 0.6 s is not ready for 30 s, and closes connections after their responses while the load is above 0.4.

Test: link_load plays the caller over small and large entries until it stays.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -89,7 +89,9 @@
             Err(ReadError::Disconnected) => return Ok(()),
             Err(ReadError::Refused(code)) => return refuse(gateway, connection, code).await,
         };
-        let close = head.close || gateway.stop_requested.get().is_some();
+        let close = head.close
+            || gateway.stop_requested.get().is_some()
+            || gateway.link.closes_connections(gateway.now());
         let backlog = WriteBacklog::new(connection.writer(), &gateway.memory);
         let mut writer = ResponseWriter::new(backlog, close);
         let responding = async {
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod grant_manager;
 pub mod hosting;
 pub mod launching;
+pub mod link_load;
 pub mod listening;
 pub mod liveness;
 pub mod loan_client;
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -26,6 +26,7 @@
 use crate::call_log;
 use crate::grant_manager::{self, GrantManager};
 use crate::hosting;
+use crate::link_load::{self, LinkLoad};
 use crate::liveness::ReportCache;
 use crate::loan_client::{self, LoanClient};
 use crate::relay_client::RelayBackoff;
@@ -64,6 +65,7 @@
     executor.spawn(store_watch::watch_evacuations(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::sweep(Rc::clone(&shared))).detach();
     executor.spawn(call_log::log_calls()).detach();
+    executor.spawn(link_load::measure(Rc::clone(&shared))).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
     executor.spawn(hosting::host_relay(Rc::clone(&shared))).detach();
@@ -91,6 +93,7 @@
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
     };
+    let link = LinkLoad::new(settings.link_capacity);
     let memory = Rc::new(RefCell::new(MemoryBudget::new(settings.limits)));
     Ok(Gateway {
         settings,
@@ -104,6 +107,7 @@
         load_reports: ReportCache::default(),
         permit_failures: RefCell::default(),
         memory,
+        link,
         metrics,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -25,6 +25,7 @@
 
 use crate::buffers::SharedBudget;
 use crate::grant_manager::GrantManager;
+use crate::link_load::LinkLoad;
 use crate::liveness::ReportCache;
 use crate::loan_client::LoanClient;
 use crate::relay_api::RelayApi;
@@ -103,6 +104,8 @@
     pub permit_failures: RefCell<RelayFailures>,
     /// Bytes held for callers.
     pub memory: SharedBudget,
+    /// Load of this VM's network link.
+    pub link: LinkLoad,
 }
 
 impl Gateway {
@@ -121,7 +124,8 @@
         let is_informed = tables.routes.version() > 0
             && tables.backends.is_listed()
             && tables.backends.evacuations.is_known();
-        is_informed && self.stop_requested.get().is_none() && !self.is_isolated()
+        let is_available = !self.is_isolated() && !self.link.is_away(self.now());
+        is_informed && self.stop_requested.get().is_none() && is_available
     }
 
     /// Returns whether this entry reaches neither lenders nor the store, directly or through a
--- a/toucanrail-wire/src/connections.rs
+++ b/toucanrail-wire/src/connections.rs
@@ -1,5 +1,6 @@
 //! A TCP connection with a read buffer, for messages that are forwarded as they arrive.
 
+use std::cell::Cell;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -11,6 +12,31 @@
 /// events.
 const READ_SIZE: usize = 16 * 1024;
 
+thread_local! {
+    /// Bytes that all connections of this thread have received and sent.
+    static TRANSFERRED: Cell<(u64, u64)> = const { Cell::new((0, 0)) };
+}
+
+/// Returns the bytes that all connections of this thread have received and sent.
+///
+/// # Examples
+/// ```
+/// assert_eq!(toucanrail_wire::connections::transferred_bytes(), (0, 0));
+/// ```
+pub fn transferred_bytes() -> (u64, u64) {
+    TRANSFERRED.get()
+}
+
+fn count_received(count: usize) {
+    let (received, sent) = TRANSFERRED.get();
+    TRANSFERRED.set((received + count as u64, sent));
+}
+
+fn count_sent(count: usize) {
+    let (received, sent) = TRANSFERRED.get();
+    TRANSFERRED.set((received, sent + count as u64));
+}
+
 /// A connection and the bytes read from it that have not been consumed yet.
 #[derive(Debug)]
 pub struct BufferedConnection {
@@ -45,6 +71,7 @@
                 let mut chunk = [0; READ_SIZE];
                 let count = socket.read(&mut chunk)?;
                 buffer.extend_from_slice(&chunk[..count]);
+                count_received(count);
                 Ok(count)
             })
             .await
@@ -107,7 +134,11 @@
         match socket.write(bytes) {
             Ok(0) => Err(io::ErrorKind::WriteZero.into()),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
-            written => written,
+            Err(error) => Err(error),
+            Ok(count) => {
+                count_sent(count);
+                Ok(count)
+            }
         }
     }
 
@@ -115,7 +146,10 @@
     pub async fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
         match self.socket.write_with(|mut socket| socket.write(bytes)).await? {
             0 => Err(io::ErrorKind::WriteZero.into()),
-            count => Ok(count),
+            count => {
+                count_sent(count);
+                Ok(count)
+            }
         }
     }
 
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod ids;
 pub mod ledgers;
 pub mod limits;
+pub mod link_gauges;
 pub mod loans;
 pub mod matching;
 pub mod members;
