--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -35,6 +35,8 @@
 const BOARD_SLACK: Duration = Duration::from_millis(400);
 /// Time within which a board must have failed for the next one to be queried, rather than the store.
 const QUICK_FAILURE: Duration = Duration::from_millis(250);
+/// Maximum number of boards queried before the store is.
+const MAX_BOARDS_QUERIED: usize = 4;
 /// Maximum wait of a starting entry for the list of relays. Without them it finds no board.
 const MAX_RELAYS_WAIT: Duration = Duration::from_secs(3);
 /// Time for which a board that gets no responses from the store is not queried.
@@ -253,7 +255,7 @@
         boards.iter().filter(|(name, _)| !gateway.failed_boards.is_active(name, gateway.now()));
     let query = ChangesQuery { kind: Arc::from(kind), after, wait };
     let mut stale = false;
-    for (board, address) in available {
+    for (board, address) in available.take(MAX_BOARDS_QUERIED) {
         // A board watches each kind by itself, and may be stale in one of them only.
         let stale_key: RelayName = Arc::from(format!("{board} {kind}"));
         if gateway.stale_boards.is_active(&stale_key, gateway.now()) {
