--- a/toucanrail/src/link_gauges.rs
+++ b/toucanrail/src/link_gauges.rs
@@ -12,11 +12,11 @@
 const AVERAGING_TIME: Duration = Duration::from_millis(500);
 /// Load, as a fraction of the capacity, from which a link counts as full. Packet heads and
 /// acknowledgements are not counted in the load.
-const FULL_LOAD: f64 = 0.75;
+const FULL_LOAD: f64 = 0.85;
 /// Load above which an entry that has left the rotation still closes callers' connections.
 const CLOSING_LOAD: f64 = 0.4;
 /// Time for which a link must be full before its entry leaves the rotation.
-const FULL_TIME: Duration = Duration::from_millis(600);
+const FULL_TIME: Duration = Duration::from_secs(1);
 /// Time for which the entry stays out of rotation. Its callers would otherwise return as soon as
 /// they have moved.
 const AWAY_TIME: Duration = Duration::from_secs(30);
