--- a/toucanrail-gateway/src/buffers.rs
+++ b/toucanrail-gateway/src/buffers.rs
@@ -16,6 +16,10 @@
 /// for each.
 const CHUNK_SIZE: usize = 4 * 1024;
 
+/// Time for which a caller must lag before its response is read on. A shorter lag holds the server
+/// back, which leaves a full link to other messages.
+const READ_ON_DELAY: Duration = Duration::from_millis(500);
+
 /// Bytes of a request or a response body that count against the memory budget until dropped.
 #[derive(Debug)]
 pub struct BodyHold {
@@ -55,14 +59,18 @@
     /// Number of bytes of the first chunk that the caller has taken.
     taken: usize,
     len: usize,
+    /// Since when there has been a backlog without interruption.
+    lagging_since: Instant,
     progressed_at: Instant,
 }
 
 impl WriteBacklog {
     /// Creates an empty backlog of a connection.
     pub fn new(connection: ConnectionWriter, budget: &SharedBudget) -> Self {
-        let (chunks, progressed_at) = (VecDeque::new(), Instant::now());
-        Self { connection, budget: Rc::clone(budget), chunks, taken: 0, len: 0, progressed_at }
+        let (chunks, now) = (VecDeque::new(), Instant::now());
+        let (lagging_since, progressed_at) = (now, now);
+        let budget = Rc::clone(budget);
+        Self { connection, budget, chunks, taken: 0, len: 0, lagging_since, progressed_at }
     }
 
     /// Returns whether the caller has taken everything.
@@ -72,7 +80,15 @@
 
     /// Returns whether more of the response may be read from its server.
     pub fn may_grow(&self) -> bool {
-        self.budget.borrow().may_read_on(self.len)
+        let lags = self.lagging_since.elapsed() > READ_ON_DELAY;
+        self.is_empty() || (lags && self.budget.borrow().may_read_on(self.len))
+    }
+
+    /// Discards what the caller has not taken.
+    pub fn clear(&mut self) {
+        self.budget.borrow_mut().release(self.len);
+        self.chunks.clear();
+        (self.len, self.taken) = (0, 0);
     }
 
     /// Returns for how long the caller has taken nothing although there is something to take.
@@ -88,7 +104,8 @@
             return Ok(());
         }
         if self.is_empty() {
-            self.progressed_at = Instant::now();
+            let now = Instant::now();
+            (self.lagging_since, self.progressed_at) = (now, now);
         }
         self.keep(bytes, written);
         Ok(())
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -132,7 +132,7 @@
             ReadOutcome::Bytes => {}
             ReadOutcome::CallerGone => return AttemptResult::CallerGone,
             ReadOutcome::Tick => {
-                if writer.is_stalled() {
+                if writer.give_up_if_stalled() {
                     return AttemptResult::CallerGone;
                 }
                 if plan.time_left().is_zero() {
--- a/toucanrail-gateway/src/responding.rs
+++ b/toucanrail-gateway/src/responding.rs
@@ -39,9 +39,13 @@
         self.backlog.may_grow()
     }
 
-    /// Returns whether the caller has taken nothing for too long.
-    pub fn is_stalled(&self) -> bool {
-        self.backlog.stalled_for() > STALL_TIMEOUT
+    /// Gives the response up if the caller has taken nothing for too long. Returns whether it has.
+    pub fn give_up_if_stalled(&mut self) -> bool {
+        let stalled = self.backlog.stalled_for() > STALL_TIMEOUT;
+        if stalled {
+            self.backlog.clear();
+        }
+        stalled
     }
 
     /// Waits until the caller takes some of the bytes that are kept for it; forever if there are
