--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -34,6 +34,8 @@
 pub mod accepting;
 pub mod admin;
 pub mod admitting;
+pub mod buffers;
+pub mod call_log;
 pub mod change_feed;
 pub mod dispatching;
 pub mod forwarding;
@@ -48,6 +50,7 @@
 pub mod relay;
 pub mod relay_api;
 pub mod relay_client;
+pub mod relay_listing;
 pub mod relay_registration;
 pub mod report_client;
 pub mod request_context;
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -14,6 +14,7 @@
 use toucanrail::endpoints::EndpointTable;
 use toucanrail::evacuations::EvacuationTable;
 use toucanrail::matching::RouteTable;
+use toucanrail::memory_budgets::MemoryBudget;
 use toucanrail_daemons::metrics::ProcessMetrics;
 use toucanrail_daemons::starting::{self, ProcessClock};
 use toucanrail_platform::settings::NodeSettings;
@@ -22,14 +23,16 @@
 
 use crate::accepting;
 use crate::admin;
+use crate::call_log;
 use crate::grant_manager::{self, GrantManager};
 use crate::hosting;
 use crate::liveness::ReportCache;
 use crate::loan_client::{self, LoanClient};
 use crate::relay_client::RelayBackoff;
+use crate::relay_listing;
 use crate::state::{Gateway, GatewayTables};
 use crate::stopping;
-use crate::store_access::{self, StoreAccess, UNMEASURED_LIST_INTERVAL};
+use crate::store_access::{self, StoreAccess};
 use crate::store_watch;
 use crate::tuning::GatewayTuning;
 
@@ -53,16 +56,14 @@
     executor.spawn(accepting::serve_callers(Rc::clone(&shared), callers)).detach();
     executor.spawn(admin::serve_admin(Rc::clone(&shared), readiness)).detach();
     executor.spawn(admin::serve_admin(Rc::clone(&shared), internal)).detach();
-    let maintaining = store_access::maintain_endpoint(
-        Rc::clone(&shared.store),
-        shared.settings.store,
-        UNMEASURED_LIST_INTERVAL,
-    );
-    executor.spawn(maintaining).detach();
+    let probing = store_access::probe_endpoint(Rc::clone(&shared.store), shared.settings.store);
+    executor.spawn(probing).detach();
+    executor.spawn(relay_listing::watch_relays(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_config(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_servers(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_evacuations(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::sweep(Rc::clone(&shared))).detach();
+    executor.spawn(call_log::log_calls()).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
     executor.spawn(hosting::host_relay(Rc::clone(&shared))).detach();
@@ -90,6 +91,7 @@
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
     };
+    let memory = Rc::new(RefCell::new(MemoryBudget::new(settings.limits)));
     Ok(Gateway {
         settings,
         id,
@@ -101,6 +103,7 @@
         hosted_relay: RefCell::new(None),
         load_reports: ReportCache::default(),
         permit_failures: RefCell::default(),
+        memory,
         metrics,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use toucanrail_platform::settings::NodeSettings;
 use toucanrail_wire::keepalive::KeepAlivePool;
 
+use crate::buffers::SharedBudget;
 use crate::grant_manager::GrantManager;
 use crate::liveness::ReportCache;
 use crate::loan_client::LoanClient;
@@ -92,7 +93,7 @@
     pub loan_client: LoanClient,
     /// Relays whose boards failed recently; not queried until their backoff ends.
     pub failed_boards: RelayBackoff,
-    /// Relays whose boards recently had no fresh data from the store.
+    /// Boards that recently had no fresh data of a kind from the store, by relay and kind.
     pub stale_boards: RelayBackoff,
     /// Relay hosted by this entry, if any.
     pub hosted_relay: RefCell<Option<Rc<RelayApi>>>,
@@ -100,6 +101,8 @@
     pub load_reports: ReportCache,
     /// Relays that did not respond to permit requests.
     pub permit_failures: RefCell<RelayFailures>,
+    /// Bytes held for callers.
+    pub memory: SharedBudget,
 }
 
 impl Gateway {
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -9,11 +9,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, LazyLock, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -41,10 +41,24 @@
 /// Number of consecutive ports on which one process is reached by other processes.
 const INTERNAL_PORTS: u16 = 3;
 
+/// The first port of this program's range, and the socket that keeps other programs from using the
+/// same range.
+///
+/// Two programs with the same range could take each other's processes for their own: both find a
+/// port free, one of their gateways cannot bind it and exits, and its test goes on with the
+/// other's.
+static PORT_RANGE: LazyLock<(UdpSocket, u16)> = LazyLock::new(|| {
+    let first = std::process::id() % PORT_BLOCKS;
+    let blocks = (first..PORT_BLOCKS).chain(0..first);
+    let bases = blocks.map(|block| PORT_BASE + block as u16 * PORT_COUNT);
+    let reserve = |base: u16| Some((UdpSocket::bind(("127.0.0.1", base)).ok()?, base));
+    bases.into_iter().find_map(reserve).expect("a range of ports")
+});
+
 /// Returns the first of `count` consecutive ports on which nothing listens.
 fn free_ports(count: u16) -> u16 {
     loop {
-        let base = PORT_BASE + (std::process::id() % PORT_BLOCKS) as u16 * PORT_COUNT;
+        let (_, base) = &*PORT_RANGE;
         let port = base + NEXT_PORT.fetch_add(count, Ordering::Relaxed) % (PORT_COUNT - count);
         let free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
         if (port..port + count).all(free) {
@@ -139,6 +153,8 @@
     events: Vec<(u64, String, Value)>,
     /// Revision up to which the history has been discarded.
     discarded_until: u64,
+    /// Objects that listings from a stale copy show, if not the current ones.
+    copy: Option<BTreeMap<(String, String), (u64, Value)>>,
 }
 
 /// A fake of the platform's store.
@@ -152,6 +168,8 @@
     cut_off: Arc<AtomicBool>,
     blocked: Arc<Mutex<BTreeSet<String>>>,
     watches: Arc<AtomicU64>,
+    /// Listings of the relays by gateways, and by relays.
+    listings: [Arc<AtomicU64>; 2],
 }
 
 impl Store {
@@ -161,10 +179,12 @@
         let cut_off = Arc::new(AtomicBool::new(false));
         let blocked: Arc<Mutex<BTreeSet<String>>> = Arc::default();
         let watches: Arc<AtomicU64> = Arc::default();
+        let listings: [Arc<AtomicU64>; 2] = Default::default();
         let serve = |cut_off: Option<Arc<AtomicBool>>| {
             let state = Arc::clone(&state);
             let blocked = Arc::clone(&blocked);
             let watches = Arc::clone(&watches);
+            let listings = Arc::clone(&listings[usize::from(cut_off.is_none())]);
             spawn_server(move |mut stream| {
                 while let Some(message) = read_message(&mut stream) {
                     if cut_off.as_ref().is_some_and(|flag| flag.load(Ordering::Relaxed)) {
@@ -175,6 +195,8 @@
                     }
                     if cut_off.is_some() && message.target().contains("watch=") {
                         watches.fetch_add(1, Ordering::Relaxed);
+                    } else if message.target().starts_with("/api/objects/relays?") {
+                        listings.fetch_add(1, Ordering::Relaxed);
                     }
                     let (status, body) = handle_store_request(&state, &message);
                     let body = body.to_string();
@@ -188,7 +210,7 @@
         };
         let address = serve(Some(Arc::clone(&cut_off)));
         let relay_address = serve(None);
-        Self { state, address, relay_address, cut_off, blocked, watches }
+        Self { state, address, relay_address, cut_off, blocked, watches, listings }
     }
 
     /// Returns the store with proxies in front of its address for gateways and its address for
@@ -241,6 +263,17 @@
         self.watches.load(Ordering::Relaxed)
     }
 
+    /// Returns how often gateways, and relays, have listed the relays.
+    pub fn relay_listing_counts(&self) -> [u64; 2] {
+        [&self.listings[0], &self.listings[1]].map(|count| count.load(Ordering::Relaxed))
+    }
+
+    /// From now on, listings from a stale copy show the store as it is at this moment.
+    pub fn freeze_copy(&self) {
+        let mut state = self.state.lock().expect("the store");
+        state.copy = Some(state.objects.clone());
+    }
+
     /// Returns an object's value.
     pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
         let state = self.state.lock().expect("the store");
@@ -310,7 +343,9 @@
     let body: Value = serde_json::from_slice(&message.body).unwrap_or(Value::Null);
     match message.head.split(' ').next() {
         Some("GET") if name.is_empty() => {
-            let items = state.objects.iter().filter(|((known, _), _)| known == kind);
+            let copy = state.copy.as_ref().filter(|_| query.contains("allow_stale=1"));
+            let objects = copy.unwrap_or(&state.objects);
+            let items = objects.iter().filter(|((known, _), _)| known == kind);
             let items: Vec<Value> =
                 items.map(|((_, name), (revision, spec))| object(name, *revision, spec)).collect();
             (200, json!({"items": items, "has_more": false, "store_revision": state.revision}))
@@ -386,12 +421,25 @@
 
     /// Like [`start`](Self::start), on another loopback address, as on a VM of its own.
     pub fn start_on<Script>(ip: Ipv4Addr, id: &str, script: Script) -> Self
+    where
+        Script: Fn(usize, &Message) -> Action + Send + Sync + 'static,
+    {
+        Self::start_with(ip, id, None, script)
+    }
+
+    fn start_with<Script>(
+        ip: Ipv4Addr,
+        id: &str,
+        patience: Option<Duration>,
+        script: Script,
+    ) -> Self
     where
         Script: Fn(usize, &Message) -> Action + Send + Sync + 'static,
     {
         let seen: Arc<Mutex<Vec<Message>>> = Arc::default();
         let received = Arc::clone(&seen);
         let address = spawn_server_on(ip, move |mut stream| {
+            stream.set_write_timeout(patience).expect("a timeout");
             while let Some(message) = read_message(&mut stream) {
                 let number = {
                     let mut received = received.lock().expect("requests");
@@ -417,6 +465,15 @@
         Self { id: id.to_owned(), address, seen }
     }
 
+    /// Like [`start`](Self::start), but the server resets a connection on which a response stays
+    /// unread for `patience`.
+    pub fn start_impatient<Script>(id: &str, patience: Duration, script: Script) -> Self
+    where
+        Script: Fn(usize, &Message) -> Action + Send + Sync + 'static,
+    {
+        Self::start_with(Ipv4Addr::LOCALHOST, id, Some(patience), script)
+    }
+
     /// Starts a server that responds as soon as it has read a request's head, and reads the body
     /// later.
     pub fn start_early_responder(id: &str) -> Self {
@@ -517,8 +574,14 @@
     /// Starts a gateway with evacuations and limits for cold servers turned on, and waits until it
     /// is ready.
     pub fn start_with_limits(store: &Store) -> Self {
+        Self::start_with_settings(store, LIMIT_SETTINGS)
+    }
+
+    /// Starts a gateway with more lines of settings, which begin in the table of bounds, and waits
+    /// until it is ready.
+    pub fn start_with_settings(store: &Store, settings: &str) -> Self {
         let program = env!("CARGO_BIN_EXE_toucanrail-gateway");
-        let process = Self::start_with(program, store.address, "front-1", None, LIMIT_SETTINGS);
+        let process = Self::start_with(program, store.address, "front-1", None, settings);
         process.wait_ready(true);
         process
     }
@@ -619,6 +682,15 @@
         assert!(sent.expect("kill").success());
     }
 
+    /// Returns the largest amount of memory that the process has used so far, in megabytes.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process's status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+        kilobytes / 1_024
+    }
+
     /// Waits until the process has exited. Returns whether it exited successfully.
     pub fn wait_end(&mut self) -> bool {
         let mut status = None;
