Tidy up after reading the change: work done twice, a delay outside the library

- An entry ranked all relays up to three times in each round of `watch_relays`: whether a fleet uses boards needs their number only (`boards::uses_boards`), and whether a listing is due matters only when no board responds.
- The time to return of a body without room was drawn in the accept loop; it is a cause of `retry_delays` like the others now, with the same values.
- A backlog is released in one place, an empty listing is made in one, and a VM's name is not copied into another type.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -11,6 +11,7 @@
 use toucanrail::codetable;
 use toucanrail::framing::BodyDecoder;
 use toucanrail::matching::CallerLimits;
+use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail_platform::requests;
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::heads::{HeadError, RequestHead};
@@ -29,8 +30,6 @@
 /// Maximum number of bytes of a pipelined request to buffer while the current request is handled.
 /// Bytes beyond it wait at the caller, whose disconnection is then noticed by a failing write only.
 const MAX_PIPELINED_BYTES: usize = 16 * 1024;
-/// Mean time after which a caller that was refused for lack of memory may return.
-const FULL_DELAY: Duration = Duration::from_millis(500);
 /// How long to keep reading from a caller after its response: closing a socket with unread bytes
 /// resets the connection, and the caller could lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
@@ -189,8 +188,8 @@
 ) -> io::Result<()> {
     gateway.metrics.count_result(code);
     tracing::info!(event = "refused_unread", code = code.number());
-    let is_full = code == codetable::MEMORY_FULL;
-    let wait = is_full.then(|| FULL_DELAY.mul_f64(0.5 + fastrand::f64()));
+    let wait = (code == codetable::MEMORY_FULL)
+        .then(|| retry_delays::pick_delay(RefusalCause::FullEntry, Duration::MAX, fastrand::f64()));
     let details = responding::make_refusal(code, RunState::NotRun, wait);
     connection.writer().write_all(&responding::encode_refusal(&details, true)).await?;
     close_connection(connection, true).await
--- a/toucanrail-gateway/src/buffers.rs
+++ b/toucanrail-gateway/src/buffers.rs
@@ -161,6 +161,6 @@
 
 impl Drop for WriteBacklog {
     fn drop(&mut self) {
-        self.budget.borrow_mut().release(self.len);
+        self.clear();
     }
 }
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -86,8 +86,8 @@
     let client = StoreClient::new(CONNECT_TIMEOUT);
     let store = Rc::new(StoreAccess::new(client, endpoints, ProcessClock::start()));
     executor.spawn(store_access::probe_endpoint(Rc::clone(&store), settings.store)).detach();
-    let vm = Rc::from(&*settings.vm);
-    executor.spawn(relay_listing::list_detours(Rc::clone(&store), vm)).detach();
+    let listing = relay_listing::list_detours(Rc::clone(&store), Arc::clone(&settings.vm));
+    executor.spawn(listing).detach();
     let permits = PermitTable::new(store.now()).into();
     let change_feed = ChangeFeed::new(Rc::clone(&store), Rc::clone(executor));
     let grant_manager =
--- a/toucanrail-gateway/src/relay_listing.rs
+++ b/toucanrail-gateway/src/relay_listing.rs
@@ -5,6 +5,7 @@
 //! A relay needs a few others only, as detours to the store.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use toucanrail::ids::Version;
@@ -57,8 +58,9 @@
     let mut listed_at: Option<Duration> = None;
     loop {
         let store = &gateway.store;
-        let is_due =
-            listed_at.is_none_or(|at| gateway.now().saturating_sub(at) > list_interval(&gateway));
+        let is_due = || {
+            listed_at.is_none_or(|at| gateway.now().saturating_sub(at) > list_interval(&gateway))
+        };
         let outcome = store_watch::query_boards(&gateway, RELAY_KIND, BOARD_PAUSE, revision).await;
         let pause = match outcome {
             BoardOutcome::Updated(update) => {
@@ -66,7 +68,7 @@
                 revision = apply_update(store, update).or(revision);
                 BOARD_PAUSE
             }
-            BoardOutcome::Unavailable if is_due && list_from_store(&gateway).await => {
+            BoardOutcome::Unavailable if is_due() && list_from_store(&gateway).await => {
                 listed_at = Some(gateway.now());
                 revision = None;
                 FAILURE_PAUSE
@@ -121,7 +123,7 @@
 }
 
 /// Keeps a relay's list of detours to the store up to date.
-pub async fn list_detours(store: Rc<StoreAccess>, vm: Rc<str>) {
+pub async fn list_detours(store: Rc<StoreAccess>, vm: Arc<str>) {
     let mut pause = FIRST_DETOUR_LISTING;
     loop {
         smol::Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -5,7 +5,6 @@
 //! store itself.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -230,13 +229,9 @@
     Unavailable,
 }
 
-fn pick_boards(gateway: &Gateway) -> Vec<(RelayName, SocketAddr)> {
-    boards::pick_boards(&gateway.store.lenders(), &gateway.settings.vm)
-}
-
 /// Returns whether the fleet is large enough for boards.
 pub fn uses_boards(gateway: &Gateway) -> bool {
-    !pick_boards(gateway).is_empty()
+    boards::uses_boards(gateway.store.lenders().len())
 }
 
 /// Queries the boards of the region in order, for changes of a kind after a revision.
@@ -250,7 +245,7 @@
     wait: Duration,
     after: Option<Version>,
 ) -> BoardOutcome {
-    let boards = pick_boards(gateway);
+    let boards = boards::pick_boards(&gateway.store.lenders(), &gateway.settings.vm);
     let available =
         boards.iter().filter(|(name, _)| !gateway.failed_boards.is_active(name, gateway.now()));
     let query = ChangesQuery { kind: Arc::from(kind), after, wait };
--- a/toucanrail/src/boards.rs
+++ b/toucanrail/src/boards.rs
@@ -202,6 +202,16 @@
     }
 }
 
+/// Returns whether a region with this number of relays uses boards.
+///
+/// # Examples
+/// ```
+/// assert!(!toucanrail::boards::uses_boards(3));
+/// ```
+pub fn uses_boards(relay_count: usize) -> bool {
+    relay_count >= MIN_RELAYS
+}
+
 /// Returns the relays whose boards an entry asks, in order of preference; none in a small fleet.
 ///
 /// All entries of a region use the same few boards. Each entry has an order of its own among those
@@ -215,7 +225,7 @@
     relays: &[(RelayName, SocketAddr)],
     entry: &str,
 ) -> Vec<(RelayName, SocketAddr)> {
-    if relays.len() < MIN_RELAYS {
+    if !uses_boards(relays.len()) {
         return Vec::new();
     }
     let in_use = relays.len().div_ceil(RELAYS_PER_BOARD);
--- a/toucanrail/src/retry_delays.rs
+++ b/toucanrail/src/retry_delays.rs
@@ -15,6 +15,8 @@
 const OTHER_ENTRY_DELAY: Duration = Duration::from_millis(500);
 /// Delay if the budget is granted elsewhere or a write was lost.
 const GRANT_DELAY: Duration = Duration::from_millis(800);
+/// Mean delay if this entry has no room for the request; it is varied by up to half.
+const FULL_ENTRY_DELAY: Duration = Duration::from_millis(500);
 /// Minimum and spread of the delay after servers declined.
 const MIN_DECLINED_DELAY: Duration = Duration::from_millis(250);
 const DECLINED_JITTER: Duration = Duration::from_millis(500);
@@ -24,6 +26,8 @@
 pub enum RefusalCause {
     /// This entry lacks information or is cut off, while other entries are not.
     Uninformed,
+    /// This entry has no memory left for the request.
+    FullEntry,
     /// The servers cannot begin the request in time.
     Overload,
     /// The customer's budget cannot be confirmed at the moment.
@@ -54,6 +58,7 @@
     let longest = left.mul_f64(MAX_FRACTION);
     let delay = match cause {
         RefusalCause::Uninformed => OTHER_ENTRY_DELAY,
+        RefusalCause::FullEntry => FULL_ENTRY_DELAY.mul_f64(0.5 + random),
         RefusalCause::Overload | RefusalCause::Outage => longest.mul_f64(1.0 - JITTER * random),
         RefusalCause::Unconfirmed => GRANT_DELAY.mul_f64(0.75 + 0.5 * random),
         RefusalCause::Declined => MIN_DECLINED_DELAY + DECLINED_JITTER.mul_f64(random),
