List relays again on time, so that an entry cut off after its start knows its lenders

Cause: a run of the test script in a clean clone failed once in gateway_disruptions isolated_entry. Since entries learn relays from boards, the loop checked at random moments, 225 to 375 ms apart, whether the second listing is due, so that it came up to 1.375 s after the first; before, it came after 1.0 to 1.25 s. An entry whose relay registers just after the first listing, and that is cut off at 1.2 s, then knows no lender, does not count as isolated, reports ready and keeps its callers' connections.

Load was ruled out: the machine was idle but for the script.

Change: the loop waits no longer than until the next listing is due. Test: fresh_start second_listing failed before ([4, 2, 4, 4, 4, 2] listings), 3 of 3 passed after.

Suspected, not changed: an entry that knows no lender at all never counts as isolated.

--- a/toucanrail-gateway/src/relay_listing.rs
+++ b/toucanrail-gateway/src/relay_listing.rs
@@ -58,9 +58,6 @@
     let mut listed_at: Option<Duration> = None;
     loop {
         let store = &gateway.store;
-        let is_due = || {
-            listed_at.is_none_or(|at| gateway.now().saturating_sub(at) > list_interval(&gateway))
-        };
         let outcome = store_watch::query_boards(&gateway, RELAY_KIND, BOARD_PAUSE, revision).await;
         let pause = match outcome {
             BoardOutcome::Updated(update) => {
@@ -68,17 +65,28 @@
                 revision = apply_update(store, update).or(revision);
                 BOARD_PAUSE
             }
-            BoardOutcome::Unavailable if is_due() && list_from_store(&gateway).await => {
+            BoardOutcome::Unavailable
+                if time_until_listing(&gateway, listed_at).is_zero()
+                    && list_from_store(&gateway).await =>
+            {
                 listed_at = Some(gateway.now());
                 revision = None;
                 FAILURE_PAUSE
             }
             BoardOutcome::Unavailable | BoardOutcome::Stale => FAILURE_PAUSE,
         };
-        smol::Timer::after(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+        let pause = pause.mul_f64(0.75 + 0.5 * fastrand::f64());
+        let due = time_until_listing(&gateway, listed_at);
+        smol::Timer::after(if due.is_zero() { pause } else { pause.min(due) }).await;
     }
 }
 
+/// Returns the time until the relays are to be listed at the store if no board responds.
+fn time_until_listing(gateway: &Gateway, listed_at: Option<Duration>) -> Duration {
+    listed_at
+        .map_or(Duration::ZERO, |at| (at + list_interval(gateway)).saturating_sub(gateway.now()))
+}
+
 /// Lists the relays from the store: all of them, unless the first ones are enough to find boards,
 /// which know the rest. Returns whether the store responded.
 async fn list_from_store(gateway: &Gateway) -> bool {
