--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -306,6 +306,7 @@
             event = "attempt_failed", request = %self.plan.info.id, server = %target.id,
             fate = ?outcome, sent = self.history.sent, limit = self.history.limit,
             left_ms = self.plan.time_left().as_millis() as u64, last_event = self.stream.last_event(),
+            framing = self.stream.framing_name(), partial_bytes = self.stream.partial_bytes,
         );
     }
 
@@ -370,7 +371,8 @@
             event = "request_ended", request = %self.plan.info.id, route = %self.plan.route.name,
             service = %self.plan.service, customer = customer.as_deref(), end = ?end,
             run = self.history.run_state().as_str(), sent = self.history.sent, tried = ?self.tried,
-            first_ms = first.as_millis() as u64,
+            framing = self.stream.framing_name(), events = self.stream.scanner.count,
+            partial_bytes = self.stream.partial_bytes, first_ms = first.as_millis() as u64,
             pause_ms = self.stream.longest_pause.as_millis() as u64,
             prompt = self.plan.info.prompt.as_ref().map(|prompt| prompt.prompt_tokens),
             took_ms = Instant::now().duration_since(self.plan.arrived).as_millis() as u64,
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -107,6 +107,7 @@
         exchange.connection.buffer.drain(..consumed);
         let events_known = stream.scanner.count;
         let complete_len = stream.scanner.scan(&pending);
+        stream.partial_bytes = pending.len() - complete_len;
         if complete_len > 0 {
             if stream.first_byte_at.is_some() {
                 stream.longest_pause = stream.longest_pause.max(last_event_at.elapsed());
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -11,6 +11,7 @@
 use toucanrail::framing::BodyDecoder;
 use toucanrail::ids::ServiceName;
 use toucanrail::matching::{CustomerProfile, RouteRule};
+use toucanrail::scanners::BodyLength;
 use toucanrail::sse::EventScanner;
 use toucanrail_platform::requests::RequestInfo;
 use toucanrail_wire::connections::BufferedConnection;
@@ -134,6 +135,10 @@
 pub struct StreamState {
     /// Finds complete events.
     pub scanner: EventScanner,
+    /// How the newest response states the length of its body, for logging.
+    pub framing: Option<BodyLength>,
+    /// Bytes received after the last complete event of the newest response, for logging.
+    pub partial_bytes: usize,
     /// Time at which the first bytes of a response were forwarded.
     pub first_byte_at: Option<Instant>,
     /// Longest pause between events, for logging.
@@ -145,7 +150,24 @@
     /// caller already has.
     pub fn new(last_event: Option<u64>) -> Self {
         let scanner = EventScanner { last_id: last_event, ..EventScanner::new() };
-        Self { scanner, first_byte_at: None, longest_pause: Duration::ZERO }
+        Self {
+            scanner,
+            framing: None,
+            partial_bytes: 0,
+            first_byte_at: None,
+            longest_pause: Duration::ZERO,
+        }
+    }
+
+    /// Forgets what is logged of an earlier response.
+    pub fn begin_attempt(&mut self) {
+        self.framing = None;
+        self.partial_bytes = 0;
+    }
+
+    /// Returns the name of the newest response's framing, for logging.
+    pub fn framing_name(&self) -> Option<&'static str> {
+        self.framing.map(BodyLength::as_str)
     }
 
     /// Returns the id of the last event that was forwarded.
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -50,12 +50,14 @@
     stream: &mut StreamState,
 ) -> AttemptResult {
     let AttemptContext { gateway, plan, target, .. } = *context;
+    stream.begin_attempt();
     let flight = register_flight(gateway, plan, target);
     let opened = open_exchange(context, stream.last_event()).await;
     let exchange = match opened {
         Ok(exchange) => exchange,
         Err(outcome) => return AttemptResult::Incomplete(outcome),
     };
+    stream.framing = Some(exchange.head.length);
     let info = requests::parse_response(&exchange.head, &plan.info.id);
     if exchange.head.status != OTHER_SERVER_STATUS {
         flight.record_statements(&info);
--- a/toucanrail/src/scanners.rs
+++ b/toucanrail/src/scanners.rs
@@ -19,6 +19,22 @@
     Chunked,
 }
 
+impl BodyLength {
+    /// Returns the name used in logs.
+    ///
+    /// # Examples
+    /// ```
+    /// assert_eq!(toucanrail::scanners::BodyLength::Exact(3).as_str(), "length");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Absent => "until-close",
+            Self::Exact(_) => "length",
+            Self::Chunked => "chunked",
+        }
+    }
+}
+
 /// Properties of a message head that determine its framing and validity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeadInfo {
