--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -496,6 +496,27 @@
         Self { id: id.to_owned(), address, seen }
     }
 
+    /// Starts a server that writes these bytes, in which `ID` stands for the attempt's id, and resets
+    /// the connection.
+    pub fn start_resetting(id: &str, text: &str) -> Self {
+        let seen: Arc<Mutex<Vec<Message>>> = Arc::default();
+        let received = Arc::clone(&seen);
+        let text = text.to_owned();
+        let address = spawn_server(move |mut stream| {
+            let Some(message) = read_head(&mut stream) else {
+                return;
+            };
+            let id = message.field("x-attempt-id").unwrap_or_default().to_owned();
+            received.lock().expect("requests").push(message);
+            if stream.write_all(text.replace("ID", &id).as_bytes()).is_err() {
+                return;
+            }
+            // Closing a connection with unread bytes, here the request's body, resets it.
+            thread::sleep(Duration::from_millis(100));
+        });
+        Self { id: id.to_owned(), address, seen }
+    }
+
     /// Returns the server with a proxy in front of it.
     pub fn behind(&self, proxy: &Proxy) -> Self {
         Self { address: proxy.address, ..self.clone() }
