End a stream as complete only behind its last complete event

Cause: the end of the transport was taken for the end of the message. A response without a length or chunks ends with its connection; when the server broke it off by closing the connection, the entry forwarded the bytes of the unfinished event and wrote the last chunk. A body that its framing terminates inside an event was passed on in the same way.

Change: framing says how a body ended (framed, closed, truncated), sse decides whether the stream is complete: no bytes of an unfinished event, and at least one event if only the close of the connection marks the end. Everything else is a broken-off stream like any other: resumed at another server behind the last complete event where the route allows it, else truncated visibly. The decoder is no longer replaced to remember a reset.

--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -6,8 +6,9 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use toucanrail::attempts::AttemptOutcome;
-use toucanrail::framing::BodyDecoder;
+use toucanrail::framing::{BodyEnd, ConnectionEnd};
 use toucanrail::silences::SilenceDetector;
+use toucanrail::sse;
 use toucanrail_wire::time_limits;
 
 use crate::buffers::BodyHold;
@@ -50,8 +51,10 @@
             return Err(io::ErrorKind::InvalidData.into());
         }
         if exchange.connection.fill().await? == 0 {
-            let ended = exchange.decoder.ends_with_connection();
-            return if ended { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+            return match exchange.decoder.end_with(ConnectionEnd::Closed) {
+                BodyEnd::Framed | BodyEnd::Closed => Ok(()),
+                BodyEnd::Truncated => Err(io::ErrorKind::UnexpectedEof.into()),
+            };
         }
     }
 }
@@ -118,7 +121,9 @@
                 budget.add_output_tokens((stream.scanner.count - events_known) * tokens_per_event);
             }
         }
-        if exchange.decoder.is_done() {
+        let received = stream.scanner.count - events_before;
+        let ended = exchange.decoder.is_done();
+        if ended && sse::is_stream_complete(BodyEnd::Framed, received, stream.partial_bytes) {
             return finish_stream(context, exchange, writer, stream, &pending);
         }
         if complete_len > 0 && !forward_events(writer, &exchange, stream, &pending[..complete_len])
@@ -126,7 +131,7 @@
             return AttemptResult::CallerGone;
         }
         pending.drain(..complete_len);
-        if exchange.decoder.is_malformed() || pending.len() > MAX_BUFFERED_BODY {
+        if ended || exchange.decoder.is_malformed() || pending.len() > MAX_BUFFERED_BODY {
             return AttemptResult::Incomplete(truncation_outcome(writer));
         }
         match read_more(&mut exchange, writer, &mut tick).await {
@@ -139,16 +144,18 @@
                 if plan.time_left().is_zero() {
                     return AttemptResult::Incomplete(AttemptOutcome::TimedOut);
                 }
-                let received = stream.scanner.count - events_before;
                 let stalled = context.may_fail_over && last_event_at.elapsed() > stall;
                 if stalled && liveness::check_lost(context, &mut detector, received).await {
                     return AttemptResult::Incomplete(truncation_outcome(writer));
                 }
             }
-            ReadOutcome::End if exchange.decoder.ends_with_connection() => {
-                return finish_stream(context, exchange, writer, stream, &pending);
+            ReadOutcome::End(end) => {
+                let end = exchange.decoder.end_with(end);
+                if sse::is_stream_complete(end, received, stream.partial_bytes) {
+                    return finish_stream(context, exchange, writer, stream, &[]);
+                }
+                return AttemptResult::Incomplete(truncation_outcome(writer));
             }
-            ReadOutcome::End => return AttemptResult::Incomplete(truncation_outcome(writer)),
         }
     }
 }
@@ -157,7 +164,8 @@
     /// Bytes were read or taken by the caller.
     Bytes,
     Tick,
-    End,
+    /// The server's connection ended.
+    End(ConnectionEnd),
     CallerGone,
 }
 
@@ -175,13 +183,8 @@
         }
         match exchange.connection.fill().await {
             Ok(count) if count > 0 => ReadOutcome::Bytes,
-            Ok(_) => ReadOutcome::End,
-            Err(_) => {
-                // A reset never ends a body properly, not even one that is delimited by the end of
-                // its connection.
-                exchange.decoder = BodyDecoder::Exact(u64::MAX);
-                ReadOutcome::End
-            }
+            Ok(_) => ReadOutcome::End(ConnectionEnd::Closed),
+            Err(_) => ReadOutcome::End(ConnectionEnd::Reset),
         }
     };
     let ticking = async {
@@ -218,13 +221,13 @@
     exchange: OpenExchange,
     writer: &mut ResponseWriter,
     stream: &mut StreamState,
-    remaining: &[u8],
+    events: &[u8],
 ) -> AttemptResult {
     stream.first_byte_at.get_or_insert_with(Instant::now);
     if !writer.started && writer.start_stream(&exchange.head, &[]).is_err() {
         return AttemptResult::CallerGone;
     }
-    let sent = writer.finish_stream(remaining);
+    let sent = writer.finish_stream(events);
     exchange.release_connection(context.gateway, &context.target.id);
     if sent.is_ok() { AttemptResult::Complete } else { AttemptResult::CallerGone }
 }
--- a/toucanrail/src/framing.rs
+++ b/toucanrail/src/framing.rs
@@ -13,6 +13,27 @@
     UntilClose,
 }
 
+/// How a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The peer closed it.
+    Closed,
+    /// It was reset, or reading from it failed.
+    Reset,
+}
+
+/// How a body ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// Where its framing states the end.
+    Framed,
+    /// With its connection, which was closed. The framing cannot tell whether the sender had sent
+    /// all of it.
+    Closed,
+    /// Before the end that its framing states, or with a connection that was reset.
+    Truncated,
+}
+
 impl BodyDecoder {
     /// Creates the decoder of a response body.
     pub fn for_response(length: BodyLength) -> Self {
@@ -64,9 +85,21 @@
         }
     }
 
-    /// Returns whether the body ends when the connection closes.
-    pub fn ends_with_connection(&self) -> bool {
-        matches!(self, Self::UntilClose)
+    /// Returns how the body ended if its connection ends here.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::framing::{BodyDecoder, BodyEnd, ConnectionEnd};
+    /// let decoder = BodyDecoder::UntilClose;
+    /// assert_eq!(decoder.end_with(ConnectionEnd::Closed), BodyEnd::Closed);
+    /// assert_eq!(decoder.end_with(ConnectionEnd::Reset), BodyEnd::Truncated);
+    /// ```
+    pub fn end_with(&self, end: ConnectionEnd) -> BodyEnd {
+        match (self, end) {
+            (Self::UntilClose, ConnectionEnd::Closed) => BodyEnd::Closed,
+            _ if self.is_done() => BodyEnd::Framed,
+            _ => BodyEnd::Truncated,
+        }
     }
 
     /// Returns whether the bytes so far violate the framing.
--- a/toucanrail/src/sse.rs
+++ b/toucanrail/src/sse.rs
@@ -1,5 +1,7 @@
 //! Incremental scanner for server-sent events (`text/event-stream`).
 
+use crate::framing::BodyEnd;
+
 /// Finds the complete events of one stream.
 ///
 /// A server may fail in the middle of an event. Only complete events may be forwarded to the
@@ -48,6 +50,28 @@
     }
 }
 
+/// Returns whether a stream is complete whose body ended like this, after `events` complete events
+/// and `partial_bytes` of another one.
+///
+/// A body that ends with its connection looks the same if its server fails, so it must at least
+/// contain an event.
+///
+/// # Examples
+/// ```
+/// use toucanrail::framing::BodyEnd;
+/// use toucanrail::sse;
+/// assert!(sse::is_stream_complete(BodyEnd::Closed, 2, 0));
+/// assert!(!sse::is_stream_complete(BodyEnd::Closed, 2, 5));
+/// assert!(!sse::is_stream_complete(BodyEnd::Closed, 0, 0));
+/// ```
+pub fn is_stream_complete(end: BodyEnd, events: u64, partial_bytes: usize) -> bool {
+    match end {
+        BodyEnd::Framed => partial_bytes == 0,
+        BodyEnd::Closed => partial_bytes == 0 && events > 0,
+        BodyEnd::Truncated => false,
+    }
+}
+
 fn parse_id(line: &[u8]) -> Option<u64> {
     let value = line.strip_prefix(b"id:")?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
--- a/toucanrail/tests/stream_events.rs
+++ b/toucanrail/tests/stream_events.rs
@@ -1,9 +1,9 @@
 //! Scanning of event streams and chunked bodies, however their bytes are split.
 
 use proptest::prelude::*;
-use toucanrail::framing::BodyDecoder;
+use toucanrail::framing::{BodyDecoder, BodyEnd, ConnectionEnd};
 use toucanrail::scanners::BodyLength;
-use toucanrail::sse::EventScanner;
+use toucanrail::sse::{self, EventScanner};
 
 fn make_stream(events: u64) -> Vec<u8> {
     (1..=events).flat_map(|id| format!("id: {id}\ndata: x{id}\n\n").into_bytes()).collect()
@@ -30,6 +30,34 @@
         prop_assert_eq!(scanner.last_id.unwrap_or(0), scanner.count);
     }
 
+    /// Guards against a stream that is broken off inside an event being taken for complete: without
+    /// a length or chunks, it is complete only if the connection is closed behind an event.
+    #[test]
+    fn closed_connection(events in 0_u64..6, end in 0_usize..120, reset in any::<bool>()) {
+        let stream = make_stream(events);
+        let stream = &stream[..end.min(stream.len())];
+        let mut decoder = BodyDecoder::for_response(BodyLength::Absent);
+        let mut pending = Vec::new();
+        decoder.feed(stream, &mut pending);
+        let mut scanner = EventScanner::new();
+        let partial_bytes = pending.len() - scanner.scan(&pending);
+        let ending = if reset { ConnectionEnd::Reset } else { ConnectionEnd::Closed };
+        let complete = sse::is_stream_complete(decoder.end_with(ending), scanner.count, partial_bytes);
+        let boundaries: Vec<usize> = (1..=events).map(|count| make_stream(count).len()).collect();
+        prop_assert_eq!(complete, !reset && boundaries.contains(&stream.len()));
+    }
+
+    /// Guards against a connection that ends early being taken for the end of a framed body.
+    #[test]
+    fn framed_end(length in 0_u64..50, received in 0_usize..50, reset in any::<bool>()) {
+        let mut decoder = BodyDecoder::for_response(BodyLength::Exact(length));
+        decoder.feed(&vec![b'x'; received], &mut Vec::new());
+        let ending = if reset { ConnectionEnd::Reset } else { ConnectionEnd::Closed };
+        let complete = received as u64 >= length;
+        let expected = if complete { BodyEnd::Framed } else { BodyEnd::Truncated };
+        prop_assert_eq!(decoder.end_with(ending), expected);
+    }
+
     /// A chunked body is decoded to the same data however its bytes are split, and the bytes after
     /// it are not consumed.
     #[test]
@@ -60,4 +88,5 @@
     let mut decoder = BodyDecoder::for_response(BodyLength::Chunked);
     decoder.feed(b"zz\r\nabc", &mut Vec::new());
     assert!(decoder.is_malformed() && !decoder.is_done());
+    assert_eq!(decoder.end_with(ConnectionEnd::Closed), BodyEnd::Truncated);
 }
