Logs of processes under test, and a relay's reason for being stale

board_watches failed beside load and left nothing behind. TOUCANRAIL_TEST_LOGS names a directory for the logs of gateways and relays under test. A relay whose board gets no response from the store logs board_silent, once for each such spell; at debug level, store_failed told it for each call.

No decision changes.

--- a/toucanrail-gateway/src/change_feed.rs
+++ b/toucanrail-gateway/src/change_feed.rs
@@ -129,6 +129,7 @@
 async fn watch(store: Rc<StoreAccess>, kind: &'static str, board: Rc<KindBoard>) {
     tracing::info!(event = "board_opened", kind);
     while store.now().saturating_sub(board.queried_at.get()) < IDLE_TIMEOUT {
+        let asked_at = store.now();
         let result = step(&store, kind, &board).await;
         store.record_call(kind, result.is_ok());
         match result {
@@ -141,9 +142,11 @@
                 board.clear();
             }
             Err(failure) => {
-                tracing::debug!(event = "store_failed", kind, %failure);
+                let waited_ms = store.now().saturating_sub(asked_at).as_millis() as u64;
                 // Waiting queries are answered as stale now instead of at the end of their wait.
-                board.table.borrow_mut().record_store_failure();
+                if board.table.borrow_mut().record_store_failure() {
+                    tracing::info!(event = "board_silent", kind, waited_ms, %failure);
+                }
                 board.changed.notify(usize::MAX);
                 smol::Timer::after(FAILURE_PAUSE).await;
             }
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, LazyLock, Mutex};
@@ -682,12 +682,24 @@
         Self { program, child, callers, readiness, last_address, settings }
     }
 
-    fn spawn(program: &str, settings: &PathBuf) -> Child {
+    fn spawn(program: &str, settings: &Path) -> Child {
         let mut command = Command::new(program);
-        let command = command.env("TOUCANRAIL_CONFIG", settings).stdout(Stdio::null());
+        let command = command.env("TOUCANRAIL_CONFIG", settings).stdout(Self::log_output(settings));
         command.spawn().expect("a process")
     }
 
+    /// Returns where a process writes its log: a file named after its settings in the directory
+    /// `TOUCANRAIL_TEST_LOGS`, or nowhere.
+    fn log_output(settings: &Path) -> Stdio {
+        let Some(directory) = std::env::var_os("TOUCANRAIL_TEST_LOGS") else {
+            return Stdio::null();
+        };
+        let name = settings.file_name().expect("a file name");
+        let path = Path::new(&directory).join(name).with_extension("log");
+        let file = std::fs::File::options().create(true).append(true).open(path);
+        file.expect("a log file").into()
+    }
+
     /// Kills the process and starts it again with the same settings.
     pub fn restart(&mut self) {
         // The process may have exited already, as after SIGTERM.
--- a/toucanrail/src/boards.rs
+++ b/toucanrail/src/boards.rs
@@ -90,9 +90,10 @@
         self.is_silent = false;
     }
 
-    /// Records that the store did not respond: the board is stale until it does.
-    pub fn record_store_failure(&mut self) {
-        self.is_silent = true;
+    /// Records that the store did not respond: the board is stale until it does. Returns whether it
+    /// had responded to the call before.
+    pub fn record_store_failure(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_silent, true)
     }
 
     /// Applies the changes up to a revision of the store.
