Split the forwarding of a stream into steps

forward_stream had grown to a hundred lines that counted events, checked deadlines and decided on the end. The progress of one attempt's stream has a type of its own now. No behaviour changes; the tests of the crate pass.

--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -7,6 +7,7 @@
 use smol::future::FutureExt;
 use toucanrail::attempts::AttemptOutcome;
 use toucanrail::framing::{BodyEnd, ConnectionEnd};
+use toucanrail::ids::Tokens;
 use toucanrail::silences::SilenceDetector;
 use toucanrail::sse;
 use toucanrail_wire::time_limits;
@@ -97,33 +98,15 @@
     stream: &mut StreamState,
     flight: &FlightGuard,
 ) -> AttemptResult {
-    let AttemptContext { gateway, plan, .. } = *context;
-    let tokens_per_event = gateway.tables.borrow().routes.tokens_per_event(&plan.service);
-    let stall = (plan.route.gap_target * STALL_FACTOR).max(MIN_STALL);
     let mut tick = Timer::interval(CHECK_INTERVAL);
     let mut pending = Vec::new();
-    let mut last_event_at = Instant::now();
-    let mut detector = SilenceDetector::default();
-    let events_before = stream.scanner.count;
+    let mut progress = StreamProgress::new(context, stream);
     loop {
         let consumed = exchange.decoder.feed(&exchange.connection.buffer, &mut pending);
         exchange.connection.buffer.drain(..consumed);
-        let events_known = stream.scanner.count;
-        let complete_len = stream.scanner.scan(&pending);
-        stream.partial_bytes = pending.len() - complete_len;
-        if complete_len > 0 {
-            if stream.first_byte_at.is_some() {
-                stream.longest_pause = stream.longest_pause.max(last_event_at.elapsed());
-            }
-            last_event_at = Instant::now();
-            flight.record_response_start();
-            if let Some(budget) = &plan.budget {
-                budget.add_output_tokens((stream.scanner.count - events_known) * tokens_per_event);
-            }
-        }
-        let received = stream.scanner.count - events_before;
+        let complete_len = progress.record_events(context, stream, flight, &pending);
         let ended = exchange.decoder.is_done();
-        if ended && sse::is_stream_complete(BodyEnd::Framed, received, stream.partial_bytes) {
+        if ended && progress.is_complete(stream, BodyEnd::Framed) {
             return finish_stream(context, exchange, writer, stream, &pending);
         }
         if complete_len > 0 && !forward_events(writer, &exchange, stream, &pending[..complete_len])
@@ -138,20 +121,13 @@
             ReadOutcome::Bytes => {}
             ReadOutcome::CallerGone => return AttemptResult::CallerGone,
             ReadOutcome::Tick => {
-                if writer.give_up_if_stalled() {
-                    return AttemptResult::CallerGone;
-                }
-                if plan.time_left().is_zero() {
-                    return AttemptResult::Incomplete(AttemptOutcome::TimedOut);
-                }
-                let stalled = context.may_fail_over && last_event_at.elapsed() > stall;
-                if stalled && liveness::check_lost(context, &mut detector, received).await {
-                    return AttemptResult::Incomplete(truncation_outcome(writer));
+                if let Some(result) = progress.check(context, writer).await {
+                    return result;
                 }
             }
             ReadOutcome::End(end) => {
                 let end = exchange.decoder.end_with(end);
-                if sse::is_stream_complete(end, received, stream.partial_bytes) {
+                if progress.is_complete(stream, end) {
                     return finish_stream(context, exchange, writer, stream, &[]);
                 }
                 return AttemptResult::Incomplete(truncation_outcome(writer));
@@ -160,6 +136,80 @@
     }
 }
 
+/// Progress of the stream of one attempt.
+#[derive(Debug)]
+struct StreamProgress {
+    /// Complete events of this attempt.
+    events: u64,
+    last_event_at: Instant,
+    detector: SilenceDetector,
+    /// Events of earlier attempts.
+    earlier_events: u64,
+    tokens_per_event: Tokens,
+}
+
+impl StreamProgress {
+    fn new(context: &AttemptContext<'_, '_>, stream: &StreamState) -> Self {
+        let tables = context.gateway.tables.borrow();
+        Self {
+            events: 0,
+            last_event_at: Instant::now(),
+            detector: SilenceDetector::default(),
+            earlier_events: stream.scanner.count,
+            tokens_per_event: tables.routes.tokens_per_event(&context.plan.service),
+        }
+    }
+
+    /// Counts the complete events in the bytes that are not forwarded yet. Returns their length.
+    fn record_events(
+        &mut self,
+        context: &AttemptContext<'_, '_>,
+        stream: &mut StreamState,
+        flight: &FlightGuard,
+        pending: &[u8],
+    ) -> usize {
+        let known = stream.scanner.count;
+        let complete_len = stream.scanner.scan(pending);
+        stream.partial_bytes = pending.len() - complete_len;
+        self.events = stream.scanner.count - self.earlier_events;
+        if complete_len == 0 {
+            return 0;
+        }
+        if stream.first_byte_at.is_some() {
+            stream.longest_pause = stream.longest_pause.max(self.last_event_at.elapsed());
+        }
+        self.last_event_at = Instant::now();
+        flight.record_response_start();
+        if let Some(budget) = &context.plan.budget {
+            budget.add_output_tokens((stream.scanner.count - known) * self.tokens_per_event);
+        }
+        complete_len
+    }
+
+    fn is_complete(&self, stream: &StreamState, end: BodyEnd) -> bool {
+        sse::is_stream_complete(end, self.events, stream.partial_bytes)
+    }
+
+    /// Returns how the attempt ends if its caller, its deadline or its server ends it now.
+    async fn check(
+        &mut self,
+        context: &AttemptContext<'_, '_>,
+        writer: &mut ResponseWriter,
+    ) -> Option<AttemptResult> {
+        let plan = context.plan;
+        if writer.give_up_if_stalled() {
+            return Some(AttemptResult::CallerGone);
+        }
+        if plan.time_left().is_zero() {
+            return Some(AttemptResult::Incomplete(AttemptOutcome::TimedOut));
+        }
+        let stall = (plan.route.gap_target * STALL_FACTOR).max(MIN_STALL);
+        let stalled = context.may_fail_over && self.last_event_at.elapsed() > stall;
+        let lost = stalled && liveness::check_lost(context, &mut self.detector, self.events).await;
+        lost.then(|| AttemptResult::Incomplete(truncation_outcome(writer)))
+    }
+}
+
 enum ReadOutcome {
     /// Bytes were read or taken by the caller.
     Bytes,
