Test overtaking_cancel: the overtaken request always uses tokens before it is cancelled again

Seen while another test was run beside load: 2 of 24 runs of the whole file, eight at a time (load 33), ended with 'timed out waiting for the engine to receive the request'.

Cause, in the test: the engine stand-in delayed the request by 300 ms and then put it into its queue; a cancel call, repeated every 100 ms, that arrived before the next batch took it out again, so that it used nothing, and the test waited for usage.

Ruled out as the cause: a request that never reaches the engine (it was counted as started).

Change: the stand-in holds the request back until a cancel call has overtaken it, and then admits it to the batch at once. The order is no longer a matter of timing and the condition of the test is the same.

--- a/toucanrail-daemons/tests/complete_responses.rs
+++ b/toucanrail-daemons/tests/complete_responses.rs
@@ -244,7 +244,7 @@
             .wait("the run to be settled", async || !has_run(&fleet.state(&agents[0]).await))
             .await;
         let before = spent(&engines);
-        engines[0].faults.change(|plan| plan.late_ms = 300);
+        engines[0].faults.change(|plan| plan.overtaken_requests = 1);
         let call = fleet.pool.open(entry.address, fleet.chat_request("late", 100), TIMEOUT);
         let leaving = async {
             fleet
--- a/toucanrail-standins/src/engines.rs
+++ b/toucanrail-standins/src/engines.rs
@@ -1,7 +1,7 @@
 //! Simulated model engine: continuous batching, a prefix cache of limited size, priorities,
 //! resumption, cancellation, delayed load reports and delayed cache events.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -99,6 +99,8 @@
     spent: BTreeMap<String, Tokens>,
     /// Number of starts by engine request id.
     starts: BTreeMap<String, u64>,
+    /// Ids of requests that were cancelled before they were known.
+    early_cancels: BTreeSet<String>,
     /// Time of the last use of each cached block, by block hash, in ticks of `cache_clock`.
     cache: BTreeMap<u64, u64>,
     cache_clock: u64,
@@ -240,6 +242,8 @@
         if let Some(usage) = state.usage.get_mut(id) {
             usage.cancelled = usage.active;
             usage.active = false;
+        } else {
+            state.early_cancels.insert(id.to_owned());
         }
     }
 
@@ -291,18 +295,22 @@
     }
 
     async fn complete(&self, request: &ReceivedRequest) -> Response {
-        smol::Timer::after(Duration::from_millis(self.faults.plan().late_ms)).await;
         let Ok(body) = serde_json::from_slice::<CompletionBody>(&request.body) else {
             return responses::text(400, "not a completion request");
         };
         let chat = request.path() == "/v1/chat/completions";
         let prompt = if chat { chat_prompt(&body.messages) } else { body.prompt.clone() };
         let id = request.field("engine-request-id").unwrap_or("none").to_owned();
+        // An overtaken request skips the queue, so that it uses tokens before the next cancellation.
+        let overtaken = self.faults.consume(|plan| &mut plan.overtaken_requests);
+        while overtaken && !self.lock().early_cancels.contains(&id) {
+            smol::Timer::after(IDLE_POLL_INTERVAL).await;
+        }
         let resume_from = header_number(request, "engine-resume-from");
         let requested = body.standin_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
         let end =
             body.max_tokens.map_or(requested, |max_tokens| requested.min(max_tokens + resume_from));
-        let tokens = self.start(request, &id, &prompt, resume_from, end);
+        let tokens = self.start(request, &id, &prompt, resume_from, end, overtaken);
         let mut completion = CompletionFormatter {
             id: if self.faults.consume(|plan| &mut plan.foreign_answers) {
                 "another".to_owned()
@@ -350,6 +358,7 @@
         prompt: &str,
         resume_from: Tokens,
         end: Tokens,
+        skips_queue: bool,
     ) -> async_channel::Receiver<Tokens> {
         let (sender, receiver) = async_channel::unbounded();
         let sequence = Sequence {
@@ -365,7 +374,12 @@
         *state.starts.entry(id.to_owned()).or_default() += 1;
         let usage = EngineUsage { active: true, ..EngineUsage::default() };
         state.usage.insert(id.to_owned(), usage);
-        state.waiting.push(sequence);
+        if skips_queue {
+            state.charge_prompt(&sequence, self.speed.cache_tokens);
+            state.running.push(sequence);
+        } else {
+            state.waiting.push(sequence);
+        }
         receiver
     }
 
--- a/toucanrail-standins/src/faults.rs
+++ b/toucanrail-standins/src/faults.rs
@@ -21,9 +21,9 @@
     pub frozen: bool,
     /// Delay of every response, in milliseconds.
     pub slow_ms: u64,
-    /// Delay of completion requests only, in milliseconds, so that a cancellation on another
-    /// connection overtakes them.
-    pub late_ms: u64,
+    /// Number of completion requests that are held back until a cancellation on another connection
+    /// has overtaken them.
+    pub overtaken_requests: u64,
     /// Number of writes that take effect but never get a response.
     pub lose_answers: u64,
     /// Keeps watches from reporting changes before they time out.
