Test late_response, failing: one late response to a board sends its entries to the store

Reproduces what board_watches showed twice: the entry watched the store 2 or 4 times although its board was there.

--- a/toucanrail-gateway/tests/fleet_boards.rs
+++ b/toucanrail-gateway/tests/fleet_boards.rs
@@ -67,6 +67,30 @@
     assert_eq!(after, before);
 }
 
+/// Guards against every entry of a board watching the store because one response to the board came
+/// late: the board has the next one a moment later.
+#[test]
+fn late_response() {
+    let (store, backend, _relay, gateway) = start_board();
+    let before = store.watch_count();
+    let unblocking = {
+        let store = store.clone();
+        for kind in ["config", "servers"] {
+            store.set_blocked(kind, true);
+        }
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(500));
+            for kind in ["config", "servers"] {
+                store.set_blocked(kind, false);
+            }
+        })
+    };
+    expect_change(&store, &backend, &gateway);
+    unblocking.join().expect("to unblock");
+    thread::sleep(Duration::from_secs(3));
+    assert_eq!(store.watch_count(), before);
+}
+
 /// The board is killed. Its entries must not wait for it but watch the store themselves
 /// immediately.
 #[test]
