Query a stale board again before the store, and let it recover at once

Cause: one late response of the store was taken for an outage by everyone. A relay whose watch came back late marked its board as stale, and its next watch then waited for up to 500 ms although any response would have ended that state. Meanwhile each of its entries, told at once, watched the store itself, in two kinds, and left the board alone for a second. In a large fleet that adds calls of hundreds of entries to a store that is slow already. It gives the numbers that board_watches showed twice beside load (2 or 4 watches more); that the same happened there is not shown, since a relay that stands still for 450 ms gives them too.

Change: after a failed call the board's next watch waits for 20 ms only, and an entry that is told 'stale' queries the same board again after 250 ms, before it turns to the next one and to the store. What an entry knows is then at most 1.2 s old when it asks the store, which must be under 2 s.

--- a/toucanrail-gateway/src/change_feed.rs
+++ b/toucanrail-gateway/src/change_feed.rs
@@ -30,8 +30,10 @@
 /// Added to the wait before a watch counts as unanswered, and before the board counts as stale.
 const RESPONSE_SLACK: Duration = Duration::from_millis(300);
 const STALE_SLACK: Duration = Duration::from_millis(400);
-/// Pause after a failed call.
+/// Pause after a failed call, and the wait of the watch that follows it, which is short because the
+/// board is stale until the store responds.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+const RECOVERY_WAIT: Duration = Duration::from_millis(20);
 /// Time without a query after which a relay stops watching: entries query other relays then.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Upper limit for the wait of a query; entries ask for less.
@@ -159,15 +161,16 @@
 
 /// Lists the kind, or waits for its next changes. Returns whether there are any.
 async fn step(store: &StoreAccess, kind: &str, board: &KindBoard) -> Result<bool, StoreError> {
-    let KindBoard { wait, table, .. } = board;
+    let table = &board.table;
     let known = table.borrow().revision();
+    let wait = if table.borrow().is_silent() { RECOVERY_WAIT } else { board.wait };
     let Some(revision) = known else {
-        let timeout = *wait + RESPONSE_SLACK;
+        let timeout = board.wait + RESPONSE_SLACK;
         let listing = store.list_kind(kind, ListFreshness::Latest, timeout).await?;
         table.borrow_mut().apply_listing(listing.objects, listing.revision, store.now());
         return Ok(true);
     };
-    let watched = store.watch_kind(kind, revision, *wait, RESPONSE_SLACK).await?;
+    let watched = store.watch_kind(kind, revision, wait, RESPONSE_SLACK).await?;
     let changed = !watched.changes.is_empty();
     table.borrow_mut().apply_changes(watched.changes, watched.revision, store.now());
     Ok(changed)
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -5,6 +5,8 @@
 //! store itself.
 
 use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +40,9 @@
 const MAX_BOARDS_QUERIED: usize = 4;
 /// Maximum wait of a starting entry for the list of relays. Without them it finds no board.
 const MAX_RELAYS_WAIT: Duration = Duration::from_secs(3);
+/// Pause before a stale board is queried again. A board that missed one response of the store has
+/// the next one by then; if its entries queried the store meanwhile, they would add to its load.
+const STALE_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which a board that gets no responses from the store is not queried.
 const STALE_BACKOFF: Duration = Duration::from_secs(1);
 /// Pause after a failed call; it doubles with each consecutive failure, up to the maximum.
@@ -183,7 +188,7 @@
 }
 
 fn no_response() -> StoreError {
-    StoreError::NoResponse(std::io::ErrorKind::TimedOut.into())
+    StoreError::NoResponse(io::ErrorKind::TimedOut.into())
 }
 
 /// Queries a store from which no board gets responses: it may reject the boards' VMs and still
@@ -238,7 +243,8 @@
 ///
 /// A board that fails is put in backoff. If it took long to fail, this entry queries the store
 /// itself immediately, so that its knowledge is never older than one timeout of a board plus one of
-/// its own. A stale board says so immediately, and the next one is queried.
+/// its own. A stale board says so immediately. The first one is queried once more after a pause,
+/// then the next ones.
 pub async fn query_boards(
     gateway: &Gateway,
     kind: &str,
@@ -250,6 +256,7 @@
         boards.iter().filter(|(name, _)| !gateway.failed_boards.is_active(name, gateway.now()));
     let query = ChangesQuery { kind: Arc::from(kind), after, wait };
     let mut stale = false;
+    let mut paused = false;
     for (board, address) in available.take(MAX_BOARDS_QUERIED) {
         // A board watches each kind by itself, and may be stale in one of them only.
         let stale_key: RelayName = Arc::from(format!("{board} {kind}"));
@@ -257,10 +264,13 @@
             stale = true;
             continue;
         }
-        let timeout = wait + BOARD_SLACK;
-        let asked_at = gateway.now();
-        let result =
-            relay_client::call_relay(gateway, board, *address, CHANGES_PATH, &query, timeout).await;
+        let mut asked_at = gateway.now();
+        let mut result = query_board(gateway, board, *address, &query).await;
+        if matches!(result, Ok(ChangesReply::Stale)) && !std::mem::replace(&mut paused, true) {
+            smol::Timer::after(STALE_PAUSE).await;
+            asked_at = gateway.now();
+            result = query_board(gateway, board, *address, &query).await;
+        }
         let reason = match result {
             // A listing that is older than the known revision would bring back servers that have
             // left.
@@ -288,6 +298,16 @@
     if stale { BoardOutcome::Stale } else { BoardOutcome::Unavailable }
 }
 
+async fn query_board(
+    gateway: &Gateway,
+    board: &RelayName,
+    address: SocketAddr,
+    query: &ChangesQuery,
+) -> io::Result<ChangesReply> {
+    let timeout = query.wait + BOARD_SLACK;
+    relay_client::call_relay(gateway, board, address, CHANGES_PATH, query, timeout).await
+}
+
 struct ConfigHandler;
 
 impl ConfigHandler {
--- a/toucanrail/src/boards.rs
+++ b/toucanrail/src/boards.rs
@@ -96,6 +96,18 @@
         !std::mem::replace(&mut self.is_silent, true)
     }
 
+    /// Returns whether the store did not respond to the last call.
+    ///
+    /// # Examples
+    /// ```
+    /// let mut table = toucanrail::boards::BoardTable::new();
+    /// assert!(table.record_store_failure() && table.is_silent());
+    /// assert!(!table.record_store_failure());
+    /// ```
+    pub fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
     /// Applies the changes up to a revision of the store.
     pub fn apply_changes(&mut self, changes: Vec<MirrorChange>, revision: Version, now: Duration) {
         self.revision = self.revision.max(revision);
