--- a/toucanrail-gateway/tests/fault_soak.rs
+++ b/toucanrail-gateway/tests/fault_soak.rs
@@ -26,6 +26,8 @@
 const PROMPT_TOKENS: u64 = 100;
 const TOKENS_PER_EVENT: u64 = 6;
 const EVENTS_PER_STREAM: u64 = 8;
+/// Part of the streams that have neither a length nor chunks, in percent.
+const UNFRAMED_PERCENT: u32 = 20;
 const CALLER_COUNT: u64 = 4;
 const ROUTES: [&str; 4] = ["once", "safe", "stream", "resume"];
 
@@ -45,8 +47,10 @@
 fn make_backend(id: &str, seed: u64, record: &Arc<Mutex<SoakRecord>>) -> Backend {
     let record = Arc::clone(record);
     let rng = Mutex::new(fastrand::Rng::with_seed(seed));
+    let framing_rng = Mutex::new(fastrand::Rng::with_seed(!seed));
     Backend::start(id, move |_, message| {
         let roll = rng.lock().expect("unpoisoned lock").u32(0..100);
+        let framed = framing_rng.lock().expect("unpoisoned lock").u32(0..100) >= UNFRAMED_PERCENT;
         if roll < 6 {
             let text = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             return Action::Respond(text.to_owned());
@@ -56,6 +60,11 @@
         if roll < 10 {
             return Action::Disconnect(String::new());
         }
+        if !framed && message.field("x-token-usage").is_some() {
+            let text = make_unframed_stream(message, &attempt);
+            let end = if roll < 20 { cut_inside_event(&text) } else { text.len() };
+            return Action::Disconnect(text[..end].to_owned());
+        }
         let text = make_response(message, &attempt);
         match roll {
             10..14 => Action::Disconnect(text[..text.len() * 2 / 3].to_owned()),
@@ -71,12 +80,29 @@
     if message.field("x-token-usage").is_none() {
         return platform::signed_response(attempt);
     }
-    let last: u64 = message.field("last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
-    let events = (last + 1..=EVENTS_PER_STREAM)
-        .map(|id| platform::chunk(&format!("id: {id}\ndata: {attempt}\n\n")));
+    let events = make_events(message, attempt).map(|event| platform::chunk(&event));
     [platform::STREAM_HEAD, &events.collect::<Vec<_>>().join("PAUSE"), "0\r\n\r\n"].concat()
 }
 
+/// Returns a stream that ends with its connection.
+fn make_unframed_stream(message: &Message, attempt: &str) -> String {
+    let events = make_events(message, attempt).collect::<Vec<_>>().join("PAUSE");
+    platform::UNFRAMED_HEAD.to_owned() + &events
+}
+
+/// Returns the events after the last one that the caller or the gateway has.
+fn make_events(message: &Message, attempt: &str) -> impl Iterator<Item = String> {
+    let last: u64 = message.field("last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
+    (last + 1..=EVENTS_PER_STREAM).map(move |id| format!("id: {id}\ndata: {attempt}\n\n"))
+}
+
+/// Returns a position inside the event at two thirds of a stream. A stream that ends behind an
+/// event cannot be told from a complete one.
+fn cut_inside_event(text: &str) -> usize {
+    let event = text[..text.len() * 2 / 3].rfind("id: ").unwrap_or_default();
+    event + "id: 1".len()
+}
+
 fn run_caller(
     number: u64,
     seed: u64,
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -548,6 +548,10 @@
 pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\
     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// Head of a signed streaming response that ends with its connection.
+pub const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\
+    Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+
 /// Encodes one chunk of a chunked body.
 pub fn chunk(data: &str) -> String {
     format!("{:x}\r\n{data}\r\n", data.len())
--- a/toucanrail-gateway/tests/unframed_streams.rs
+++ b/toucanrail-gateway/tests/unframed_streams.rs
@@ -4,9 +4,6 @@
 
 use platform::{Action, Backend, Message, Process, Store, request};
 
-/// Head of a signed streaming response without a stated length.
-const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\
-    Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
 const FIRST_EVENT: &str = "id: 1\ndata: a\n\n";
 const SECOND_EVENT: &str = "id: 2\ndata: b\n\n";
 const PARTIAL_EVENT: &str = "id: 2\nda";
@@ -43,7 +40,7 @@
 /// is complete.
 #[test]
 fn closed_stream() {
-    let text = [UNFRAMED_HEAD, FIRST_EVENT, SECOND_EVENT].concat();
+    let text = [platform::UNFRAMED_HEAD, FIRST_EVENT, SECOND_EVENT].concat();
     let (_store, backends, gateway) = start_pair(move |_| Action::Disconnect(text.clone()));
     let response = call_stream(&gateway, "/stream/a");
     assert!(response.contains("data: b") && response.ends_with(LAST_CHUNK), "{response}");
@@ -54,7 +51,7 @@
 /// as complete.
 #[test]
 fn cut_unframed_event() {
-    let text = [UNFRAMED_HEAD, FIRST_EVENT, PARTIAL_EVENT].concat();
+    let text = [platform::UNFRAMED_HEAD, FIRST_EVENT, PARTIAL_EVENT].concat();
     let (_store, backends, gateway) = start_pair(move |_| Action::Disconnect(text.clone()));
     let response = call_stream(&gateway, "/stream/a");
     assert!(response.contains("data: a") && !response.ends_with(LAST_CHUNK), "{response}");
@@ -71,7 +68,7 @@
             None => [FIRST_EVENT, PARTIAL_EVENT].concat(),
             Some(_) => SECOND_EVENT.to_owned(),
         };
-        Action::Disconnect([UNFRAMED_HEAD, &events].concat())
+        Action::Disconnect([platform::UNFRAMED_HEAD, &events].concat())
     });
     let response = call_stream(&gateway, "/resume/a");
     assert_eq!(response.matches("data: a").count(), 1, "{response}");
@@ -82,7 +79,8 @@
 /// Guards against a stream that ends before its first event reaching the caller as complete.
 #[test]
 fn empty_unframed_stream() {
-    let (_store, backends, gateway) = start_pair(|_| Action::Disconnect(UNFRAMED_HEAD.to_owned()));
+    let (_store, backends, gateway) =
+        start_pair(|_| Action::Disconnect(platform::UNFRAMED_HEAD.to_owned()));
     let response = call_stream(&gateway, "/stream/a");
     assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
     assert_eq!(count_sent(&backends), 1);
@@ -92,7 +90,7 @@
 #[test]
 fn reset_unframed_stream() {
     let store = Store::start();
-    let text = [UNFRAMED_HEAD, FIRST_EVENT].concat();
+    let text = [platform::UNFRAMED_HEAD, FIRST_EVENT].concat();
     let backend = Backend::start_resetting("i-1", &text);
     platform::configure(&store, 1, &[&backend]);
     let gateway = Process::start_gateway(&store);
