Soak: a proxy that resets connections sends a reset

Cause, in the test: reset_connections shut connections down in order. For a response that ends with its connection, an orderly close between two events is a complete end; the users' pages say that one which is reset isn't. reset_by_network replays it: failed before, passes after.

Ruled out: an unfinished event (6 whole ones), a lost or doubled event (ids in order).

--- a/toucanrail-gateway/tests/fault_soak.rs
+++ b/toucanrail-gateway/tests/fault_soak.rs
@@ -20,7 +20,8 @@
 
 /// Seeds of every CI run.
 const SEEDS: [u64; 2] = [1, 2];
-const PROXIED_SEEDS: [u64; 2] = [1, 2];
+/// Seed 3840: a proxy closed the connection of an unframed stream between two events.
+const PROXIED_SEEDS: [u64; 3] = [1, 2, 3840];
 const DURATION: Duration = Duration::from_secs(6);
 const BUDGET_TOKENS: u64 = 12_000;
 const PROMPT_TOKENS: u64 = 100;
--- a/toucanrail-gateway/tests/platform/proxies.rs
+++ b/toucanrail-gateway/tests/platform/proxies.rs
@@ -79,10 +79,11 @@
         *self.fault.lock().expect("fault") = fault;
     }
 
-    /// Closes all open connections.
+    /// Resets all open connections. An orderly close would end a response without a stated length.
     pub fn reset_connections(&self) {
         for connection in self.open.lock().expect("connections").drain(..) {
-            close(&connection.client, &connection.server);
+            reset(&connection.client);
+            reset(&connection.server);
         }
     }
 
@@ -94,6 +95,11 @@
     }
 }
 
+/// Sends a reset, unless the connection has ended already.
+fn reset(stream: &TcpStream) {
+    rustix::net::connect_unspec(stream).ok();
+}
+
 fn close(client: &TcpStream, server: &TcpStream) {
     // Either may be closed already.
     client.shutdown(Shutdown::Both).ok();
--- a/toucanrail-gateway/tests/unframed_streams.rs
+++ b/toucanrail-gateway/tests/unframed_streams.rs
@@ -2,6 +2,10 @@
 
 mod platform;
 
+use std::thread;
+use std::time::Duration;
+
+use platform::proxies::Proxy;
 use platform::{Action, Backend, Message, Process, Store, request};
 
 const FIRST_EVENT: &str = "id: 1\ndata: a\n\n";
@@ -98,6 +102,26 @@
     assert!(response.contains("data: a") && !response.ends_with(LAST_CHUNK), "{response}");
 }
 
+/// Guards against the same where the network resets the connection while the server waits to send
+/// its next event.
+#[test]
+fn reset_by_network() {
+    let store = Store::start();
+    let text = [platform::UNFRAMED_HEAD, FIRST_EVENT].concat();
+    let backend = Backend::start("i-1", move |_, _| Action::Respond(text.clone()));
+    let proxy = Proxy::start(backend.address);
+    platform::configure(&store, 1, &[&backend.behind(&proxy)]);
+    let gateway = Process::start_gateway(&store);
+    let response = thread::scope(|scope| {
+        let calling = scope.spawn(|| call_stream(&gateway, "/stream/a"));
+        platform::wait_until("the request", || !backend.seen().is_empty());
+        thread::sleep(Duration::from_millis(300));
+        proxy.reset_connections();
+        calling.join().expect("a response")
+    });
+    assert!(response.contains("data: a") && !response.ends_with(LAST_CHUNK), "{response}");
+}
+
 /// Guards against a body that is terminated by its framing in the middle of an event reaching the
 /// caller as complete.
 #[test]
