--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -137,7 +137,8 @@
     pub scanner: EventScanner,
     /// How the newest response states the length of its body, for logging.
     pub framing: Option<BodyLength>,
-    /// Bytes received after the last complete event of the newest response, for logging.
+    /// Bytes received after the last complete event of the newest response, which decide whether it
+    /// is complete.
     pub partial_bytes: usize,
     /// Time at which the first bytes of a response were forwarded.
     pub first_byte_at: Option<Instant>,
@@ -159,7 +160,7 @@
         }
     }
 
-    /// Forgets what is logged of an earlier response.
+    /// Forgets the framing and the partial event of an earlier response.
     pub fn begin_attempt(&mut self) {
         self.framing = None;
         self.partial_bytes = 0;
--- a/toucanrail-gateway/tests/fleet_boards.rs
+++ b/toucanrail-gateway/tests/fleet_boards.rs
@@ -32,6 +32,12 @@
     (store, backend, relay, gateway)
 }
 
+/// Blocks the store's calls for the configuration and the servers, or unblocks them.
+fn set_blocked(store: &Store, blocked: bool) {
+    store.set_blocked("config", blocked);
+    store.set_blocked("servers", blocked);
+}
+
 /// Writes a configuration with one more route, and checks that it is in force within two seconds.
 fn expect_change(store: &Store, backend: &Backend, gateway: &Process) {
     platform::configure_extra_route(store, 2, &[backend], "fresh");
@@ -75,14 +81,10 @@
     let before = store.watch_count();
     let unblocking = {
         let store = store.clone();
-        for kind in ["config", "servers"] {
-            store.set_blocked(kind, true);
-        }
+        set_blocked(&store, true);
         thread::spawn(move || {
             thread::sleep(Duration::from_millis(500));
-            for kind in ["config", "servers"] {
-                store.set_blocked(kind, false);
-            }
+            set_blocked(&store, false);
         })
     };
     expect_change(&store, &backend, &gateway);
@@ -116,8 +118,7 @@
 fn stale_board() {
     let (store, backend, _relay, gateway) = start_board();
     for blocked in [true, false] {
-        store.set_blocked("config", blocked);
-        store.set_blocked("servers", blocked);
+        set_blocked(&store, blocked);
         thread::sleep(Duration::from_millis(if blocked { 4_500 } else { 2_500 }));
     }
     let before = store.watch_count();
