Logs: the software version of servers, and what a request takes up

The logs of the incident could not tell a stream that an entry resumed itself from one that its caller took up at another entry. Log lines: server_entry and attempt_failed give version, request_ended gives version, resumes and after_event. No choice depends on them yet.

Tests: the four tables of registrations in the library's tests state a version; no check changes.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -10,6 +10,7 @@
 use toucanrail::backends::{BackendEntry, BackendId, BackendRow, BackendTable};
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
+use toucanrail::ids::SoftwareVersion;
 use toucanrail::matching;
 use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow};
@@ -51,6 +52,7 @@
         plan,
         history: AttemptHistory::new(plan.route.kind, plan.route.attempts),
         tried: Vec::new(),
+        last_version: None,
         stream: StreamState::new(plan.info.last_event),
         failed_response: None,
         finished: false,
@@ -66,6 +68,8 @@
     plan: &'run RequestPlan<'request>,
     history: AttemptHistory,
     tried: Vec<BackendId>,
+    /// Software version of the server tried last, for logging.
+    last_version: Option<SoftwareVersion>,
     stream: StreamState,
     failed_response: Option<FailedResponse>,
     finished: bool,
@@ -99,6 +103,7 @@
                 continue;
             }
             self.tried.push(Arc::clone(&target.id));
+            self.last_version = Some(Arc::clone(&target.software_version));
             let outcome = match self.attempt(&target, source, permit, writer).await {
                 AttemptResult::Complete => return RequestEnd::Whole,
                 AttemptResult::CallerGone => return RequestEnd::CallerGone,
@@ -304,7 +309,7 @@
         drop(tables);
         tracing::info!(
             event = "attempt_failed", request = %self.plan.info.id, server = %target.id,
-            fate = ?outcome, sent = self.history.sent, limit = self.history.limit,
+            version = %target.software_version, fate = ?outcome, sent = self.history.sent, limit = self.history.limit,
             left_ms = self.plan.time_left().as_millis() as u64, last_event = self.stream.last_event(),
             framing = self.stream.framing_name(), partial_bytes = self.stream.partial_bytes,
         );
@@ -371,6 +376,8 @@
             event = "request_ended", request = %self.plan.info.id, route = %self.plan.route.name,
             service = %self.plan.service, customer = customer.as_deref(), end = ?end,
             run = self.history.run_state().as_str(), sent = self.history.sent, tried = ?self.tried,
+            version = self.last_version.as_deref(), after_event = self.plan.info.last_event,
+            resumes = self.plan.info.resumed_attempt.as_deref(),
             framing = self.stream.framing_name(), events = self.stream.scanner.count,
             partial_bytes = self.stream.partial_bytes, first_ms = first.as_millis() as u64,
             pause_ms = self.stream.longest_pause.as_millis() as u64,
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -376,7 +376,8 @@
                     if is_listed {
                         tracing::info!(
                             event = "server_entry", server = %entry.id, service = %entry.service,
-                            address = %entry.address, draining = entry.draining,
+                            address = %entry.address, version = %entry.software_version,
+                            draining = entry.draining,
                             cold_ms = entry.cold.as_millis() as u64, revision = object.version,
                         );
                     }
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -13,7 +13,7 @@
 
 use crate::ejections::EjectionState;
 use crate::evacuations::EvacuationTable;
-use crate::ids::{DataCentre, ServiceName, Tokens, Version};
+use crate::ids::{DataCentre, ServiceName, SoftwareVersion, Tokens, Version};
 use crate::statements::{RememberedStatements, ServerProcess, ServerStatements};
 
 /// Id of a backend server; most restarts assign a new one.
@@ -58,6 +58,8 @@
     pub address: SocketAddr,
     /// Data centre of the server.
     pub data_centre: DataCentre,
+    /// Version of the server's software.
+    pub software_version: SoftwareVersion,
     /// Number of requests that the server runs concurrently.
     pub slots: u64,
     /// Whether the server is shutting down.
--- a/toucanrail/src/ids.rs
+++ b/toucanrail/src/ids.rs
@@ -10,6 +10,9 @@
 pub type AgentId = Arc<str>;
 /// Name of a service that callers can use: a model or a plain service.
 pub type ServiceName = Arc<str>;
+/// Version of a backend server's software, not of the model weights that it has loaded. Versions
+/// have no order.
+pub type SoftwareVersion = Arc<str>;
 /// Name of a data centre, from the settings of a process.
 pub type DataCentre = Arc<str>;
 /// Name of a region, which groups nearby data centres, from the settings of a process.
--- a/toucanrail/tests/backend_placement.rs
+++ b/toucanrail/tests/backend_placement.rs
@@ -16,6 +16,7 @@
         service: Arc::from("llm"),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         data_centre: Arc::from(if id < "s5" { "a" } else { "b" }),
+        software_version: "v1".into(),
         slots: 64,
         draining: false,
         started_at: 1,
--- a/toucanrail/tests/centre_evacuations.rs
+++ b/toucanrail/tests/centre_evacuations.rs
@@ -19,6 +19,7 @@
         service: Arc::from("llm"),
         address: SocketAddr::from(([10, 0, 0, at], 80)),
         data_centre: Arc::from(["a", "b", "c"][usize::from(at % 3)]),
+        software_version: "v1".into(),
         slots: 64,
         draining: false,
         started_at: 1,
--- a/toucanrail/tests/load_probes.rs
+++ b/toucanrail/tests/load_probes.rs
@@ -26,6 +26,7 @@
         service: Arc::from("llm"),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         data_centre: Arc::from("a"),
+        software_version: "v1".into(),
         slots: SLOTS,
         draining: false,
         started_at: 1,
--- a/toucanrail/tests/server_statements.rs
+++ b/toucanrail/tests/server_statements.rs
@@ -19,6 +19,7 @@
         service: Arc::from("llm"),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: Arc::from("a"),
+        software_version: "v1".into(),
         slots: 64,
         draining: false,
         started_at,
