--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -704,11 +704,15 @@
         file.expect("a log file").into()
     }
 
-    /// Kills the process and starts it again with the same settings.
-    pub fn restart(&mut self) {
-        // The process may have exited already, as after SIGTERM.
+    /// Kills the process. It may have exited already, as after SIGTERM.
+    pub fn kill(&mut self) {
         self.child.kill().ok();
         self.child.wait().ok();
+    }
+
+    /// Kills the process and starts it again with the same settings.
+    pub fn restart(&mut self) {
+        self.kill();
         self.child = Self::spawn(self.program, &self.settings);
     }
 
@@ -749,9 +753,7 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        // The process may have exited already.
-        self.child.kill().ok();
-        self.child.wait().ok();
+        self.kill();
         std::fs::remove_file(&self.settings).ok();
     }
 }
@@ -831,6 +833,13 @@
     store.put("servers", &backend.id, entry);
 }
 
+/// Writes a server's registration with a software version.
+pub fn register_version(store: &Store, backend: &Backend, version: &str) {
+    let mut entry = backend.entry("desk");
+    entry["version"] = json!(version);
+    store.put("servers", &backend.id, entry);
+}
+
 /// Changes one field of all routes, customers or services in the current configuration.
 pub fn configure_field(store: &Store, version: u64, table: &str, field: &str, value: &Value) {
     let mut config = current_config(store);
