Streams go on only at the software version that began them

Cause: nothing read the version of a registration or the Resumes field of a request. Class: a stream's continuation was placed as a new request, although what it continues binds it; the state that binds it stood in one entry's stack frame, and the caller's next entry could not know it.

The origin of a stream is the service and software version of the server whose first event was forwarded. Within a response the entry retries only there. The entry notes origins at two relays (origins, origin_keepers: rendezvous hashing by bucket of attempts, a bucket for 16 relays; batches of 100 ms; a relay that started again gets all notes anew). A caller's return is bound to the origin found in the entry's own table, at the relays, or, if neither knows it, to the only version that the service has had for longer than any stream lasts, by a fresh listing (version_history). Otherwise it is refused at once as not run (3205), as it is when no server of the version is left (3206). A server whose version changes under its id is another process. Shared parts are not fetched from another version.

The tests' ids of new streams are unique now: the code takes an id that is used twice for unknown, as it should; bounds and checks are unchanged.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -16,6 +16,7 @@
 use crate::dispatching;
 use crate::grant_manager::HoldFailure;
 use crate::loan_client::{self, BudgetGuard, BudgetNeed};
+use crate::origin_client;
 use crate::request_context::{DEADLINE_MARGIN, RequestPlan};
 use crate::responding::{self, ResponseWriter};
 use crate::state::Gateway;
@@ -93,8 +94,18 @@
     let info = requests::parse_request(head);
     let (route, customer) = match_route(gateway, head, &info)?;
     check_stopping(gateway, route.timeout)?;
-    let service = route.pick_service(fastrand::f64()).map(Arc::clone);
-    let service = service.ok_or(codetable::NO_BACKEND_SERVER)?;
+    let origin = if route.kind.is_stream() && info.takes_up_stream() {
+        Some(origin_client::find_origin(gateway, &info, &route).await?)
+    } else {
+        None
+    };
+    let service = match &origin {
+        Some(origin) => Arc::clone(&origin.service),
+        None => route
+            .pick_service(fastrand::f64())
+            .map(Arc::clone)
+            .ok_or(codetable::NO_BACKEND_SERVER)?,
+    };
     let timeout = info.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let rank = customer.as_ref().and_then(|customer| customer.priority);
     let mut plan = RequestPlan {
@@ -105,6 +116,7 @@
         route,
         customer,
         service,
+        origin,
         arrived,
         deadline: arrived + timeout.saturating_sub(DEADLINE_MARGIN),
         budget: None,
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -53,7 +53,7 @@
         history: AttemptHistory::new(plan.route.kind, plan.route.attempts),
         tried: Vec::new(),
         last_version: None,
-        stream: StreamState::new(plan.info.last_event),
+        stream: StreamState::new(plan.info.last_event, plan.origin.clone()),
         failed_response: None,
         finished: false,
     };
@@ -190,7 +190,8 @@
         table: &'table BackendTable,
         now: Duration,
     ) -> Vec<&'table BackendRow> {
-        let mut eligible = table.eligible(&self.plan.service, &self.tried, now);
+        let origin = self.stream.origin.as_ref();
+        let mut eligible = table.eligible_for(&self.plan.service, origin, &self.tried, now);
         eligible.retain(|row| self.is_region_allowed(row));
         eligible
     }
@@ -345,7 +346,9 @@
     fn refusal_cause(&self) -> RefusalCause {
         let now = self.gateway.now();
         let tables = self.gateway.tables.borrow();
-        let any_eligible = !tables.backends.eligible(&self.plan.service, &[], now).is_empty();
+        let origin = self.stream.origin.as_ref();
+        let eligible = tables.backends.eligible_for(&self.plan.service, origin, &[], now);
+        let any_eligible = !eligible.is_empty();
         let rest = tables.backends.rest_left(&self.plan.service, now);
         rest.filter(|_| !any_eligible).map_or(RefusalCause::Declined, RefusalCause::Resting)
     }
--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -77,6 +77,8 @@
         change_feed: ChangeFeed::new(Rc::clone(&gateway.store), Rc::clone(executor)),
         permits: PermitTable::new(gateway.now()).into(),
         report_client: None,
+        origins: RefCell::default(),
+        process: fastrand::u64(..),
     });
     let lending = relay_api::serve_entries(Rc::clone(executor), Rc::clone(&api), entries);
     executor.spawn(lending).detach();
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -96,7 +96,17 @@
     let report_client =
         server.map(|server| Rc::new(ReportClient::new(StoreClient::new(CONNECT_TIMEOUT), server)));
     let (loans, stopping) = (RefCell::default(), Cell::new(false));
-    Ok(RelayApi { grant_manager, loans, stopping, change_feed, permits, report_client })
+    let (origins, process) = (RefCell::default(), fastrand::u64(..));
+    Ok(RelayApi {
+        grant_manager,
+        loans,
+        stopping,
+        change_feed,
+        permits,
+        report_client,
+        origins,
+        process,
+    })
 }
 
 async fn measure_burn(api: Rc<RelayApi>) {
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -10,7 +10,10 @@
 use std::time::Duration;
 
 use smol::{Async, LocalExecutor};
+use toucanrail::ids::RequestId;
 use toucanrail::loans::{LoanEnd, LoanReply, LoanRequest, LoanTable};
+use toucanrail::origin_keepers::ProcessNumber;
+use toucanrail::origins::{OriginNote, OriginTable, StreamOrigin};
 use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::rpc;
@@ -34,6 +37,12 @@
 /// Path of a call that takes a [`PermitRequest`] and returns a [`PermitReply`].
 pub const PERMIT_PATH: &str = "/permit";
 
+/// Path of a call that takes a list of [`OriginNote`]s and returns the relay's [`ProcessNumber`].
+pub const NOTE_PATH: &str = "/origins/note";
+/// Path of a call that takes the id of a caller's attempt and returns the [`StreamOrigin`] noted for
+/// it, if there is one.
+pub const ORIGIN_PATH: &str = "/origins/find";
+
 /// Path of a call without arguments that returns `true` immediately.
 pub const ALIVE_PATH: &str = "/alive";
 
@@ -57,6 +66,10 @@
     pub permits: RefCell<PermitTable>,
     /// Reads the load of the backend server beside the relay, if there is one.
     pub report_client: Option<Rc<ReportClient>>,
+    /// Origins of the streams that entries have noted here.
+    pub origins: RefCell<OriginTable>,
+    /// Random number of this process.
+    pub process: ProcessNumber,
 }
 
 /// Serves the connections of entries. A connection that fails is dropped; the entry opens another
@@ -94,6 +107,14 @@
                 let request = rpc::decode(&body)?;
                 rpc::reply(&connection, &grant_permit(api, &request)).await?;
             }
+            NOTE_PATH => {
+                note_origins(api, rpc::decode(&body)?);
+                rpc::reply(&connection, &api.process).await?;
+            }
+            ORIGIN_PATH => {
+                let attempt: RequestId = rpc::decode(&body)?;
+                rpc::reply(&connection, &find_origin(api, &attempt)).await?;
+            }
             REPORT_PATH => {
                 let report = match &api.report_client {
                     Some(report_client) => report_client.try_fetch().await,
@@ -144,6 +165,22 @@
     reply
 }
 
+fn note_origins(api: &RelayApi, notes: Vec<OriginNote>) {
+    let now = api.change_feed.now();
+    let mut origins = api.origins.borrow_mut();
+    for note in notes {
+        origins.insert(note, now);
+    }
+}
+
+fn find_origin(api: &RelayApi, attempt: &RequestId) -> Option<StreamOrigin> {
+    let now = api.change_feed.now();
+    let origin = api.origins.borrow().find(attempt, now).cloned();
+    let version = origin.as_ref().map(|origin| &*origin.version);
+    tracing::info!(event = "origin_asked", %attempt, version);
+    origin
+}
+
 fn end_loans(api: &RelayApi, ends: Vec<LoanEnd>) {
     for end in ends {
         let hold = api.loans.borrow_mut().end(&end.loan);
--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -85,13 +85,42 @@
     Message: Serialize,
     Reply: DeserializeOwned,
 {
-    let pooled = gateway.connections.take(relay, IDLE_TIMEOUT);
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => {
-            time_limits::io_timeout(CONNECT_TIMEOUT, BufferedConnection::connect(address)).await?
-        }
-    };
+    match gateway.connections.take(relay, IDLE_TIMEOUT) {
+        Some(connection) => call_on(gateway, relay, connection, path, message, timeout).await,
+        None => call_relay_anew(gateway, relay, address, path, message, timeout).await,
+    }
+}
+
+/// Calls a relay on a new connection: one in the pool may lead to a process that has ended.
+pub async fn call_relay_anew<Message, Reply>(
+    gateway: &Gateway,
+    relay: &Arc<str>,
+    address: SocketAddr,
+    path: &str,
+    message: &Message,
+    timeout: Duration,
+) -> io::Result<Reply>
+where
+    Message: Serialize,
+    Reply: DeserializeOwned,
+{
+    let connecting = BufferedConnection::connect(address);
+    let connection = time_limits::io_timeout(CONNECT_TIMEOUT, connecting).await?;
+    call_on(gateway, relay, connection, path, message, timeout).await
+}
+
+async fn call_on<Message, Reply>(
+    gateway: &Gateway,
+    relay: &Arc<str>,
+    mut connection: BufferedConnection,
+    path: &str,
+    message: &Message,
+    timeout: Duration,
+) -> io::Result<Reply>
+where
+    Message: Serialize,
+    Reply: DeserializeOwned,
+{
     let reply = time_limits::io_timeout(timeout, rpc::call(&mut connection, path, message)).await?;
     gateway.connections.put(relay, connection, Some(IDLE_TIMEOUT));
     Ok(reply)
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -11,6 +11,7 @@
 use toucanrail::framing::BodyDecoder;
 use toucanrail::ids::ServiceName;
 use toucanrail::matching::{CustomerProfile, RouteRule};
+use toucanrail::origins::StreamOrigin;
 use toucanrail::scanners::BodyLength;
 use toucanrail::sse::EventScanner;
 use toucanrail_platform::requests::RequestInfo;
@@ -42,6 +43,8 @@
     pub customer: Option<Arc<CustomerProfile>>,
     /// Service chosen among the route's targets.
     pub service: ServiceName,
+    /// Where the stream began that the request takes up; `None` for a request that begins anew.
+    pub origin: Option<StreamOrigin>,
     /// Time at which the request arrived.
     pub arrived: Instant,
     /// Time by which the response must be complete.
@@ -135,6 +138,8 @@
 pub struct StreamState {
     /// Finds complete events.
     pub scanner: EventScanner,
+    /// Where the stream began, from its first event on.
+    pub origin: Option<StreamOrigin>,
     /// How the newest response states the length of its body, for logging.
     pub framing: Option<BodyLength>,
     /// Bytes received after the last complete event of the newest response, which decide whether it
@@ -148,11 +153,12 @@
 
 impl StreamState {
     /// Creates the state of a stream that resumes after `last_event`, the last event that the
-    /// caller already has.
-    pub fn new(last_event: Option<u64>) -> Self {
+    /// caller already has, and began at `origin`.
+    pub fn new(last_event: Option<u64>, origin: Option<StreamOrigin>) -> Self {
         let scanner = EventScanner { last_id: last_event, ..EventScanner::new() };
         Self {
             scanner,
+            origin,
             framing: None,
             partial_bytes: 0,
             first_byte_at: None,
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -15,6 +15,7 @@
 use toucanrail::evacuations::EvacuationTable;
 use toucanrail::matching::RouteTable;
 use toucanrail::memory_budgets::MemoryBudget;
+use toucanrail::origins::OriginTable;
 use toucanrail_daemons::metrics::ProcessMetrics;
 use toucanrail_daemons::starting::{self, ProcessClock};
 use toucanrail_platform::settings::NodeSettings;
@@ -29,6 +30,7 @@
 use crate::link_load::{self, LinkLoad};
 use crate::liveness::ReportCache;
 use crate::loan_client::{self, LoanClient};
+use crate::origin_client::{self, OriginClient};
 use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
 use crate::state::{Gateway, GatewayTables};
@@ -68,6 +70,7 @@
     executor.spawn(link_load::measure(Rc::clone(&shared))).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
+    executor.spawn(origin_client::send_notes(Rc::clone(&shared))).detach();
     executor.spawn(hosting::host_relay(Rc::clone(&shared))).detach();
     smol::block_on(executor.run(stopping::run_until_stopped(shared)));
     Ok(())
@@ -92,6 +95,7 @@
         retries: BTreeMap::new(),
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
+        origins: OriginTable::new(),
     };
     let link = LinkLoad::new(settings.link_capacity);
     let memory = Rc::new(RefCell::new(MemoryBudget::new(settings.limits)));
@@ -106,6 +110,7 @@
         hosted_relay: RefCell::new(None),
         load_reports: ReportCache::default(),
         permit_failures: RefCell::default(),
+        origin_client: OriginClient::default(),
         memory,
         link,
         metrics,
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -12,6 +12,7 @@
 use toucanrail::backends::{BackendEntry, BackendTable, FlightId};
 use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
+use toucanrail::origins::OriginTable;
 use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
 use toucanrail::retries::{RetryBudget, RetryLimits};
@@ -28,6 +29,7 @@
 use crate::link_load::LinkLoad;
 use crate::liveness::ReportCache;
 use crate::loan_client::LoanClient;
+use crate::origin_client::OriginClient;
 use crate::relay_api::RelayApi;
 use crate::relay_client::RelayBackoff;
 use crate::store_access::StoreAccess;
@@ -40,6 +42,8 @@
 /// server.
 const MIN_ENTRY_COUNT: usize = 4;
 
+/// Added to the longest timeout of a route: callers count their time from before it arrives.
+const LIFETIME_MARGIN: Duration = Duration::from_secs(2);
 /// Time without contact with the store, while lenders do not respond either, after which an entry
 /// is considered isolated. If only the store is unavailable, lenders still respond.
 const ISOLATION_THRESHOLD: Duration = Duration::from_millis(200);
@@ -57,6 +61,8 @@
     pub limits: BTreeMap<ServiceName, AdmissionLimit>,
     /// Estimates of free slots at the servers, by service.
     pub free_slots: BTreeMap<ServiceName, SlotGauge>,
+    /// Origins of the streams that began here or were taken up here.
+    pub origins: OriginTable,
 }
 
 /// A running gateway.
@@ -102,6 +108,8 @@
     pub load_reports: ReportCache,
     /// Relays that did not respond to permit requests.
     pub permit_failures: RefCell<RelayFailures>,
+    /// Sends the origins of streams to relays.
+    pub origin_client: OriginClient,
     /// Bytes held for callers.
     pub memory: SharedBudget,
     /// Load of this VM's network link.
@@ -141,6 +149,11 @@
         self.loan_client.lenders_unreachable.get() && kinds.into_iter().all(is_unanswered)
     }
 
+    /// Returns the longest time from a stream's first event in which its caller may take it up.
+    pub fn stream_lifetime(&self) -> Duration {
+        self.tables.borrow().routes.longest_timeout() + LIFETIME_MARGIN
+    }
+
     /// Records a new request, as opposed to a retry, in the retry budget of a service.
     pub fn record_new_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -104,6 +104,8 @@
             gateway.connections.evict(&id);
         }
         gateway.tables.borrow_mut().backends.apply_paces(&gateway.store.server_paces());
+        let lifetime = gateway.stream_lifetime();
+        gateway.tables.borrow_mut().backends.sweep_versions(now, lifetime);
         gateway.connections.evict_expired();
         let tables = gateway.tables.borrow();
         gateway.load_reports.retain(|server| tables.backends.get(server).is_some());
@@ -430,7 +432,7 @@
         for id in known.iter().filter(|id| !listed.contains(*id)) {
             self.record_missing(gateway, id);
         }
-        gateway.tables.borrow_mut().backends.mark_listed();
+        gateway.tables.borrow_mut().backends.mark_listed(gateway.now());
         tracing::info!(event = "servers_listed", servers = listed.len(), known = known.len());
     }
 
--- a/toucanrail-gateway/tests/stream_versions.rs
+++ b/toucanrail-gateway/tests/stream_versions.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -55,7 +56,7 @@
         platform::register_version(&self.store, &self.new, "v2");
         for entry in &self.entries {
             platform::wait_until("the new version", || {
-                call_stream(entry, "fresh", "").contains("data: v2")
+                call_stream(entry, &fresh_id(), "").contains("data: v2")
             });
         }
     }
@@ -79,6 +80,12 @@
     assert!(!response.contains("data: v2") && response.ends_with("0\r\n\r\n"), "{response}");
 }
 
+/// Returns an id that no request has had.
+fn fresh_id() -> String {
+    static NEXT_ID: AtomicU64 = AtomicU64::new(0);
+    format!("fresh-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Sends a request for a resumable stream and returns the whole response.
 fn call_stream(entry: &Process, id: &str, headers: &str) -> String {
     platform::call_raw(entry.callers, &stream_request(id, headers))
@@ -207,7 +214,7 @@
         relay.restart();
         thread::sleep(RECORD_TIME);
         // Any stream makes the entry write to its relays.
-        call_stream(&fleet.entries[0], "fresh", "");
+        call_stream(&fleet.entries[0], &fresh_id(), "");
         thread::sleep(RECORD_TIME);
     }
     fleet.entries[0].kill();
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -4,7 +4,7 @@
 //! Servers register themselves in the platform's store. The table keeps their latest registrations,
 //! this entry's requests in flight at each server, and what is known of each server's prompt cache.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +14,9 @@
 use crate::ejections::EjectionState;
 use crate::evacuations::EvacuationTable;
 use crate::ids::{DataCentre, ServiceName, SoftwareVersion, Tokens, Version};
+use crate::origins::StreamOrigin;
 use crate::statements::{RememberedStatements, ServerProcess, ServerStatements};
+use crate::version_history::VersionHistory;
 
 /// Id of a backend server; most restarts assign a new one.
 pub type BackendId = Arc<str>;
@@ -78,6 +80,24 @@
     pub fn process(&self) -> ServerProcess {
         ServerProcess { id: Arc::clone(&self.id), started_at: self.started_at }
     }
+
+    /// Returns the origin of the streams that it begins.
+    pub fn origin(&self) -> StreamOrigin {
+        let service = ServiceName::clone(&self.service);
+        StreamOrigin { service, version: SoftwareVersion::clone(&self.software_version) }
+    }
+
+    /// Returns whether a stream that began at `origin` may go on at this server.
+    pub fn continues(&self, origin: &StreamOrigin) -> bool {
+        self.service == origin.service && self.software_version == origin.version
+    }
+
+    /// Returns whether this is a registration of the process that `other` registers.
+    fn is_same_process(&self, other: &Self) -> bool {
+        self.started_at == other.started_at
+            && self.address == other.address
+            && self.software_version == other.software_version
+    }
 }
 
 /// One request of this entry at a server.
@@ -212,6 +232,8 @@
     rows: BTreeMap<BackendId, BackendRow>,
     #[serde(skip)]
     remembered: RememberedStatements,
+    #[serde(skip)]
+    versions: VersionHistory,
     /// Data centres that get no new work.
     pub evacuations: EvacuationTable,
     is_listed: bool,
@@ -235,11 +257,9 @@
     /// replaced.
     pub fn apply_entry(&mut self, entry: BackendEntry) {
         let address = entry.address;
+        self.versions.record_registered(&entry.service, &entry.software_version);
         match self.rows.get_mut(&entry.id) {
-            Some(row)
-                if row.entry.started_at == entry.started_at
-                    && row.entry.address == entry.address =>
-            {
+            Some(row) if row.entry.is_same_process(&entry) => {
                 row.entry = entry;
                 row.missing_since = None;
             }
@@ -299,8 +319,40 @@
     }
 
     /// Records that the servers in the store were listed completely.
-    pub fn mark_listed(&mut self) {
+    pub fn mark_listed(&mut self, now: Duration) {
         self.is_listed = true;
+        self.versions.record_listed(now);
+    }
+
+    /// Updates the history of software versions; `lifetime` is the longest time in which a stream
+    /// is taken up.
+    pub fn sweep_versions(&mut self, now: Duration, lifetime: Duration) {
+        let registered: BTreeSet<(&ServiceName, &SoftwareVersion)> = self
+            .rows
+            .values()
+            .map(|row| (&row.entry.service, &row.entry.software_version))
+            .collect();
+        self.versions
+            .sweep(now, lifetime, |service, version| registered.contains(&(service, version)));
+    }
+
+    /// Returns the origin of all streams of a service that began in the last `lifetime`, or none if
+    /// there may have been several.
+    pub fn sole_origin(
+        &self,
+        service: &ServiceName,
+        now: Duration,
+        lifetime: Duration,
+    ) -> Option<StreamOrigin> {
+        let version = self.versions.sole_version(service, now, lifetime)?;
+        let version = SoftwareVersion::clone(version);
+        Some(StreamOrigin { service: ServiceName::clone(service), version })
+    }
+
+    /// Returns whether a server is registered, and not leaving, at which a stream may go on.
+    pub fn may_continue(&self, origin: &StreamOrigin, now: Duration) -> bool {
+        self.untried_servers(&origin.service, &[], now)
+            .any(|row| row.entry.continues(origin) && !row.is_leaving())
     }
 
     /// Returns whether the servers in the store were ever listed completely; before that, an empty
@@ -329,10 +381,23 @@
         service: &str,
         tried: &[BackendId],
         now: Duration,
+    ) -> Vec<&'table BackendRow> {
+        self.eligible_for(service, None, tried, now)
+    }
+
+    /// Like [`eligible`](Self::eligible), for a stream that has begun at `origin` and may go on only
+    /// there.
+    pub fn eligible_for<'table>(
+        &'table self,
+        service: &str,
+        origin: Option<&StreamOrigin>,
+        tried: &[BackendId],
+        now: Duration,
     ) -> Vec<&'table BackendRow> {
         let rows = self.untried_servers(service, tried, now).filter(|row| {
             let BackendEntry { id, data_centre, .. } = &row.entry;
-            !row.is_leaving()
+            origin.is_none_or(|origin| row.entry.continues(origin))
+                && !row.is_leaving()
                 && !row.statements.is_resting(now)
                 && self.evacuations.accepts_work(data_centre, id, now)
         });
--- a/toucanrail/src/codetable.rs
+++ b/toucanrail/src/codetable.rs
@@ -52,6 +52,10 @@
 pub const TOO_MANY_CONNECTIONS: ResultCode = ResultCode::new(3203);
 /// The process holds as many bytes for its callers as its memory allows.
 pub const MEMORY_FULL: ResultCode = ResultCode::new(3204);
+/// It is not known which software version began the stream that the caller takes up.
+pub const ORIGIN_UNKNOWN: ResultCode = ResultCode::new(3205);
+/// No backend server of the software version that began the stream is left.
+pub const VERSION_GONE: ResultCode = ResultCode::new(3206);
 /// The backend server's response ended early.
 pub const ANSWER_CUT: ResultCode = ResultCode::new(4001);
 /// The connection to the backend server went silent.
@@ -89,7 +93,7 @@
 
 /// All rows, ordered by number.
 #[rustfmt::skip]
-pub const ROWS: [CodeRow; 42] = [
+pub const ROWS: [CodeRow; 44] = [
     CodeRow { number: 1000, name: "ok", status: 200, run: RunState::Ran, text: "The request ran and its answer is whole." },
     CodeRow { number: 2001, name: "bad_request", status: 400, run: RunState::NotRun, text: "The request could not be read." },
     CodeRow { number: 2002, name: "ambiguous_length", status: 400, run: RunState::NotRun, text: "The request gives its length in more than one way." },
@@ -115,6 +119,8 @@
     CodeRow { number: 3202, name: "stopping", status: 503, run: RunState::NotRun, text: "This process is stopping." },
     CodeRow { number: 3203, name: "too_many_connections", status: 503, run: RunState::NotRun, text: "The process is at its limit of connections." },
     CodeRow { number: 3204, name: "memory_full", status: 503, run: RunState::NotRun, text: "The process has no memory left for the request." },
+    CodeRow { number: 3205, name: "origin_unknown", status: 503, run: RunState::NotRun, text: "It is not known which software version began this stream." },
+    CodeRow { number: 3206, name: "version_gone", status: 503, run: RunState::NotRun, text: "No backend server of the software version that began this stream is left." },
     CodeRow { number: 4001, name: "answer_cut", status: 502, run: RunState::Ran, text: "The backend server's answer ended early." },
     CodeRow { number: 4002, name: "silent_connection", status: 504, run: RunState::Unknown, text: "The connection to the backend server went silent." },
     CodeRow { number: 4003, name: "backend_failed", status: 502, run: RunState::Unknown, text: "The backend server failed." },
--- a/toucanrail/src/matching.rs
+++ b/toucanrail/src/matching.rs
@@ -239,6 +239,7 @@
     keys: BTreeMap<Arc<str>, Arc<CustomerProfile>>,
     customers: BTreeMap<CustomerId, Arc<CustomerProfile>>,
     limits: CallerLimits,
+    longest_timeout: Duration,
 }
 
 impl RouteTable {
@@ -265,7 +266,13 @@
         if config.version <= self.version {
             return false;
         }
-        let mut table = Self { version: config.version, limits: config.limits, ..Self::default() };
+        let longest_timeout = config.routes.iter().map(|rule| rule.timeout).max();
+        let mut table = Self {
+            version: config.version,
+            limits: config.limits,
+            longest_timeout: self.longest_timeout.max(longest_timeout.unwrap_or_default()),
+            ..Self::default()
+        };
         for rule in config.routes {
             let host = table.routes.entry(Arc::clone(&rule.host)).or_default();
             host.insert(Arc::clone(&rule.prefix), Arc::new(rule));
@@ -294,6 +301,11 @@
         self.customers.insert(rule.name, profile);
     }
 
+    /// Returns the longest timeout of a route in this configuration and those before it.
+    pub fn longest_timeout(&self) -> Duration {
+        self.longest_timeout
+    }
+
     /// Returns the version in effect; 0 if no configuration is known yet.
     pub fn version(&self) -> Version {
         self.version
--- /dev/null
+++ b/toucanrail/src/origin_keepers.rs
@@ -0,0 +1,202 @@
+//! Choice of the relays that keep the origins of streams, and what each of them has already got.
+//!
+//! The attempts are divided into buckets. All entries note the attempts of a bucket at the same two
+//! relays, which they choose by rendezvous hashing, so that any entry finds them again. The number
+//! of buckets grows with the fleet: a small one needs few messages, and in a large one no relay
+//! hears of all streams.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3;
+
+use crate::endpoints::RelayName;
+use crate::loans;
+use crate::origins::{NoteNumber, OriginNote, OriginTable};
+
+/// Relays that keep each origin. One may be lost together with the entry.
+const COPIES: usize = 2;
+/// Relays of a bucket that are asked for an origin: more than keep it, since a new relay may rank
+/// before these.
+const ASKED_RANKS: usize = 3;
+/// Number of relays for each bucket.
+const RELAYS_PER_BUCKET: usize = 16;
+/// Time for which a relay that did not respond gets no notes; the next one by rank gets them.
+const BACKOFF: Duration = Duration::from_secs(2);
+
+/// Maximum number of notes in one message, which has a few hundred kilobytes then.
+const MAX_BATCH: usize = 4_096;
+
+/// Number of a bucket of attempts.
+pub type BucketNumber = u64;
+/// Random number of a relay's process, which tells whether it has started again.
+pub type ProcessNumber = u64;
+/// Name of a relay, and the address at which it serves entries.
+pub type RelayAddress = (RelayName, SocketAddr);
+
+/// Returns the number of buckets in a fleet with this many relays: a power of two, so that it
+/// changes rarely.
+///
+/// # Examples
+/// ```
+/// use toucanrail::origin_keepers;
+/// assert_eq!([0, 18, 70, 625].map(origin_keepers::bucket_count), [1, 1, 4, 32]);
+/// ```
+pub fn bucket_count(relays: usize) -> BucketNumber {
+    let buckets = (relays / RELAYS_PER_BUCKET).max(1);
+    1 << buckets.ilog2()
+}
+
+/// Returns the relays to be asked for the origin of an attempt.
+///
+/// The entry that noted it may have known of fewer or more relays, and used half or twice as many
+/// buckets.
+///
+/// # Examples
+/// ```
+/// assert!(toucanrail::origin_keepers::list_asked(&[], "a").is_empty());
+/// ```
+pub fn list_asked(relays: &[RelayAddress], attempt: &str) -> Vec<RelayAddress> {
+    let buckets = bucket_count(relays.len());
+    let mut asked: BTreeMap<RelayName, SocketAddr> = BTreeMap::new();
+    for buckets in [buckets, buckets * 2, (buckets / 2).max(1)] {
+        let ranked = rank_relays(relays, buckets, bucket_of(attempt, buckets));
+        asked.extend(ranked.into_iter().take(ASKED_RANKS));
+    }
+    asked.into_iter().collect()
+}
+
+fn bucket_of(attempt: &str, buckets: BucketNumber) -> BucketNumber {
+    xxh3::xxh3_64(attempt.as_bytes()) % buckets
+}
+
+fn rank_relays(
+    relays: &[RelayAddress],
+    buckets: BucketNumber,
+    bucket: BucketNumber,
+) -> Vec<RelayAddress> {
+    loans::rank_lenders(relays, &format!("origins {bucket} of {buckets}"))
+}
+
+/// Notes that a relay lacks.
+#[derive(Debug)]
+pub struct NoteBatch {
+    /// The relay.
+    pub relay: RelayAddress,
+    /// The notes.
+    pub notes: Vec<OriginNote>,
+    buckets: BucketNumber,
+    bucket: BucketNumber,
+    /// Number of the newest note that the relay has with this batch.
+    newest: NoteNumber,
+    /// Number of the newest note of the plan before.
+    planned_before: NoteNumber,
+}
+
+/// What a relay has got of one bucket.
+#[derive(Debug, Clone, Copy)]
+struct KeeperRow {
+    process: ProcessNumber,
+    newest: NoteNumber,
+}
+
+/// What the relays have got of an entry's notes.
+#[derive(Debug, Default)]
+pub struct KeeperTable {
+    buckets: BucketNumber,
+    rows: BTreeMap<(BucketNumber, RelayName), KeeperRow>,
+    failed: BTreeMap<RelayName, Duration>,
+    /// Number of the newest note that was planned to be sent.
+    planned: NoteNumber,
+}
+
+impl KeeperTable {
+    /// Creates the table of an entry that has sent no notes.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns whether there are notes that no plan contains.
+    pub fn has_news(&self, table: &OriginTable) -> bool {
+        self.planned < table.newest()
+    }
+
+    /// Plans what to send now: for each bucket with new notes, all notes that its relays lack. A
+    /// relay that is new to the bucket lacks all of them.
+    pub fn plan_batches(
+        &mut self,
+        table: &OriginTable,
+        relays: &[RelayAddress],
+        now: Duration,
+    ) -> Vec<NoteBatch> {
+        self.failed.retain(|_, until| now < *until);
+        let buckets = bucket_count(relays.len());
+        if self.buckets != buckets {
+            self.rows.clear();
+            self.buckets = buckets;
+        }
+        let working: Vec<RelayAddress> =
+            relays.iter().filter(|(name, _)| !self.failed.contains_key(name)).cloned().collect();
+        if working.is_empty() {
+            return Vec::new();
+        }
+        let news = table.notes_after(self.planned, now);
+        let news: BTreeSet<BucketNumber> =
+            news.map(|(_, note)| bucket_of(&note.attempt, buckets)).collect();
+        let mut batches = Vec::new();
+        for bucket in news {
+            let keepers = rank_relays(&working, buckets, bucket).into_iter().take(COPIES);
+            batches.extend(keepers.map(|relay| self.make_batch(table, relay, bucket, now)));
+        }
+        batches.retain(|batch| !batch.notes.is_empty());
+        self.planned = table.newest();
+        batches
+    }
+
+    fn make_batch(
+        &self,
+        table: &OriginTable,
+        relay: RelayAddress,
+        bucket: BucketNumber,
+        now: Duration,
+    ) -> NoteBatch {
+        let buckets = self.buckets;
+        let known = self.rows.get(&(bucket, Arc::clone(&relay.0)));
+        let mut newest = known.map_or(0, |row| row.newest);
+        let lacking = table.notes_after(newest, now);
+        let lacking = lacking.filter(|(_, note)| bucket_of(&note.attempt, buckets) == bucket);
+        let (numbers, notes): (Vec<NoteNumber>, Vec<OriginNote>) = lacking.take(MAX_BATCH).unzip();
+        newest = numbers.last().copied().unwrap_or(newest);
+        NoteBatch { relay, notes, buckets, bucket, newest, planned_before: self.planned }
+    }
+
+    /// Records that a relay has got a batch. If it has started again since it got the ones before,
+    /// returns the batch that it lacks now.
+    pub fn record_sent(
+        &mut self,
+        batch: NoteBatch,
+        process: ProcessNumber,
+        table: &OriginTable,
+        now: Duration,
+    ) -> Option<NoteBatch> {
+        if batch.buckets != self.buckets {
+            return None;
+        }
+        let key = (batch.bucket, Arc::clone(&batch.relay.0));
+        if self.rows.get(&key).is_some_and(|row| row.process != process) {
+            self.rows.remove(&key);
+            return Some(self.make_batch(table, batch.relay, batch.bucket, now));
+        }
+        self.rows.insert(key, KeeperRow { process, newest: batch.newest });
+        None
+    }
+
+    /// Records that a relay did not respond. The next plan has its notes for the next relay by
+    /// rank.
+    pub fn record_failure(&mut self, batch: &NoteBatch, now: Duration) {
+        self.failed.insert(Arc::clone(&batch.relay.0), now + BACKOFF);
+        self.planned = self.planned.min(batch.planned_before);
+    }
+}
--- /dev/null
+++ b/toucanrail/src/origins.rs
@@ -0,0 +1,140 @@
+//! Origins of streams: the service and the software version of the server that began a stream.
+//!
+//! What servers of two versions write does not fit together, and servers do not check it. A caller
+//! that takes a stream up may reach another entry than before, or the same one after a restart, so
+//! that entries note the origins of their streams at a few relays.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{RequestId, ServiceName, SoftwareVersion};
+
+/// Maximum number of streams in a table; bounds its memory to about 5 MB.
+const MAX_ROWS: usize = 16_384;
+
+/// Number of a note in the order of one table, starting at 1.
+pub type NoteNumber = u64;
+
+/// Where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Service of the server that began it.
+    pub service: ServiceName,
+    /// Software version of that server.
+    pub version: SoftwareVersion,
+}
+
+/// The origin of one stream, as entries tell relays.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginNote {
+    /// The caller's attempt that received the first event.
+    pub attempt: RequestId,
+    /// Where the stream began.
+    pub origin: StreamOrigin,
+    /// Time after which the caller takes the stream up no more.
+    pub valid_for: Duration,
+}
+
+#[derive(Debug)]
+struct OriginRow {
+    /// None if notes contradict one another.
+    origin: Option<StreamOrigin>,
+    expires_at: Duration,
+}
+
+/// The origins of the streams that callers may still take up.
+#[derive(Debug, Default)]
+pub struct OriginTable {
+    rows: BTreeMap<RequestId, OriginRow>,
+    /// Attempts in the order of their notes.
+    order: VecDeque<RequestId>,
+    /// Number of the first note in `order`, less one.
+    dropped: NoteNumber,
+}
+
+impl OriginTable {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Inserts a note, and drops expired ones.
+    ///
+    /// If two notes for one attempt differ, a caller has used its id twice, and the origin counts
+    /// as unknown.
+    pub fn insert(&mut self, note: OriginNote, now: Duration) {
+        self.drop_expired(now);
+        let OriginNote { attempt, origin, valid_for } = note;
+        if let Some(row) = self.rows.get_mut(&attempt) {
+            row.origin.take_if(|known| *known != origin);
+            return;
+        }
+        self.order.push_back(RequestId::clone(&attempt));
+        let row = OriginRow { origin: Some(origin), expires_at: now.saturating_add(valid_for) };
+        self.rows.insert(attempt, row);
+    }
+
+    /// Returns the origin of the stream whose first event an attempt received, if it is known.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::origins::{OriginNote, OriginTable, StreamOrigin};
+    /// let origin = StreamOrigin { service: "llm".into(), version: "v1".into() };
+    /// let valid_for = Duration::from_secs(15);
+    /// let note = OriginNote { attempt: "a".into(), origin: origin.clone(), valid_for };
+    /// let mut table = OriginTable::new();
+    /// table.insert(note, Duration::ZERO);
+    /// assert_eq!(table.find("a", Duration::from_secs(14)), Some(&origin));
+    /// assert_eq!(table.find("a", Duration::from_secs(15)), None);
+    /// ```
+    pub fn find(&self, attempt: &str, now: Duration) -> Option<&StreamOrigin> {
+        self.rows.get(attempt).filter(|row| now < row.expires_at)?.origin.as_ref()
+    }
+
+    /// Returns the number of the newest note; 0 if there was none.
+    pub fn newest(&self) -> NoteNumber {
+        self.dropped + self.order.len() as NoteNumber
+    }
+
+    /// Returns the valid notes with higher numbers than `number`, and their numbers, oldest first.
+    pub fn notes_after(
+        &self,
+        number: NoteNumber,
+        now: Duration,
+    ) -> impl Iterator<Item = (NoteNumber, OriginNote)> {
+        let first = number.max(self.dropped);
+        let skipped = usize::try_from(first - self.dropped).unwrap_or(usize::MAX);
+        (first + 1..).zip(self.order.iter().skip(skipped)).filter_map(move |(number, attempt)| {
+            let row = self.rows.get(attempt)?;
+            let valid_for = row.expires_at.checked_sub(now).filter(|left| !left.is_zero())?;
+            let origin = row.origin.clone()?;
+            Some((number, OriginNote { attempt: RequestId::clone(attempt), origin, valid_for }))
+        })
+    }
+
+    /// Returns the number of streams in the table.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Drops expired notes from the front, and the oldest one of a full table.
+    fn drop_expired(&mut self, now: Duration) {
+        while let Some(oldest) = self.order.front() {
+            let expired = self.rows.get(oldest).is_none_or(|row| row.expires_at <= now);
+            if !expired && self.order.len() < MAX_ROWS {
+                return;
+            }
+            self.rows.remove(oldest);
+            self.order.pop_front();
+            self.dropped += 1;
+        }
+    }
+}
--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -89,6 +89,8 @@
 /// A prompt of the session that is placed elsewhere would be prefilled a second time while all
 /// streams at that server pause. The same applies to parts shared by many sessions, and to a
 /// session whose preferred server has changed.
+///
+/// Nothing is fetched from another software version, whose memory may have another layout.
 pub fn pick_fetch_source<'rows>(
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
@@ -106,7 +108,10 @@
         .map(|preferred| preferred.row);
     let is_preferred =
         |row: &BackendRow| preferred.is_some_and(|preferred| preferred.entry.id == row.entry.id);
-    let others = working.into_iter().filter(|row| row.entry.id != target.entry.id);
+    let others = working.into_iter().filter(|row| {
+        row.entry.id != target.entry.id
+            && row.entry.software_version == target.entry.software_version
+    });
     // The other entries send the shared parts to their preferred server too, so it has them cached.
     let expected = |row: &BackendRow| if is_preferred(row) { shared } else { cached(row) };
     let source = others.max_by_key(|row| expected(row))?;
--- a/toucanrail/src/retry_delays.rs
+++ b/toucanrail/src/retry_delays.rs
@@ -34,6 +34,8 @@
     Unconfirmed,
     /// The customer's budget cannot be confirmed until the store is available again.
     Outage,
+    /// No server of the software version that began a stream is left; one may start again.
+    VersionGone,
     /// Every server that was tried declined, or none could be tried.
     Declined,
     /// All servers rest; the first of them takes requests again after this time.
@@ -59,7 +61,9 @@
     let delay = match cause {
         RefusalCause::Uninformed => OTHER_ENTRY_DELAY,
         RefusalCause::FullEntry => FULL_ENTRY_DELAY.mul_f64(0.5 + random),
-        RefusalCause::Overload | RefusalCause::Outage => longest.mul_f64(1.0 - JITTER * random),
+        RefusalCause::Overload | RefusalCause::Outage | RefusalCause::VersionGone => {
+            longest.mul_f64(1.0 - JITTER * random)
+        }
         RefusalCause::Unconfirmed => GRANT_DELAY.mul_f64(0.75 + 0.5 * random),
         RefusalCause::Declined => MIN_DECLINED_DELAY + DECLINED_JITTER.mul_f64(random),
         RefusalCause::Resting(rest) => rest.saturating_add(DECLINED_JITTER.mul_f64(random)),
