Entries that have just started learn of sole versions from relays

Callers that take a stream up mostly reach the entry that was killed, once it is back: clients of a data centre stay with its entries. That entry knows no version of before, so that it refused all returns without Resumes for as long as a stream may last, although the service had had one version only. Entries now state with their notes which services have one version, or several; relays keep the statements for 2 s (several: 60 s) and tell them with an origin. A started entry takes a stream up if the relays state one version without contradiction and its own listing shows no other.

--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -78,6 +78,7 @@
         permits: PermitTable::new(gateway.now()).into(),
         report_client: None,
         origins: RefCell::default(),
+        versions: RefCell::default(),
         process: fastrand::u64(..),
     });
     let lending = relay_api::serve_entries(Rc::clone(executor), Rc::clone(&api), entries);
--- a/toucanrail-gateway/src/origin_client.rs
+++ b/toucanrail-gateway/src/origin_client.rs
@@ -8,10 +8,12 @@
 
 use event_listener::Event;
 use toucanrail::codetable;
+use toucanrail::ids::RequestId;
 use toucanrail::matching::{RouteKind, RouteRule};
 use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch, ProcessNumber, RelayAddress};
-use toucanrail::origins::{OriginNote, StreamOrigin};
+use toucanrail::origins::{OriginNote, OriginReply, OriginReport, StreamOrigin};
 use toucanrail::retry_delays::{self, RefusalCause};
+use toucanrail::version_history::{VersionStatement, VersionStatements};
 use toucanrail_platform::names;
 use toucanrail_platform::requests::RequestInfo;
 
@@ -130,16 +132,32 @@
 
 /// Sends a batch on a pooled connection, and on a new one if that has ended.
 async fn call_with_notes(gateway: &Gateway, batch: &NoteBatch) -> io::Result<ProcessNumber> {
-    let NoteBatch { relay: (relay, address), notes, .. } = batch;
+    let (relay, address) = &batch.relay;
+    let report = OriginReport { notes: batch.notes.clone(), versions: make_statements(gateway) };
     let timeout = SEND_TIMEOUT;
-    match relay_client::call_relay(gateway, relay, *address, NOTE_PATH, notes, timeout).await {
+    match relay_client::call_relay(gateway, relay, *address, NOTE_PATH, &report, timeout).await {
         Err(error) if error.kind() != io::ErrorKind::TimedOut => {
-            relay_client::call_relay_anew(gateway, relay, *address, NOTE_PATH, notes, timeout).await
+            let path = NOTE_PATH;
+            relay_client::call_relay_anew(gateway, relay, *address, path, &report, timeout).await
         }
         sent => sent,
     }
 }
 
+/// Returns what this entry knows of the servers' versions; nothing if it may lack changes.
+fn make_statements(gateway: &Gateway) -> VersionStatements {
+    if !lists_servers(gateway) {
+        return VersionStatements::new();
+    }
+    let lifetime = gateway.stream_lifetime();
+    gateway.tables.borrow().backends.versions().make_statements(gateway.now(), lifetime)
+}
+
+/// Returns whether this entry hears of changes of the servers.
+fn lists_servers(gateway: &Gateway) -> bool {
+    gateway.store.unanswered_for(names::SERVER_KIND) <= MAX_LISTING_AGE
+}
+
 /// Returns where a stream began that a caller takes up, or why it cannot go on.
 ///
 /// If no server of the version that began it is left, or the version is not known, the request is
@@ -178,63 +196,104 @@
     info: &RequestInfo,
     route: &RouteRule,
 ) -> Option<(StreamOrigin, OriginSource)> {
-    if let Some(attempt) = &info.resumed_attempt {
-        let own = gateway.tables.borrow().origins.find(attempt, gateway.now()).cloned();
-        if let Some(origin) = own {
-            return Some((origin, OriginSource::Own));
-        }
-        if let Some(origin) = ask_relays(gateway, attempt).await {
-            let (attempt, valid_for) = (Arc::clone(attempt), note_time(info, route));
-            insert_note(gateway, OriginNote { attempt, origin: origin.clone(), valid_for });
-            return Some((origin, OriginSource::Relay));
-        }
+    let attempt = info.resumed_attempt.as_ref();
+    let own = attempt.and_then(|attempt| find_own(gateway, attempt));
+    if let Some(origin) = own {
+        return Some((origin, OriginSource::Own));
+    }
+    let sole = find_sole_version(gateway, route);
+    if let (None, Some(sole)) = (attempt, sole.as_ref().filter(|sole| sole.is_proved)) {
+        return Some((sole.origin.clone(), OriginSource::SoleVersion));
+    }
+    if attempt.is_none() && sole.is_none() {
+        return None;
     }
-    Some((sole_origin(gateway, route)?, OriginSource::SoleVersion))
+    let replies = ask_relays(gateway, attempt).await;
+    let noted = replies.iter().find_map(|reply| reply.origin.clone());
+    if let (Some(attempt), Some(origin)) = (attempt, noted) {
+        let (attempt, valid_for) = (Arc::clone(attempt), note_time(info, route));
+        insert_note(gateway, OriginNote { attempt, origin: origin.clone(), valid_for });
+        return Some((origin, OriginSource::Relay));
+    }
+    let sole = sole.filter(|sole| sole.is_proved || sole.is_confirmed(&replies))?;
+    Some((sole.origin, OriginSource::SoleVersion))
+}
+
+fn find_own(gateway: &Gateway, attempt: &RequestId) -> Option<StreamOrigin> {
+    gateway.tables.borrow().origins.find(attempt, gateway.now()).cloned()
+}
+
+/// The only version that this entry has seen at the servers of a service.
+#[derive(Debug)]
+struct SoleVersion {
+    origin: StreamOrigin,
+    /// Whether this entry has listed the servers for longer than any stream lasts. If not, another
+    /// entry may have, and have told the relays.
+    is_proved: bool,
 }
 
-/// Returns the origin of all streams of a route, if only one version can have begun them.
-fn sole_origin(gateway: &Gateway, route: &RouteRule) -> Option<StreamOrigin> {
+impl SoleVersion {
+    /// Returns whether other entries have stated that there is no other version.
+    fn is_confirmed(&self, replies: &[OriginReply]) -> bool {
+        let StreamOrigin { service, version } = &self.origin;
+        let mut stated = replies.iter().filter_map(|reply| reply.versions.get(service)).peekable();
+        let sole = VersionStatement::Sole(Arc::clone(version));
+        stated.peek().is_some() && stated.all(|statement| *statement == sole)
+    }
+}
+
+fn find_sole_version(gateway: &Gateway, route: &RouteRule) -> Option<SoleVersion> {
     let [target] = &*route.targets else {
         return None;
     };
-    if gateway.store.unanswered_for(names::SERVER_KIND) > MAX_LISTING_AGE {
+    if !lists_servers(gateway) {
         return None;
     }
-    let lifetime = gateway.stream_lifetime();
-    gateway.tables.borrow().backends.sole_origin(&target.service, gateway.now(), lifetime)
+    let (now, lifetime) = (gateway.now(), gateway.stream_lifetime());
+    let service = &target.service;
+    let tables = gateway.tables.borrow();
+    let versions = tables.backends.versions();
+    let version = Arc::clone(versions.listed_version(service)?);
+    let is_proved = versions.sole_version(service, now, lifetime).is_some();
+    Some(SoleVersion { origin: StreamOrigin { service: Arc::clone(service), version }, is_proved })
 }
 
-/// Asks the relays that may keep an origin, all at once. Returns the first one that is found.
-async fn ask_relays(gateway: &Rc<Gateway>, attempt: &Arc<str>) -> Option<StreamOrigin> {
-    let asked = origin_keepers::list_asked(&gateway.store.relays(), attempt);
+/// Asks the relays that may keep the origin of an attempt, all at once, until one knows it.
+async fn ask_relays(gateway: &Rc<Gateway>, attempt: Option<&RequestId>) -> Vec<OriginReply> {
+    let key = attempt.map_or("", |attempt| &**attempt);
+    let asked = origin_keepers::list_asked(&gateway.store.relays(), key);
     let (replies, received) = smol::channel::bounded(asked.len().max(1));
     for relay in asked {
-        let (asking, attempt) = (Rc::clone(gateway), Arc::clone(attempt));
+        let (asking, attempt) = (Rc::clone(gateway), attempt.map(Arc::clone));
         let replies = replies.clone();
         let task = gateway.executor.spawn(async move {
-            match ask_relay(&asking, &relay, &attempt).await {
+            match ask_relay(&asking, &relay, attempt.as_ref()).await {
                 // Nobody receives the reply if another relay has told the origin before.
-                Ok(origin) => drop(replies.send(origin).await),
+                Ok(reply) => drop(replies.send(reply).await),
                 Err(error) => {
-                    tracing::info!(event = "origin_unanswered", relay = %relay.0, %attempt, %error);
+                    tracing::info!(event = "origin_unanswered", relay = %relay.0, %error);
                 }
             }
         });
         task.detach();
     }
     drop(replies);
+    let mut all = Vec::new();
     while let Ok(reply) = received.recv().await {
-        if reply.is_some() {
-            return reply;
+        let is_found = reply.origin.is_some();
+        all.push(reply);
+        if is_found {
+            break;
         }
     }
-    None
+    all
 }
 
 async fn ask_relay(
     gateway: &Gateway,
     (relay, address): &RelayAddress,
-    attempt: &Arc<str>,
-) -> io::Result<Option<StreamOrigin>> {
-    relay_client::call_relay_anew(gateway, relay, *address, ORIGIN_PATH, attempt, ASK_TIMEOUT).await
+    attempt: Option<&RequestId>,
+) -> io::Result<OriginReply> {
+    let timeout = ASK_TIMEOUT;
+    relay_client::call_relay_anew(gateway, relay, *address, ORIGIN_PATH, &attempt, timeout).await
 }
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -96,7 +96,6 @@
     let report_client =
         server.map(|server| Rc::new(ReportClient::new(StoreClient::new(CONNECT_TIMEOUT), server)));
     let (loans, stopping) = (RefCell::default(), Cell::new(false));
-    let (origins, process) = (RefCell::default(), fastrand::u64(..));
     Ok(RelayApi {
         grant_manager,
         loans,
@@ -104,8 +103,9 @@
         change_feed,
         permits,
         report_client,
-        origins,
-        process,
+        origins: RefCell::default(),
+        versions: RefCell::default(),
+        process: fastrand::u64(..),
     })
 }
 
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -13,8 +13,9 @@
 use toucanrail::ids::RequestId;
 use toucanrail::loans::{LoanEnd, LoanReply, LoanRequest, LoanTable};
 use toucanrail::origin_keepers::ProcessNumber;
-use toucanrail::origins::{OriginNote, OriginTable, StreamOrigin};
+use toucanrail::origins::{OriginReply, OriginReport, OriginTable};
 use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
+use toucanrail::version_history::StatementTable;
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::rpc;
 use toucanrail_wire::time_limits;
@@ -37,10 +38,10 @@
 /// Path of a call that takes a [`PermitRequest`] and returns a [`PermitReply`].
 pub const PERMIT_PATH: &str = "/permit";
 
-/// Path of a call that takes a list of [`OriginNote`]s and returns the relay's [`ProcessNumber`].
+/// Path of a call that takes an [`OriginReport`] and returns the relay's [`ProcessNumber`].
 pub const NOTE_PATH: &str = "/origins/note";
-/// Path of a call that takes the id of a caller's attempt and returns the [`StreamOrigin`] noted for
-/// it, if there is one.
+/// Path of a call that takes the id of a caller's attempt, if it is known, and returns an
+/// [`OriginReply`].
 pub const ORIGIN_PATH: &str = "/origins/find";
 
 /// Path of a call without arguments that returns `true` immediately.
@@ -68,6 +69,8 @@
     pub report_client: Option<Rc<ReportClient>>,
     /// Origins of the streams that entries have noted here.
     pub origins: RefCell<OriginTable>,
+    /// What entries state of the software versions of servers.
+    pub versions: RefCell<StatementTable>,
     /// Random number of this process.
     pub process: ProcessNumber,
 }
@@ -112,8 +115,8 @@
                 rpc::reply(&connection, &api.process).await?;
             }
             ORIGIN_PATH => {
-                let attempt: RequestId = rpc::decode(&body)?;
-                rpc::reply(&connection, &find_origin(api, &attempt)).await?;
+                let attempt: Option<RequestId> = rpc::decode(&body)?;
+                rpc::reply(&connection, &find_origin(api, attempt.as_ref())).await?;
             }
             REPORT_PATH => {
                 let report = match &api.report_client {
@@ -165,20 +168,26 @@
     reply
 }
 
-fn note_origins(api: &RelayApi, notes: Vec<OriginNote>) {
+fn note_origins(api: &RelayApi, report: OriginReport) {
     let now = api.change_feed.now();
+    api.versions.borrow_mut().record(report.versions, now);
     let mut origins = api.origins.borrow_mut();
-    for note in notes {
+    for note in report.notes {
         origins.insert(note, now);
     }
 }
 
-fn find_origin(api: &RelayApi, attempt: &RequestId) -> Option<StreamOrigin> {
+fn find_origin(api: &RelayApi, attempt: Option<&RequestId>) -> OriginReply {
     let now = api.change_feed.now();
-    let origin = api.origins.borrow().find(attempt, now).cloned();
-    let version = origin.as_ref().map(|origin| &*origin.version);
-    tracing::info!(event = "origin_asked", %attempt, version);
-    origin
+    let origins = api.origins.borrow();
+    let origin = attempt.and_then(|attempt| origins.find(attempt, now)).cloned();
+    let reply = OriginReply { origin, versions: api.versions.borrow().valid(now) };
+    tracing::info!(
+        event = "origin_asked", attempt = attempt.map(|attempt| &**attempt),
+        version = reply.origin.as_ref().map(|origin| &*origin.version),
+        versions = ?reply.versions,
+    );
+    reply
 }
 
 fn end_loans(api: &RelayApi, ends: Vec<LoanEnd>) {
--- a/toucanrail-gateway/tests/stream_versions.rs
+++ b/toucanrail-gateway/tests/stream_versions.rs
@@ -7,12 +7,14 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform::{Action, Backend, Message, Process, Store, request};
 
 /// Number of events in a complete stream.
 const EVENTS: u64 = 6;
+/// Timeout of all routes; an entry proves a sole version by itself after a longer time.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Long enough for the entry to tell relays where a stream began, and for a reset relay to be back
 /// in use.
 const RECORD_TIME: Duration = Duration::from_millis(500);
@@ -251,6 +253,25 @@
     assert_old(&call_stream(&fleet.entries[1], "r3", "Last-Event-Id: 1\r\n"));
 }
 
+/// An entry that has just started knows no version of before. It takes a stream up all the same if
+/// other entries state that there was one only.
+#[test]
+fn confirmed_version() {
+    let mut fleet = Fleet::start(3);
+    let unnamed = |entry: &Process| call_stream(entry, &fresh_id(), "Last-Event-Id: 1\r\n");
+    platform::wait_until("a stream that goes on", || {
+        unnamed(&fleet.entries[1]).starts_with("HTTP/1.1 200")
+    });
+    let restarted_at = Instant::now();
+    fleet.entries[0].restart();
+    fleet.entries[0].wait_ready(true);
+    platform::wait_until("a statement", || {
+        call_stream(&fleet.entries[1], &fresh_id(), "");
+        unnamed(&fleet.entries[0]).starts_with("HTTP/1.1 200")
+    });
+    assert!(restarted_at.elapsed() < ROUTE_TIMEOUT);
+}
+
 /// No server of the version that began a stream is left. Its caller is refused at once.
 #[test]
 fn version_gone() {
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -336,17 +336,9 @@
             .sweep(now, lifetime, |service, version| registered.contains(&(service, version)));
     }
 
-    /// Returns the origin of all streams of a service that began in the last `lifetime`, or none if
-    /// there may have been several.
-    pub fn sole_origin(
-        &self,
-        service: &ServiceName,
-        now: Duration,
-        lifetime: Duration,
-    ) -> Option<StreamOrigin> {
-        let version = self.versions.sole_version(service, now, lifetime)?;
-        let version = SoftwareVersion::clone(version);
-        Some(StreamOrigin { service: ServiceName::clone(service), version })
+    /// Returns which software versions the servers of each service have run.
+    pub fn versions(&self) -> &VersionHistory {
+        &self.versions
     }
 
     /// Returns whether a server is registered, and not leaving, at which a stream may go on.
--- a/toucanrail/src/origins.rs
+++ b/toucanrail/src/origins.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{RequestId, ServiceName, SoftwareVersion};
+use crate::version_history::VersionStatements;
 
 /// Maximum number of streams in a table; bounds its memory to about 5 MB.
 const MAX_ROWS: usize = 16_384;
@@ -37,6 +38,24 @@
     pub valid_for: Duration,
 }
 
+/// What an entry tells a relay about streams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReport {
+    /// Origins of streams.
+    pub notes: Vec<OriginNote>,
+    /// Versions of the services' servers.
+    pub versions: VersionStatements,
+}
+
+/// What a relay knows about a stream that a caller takes up.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReply {
+    /// Where it began, if an entry has noted that.
+    pub origin: Option<StreamOrigin>,
+    /// What entries state of the versions of the services' servers.
+    pub versions: VersionStatements,
+}
+
 #[derive(Debug)]
 struct OriginRow {
     /// None if notes contradict one another.
--- a/toucanrail/src/version_history.rs
+++ b/toucanrail/src/version_history.rs
@@ -5,8 +5,27 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{ServiceName, SoftwareVersion};
 
+/// Time for which an entry's statement of a sole version holds at a relay. Entries under load repeat
+/// it several times in it.
+const SOLE_TIME: Duration = Duration::from_secs(2);
+/// Time for which a relay takes no statement of a sole version after one of several: entries learn
+/// of a version at different times.
+const SEVERAL_TIME: Duration = Duration::from_secs(60);
+
+/// What an entry knows of the versions that a service has run in the time in which streams are taken
+/// up.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VersionStatement {
+    /// This one only.
+    Sole(SoftwareVersion),
+    /// More than one.
+    Several,
+}
+
 /// Versions of the servers that are registered, or were until lately.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -72,7 +91,83 @@
         lifetime: Duration,
     ) -> Option<&SoftwareVersion> {
         let covers = now.saturating_sub(self.known_since?) > lifetime;
-        let versions = self.rows.get(service).filter(|versions| covers && versions.len() == 1)?;
+        self.listed_version(service).filter(|_| covers)
+    }
+
+    /// Returns the only version that a service has run since the servers were listed, or none if
+    /// there were several.
+    pub fn listed_version(&self, service: &str) -> Option<&SoftwareVersion> {
+        self.known_since?;
+        let versions = self.rows.get(service).filter(|versions| versions.len() == 1)?;
         versions.keys().next()
     }
+
+    /// Returns what is known of each service. A service of which that is not enough is left out.
+    pub fn make_statements(&self, now: Duration, lifetime: Duration) -> VersionStatements {
+        let statements = self.rows.iter().filter_map(|(service, versions)| {
+            let statement = match self.sole_version(service, now, lifetime) {
+                Some(version) => VersionStatement::Sole(SoftwareVersion::clone(version)),
+                None if versions.len() > 1 => VersionStatement::Several,
+                None => return None,
+            };
+            Some((ServiceName::clone(service), statement))
+        });
+        statements.collect()
+    }
+}
+
+/// Statements by service.
+pub type VersionStatements = BTreeMap<ServiceName, VersionStatement>;
+
+#[derive(Debug, Clone)]
+struct StatementRow {
+    statement: VersionStatement,
+    stated_at: Duration,
+}
+
+/// The newest statements of all entries, as a relay keeps them for entries that have just started.
+#[derive(Debug, Default)]
+pub struct StatementTable {
+    rows: BTreeMap<ServiceName, StatementRow>,
+}
+
+impl StatementTable {
+    /// Records an entry's statements. Two different sole versions are several.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::version_history::{StatementTable, VersionStatement};
+    /// let (mut table, now) = (StatementTable::default(), Duration::from_secs(1));
+    /// let sole = |version: &str| VersionStatement::Sole(version.into());
+    /// table.record([("llm".into(), sole("v1"))].into(), now);
+    /// assert_eq!(table.valid(now)["llm"], sole("v1"));
+    /// table.record([("llm".into(), sole("v2"))].into(), now);
+    /// table.record([("llm".into(), sole("v1"))].into(), now);
+    /// assert_eq!(table.valid(now)["llm"], VersionStatement::Several);
+    /// ```
+    pub fn record(&mut self, statements: VersionStatements, now: Duration) {
+        for (service, statement) in statements {
+            let known = self.rows.get(&service).filter(|row| row.is_valid(now));
+            let differs = known.is_some_and(|row| row.statement != statement);
+            let statement = if differs { VersionStatement::Several } else { statement };
+            self.rows.insert(service, StatementRow { statement, stated_at: now });
+        }
+    }
+
+    /// Returns the statements that hold.
+    pub fn valid(&self, now: Duration) -> VersionStatements {
+        let valid = self.rows.iter().filter(|(_, row)| row.is_valid(now));
+        valid.map(|(service, row)| (ServiceName::clone(service), row.statement.clone())).collect()
+    }
+}
+
+impl StatementRow {
+    fn is_valid(&self, now: Duration) -> bool {
+        let time = match self.statement {
+            VersionStatement::Sole(_) => SOLE_TIME,
+            VersionStatement::Several => SEVERAL_TIME,
+        };
+        now.saturating_sub(self.stated_at) <= time
+    }
 }
