Own interface: streams continue only at the software version that began them

Engines report their version with their load, agents in their load reports; the entry continues a stream only at servers of the version that began it, and not at all if that version is not known; the agent refuses (3206, not run) if its engine reports another one. Callers of this interface cannot take a stream up themselves, so that no memory is needed there.

The engine stand-in reports v1 unless told otherwise.

--- a/toucanrail-daemons/src/agents.rs
+++ b/toucanrail-daemons/src/agents.rs
@@ -8,9 +8,10 @@
 use http_types::Response;
 use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
+use toucanrail::codes::ResultCode;
 use toucanrail::codetable;
 use toucanrail::frames;
-use toucanrail::ids::{AgentId, ServiceName};
+use toucanrail::ids::{AgentId, ServiceName, SoftwareVersion};
 use toucanrail::ledgers::UsageLedger;
 use toucanrail::messages::{
     AckCommand, AgentReply, EngineCommand, FenceCommand, QueryMode, RunQuery,
@@ -86,7 +87,7 @@
 }
 
 /// Load report of a model engine.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendLoad {
     /// Number of requests that it runs concurrently.
     pub slots: u64,
@@ -94,6 +95,9 @@
     pub running: u64,
     /// Number of queued requests.
     pub waiting: u64,
+    /// Version of its software, if it reports one.
+    #[serde(default, rename = "version")]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 #[derive(Debug, Default)]
@@ -228,8 +232,9 @@
             slots: self.settings.slots,
             running: ledger.running() as u64,
             waiting: 0,
+            software_version: None,
         };
-        let load = status.load.unwrap_or(counted);
+        let load = status.load.clone().unwrap_or(counted);
         LoadReport {
             agent: Arc::clone(&self.id),
             service: Arc::clone(&self.settings.service),
@@ -239,6 +244,7 @@
             healthy: status.failures < UNHEALTHY_PROBE_FAILURES,
             leaving: ledger.leaving,
             in_force,
+            software_version: load.software_version,
         }
     }
 
@@ -247,7 +253,9 @@
             Ok(command) => command,
             Err(refusal) => return *refusal,
         };
-        if let Err(code) = self.lock_ledger().admit(&command) {
+        if let Err(code) =
+            self.check_version(&command).and_then(|()| self.lock_ledger().admit(&command))
+        {
             self.metrics.count_result(code);
             let request = Arc::clone(&command.request);
             let frame = RunFrame::Refused { request, code, retry_after: 1_000 };
@@ -260,6 +268,14 @@
         responses::stream(200, body)
     }
 
+    /// Refuses to continue a stream that another software version has begun.
+    fn check_version(&self, command: &RunCommand) -> Result<(), ResultCode> {
+        let status = self.lock_status();
+        let version = status.load.as_ref().and_then(|load| load.software_version.as_ref());
+        let fits = command.software_version.as_ref().is_none_or(|began| Some(began) == version);
+        if fits { Ok(()) } else { Err(codetable::VERSION_GONE) }
+    }
+
     async fn handle_query(&self, call: &ReceivedRequest) -> Response {
         let query: RunQuery = match self.client.decode(call) {
             Ok(query) => query,
--- a/toucanrail-daemons/src/attempts.rs
+++ b/toucanrail-daemons/src/attempts.rs
@@ -9,7 +9,7 @@
 use toucanrail::codes::ResultCode;
 use toucanrail::codetable;
 use toucanrail::frames::FrameDecoder;
-use toucanrail::ids::{AgentId, RunId, Tokens};
+use toucanrail::ids::{AgentId, RunId, SoftwareVersion, Tokens};
 use toucanrail::messages::{
     AgentReply, HeaderField, QueryMode, RunQuery, RunReport, StoredResponse,
 };
@@ -83,6 +83,8 @@
     pub agent: AgentId,
     /// Its address.
     pub address: SocketAddr,
+    /// Version of its server's software, if it is known.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// Why the exchange with an agent ended early.
--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -10,7 +10,7 @@
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::grants::GrantHold;
-use toucanrail::ids::{AgentId, RunId, Tokens, Version};
+use toucanrail::ids::{AgentId, RunId, SoftwareVersion, Tokens, Version};
 use toucanrail::limits::ServiceLoad;
 use toucanrail::messages::{RunCommand, StoredResponse};
 use toucanrail::records::{self, RecordOutcome, RecordState, RunRecord};
@@ -68,6 +68,9 @@
     marker: BillMarker,
     claim: BillClaim,
     tried: BTreeSet<AgentId>,
+    /// Software version of the server that began the stream, if it has begun and the version is
+    /// known.
+    stream_version: Option<SoftwareVersion>,
     attempt: u32,
     record: Option<(RunRecord, Version)>,
     /// What earlier attempts show about whether the request ran; `None` as long as all of them
@@ -101,6 +104,7 @@
             marker,
             claim,
             tried: BTreeSet::new(),
+            stream_version: None,
             attempt: 0,
             record: None,
             run_state: None,
@@ -277,10 +281,11 @@
     /// none.
     ///
     /// The request has to be repeatable, any part of the response that the caller has received has
-    /// to be resumable, and the retry budget and the hold have to cover the attempt. Waits for the
+    /// to be resumable and of a known software version, and the retry budget and the hold have to cover the attempt. Waits for the
     /// backoff.
     async fn prepare_retry(&mut self) -> bool {
-        let resumable = self.plan.service.resumes && self.plan.streamed;
+        let resumable =
+            self.plan.service.resumes && self.plan.streamed && self.stream_version.is_some();
         if !self.plan.repeatable || (self.writer.has_started() && !resumable) {
             return false;
         }
@@ -337,10 +342,18 @@
         tables.servers.next_index = tables.servers.next_index.wrapping_add(1);
         let usable = tables.grants.usable_agents(&self.plan.customer.name)?;
         let service = &self.plan.service.name;
-        let eligible = tables.servers.eligible(service, usable, &self.tried, now, fastrand::f64());
+        let mut eligible =
+            tables.servers.eligible(service, usable, &self.tried, now, fastrand::f64());
+        if let Some(version) = &self.stream_version {
+            eligible.retain(|row| row.software_version.as_ref() == Some(version));
+        }
         let policy = self.entry.settings.routing;
         let row = routing::pick_server(policy, &tables.servers, &eligible, &query)?;
-        Some(AttemptTarget { agent: Arc::clone(&row.agent), address: row.address })
+        Some(AttemptTarget {
+            agent: Arc::clone(&row.agent),
+            address: row.address,
+            software_version: row.software_version.clone(),
+        })
     }
 
     /// Returns the id of the next attempt. For a non-repeatable request this opens its record,
@@ -379,6 +392,9 @@
         }
         let entry = Arc::clone(&self.entry);
         let result = attempts::run_attempt(&entry, target, &command, &mut self.writer).await;
+        if self.writer.has_started() && self.stream_version.is_none() {
+            self.stream_version.clone_from(&target.software_version);
+        }
         self.record_result(target, &run, &hold, &result).await;
         result
     }
@@ -401,6 +417,7 @@
             priority: plan.customer.class.priority(),
             time_left: self.time_left().as_millis() as u64,
             resume_from: resumed_tokens,
+            software_version: self.stream_version.clone(),
             usage: plan.usage,
             streamed: plan.streamed,
             method: Arc::clone(&plan.method),
--- a/toucanrail-daemons/tests/complete_responses.rs
+++ b/toucanrail-daemons/tests/complete_responses.rs
@@ -31,6 +31,20 @@
     spent.sum()
 }
 
+/// Waits until an entry knows these software versions of the servers.
+async fn wait_versions(fleet: &Fleet, entry: &Process, versions: &[Option<&str>]) {
+    fleet
+        .wait("software versions", async || {
+            let state = fleet.state(entry).await;
+            let rows = state["servers"]["rows"].as_object().cloned().unwrap_or_default();
+            let mut known: Vec<Option<&str>> =
+                rows.values().map(|row| row["software_version"].as_str()).collect();
+            known.sort();
+            known == versions
+        })
+        .await;
+}
+
 /// Tells whether an agent has an unsettled run, according to its state dump.
 fn has_run(state: &Value) -> bool {
     state["ledger"]["runs"].as_object().is_some_and(|runs| !runs.is_empty())
@@ -65,6 +79,48 @@
     });
 }
 
+/// An engine truncates a stream, and the other one runs another software version. What the two write
+/// does not fit together, so that the rest must come from the first one.
+#[test]
+fn other_version() {
+    smol::block_on(async {
+        let fleet = Fleet::start(50_000).await;
+        let (engines, _agents, entry) = start(&fleet, 2).await;
+        engines[1].set_version(Some("v2"));
+        wait_versions(&fleet, &entry, &[Some("v1"), Some("v2")]).await;
+        for engine in &engines {
+            engine.faults.change(|plan| {
+                plan.cut_after = 4;
+                plan.cut_answers = 1;
+            });
+        }
+        let response = fleet.fetch(&entry, fleet.chat_request("versions", 12)).await.unwrap();
+        assert_eq!(stream_text(&response.body), (expected_text("versions", 12), true));
+        let used = engines.iter().filter(|engine| !engine.spent().is_empty()).count();
+        assert_eq!(used, 1, "both engines generated parts of the stream");
+    });
+}
+
+/// Two engines do not report their software versions, which may differ: a truncated stream is cut
+/// visibly.
+#[test]
+fn unknown_version() {
+    smol::block_on(async {
+        let fleet = Fleet::start(50_000).await;
+        let (engines, _agents, entry) = start(&fleet, 2).await;
+        for engine in &engines {
+            engine.set_version(None);
+            engine.faults.change(|plan| {
+                plan.cut_after = 4;
+                plan.cut_answers = 1;
+            });
+        }
+        wait_versions(&fleet, &entry, &[None, None]).await;
+        let response = fleet.fetch(&entry, fleet.chat_request("versions", 12)).await;
+        assert!(response.is_err(), "a truncated stream was completed");
+    });
+}
+
 /// The only engine truncates every attempt after two tokens. The caller must be able to detect that
 /// the response is incomplete, and pays for what was generated.
 #[test]
--- a/toucanrail-standins/src/engines.rs
+++ b/toucanrail-standins/src/engines.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use smol::net::TcpListener;
-use toucanrail::ids::Tokens;
+use toucanrail::ids::{SoftwareVersion, Tokens};
 use toucanrail::routing;
 use toucanrail_wire::listeners::{self, ReceivedRequest, ServerLimits};
 use toucanrail_wire::pipes::{self, PipeWriter};
@@ -22,6 +22,8 @@
 
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(1);
 const CACHE_BLOCK_BYTES: usize = 64;
+/// Software version that an engine reports at first.
+const DEFAULT_VERSION: &str = "v1";
 const DEFAULT_OUTPUT_TOKENS: Tokens = 32;
 
 /// Speed and capacity of an engine.
@@ -111,6 +113,8 @@
     /// Fencing number of the last command carried out.
     fence: u64,
     commands: Vec<String>,
+    /// Software version that the engine reports, if it reports one.
+    version: Option<SoftwareVersion>,
 }
 
 /// A simulated model engine; clones share its state.
@@ -147,7 +151,9 @@
     /// Creates an idle engine.
     pub fn new(speed: EngineSpeed, honours_fencing: bool) -> Self {
         let speed = Arc::new(speed);
-        Self { state: Arc::default(), speed, faults: FaultInjector::new(), honours_fencing }
+        let state = EngineState { version: Some(DEFAULT_VERSION.into()), ..EngineState::default() };
+        let state = Arc::new(Mutex::new(state));
+        Self { state, speed, faults: FaultInjector::new(), honours_fencing }
     }
 
     /// Serves the engine's interface and its control port, and runs its batches.
@@ -169,6 +175,11 @@
         self.lock().spent.clone()
     }
 
+    /// Sets the software version that the engine reports; with none it reports no version.
+    pub fn set_version(&self, version: Option<&str>) {
+        self.lock().version = version.map(Arc::from);
+    }
+
     /// Returns the commands carried out, oldest first.
     pub fn commands(&self) -> Vec<String> {
         self.lock().commands.clone()
@@ -205,7 +216,7 @@
         match path.as_str() {
             "/v1/chat/completions" | "/v1/completions" => self.complete(&request).await,
             "/v1/models" => responses::json(200, &json!({"object": "list", "data": []})),
-            "/engine/load" => responses::json(200, &self.delayed_load()),
+            "/engine/load" => self.load_response(),
             "/engine/cache-events" => self.cache_events_response(),
             "/engine/order" => self.handle_command(&request),
             _ => responses::text(404, "no such path"),
@@ -247,6 +258,14 @@
         }
     }
 
+    fn load_response(&self) -> Response {
+        let EngineLoad { slots, running, waiting } = self.delayed_load();
+        let version = self.lock().version.clone();
+        let report =
+            json!({"slots": slots, "running": running, "waiting": waiting, "version": version});
+        responses::json(200, &report)
+    }
+
     /// Returns the load as it was `load_lag` ago, among the loads sampled at earlier calls.
     fn delayed_load(&self) -> EngineLoad {
         let mut state = self.lock();
--- a/toucanrail/examples/message_sizes.rs
+++ b/toucanrail/examples/message_sizes.rs
@@ -33,6 +33,7 @@
         healthy: true,
         leaving: false,
         in_force: 1 << 40,
+        software_version: Some(name("v1.12.3")),
     };
     println!(
         "load report, query and reply: {} bytes",
--- a/toucanrail/src/messages.rs
+++ b/toucanrail/src/messages.rs
@@ -9,7 +9,7 @@
 
 use crate::codes::{ResultCode, RunState};
 use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RequestId, RunId, ServiceName, ShardName};
-use crate::ids::{Tokens, Version, VmId};
+use crate::ids::{SoftwareVersion, Tokens, Version, VmId};
 
 /// An HTTP header field.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,6 +64,9 @@
     pub time_left: u64,
     /// Number of tokens that the caller has already received, if the engine resumes streams.
     pub resume_from: Tokens,
+    /// Software version of the server that began the stream; no other may continue it.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
     /// How usage is determined.
     pub usage: UsageRule,
     /// Whether the response is streamed as server-sent events.
@@ -285,6 +288,9 @@
     pub leaving: bool,
     /// Catalogue version in effect at the agent.
     pub in_force: Version,
+    /// Version of the backend server's software, if the server reports it.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// Instructs a peer to return unused grant to the shard, before a request is refused for lack of
--- a/toucanrail/src/servers.rs
+++ b/toucanrail/src/servers.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3;
 
 use crate::ejections::EjectionState;
-use crate::ids::{AgentId, DataCentre, EntryId, ServiceName, VmId};
+use crate::ids::{AgentId, DataCentre, EntryId, ServiceName, SoftwareVersion, VmId};
 use crate::messages::LoadReport;
 
 /// Time without a report after which an agent's server gets no new work.
@@ -84,6 +84,8 @@
     pub ejection: EjectionState,
     /// Catalogue version in effect at the agent.
     pub in_force: u64,
+    /// Version of the server's software in the latest report, if it is known.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl ServerRow {
@@ -157,6 +159,7 @@
         row.healthy = report.healthy;
         row.leaving |= report.leaving;
         row.in_force = report.in_force;
+        row.software_version.clone_from(&report.software_version);
     }
 
     /// Marks the servers on VMs that the VM list shows as leaving.
@@ -279,5 +282,6 @@
         first_token: 0.0,
         ejection: EjectionState::default(),
         in_force: 0,
+        software_version: None,
     }
 }
--- a/toucanrail/tests/server_choice.rs
+++ b/toucanrail/tests/server_choice.rs
@@ -36,6 +36,7 @@
         healthy: true,
         leaving: false,
         in_force: 1,
+        software_version: Some(Arc::from("v1")),
     }
 }
 
--- a/toucanrail/tests/world/mod.rs
+++ b/toucanrail/tests/world/mod.rs
@@ -602,6 +602,7 @@
         priority: 1,
         time_left: 1_000,
         resume_from: 0,
+        software_version: None,
         usage: UsageRule::Fixed(1),
         streamed: false,
         method: Arc::from("POST"),
