Keepers of origins: longer backoff of relays that stay silent, odd event ids, properties

A relay whose VM was removed stays listed; with a fixed backoff each 2 s a message with notes waited for its connection time-out. The backoff doubles up to 16 s. A return whose Last-Event-Id is no number was taken for a new stream and sent on with the field: odd_event failed (the new version answered).

stream_origins replays restarts and deaths of relays between messages as a property: what relays know of a stream is what its entry noted, and each note is at two living relays once its entry has sent again.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -94,7 +94,7 @@
     let info = requests::parse_request(head);
     let (route, customer) = match_route(gateway, head, &info)?;
     check_stopping(gateway, route.timeout)?;
-    let origin = if route.kind.is_stream() && info.takes_up_stream() {
+    let origin = if route.kind.is_stream() && info.takes_up_stream {
         Some(origin_client::find_origin(gateway, &info, &route).await?)
     } else {
         None
--- a/toucanrail-gateway/tests/stream_versions.rs
+++ b/toucanrail-gateway/tests/stream_versions.rs
@@ -242,6 +242,15 @@
     fleet.assert_refused(&response, "r2");
 }
 
+/// A caller names its last event by something that is no number. It takes a stream up all the same.
+#[test]
+fn odd_event() {
+    let fleet = Fleet::start(0);
+    fleet.add_version();
+    let response = call_stream(&fleet.entries[1], "r2", "Last-Event-Id: 1a\r\n");
+    fleet.assert_refused(&response, "r2");
+}
+
 /// The same while all servers have run one version for longer than any stream lasts: it goes on.
 #[test]
 fn sole_version() {
--- a/toucanrail/src/origin_keepers.rs
+++ b/toucanrail/src/origin_keepers.rs
@@ -23,8 +23,11 @@
 const ASKED_RANKS: usize = 3;
 /// Number of relays for each bucket.
 const RELAYS_PER_BUCKET: usize = 16;
-/// Time for which a relay that did not respond gets no notes; the next one by rank gets them.
-const BACKOFF: Duration = Duration::from_secs(2);
+/// Time for which a relay that did not respond gets no notes; the next one by rank gets them. It
+/// doubles with each consecutive failure, up to the maximum, since a relay whose VM was removed never
+/// responds again.
+const INITIAL_BACKOFF: Duration = Duration::from_secs(2);
+const MAX_BACKOFF: Duration = Duration::from_secs(16);
 
 /// Maximum number of notes in one message, which has a few hundred kilobytes then.
 const MAX_BATCH: usize = 4_096;
@@ -102,12 +105,19 @@
     newest: NoteNumber,
 }
 
+/// A relay that did not respond.
+#[derive(Debug, Clone, Copy)]
+struct FailureRow {
+    until: Duration,
+    length: Duration,
+}
+
 /// What the relays have got of an entry's notes.
 #[derive(Debug, Default)]
 pub struct KeeperTable {
     buckets: BucketNumber,
     rows: BTreeMap<(BucketNumber, RelayName), KeeperRow>,
-    failed: BTreeMap<RelayName, Duration>,
+    failed: BTreeMap<RelayName, FailureRow>,
     /// Number of the newest note that was planned to be sent.
     planned: NoteNumber,
 }
@@ -131,14 +141,16 @@
         relays: &[RelayAddress],
         now: Duration,
     ) -> Vec<NoteBatch> {
-        self.failed.retain(|_, until| now < *until);
+        self.failed.retain(|name, _| relays.iter().any(|(known, _)| known == name));
         let buckets = bucket_count(relays.len());
         if self.buckets != buckets {
             self.rows.clear();
             self.buckets = buckets;
         }
-        let working: Vec<RelayAddress> =
-            relays.iter().filter(|(name, _)| !self.failed.contains_key(name)).cloned().collect();
+        let is_working = |(name, _): &&RelayAddress| {
+            self.failed.get(name).is_none_or(|failure| now >= failure.until)
+        };
+        let working: Vec<RelayAddress> = relays.iter().filter(is_working).cloned().collect();
         if working.is_empty() {
             return Vec::new();
         }
@@ -181,6 +193,7 @@
         table: &OriginTable,
         now: Duration,
     ) -> Option<NoteBatch> {
+        self.failed.remove(&batch.relay.0);
         if batch.buckets != self.buckets {
             return None;
         }
@@ -196,7 +209,10 @@
     /// Records that a relay did not respond. The next plan has its notes for the next relay by
     /// rank.
     pub fn record_failure(&mut self, batch: &NoteBatch, now: Duration) {
-        self.failed.insert(Arc::clone(&batch.relay.0), now + BACKOFF);
+        let relay = &batch.relay.0;
+        let length = self.failed.get(relay).map_or(INITIAL_BACKOFF, |failure| failure.length * 2);
+        let length = length.min(MAX_BACKOFF);
+        self.failed.insert(Arc::clone(relay), FailureRow { until: now + length, length });
         self.planned = self.planned.min(batch.planned_before);
     }
 }
--- /dev/null
+++ b/toucanrail/tests/stream_origins.rs
@@ -0,0 +1,218 @@
+//! Origins of streams: the table, the relays that keep them, and the history of versions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch, RelayAddress};
+use toucanrail::origins::{OriginNote, OriginTable, StreamOrigin};
+use toucanrail::version_history::VersionHistory;
+
+const NOW: Duration = Duration::from_secs(100);
+const LIFETIME: Duration = Duration::from_secs(17);
+
+fn note(attempt: &str, version: &str) -> OriginNote {
+    let origin = StreamOrigin { service: Arc::from("llm"), version: Arc::from(version) };
+    OriginNote { attempt: Arc::from(attempt), origin, valid_for: Duration::from_secs(15) }
+}
+
+fn relays(count: usize) -> Vec<RelayAddress> {
+    let address = |at: usize| SocketAddr::from(([10, 0, 0, 1], 1_000 + at as u16));
+    (0..count).map(|at| (Arc::from(format!("side-{at}")), address(at))).collect()
+}
+
+/// Relays that take notes, with the number of their process.
+#[derive(Debug, Default)]
+struct RelaySet {
+    tables: BTreeMap<Arc<str>, (u64, OriginTable)>,
+    dead: BTreeSet<Arc<str>>,
+    restarts: u64,
+}
+
+impl RelaySet {
+    fn restart(&mut self, name: &str) {
+        self.restarts += 1;
+        self.tables.insert(Arc::from(name), (self.restarts, OriginTable::new()));
+    }
+
+    /// Delivers batches, and what a relay turns out to lack.
+    fn deliver(&mut self, keepers: &mut KeeperTable, own: &OriginTable, batches: Vec<NoteBatch>) {
+        for batch in batches {
+            let mut next = Some(batch);
+            while let Some(batch) = next {
+                let name = Arc::clone(&batch.relay.0);
+                if self.dead.contains(&name) {
+                    keepers.record_failure(&batch, NOW);
+                    break;
+                }
+                let (process, table) = self.tables.entry(name).or_default();
+                for note in &batch.notes {
+                    table.insert(note.clone(), NOW);
+                }
+                next = keepers.record_sent(batch, *process, own, NOW);
+            }
+        }
+    }
+
+    fn find(&self, relays: &[RelayAddress], attempt: &str) -> Option<StreamOrigin> {
+        let asked = origin_keepers::list_asked(relays, attempt);
+        let living = asked.iter().filter(|(name, _)| !self.dead.contains(name));
+        living
+            .filter_map(|(name, _)| self.tables.get(name))
+            .find_map(|(_, table)| table.find(attempt, NOW).cloned())
+    }
+}
+
+/// An attempt id that names two origins names none.
+#[test]
+fn contradictory_notes() {
+    let mut table = OriginTable::new();
+    table.insert(note("a", "v1"), NOW);
+    table.insert(note("a", "v1"), NOW);
+    assert!(table.find("a", NOW).is_some());
+    table.insert(note("a", "v2"), NOW);
+    table.insert(note("a", "v1"), NOW);
+    assert!(table.find("a", NOW).is_none());
+}
+
+/// The table stays bounded, and the newest notes stay in it.
+#[test]
+fn full_table() {
+    let mut table = OriginTable::new();
+    for number in 0..20_000 {
+        table.insert(note(&number.to_string(), "v1"), NOW);
+    }
+    assert!(table.len() < 20_000 && table.find("19999", NOW).is_some());
+    assert_eq!(table.notes_after(19_998, NOW).count(), 2);
+    table.insert(note("later", "v1"), NOW + Duration::from_secs(15));
+    assert_eq!(table.len(), 1);
+}
+
+/// Notes reach two relays, and any entry that knows the same relays finds them.
+#[test]
+fn two_copies() {
+    for count in [2, 18, 40, 117, 625] {
+        let (relays, mut set, mut own, mut keepers) =
+            (relays(count), RelaySet::default(), OriginTable::new(), KeeperTable::new());
+        for number in 0..50 {
+            own.insert(note(&number.to_string(), "v1"), NOW);
+        }
+        let batches = keepers.plan_batches(&own, &relays, NOW);
+        set.deliver(&mut keepers, &own, batches);
+        assert!(!keepers.has_news(&own));
+        for number in 0..50 {
+            let attempt = number.to_string();
+            let holds = |(_, table): &&(u64, OriginTable)| table.find(&attempt, NOW).is_some();
+            assert_eq!(set.tables.values().filter(holds).count(), 2, "{count} relays");
+            assert!(set.find(&relays, &attempt).is_some(), "{count} relays");
+        }
+    }
+}
+
+/// An entry that knows of other relays, at the limits at which the number of buckets changes, finds
+/// the notes too.
+#[test]
+fn other_relays() {
+    for (noted, asked) in [(31, 32), (32, 31), (63, 65), (18, 20), (20, 18)] {
+        let (all, mut set, mut own, mut keepers) =
+            (relays(noted.max(asked)), RelaySet::default(), OriginTable::new(), KeeperTable::new());
+        for number in 0..50 {
+            own.insert(note(&number.to_string(), "v1"), NOW);
+        }
+        let batches = keepers.plan_batches(&own, &all[..noted], NOW);
+        set.deliver(&mut keepers, &own, batches);
+        set.dead.extend(all[asked..].iter().map(|(name, _)| Arc::clone(name)));
+        let found = (0..50).filter(|number| set.find(&all[..asked], &number.to_string()).is_some());
+        assert!(found.count() >= 45, "noted at {noted}, asked at {asked}");
+    }
+}
+
+/// Versions of a service are several while a second one is registered and for as long as a stream
+/// lasts after it.
+#[test]
+fn sole_version() {
+    let mut history = VersionHistory::default();
+    let service = Arc::from("llm");
+    history.record_registered(&service, &Arc::from("v1"));
+    history.record_listed(Duration::ZERO);
+    assert!(history.sole_version("llm", NOW, LIFETIME).is_some());
+    history.record_registered(&service, &Arc::from("v2"));
+    assert!(history.sole_version("llm", NOW, LIFETIME).is_none());
+    for second in 100..=117 {
+        let now = Duration::from_secs(second);
+        history.sweep(now, LIFETIME, |_, version| **version == *"v2");
+        assert!(history.sole_version("llm", now, LIFETIME).is_none(), "{second} s");
+    }
+    let now = Duration::from_secs(118);
+    history.sweep(now, LIFETIME, |_, version| **version == *"v2");
+    assert_eq!(history.sole_version("llm", now, LIFETIME), Some(&Arc::from("v2")));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Note,
+    Send,
+    Restart(usize),
+    Die(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => Just(Step::Note),
+        3 => Just(Step::Send),
+        1 => (0..6_usize).prop_map(Step::Restart),
+        1 => (0..6_usize).prop_map(Step::Die),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+proptest! {
+    /// Relays restart and die between the messages. What they know of a stream is what its entry has
+    /// noted; after a note that was sent last, each living one of its two relays has all of them.
+    #[test]
+    fn noted_streams(steps in steps()) {
+        let all = relays(6);
+        let (mut set, mut own, mut keepers) =
+            (RelaySet::default(), OriginTable::new(), KeeperTable::new());
+        let mut count = 0;
+        for step in steps {
+            match step {
+                Step::Note => {
+                    own.insert(note(&count.to_string(), ["v1", "v2"][count % 2]), NOW);
+                    count += 1;
+                }
+                Step::Send => {
+                    let batches = keepers.plan_batches(&own, &all, NOW);
+                    set.deliver(&mut keepers, &own, batches);
+                }
+                Step::Restart(at) => set.restart(&all[at].0),
+                Step::Die(at) if set.dead.len() < 4 => {
+                    set.dead.insert(Arc::clone(&all[at].0));
+                }
+                Step::Die(_) => {}
+            }
+        }
+        own.insert(note("last", "v1"), NOW);
+        // Each dead relay fails once; then the notes go to the next ones.
+        for _ in 0..all.len() {
+            let batches = keepers.plan_batches(&own, &all, NOW);
+            set.deliver(&mut keepers, &own, batches);
+        }
+        prop_assert!(!keepers.has_news(&own));
+        let living: Vec<&OriginTable> = set
+            .tables
+            .iter()
+            .filter(|(name, _)| !set.dead.contains(*name))
+            .map(|(_, (_, table))| table)
+            .collect();
+        for number in 0..count {
+            let attempt = number.to_string();
+            let expected = own.find(&attempt, NOW);
+            let copies: Vec<_> = living.iter().filter_map(|table| table.find(&attempt, NOW)).collect();
+            prop_assert!(copies.len() >= 2, "{attempt}: {} copies", copies.len());
+            prop_assert!(copies.iter().all(|copy| Some(*copy) == expected));
+        }
+    }
+}
