--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -370,7 +370,7 @@
                 if known.as_ref() != Some(&entry) {
                     let is_listed = tables.backends.is_listed();
                     let restarted =
-                        known.as_ref().is_some_and(|known| known.started_at != entry.started_at);
+                        known.as_ref().is_some_and(|known| !known.is_same_process(&entry));
                     if restarted || entry.draining {
                         gateway.connections.evict(&entry.id);
                     }
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -93,7 +93,7 @@
     }
 
     /// Returns whether this is a registration of the process that `other` registers.
-    fn is_same_process(&self, other: &Self) -> bool {
+    pub fn is_same_process(&self, other: &Self) -> bool {
         self.started_at == other.started_at
             && self.address == other.address
             && self.software_version == other.software_version
