History of versions at a fleet's first start; lines in the log of what is remembered

origins_noted tells messages, notes and streams of an entry in ten seconds, origins_kept the streams of a relay.

--- a/toucanrail-gateway/src/origin_client.rs
+++ b/toucanrail-gateway/src/origin_client.rs
@@ -1,6 +1,6 @@
 //! Where streams began: notes for the relays, and the origin of a stream that a caller takes up.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -32,6 +32,8 @@
 /// Age of this entry's listing of servers from which it may lack a software version that other
 /// entries use. A watch that sees no change is answered more often.
 const MAX_LISTING_AGE: Duration = Duration::from_secs(2);
+/// Interval between two lines in the log about the notes.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Upper bound of the time for which an origin is kept, whatever a caller states.
 const MAX_NOTE_TIME: Duration = Duration::from_secs(120);
 
@@ -40,6 +42,8 @@
 pub struct OriginClient {
     keepers: RefCell<KeeperTable>,
     noted: Event,
+    /// Messages and notes that relays have taken since the last line in the log.
+    sent: Cell<(usize, usize)>,
 }
 
 /// How the origin of a stream became known, as logged.
@@ -99,6 +103,18 @@
     }
 }
 
+/// Logs at intervals how many notes were sent and how many streams are remembered.
+pub async fn log_notes(gateway: Rc<Gateway>) {
+    loop {
+        smol::Timer::after(LOG_INTERVAL).await;
+        let (messages, notes) = gateway.origin_client.sent.take();
+        let streams = gateway.tables.borrow().origins.len();
+        if streams > 0 {
+            tracing::info!(event = "origins_noted", messages, notes, streams);
+        }
+    }
+}
+
 fn has_news(gateway: &Gateway) -> bool {
     gateway.origin_client.keepers.borrow().has_news(&gateway.tables.borrow().origins)
 }
@@ -119,6 +135,8 @@
         let mut keepers = gateway.origin_client.keepers.borrow_mut();
         next = match sent {
             Ok(process) => {
+                let (messages, notes) = gateway.origin_client.sent.get();
+                gateway.origin_client.sent.set((messages + 1, notes + batch.notes.len()));
                 keepers.record_sent(batch, process, &gateway.tables.borrow().origins, now)
             }
             Err(error) => {
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -58,6 +58,7 @@
     executor.spawn(lending).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&api.grant_manager))).detach();
     executor.spawn(measure_burn(Rc::clone(&api))).detach();
+    executor.spawn(relay_api::log_origins(Rc::clone(&api))).detach();
     executor.spawn(call_log::log_calls()).detach();
     let report_client = api.report_client.as_ref().map(Rc::clone);
     let entry = relay_registration::new_entry(settings, settings.internal, false);
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -49,6 +49,8 @@
 
 /// Time given to a loan request; [`GrantManager::acquire_hold`] waits for at most a quarter of it.
 const LOAN_TIME: Duration = Duration::from_millis(1_400);
+/// Interval between two lines in the log about the streams that the relay remembers.
+const ORIGIN_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Interval at which a stopping lender checks whether its loans have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -177,6 +179,17 @@
     }
 }
 
+/// Logs at intervals how many streams the relay remembers.
+pub async fn log_origins(api: Rc<RelayApi>) {
+    loop {
+        smol::Timer::after(ORIGIN_LOG_INTERVAL).await;
+        let streams = api.origins.borrow().len();
+        if streams > 0 {
+            tracing::info!(event = "origins_kept", streams);
+        }
+    }
+}
+
 fn find_origin(api: &RelayApi, attempt: Option<&RequestId>) -> OriginReply {
     let now = api.change_feed.now();
     let origins = api.origins.borrow();
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -52,6 +52,7 @@
     tracing::info!(
         event = "start", id = %gateway.id, data_centre = %gateway.settings.data_centre,
         callers = %front.callers, store = %gateway.settings.store,
+        starts_fleet = gateway.settings.starts_fleet,
         version = env!("CARGO_PKG_VERSION"),
     );
     let shared = Rc::clone(&gateway);
@@ -71,6 +72,7 @@
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
     executor.spawn(origin_client::send_notes(Rc::clone(&shared))).detach();
+    executor.spawn(origin_client::log_notes(Rc::clone(&shared))).detach();
     executor.spawn(hosting::host_relay(Rc::clone(&shared))).detach();
     smol::block_on(executor.run(stopping::run_until_stopped(shared)));
     Ok(())
@@ -89,9 +91,13 @@
         GrantManager::new(&id, Rc::clone(&store), tuning, metrics.clone(), Rc::clone(&executor));
     let evacuations =
         settings.evacuation_deadline.map(EvacuationTable::awaiting_listing).unwrap_or_default();
+    let mut backends = BackendTable::with_evacuations(evacuations);
+    if settings.starts_fleet {
+        backends.mark_first_start();
+    }
     let tables = GatewayTables {
         routes: RouteTable::new(),
-        backends: BackendTable::with_evacuations(evacuations),
+        backends,
         retries: BTreeMap::new(),
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -324,6 +324,11 @@
         self.versions.record_listed(now);
     }
 
+    /// Records that the fleet starts for the first time.
+    pub fn mark_first_start(&mut self) {
+        self.versions.record_first_start();
+    }
+
     /// Updates the history of software versions; `lifetime` is the longest time in which a stream
     /// is taken up.
     pub fn sweep_versions(&mut self, now: Duration, lifetime: Duration) {
--- a/toucanrail/src/version_history.rs
+++ b/toucanrail/src/version_history.rs
@@ -33,6 +33,8 @@
     rows: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Option<Duration>>>,
     /// When all servers were listed for the first time.
     known_since: Option<Duration>,
+    /// Whether no stream began before.
+    is_complete: bool,
 }
 
 impl VersionHistory {
@@ -42,6 +44,11 @@
         versions.insert(SoftwareVersion::clone(version), None);
     }
 
+    /// Records that the fleet starts for the first time, so that there are no older streams.
+    pub fn record_first_start(&mut self) {
+        self.is_complete = true;
+    }
+
     /// Records that all servers have been listed.
     pub fn record_listed(&mut self, now: Duration) {
         self.known_since.get_or_insert(now);
@@ -90,7 +97,8 @@
         now: Duration,
         lifetime: Duration,
     ) -> Option<&SoftwareVersion> {
-        let covers = now.saturating_sub(self.known_since?) > lifetime;
+        let listed_for = now.saturating_sub(self.known_since?);
+        let covers = self.is_complete || listed_for > lifetime;
         self.listed_version(service).filter(|_| covers)
     }
 
--- a/toucanrail/tests/stream_origins.rs
+++ b/toucanrail/tests/stream_origins.rs
@@ -150,6 +150,23 @@
     assert_eq!(history.sole_version("llm", now, LIFETIME), Some(&Arc::from("v2")));
 }
 
+/// A fleet that starts for the first time has no older streams; any other start has to wait.
+#[test]
+fn first_start() {
+    for starts_fleet in [false, true] {
+        let mut history = VersionHistory::default();
+        if starts_fleet {
+            history.record_first_start();
+        }
+        history.record_registered(&Arc::from("llm"), &Arc::from("v1"));
+        assert!(history.sole_version("llm", NOW, LIFETIME).is_none());
+        history.record_listed(NOW);
+        assert_eq!(history.sole_version("llm", NOW, LIFETIME).is_some(), starts_fleet);
+        history.record_registered(&Arc::from("llm"), &Arc::from("v2"));
+        assert!(history.sole_version("llm", NOW, LIFETIME).is_none());
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Note,
