History of versions: start anew with each listing; a sole version does not prolong several

Found on reading the change. A listing after lost history may have missed a version that came and went, but the proof of a sole version went on from the first listing. And each statement of a sole version at a relay that had heard of several renewed those, so that started entries refused unnamed returns for as long as there was traffic. second_listing and several_versions failed on the code before, and pass.

--- a/toucanrail/src/version_history.rs
+++ b/toucanrail/src/version_history.rs
@@ -31,7 +31,7 @@
 pub struct VersionHistory {
     /// When the last server of a version was missed; none while one is registered.
     rows: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Option<Duration>>>,
-    /// When all servers were listed for the first time.
+    /// When all servers were last listed.
     known_since: Option<Duration>,
     /// Whether no stream began before.
     is_complete: bool,
@@ -49,9 +49,12 @@
         self.is_complete = true;
     }
 
-    /// Records that all servers have been listed.
+    /// Records that all servers have been listed, by which a version that came and went before may
+    /// have been missed. Between two listings every change is known.
     pub fn record_listed(&mut self, now: Duration) {
-        self.known_since.get_or_insert(now);
+        if self.known_since.replace(now).is_some() {
+            self.is_complete = false;
+        }
     }
 
     /// Records which versions no registered server runs any more, and forgets those for which that
@@ -140,7 +143,8 @@
 }
 
 impl StatementTable {
-    /// Records an entry's statements. Two different sole versions are several.
+    /// Records an entry's statements. Two different sole versions are several, and after several a
+    /// sole one is not taken for a while.
     ///
     /// # Examples
     /// ```
@@ -157,8 +161,13 @@
     pub fn record(&mut self, statements: VersionStatements, now: Duration) {
         for (service, statement) in statements {
             let known = self.rows.get(&service).filter(|row| row.is_valid(now));
-            let differs = known.is_some_and(|row| row.statement != statement);
-            let statement = if differs { VersionStatement::Several } else { statement };
+            let statement = match known.map(|row| &row.statement) {
+                Some(VersionStatement::Several) if statement != VersionStatement::Several => {
+                    continue;
+                }
+                Some(known) if *known != statement => VersionStatement::Several,
+                _ => statement,
+            };
             self.rows.insert(service, StatementRow { statement, stated_at: now });
         }
     }
--- a/toucanrail/tests/stream_origins.rs
+++ b/toucanrail/tests/stream_origins.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch, RelayAddress};
 use toucanrail::origins::{OriginNote, OriginTable, StreamOrigin};
-use toucanrail::version_history::VersionHistory;
+use toucanrail::version_history::{StatementTable, VersionHistory, VersionStatement};
 
 const NOW: Duration = Duration::from_secs(100);
 const LIFETIME: Duration = Duration::from_secs(17);
@@ -167,6 +167,38 @@
     }
 }
 
+/// After a listing that may have missed a version, the history starts anew.
+#[test]
+fn second_listing() {
+    let mut history = VersionHistory::default();
+    history.record_first_start();
+    history.record_registered(&Arc::from("llm"), &Arc::from("v1"));
+    history.record_listed(Duration::ZERO);
+    assert!(history.sole_version("llm", NOW, LIFETIME).is_some());
+    history.record_listed(NOW);
+    assert!(history.sole_version("llm", NOW, LIFETIME).is_none());
+    assert!(history.sole_version("llm", NOW + LIFETIME * 2, LIFETIME).is_some());
+}
+
+/// A relay that heard of several versions takes a sole one again after a while, however often
+/// entries state that one meanwhile.
+#[test]
+fn several_versions() {
+    let service: Arc<str> = Arc::from("llm");
+    let sole = || VersionStatement::Sole(Arc::from("v1"));
+    let mut table = StatementTable::default();
+    let mut state = |statement: VersionStatement, second: u64| {
+        let now = Duration::from_secs(second);
+        table.record([(Arc::clone(&service), statement)].into(), now);
+        table.valid(now)[&service].clone()
+    };
+    assert_eq!(state(VersionStatement::Several, 0), VersionStatement::Several);
+    for second in 1..=60 {
+        assert_eq!(state(sole(), second), VersionStatement::Several, "{second} s");
+    }
+    assert_eq!(state(sole(), 61), sole());
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Note,
