Origins: copies in two data centres, two modules, another refusal before the first listing

A data centre that is lost takes its entries and its relays along; both copies of a bucket could stand there. The two relays are in different data centres now; lost_centre loses each of three in turn and finds every note (without the change two copies may be lost together, which the ranks decide). An entry that has not listed the servers yet told callers that the version was gone, and to wait a third of their time; it tells them that it is not informed, and to try again in half a second. origin_client did two jobs and is origin_notes and origin_search. No change on the wire.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -16,7 +16,7 @@
 use crate::dispatching;
 use crate::grant_manager::HoldFailure;
 use crate::loan_client::{self, BudgetGuard, BudgetNeed};
-use crate::origin_client;
+use crate::origin_search;
 use crate::request_context::{DEADLINE_MARGIN, RequestPlan};
 use crate::responding::{self, ResponseWriter};
 use crate::state::Gateway;
@@ -95,7 +95,7 @@
     let (route, customer) = match_route(gateway, head, &info)?;
     check_stopping(gateway, route.timeout)?;
     let origin = if route.kind.is_stream() && info.takes_up_stream {
-        Some(origin_client::find_origin(gateway, &info, &route).await?)
+        Some(origin_search::find_origin(gateway, &info, &route).await?)
     } else {
         None
     };
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -14,7 +14,7 @@
 
 use crate::buffers::BodyHold;
 use crate::liveness;
-use crate::origin_client;
+use crate::origin_notes;
 use crate::request_context::{
     AttemptContext, AttemptResult, FailedResponse, OpenExchange, StreamState,
 };
@@ -183,7 +183,7 @@
         flight.record_response_start();
         if stream.origin.is_none() {
             stream.origin = Some(context.target.origin());
-            origin_client::note_origin(context);
+            origin_notes::note_origin(context);
         }
         if let Some(budget) = &context.plan.budget {
             budget.add_output_tokens((stream.scanner.count - known) * self.tokens_per_event);
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -12,8 +12,8 @@
 //! A *relay* (program `toucanrail-relay`) runs beside a backend server: [`relay`] forwards
 //! connections to the store, [`relay_api`] lends entries budget from the same [`grant_manager`],
 //! [`change_feed`] tells them about changes in the store, and [`relay_registration`] reports how
-//! fast the server is. Relays also keep the origins of streams ([`origin_client`]), so that a caller
-//! can take a stream up at any entry. A server that has just started or states a rate limit only receives requests
+//! fast the server is. Relays also keep the origins of streams ([`origin_notes`]), so that a caller
+//! can take a stream up at any entry ([`origin_search`]). A server that has just started or states a rate limit only receives requests
 //! that got a permit ([`permits`]). If no VM runs a relay, entries host relays themselves
 //! ([`hosting`]).
 //!
@@ -48,7 +48,8 @@
 pub mod liveness;
 pub mod loan_client;
 pub mod logging;
-pub mod origin_client;
+pub mod origin_notes;
+pub mod origin_search;
 pub mod permits;
 pub mod relay;
 pub mod relay_api;
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -30,7 +30,7 @@
 use crate::link_load::{self, LinkLoad};
 use crate::liveness::ReportCache;
 use crate::loan_client::{self, LoanClient};
-use crate::origin_client::{self, OriginClient};
+use crate::origin_notes::{self, NoteSender};
 use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
 use crate::state::{Gateway, GatewayTables};
@@ -71,8 +71,8 @@
     executor.spawn(link_load::measure(Rc::clone(&shared))).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
-    executor.spawn(origin_client::send_notes(Rc::clone(&shared))).detach();
-    executor.spawn(origin_client::log_notes(Rc::clone(&shared))).detach();
+    executor.spawn(origin_notes::send_notes(Rc::clone(&shared))).detach();
+    executor.spawn(origin_notes::log_notes(Rc::clone(&shared))).detach();
     executor.spawn(hosting::host_relay(Rc::clone(&shared))).detach();
     smol::block_on(executor.run(stopping::run_until_stopped(shared)));
     Ok(())
@@ -116,7 +116,7 @@
         hosted_relay: RefCell::new(None),
         load_reports: ReportCache::default(),
         permit_failures: RefCell::default(),
-        origin_client: OriginClient::default(),
+        note_sender: NoteSender::default(),
         memory,
         link,
         metrics,
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -29,7 +29,7 @@
 use crate::link_load::LinkLoad;
 use crate::liveness::ReportCache;
 use crate::loan_client::LoanClient;
-use crate::origin_client::OriginClient;
+use crate::origin_notes::NoteSender;
 use crate::relay_api::RelayApi;
 use crate::relay_client::RelayBackoff;
 use crate::store_access::StoreAccess;
@@ -42,6 +42,9 @@
 /// server.
 const MIN_ENTRY_COUNT: usize = 4;
 
+/// Age of the listing of servers from which this entry may lack a software version that others use. A
+/// watch that sees no change is answered more often.
+const MAX_LISTING_AGE: Duration = Duration::from_secs(2);
 /// Added to the longest timeout of a route: callers count their time from before it arrives.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(2);
 /// Time without contact with the store, while lenders do not respond either, after which an entry
@@ -109,7 +112,7 @@
     /// Relays that did not respond to permit requests.
     pub permit_failures: RefCell<RelayFailures>,
     /// Sends the origins of streams to relays.
-    pub origin_client: OriginClient,
+    pub note_sender: NoteSender,
     /// Bytes held for callers.
     pub memory: SharedBudget,
     /// Load of this VM's network link.
@@ -149,6 +152,11 @@
         self.loan_client.lenders_unreachable.get() && kinds.into_iter().all(is_unanswered)
     }
 
+    /// Returns whether this entry hears of changes of the servers.
+    pub fn lists_servers(&self) -> bool {
+        self.store.unanswered_for(names::SERVER_KIND) <= MAX_LISTING_AGE
+    }
+
     /// Returns the longest time from a stream's first event in which its caller may take it up.
     pub fn stream_lifetime(&self) -> Duration {
         self.tables.borrow().routes.longest_timeout() + LIFETIME_MARGIN
--- a/toucanrail-gateway/src/store_access.rs
+++ b/toucanrail-gateway/src/store_access.rs
@@ -10,7 +10,7 @@
 
 use event_listener::Event;
 use smol::future::FutureExt;
-use toucanrail::endpoints::{EndpointTable, RelayEntry, RelayName, StoreEndpoint};
+use toucanrail::endpoints::{EndpointTable, LocatedRelay, RelayEntry, RelayName, StoreEndpoint};
 use toucanrail::ids::Version;
 use toucanrail::messages::{MirrorChange, MirrorObject};
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
@@ -116,6 +116,11 @@
         self.endpoints.borrow().relays()
     }
 
+    /// Returns the relays of all regions with their data centres.
+    pub fn located_relays(&self) -> Vec<LocatedRelay> {
+        self.endpoints.borrow().located_relays()
+    }
+
     /// Returns the relay on a VM, and the address on which it serves entries.
     pub fn relay_at(&self, vm: IpAddr) -> Option<(RelayName, SocketAddr)> {
         self.endpoints.borrow().relay_at(vm)
--- a/toucanrail/src/endpoints.rs
+++ b/toucanrail/src/endpoints.rs
@@ -44,6 +44,17 @@
     pub hosted: bool,
 }
 
+/// Where a relay serves entries.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LocatedRelay {
+    /// Name of the relay.
+    pub name: RelayName,
+    /// Address at which it serves entries.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+}
+
 /// An endpoint for calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub enum StoreEndpoint {
@@ -204,6 +215,16 @@
         rows.map(|(name, row)| (Arc::clone(name), row.entry.lending)).collect()
     }
 
+    /// Returns the relays of all regions with their data centres.
+    pub fn located_relays(&self) -> Vec<LocatedRelay> {
+        let located = |(name, row): (&RelayName, &RelayRow)| LocatedRelay {
+            name: Arc::clone(name),
+            address: row.entry.lending,
+            data_centre: Arc::clone(&row.entry.data_centre),
+        };
+        self.usable_relays().map(located).collect()
+    }
+
     /// Returns whether no relay has a VM of its own, so that relays hosted by entries are used.
     pub fn uses_hosted_relays(&self) -> bool {
         self.relays.values().all(|row| row.entry.hosted)
--- a/toucanrail/src/origin_keepers.rs
+++ b/toucanrail/src/origin_keepers.rs
@@ -1,26 +1,27 @@
 //! Choice of the relays that keep the origins of streams, and what each of them has already got.
 //!
 //! The attempts are divided into buckets. All entries note the attempts of a bucket at the same two
-//! relays, which they choose by rendezvous hashing, so that any entry finds them again. The number
-//! of buckets grows with the fleet: a small one needs few messages, and in a large one no relay
-//! hears of all streams.
+//! relays, which they choose by rendezvous hashing, so that any entry finds them again. The two are
+//! in different data centres if there are several. The number of buckets grows with the fleet: a
+//! small one needs few messages, and in a large one no relay hears of all streams.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use xxhash_rust::xxh3;
 
-use crate::endpoints::RelayName;
-use crate::loans;
+use crate::endpoints::{LocatedRelay, RelayName};
+use crate::ids::DataCentre;
 use crate::origins::{NoteNumber, OriginNote, OriginTable};
 
 /// Relays that keep each origin. One may be lost together with the entry.
 const COPIES: usize = 2;
-/// Relays of a bucket that are asked for an origin: more than keep it, since a new relay may rank
-/// before these.
-const ASKED_RANKS: usize = 3;
+/// Data centres, and relays in each of them, that are asked for an origin: more than keep it, since a
+/// new relay may rank before these.
+const ASKED_CENTRES: usize = 3;
+const ASKED_RANKS: usize = 2;
 /// Number of relays for each bucket.
 const RELAYS_PER_BUCKET: usize = 16;
 /// Time for which a relay that did not respond gets no notes; the next one by rank gets them. It
@@ -36,8 +37,6 @@
 pub type BucketNumber = u64;
 /// Random number of a relay's process, which tells whether it has started again.
 pub type ProcessNumber = u64;
-/// Name of a relay, and the address at which it serves entries.
-pub type RelayAddress = (RelayName, SocketAddr);
 
 /// Returns the number of buckets in a fleet with this many relays: a power of two, so that it
 /// changes rarely.
@@ -61,12 +60,14 @@
 /// ```
 /// assert!(toucanrail::origin_keepers::list_asked(&[], "a").is_empty());
 /// ```
-pub fn list_asked(relays: &[RelayAddress], attempt: &str) -> Vec<RelayAddress> {
+pub fn list_asked(relays: &[LocatedRelay], attempt: &str) -> Vec<LocatedRelay> {
     let buckets = bucket_count(relays.len());
-    let mut asked: BTreeMap<RelayName, SocketAddr> = BTreeMap::new();
-    for buckets in [buckets, buckets * 2, (buckets / 2).max(1)] {
-        let ranked = rank_relays(relays, buckets, bucket_of(attempt, buckets));
-        asked.extend(ranked.into_iter().take(ASKED_RANKS));
+    let mut asked = BTreeSet::new();
+    let centres = rank_centres(relays, buckets, bucket_of(attempt, buckets));
+    let centres = centres.into_iter().take(ASKED_CENTRES);
+    asked.extend(centres.flat_map(|relays| relays.into_iter().take(ASKED_RANKS)).cloned());
+    for buckets in [buckets * 2, (buckets / 2).max(1)] {
+        asked.extend(pick_keepers(relays, buckets, bucket_of(attempt, buckets)));
     }
     asked.into_iter().collect()
 }
@@ -75,19 +76,44 @@
     xxh3::xxh3_64(attempt.as_bytes()) % buckets
 }
 
-fn rank_relays(
-    relays: &[RelayAddress],
+/// Returns the relays that keep a bucket: the first by rank of the first data centres, or of the only
+/// one.
+fn pick_keepers(
+    relays: &[LocatedRelay],
     buckets: BucketNumber,
     bucket: BucketNumber,
-) -> Vec<RelayAddress> {
-    loans::rank_lenders(relays, &format!("origins {bucket} of {buckets}"))
+) -> Vec<LocatedRelay> {
+    let centres = rank_centres(relays, buckets, bucket);
+    let firsts = centres.iter().filter_map(|relays| relays.first());
+    let others = centres.iter().flat_map(|relays| relays.iter().skip(1));
+    firsts.chain(others).take(COPIES).copied().cloned().collect()
+}
+
+/// Returns the relays by data centre, each and all in the order of their ranks for a bucket.
+fn rank_centres(
+    relays: &[LocatedRelay],
+    buckets: BucketNumber,
+    bucket: BucketNumber,
+) -> Vec<Vec<&LocatedRelay>> {
+    let seed = xxh3::xxh3_64(format!("origins {bucket} of {buckets}").as_bytes());
+    let rank = |relay: &LocatedRelay| xxh3::xxh3_64_with_seed(relay.name.as_bytes(), seed);
+    let mut centres: BTreeMap<&DataCentre, Vec<&LocatedRelay>> = BTreeMap::new();
+    for relay in relays {
+        centres.entry(&relay.data_centre).or_default().push(relay);
+    }
+    let mut centres: Vec<Vec<&LocatedRelay>> = centres.into_values().collect();
+    for relays in &mut centres {
+        relays.sort_by_cached_key(|relay| Reverse(rank(relay)));
+    }
+    centres.sort_by_cached_key(|relays| Reverse(relays.first().map(|relay| rank(relay))));
+    centres
 }
 
 /// Notes that a relay lacks.
 #[derive(Debug)]
 pub struct NoteBatch {
     /// The relay.
-    pub relay: RelayAddress,
+    pub relay: LocatedRelay,
     /// The notes.
     pub notes: Vec<OriginNote>,
     buckets: BucketNumber,
@@ -138,19 +164,19 @@
     pub fn plan_batches(
         &mut self,
         table: &OriginTable,
-        relays: &[RelayAddress],
+        relays: &[LocatedRelay],
         now: Duration,
     ) -> Vec<NoteBatch> {
-        self.failed.retain(|name, _| relays.iter().any(|(known, _)| known == name));
+        self.failed.retain(|name, _| relays.iter().any(|relay| relay.name == *name));
         let buckets = bucket_count(relays.len());
         if self.buckets != buckets {
             self.rows.clear();
             self.buckets = buckets;
         }
-        let is_working = |(name, _): &&RelayAddress| {
-            self.failed.get(name).is_none_or(|failure| now >= failure.until)
+        let is_working = |relay: &&LocatedRelay| {
+            self.failed.get(&relay.name).is_none_or(|failure| now >= failure.until)
         };
-        let working: Vec<RelayAddress> = relays.iter().filter(is_working).cloned().collect();
+        let working: Vec<LocatedRelay> = relays.iter().filter(is_working).cloned().collect();
         if working.is_empty() {
             return Vec::new();
         }
@@ -159,7 +185,7 @@
             news.map(|(_, note)| bucket_of(&note.attempt, buckets)).collect();
         let mut batches = Vec::new();
         for bucket in news {
-            let keepers = rank_relays(&working, buckets, bucket).into_iter().take(COPIES);
+            let keepers = pick_keepers(&working, buckets, bucket).into_iter();
             batches.extend(keepers.map(|relay| self.make_batch(table, relay, bucket, now)));
         }
         batches.retain(|batch| !batch.notes.is_empty());
@@ -170,12 +196,12 @@
     fn make_batch(
         &self,
         table: &OriginTable,
-        relay: RelayAddress,
+        relay: LocatedRelay,
         bucket: BucketNumber,
         now: Duration,
     ) -> NoteBatch {
         let buckets = self.buckets;
-        let known = self.rows.get(&(bucket, Arc::clone(&relay.0)));
+        let known = self.rows.get(&(bucket, Arc::clone(&relay.name)));
         let mut newest = known.map_or(0, |row| row.newest);
         let lacking = table.notes_after(newest, now);
         let lacking = lacking.filter(|(_, note)| bucket_of(&note.attempt, buckets) == bucket);
@@ -193,11 +219,11 @@
         table: &OriginTable,
         now: Duration,
     ) -> Option<NoteBatch> {
-        self.failed.remove(&batch.relay.0);
+        self.failed.remove(&batch.relay.name);
         if batch.buckets != self.buckets {
             return None;
         }
-        let key = (batch.bucket, Arc::clone(&batch.relay.0));
+        let key = (batch.bucket, Arc::clone(&batch.relay.name));
         if self.rows.get(&key).is_some_and(|row| row.process != process) {
             self.rows.remove(&key);
             return Some(self.make_batch(table, batch.relay, batch.bucket, now));
@@ -209,7 +235,7 @@
     /// Records that a relay did not respond. The next plan has its notes for the next relay by
     /// rank.
     pub fn record_failure(&mut self, batch: &NoteBatch, now: Duration) {
-        let relay = &batch.relay.0;
+        let relay = &batch.relay.name;
         let length = self.failed.get(relay).map_or(INITIAL_BACKOFF, |failure| failure.length * 2);
         let length = length.min(MAX_BACKOFF);
         self.failed.insert(Arc::clone(relay), FailureRow { until: now + length, length });
--- a/toucanrail/tests/stream_origins.rs
+++ b/toucanrail/tests/stream_origins.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch, RelayAddress};
+use toucanrail::endpoints::LocatedRelay;
+use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch};
 use toucanrail::origins::{OriginNote, OriginTable, StreamOrigin};
 use toucanrail::version_history::{StatementTable, VersionHistory, VersionStatement};
 
@@ -18,9 +19,14 @@
     OriginNote { attempt: Arc::from(attempt), origin, valid_for: Duration::from_secs(15) }
 }
 
-fn relays(count: usize) -> Vec<RelayAddress> {
-    let address = |at: usize| SocketAddr::from(([10, 0, 0, 1], 1_000 + at as u16));
-    (0..count).map(|at| (Arc::from(format!("side-{at}")), address(at))).collect()
+/// Returns relays in three data centres in turn.
+fn relays(count: usize) -> Vec<LocatedRelay> {
+    let relay = |at: usize| LocatedRelay {
+        name: Arc::from(format!("side-{at}")),
+        address: SocketAddr::from(([10, 0, 0, 1], 1_000 + at as u16)),
+        data_centre: Arc::from(["a", "b", "c"][at % 3]),
+    };
+    (0..count).map(relay).collect()
 }
 
 /// Relays that take notes, with the number of their process.
@@ -42,7 +48,7 @@
         for batch in batches {
             let mut next = Some(batch);
             while let Some(batch) = next {
-                let name = Arc::clone(&batch.relay.0);
+                let name = Arc::clone(&batch.relay.name);
                 if self.dead.contains(&name) {
                     keepers.record_failure(&batch, NOW);
                     break;
@@ -56,11 +62,11 @@
         }
     }
 
-    fn find(&self, relays: &[RelayAddress], attempt: &str) -> Option<StreamOrigin> {
+    fn find(&self, relays: &[LocatedRelay], attempt: &str) -> Option<StreamOrigin> {
         let asked = origin_keepers::list_asked(relays, attempt);
-        let living = asked.iter().filter(|(name, _)| !self.dead.contains(name));
+        let living = asked.iter().filter(|relay| !self.dead.contains(&relay.name));
         living
-            .filter_map(|(name, _)| self.tables.get(name))
+            .filter_map(|relay| self.tables.get(&relay.name))
             .find_map(|(_, table)| table.find(attempt, NOW).cloned())
     }
 }
@@ -111,6 +117,26 @@
     }
 }
 
+/// A data centre is lost together with the entries there. Each note is at a relay in another one.
+#[test]
+fn lost_centre() {
+    for count in [3, 18, 55, 117] {
+        let (relays, mut set, mut own, mut keepers) =
+            (relays(count), RelaySet::default(), OriginTable::new(), KeeperTable::new());
+        for number in 0..50 {
+            own.insert(note(&number.to_string(), "v1"), NOW);
+        }
+        let batches = keepers.plan_batches(&own, &relays, NOW);
+        set.deliver(&mut keepers, &own, batches);
+        for centre in ["a", "b", "c"] {
+            let lost = relays.iter().filter(|relay| *relay.data_centre == *centre);
+            set.dead = lost.map(|relay| Arc::clone(&relay.name)).collect();
+            let found = (0..50).filter(|number| set.find(&relays, &number.to_string()).is_some());
+            assert_eq!(found.count(), 50, "{count} relays without {centre}");
+        }
+    }
+}
+
 /// An entry that knows of other relays, at the limits at which the number of buckets changes, finds
 /// the notes too.
 #[test]
@@ -123,7 +149,7 @@
         }
         let batches = keepers.plan_batches(&own, &all[..noted], NOW);
         set.deliver(&mut keepers, &own, batches);
-        set.dead.extend(all[asked..].iter().map(|(name, _)| Arc::clone(name)));
+        set.dead.extend(all[asked..].iter().map(|relay| Arc::clone(&relay.name)));
         let found = (0..50).filter(|number| set.find(&all[..asked], &number.to_string()).is_some());
         assert!(found.count() >= 45, "noted at {noted}, asked at {asked}");
     }
@@ -236,9 +262,9 @@
                     let batches = keepers.plan_batches(&own, &all, NOW);
                     set.deliver(&mut keepers, &own, batches);
                 }
-                Step::Restart(at) => set.restart(&all[at].0),
+                Step::Restart(at) => set.restart(&all[at].name),
                 Step::Die(at) if set.dead.len() < 4 => {
-                    set.dead.insert(Arc::clone(&all[at].0));
+                    set.dead.insert(Arc::clone(&all[at].name));
                 }
                 Step::Die(_) => {}
             }
