--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -281,8 +281,8 @@
     /// none.
     ///
     /// The request has to be repeatable, any part of the response that the caller has received has
-    /// to be resumable and of a known software version, and the retry budget and the hold have to cover the attempt. Waits for the
-    /// backoff.
+    /// to be resumable and of a known software version, and the retry budget and the hold have to
+    /// cover the attempt. Waits for the backoff.
     async fn prepare_retry(&mut self) -> bool {
         let resumable =
             self.plan.service.resumes && self.plan.streamed && self.stream_version.is_some();
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -13,9 +13,9 @@
 //! connections to the store, [`relay_api`] lends entries budget from the same [`grant_manager`],
 //! [`change_feed`] tells them about changes in the store, and [`relay_registration`] reports how
 //! fast the server is. Relays also keep the origins of streams ([`origin_notes`]), so that a caller
-//! can take a stream up at any entry ([`origin_search`]). A server that has just started or states a rate limit only receives requests
-//! that got a permit ([`permits`]). If no VM runs a relay, entries host relays themselves
-//! ([`hosting`]).
+//! can take a stream up at any entry ([`origin_search`]). A server that has just started or states a
+//! rate limit only receives requests that got a permit ([`permits`]). If no VM runs a relay, entries
+//! host relays themselves ([`hosting`]).
 //!
 //! Decisions are made in the `toucanrail` library; this crate owns sockets and timers.
 //!
