Logs: the content of a request over its caller's attempts, and the servers that ended under it

A line named a request by its attempt's id alone, and the end of a server looked like a reset connection, so that the logs could not tell whether one request meets ends in one attempt, over several ones, or uncounted. request_ended has the key of the content now (customer, method, host, target, model, tokens, parts, body). After an attempt that broke off the entry opens a connection: a server that refuses it has ended (server_ended, ended_under_request with the parts of the prompt); one that is cut off or frozen does not refuse.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -8,6 +8,7 @@
 use toucanrail::admissions::AdmissionQuery;
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
+use toucanrail::contents;
 use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail_platform::requests::{self, RequestInfo};
@@ -108,11 +109,14 @@
     };
     let timeout = info.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let rank = customer.as_ref().and_then(|customer| customer.priority);
+    let payer = customer.as_ref().map(|customer| &*customer.name);
+    let content = contents::content_key(payer, &requests::content_fields(head), body);
     let mut plan = RequestPlan {
         head,
         body,
         urgency: rank.unwrap_or(route.priority),
         info,
+        content,
         route,
         customer,
         service,
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -25,6 +25,7 @@
 };
 use crate::responding::{self, ResponseWriter};
 use crate::sending;
+use crate::server_ends;
 use crate::state::Gateway;
 
 /// Maximum wait for load reports; most relays respond within a few milliseconds.
@@ -114,6 +115,7 @@
                 AttemptResult::Incomplete(outcome) => outcome,
             };
             self.record_outcome(&target, outcome);
+            self.check_server(&target, outcome).await;
             let step = match self.history.next_step(outcome, self.plan.time_left()) {
                 NextStep::Retry if self.may_retry() => continue,
                 NextStep::Retry => self.history.final_step(outcome),
@@ -316,6 +318,27 @@
         );
     }
 
+    /// Finds out whether the server of a broken attempt has ended.
+    async fn check_server(&self, target: &BackendEntry, outcome: AttemptOutcome) {
+        if !matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::Broken) {
+            return;
+        }
+        if server_ends::has_ended(self.gateway, target).await {
+            tracing::info!(
+                event = "ended_under_request", request = %self.plan.info.id,
+                content = %format_args!("{:016x}", self.plan.content), server = %target.id,
+                started_at = target.started_at, last_event = self.stream.last_event(),
+                parts = %self.list_parts(),
+            );
+        }
+    }
+
+    /// Returns the ids of the prompt's parts, for logging.
+    fn list_parts(&self) -> String {
+        let parts = self.plan.info.prompt.iter().flat_map(|prompt| &prompt.parts);
+        parts.map(|part| format!("{:x}", part.id)).collect::<Vec<_>>().join(",")
+    }
+
     fn finish(&mut self, step: NextStep, writer: &mut ResponseWriter) -> RequestEnd {
         match step {
             NextStep::Forward => match self.failed_response.take() {
@@ -376,7 +399,8 @@
         let first = self.time_to_first_byte().unwrap_or_default();
         let customer = self.plan.customer.as_ref().map(|customer| Arc::clone(&customer.name));
         tracing::info!(
-            event = "request_ended", request = %self.plan.info.id, route = %self.plan.route.name,
+            event = "request_ended", request = %self.plan.info.id,
+            content = %format_args!("{:016x}", self.plan.content), route = %self.plan.route.name,
             service = %self.plan.service, customer = customer.as_deref(), end = ?end,
             run = self.history.run_state().as_str(), sent = self.history.sent, tried = ?self.tried,
             version = self.last_version.as_deref(), after_event = self.plan.info.last_event,
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod request_context;
 pub mod responding;
 pub mod sending;
+pub mod server_ends;
 pub mod starting;
 pub mod state;
 pub mod stopping;
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -8,6 +8,7 @@
 
 use toucanrail::attempts::AttemptOutcome;
 use toucanrail::backends::BackendEntry;
+use toucanrail::contents::ContentKey;
 use toucanrail::framing::BodyDecoder;
 use toucanrail::ids::ServiceName;
 use toucanrail::matching::{CustomerProfile, RouteRule};
@@ -37,6 +38,8 @@
     pub body: &'request [u8],
     /// Fields parsed from the head.
     pub info: RequestInfo,
+    /// Key of its content, the same for all attempts of its caller.
+    pub content: ContentKey,
     /// Matched route.
     pub route: Arc<RouteRule>,
     /// Customer that pays; `None` on a public route.
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -33,6 +33,7 @@
 use crate::origin_notes::{self, NoteSender};
 use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
+use crate::server_ends::ServerProbes;
 use crate::state::{Gateway, GatewayTables};
 use crate::stopping;
 use crate::store_access::{self, StoreAccess};
@@ -115,6 +116,7 @@
         stale_boards: RelayBackoff::default(),
         hosted_relay: RefCell::new(None),
         load_reports: ReportCache::default(),
+        server_probes: ServerProbes::default(),
         permit_failures: RefCell::default(),
         note_sender: NoteSender::default(),
         memory,
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -32,6 +32,7 @@
 use crate::origin_notes::NoteSender;
 use crate::relay_api::RelayApi;
 use crate::relay_client::RelayBackoff;
+use crate::server_ends::ServerProbes;
 use crate::store_access::StoreAccess;
 
 /// Fraction of the fleet's retry limits that is divided among entries. The entries' windows are not
@@ -109,6 +110,8 @@
     pub hosted_relay: RefCell<Option<Rc<RelayApi>>>,
     /// Recent load reports of servers.
     pub load_reports: ReportCache,
+    /// Recent checks whether servers have ended.
+    pub server_probes: ServerProbes,
     /// Relays that did not respond to permit requests.
     pub permit_failures: RefCell<RelayFailures>,
     /// Sends the origins of streams to relays.
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -109,6 +109,7 @@
         gateway.connections.evict_expired();
         let tables = gateway.tables.borrow();
         gateway.load_reports.retain(|server| tables.backends.get(server).is_some());
+        gateway.server_probes.retain(|server| tables.backends.get(server).is_some());
         drop(tables);
         gateway.grant_manager.grants.borrow_mut().update_burn_rates(now.saturating_sub(swept_at));
         swept_at = now;
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod codes;
 pub mod codetable;
 pub mod coldstarts;
+pub mod contents;
 pub mod ejections;
 pub mod endpoints;
 pub mod evacuations;
