--- /dev/null
+++ b/toucanrail-gateway/tests/crashing_requests.rs
@@ -0,0 +1,279 @@
+//! A request that ends the servers that run it must not be sent on and on: neither in one attempt
+//! of its caller, nor over attempts with new ids at other entries.
+
+mod platform;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use platform::crashes::{CrashingServer, RunFate};
+use platform::{Message, Process, Store, request};
+use serde_json::json;
+
+/// Servers that may end under one request.
+const MAX_ENDS: usize = 3;
+/// Time until a caller comes back.
+const RETURN_TIME: Duration = Duration::from_millis(100);
+/// Time for which a server that ended is down.
+const DOWN_TIME: Duration = Duration::from_millis(600);
+/// Attempts of one caller.
+const ATTEMPTS: u32 = 8;
+/// Time in which entries hear of everything.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Time after which a request that was held back by mistake is served again.
+const CURE_TIME: Duration = Duration::from_secs(45);
+
+/// Held by the fleet of the test that runs: fleets started together would take each other's ports.
+static FLEET_LOCK: Mutex<()> = Mutex::new(());
+
+/// A store, servers, relays and entries.
+struct Fleet {
+    _guard: MutexGuard<'static, ()>,
+    store: Store,
+    servers: Vec<Arc<CrashingServer>>,
+    relays: Vec<Process>,
+    entries: Vec<Process>,
+}
+
+/// Ends the server under requests with the body `deadly`, before anything of the response.
+fn run_or_end(message: &Message) -> RunFate {
+    let text = if message.target().starts_with("/resume/") {
+        let event = platform::chunk("id: 1\ndata: x\n\n");
+        [platform::STREAM_HEAD, &event, "PAUSE", "0\r\n\r\n"].concat()
+    } else {
+        platform::signed_response("done")
+    };
+    if message.body == b"deadly" {
+        RunFate::End(String::new(), Duration::from_millis(20))
+    } else {
+        RunFate::Respond(text)
+    }
+}
+
+impl Fleet {
+    fn start(relay_count: usize, entry_count: usize) -> Self {
+        Self::start_with(relay_count, entry_count, 8, run_or_end)
+    }
+
+    fn start_with<Script>(
+        relay_count: usize,
+        entry_count: usize,
+        server_count: usize,
+        script: Script,
+    ) -> Self
+    where
+        Script: Fn(&Message) -> RunFate + Clone + Send + Sync + 'static,
+    {
+        // A test that failed leaves nothing behind.
+        let guard = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+        let store = Store::start();
+        platform::configure_prepaid(&store, 1, &[], 1_000_000);
+        let servers = (0..server_count).map(|number| {
+            CrashingServer::start(&store, &format!("i-{number}"), DOWN_TIME, script.clone())
+        });
+        let servers: Vec<Arc<CrashingServer>> = servers.collect();
+        let names: Vec<String> = (0..relay_count).map(|number| format!("side-{number}")).collect();
+        let relays = names.iter().map(|name| Process::start_relay(&store, name)).collect();
+        platform::wait_until("the relays", || names.iter().all(|name| store.has("relays", name)));
+        let entries = (0..entry_count)
+            .map(|number| Process::start_gateway_on(&store, &format!("front-{number}")));
+        let entries: Vec<Process> = entries.collect();
+        thread::sleep(SETTLE_TIME);
+        Self { _guard: guard, store, servers, relays, entries }
+    }
+
+    /// Returns how often servers ran requests with this body.
+    fn count_runs(&self, body: &str) -> usize {
+        self.servers.iter().map(|server| server.runs_of(body).len()).sum()
+    }
+
+    /// Sends a request `ATTEMPTS` times, at the given entries in turn.
+    fn repeat(&self, entries: &[usize], path: &str, body: &str) -> Vec<String> {
+        let attempts = entries.iter().cycle().take(ATTEMPTS as usize).enumerate();
+        let responses = attempts.map(|(number, entry)| {
+            let response = call(&self.entries[*entry], path, &format!("a{number}"), body);
+            thread::sleep(RETURN_TIME);
+            response
+        });
+        responses.collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.servers.iter().for_each(|server| server.stop());
+    }
+}
+
+fn call(entry: &Process, path: &str, id: &str, body: &str) -> String {
+    let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
+    platform::call_raw(entry.callers, &request("POST", path, id, &headers, body))
+}
+
+/// Asserts that the last attempt was refused as not run, and told when to come back.
+fn assert_refused(responses: &[String]) {
+    let last = responses.last().expect("a response");
+    assert!(last.starts_with("HTTP/1.1 503"), "{last}");
+    let head = last.to_lowercase();
+    assert!(head.contains("toucanrail-run: not-run") && head.contains("retry-after: "), "{last}");
+}
+
+/// A route allows many attempts: one attempt of a caller must not end one server after the other.
+#[test]
+fn one_attempt() {
+    let fleet = Fleet::start(0, 1);
+    platform::configure_field(&fleet.store, 2, "routes", "max_attempts", &json!(8));
+    thread::sleep(SETTLE_TIME);
+    for (path, body) in [("/safe/a", "deadly"), ("/resume/a", "deadly")] {
+        let before = fleet.count_runs(body);
+        call(&fleet.entries[0], path, &format!("r{before}"), body);
+        let runs = fleet.count_runs(body) - before;
+        assert!(runs <= MAX_ENDS, "{path}: {runs} servers ended");
+        thread::sleep(DOWN_TIME * 2);
+    }
+}
+
+/// A caller comes back to one entry again and again, with a new id each time.
+#[test]
+fn returns_to_entry() {
+    let fleet = Fleet::start(3, 1);
+    let responses = fleet.repeat(&[0], "/safe/a", "deadly");
+    let runs = fleet.count_runs("deadly");
+    assert!(runs <= MAX_ENDS, "{runs} servers ended");
+    assert_refused(&responses);
+    assert!(call(&fleet.entries[0], "/safe/a", "other", "sound").starts_with("HTTP/1.1 200"));
+}
+
+/// A caller comes back to other entries, each of which sees few of the ends.
+#[test]
+fn returns_elsewhere() {
+    for path in ["/safe/a", "/resume/a"] {
+        let fleet = Fleet::start(3, 4);
+        let responses = fleet.repeat(&[0, 1, 2, 3], path, "deadly");
+        let runs = fleet.count_runs("deadly");
+        assert!(runs <= MAX_ENDS, "{path}: {runs} servers ended");
+        assert_refused(&responses);
+        for entry in &fleet.entries {
+            assert!(call(entry, path, "other", "sound").starts_with("HTTP/1.1 200"));
+        }
+    }
+}
+
+/// The server ends after the first events of the stream, which the caller takes up elsewhere.
+#[test]
+fn ends_midway() {
+    let fleet = Fleet::start_with(3, 4, 8, |message| {
+        let event = platform::chunk("id: 1\ndata: x\n\n");
+        let text = [platform::STREAM_HEAD, &event, "PAUSE"].concat();
+        match run_or_end(message) {
+            RunFate::End(_, after) => RunFate::End(text, after),
+            respond @ RunFate::Respond(_) => respond,
+        }
+    });
+    fleet.repeat(&[0, 1, 2, 3], "/resume/a", "deadly");
+    let runs = fleet.count_runs("deadly");
+    assert!(runs <= MAX_ENDS, "{runs} servers ended");
+}
+
+/// An entry is killed after it has seen two of the ends.
+#[test]
+fn lost_first_entry() {
+    let mut fleet = Fleet::start(3, 3);
+    call(&fleet.entries[0], "/safe/a", "first", "deadly");
+    fleet.entries[0].kill();
+    fleet.repeat(&[1, 2], "/safe/a", "deadly");
+    let runs = fleet.count_runs("deadly");
+    assert!(runs <= MAX_ENDS, "{runs} servers ended");
+}
+
+/// An entry that starts after the ends knows of them.
+#[test]
+fn fresh_entry() {
+    let mut fleet = Fleet::start(3, 2);
+    fleet.repeat(&[0, 1], "/safe/a", "deadly");
+    fleet.entries.push(Process::start_gateway_on(&fleet.store, "front-9"));
+    thread::sleep(SETTLE_TIME);
+    fleet.repeat(&[2], "/safe/a", "deadly");
+    let runs = fleet.count_runs("deadly");
+    assert!(runs <= MAX_ENDS, "{runs} servers ended");
+}
+
+/// One relay after the other is killed between the attempts and starts again.
+#[test]
+fn killed_relays() {
+    let mut fleet = Fleet::start(3, 3);
+    let mut responses = Vec::new();
+    for number in 0..ATTEMPTS as usize {
+        let (relay, entry) = (number % fleet.relays.len(), number % fleet.entries.len());
+        responses.push(call(&fleet.entries[entry], "/safe/a", &format!("k{number}"), "deadly"));
+        fleet.relays[relay].restart();
+        thread::sleep(SETTLE_TIME);
+    }
+    let runs = fleet.count_runs("deadly");
+    assert!(runs <= MAX_ENDS, "{runs} servers ended: {responses:?}");
+}
+
+/// The store is silent from before the first end on.
+#[test]
+fn returns_in_outage() {
+    let fleet = Fleet::start(3, 3);
+    for (number, entry) in fleet.entries.iter().cycle().take(9).enumerate() {
+        call(entry, "/safe/a", &format!("s{number}"), "sound");
+    }
+    thread::sleep(SETTLE_TIME);
+    let block = |blocked: bool| {
+        for kind in ["servers", "config", "relays", "budgets", "bills"] {
+            fleet.store.set_blocked(kind, blocked);
+        }
+    };
+    block(true);
+    fleet.repeat(&[0, 1, 2], "/safe/a", "deadly");
+    block(false);
+    let runs = fleet.count_runs("deadly");
+    assert!((1..=MAX_ENDS).contains(&runs), "{runs} servers ended");
+}
+
+/// All servers end at the same moments for reasons of their own, while callers send requests with
+/// the same content: nothing is at fault, and nothing is refused for it.
+#[test]
+fn common_ends() {
+    let fleet = Fleet::start_with(3, 3, 4, |message| match run_or_end(message) {
+        RunFate::Respond(text) => RunFate::Respond("PAUSEPAUSE".to_owned() + &text),
+        end @ RunFate::End(..) => end,
+    });
+    let start = Instant::now();
+    thread::scope(|scope| {
+        for (number, entry) in fleet.entries.iter().cycle().take(6).enumerate() {
+            scope.spawn(move || {
+                let mut count = 0;
+                while start.elapsed() < Duration::from_secs(8) {
+                    count += 1;
+                    let response = call(entry, "/safe/hot", &format!("h{number}-{count}"), "sound");
+                    assert!(!response.contains("3207"), "{response}");
+                }
+            });
+        }
+        for _ in 0..5 {
+            thread::sleep(Duration::from_millis(1_400));
+            fleet.servers.iter().for_each(|server| server.crash());
+        }
+    });
+    assert!(fleet.count_runs("sound") > 100);
+}
+
+/// Servers end under the same request by chance. It is not held back for ever.
+#[test]
+fn cured_request() {
+    let fleet = Fleet::start(3, 2);
+    fleet.repeat(&[0, 1], "/safe/a", "deadly");
+    let before = fleet.count_runs("deadly");
+    let start = Instant::now();
+    let mut attempt = 0;
+    while fleet.count_runs("deadly") == before {
+        assert!(start.elapsed() < CURE_TIME, "still held back");
+        attempt += 1;
+        call(&fleet.entries[0], "/safe/a", &format!("c{attempt}"), "deadly");
+        thread::sleep(Duration::from_millis(500));
+    }
+}
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -5,6 +5,7 @@
 // Each test file uses only a part of this module.
 #![allow(dead_code)]
 
+pub mod crashes;
 pub mod proxies;
 
 use std::collections::{BTreeMap, BTreeSet};
