Relay ranks in a module of their own

Moved out of origin_keepers without a change of behaviour (stream_origins passes): what is kept of servers that end under a request needs the same choice of relays.

--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod rate_limits;
 pub mod reclaims;
 pub mod records;
+pub mod relay_ranks;
 pub mod replays;
 pub mod retries;
 pub mod retry_delays;
--- a/toucanrail/src/origin_keepers.rs
+++ b/toucanrail/src/origin_keepers.rs
@@ -5,7 +5,6 @@
 //! in different data centres if there are several. The number of buckets grows with the fleet: a
 //! small one needs few messages, and in a large one no relay hears of all streams.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +12,8 @@
 use xxhash_rust::xxh3;
 
 use crate::endpoints::{LocatedRelay, RelayName};
-use crate::ids::DataCentre;
 use crate::origins::{NoteNumber, OriginNote, OriginTable};
+use crate::relay_ranks;
 
 /// Relays that keep each origin. One may be lost together with the entry.
 const COPIES: usize = 2;
@@ -63,7 +62,8 @@
 pub fn list_asked(relays: &[LocatedRelay], attempt: &str) -> Vec<LocatedRelay> {
     let buckets = bucket_count(relays.len());
     let mut asked = BTreeSet::new();
-    let centres = rank_centres(relays, buckets, bucket_of(attempt, buckets));
+    let seed = bucket_seed(buckets, bucket_of(attempt, buckets));
+    let centres = relay_ranks::rank_centres(relays, seed);
     let centres = centres.into_iter().take(ASKED_CENTRES);
     asked.extend(centres.flat_map(|relays| relays.into_iter().take(ASKED_RANKS)).cloned());
     for buckets in [buckets * 2, (buckets / 2).max(1)] {
@@ -76,37 +76,17 @@
     xxh3::xxh3_64(attempt.as_bytes()) % buckets
 }
 
-/// Returns the relays that keep a bucket: the first by rank of the first data centres, or of the only
-/// one.
+/// Returns the relays that keep a bucket.
 fn pick_keepers(
     relays: &[LocatedRelay],
     buckets: BucketNumber,
     bucket: BucketNumber,
 ) -> Vec<LocatedRelay> {
-    let centres = rank_centres(relays, buckets, bucket);
-    let firsts = centres.iter().filter_map(|relays| relays.first());
-    let others = centres.iter().flat_map(|relays| relays.iter().skip(1));
-    firsts.chain(others).take(COPIES).copied().cloned().collect()
+    relay_ranks::pick_relays(relays, bucket_seed(buckets, bucket), COPIES)
 }
 
-/// Returns the relays by data centre, each and all in the order of their ranks for a bucket.
-fn rank_centres(
-    relays: &[LocatedRelay],
-    buckets: BucketNumber,
-    bucket: BucketNumber,
-) -> Vec<Vec<&LocatedRelay>> {
-    let seed = xxh3::xxh3_64(format!("origins {bucket} of {buckets}").as_bytes());
-    let rank = |relay: &LocatedRelay| xxh3::xxh3_64_with_seed(relay.name.as_bytes(), seed);
-    let mut centres: BTreeMap<&DataCentre, Vec<&LocatedRelay>> = BTreeMap::new();
-    for relay in relays {
-        centres.entry(&relay.data_centre).or_default().push(relay);
-    }
-    let mut centres: Vec<Vec<&LocatedRelay>> = centres.into_values().collect();
-    for relays in &mut centres {
-        relays.sort_by_cached_key(|relay| Reverse(rank(relay)));
-    }
-    centres.sort_by_cached_key(|relays| Reverse(relays.first().map(|relay| rank(relay))));
-    centres
+fn bucket_seed(buckets: BucketNumber, bucket: BucketNumber) -> u64 {
+    relay_ranks::rank_seed(&format!("origins {bucket} of {buckets}"))
 }
 
 /// Notes that a relay lacks.
