Hold back a request under which three servers have ended

Cause: nothing that outlives an attempt knew what had ended under it; max_attempts and the retry budget bound one id.

A request is named by its content. When a response breaks off and the server refuses connections, the entry reports the end to three relays in different data centres before it answers or sends on. A relay holds a request back once three servers have ended under it, each of which got it after the end before; all entries wait for that word (one question in 8 s and relay while there is none), and refuse the request at once as not run (3207). Servers that end together make one link of the chain, so that a power loss holds nothing back; a success that any entry has seen clears it; it lapses 30 s after the last end. A relay that starts again gets the notes again from the entries; an entry without relays goes by its own. No call to the store.

Ruled out: shares or counts at each entry (a caller's attempts meet other entries), the store (priced, and away when it is needed), a question before each first send (a round trip for each of all requests). The stand-in closes its listener before its connections, as a process that ends does; with the other order the probe found it alive.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -125,6 +125,7 @@
         deadline: arrived + timeout.saturating_sub(DEADLINE_MARGIN),
         budget: None,
     };
+    check_holds(gateway, &plan)?;
     check_load(gateway, &plan)?;
     plan.budget = reserve_budget(gateway, &plan).await?;
     gateway.record_new_request(&plan.service);
@@ -144,6 +145,16 @@
     Err(AdmissionRefusal { code: codetable::STOPPING, retry_after: Some(grace + RESTART_DELAY) })
 }
 
+/// Refuses a request under which servers have ended.
+fn check_holds(gateway: &Gateway, plan: &RequestPlan<'_>) -> Result<(), AdmissionRefusal> {
+    if !gateway.tables.borrow().holds.is_held(plan.suspect(), gateway.now()) {
+        return Ok(());
+    }
+    gateway.metrics.count_event("requests_held_back");
+    let wait = retry_delays::pick_delay(RefusalCause::HeldBack, plan.time_left(), fastrand::f64());
+    Err(AdmissionRefusal { code: codetable::HELD_BACK, retry_after: Some(wait) })
+}
+
 /// Refuses a request at once if the servers cannot start it in time.
 fn check_load(gateway: &Gateway, plan: &RequestPlan<'_>) -> Result<(), AdmissionRefusal> {
     let timeout = plan.info.timeout.unwrap_or(plan.route.timeout);
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -15,6 +15,7 @@
 use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow};
 use toucanrail::retry_delays::{self, RefusalCause};
+use toucanrail::suspects::{EndNote, SuspectNote};
 use toucanrail_wire::time_limits;
 
 use crate::liveness;
@@ -27,6 +28,7 @@
 use crate::sending;
 use crate::server_ends;
 use crate::state::Gateway;
+use crate::suspect_reports;
 
 /// Maximum wait for load reports; most relays respond within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(40);
@@ -105,8 +107,12 @@
             }
             self.tried.push(Arc::clone(&target.id));
             self.last_version = Some(Arc::clone(&target.software_version));
+            let sent_at = self.gateway.now();
             let outcome = match self.attempt(&target, source, permit, writer).await {
-                AttemptResult::Complete => return RequestEnd::Whole,
+                AttemptResult::Complete => {
+                    suspect_reports::record_success(self.gateway, self.plan.suspect());
+                    return RequestEnd::Whole;
+                }
                 AttemptResult::CallerGone => return RequestEnd::CallerGone,
                 AttemptResult::Failed(response) => {
                     self.failed_response = Some(response);
@@ -115,9 +121,9 @@
                 AttemptResult::Incomplete(outcome) => outcome,
             };
             self.record_outcome(&target, outcome);
-            self.check_server(&target, outcome).await;
+            self.check_server(&target, outcome, sent_at).await;
             let step = match self.history.next_step(outcome, self.plan.time_left()) {
-                NextStep::Retry if self.may_retry() => continue,
+                NextStep::Retry if !self.is_held_back() && self.may_retry() => continue,
                 NextStep::Retry => self.history.final_step(outcome),
                 step => step,
             };
@@ -318,19 +324,41 @@
         );
     }
 
-    /// Finds out whether the server of a broken attempt has ended.
-    async fn check_server(&self, target: &BackendEntry, outcome: AttemptOutcome) {
+    /// Finds out whether the server of a broken attempt has ended, and reports it if so.
+    async fn check_server(
+        &self,
+        target: &BackendEntry,
+        outcome: AttemptOutcome,
+        sent_at: Duration,
+    ) {
         if !matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::Broken) {
             return;
         }
-        if server_ends::has_ended(self.gateway, target).await {
-            tracing::info!(
-                event = "ended_under_request", request = %self.plan.info.id,
-                content = %format_args!("{:016x}", self.plan.content), server = %target.id,
-                started_at = target.started_at, last_event = self.stream.last_event(),
-                parts = %self.list_parts(),
-            );
+        let ended_at = self.gateway.now();
+        if !server_ends::has_ended(self.gateway, target).await {
+            return;
         }
+        tracing::info!(
+            event = "ended_under_request", request = %self.plan.info.id,
+            content = %format_args!("{:016x}", self.plan.content), server = %target.id,
+            started_at = target.started_at, last_event = self.stream.last_event(),
+            parts = %self.list_parts(),
+        );
+        let now = self.gateway.now();
+        let key = self.plan.suspect();
+        let succeeded_ago = self.gateway.tables.borrow().holds.success_age(key, now);
+        let note = EndNote {
+            process: target.process(),
+            sent_ago: now.saturating_sub(sent_at),
+            ended_ago: now.saturating_sub(ended_at),
+            suspects: vec![SuspectNote { key, succeeded_ago }],
+        };
+        suspect_reports::report_end(self.gateway, note).await;
+    }
+
+    /// Returns whether servers have ended under the request, so that it goes to no other one.
+    fn is_held_back(&self) -> bool {
+        self.gateway.tables.borrow().holds.is_held(self.plan.suspect(), self.gateway.now())
     }
 
     /// Returns the ids of the prompt's parts, for logging.
--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use event_listener::Event;
 use smol::Async;
 use toucanrail::permits::PermitTable;
 use toucanrail_platform::stores::ListFreshness;
@@ -79,6 +80,8 @@
         report_client: None,
         origins: RefCell::default(),
         versions: RefCell::default(),
+        suspects: RefCell::default(),
+        holds_changed: Event::new(),
         process: fastrand::u64(..),
     });
     let lending = relay_api::serve_entries(Rc::clone(executor), Rc::clone(&api), entries);
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -13,7 +13,8 @@
 //! connections to the store, [`relay_api`] lends entries budget from the same [`grant_manager`],
 //! [`change_feed`] tells them about changes in the store, and [`relay_registration`] reports how
 //! fast the server is. Relays also keep the origins of streams ([`origin_notes`]), so that a caller
-//! can take a stream up at any entry ([`origin_search`]). A server that has just started or states a
+//! can take a stream up at any entry ([`origin_search`]), and the ends of servers
+//! ([`server_ends`]) with the requests that they ran ([`suspect_reports`]). A server that has just started or states a
 //! rate limit only receives requests that got a permit ([`permits`]). If no VM runs a relay, entries
 //! host relays themselves ([`hosting`]).
 //!
@@ -66,4 +67,5 @@
 pub mod stopping;
 pub mod store_access;
 pub mod store_watch;
+pub mod suspect_reports;
 pub mod tuning;
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use async_signal::{Signal, Signals};
+use event_listener::Event;
 use smol::future::FutureExt;
 use smol::stream::StreamExt;
 use smol::{Async, LocalExecutor};
@@ -106,6 +107,8 @@
         report_client,
         origins: RefCell::default(),
         versions: RefCell::default(),
+        suspects: RefCell::default(),
+        holds_changed: Event::new(),
         process: fastrand::u64(..),
     })
 }
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -9,12 +9,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use event_listener::Event;
 use smol::{Async, LocalExecutor};
+use toucanrail::holds::{HoldQuery, HoldReply, SuspectReport};
 use toucanrail::ids::RequestId;
 use toucanrail::loans::{LoanEnd, LoanReply, LoanRequest, LoanTable};
 use toucanrail::origin_keepers::ProcessNumber;
 use toucanrail::origins::{OriginReply, OriginReport, OriginTable};
 use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
+use toucanrail::suspects::SuspectTable;
 use toucanrail::version_history::StatementTable;
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::rpc;
@@ -44,6 +47,11 @@
 /// [`OriginReply`].
 pub const ORIGIN_PATH: &str = "/origins/find";
 
+/// Path of a call that takes a [`SuspectReport`] and returns a [`HoldReply`].
+pub const SUSPECT_PATH: &str = "/suspects/report";
+/// Path of a call that takes a [`HoldQuery`] and returns a [`HoldReply`].
+pub const HOLD_PATH: &str = "/suspects/held";
+
 /// Path of a call without arguments that returns `true` immediately.
 pub const ALIVE_PATH: &str = "/alive";
 
@@ -51,6 +59,8 @@
 const LOAN_TIME: Duration = Duration::from_millis(1_400);
 /// Interval between two lines in the log about the streams that the relay remembers.
 const ORIGIN_LOG_INTERVAL: Duration = Duration::from_secs(10);
+/// Upper bound of the wait of a query for what is held back.
+const MAX_HOLD_WAIT: Duration = Duration::from_secs(10);
 /// Interval at which a stopping lender checks whether its loans have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -73,6 +83,10 @@
     pub origins: RefCell<OriginTable>,
     /// What entries state of the software versions of servers.
     pub versions: RefCell<StatementTable>,
+    /// Suspects of servers' ends that entries have reported.
+    pub suspects: RefCell<SuspectTable>,
+    /// Notified when another suspect is held back, or one no longer is.
+    pub holds_changed: Event,
     /// Random number of this process.
     pub process: ProcessNumber,
 }
@@ -120,6 +134,14 @@
                 let attempt: Option<RequestId> = rpc::decode(&body)?;
                 rpc::reply(&connection, &find_origin(api, attempt.as_ref())).await?;
             }
+            SUSPECT_PATH => {
+                record_suspects(api, &rpc::decode(&body)?);
+                rpc::reply(&connection, &list_holds(api)).await?;
+            }
+            HOLD_PATH => {
+                let query = rpc::decode(&body)?;
+                rpc::reply(&connection, &await_holds(api, &query).await).await?;
+            }
             REPORT_PATH => {
                 let report = match &api.report_client {
                     Some(report_client) => report_client.try_fetch().await,
@@ -203,6 +225,45 @@
     reply
 }
 
+fn record_suspects(api: &RelayApi, report: &SuspectReport) {
+    let now = api.change_feed.now();
+    let mut suspects = api.suspects.borrow_mut();
+    let mut changed = false;
+    for note in &report.ends {
+        changed |= suspects.record_end(note, now);
+    }
+    for (key, ago) in &report.successes {
+        changed |= suspects.record_success(*key, *ago, now);
+    }
+    if changed {
+        api.holds_changed.notify(usize::MAX);
+        tracing::info!(
+            event = "suspects_held", suspects = suspects.len(), held = ?suspects.held(now),
+        );
+    }
+}
+
+fn list_holds(api: &RelayApi) -> HoldReply {
+    let suspects = api.suspects.borrow();
+    let held = suspects.held(api.change_feed.now());
+    HoldReply { process: api.process, version: suspects.version(), held }
+}
+
+/// Replies to a query as soon as the entry lacks something, or when its wait is over.
+async fn await_holds(api: &RelayApi, query: &HoldQuery) -> HoldReply {
+    let waiting = async {
+        loop {
+            let changed = api.holds_changed.listen();
+            if query.known != Some((api.process, api.suspects.borrow().version())) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    time_limits::timeout(query.wait.min(MAX_HOLD_WAIT), waiting).await;
+    list_holds(api)
+}
+
 fn end_loans(api: &RelayApi, ends: Vec<LoanEnd>) {
     for end in ends {
         let hold = api.loans.borrow_mut().end(&end.loan);
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -15,6 +15,7 @@
 use toucanrail::origins::StreamOrigin;
 use toucanrail::scanners::BodyLength;
 use toucanrail::sse::EventScanner;
+use toucanrail::suspects::SuspectKey;
 use toucanrail_platform::requests::RequestInfo;
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::heads::{RequestHead, ResponseHead};
@@ -64,6 +65,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the key by which the request is suspected if servers end under it.
+    pub fn suspect(&self) -> SuspectKey {
+        SuspectKey::Content(self.content)
+    }
+
     /// Returns the time left until the deadline for the first byte: a caller gives up earlier if
     /// the response does not start.
     pub fn time_left_to_first_byte(&self) -> Duration {
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -13,6 +13,7 @@
 use toucanrail::backends::BackendTable;
 use toucanrail::endpoints::EndpointTable;
 use toucanrail::evacuations::EvacuationTable;
+use toucanrail::holds::HoldTable;
 use toucanrail::matching::RouteTable;
 use toucanrail::memory_budgets::MemoryBudget;
 use toucanrail::origins::OriginTable;
@@ -38,6 +39,7 @@
 use crate::stopping;
 use crate::store_access::{self, StoreAccess};
 use crate::store_watch;
+use crate::suspect_reports::{self, SuspectReporter};
 use crate::tuning::GatewayTuning;
 
 /// Maximum time to connect to the store.
@@ -74,6 +76,10 @@
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
     executor.spawn(origin_notes::send_notes(Rc::clone(&shared))).detach();
     executor.spawn(origin_notes::log_notes(Rc::clone(&shared))).detach();
+    executor.spawn(suspect_reports::send_reports(Rc::clone(&shared))).detach();
+    for slot in 0..suspect_reports::COPIES {
+        executor.spawn(suspect_reports::follow_holds(Rc::clone(&shared), slot)).detach();
+    }
     executor.spawn(hosting::host_relay(Rc::clone(&shared))).detach();
     smol::block_on(executor.run(stopping::run_until_stopped(shared)));
     Ok(())
@@ -103,6 +109,7 @@
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
         origins: OriginTable::new(),
+        holds: HoldTable::default(),
     };
     let link = LinkLoad::new(settings.link_capacity);
     let memory = Rc::new(RefCell::new(MemoryBudget::new(settings.limits)));
@@ -119,6 +126,7 @@
         server_probes: ServerProbes::default(),
         permit_failures: RefCell::default(),
         note_sender: NoteSender::default(),
+        suspect_reporter: SuspectReporter::default(),
         memory,
         link,
         metrics,
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -10,6 +10,7 @@
 use smol::LocalExecutor;
 use toucanrail::admissions::{AdmissionLimit, AdmissionQuery};
 use toucanrail::backends::{BackendEntry, BackendTable, FlightId};
+use toucanrail::holds::HoldTable;
 use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
 use toucanrail::origins::OriginTable;
@@ -34,6 +35,7 @@
 use crate::relay_client::RelayBackoff;
 use crate::server_ends::ServerProbes;
 use crate::store_access::StoreAccess;
+use crate::suspect_reports::SuspectReporter;
 
 /// Fraction of the fleet's retry limits that is divided among entries. The entries' windows are not
 /// aligned with those of the fleet; two of the fleet's windows cover them all, hence one half.
@@ -67,6 +69,8 @@
     pub free_slots: BTreeMap<ServiceName, SlotGauge>,
     /// Origins of the streams that began here or were taken up here.
     pub origins: OriginTable,
+    /// Requests that are held back because servers ended under them.
+    pub holds: HoldTable,
 }
 
 /// A running gateway.
@@ -116,6 +120,8 @@
     pub permit_failures: RefCell<RelayFailures>,
     /// Sends the origins of streams to relays.
     pub note_sender: NoteSender,
+    /// Tells relays under which requests servers ended.
+    pub suspect_reporter: SuspectReporter,
     /// Bytes held for callers.
     pub memory: SharedBudget,
     /// Load of this VM's network link.
--- /dev/null
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -0,0 +1,190 @@
+//! Reports of the requests under which servers ended, which an entry sends to relays, and the word of
+//! the relays on what is held back.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event;
+use toucanrail::endpoints::LocatedRelay;
+use toucanrail::holds::{HoldQuery, HoldReply, SuspectReport};
+use toucanrail::relay_ranks;
+use toucanrail::suspects::{self, EndNote, SuspectKey};
+
+use crate::relay_api::{HOLD_PATH, SUSPECT_PATH};
+use crate::relay_client::{self, RelayBackoff};
+use crate::state::Gateway;
+
+/// Number of relays that keep the suspects, in different data centres.
+pub const COPIES: usize = 3;
+/// Purpose by which these relays are ranked.
+const RANK_PURPOSE: &str = "suspects";
+/// Timeout of a report; a live relay replies within a few milliseconds.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(80);
+/// Maximum time until the reply to a query of what is held back, and what is added to it before the
+/// relay counts as failed.
+const HOLD_WAIT: Duration = Duration::from_secs(8);
+const HOLD_SLACK: Duration = Duration::from_millis(500);
+/// Pause after a query that failed, or when there is no relay.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Maximum number of notes kept for relays that start again.
+const MAX_KEPT_NOTES: usize = 1_024;
+
+/// Tells relays under which requests servers ended.
+#[derive(Debug, Default)]
+pub struct SuspectReporter {
+    pending: RefCell<SuspectReport>,
+    /// Notes that this entry has made, and when.
+    kept: RefCell<VecDeque<(Duration, EndNote)>>,
+    /// Number of the report that is filled next, and of the last one that was sent.
+    filling: Cell<u64>,
+    sent: Cell<u64>,
+    added: Event,
+    flushed: Event,
+    /// Relays that did not respond.
+    failed: RelayBackoff,
+}
+
+impl SuspectReporter {
+    /// Keeps a note for relays that start again.
+    fn keep_note(&self, note: &EndNote, now: Duration) {
+        let mut kept = self.kept.borrow_mut();
+        let is_old = |(at, _): &(Duration, EndNote)| now > *at + suspects::EVIDENCE_TIME;
+        while kept.front().is_some_and(is_old) || kept.len() >= MAX_KEPT_NOTES {
+            kept.pop_front();
+        }
+        kept.push_back((now, note.clone()));
+    }
+
+    /// Returns all kept notes as told now.
+    fn kept_notes(&self, now: Duration) -> Vec<EndNote> {
+        let kept = self.kept.borrow();
+        kept.iter().map(|(at, note)| note.aged(now.saturating_sub(*at))).collect()
+    }
+}
+
+/// Records that a server ended under a request. Returns once the relays have been told, so that the
+/// word of all of them decides what follows.
+pub async fn report_end(gateway: &Gateway, note: EndNote) {
+    let now = gateway.now();
+    gateway.tables.borrow_mut().holds.record_end(&note, now);
+    let reporter = &gateway.suspect_reporter;
+    reporter.keep_note(&note, now);
+    reporter.pending.borrow_mut().ends.push(note);
+    let number = reporter.filling.get();
+    reporter.added.notify(1);
+    while reporter.sent.get() <= number {
+        let flushed = reporter.flushed.listen();
+        if reporter.sent.get() <= number {
+            flushed.await;
+        }
+    }
+}
+
+/// Records that a request succeeded.
+pub fn record_success(gateway: &Gateway, key: SuspectKey) {
+    let now = gateway.now();
+    gateway.tables.borrow_mut().holds.record_success(key, now);
+}
+
+/// Sends what there is to report until the process exits.
+pub async fn send_reports(gateway: Rc<Gateway>) {
+    let reporter = &gateway.suspect_reporter;
+    loop {
+        let added = reporter.added.listen();
+        if *reporter.pending.borrow() == SuspectReport::default() {
+            added.await;
+        }
+        let report = Rc::new(reporter.pending.take());
+        reporter.filling.set(reporter.filling.get() + 1);
+        let sending = list_keepers(&gateway).into_iter().map(|relay| {
+            let (gateway, report) = (Rc::clone(&gateway), Rc::clone(&report));
+            let executor = Rc::clone(&gateway.executor);
+            executor.spawn(async move { send_report(&gateway, &relay, &report).await })
+        });
+        for task in sending.collect::<Vec<_>>() {
+            task.await;
+        }
+        reporter.sent.set(reporter.filling.get());
+        reporter.flushed.notify(usize::MAX);
+    }
+}
+
+/// Returns the relays that keep the suspects, without those that did not respond.
+fn list_keepers(gateway: &Gateway) -> Vec<LocatedRelay> {
+    let now = gateway.now();
+    let mut relays = gateway.store.located_relays();
+    relays.retain(|relay| !gateway.suspect_reporter.failed.is_active(&relay.name, now));
+    relay_ranks::pick_relays(&relays, relay_ranks::rank_seed(RANK_PURPOSE), COPIES)
+}
+
+async fn send_report(gateway: &Gateway, relay: &LocatedRelay, report: &SuspectReport) {
+    let LocatedRelay { name, address, .. } = relay;
+    let (path, timeout) = (SUSPECT_PATH, REPORT_TIMEOUT);
+    let mut sent = relay_client::call_relay(gateway, name, *address, path, report, timeout).await;
+    if sent.as_ref().is_err_and(|error| error.kind() != io::ErrorKind::TimedOut) {
+        // The pooled connection may lead to a process that has ended.
+        sent = relay_client::call_relay_anew(gateway, name, *address, path, report, timeout).await;
+    }
+    match sent {
+        Ok(reply) => apply_reply(gateway, relay, &reply),
+        Err(error) => {
+            tracing::info!(event = "suspects_unsent", relay = %name, %error);
+            gateway.suspect_reporter.failed.record_failure(name, gateway.now());
+        }
+    }
+}
+
+/// Applies a relay's word. Tells the relays of suspects that have succeeded here, and a relay that is
+/// new to this entry of all ends that it has seen.
+fn apply_reply(gateway: &Gateway, relay: &LocatedRelay, reply: &HoldReply) {
+    let now = gateway.now();
+    let reporter = &gateway.suspect_reporter;
+    reporter.failed.reset(&relay.name);
+    let mut tables = gateway.tables.borrow_mut();
+    let is_new = tables.holds.known(&relay.name).is_none_or(|(known, _)| known != reply.process);
+    let succeeded = tables.holds.apply_reply(&relay.name, reply, now);
+    drop(tables);
+    let ends = if is_new { reporter.kept_notes(now) } else { Vec::new() };
+    if succeeded.is_empty() && ends.is_empty() {
+        return;
+    }
+    let mut pending = reporter.pending.borrow_mut();
+    pending.successes.extend(succeeded);
+    pending.ends.extend(ends);
+    reporter.added.notify(1);
+}
+
+/// Follows what one of the relays holds back, until the process exits.
+pub async fn follow_holds(gateway: Rc<Gateway>, slot: usize) {
+    loop {
+        let Some(relay) = list_keepers(&gateway).into_iter().nth(slot) else {
+            smol::Timer::after(RETRY_PAUSE).await;
+            continue;
+        };
+        if let Err(error) = query_holds(&gateway, &relay).await {
+            tracing::info!(event = "holds_unknown", relay = %relay.name, %error);
+            gateway.suspect_reporter.failed.record_failure(&relay.name, gateway.now());
+            smol::Timer::after(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn query_holds(gateway: &Gateway, relay: &LocatedRelay) -> io::Result<()> {
+    let LocatedRelay { name, address, .. } = relay;
+    let known = gateway.tables.borrow().holds.known(name);
+    let query = HoldQuery { known, wait: HOLD_WAIT };
+    let timeout = HOLD_WAIT + HOLD_SLACK;
+    let reply = relay_client::call_relay(gateway, name, *address, HOLD_PATH, &query, timeout).await;
+    let reply = match reply {
+        Err(error) if error.kind() != io::ErrorKind::TimedOut => {
+            let path = HOLD_PATH;
+            relay_client::call_relay_anew(gateway, name, *address, path, &query, timeout).await?
+        }
+        reply => reply?,
+    };
+    apply_reply(gateway, relay, &reply);
+    Ok(())
+}
--- a/toucanrail-gateway/tests/platform/crashes.rs
+++ b/toucanrail-gateway/tests/platform/crashes.rs
@@ -87,6 +87,7 @@
             while !shared.stopped.load(Ordering::Relaxed) {
                 shared.accept_connections(&listener, &script);
                 drop(listener);
+                shared.close_connections();
                 thread::sleep(shared.down_time);
                 listener = shared.begin_life();
             }
@@ -182,10 +183,14 @@
         let mut life = self.life.lock().expect("the life");
         if life.number == number && std::mem::replace(&mut life.alive, false) {
             self.ends.lock().expect("the ends").push(Instant::now());
-            for connection in life.connections.drain(..) {
-                // The peer may have closed it already.
-                connection.shutdown(Shutdown::Both).ok();
-            }
+        }
+    }
+
+    fn close_connections(&self) {
+        let mut life = self.life.lock().expect("the life");
+        for connection in life.connections.drain(..) {
+            // The peer may have closed it already.
+            connection.shutdown(Shutdown::Both).ok();
         }
     }
 
--- a/toucanrail/src/retry_delays.rs
+++ b/toucanrail/src/retry_delays.rs
@@ -38,6 +38,8 @@
     VersionGone,
     /// Every server that was tried declined, or none could be tried.
     Declined,
+    /// Servers ended under the request, or under others like it.
+    HeldBack,
     /// All servers rest; the first of them takes requests again after this time.
     Resting(Duration),
 }
@@ -61,9 +63,10 @@
     let delay = match cause {
         RefusalCause::Uninformed => OTHER_ENTRY_DELAY,
         RefusalCause::FullEntry => FULL_ENTRY_DELAY.mul_f64(0.5 + random),
-        RefusalCause::Overload | RefusalCause::Outage | RefusalCause::VersionGone => {
-            longest.mul_f64(1.0 - JITTER * random)
-        }
+        RefusalCause::Overload
+        | RefusalCause::Outage
+        | RefusalCause::VersionGone
+        | RefusalCause::HeldBack => longest.mul_f64(1.0 - JITTER * random),
         RefusalCause::Unconfirmed => GRANT_DELAY.mul_f64(0.75 + 0.5 * random),
         RefusalCause::Declined => MIN_DECLINED_DELAY + DECLINED_JITTER.mul_f64(random),
         RefusalCause::Resting(rest) => rest.saturating_add(DECLINED_JITTER.mul_f64(random)),
--- a/toucanrail/src/statements.rs
+++ b/toucanrail/src/statements.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::backends::BackendId;
 use crate::rate_limits::RateLimit;
@@ -15,7 +15,7 @@
 const MAX_REMEMBERED: usize = 256;
 
 /// One process of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerProcess {
     /// Id of the server, which another process may take over.
     pub id: BackendId,
--- /dev/null
+++ b/toucanrail/tests/suspect_verdicts.rs
@@ -0,0 +1,167 @@
+//! Verdicts on requests under which servers end: what counts, what clears, and what is bounded.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use toucanrail::holds::{HoldReply, HoldTable};
+use toucanrail::statements::ServerProcess;
+use toucanrail::suspects::{self, EndNote, HeldSuspect, SuspectKey, SuspectNote, SuspectTable};
+
+const KEY: SuspectKey = SuspectKey::Content(7);
+const NOW: Duration = Duration::from_secs(100);
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A note of a server that ended just now, `sent_ago` after it had got the request.
+fn note(server: u64, sent_ago: Duration) -> EndNote {
+    EndNote {
+        process: ServerProcess { id: Arc::from(format!("i-{server}")), started_at: 1 },
+        sent_ago,
+        ended_ago: Duration::ZERO,
+        suspects: vec![SuspectNote { key: KEY, succeeded_ago: None }],
+    }
+}
+
+/// Records ends that follow one another every 100 ms. Returns the time of the last one.
+fn record_chain(table: &mut SuspectTable, count: u64) -> Duration {
+    let mut at = NOW;
+    for server in 0..count {
+        at = NOW + millis(100) * server as u32;
+        table.record_end(&note(server, millis(50)), at);
+    }
+    at
+}
+
+/// Three ends one after the other are a verdict, two are none.
+#[test]
+fn successive_ends() {
+    let mut table = SuspectTable::new();
+    let at = record_chain(&mut table, 2);
+    assert!(!table.is_held(KEY, at));
+    let at = record_chain(&mut table, 3);
+    assert!(table.is_held(KEY, at));
+}
+
+/// Servers that end together, in a power loss say, are one reason and no verdict.
+#[test]
+fn simultaneous_ends() {
+    let mut table = SuspectTable::new();
+    for server in 0..20 {
+        table.record_end(&note(server, millis(500)), NOW + millis(server));
+    }
+    assert!(!table.is_held(KEY, NOW + millis(20)));
+}
+
+/// Several requests with the same content report the end of one server, the last one of them sent
+/// after the end before.
+#[test]
+fn shared_end() {
+    let mut table = SuspectTable::new();
+    for server in 0..3 {
+        let at = NOW + millis(100) * server as u32;
+        table.record_end(&note(server, millis(5_000)), at);
+        table.record_end(&note(server, millis(50)), at);
+        table.record_end(&note(server, millis(50)), at);
+    }
+    assert!(table.is_held(KEY, NOW + millis(200)));
+    let mut table = SuspectTable::new();
+    for _ in 0..5 {
+        table.record_end(&note(1, millis(50)), NOW);
+    }
+    assert!(!table.is_held(KEY, NOW));
+}
+
+/// A success clears the ends before it, whether it is told with a note or later.
+#[test]
+fn success_between() {
+    let mut table = SuspectTable::new();
+    let at = record_chain(&mut table, 2) + millis(200);
+    let mut third = note(9, millis(50));
+    third.suspects[0].succeeded_ago = Some(millis(60));
+    assert!(!table.record_end(&third, at));
+    let mut table = SuspectTable::new();
+    let at = record_chain(&mut table, 3);
+    let version = table.version();
+    assert!(table.record_success(KEY, millis(150), at));
+    assert!(!table.is_held(KEY, at) && table.version() > version);
+}
+
+/// A success before all ends clears nothing.
+#[test]
+fn earlier_success() {
+    let mut table = SuspectTable::new();
+    let at = record_chain(&mut table, 3);
+    assert!(!table.record_success(KEY, millis(10_000), at));
+    assert!(table.is_held(KEY, at));
+}
+
+/// A verdict lapses by itself.
+#[test]
+fn lapsed_verdict() {
+    let mut table = SuspectTable::new();
+    let at = record_chain(&mut table, 3) + suspects::EVIDENCE_TIME;
+    assert!(!table.is_held(KEY, at) && table.held(at).is_empty());
+}
+
+/// Callers that invent contents fill no memory, and do not wash a verdict out.
+#[test]
+fn invented_contents() {
+    let mut table = SuspectTable::new();
+    let at = record_chain(&mut table, 3);
+    for number in 0..40_000 {
+        let mut other = note(number, millis(50));
+        other.suspects[0].key = SuspectKey::Content(1_000 + number);
+        table.record_end(&other, at);
+    }
+    assert!(table.len() <= 8_193, "{}", table.len());
+    assert!(table.is_held(KEY, at));
+}
+
+fn reply(process: u64, held: &[SuspectKey]) -> HoldReply {
+    let held =
+        held.iter().map(|key| HeldSuspect { key: *key, since: millis(900), left: millis(20_000) });
+    HoldReply { process, version: 1, held: held.collect() }
+}
+
+/// What an entry has seen itself decides only while no relay responds.
+#[test]
+fn silent_relays() {
+    let mut table = HoldTable::default();
+    for server in 0..3 {
+        table.record_end(&note(server, millis(50)), NOW + millis(100) * server as u32);
+    }
+    assert!(table.is_held(KEY, NOW + millis(200)));
+    table.apply_reply(&Arc::from("side-1"), &reply(1, &[]), NOW + millis(300));
+    assert!(!table.is_held(KEY, NOW + millis(300)));
+    assert!(table.is_held(KEY, NOW + millis(25_000)));
+}
+
+/// One of several relays that holds a request back is enough: another one may have lost its notes.
+#[test]
+fn restarted_relay() {
+    let mut table = HoldTable::default();
+    table.apply_reply(&Arc::from("side-1"), &reply(1, &[KEY]), NOW);
+    table.apply_reply(&Arc::from("side-2"), &reply(2, &[]), NOW);
+    assert!(table.is_held(KEY, NOW) && table.held_count(NOW) == 1);
+    table.apply_reply(&Arc::from("side-1"), &reply(1, &[]), NOW + millis(10));
+    assert!(!table.is_held(KEY, NOW + millis(10)));
+}
+
+proptest! {
+    /// Whatever the order and the delays of notes, fewer than three servers make no verdict, and a
+    /// request that is sent again after each end that was told is held back at the third.
+    #[test]
+    fn told_ends(delays in prop::collection::vec(0_u64..400, 3..12), lives in 1_u64..300) {
+        let mut table = SuspectTable::new();
+        let mut now = NOW;
+        for (server, delay) in delays.iter().enumerate() {
+            prop_assert_eq!(table.is_held(KEY, now), server >= suspects::MAX_ENDS);
+            let sent_at = now;
+            now += millis(lives + delay);
+            table.record_end(&note(server as u64, now.saturating_sub(sent_at)), now);
+        }
+    }
+}
