--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -8,9 +8,11 @@
 use toucanrail::admissions::AdmissionQuery;
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
-use toucanrail::contents;
+use toucanrail::contents::{self, ContentKey};
+use toucanrail::holds::TrialRequest;
 use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::retry_delays::{self, RefusalCause};
+use toucanrail::suspects::SuspectKey;
 use toucanrail_platform::requests::{self, RequestInfo};
 use toucanrail_wire::heads::RequestHead;
 
@@ -21,6 +23,7 @@
 use crate::request_context::{DEADLINE_MARGIN, RequestPlan};
 use crate::responding::{self, ResponseWriter};
 use crate::state::Gateway;
+use crate::suspect_reports;
 
 /// Time since the last contact with the store after which an unknown key or route may be one that
 /// has not arrived here yet. The caller is then told to retry elsewhere instead of being rejected.
@@ -111,12 +114,13 @@
     let rank = customer.as_ref().and_then(|customer| customer.priority);
     let payer = customer.as_ref().map(|customer| &*customer.name);
     let content = contents::content_key(payer, &requests::content_fields(head), body);
+    let suspects = list_suspects(content, &service, &info);
     let mut plan = RequestPlan {
         head,
         body,
         urgency: rank.unwrap_or(route.priority),
         info,
-        content,
+        suspects,
         route,
         customer,
         service,
@@ -125,9 +129,12 @@
         deadline: arrived + timeout.saturating_sub(DEADLINE_MARGIN),
         budget: None,
     };
-    check_holds(gateway, &plan)?;
+    let trial = check_holds(gateway, &plan)?;
     check_load(gateway, &plan)?;
     plan.budget = reserve_budget(gateway, &plan).await?;
+    if let Some(keys) = trial {
+        request_trial(gateway, &plan, keys).await?;
+    }
     gateway.record_new_request(&plan.service);
     Ok(plan)
 }
@@ -145,14 +152,45 @@
     Err(AdmissionRefusal { code: codetable::STOPPING, retry_after: Some(grace + RESTART_DELAY) })
 }
 
-/// Refuses a request under which servers have ended.
-fn check_holds(gateway: &Gateway, plan: &RequestPlan<'_>) -> Result<(), AdmissionRefusal> {
-    if !gateway.tables.borrow().holds.is_held(plan.suspect(), gateway.now()) {
+/// Returns what is suspected if servers end under a request.
+fn list_suspects(content: ContentKey, service: &str, info: &RequestInfo) -> Vec<SuspectKey> {
+    let parts = info.prompt.as_ref().and_then(|prompt| prompt.parts.split_last());
+    let shared = parts.map_or(&[][..], |(_, shared)| shared);
+    let shared = shared.iter().map(|part| SuspectKey::Part(contents::part_key(service, part.id)));
+    [SuspectKey::Content(content)].into_iter().chain(shared).collect()
+}
+
+/// Refuses a request that is held back. Returns the suspects that it would try if a trial is due.
+fn check_holds(
+    gateway: &Gateway,
+    plan: &RequestPlan<'_>,
+) -> Result<Option<TrialRequest>, AdmissionRefusal> {
+    let now = gateway.now();
+    let Some(hold) = gateway.tables.borrow().holds.find_hold(&plan.suspects, now) else {
+        return Ok(None);
+    };
+    if hold.trial_at.is_some_and(|at| now >= at) && suspect_reports::may_ask_trial(gateway) {
+        return Ok(Some(hold.keys));
+    }
+    Err(refuse_held(gateway, plan))
+}
+
+/// Asks for the trial of one request that is held back, or refuses it.
+async fn request_trial(
+    gateway: &Gateway,
+    plan: &RequestPlan<'_>,
+    keys: TrialRequest,
+) -> Result<(), AdmissionRefusal> {
+    if suspect_reports::request_trial(gateway, &keys).await {
         return Ok(());
     }
+    Err(refuse_held(gateway, plan))
+}
+
+fn refuse_held(gateway: &Gateway, plan: &RequestPlan<'_>) -> AdmissionRefusal {
     gateway.metrics.count_event("requests_held_back");
     let wait = retry_delays::pick_delay(RefusalCause::HeldBack, plan.time_left(), fastrand::f64());
-    Err(AdmissionRefusal { code: codetable::HELD_BACK, retry_after: Some(wait) })
+    AdmissionRefusal { code: codetable::HELD_BACK, retry_after: Some(wait) }
 }
 
 /// Refuses a request at once if the servers cannot start it in time.
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -15,7 +15,7 @@
 use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow};
 use toucanrail::retry_delays::{self, RefusalCause};
-use toucanrail::suspects::{EndNote, SuspectNote};
+use toucanrail::suspects::{EndNote, SuspectKey, SuspectNote};
 use toucanrail_wire::time_limits;
 
 use crate::liveness;
@@ -110,7 +110,7 @@
             let sent_at = self.gateway.now();
             let outcome = match self.attempt(&target, source, permit, writer).await {
                 AttemptResult::Complete => {
-                    suspect_reports::record_success(self.gateway, self.plan.suspect());
+                    suspect_reports::record_success(self.gateway, self.plan);
                     return RequestEnd::Whole;
                 }
                 AttemptResult::CallerGone => return RequestEnd::CallerGone,
@@ -334,31 +334,51 @@
         if !matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::Broken) {
             return;
         }
-        let ended_at = self.gateway.now();
+        let (ended_at, progressed) = (self.gateway.now(), self.stream.has_progressed());
         if !server_ends::has_ended(self.gateway, target).await {
             return;
         }
         tracing::info!(
             event = "ended_under_request", request = %self.plan.info.id,
-            content = %format_args!("{:016x}", self.plan.content), server = %target.id,
-            started_at = target.started_at, last_event = self.stream.last_event(),
+            content = self.content_name(), server = %target.id, started_at = target.started_at,
+            stage = ?self.stream.stage(), progressed, last_event = self.stream.last_event(),
             parts = %self.list_parts(),
         );
         let now = self.gateway.now();
-        let key = self.plan.suspect();
-        let succeeded_ago = self.gateway.tables.borrow().holds.success_age(key, now);
         let note = EndNote {
             process: target.process(),
+            stage: self.stream.stage(),
             sent_ago: now.saturating_sub(sent_at),
             ended_ago: now.saturating_sub(ended_at),
-            suspects: vec![SuspectNote { key, succeeded_ago }],
+            suspects: self.list_suspects(progressed, now),
         };
         suspect_reports::report_end(self.gateway, note).await;
     }
 
-    /// Returns whether servers have ended under the request, so that it goes to no other one.
+    /// Returns what may be at fault for the end of a server. A prompt's parts are not if its response
+    /// had gone on for some time.
+    fn list_suspects(&self, progressed: bool, now: Duration) -> Vec<SuspectNote> {
+        let tables = self.gateway.tables.borrow();
+        let keys = self.plan.suspects.iter().copied();
+        let keys = keys.filter(|key| !progressed || matches!(key, SuspectKey::Content(_)));
+        let note = |key| SuspectNote { key, succeeded_ago: tables.holds.success_age(key, now) };
+        keys.map(note).collect()
+    }
+
+    /// Returns whether servers have ended under the request, or under others like it, so that it goes
+    /// to no other one.
     fn is_held_back(&self) -> bool {
-        self.gateway.tables.borrow().holds.is_held(self.plan.suspect(), self.gateway.now())
+        let tables = self.gateway.tables.borrow();
+        tables.holds.find_hold(&self.plan.suspects, self.gateway.now()).is_some()
+    }
+
+    /// Returns the key of the request's content, for logging.
+    fn content_name(&self) -> String {
+        let content = self.plan.suspects.iter().find_map(|key| match key {
+            SuspectKey::Content(content) => Some(content),
+            SuspectKey::Part(_) => None,
+        });
+        content.map(|content| format!("{content:016x}")).unwrap_or_default()
     }
 
     /// Returns the ids of the prompt's parts, for logging.
@@ -428,7 +448,7 @@
         let customer = self.plan.customer.as_ref().map(|customer| Arc::clone(&customer.name));
         tracing::info!(
             event = "request_ended", request = %self.plan.info.id,
-            content = %format_args!("{:016x}", self.plan.content), route = %self.plan.route.name,
+            content = self.content_name(), route = %self.plan.route.name,
             service = %self.plan.service, customer = customer.as_deref(), end = ?end,
             run = self.history.run_state().as_str(), sent = self.history.sent, tried = ?self.tried,
             version = self.last_version.as_deref(), after_event = self.plan.info.last_event,
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -20,6 +20,7 @@
 };
 use crate::responding::ResponseWriter;
 use crate::state::FlightGuard;
+use crate::suspect_reports;
 
 /// Interval at which a stream's deadline and pauses are checked. Each stream has a single timer,
 /// because a timer for each read would cost two system calls per event.
@@ -147,6 +148,8 @@
     /// Events of earlier attempts.
     earlier_events: u64,
     tokens_per_event: Tokens,
+    /// Whether it is known that the prompt's parts let a server write.
+    progress_told: bool,
 }
 
 impl StreamProgress {
@@ -158,6 +161,7 @@
             detector: SilenceDetector::default(),
             earlier_events: stream.scanner.count,
             tokens_per_event: tables.routes.tokens_per_event(&context.plan.service),
+            progress_told: false,
         }
     }
 
@@ -181,6 +185,11 @@
         }
         self.last_event_at = Instant::now();
         flight.record_response_start();
+        stream.attempt_begun_at.get_or_insert(self.last_event_at);
+        if !self.progress_told && stream.has_progressed() {
+            self.progress_told = true;
+            suspect_reports::record_progress(context.gateway, context.plan);
+        }
         if stream.origin.is_none() {
             stream.origin = Some(context.target.origin());
             origin_notes::note_origin(context);
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -11,7 +11,7 @@
 
 use event_listener::Event;
 use smol::{Async, LocalExecutor};
-use toucanrail::holds::{HoldQuery, HoldReply, SuspectReport};
+use toucanrail::holds::{HoldQuery, HoldReply, SuspectReport, TrialRequest};
 use toucanrail::ids::RequestId;
 use toucanrail::loans::{LoanEnd, LoanReply, LoanRequest, LoanTable};
 use toucanrail::origin_keepers::ProcessNumber;
@@ -51,6 +51,8 @@
 pub const SUSPECT_PATH: &str = "/suspects/report";
 /// Path of a call that takes a [`HoldQuery`] and returns a [`HoldReply`].
 pub const HOLD_PATH: &str = "/suspects/held";
+/// Path of a call that takes a [`TrialRequest`] and returns whether one request may be tried.
+pub const TRIAL_PATH: &str = "/suspects/try";
 
 /// Path of a call without arguments that returns `true` immediately.
 pub const ALIVE_PATH: &str = "/alive";
@@ -142,6 +144,9 @@
                 let query = rpc::decode(&body)?;
                 rpc::reply(&connection, &await_holds(api, &query).await).await?;
             }
+            TRIAL_PATH => {
+                rpc::reply(&connection, &grant_trial(api, &rpc::decode(&body)?)).await?;
+            }
             REPORT_PATH => {
                 let report = match &api.report_client {
                     Some(report_client) => report_client.try_fetch().await,
@@ -249,6 +254,15 @@
     HoldReply { process: api.process, version: suspects.version(), held }
 }
 
+fn grant_trial(api: &RelayApi, keys: &TrialRequest) -> bool {
+    let granted = api.suspects.borrow_mut().grant_trial(keys, api.change_feed.now());
+    if granted {
+        api.holds_changed.notify(usize::MAX);
+    }
+    tracing::info!(event = "trial_asked", keys = ?keys, granted);
+    granted
+}
+
 /// Replies to a query as soon as the entry lacks something, or when its wait is over.
 async fn await_holds(api: &RelayApi, query: &HoldQuery) -> HoldReply {
     let waiting = async {
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -8,14 +8,13 @@
 
 use toucanrail::attempts::AttemptOutcome;
 use toucanrail::backends::BackendEntry;
-use toucanrail::contents::ContentKey;
 use toucanrail::framing::BodyDecoder;
 use toucanrail::ids::ServiceName;
 use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::origins::StreamOrigin;
 use toucanrail::scanners::BodyLength;
 use toucanrail::sse::EventScanner;
-use toucanrail::suspects::SuspectKey;
+use toucanrail::suspects::{self, RunStage, SuspectKey};
 use toucanrail_platform::requests::RequestInfo;
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::heads::{RequestHead, ResponseHead};
@@ -39,8 +38,9 @@
     pub body: &'request [u8],
     /// Fields parsed from the head.
     pub info: RequestInfo,
-    /// Key of its content, the same for all attempts of its caller.
-    pub content: ContentKey,
+    /// What is suspected if servers end under it: its content, the same for all attempts of its
+    /// caller, and the parts of its prompt before the last one.
+    pub suspects: Vec<SuspectKey>,
     /// Matched route.
     pub route: Arc<RouteRule>,
     /// Customer that pays; `None` on a public route.
@@ -65,11 +65,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the key by which the request is suspected if servers end under it.
-    pub fn suspect(&self) -> SuspectKey {
-        SuspectKey::Content(self.content)
-    }
-
     /// Returns the time left until the deadline for the first byte: a caller gives up earlier if
     /// the response does not start.
     pub fn time_left_to_first_byte(&self) -> Duration {
@@ -154,6 +149,8 @@
     /// Bytes received after the last complete event of the newest response, which decide whether it
     /// is complete.
     pub partial_bytes: usize,
+    /// Time of the first event of the newest response.
+    pub attempt_begun_at: Option<Instant>,
     /// Time at which the first bytes of a response were forwarded.
     pub first_byte_at: Option<Instant>,
     /// Longest pause between events, for logging.
@@ -170,6 +167,7 @@
             origin,
             framing: None,
             partial_bytes: 0,
+            attempt_begun_at: None,
             first_byte_at: None,
             longest_pause: Duration::ZERO,
         }
@@ -179,6 +177,17 @@
     pub fn begin_attempt(&mut self) {
         self.framing = None;
         self.partial_bytes = 0;
+        self.attempt_begun_at = None;
+    }
+
+    /// Returns whether the newest response has gone on for some time after its first event.
+    pub fn has_progressed(&self) -> bool {
+        self.attempt_begun_at.is_some_and(|at| at.elapsed() >= suspects::PROGRESS_TIME)
+    }
+
+    /// Returns how far the newest attempt is.
+    pub fn stage(&self) -> RunStage {
+        if self.framing.is_some() { RunStage::Writing } else { RunStage::Waiting }
     }
 
     /// Returns the name of the newest response's framing, for logging.
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -9,12 +9,13 @@
 
 use event_listener::Event;
 use toucanrail::endpoints::LocatedRelay;
-use toucanrail::holds::{HoldQuery, HoldReply, SuspectReport};
+use toucanrail::holds::{HoldQuery, HoldReply, HoldTable, SuspectReport, TrialRequest};
 use toucanrail::relay_ranks;
-use toucanrail::suspects::{self, EndNote, SuspectKey};
+use toucanrail::suspects::{EndNote, SuspectKey};
 
-use crate::relay_api::{HOLD_PATH, SUSPECT_PATH};
+use crate::relay_api::{HOLD_PATH, SUSPECT_PATH, TRIAL_PATH};
 use crate::relay_client::{self, RelayBackoff};
+use crate::request_context::RequestPlan;
 use crate::state::Gateway;
 
 /// Number of relays that keep the suspects, in different data centres.
@@ -29,6 +30,8 @@
 const HOLD_SLACK: Duration = Duration::from_millis(500);
 /// Pause after a query that failed, or when there is no relay.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Minimum time between two questions for a trial.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of notes kept for relays that start again.
 const MAX_KEPT_NOTES: usize = 1_024;
 
@@ -45,23 +48,24 @@
     flushed: Event,
     /// Relays that did not respond.
     failed: RelayBackoff,
+    /// When this entry last asked for a trial.
+    trial_asked_at: Cell<Duration>,
 }
 
 impl SuspectReporter {
     /// Keeps a note for relays that start again.
     fn keep_note(&self, note: &EndNote, now: Duration) {
         let mut kept = self.kept.borrow_mut();
-        let is_old = |(at, _): &(Duration, EndNote)| now > *at + suspects::EVIDENCE_TIME;
-        while kept.front().is_some_and(is_old) || kept.len() >= MAX_KEPT_NOTES {
+        if kept.len() >= MAX_KEPT_NOTES {
             kept.pop_front();
         }
         kept.push_back((now, note.clone()));
     }
 
     /// Returns all kept notes as told now.
-    fn kept_notes(&self, now: Duration) -> Vec<EndNote> {
+    fn kept_notes(&self, holds: &HoldTable, now: Duration) -> Vec<EndNote> {
         let kept = self.kept.borrow();
-        kept.iter().map(|(at, note)| note.aged(now.saturating_sub(*at))).collect()
+        kept.iter().map(|(at, note)| holds.renew_note(note, now.saturating_sub(*at), now)).collect()
     }
 }
 
@@ -83,10 +87,53 @@
     }
 }
 
-/// Records that a request succeeded.
-pub fn record_success(gateway: &Gateway, key: SuspectKey) {
+/// Records that a request succeeded, and with it the parts of its prompt.
+pub fn record_success(gateway: &Gateway, plan: &RequestPlan<'_>) {
+    record_successes(gateway, plan.suspects.iter().copied());
+}
+
+/// Records that a response has gone on for some time, which clears the parts of the prompt.
+pub fn record_progress(gateway: &Gateway, plan: &RequestPlan<'_>) {
+    let is_part = |key: &SuspectKey| matches!(key, SuspectKey::Part(_));
+    record_successes(gateway, plan.suspects.iter().copied().filter(is_part));
+}
+
+fn record_successes<Keys>(gateway: &Gateway, keys: Keys)
+where
+    Keys: Iterator<Item = SuspectKey>,
+{
     let now = gateway.now();
-    gateway.tables.borrow_mut().holds.record_success(key, now);
+    let mut tables = gateway.tables.borrow_mut();
+    let held: Vec<SuspectKey> = keys.filter(|key| tables.holds.record_success(*key, now)).collect();
+    drop(tables);
+    if !held.is_empty() {
+        let reporter = &gateway.suspect_reporter;
+        let successes = held.into_iter().map(|key| (key, Duration::ZERO));
+        reporter.pending.borrow_mut().successes.extend(successes);
+        reporter.added.notify(1);
+    }
+}
+
+/// Returns whether this entry may ask for a trial now.
+pub fn may_ask_trial(gateway: &Gateway) -> bool {
+    let (asked_at, now) = (&gateway.suspect_reporter.trial_asked_at, gateway.now());
+    let may_ask = now >= asked_at.get() + TRIAL_INTERVAL;
+    if may_ask {
+        asked_at.set(now);
+    }
+    may_ask
+}
+
+/// Asks the first of the relays that keep the suspects whether one request with these may be tried.
+/// Without relays, this entry decides.
+pub async fn request_trial(gateway: &Gateway, keys: &TrialRequest) -> bool {
+    let Some(relay) = list_keepers(gateway).into_iter().next() else {
+        return gateway.tables.borrow_mut().holds.grant_trial(keys, gateway.now());
+    };
+    let (path, timeout) = (TRIAL_PATH, REPORT_TIMEOUT);
+    let asked =
+        relay_client::call_relay_anew(gateway, &relay.name, relay.address, path, keys, timeout);
+    asked.await.unwrap_or(false)
 }
 
 /// Sends what there is to report until the process exits.
@@ -153,8 +200,8 @@
     let mut tables = gateway.tables.borrow_mut();
     let is_new = tables.holds.known(&relay.name).is_none_or(|(known, _)| known != reply.process);
     let succeeded = tables.holds.apply_reply(&relay.name, reply, now);
+    let ends = if is_new { reporter.kept_notes(&tables.holds, now) } else { Vec::new() };
     drop(tables);
-    let ends = if is_new { reporter.kept_notes(now) } else { Vec::new() };
     if succeeded.is_empty() && ends.is_empty() {
         return;
     }
--- a/toucanrail/src/holds.rs
+++ b/toucanrail/src/holds.rs
@@ -10,7 +10,7 @@
 use crate::origin_keepers::ProcessNumber;
 use crate::suspects::{EndNote, HeldSuspect, SuccessTable, SuspectKey, SuspectTable};
 
-/// Time for which the word of a relay that no longer responds decides.
+/// Time for which the word of a relay that no longer responds decides beside those of others.
 const WORD_TIME: Duration = Duration::from_secs(20);
 
 /// What an entry tells a relay about suspects.
@@ -42,13 +42,50 @@
     pub held: Vec<HeldSuspect>,
 }
 
+/// Suspects of a request, all of them held back, which an entry wants to try.
+pub type TrialRequest = Vec<SuspectKey>;
+
+/// Why a request is held back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHold {
+    /// Those of its suspects that are held back.
+    pub keys: Vec<SuspectKey>,
+    /// Time from which one such request may be tried; `None` if none is.
+    pub trial_at: Option<Duration>,
+}
+
+/// One suspect that a relay holds back.
+#[derive(Debug)]
+struct WordRow {
+    with: Vec<SuspectKey>,
+    starts_at: Duration,
+    until: Duration,
+    trial_at: Duration,
+}
+
+impl WordRow {
+    fn new(suspect: &HeldSuspect, now: Duration) -> Self {
+        Self {
+            with: suspect.with.clone(),
+            starts_at: now + suspect.starts_in,
+            until: now + suspect.left,
+            trial_at: now + suspect.trial_in,
+        }
+    }
+
+    /// Returns whether a request with these suspects is held back.
+    fn applies_to(&self, suspects: &[SuspectKey], now: Duration) -> bool {
+        (self.starts_at..self.until).contains(&now)
+            && self.with.iter().all(|key| suspects.contains(key))
+    }
+}
+
 #[derive(Debug)]
 struct RelayWord {
     heard_at: Duration,
     process: ProcessNumber,
     version: u64,
-    /// Suspects, and the time until which they are held back.
-    held: BTreeMap<SuspectKey, Duration>,
+    held: BTreeMap<SuspectKey, WordRow>,
 }
 
 /// What relays have told an entry about suspects, and what it has seen itself.
@@ -72,10 +109,13 @@
         self.told_until = self.told_until.max(at);
     }
 
-    /// Records a success that this entry has seen.
-    pub fn record_success(&mut self, key: SuspectKey, now: Duration) {
+    /// Records a success that this entry has seen. Returns whether a relay holds the suspect back and
+    /// must be told.
+    pub fn record_success(&mut self, key: SuspectKey, now: Duration) -> bool {
         self.successes.record(key, now);
         self.own.record_success(key, Duration::ZERO, now);
+        let words = self.words.values_mut();
+        words.filter_map(|word| word.held.remove(&key)).count() > 0
     }
 
     /// Returns the time since this entry saw a success.
@@ -83,6 +123,18 @@
         self.successes.age(key, now)
     }
 
+    /// Returns a note as told `delay` after it was made, with what has succeeded since.
+    pub fn renew_note(&self, note: &EndNote, delay: Duration, now: Duration) -> EndNote {
+        let mut note = note.clone();
+        note.sent_ago += delay;
+        note.ended_ago += delay;
+        for suspect in &mut note.suspects {
+            let known = suspect.succeeded_ago.map(|ago| ago + delay);
+            suspect.succeeded_ago = self.successes.age(suspect.key, now).or(known);
+        }
+        note
+    }
+
     /// Applies a relay's reply. Returns the suspects that it holds back although this entry has seen
     /// them succeed, and the times since then; they are not held back here.
     ///
@@ -92,15 +144,23 @@
     /// use toucanrail::holds::{HoldReply, HoldTable};
     /// use toucanrail::suspects::{HeldSuspect, SuspectKey};
     /// let (key, now) = (SuspectKey::Content(7), Duration::from_secs(50));
-    /// let (since, left) = (Duration::from_secs(4), Duration::from_secs(20));
-    /// let reply = HoldReply { process: 1, version: 1, held: vec![HeldSuspect { key, since, left }] };
+    /// let seconds = Duration::from_secs;
+    /// let suspect = HeldSuspect {
+    ///     key,
+    ///     with: Vec::new(),
+    ///     since: seconds(4),
+    ///     starts_in: seconds(0),
+    ///     left: seconds(20),
+    ///     trial_in: seconds(9),
+    /// };
+    /// let reply = HoldReply { process: 1, version: 1, held: vec![suspect] };
     /// let mut table = HoldTable::default();
     /// assert!(table.apply_reply(&"side-1".into(), &reply, now).is_empty());
-    /// assert!(table.is_held(key, now));
-    /// table.record_success(key, now - Duration::from_secs(2));
+    /// assert!(table.find_hold(&[key], now).is_some());
+    /// table.record_success(key, now - seconds(2));
     /// let succeeded = table.apply_reply(&"side-1".into(), &reply, now);
-    /// assert_eq!(succeeded, [(key, Duration::from_secs(2))]);
-    /// assert!(!table.is_held(key, now));
+    /// assert_eq!(succeeded, [(key, seconds(2))]);
+    /// assert!(table.find_hold(&[key], now).is_none());
     /// ```
     pub fn apply_reply(
         &mut self,
@@ -114,7 +174,7 @@
             match self.successes.age(suspect.key, now).filter(|age| *age < suspect.since) {
                 Some(age) => succeeded.push((suspect.key, age)),
                 None => {
-                    held.insert(suspect.key, now + suspect.left);
+                    held.insert(suspect.key, WordRow::new(suspect, now));
                 }
             }
         }
@@ -129,29 +189,59 @@
         self.words.get(relay).map(|word| (word.process, word.version))
     }
 
-    /// Returns whether a suspect is held back.
+    /// Returns whether a request with these suspects is held back, and why.
     ///
     /// Relays know of the ends and successes that all entries have seen. What this entry has seen
     /// itself decides only as far as no relay has been told of it.
-    pub fn is_held(&self, key: SuspectKey, now: Duration) -> bool {
-        let is_current = |word: &&RelayWord| now.saturating_sub(word.heard_at) < WORD_TIME;
-        let mut words = self.words.values().filter(is_current);
-        let is_untold = self.own.last_end(key).is_some_and(|at| at > self.told_until);
-        words.any(|word| word.held.get(&key).is_some_and(|until| now < *until))
-            || is_untold && self.own.is_held(key, now)
+    pub fn find_hold(&self, suspects: &[SuspectKey], now: Duration) -> Option<RequestHold> {
+        self.find_told(suspects, now).or_else(|| self.find_untold(suspects, now))
     }
 
-    /// Returns the number of suspects that are held back.
-    pub fn held_count(&self, now: Duration) -> usize {
-        let held = self.words.values().flat_map(|word| &word.held);
-        held.filter(|(key, until)| now < **until && self.is_held(**key, now)).count()
+    /// Looks for a hold in the words of the relays that responded lately, or of all if none did.
+    fn find_told(&self, suspects: &[SuspectKey], now: Duration) -> Option<RequestHold> {
+        let is_current = |word: &RelayWord| now.saturating_sub(word.heard_at) < WORD_TIME;
+        let any_current = self.words.values().any(is_current);
+        let words = self.words.values().filter(|word| !any_current || is_current(word));
+        let mut rows = Vec::new();
+        for word in words {
+            let held = suspects.iter().filter_map(|key| Some((*key, word.held.get(key)?)));
+            rows.extend(held.filter(|(_, row)| row.applies_to(suspects, now)));
+        }
+        make_hold(&rows)
     }
 
-    /// Forgets relays that are no longer listed.
-    pub fn retain_relays<Listed>(&mut self, is_listed: Listed)
-    where
-        Listed: Fn(&RelayName) -> bool,
-    {
-        self.words.retain(|relay, _| is_listed(relay));
+    fn find_untold(&self, suspects: &[SuspectKey], now: Duration) -> Option<RequestHold> {
+        let is_untold =
+            |key: &SuspectKey| self.own.last_end(*key).is_some_and(|at| at > self.told_until);
+        if !suspects.iter().any(is_untold) {
+            return None;
+        }
+        let held = self.own.held(now);
+        let rows: Vec<(SuspectKey, WordRow)> = held
+            .iter()
+            .filter(|suspect| suspects.contains(&suspect.key) && is_untold(&suspect.key))
+            .map(|suspect| (suspect.key, WordRow::new(suspect, now)))
+            .collect();
+        let applying = rows.iter().filter(|(_, row)| row.applies_to(suspects, now));
+        make_hold(&applying.map(|(key, row)| (*key, row)).collect::<Vec<_>>())
     }
+
+    /// Grants a trial by this entry's own word, where there is no relay.
+    pub fn grant_trial(&mut self, keys: &[SuspectKey], now: Duration) -> bool {
+        self.own.grant_trial(keys, now)
+    }
+
+    /// Returns the suspects that are held back, by relay.
+    pub fn held_counts(&self) -> BTreeMap<RelayName, usize> {
+        self.words.iter().map(|(relay, word)| (Arc::clone(relay), word.held.len())).collect()
+    }
+}
+
+fn make_hold(rows: &[(SuspectKey, &WordRow)]) -> Option<RequestHold> {
+    let mut keys: Vec<SuspectKey> = rows.iter().map(|(key, _)| *key).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    let may_try = keys.iter().all(|key| matches!(key, SuspectKey::Part(_)));
+    let trial_at = rows.iter().map(|(_, row)| row.trial_at).max().filter(|_| may_try);
+    (!keys.is_empty()).then_some(RequestHold { keys, trial_at })
 }
--- a/toucanrail/src/statements.rs
+++ b/toucanrail/src/statements.rs
@@ -15,7 +15,7 @@
 const MAX_REMEMBERED: usize = 256;
 
 /// One process of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServerProcess {
     /// Id of the server, which another process may take over.
     pub id: BackendId,
--- a/toucanrail/src/suspects.rs
+++ b/toucanrail/src/suspects.rs
@@ -1,10 +1,15 @@
-//! Requests under which backend servers ended, and the verdict that one of them is at fault.
+//! What may be at fault when backend servers end: requests and parts of prompts, and the verdict that
+//! one of them is held back.
 //!
 //! A server that ends takes all its requests with it, nearly all of them bystanders, and servers end
-//! for reasons of their own. A request is held back once several servers have ended under it *one
-//! after the other*: it was sent to each of them after the one before had ended, and did not succeed
+//! for reasons of their own. A suspect is held back once several servers have ended under it *one
+//! after the other*: each of them got it after the one before had ended, and it did not succeed
 //! meanwhile. Servers that end together, as in a power loss, count as one.
 //!
+//! A request is suspected of each end under it. A part of prompts is suspected only of the ends at
+//! which a request with it waited or had just begun, and at a server that had begun responses to some
+//! of these, only those count.
+//!
 //! Entries tell what they see to relays, whose tables hold the ends that all entries have seen. Times
 //! travel as ages, since processes share no clock.
 
@@ -13,19 +18,29 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::contents::ContentKey;
+use crate::contents::{ContentKey, PartKey};
 use crate::statements::ServerProcess;
 
-/// Servers that may end under a request, one after the other, before it is held back.
+/// Servers that may end under a suspect, one after the other, before it is held back.
 pub const MAX_ENDS: usize = 3;
-/// Time for which an end counts, and a suspect is held back after the last one.
-pub const EVIDENCE_TIME: Duration = Duration::from_secs(30);
+/// Time for which a response must go on after its first event to be a success of the prompt's parts.
+pub const PROGRESS_TIME: Duration = Duration::from_millis(250);
+/// Time for which the ends under a request count, and it is held back after the last one: its caller
+/// sends it no more after that.
+const CONTENT_TIME: Duration = Duration::from_secs(30);
+/// The same for a part, whose requests may come for as long as they are refused.
+const PART_TIME: Duration = Duration::from_secs(300);
+/// Time between the verdict on a part and its effect, in which entries that have seen the part succeed
+/// can say so.
+const PART_DELAY: Duration = Duration::from_millis(300);
+/// Time from the verdict on a part to the first trial with one request; doubles with each trial.
+const FIRST_TRIAL: Duration = Duration::from_secs(15);
+/// Maximum number of suspects in a table; bounds its memory to about 4 MB.
+const MAX_ROWS: usize = 8_192;
 /// Interval at which expired suspects are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of suspects in a table; bounds its memory to about 2 MB.
-const MAX_ROWS: usize = 8_192;
-/// Servers that are remembered of each suspect, so that an end counts once.
-const MAX_PROCESSES: usize = 16;
+/// Newest ends that are kept of a suspect.
+const MAX_KEPT_ENDS: usize = 16;
 /// Maximum number of successes in a table.
 const MAX_SUCCESSES: usize = 4_096;
 
@@ -34,6 +49,34 @@
 pub enum SuspectKey {
     /// A request with this content.
     Content(ContentKey),
+    /// Requests with this part in their prompts, before the last one.
+    Part(PartKey),
+}
+
+impl SuspectKey {
+    /// Returns the time for which ends under the suspect count.
+    pub fn evidence_time(self) -> Duration {
+        match self {
+            Self::Content(_) => CONTENT_TIME,
+            Self::Part(_) => PART_TIME,
+        }
+    }
+
+    fn delay(self) -> Duration {
+        match self {
+            Self::Content(_) => Duration::ZERO,
+            Self::Part(_) => PART_DELAY,
+        }
+    }
+}
+
+/// How far a request was when its server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RunStage {
+    /// Nothing of the response had arrived.
+    Waiting,
+    /// The head of the response had arrived.
+    Writing,
 }
 
 /// One suspect of a server's end.
@@ -50,6 +93,8 @@
 pub struct EndNote {
     /// The server's process.
     pub process: ServerProcess,
+    /// How far the request was.
+    pub stage: RunStage,
     /// Time since the request was sent there.
     pub sent_ago: Duration,
     /// Time since the end was seen.
@@ -58,76 +103,88 @@
     pub suspects: Vec<SuspectNote>,
 }
 
-impl EndNote {
-    /// Returns the note as told `delay` later.
-    #[must_use]
-    pub fn aged(&self, delay: Duration) -> Self {
-        let mut note = self.clone();
-        note.sent_ago += delay;
-        note.ended_ago += delay;
-        for suspect in &mut note.suspects {
-            suspect.succeeded_ago = suspect.succeeded_ago.map(|ago| ago + delay);
-        }
-        note
-    }
-}
-
 /// A suspect that is held back.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldSuspect {
     /// The suspect.
     pub key: SuspectKey,
+    /// Suspects that stood in all the same ends: only requests with all of them are held back.
+    pub with: Vec<SuspectKey>,
     /// Time since the first of the ends that count.
     pub since: Duration,
-    /// Time until the suspect is no longer held back.
+    /// Time until the verdict takes effect.
+    pub starts_in: Duration,
+    /// Time until it lapses.
     pub left: Duration,
+    /// Time until one request may be tried.
+    pub trial_in: Duration,
+}
+
+/// The end of one server under a suspect.
+#[derive(Debug, Clone)]
+struct SuspectEnd {
+    process: ServerProcess,
+    stage: RunStage,
+    /// When the suspect was last sent there.
+    sent_at: Duration,
+    ended_at: Duration,
 }
 
-/// The ends under one suspect.
+/// The ends under one suspect, by time.
 #[derive(Debug, Default)]
 struct SuspectRow {
-    /// Servers that ended, and whether their ends are in `chain`.
-    processes: Vec<(ServerProcess, bool)>,
-    /// Times of ends that followed one another; each server got the suspect after the end before.
-    chain: Vec<Duration>,
-    last_end: Duration,
+    ends: Vec<SuspectEnd>,
+    succeeded_at: Option<Duration>,
 }
 
 impl SuspectRow {
-    fn record_end(&mut self, process: &ServerProcess, sent_at: Duration, ended_at: Duration) {
-        self.last_end = self.last_end.max(ended_at);
-        let known = self.processes.iter_mut().find(|(known, _)| known == process);
-        if known.as_ref().is_some_and(|(_, is_chained)| *is_chained) {
+    /// Records an end. Several requests may tell of the same one.
+    fn record_end(&mut self, end: SuspectEnd) {
+        if self.succeeded_at.is_some_and(|at| end.ended_at <= at) {
             return;
         }
-        let follows = self.chain.last().is_none_or(|last| sent_at >= *last);
-        if let Some((_, is_chained)) = known {
-            *is_chained = follows;
-        } else {
-            self.processes.push((process.clone(), follows));
-            if self.processes.len() > MAX_PROCESSES {
-                self.processes.remove(0);
-            }
+        if let Some(known) = self.ends.iter_mut().find(|known| known.process == end.process) {
+            known.stage = known.stage.max(end.stage);
+            known.sent_at = known.sent_at.max(end.sent_at);
+            return;
         }
-        if follows {
-            self.chain.push(ended_at);
+        let at = self.ends.partition_point(|known| known.ended_at <= end.ended_at);
+        self.ends.insert(at, end);
+        if self.ends.len() > MAX_KEPT_ENDS {
+            self.ends.remove(0);
         }
     }
 
+    fn record_success(&mut self, at: Duration) {
+        self.succeeded_at = self.succeeded_at.max(Some(at));
+        self.forget_ends(at);
+    }
+
     /// Forgets the ends until a time.
     fn forget_ends(&mut self, until: Duration) {
-        self.chain.retain(|ended_at| *ended_at > until);
+        self.ends.retain(|end| end.ended_at > until);
     }
 
-    fn is_held(&self, now: Duration) -> bool {
-        self.chain.len() >= MAX_ENDS && now < self.last_end + EVIDENCE_TIME
+    fn last_end(&self) -> Option<Duration> {
+        self.ends.last().map(|end| end.ended_at)
     }
 }
 
+/// A verdict.
+#[derive(Debug, Clone, Copy)]
+struct HoldRow {
+    starts_at: Duration,
+    trial_at: Duration,
+    trials: u32,
+}
+
 /// The suspects that one process knows, with the ends that entries have told it.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
     rows: BTreeMap<SuspectKey, SuspectRow>,
+    holds: BTreeMap<SuspectKey, HoldRow>,
+    /// Processes that ended after they had begun a response which did not go on, and when.
+    writers: BTreeMap<ServerProcess, Duration>,
     version: u64,
     swept_at: Duration,
 }
@@ -138,18 +195,19 @@
         Self::default()
     }
 
-    /// Records a note, and returns whether another suspect is held back because of it.
+    /// Records a note, and returns whether it changes what is held back.
     ///
     /// # Examples
     /// ```
     /// use std::time::Duration;
     /// use toucanrail::statements::ServerProcess;
-    /// use toucanrail::suspects::{EndNote, SuspectKey, SuspectNote, SuspectTable};
+    /// use toucanrail::suspects::{EndNote, RunStage, SuspectKey, SuspectNote, SuspectTable};
     /// let key = SuspectKey::Content(7);
     /// let mut table = SuspectTable::new();
     /// for at in [10, 11, 12].map(Duration::from_secs) {
     ///     let note = EndNote {
     ///         process: ServerProcess { id: format!("{at:?}").into(), started_at: 1 },
+    ///         stage: RunStage::Waiting,
     ///         sent_ago: Duration::from_millis(30),
     ///         ended_ago: Duration::ZERO,
     ///         suspects: vec![SuspectNote { key, succeeded_ago: None }],
@@ -160,19 +218,33 @@
     /// ```
     pub fn record_end(&mut self, note: &EndNote, now: Duration) -> bool {
         self.drop_expired(now);
-        let (sent_at, ended_at) =
-            (now.saturating_sub(note.sent_ago), now.saturating_sub(note.ended_ago));
-        let mut is_new = false;
-        for suspect in &note.suspects {
-            let row = self.rows.entry(suspect.key).or_default();
-            let was_held = row.is_held(now);
-            let cleared = suspect.succeeded_ago.map_or(EVIDENCE_TIME, |ago| ago.min(EVIDENCE_TIME));
-            row.forget_ends(now.saturating_sub(cleared));
-            row.record_end(&note.process, sent_at, ended_at);
-            is_new |= row.is_held(now) != was_held;
+        let ended_at = now.saturating_sub(note.ended_ago);
+        let is_part = |suspect: &SuspectNote| matches!(suspect.key, SuspectKey::Part(_));
+        if note.stage == RunStage::Writing && note.suspects.iter().any(is_part) {
+            self.writers.insert(note.process.clone(), ended_at);
+        }
+        for SuspectNote { key, succeeded_ago } in &note.suspects {
+            let row = self.rows.entry(*key).or_default();
+            row.forget_ends(now.saturating_sub(key.evidence_time()));
+            if let Some(ago) = succeeded_ago {
+                row.record_success(now.saturating_sub(*ago));
+            }
+            row.record_end(SuspectEnd {
+                process: note.process.clone(),
+                stage: note.stage,
+                sent_at: now.saturating_sub(note.sent_ago),
+                ended_at,
+            });
         }
-        self.version += u64::from(is_new);
-        is_new
+        // A response that had begun takes the end off the others, some of which may be held back.
+        let held = self.holds.keys().copied();
+        let keys: Vec<SuspectKey> =
+            note.suspects.iter().map(|suspect| suspect.key).chain(held).collect();
+        let changed = self.update_holds(&keys, now);
+        // Another end under a suspect that is held back may part it from its companions.
+        let told = note.suspects.iter().any(|suspect| self.holds.contains_key(&suspect.key));
+        self.version += u64::from(told);
+        changed || told
     }
 
     /// Records that a suspect succeeded some time ago. Returns whether it is no longer held back for
@@ -181,36 +253,56 @@
         let Some(row) = self.rows.get_mut(&key) else {
             return false;
         };
-        let was_held = row.is_held(now);
-        row.forget_ends(now.saturating_sub(ago));
-        let is_released = was_held && !row.is_held(now);
-        self.version += u64::from(is_released);
-        is_released
+        row.record_success(now.saturating_sub(ago));
+        self.update_holds(&[key], now)
     }
 
     /// Returns whether a suspect is held back.
     pub fn is_held(&self, key: SuspectKey, now: Duration) -> bool {
-        self.rows.get(&key).is_some_and(|row| row.is_held(now))
-    }
-
-    /// Returns the time of the last end under a suspect.
-    pub fn last_end(&self, key: SuspectKey) -> Option<Duration> {
-        self.rows.get(&key).map(|row| row.last_end)
+        self.holds.get(&key).is_some_and(|hold| now >= hold.starts_at) && !self.is_expired(key, now)
     }
 
-    /// Returns all suspects that are held back.
+    /// Returns all suspects that are held back, or will be.
     pub fn held(&self, now: Duration) -> Vec<HeldSuspect> {
-        let held = self.rows.iter().filter(|(_, row)| row.is_held(now)).map(|(key, row)| {
-            let first = row.chain.first().copied().unwrap_or(now);
-            HeldSuspect {
+        let live = self.holds.iter().filter(|(key, _)| !self.is_expired(**key, now));
+        let held = live.filter_map(|(key, hold)| {
+            let row = self.rows.get(key)?;
+            let first = row.ends.iter().find(|end| self.counts(*key, end))?.ended_at;
+            Some(HeldSuspect {
                 key: *key,
+                with: self.list_companions(*key),
                 since: now.saturating_sub(first),
-                left: (row.last_end + EVIDENCE_TIME).saturating_sub(now),
-            }
+                starts_in: hold.starts_at.saturating_sub(now),
+                left: (row.last_end()? + key.evidence_time()).saturating_sub(now),
+                trial_in: hold.trial_at.saturating_sub(now),
+            })
         });
         held.collect()
     }
 
+    /// Grants a trial of one request with these suspects, if all of them are held back and due.
+    pub fn grant_trial(&mut self, keys: &[SuspectKey], now: Duration) -> bool {
+        let is_due = |key: &SuspectKey| {
+            self.is_held(*key, now) && self.holds.get(key).is_some_and(|hold| now >= hold.trial_at)
+        };
+        if keys.is_empty() || !keys.iter().all(is_due) {
+            return false;
+        }
+        for key in keys {
+            if let Some(hold) = self.holds.get_mut(key) {
+                hold.trials += 1;
+                hold.trial_at = now + FIRST_TRIAL * (1 << hold.trials.min(8));
+            }
+        }
+        self.version += 1;
+        true
+    }
+
+    /// Returns the time of the last end under a suspect.
+    pub fn last_end(&self, key: SuspectKey) -> Option<Duration> {
+        self.rows.get(&key).and_then(SuspectRow::last_end)
+    }
+
     /// Returns a number that grows with each change of what is held back.
     pub fn version(&self) -> u64 {
         self.version
@@ -226,20 +318,86 @@
         self.rows.is_empty()
     }
 
+    /// Returns whether an end counts against a suspect.
+    fn counts(&self, key: SuspectKey, end: &SuspectEnd) -> bool {
+        matches!(key, SuspectKey::Content(_))
+            || end.stage == RunStage::Writing
+            || !self.writers.contains_key(&end.process)
+    }
+
+    /// Returns the number of ends that count and followed one another.
+    fn chain_length(&self, key: SuspectKey) -> usize {
+        let ends = self.rows.get(&key).into_iter().flat_map(|row| &row.ends);
+        let (mut length, mut last) = (0, None);
+        for end in ends.filter(|end| self.counts(key, end)) {
+            if last.is_none_or(|last| end.sent_at >= last) {
+                length += 1;
+                last = Some(end.ended_at);
+            }
+        }
+        length
+    }
+
+    /// Returns the other held parts that stood in all ends of a part.
+    fn list_companions(&self, key: SuspectKey) -> Vec<SuspectKey> {
+        let Some(row) = self.rows.get(&key).filter(|_| matches!(key, SuspectKey::Part(_))) else {
+            return Vec::new();
+        };
+        let is_companion = |other: &SuspectKey| {
+            let Some(other) = self.rows.get(other) else {
+                return false;
+            };
+            let oldest = other.ends.first().map_or(Duration::MAX, |end| end.ended_at);
+            let shared = |end: &SuspectEnd| other.ends.iter().any(|at| at.process == end.process);
+            let mut ends = row.ends.iter().filter(|end| end.ended_at >= oldest).peekable();
+            ends.peek().is_some() && ends.all(shared)
+        };
+        let others = self.holds.keys().filter(|other| **other != key);
+        let parts = others.filter(|other| matches!(other, SuspectKey::Part(_)));
+        parts.copied().filter(is_companion).collect()
+    }
+
+    /// Updates the verdicts on some suspects. Returns whether any has changed.
+    fn update_holds(&mut self, keys: &[SuspectKey], now: Duration) -> bool {
+        let mut changed = false;
+        for key in keys {
+            let is_held = self.chain_length(*key) >= MAX_ENDS;
+            if is_held && !self.holds.contains_key(key) {
+                let (starts_at, trial_at) = (now + key.delay(), now + FIRST_TRIAL);
+                self.holds.insert(*key, HoldRow { starts_at, trial_at, trials: 0 });
+                changed = true;
+            } else if !is_held {
+                changed |= self.holds.remove(key).is_some();
+            }
+        }
+        self.version += u64::from(changed);
+        changed
+    }
+
+    fn is_expired(&self, key: SuspectKey, now: Duration) -> bool {
+        self.last_end(key).is_none_or(|at| now >= at + key.evidence_time())
+    }
+
     /// Drops at intervals the suspects whose last end is too old, and the older half of a full table.
     fn drop_expired(&mut self, now: Duration) {
         if self.rows.len() < MAX_ROWS && now < self.swept_at + SWEEP_INTERVAL {
             return;
         }
         self.swept_at = now;
-        self.rows.retain(|_, row| now < row.last_end + EVIDENCE_TIME);
-        if self.rows.len() < MAX_ROWS {
-            return;
+        let is_live = |key: &SuspectKey, row: &SuspectRow| {
+            row.last_end().is_some_and(|at| now < at + key.evidence_time())
+        };
+        self.rows.retain(|key, row| is_live(key, row));
+        self.writers.retain(|_, at| now < *at + PART_TIME);
+        if self.rows.len() >= MAX_ROWS {
+            let mut times: Vec<Option<Duration>> =
+                self.rows.values().map(SuspectRow::last_end).collect();
+            times.sort_unstable();
+            let (median, holds) = (times[times.len() / 2], &self.holds);
+            self.rows.retain(|key, row| row.last_end() > median || holds.contains_key(key));
         }
-        let mut times: Vec<Duration> = self.rows.values().map(|row| row.last_end).collect();
-        times.sort_unstable();
-        let median = times[times.len() / 2];
-        self.rows.retain(|_, row| row.last_end > median || row.is_held(now));
+        let rows = &self.rows;
+        self.holds.retain(|key, _| rows.contains_key(key));
     }
 }
 
--- a/toucanrail/tests/suspect_verdicts.rs
+++ b/toucanrail/tests/suspect_verdicts.rs
@@ -6,7 +6,9 @@
 use proptest::prelude::*;
 use toucanrail::holds::{HoldReply, HoldTable};
 use toucanrail::statements::ServerProcess;
-use toucanrail::suspects::{self, EndNote, HeldSuspect, SuspectKey, SuspectNote, SuspectTable};
+use toucanrail::suspects::{
+    self, EndNote, HeldSuspect, RunStage, SuspectKey, SuspectNote, SuspectTable,
+};
 
 const KEY: SuspectKey = SuspectKey::Content(7);
 const NOW: Duration = Duration::from_secs(100);
@@ -19,6 +21,7 @@
 fn note(server: u64, sent_ago: Duration) -> EndNote {
     EndNote {
         process: ServerProcess { id: Arc::from(format!("i-{server}")), started_at: 1 },
+        stage: RunStage::Waiting,
         sent_ago,
         ended_ago: Duration::ZERO,
         suspects: vec![SuspectNote { key: KEY, succeeded_ago: None }],
@@ -102,7 +105,7 @@
 #[test]
 fn lapsed_verdict() {
     let mut table = SuspectTable::new();
-    let at = record_chain(&mut table, 3) + suspects::EVIDENCE_TIME;
+    let at = record_chain(&mut table, 3) + KEY.evidence_time();
     assert!(!table.is_held(KEY, at) && table.held(at).is_empty());
 }
 
@@ -120,9 +123,19 @@
     assert!(table.is_held(KEY, at));
 }
 
+fn held_suspect(key: SuspectKey, with: &[SuspectKey]) -> HeldSuspect {
+    HeldSuspect {
+        key,
+        with: with.to_vec(),
+        since: millis(900),
+        starts_in: Duration::ZERO,
+        left: millis(20_000),
+        trial_in: millis(15_000),
+    }
+}
+
 fn reply(process: u64, held: &[SuspectKey]) -> HoldReply {
-    let held =
-        held.iter().map(|key| HeldSuspect { key: *key, since: millis(900), left: millis(20_000) });
+    let held = held.iter().map(|key| held_suspect(*key, &[]));
     HoldReply { process, version: 1, held: held.collect() }
 }
 
@@ -135,11 +148,11 @@
     for server in 0..3 {
         table.record_end(&note(server, millis(50)), NOW + millis(100) * server as u32);
     }
-    assert!(table.is_held(KEY, NOW + millis(200)));
+    assert!(table.find_hold(&[KEY], NOW + millis(200)).is_some());
     table.record_told(NOW + millis(200));
-    assert!(!table.is_held(KEY, NOW + millis(300)));
+    assert!(table.find_hold(&[KEY], NOW + millis(300)).is_none());
     table.record_end(&note(9, millis(50)), NOW + millis(400));
-    assert!(table.is_held(KEY, NOW + millis(400)));
+    assert!(table.find_hold(&[KEY], NOW + millis(400)).is_some());
 }
 
 /// One of several relays that holds a request back is enough: another one may have lost its notes.
@@ -148,9 +161,119 @@
     let mut table = HoldTable::default();
     table.apply_reply(&Arc::from("side-1"), &reply(1, &[KEY]), NOW);
     table.apply_reply(&Arc::from("side-2"), &reply(2, &[]), NOW);
-    assert!(table.is_held(KEY, NOW) && table.held_count(NOW) == 1);
+    assert!(table.find_hold(&[KEY], NOW).is_some());
     table.apply_reply(&Arc::from("side-1"), &reply(1, &[]), NOW + millis(10));
-    assert!(!table.is_held(KEY, NOW + millis(10)));
+    assert!(table.find_hold(&[KEY], NOW + millis(10)).is_none());
+}
+
+const PARTS: [SuspectKey; 3] = [SuspectKey::Part(1), SuspectKey::Part(2), SuspectKey::Part(3)];
+/// Time in which entries may object to a verdict on a part.
+const OBJECTION_TIME: Duration = millis(500);
+
+/// A note of a request with parts that was sent 50 ms before its server ended.
+fn part_note(server: u64, stage: RunStage, parts: &[SuspectKey]) -> EndNote {
+    let suspects = parts.iter().map(|key| SuspectNote { key: *key, succeeded_ago: None });
+    EndNote { stage, suspects: suspects.collect(), ..note(server, millis(50)) }
+}
+
+/// Records the ends of servers, one each 100 ms, under these requests each time.
+fn record_part_ends(
+    table: &mut SuspectTable,
+    count: u64,
+    requests: &[(RunStage, &[SuspectKey])],
+) -> Duration {
+    let mut at = NOW;
+    for server in 0..count {
+        at = NOW + millis(100) * server as u32;
+        for (stage, parts) in requests {
+            table.record_end(&part_note(server, *stage, parts), at);
+        }
+    }
+    at
+}
+
+/// A verdict on a part leaves entries time to object, then takes effect; of a part whose requests
+/// waited while another's had begun it is none.
+#[test]
+fn begun_part() {
+    let requests: [(RunStage, &[SuspectKey]); 2] =
+        [(RunStage::Waiting, &PARTS[1..2]), (RunStage::Writing, &PARTS[..1])];
+    let mut table = SuspectTable::new();
+    let at = record_part_ends(&mut table, 5, &requests);
+    assert!(table.is_held(PARTS[0], at + OBJECTION_TIME));
+    assert!(!table.is_held(PARTS[1], at + OBJECTION_TIME));
+    let mut table = SuspectTable::new();
+    let at = record_part_ends(&mut table, 3, &requests);
+    assert!(!table.is_held(PARTS[0], at) && table.held(at).len() == 1);
+    assert!(table.record_success(PARTS[0], Duration::ZERO, at));
+    assert!(!table.is_held(PARTS[0], at + OBJECTION_TIME));
+}
+
+/// Where no response had begun, parts of waiting requests count.
+#[test]
+fn waiting_part() {
+    let mut table = SuspectTable::new();
+    let at = record_part_ends(&mut table, 3, &[(RunStage::Waiting, &PARTS[..1])]);
+    assert!(table.is_held(PARTS[0], at + OBJECTION_TIME));
+}
+
+/// Parts that stood in all the same ends are held back together: a request with one of them passes,
+/// until a server ends under it too.
+#[test]
+fn same_ends() {
+    let mut table = SuspectTable::new();
+    let at = record_part_ends(&mut table, 4, &[(RunStage::Writing, &PARTS[..2])]);
+    let find = |table: &SuspectTable, parts: &[SuspectKey], at: Duration| {
+        let mut holds = HoldTable::default();
+        let reply = HoldReply { process: 1, version: 1, held: table.held(at) };
+        holds.apply_reply(&Arc::from("side-1"), &reply, at);
+        holds.find_hold(parts, at + OBJECTION_TIME)
+    };
+    assert!(find(&table, &PARTS[..2], at).is_some());
+    assert!(find(&table, &PARTS[..1], at).is_none() && find(&table, &PARTS[1..2], at).is_none());
+    let version = table.version();
+    table.record_end(&part_note(9, RunStage::Writing, &PARTS[..1]), at + millis(100));
+    let at = at + millis(100);
+    assert!(table.version() > version);
+    assert!(find(&table, &PARTS[..1], at).is_some() && find(&table, &PARTS[1..2], at).is_none());
+}
+
+/// Trials of a part are far apart, and further with each; one that succeeds ends the verdict.
+#[test]
+fn rare_trials() {
+    let mut table = SuspectTable::new();
+    let start = record_part_ends(&mut table, 5, &[(RunStage::Writing, &PARTS[..1])]);
+    let mut trials = Vec::new();
+    for second in 0..120 {
+        let at = start + Duration::from_secs(second);
+        if table.grant_trial(&PARTS[..1], at) {
+            trials.push(second);
+            table.record_end(
+                &part_note(100 + second, RunStage::Writing, &PARTS[..1]),
+                at + millis(60),
+            );
+        }
+        assert!(second == 0 || table.is_held(PARTS[0], at), "after {second} s");
+    }
+    assert!(trials.len() <= 3 && trials[0] >= 10, "{trials:?}");
+    assert!(!table.grant_trial(&PARTS[..2], start + Duration::from_secs(600)));
+    let at = start + Duration::from_secs(130);
+    assert!(table.record_success(PARTS[0], Duration::ZERO, at) && !table.is_held(PARTS[0], at));
+}
+
+/// A common part stands in all ends, and succeeds between them at other entries.
+#[test]
+fn common_part() {
+    let mut table = SuspectTable::new();
+    for server in 0..30 {
+        let at = NOW + millis(100) * server as u32;
+        table.record_end(&part_note(server, RunStage::Writing, &PARTS[..2]), at);
+        if table.held(at).iter().any(|suspect| suspect.key == PARTS[1]) {
+            table.record_success(PARTS[1], millis(20), at + millis(30));
+        }
+        assert!(!table.is_held(PARTS[1], at + millis(99)), "after {server} ends");
+    }
+    assert!(table.is_held(PARTS[0], NOW + millis(3_500)));
 }
 
 proptest! {
