Clear a request whose response had gone on when its server ended

Cause: every end under a request counted against it, whatever its progress. A response that has gone on for 250 ms after its first event clears the request now, as it does its parts. A request that ends its servers as they begin is bounded as before (ends_midway). resumed_stream fails before (503 for the fourth attempt) and passes now.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -355,14 +355,18 @@
         suspect_reports::report_end(self.gateway, note).await;
     }
 
-    /// Returns what may be at fault for the end of a server. A prompt's parts are not if its response
-    /// had gone on for some time.
+    /// Returns what may be at fault for the end of a server: nothing of a request whose response had
+    /// gone on for some time.
     fn list_suspects(&self, progressed: bool, now: Duration) -> Vec<SuspectNote> {
+        if progressed {
+            return Vec::new();
+        }
         let tables = self.gateway.tables.borrow();
-        let keys = self.plan.suspects.iter().copied();
-        let keys = keys.filter(|key| !progressed || matches!(key, SuspectKey::Content(_)));
-        let note = |key| SuspectNote { key, succeeded_ago: tables.holds.success_age(key, now) };
-        keys.map(note).collect()
+        let note = |key: &SuspectKey| SuspectNote {
+            key: *key,
+            succeeded_ago: tables.holds.success_age(*key, now),
+        };
+        self.plan.suspects.iter().map(note).collect()
     }
 
     /// Returns whether servers have ended under the request, or under others like it, so that it goes
--- a/toucanrail-gateway/tests/crashing_requests.rs
+++ b/toucanrail-gateway/tests/crashing_requests.rs
@@ -41,6 +41,13 @@
     CrashFleet::start(relay_count, entry_count, SERVER_COUNT, DOWN_TIME, run_or_end)
 }
 
+/// Ends all servers now, for a reason of their own.
+fn crash_all(fleet: &CrashFleet) {
+    for server in &fleet.servers {
+        server.crash();
+    }
+}
+
 /// Sends a request `ATTEMPTS` times, at the given entries in turn.
 fn repeat(fleet: &CrashFleet, entries: &[usize], path: &str, body: &str) -> Vec<String> {
     let attempts = entries.iter().cycle().take(ATTEMPTS as usize).enumerate();
@@ -197,12 +204,53 @@
         }
         for _ in 0..5 {
             thread::sleep(Duration::from_millis(1_400));
-            fleet.servers.iter().for_each(|server| server.crash());
+            crash_all(&fleet);
         }
     });
     assert!(fleet.count_runs("sound") > 100);
 }
 
+/// Three servers in turn end for reasons of their own under a stream that goes on at each of them. It is
+/// not at fault, and may be taken up once more.
+#[test]
+fn resumed_stream() {
+    let fleet = CrashFleet::start(3, 2, 4, DOWN_TIME, |message| {
+        let last = message.field("last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
+        let events = (last + 1..=last + 30)
+            .map(|id: u64| platform::chunk(&format!("id: {id}\ndata: x\n\n")) + "PAUSE");
+        let events: String = events.collect();
+        RunFate::Respond([platform::STREAM_HEAD, &events, "0\r\n\r\n"].concat())
+    });
+    platform::configure_field(&fleet.store, 2, "routes", "max_attempts", &json!(1));
+    thread::sleep(crashes::SETTLE_TIME);
+    let mut last_event = 0;
+    let mut take_up = |number: usize| {
+        let resumed = match last_event {
+            0 => String::new(),
+            last => format!("Last-Event-Id: {last}\r\nResumes: t0\r\n"),
+        };
+        let headers = format!("{}Connection: close\r\n{resumed}", platform::PROMPT_HEADERS);
+        let bytes = request("POST", "/resume/a", &format!("t{number}"), &headers, "long");
+        let response = platform::call_raw(fleet.entries[number % 2].callers, &bytes);
+        let ids = response.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+        last_event = ids.last().unwrap_or(last_event);
+        response
+    };
+    for number in 0..3 {
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                thread::sleep(Duration::from_millis(500));
+                crash_all(&fleet);
+            });
+            let response = take_up(number);
+            assert!(response.starts_with("HTTP/1.1 200"), "{number}: {response}");
+        });
+        thread::sleep(DOWN_TIME + crashes::SETTLE_TIME);
+    }
+    let response = take_up(3);
+    assert!(response.ends_with("0\r\n\r\n"), "{response}");
+}
+
 /// Servers end under the same request by chance. It is not held back for ever.
 #[test]
 fn cured_request() {
--- a/toucanrail/src/suspects.rs
+++ b/toucanrail/src/suspects.rs
@@ -6,9 +6,9 @@
 //! after the other*: each of them got it after the one before had ended, and it did not succeed
 //! meanwhile. Servers that end together, as in a power loss, count as one.
 //!
-//! A request is suspected of each end under it. A part of prompts is suspected only of the ends at
-//! which a request with it waited or had just begun, and at a server that had begun responses to some
-//! of these, only those count.
+//! A request is suspected of the ends at which it waited or its response had just begun, and so are
+//! the parts of its prompt; at a server that had begun responses to some of these, only the parts of
+//! those count.
 //!
 //! Entries tell what they see to relays, whose tables hold the ends that all entries have seen. Times
 //! travel as ages, since processes share no clock.
@@ -23,7 +23,8 @@
 
 /// Servers that may end under a suspect, one after the other, before it is held back.
 pub const MAX_ENDS: usize = 3;
-/// Time for which a response must go on after its first event to be a success of the prompt's parts.
+/// Time for which a response must go on after its first event so that the request is not suspected,
+/// and the parts of its prompt have succeeded.
 pub const PROGRESS_TIME: Duration = Duration::from_millis(250);
 /// Time for which the ends under a request count, and it is held back after the last one: its caller
 /// sends it no more after that.
