Verdicts on parts need different requests, and ends that did not come together

Cause: a part's chain counted ends that something else explains, its one request or a cause common to several servers. Ends count for a part now if the request is one that has not counted yet, and if fewer than two servers without the part ended within 30 ms; notes of requests that had gone on tell of such ends. A request under which a server has just ended is not repeated from the verdict on, not only 300 ms later.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -9,7 +9,7 @@
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::contents::{self, ContentKey};
-use toucanrail::holds::TrialRequest;
+use toucanrail::holds::{HoldScope, TrialRequest};
 use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail::suspects::SuspectKey;
@@ -120,6 +120,7 @@
         body,
         urgency: rank.unwrap_or(route.priority),
         info,
+        content,
         suspects,
         route,
         customer,
@@ -166,7 +167,8 @@
     plan: &RequestPlan<'_>,
 ) -> Result<Option<TrialRequest>, AdmissionRefusal> {
     let now = gateway.now();
-    let Some(hold) = gateway.tables.borrow().holds.find_hold(&plan.suspects, now) else {
+    let hold = gateway.tables.borrow().holds.find_hold(&plan.suspects, HoldScope::New, now);
+    let Some(hold) = hold else {
         return Ok(None);
     };
     if hold.trial_at.is_some_and(|at| now >= at) && suspect_reports::may_ask_trial(gateway) {
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -10,6 +10,7 @@
 use toucanrail::backends::{BackendEntry, BackendId, BackendRow, BackendTable};
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
+use toucanrail::holds::HoldScope;
 use toucanrail::ids::SoftwareVersion;
 use toucanrail::matching;
 use toucanrail::placement::{self, PlacementQuery};
@@ -340,13 +341,14 @@
         }
         tracing::info!(
             event = "ended_under_request", request = %self.plan.info.id,
-            content = self.content_name(), server = %target.id, started_at = target.started_at,
+            content = %format_args!("{:016x}", self.plan.content), server = %target.id, started_at = target.started_at,
             stage = ?self.stream.stage(), progressed, last_event = self.stream.last_event(),
             parts = %self.list_parts(),
         );
         let now = self.gateway.now();
         let note = EndNote {
             process: target.process(),
+            content: self.plan.content,
             stage: self.stream.stage(),
             sent_ago: now.saturating_sub(sent_at),
             ended_ago: now.saturating_sub(ended_at),
@@ -372,17 +374,8 @@
     /// Returns whether servers have ended under the request, or under others like it, so that it goes
     /// to no other one.
     fn is_held_back(&self) -> bool {
-        let tables = self.gateway.tables.borrow();
-        tables.holds.find_hold(&self.plan.suspects, self.gateway.now()).is_some()
-    }
-
-    /// Returns the key of the request's content, for logging.
-    fn content_name(&self) -> String {
-        let content = self.plan.suspects.iter().find_map(|key| match key {
-            SuspectKey::Content(content) => Some(content),
-            SuspectKey::Part(_) => None,
-        });
-        content.map(|content| format!("{content:016x}")).unwrap_or_default()
+        let (tables, now) = (self.gateway.tables.borrow(), self.gateway.now());
+        tables.holds.find_hold(&self.plan.suspects, HoldScope::Repeat, now).is_some()
     }
 
     /// Returns the ids of the prompt's parts, for logging.
@@ -452,7 +445,7 @@
         let customer = self.plan.customer.as_ref().map(|customer| Arc::clone(&customer.name));
         tracing::info!(
             event = "request_ended", request = %self.plan.info.id,
-            content = self.content_name(), route = %self.plan.route.name,
+            content = %format_args!("{:016x}", self.plan.content), route = %self.plan.route.name,
             service = %self.plan.service, customer = customer.as_deref(), end = ?end,
             run = self.history.run_state().as_str(), sent = self.history.sent, tried = ?self.tried,
             version = self.last_version.as_deref(), after_event = self.plan.info.last_event,
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -8,6 +8,7 @@
 
 use toucanrail::attempts::AttemptOutcome;
 use toucanrail::backends::BackendEntry;
+use toucanrail::contents::ContentKey;
 use toucanrail::framing::BodyDecoder;
 use toucanrail::ids::ServiceName;
 use toucanrail::matching::{CustomerProfile, RouteRule};
@@ -38,8 +39,10 @@
     pub body: &'request [u8],
     /// Fields parsed from the head.
     pub info: RequestInfo,
-    /// What is suspected if servers end under it: its content, the same for all attempts of its
-    /// caller, and the parts of its prompt before the last one.
+    /// Key of its content, the same for all attempts of its caller.
+    pub content: ContentKey,
+    /// What is suspected if servers end under it: its content, and the parts of its prompt before the
+    /// last one.
     pub suspects: Vec<SuspectKey>,
     /// Matched route.
     pub route: Arc<RouteRule>,
--- a/toucanrail/src/holds.rs
+++ b/toucanrail/src/holds.rs
@@ -45,6 +45,15 @@
 /// Suspects of a request, all of them held back, which an entry wants to try.
 pub type TrialRequest = Vec<SuspectKey>;
 
+/// Which request is to be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HoldScope {
+    /// One under which no server has ended in this attempt of its caller.
+    New,
+    /// One under which a server has just ended; verdicts apply to it before they take effect.
+    Repeat,
+}
+
 /// Why a request is held back.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestHold {
@@ -74,9 +83,12 @@
     }
 
     /// Returns whether a request with these suspects is held back.
-    fn applies_to(&self, suspects: &[SuspectKey], now: Duration) -> bool {
-        (self.starts_at..self.until).contains(&now)
-            && self.with.iter().all(|key| suspects.contains(key))
+    fn applies_to(&self, suspects: &[SuspectKey], scope: HoldScope, now: Duration) -> bool {
+        let starts_at = match scope {
+            HoldScope::New => self.starts_at,
+            HoldScope::Repeat => Duration::ZERO,
+        };
+        (starts_at..self.until).contains(&now) && self.with.iter().all(|key| suspects.contains(key))
     }
 }
 
@@ -141,7 +153,7 @@
     /// # Examples
     /// ```
     /// use std::time::Duration;
-    /// use toucanrail::holds::{HoldReply, HoldTable};
+    /// use toucanrail::holds::{HoldReply, HoldScope, HoldTable};
     /// use toucanrail::suspects::{HeldSuspect, SuspectKey};
     /// let (key, now) = (SuspectKey::Content(7), Duration::from_secs(50));
     /// let seconds = Duration::from_secs;
@@ -156,11 +168,11 @@
     /// let reply = HoldReply { process: 1, version: 1, held: vec![suspect] };
     /// let mut table = HoldTable::default();
     /// assert!(table.apply_reply(&"side-1".into(), &reply, now).is_empty());
-    /// assert!(table.find_hold(&[key], now).is_some());
+    /// assert!(table.find_hold(&[key], HoldScope::New, now).is_some());
     /// table.record_success(key, now - seconds(2));
     /// let succeeded = table.apply_reply(&"side-1".into(), &reply, now);
     /// assert_eq!(succeeded, [(key, seconds(2))]);
-    /// assert!(table.find_hold(&[key], now).is_none());
+    /// assert!(table.find_hold(&[key], HoldScope::New, now).is_none());
     /// ```
     pub fn apply_reply(
         &mut self,
@@ -193,24 +205,40 @@
     ///
     /// Relays know of the ends and successes that all entries have seen. What this entry has seen
     /// itself decides only as far as no relay has been told of it.
-    pub fn find_hold(&self, suspects: &[SuspectKey], now: Duration) -> Option<RequestHold> {
-        self.find_told(suspects, now).or_else(|| self.find_untold(suspects, now))
+    pub fn find_hold(
+        &self,
+        suspects: &[SuspectKey],
+        scope: HoldScope,
+        now: Duration,
+    ) -> Option<RequestHold> {
+        let told = self.find_told(suspects, scope, now);
+        told.or_else(|| self.find_untold(suspects, scope, now))
     }
 
     /// Looks for a hold in the words of the relays that responded lately, or of all if none did.
-    fn find_told(&self, suspects: &[SuspectKey], now: Duration) -> Option<RequestHold> {
+    fn find_told(
+        &self,
+        suspects: &[SuspectKey],
+        scope: HoldScope,
+        now: Duration,
+    ) -> Option<RequestHold> {
         let is_current = |word: &RelayWord| now.saturating_sub(word.heard_at) < WORD_TIME;
         let any_current = self.words.values().any(is_current);
         let words = self.words.values().filter(|word| !any_current || is_current(word));
         let mut rows = Vec::new();
         for word in words {
             let held = suspects.iter().filter_map(|key| Some((*key, word.held.get(key)?)));
-            rows.extend(held.filter(|(_, row)| row.applies_to(suspects, now)));
+            rows.extend(held.filter(|(_, row)| row.applies_to(suspects, scope, now)));
         }
         make_hold(&rows)
     }
 
-    fn find_untold(&self, suspects: &[SuspectKey], now: Duration) -> Option<RequestHold> {
+    fn find_untold(
+        &self,
+        suspects: &[SuspectKey],
+        scope: HoldScope,
+        now: Duration,
+    ) -> Option<RequestHold> {
         let is_untold =
             |key: &SuspectKey| self.own.last_end(*key).is_some_and(|at| at > self.told_until);
         if !suspects.iter().any(is_untold) {
@@ -222,7 +250,7 @@
             .filter(|suspect| suspects.contains(&suspect.key) && is_untold(&suspect.key))
             .map(|suspect| (suspect.key, WordRow::new(suspect, now)))
             .collect();
-        let applying = rows.iter().filter(|(_, row)| row.applies_to(suspects, now));
+        let applying = rows.iter().filter(|(_, row)| row.applies_to(suspects, scope, now));
         make_hold(&applying.map(|(key, row)| (*key, row)).collect::<Vec<_>>())
     }
 
--- a/toucanrail/src/suspects.rs
+++ b/toucanrail/src/suspects.rs
@@ -8,16 +8,18 @@
 //!
 //! A request is suspected of the ends at which it waited or its response had just begun, and so are
 //! the parts of its prompt; at a server that had begun responses to some of these, only the parts of
-//! those count.
+//! those count. A verdict on a part needs ends under different requests, since one request may be at
+//! fault by itself, and counts no end at which several other servers ended too.
 //!
 //! Entries tell what they see to relays, whose tables hold the ends that all entries have seen. Times
 //! travel as ages, since processes share no clock.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::backends::BackendId;
 use crate::contents::{ContentKey, PartKey};
 use crate::statements::ServerProcess;
 
@@ -36,12 +38,18 @@
 const PART_DELAY: Duration = Duration::from_millis(300);
 /// Time from the verdict on a part to the first trial with one request; doubles with each trial.
 const FIRST_TRIAL: Duration = Duration::from_secs(15);
+/// Servers that end within this time of one another end together, and the number of other servers from
+/// which the end of one is no evidence against a part that they did not run.
+const TOGETHER_TIME: Duration = Duration::from_millis(30);
+const MIN_TOGETHER: usize = 2;
 /// Maximum number of suspects in a table; bounds its memory to about 4 MB.
 const MAX_ROWS: usize = 8_192;
 /// Interval at which expired suspects are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Newest ends that are kept of a suspect.
 const MAX_KEPT_ENDS: usize = 16;
+/// Contents that are kept of each end.
+const MAX_CONTENTS: usize = 8;
 /// Maximum number of successes in a table.
 const MAX_SUCCESSES: usize = 4_096;
 
@@ -94,13 +102,15 @@
 pub struct EndNote {
     /// The server's process.
     pub process: ServerProcess,
+    /// Content of the request.
+    pub content: ContentKey,
     /// How far the request was.
     pub stage: RunStage,
     /// Time since the request was sent there.
     pub sent_ago: Duration,
     /// Time since the end was seen.
     pub ended_ago: Duration,
-    /// What may be at fault.
+    /// What may be at fault; nothing if the response had gone on.
     pub suspects: Vec<SuspectNote>,
 }
 
@@ -125,6 +135,8 @@
 #[derive(Debug, Clone)]
 struct SuspectEnd {
     process: ServerProcess,
+    /// Contents of the requests that were furthest.
+    contents: Vec<ContentKey>,
     stage: RunStage,
     /// When the suspect was last sent there.
     sent_at: Duration,
@@ -145,6 +157,12 @@
             return;
         }
         if let Some(known) = self.ends.iter_mut().find(|known| known.process == end.process) {
+            if end.stage > known.stage {
+                known.contents.clear();
+            }
+            if end.stage >= known.stage && known.contents.len() < MAX_CONTENTS {
+                known.contents.extend(&end.contents);
+            }
             known.stage = known.stage.max(end.stage);
             known.sent_at = known.sent_at.max(end.sent_at);
             return;
@@ -184,8 +202,10 @@
 pub struct SuspectTable {
     rows: BTreeMap<SuspectKey, SuspectRow>,
     holds: BTreeMap<SuspectKey, HoldRow>,
-    /// Processes that ended after they had begun a response which did not go on, and when.
-    writers: BTreeMap<ServerProcess, Duration>,
+    /// Processes that ended, by time, and whether they had begun a response which did not go on.
+    ended: BTreeMap<(Duration, ServerProcess), bool>,
+    /// When each of them ended.
+    end_times: BTreeMap<ServerProcess, Duration>,
     version: u64,
     swept_at: Duration,
 }
@@ -208,6 +228,7 @@
     /// for at in [10, 11, 12].map(Duration::from_secs) {
     ///     let note = EndNote {
     ///         process: ServerProcess { id: format!("{at:?}").into(), started_at: 1 },
+    ///         content: 7,
     ///         stage: RunStage::Waiting,
     ///         sent_ago: Duration::from_millis(30),
     ///         ended_ago: Duration::ZERO,
@@ -221,9 +242,8 @@
         self.drop_expired(now);
         let ended_at = now.saturating_sub(note.ended_ago);
         let is_part = |suspect: &SuspectNote| matches!(suspect.key, SuspectKey::Part(_));
-        if note.stage == RunStage::Writing && note.suspects.iter().any(is_part) {
-            self.writers.insert(note.process.clone(), ended_at);
-        }
+        let is_writing = note.stage == RunStage::Writing && note.suspects.iter().any(is_part);
+        let ended_at = self.record_process(&note.process, ended_at, is_writing);
         for SuspectNote { key, succeeded_ago } in &note.suspects {
             let row = self.rows.entry(*key).or_default();
             row.forget_ends(now.saturating_sub(key.evidence_time()));
@@ -232,6 +252,7 @@
             }
             row.record_end(SuspectEnd {
                 process: note.process.clone(),
+                contents: vec![note.content],
                 stage: note.stage,
                 sent_at: now.saturating_sub(note.sent_ago),
                 ended_at,
@@ -248,6 +269,23 @@
         changed || told
     }
 
+    /// Records that a process ended. Returns when that was told first.
+    fn record_process(
+        &mut self,
+        process: &ServerProcess,
+        ended_at: Duration,
+        is_writing: bool,
+    ) -> Duration {
+        let at = *self.end_times.entry(process.clone()).or_insert(ended_at);
+        *self.ended.entry((at, process.clone())).or_default() |= is_writing;
+        if self.ended.len() > MAX_ROWS
+            && let Some(((_, oldest), _)) = self.ended.pop_first()
+        {
+            self.end_times.remove(&oldest);
+        }
+        at
+    }
+
     /// Records that a suspect succeeded some time ago. Returns whether it is no longer held back for
     /// that.
     pub fn record_success(&mut self, key: SuspectKey, ago: Duration, now: Duration) -> bool {
@@ -321,19 +359,53 @@
 
     /// Returns whether an end counts against a suspect.
     fn counts(&self, key: SuspectKey, end: &SuspectEnd) -> bool {
-        matches!(key, SuspectKey::Content(_))
-            || end.stage == RunStage::Writing
-            || !self.writers.contains_key(&end.process)
+        if matches!(key, SuspectKey::Content(_)) {
+            return true;
+        }
+        let together = self.ended_near(end.ended_at);
+        let mut others = 0;
+        for ((_, process), is_writing) in together {
+            if *process == end.process {
+                if *is_writing && end.stage == RunStage::Waiting {
+                    return false;
+                }
+            } else if !self.has_end(key, process) {
+                others += 1;
+            }
+        }
+        others < MIN_TOGETHER
+    }
+
+    /// Returns the processes that ended together with an end at this time.
+    fn ended_near(
+        &self,
+        at: Duration,
+    ) -> impl Iterator<Item = (&(Duration, ServerProcess), &bool)> {
+        let first = ServerProcess { id: BackendId::from(""), started_at: 0 };
+        let begin = (at.saturating_sub(TOGETHER_TIME), first);
+        let until = at + TOGETHER_TIME;
+        self.ended.range(begin..).take_while(move |((ended_at, _), _)| *ended_at <= until)
+    }
+
+    fn has_end(&self, key: SuspectKey, process: &ServerProcess) -> bool {
+        let row = self.rows.get(&key);
+        row.is_some_and(|row| row.ends.iter().any(|end| end.process == *process))
     }
 
-    /// Returns the number of ends that count and followed one another.
+    /// Returns the number of ends that count and followed one another; of a part, under different
+    /// requests.
     fn chain_length(&self, key: SuspectKey) -> usize {
         let ends = self.rows.get(&key).into_iter().flat_map(|row| &row.ends);
+        let is_part = matches!(key, SuspectKey::Part(_));
+        let mut contents: BTreeSet<ContentKey> = BTreeSet::new();
         let (mut length, mut last) = (0, None);
         for end in ends.filter(|end| self.counts(key, end)) {
-            if last.is_none_or(|last| end.sent_at >= last) {
+            let follows = last.is_none_or(|last| end.sent_at >= last);
+            let is_new = end.contents.iter().any(|content| !contents.contains(content));
+            if follows && (is_new || !is_part) {
                 length += 1;
                 last = Some(end.ended_at);
+                contents.extend(&end.contents);
             }
         }
         length
@@ -389,7 +461,8 @@
             row.last_end().is_some_and(|at| now < at + key.evidence_time())
         };
         self.rows.retain(|key, row| is_live(key, row));
-        self.writers.retain(|_, at| now < *at + PART_TIME);
+        self.ended.retain(|(at, _), _| now < *at + PART_TIME);
+        self.end_times.retain(|_, at| now < *at + PART_TIME);
         if self.rows.len() >= MAX_ROWS {
             let mut times: Vec<Option<Duration>> =
                 self.rows.values().map(SuspectRow::last_end).collect();
