Close callers' connections after their responses while they run out

Descriptors run out first: at 2,940 connections of callers the entry turned new ones away unread and called itself ready.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -21,7 +21,7 @@
 use crate::buffers::{BodyHold, WriteBacklog};
 use crate::listening;
 use crate::responding::{self, ResponseWriter};
-use crate::state::{Gateway, RequestGuard};
+use crate::state::{ConnectionGuard, Gateway, RequestGuard};
 
 /// Maximum time for a body to arrive after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -73,6 +73,7 @@
 
 async fn serve_connection(gateway: &Rc<Gateway>, socket: Async<TcpStream>) -> io::Result<()> {
     let mut connection = BufferedConnection::new(socket)?;
+    let _guard = ConnectionGuard::new(gateway);
     let mut served = false;
     loop {
         let limits = gateway.tables.borrow().routes.limits();
@@ -90,7 +91,8 @@
         };
         let close = head.close
             || gateway.stop_requested.get().is_some()
-            || gateway.link.closes_connections(gateway.now());
+            || gateway.link.closes_connections(gateway.now())
+            || !gateway.settings.limits.keeps_connections(gateway.caller_connections.get());
         let backlog = WriteBacklog::new(connection.writer(), &gateway.memory);
         let mut writer = ResponseWriter::new(backlog, close);
         let responding = async {
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -138,6 +138,7 @@
         admission_closed: Cell::new(false),
         close_idle: Cell::new(false),
         in_flight: Cell::new(0),
+        caller_connections: Cell::new(0),
         close_idle_event: Event::new(),
     })
 }
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -100,6 +100,8 @@
     pub close_idle: Cell<bool>,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
+    /// Number of callers' connections.
+    pub caller_connections: Cell<usize>,
     /// Notified when idle caller connections should close.
     pub close_idle_event: Event,
     /// The entry's own budget grants.
@@ -144,7 +146,8 @@
         let is_informed = tables.routes.version() > 0
             && tables.backends.is_listed()
             && tables.backends.evacuations.is_known();
-        let is_available = !self.is_isolated() && !self.link.is_away(self.now());
+        let has_room = self.settings.limits.has_room(self.caller_connections.get());
+        let is_available = has_room && !self.is_isolated() && !self.link.is_away(self.now());
         is_informed && self.stop_requested.get().is_none() && is_available
     }
 
@@ -272,6 +275,26 @@
     }
 }
 
+/// Counts a caller's connection.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    gateway: Rc<Gateway>,
+}
+
+impl ConnectionGuard {
+    /// Starts counting a connection.
+    pub fn new(gateway: &Rc<Gateway>) -> Self {
+        gateway.caller_connections.set(gateway.caller_connections.get() + 1);
+        Self { gateway: Rc::clone(gateway) }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.gateway.caller_connections.set(self.gateway.caller_connections.get() - 1);
+    }
+}
+
 /// Keeps a request registered as in flight at a server until dropped.
 #[derive(Debug)]
 pub struct FlightGuard {
--- a/toucanrail/src/memory_budgets.rs
+++ b/toucanrail/src/memory_budgets.rs
@@ -15,6 +15,10 @@
 /// Fraction of a process's file descriptors for callers' connections. The rest is for backend
 /// servers, relays, the store and files.
 const DESCRIPTOR_FRACTION: f64 = 0.7;
+/// Fractions of the maximum number of callers' connections: up to which they are kept open after a
+/// response, and from which the entry has no room for new callers.
+const KEPT_FRACTION: f64 = 0.75;
+const ROOM_FRACTION: f64 = 0.9;
 /// Memory and file descriptors of a process whose settings state none.
 const DEFAULT_MEMORY: usize = 160 * 1024 * 1024;
 const DEFAULT_DESCRIPTORS: usize = 4_096;
@@ -47,6 +51,31 @@
         let by_descriptors = (self.descriptors as f64 * DESCRIPTOR_FRACTION) as usize;
         by_memory.min(by_descriptors)
     }
+
+    /// Returns whether connections are kept open after their responses while there are `count`.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::memory_budgets::ProcessLimits;
+    /// let limits = ProcessLimits::default();
+    /// assert!(limits.keeps_connections(limits.max_connections() / 2));
+    /// assert!(!limits.keeps_connections(limits.max_connections() - 1));
+    /// ```
+    pub fn keeps_connections(&self, count: usize) -> bool {
+        (count as f64) < self.max_connections() as f64 * KEPT_FRACTION
+    }
+
+    /// Returns whether there is room for new callers beside `count` connections.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::memory_budgets::ProcessLimits;
+    /// let limits = ProcessLimits::default();
+    /// assert!(limits.has_room(0) && !limits.has_room(limits.max_connections()));
+    /// ```
+    pub fn has_room(&self, count: usize) -> bool {
+        (count as f64) < self.max_connections() as f64 * ROOM_FRACTION
+    }
 }
 
 /// The bytes that one process holds for its callers.
