Soak: a part that crashes servers, most new connections at one entry; log of messages about suspects

Two more callers send different requests with a harmful part; later than 3 s after the fifth crash three may run, and one more for each process that is disturbed then. At times nine in ten requests go to one entry.

--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -80,6 +80,7 @@
     for slot in 0..suspect_reports::COPIES {
         executor.spawn(suspect_reports::follow_holds(Rc::clone(&shared), slot)).detach();
     }
+    executor.spawn(suspect_reports::log_messages(Rc::clone(&shared))).detach();
     executor.spawn(hosting::host_relay(Rc::clone(&shared))).detach();
     smol::block_on(executor.run(stopping::run_until_stopped(shared)));
     Ok(())
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -30,11 +30,21 @@
 const HOLD_SLACK: Duration = Duration::from_millis(500);
 /// Pause after a query that failed, or when there is no relay.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Interval between two lines in the log about these messages.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Minimum time between two questions for a trial.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of notes kept for relays that start again.
 const MAX_KEPT_NOTES: usize = 1_024;
 
+/// Messages to relays since the last line in the log.
+#[derive(Debug, Clone, Copy, Default)]
+struct MessageCounts {
+    reports: usize,
+    notes: usize,
+    queries: usize,
+}
+
 /// Tells relays under which requests servers ended.
 #[derive(Debug, Default)]
 pub struct SuspectReporter {
@@ -48,6 +58,7 @@
     flushed: Event,
     /// Relays that did not respond.
     failed: RelayBackoff,
+    counts: Cell<MessageCounts>,
     /// When this entry last asked for a trial.
     trial_asked_at: Cell<Duration>,
 }
@@ -181,6 +192,10 @@
         // The pooled connection may lead to a process that has ended.
         sent = relay_client::call_relay_anew(gateway, name, *address, path, report, timeout).await;
     }
+    let mut counts = gateway.suspect_reporter.counts.get();
+    counts.reports += 1;
+    counts.notes += report.ends.len();
+    gateway.suspect_reporter.counts.set(counts);
     match &sent {
         Ok(reply) => apply_reply(gateway, relay, reply),
         Err(error) => {
@@ -211,6 +226,16 @@
     reporter.added.notify(1);
 }
 
+/// Logs at intervals how many messages about suspects this entry sent.
+pub async fn log_messages(gateway: Rc<Gateway>) {
+    loop {
+        smol::Timer::after(LOG_INTERVAL).await;
+        let MessageCounts { reports, notes, queries } = gateway.suspect_reporter.counts.take();
+        let held = gateway.tables.borrow().holds.held_counts();
+        tracing::info!(event = "suspects_told", reports, notes, queries, held = ?held);
+    }
+}
+
 /// Follows what one of the relays holds back, until the process exits.
 pub async fn follow_holds(gateway: Rc<Gateway>, slot: usize) {
     loop {
@@ -230,6 +255,9 @@
     let LocatedRelay { name, address, .. } = relay;
     let known = gateway.tables.borrow().holds.known(name);
     let query = HoldQuery { known, wait: HOLD_WAIT };
+    let mut counts = gateway.suspect_reporter.counts.get();
+    counts.queries += 1;
+    gateway.suspect_reporter.counts.set(counts);
     let timeout = HOLD_WAIT + HOLD_SLACK;
     let reply = relay_client::call_relay(gateway, name, *address, HOLD_PATH, &query, timeout).await;
     let reply = match reply {
--- a/toucanrail-gateway/tests/crash_soak.rs
+++ b/toucanrail-gateway/tests/crash_soak.rs
@@ -1,6 +1,7 @@
-//! Seeded soak test: some requests crash the servers that run them, servers crash for reasons of
-//! their own as well, alone and all together, and entries and relays are killed, paused, stopped and
-//! cut off from the store meanwhile. Callers keep their connections until their entry is gone.
+//! Seeded soak test: some requests, and all requests with one part in their prompts, crash the servers
+//! that run them; servers crash for reasons of their own as well, alone and all together; entries and
+//! relays are killed, paused, stopped and cut off from the store meanwhile, and most new connections go
+//! to one entry at times. Callers keep their connections until their entry is gone.
 //!
 //! `TOUCANRAIL_SOAK_SEEDS="1 2 3"` selects the seeds. CI runs those of `SEEDS`; each seed that ever
 //! fails is added to them.
@@ -10,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,20 +20,28 @@
 use platform::{Message, Process, Store, request};
 
 const SEEDS: [u64; 3] = [1, 2, 103];
-const DURATION: Duration = Duration::from_secs(9);
+const DURATION: Duration = Duration::from_secs(10);
 const BUDGET_TOKENS: u64 = 5_000_000;
 const SERVER_COUNT: u64 = 8;
-const CALLER_COUNT: u64 = 6;
-/// Callers whose requests crash servers; each sends the same one again and again for some time.
+const CALLER_COUNT: u64 = 8;
+/// Callers whose requests crash servers: each of the first sends the same one again and again for some
+/// time, the others send different ones with the same part.
 const HARMFUL_CALLER_COUNT: u64 = 2;
+const PART_CALLER_COUNT: u64 = 2;
+/// Servers that may crash before the part is known, the time in which requests with it are sent on after
+/// that, and how many may be sent later.
+const FREE_ENDS: usize = 5;
+const WINDOW: Duration = Duration::from_secs(3);
+const MAX_LATE_RUNS: usize = 3;
 /// Time for which a server that crashed is down.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 /// Servers that may crash under one request, and one more for each process that is disturbed
 /// meanwhile or up to `DISTURBED_TIME` before: it may not have heard of them, or have forgotten them.
 const MAX_ENDS: usize = 3;
 const DISTURBED_TIME: Duration = Duration::from_millis(1_500);
-/// Time between a caller's attempts, and how long it sends the same request.
-const RETURN_TIME: Duration = Duration::from_millis(60);
+/// Time between the attempts of a caller whose requests crash servers, in milliseconds, and how long it
+/// sends the same request.
+const HARMFUL_PAUSE_MS: u64 = 60;
 const HARMFUL_TIME: Duration = Duration::from_secs(3);
 /// Maximum time until a response.
 const RESPONSE_TIME: Duration = Duration::from_secs(8);
@@ -91,7 +100,8 @@
 fn run_or_crash(message: &Message) -> RunFate {
     let is_stream = message.target().starts_with("/resume/");
     let event = platform::chunk("id: 1\ndata: x\n\n");
-    if message.body.starts_with(b"crash") {
+    let has_part = message.field("x-prefix-hash").is_some_and(|parts| parts.contains("dead1"));
+    if has_part || message.body.starts_with(b"crash") {
         let begins = is_stream && message.body.len().is_multiple_of(2);
         let text = if begins { platform::STREAM_HEAD.to_owned() + &event } else { String::new() };
         return RunFate::End(text, Duration::from_millis(20));
@@ -103,42 +113,92 @@
     })
 }
 
-fn run_caller(
-    number: u64,
-    seed: u64,
-    entries: &[SocketAddr],
-    record: &Mutex<SoakRecord>,
-    stopped: &AtomicBool,
-) {
+/// What a caller sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallerKind {
+    Sound,
+    /// The same request again and again.
+    Harmful,
+    /// Different requests with one harmful part.
+    HarmfulPart,
+}
+
+impl CallerKind {
+    fn of(number: u64) -> Self {
+        match number {
+            0..HARMFUL_CALLER_COUNT => Self::Harmful,
+            _ if number < HARMFUL_CALLER_COUNT + PART_CALLER_COUNT => Self::HarmfulPart,
+            _ => Self::Sound,
+        }
+    }
+
+    fn word(self) -> &'static str {
+        match self {
+            Self::Sound => "sound",
+            Self::Harmful => "crash",
+            Self::HarmfulPart => "part",
+        }
+    }
+}
+
+/// No entry gets most of the new connections.
+const NONE_FAVOURED: usize = usize::MAX;
+/// Part of the requests that go to the favoured entry, in percent.
+const FAVOURED_PERCENT: u32 = 90;
+
+/// What all callers share.
+#[derive(Debug)]
+struct CallerContext {
+    entries: Vec<SocketAddr>,
+    record: Mutex<SoakRecord>,
+    stopped: AtomicBool,
+    /// The entry that gets most new connections.
+    favoured: AtomicUsize,
+}
+
+impl CallerContext {
+    fn pick_entry(&self, rng: &mut fastrand::Rng) -> SocketAddr {
+        let favoured = self.entries.get(self.favoured.load(Ordering::Relaxed));
+        match favoured.filter(|_| rng.u32(0..100) < FAVOURED_PERCENT) {
+            Some(entry) => *entry,
+            None => self.entries[rng.usize(0..self.entries.len())],
+        }
+    }
+}
+
+fn run_caller(number: u64, seed: u64, shared: &CallerContext) {
     let mut rng = fastrand::Rng::with_seed(seed ^ (number << 32));
-    let is_harmful = number < HARMFUL_CALLER_COUNT;
+    let kind = CallerKind::of(number);
     let mut connections = BTreeMap::new();
     let mut began = Instant::now();
     let mut content = 0;
     let mut count = 0;
-    while !stopped.load(Ordering::Relaxed) {
+    while !shared.stopped.load(Ordering::Relaxed) {
         count += 1;
-        if !is_harmful || began.elapsed() > HARMFUL_TIME {
+        if kind != CallerKind::Harmful || began.elapsed() > HARMFUL_TIME {
             content += 1;
             began = Instant::now();
         }
-        let word = if is_harmful { "crash" } else { "sound" };
-        let body = format!("{word}-{number}-{content}");
+        let body = format!("{}-{number}-{content}", kind.word());
         let path = if content % 2 == 0 { "/safe/a" } else { "/resume/a" };
-        let entry = entries[rng.usize(0..entries.len())];
+        let entry = shared.pick_entry(&mut rng);
         let connection = connections.entry(entry).or_insert(KeptConnection { entry, stream: None });
-        let headers = platform::PROMPT_HEADERS;
-        let bytes = request("POST", path, &format!("{number}-{count}"), headers, &body);
+        let part = if kind == CallerKind::HarmfulPart { "dead1:30," } else { "" };
+        let headers = format!(
+            "X-Model: m\r\nX-Token-Usage: 100,60\r\nX-Prefix-Hash: a:60,{part}{number:x}{content:04x}:40\r\n"
+        );
+        let bytes = request("POST", path, &format!("{number}-{count}"), &headers, &body);
         let response = connection.call(&bytes).unwrap_or_default();
-        let mut record = record.lock().expect("unpoisoned lock");
+        let mut record = shared.record.lock().expect("unpoisoned lock");
         record.served += u64::from(response.starts_with("HTTP/1.1 200"));
         let is_held = response.contains("toucanrail-result: 3207");
         record.refused += u64::from(is_held);
-        if is_held && !is_harmful {
+        if is_held && kind == CallerKind::Sound {
             record.violations.push(format!("held back by mistake: {body}: {response}"));
         }
         drop(record);
-        thread::sleep(if is_harmful { RETURN_TIME } else { Duration::from_millis(rng.u64(2..20)) });
+        let pause = if kind == CallerKind::Sound { rng.u64(2..20) } else { HARMFUL_PAUSE_MS };
+        thread::sleep(Duration::from_millis(pause));
     }
 }
 
@@ -148,9 +208,10 @@
     store: &Store,
     servers: &[Arc<CrashingServer>],
     processes: &mut [Process],
+    shared: &CallerContext,
 ) -> bool {
     let at = rng.usize(0..processes.len());
-    let disturbed = match rng.u32(0..8) {
+    let disturbed = match rng.u32(0..9) {
         0 | 1 => {
             processes[at].restart();
             true
@@ -179,6 +240,12 @@
             }
             false
         }
+        6 => {
+            shared.favoured.store(rng.usize(0..shared.entries.len()), Ordering::Relaxed);
+            thread::sleep(Duration::from_millis(rng.u64(500..1_500)));
+            shared.favoured.store(NONE_FAVOURED, Ordering::Relaxed);
+            false
+        }
         _ => {
             servers[rng.usize(0..servers.len())].crash();
             false
@@ -189,7 +256,6 @@
 }
 
 fn run_seed(seed: u64) -> SoakRecord {
-    let record: Arc<Mutex<SoakRecord>> = Arc::default();
     let store = Store::start();
     platform::configure_prepaid(&store, 1, &[], BUDGET_TOKENS);
     let servers = (0..SERVER_COUNT)
@@ -201,12 +267,16 @@
     let gateways =
         ["front-1", "front-2", "front-3"].map(|vm| Process::start_gateway_on(&store, vm));
     let entries: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.callers).collect();
-    let stopped = Arc::new(AtomicBool::new(false));
+    let shared = Arc::new(CallerContext {
+        entries,
+        record: Mutex::default(),
+        stopped: AtomicBool::new(false),
+        favoured: AtomicUsize::new(NONE_FAVOURED),
+    });
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|number| {
-            let (entries, record, stopped) =
-                (entries.clone(), Arc::clone(&record), Arc::clone(&stopped));
-            thread::spawn(move || run_caller(number, seed, &entries, &record, &stopped))
+            let shared = Arc::clone(&shared);
+            thread::spawn(move || run_caller(number, seed, &shared))
         })
         .collect();
     let mut processes: Vec<Process> = relays.into_iter().chain(gateways).collect();
@@ -215,15 +285,15 @@
     let mut disturbances = Vec::new();
     while start.elapsed() < DURATION {
         let began = Instant::now();
-        if inject_fault(&mut rng, &store, &servers, &mut processes) {
+        if inject_fault(&mut rng, &store, &servers, &mut processes, &shared) {
             disturbances.push(began..Instant::now() + DISTURBED_TIME);
         }
     }
-    stopped.store(true, Ordering::Relaxed);
+    shared.stopped.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.join().expect("a caller");
     }
-    let mut record = std::mem::take(&mut *record.lock().expect("unpoisoned lock"));
+    let mut record = std::mem::take(&mut *shared.record.lock().expect("unpoisoned lock"));
     let mut runs: BTreeMap<Vec<u8>, Vec<Instant>> = BTreeMap::new();
     for run in servers.iter().flat_map(|server| server.runs_of("crash-")) {
         runs.entry(run.message.body).or_default().push(run.at);
@@ -241,6 +311,19 @@
             record.violations.push(format!("{body} ran {count} times, {disturbed} disturbed"));
         }
     }
+    let mut part_runs: Vec<Instant> =
+        servers.iter().flat_map(|server| server.runs_of("dead1")).map(|run| run.at).collect();
+    part_runs.sort_unstable();
+    if let Some(fifth) = part_runs.get(FREE_ENDS - 1) {
+        let late = part_runs.iter().filter(|at| **at > *fifth + WINDOW).count();
+        println!("seed {seed}: the part ran {} times, {late} late", part_runs.len());
+        let disturbed = disturbances.iter().filter(|time| time.end > *fifth + WINDOW).count();
+        if late > MAX_LATE_RUNS + disturbed {
+            record
+                .violations
+                .push(format!("the part ran {late} times late, {disturbed} disturbed"));
+        }
+    }
     for server in &servers {
         server.stop();
     }
