Verdicts on parts need that something else is served; an early trial; one cache of servers

Cause: with nothing served in between, a part that all requests have cannot be told from one that crashes servers. The first trial comes after 2 s instead of 15, as a rule within the window in which requests with the part may still be sent, then after 15 s, 30 s; it is granted to a request without another suspect only (clean_trials).

Kept notes are 256, with suspects only, since a relay that starts again gets them from every entry. The map of locked values of load reports and of probes is one type (ServerCache); the table of successes has a module of its own.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -9,7 +9,7 @@
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::contents::{self, ContentKey};
-use toucanrail::holds::{HoldScope, TrialRequest};
+use toucanrail::holds::HoldScope;
 use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail::suspects::SuspectKey;
@@ -130,11 +130,11 @@
         deadline: arrived + timeout.saturating_sub(DEADLINE_MARGIN),
         budget: None,
     };
-    let trial = check_holds(gateway, &plan)?;
+    let is_trial = check_holds(gateway, &plan)?;
     check_load(gateway, &plan)?;
     plan.budget = reserve_budget(gateway, &plan).await?;
-    if let Some(keys) = trial {
-        request_trial(gateway, &plan, keys).await?;
+    if is_trial && !suspect_reports::request_trial(gateway, &plan.suspects).await {
+        return Err(refuse_held(gateway, &plan));
     }
     gateway.record_new_request(&plan.service);
     Ok(plan)
@@ -161,30 +161,15 @@
     [SuspectKey::Content(content)].into_iter().chain(shared).collect()
 }
 
-/// Refuses a request that is held back. Returns the suspects that it would try if a trial is due.
-fn check_holds(
-    gateway: &Gateway,
-    plan: &RequestPlan<'_>,
-) -> Result<Option<TrialRequest>, AdmissionRefusal> {
+/// Refuses a request that is held back. Returns whether a trial of it is due.
+fn check_holds(gateway: &Gateway, plan: &RequestPlan<'_>) -> Result<bool, AdmissionRefusal> {
     let now = gateway.now();
     let hold = gateway.tables.borrow().holds.find_hold(&plan.suspects, HoldScope::New, now);
     let Some(hold) = hold else {
-        return Ok(None);
+        return Ok(false);
     };
     if hold.trial_at.is_some_and(|at| now >= at) && suspect_reports::may_ask_trial(gateway) {
-        return Ok(Some(hold.keys));
-    }
-    Err(refuse_held(gateway, plan))
-}
-
-/// Asks for the trial of one request that is held back, or refuses it.
-async fn request_trial(
-    gateway: &Gateway,
-    plan: &RequestPlan<'_>,
-    keys: TrialRequest,
-) -> Result<(), AdmissionRefusal> {
-    if suspect_reports::request_trial(gateway, &keys).await {
-        return Ok(());
+        return Ok(true);
     }
     Err(refuse_held(gateway, plan))
 }
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -352,6 +352,7 @@
             stage: self.stream.stage(),
             sent_ago: now.saturating_sub(sent_at),
             ended_ago: now.saturating_sub(ended_at),
+            served_ago: self.gateway.tables.borrow().holds.served_age(&self.plan.service, now),
             suspects: self.list_suspects(progressed, now),
         };
         suspect_reports::report_end(self.gateway, note).await;
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod request_context;
 pub mod responding;
 pub mod sending;
+pub mod server_cache;
 pub mod server_ends;
 pub mod starting;
 pub mod state;
--- a/toucanrail-gateway/src/liveness.rs
+++ b/toucanrail-gateway/src/liveness.rs
@@ -1,13 +1,8 @@
 //! Checks servers that do not respond, through the load reports of the relays beside them.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use smol::lock::Mutex;
-use toucanrail::backends::{BackendEntry, BackendId};
+use toucanrail::backends::BackendEntry;
 use toucanrail::paces::BackendReport;
 use toucanrail::silences::{RunStatus, SilenceDetector, SilenceVerdict};
 
@@ -23,33 +18,13 @@
 /// Interval between two checks for the same request.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Result of a query for a load report.
 #[derive(Debug)]
-struct CachedReport {
+pub struct CachedReport {
     taken_at: Duration,
     report: Option<BackendReport>,
 }
 
-/// Most recent load report of each server that was queried.
-#[derive(Debug, Default)]
-pub struct ReportCache {
-    rows: RefCell<BTreeMap<BackendId, Rc<Mutex<Option<CachedReport>>>>>,
-}
-
-impl ReportCache {
-    fn row(&self, server: &BackendId) -> Rc<Mutex<Option<CachedReport>>> {
-        let mut rows = self.rows.borrow_mut();
-        Rc::clone(rows.entry(Arc::clone(server)).or_default())
-    }
-
-    /// Drops the reports of unknown servers.
-    pub fn retain<Known>(&self, is_known: Known)
-    where
-        Known: Fn(&BackendId) -> bool,
-    {
-        self.rows.borrow_mut().retain(|server, _| is_known(server));
-    }
-}
-
 /// Returns a server's load as reported by its relay, at most a few tenths of a second old. Returns
 /// `None` if the server or the relay does not respond.
 pub async fn fetch_load(gateway: &Gateway, target: &BackendEntry) -> Option<BackendReport> {
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -254,12 +254,12 @@
     HoldReply { process: api.process, version: suspects.version(), held }
 }
 
-fn grant_trial(api: &RelayApi, keys: &TrialRequest) -> bool {
-    let granted = api.suspects.borrow_mut().grant_trial(keys, api.change_feed.now());
+fn grant_trial(api: &RelayApi, suspects: &TrialRequest) -> bool {
+    let granted = api.suspects.borrow_mut().grant_trial(suspects, api.change_feed.now());
     if granted {
         api.holds_changed.notify(usize::MAX);
     }
-    tracing::info!(event = "trial_asked", keys = ?keys, granted);
+    tracing::info!(event = "trial_asked", ?suspects, granted);
     granted
 }
 
--- a/toucanrail-gateway/src/server_ends.rs
+++ b/toucanrail-gateway/src/server_ends.rs
@@ -3,15 +3,10 @@
 //! A reset connection, a cut link and the end of a server look alike to a request. A server that has
 //! ended refuses connections; one that is cut off or frozen does not.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::io;
-use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use smol::lock::Mutex;
-use toucanrail::backends::{BackendEntry, BackendId};
+use toucanrail::backends::BackendEntry;
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::time_limits;
 
@@ -23,34 +18,14 @@
 /// Time for which the result of a probe is shared by all requests of the server that broke off.
 const RESULT_AGE: Duration = Duration::from_millis(200);
 
+/// Result of a probe.
 #[derive(Debug)]
-struct ProbeResult {
+pub struct ProbeResult {
     at: Duration,
     started_at: u64,
     ended: bool,
 }
 
-/// Most recent probe of each server.
-#[derive(Debug, Default)]
-pub struct ServerProbes {
-    rows: RefCell<BTreeMap<BackendId, Rc<Mutex<Option<ProbeResult>>>>>,
-}
-
-impl ServerProbes {
-    fn row(&self, server: &BackendId) -> Rc<Mutex<Option<ProbeResult>>> {
-        let mut rows = self.rows.borrow_mut();
-        Rc::clone(rows.entry(Arc::clone(server)).or_default())
-    }
-
-    /// Drops the probes of unknown servers.
-    pub fn retain<Known>(&self, is_known: Known)
-    where
-        Known: Fn(&BackendId) -> bool,
-    {
-        self.rows.borrow_mut().retain(|server, _| is_known(server));
-    }
-}
-
 /// Returns whether a server has ended: whether it refuses connections.
 pub async fn has_ended(gateway: &Gateway, target: &BackendEntry) -> bool {
     let row = gateway.server_probes.row(&target.id);
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -29,12 +29,11 @@
 use crate::grant_manager::{self, GrantManager};
 use crate::hosting;
 use crate::link_load::{self, LinkLoad};
-use crate::liveness::ReportCache;
 use crate::loan_client::{self, LoanClient};
 use crate::origin_notes::{self, NoteSender};
 use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
-use crate::server_ends::ServerProbes;
+use crate::server_cache::ServerCache;
 use crate::state::{Gateway, GatewayTables};
 use crate::stopping;
 use crate::store_access::{self, StoreAccess};
@@ -123,8 +122,8 @@
         failed_boards: RelayBackoff::default(),
         stale_boards: RelayBackoff::default(),
         hosted_relay: RefCell::new(None),
-        load_reports: ReportCache::default(),
-        server_probes: ServerProbes::default(),
+        load_reports: ServerCache::default(),
+        server_probes: ServerCache::default(),
         permit_failures: RefCell::default(),
         note_sender: NoteSender::default(),
         suspect_reporter: SuspectReporter::default(),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -28,12 +28,13 @@
 use crate::buffers::SharedBudget;
 use crate::grant_manager::GrantManager;
 use crate::link_load::LinkLoad;
-use crate::liveness::ReportCache;
+use crate::liveness::CachedReport;
 use crate::loan_client::LoanClient;
 use crate::origin_notes::NoteSender;
 use crate::relay_api::RelayApi;
 use crate::relay_client::RelayBackoff;
-use crate::server_ends::ServerProbes;
+use crate::server_cache::ServerCache;
+use crate::server_ends::ProbeResult;
 use crate::store_access::StoreAccess;
 use crate::suspect_reports::SuspectReporter;
 
@@ -115,9 +116,9 @@
     /// Relay hosted by this entry, if any.
     pub hosted_relay: RefCell<Option<Rc<RelayApi>>>,
     /// Recent load reports of servers.
-    pub load_reports: ReportCache,
+    pub load_reports: ServerCache<CachedReport>,
     /// Recent checks whether servers have ended.
-    pub server_probes: ServerProbes,
+    pub server_probes: ServerCache<ProbeResult>,
     /// Relays that did not respond to permit requests.
     pub permit_failures: RefCell<RelayFailures>,
     /// Sends the origins of streams to relays.
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -35,7 +35,7 @@
 /// Minimum time between two questions for a trial.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of notes kept for relays that start again.
-const MAX_KEPT_NOTES: usize = 1_024;
+const MAX_KEPT_NOTES: usize = 256;
 
 /// Messages to relays since the last line in the log.
 #[derive(Debug, Clone, Copy, Default)]
@@ -64,8 +64,11 @@
 }
 
 impl SuspectReporter {
-    /// Keeps a note for relays that start again.
+    /// Keeps a note for relays that start again, if it has suspects.
     fn keep_note(&self, note: &EndNote, now: Duration) {
+        if note.suspects.is_empty() {
+            return;
+        }
         let mut kept = self.kept.borrow_mut();
         if kept.len() >= MAX_KEPT_NOTES {
             kept.pop_front();
@@ -73,6 +76,15 @@
         kept.push_back((now, note.clone()));
     }
 
+    fn count_messages<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut MessageCounts),
+    {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
     /// Returns all kept notes as told now.
     fn kept_notes(&self, holds: &HoldTable, now: Duration) -> Vec<EndNote> {
         let kept = self.kept.borrow();
@@ -100,21 +112,22 @@
 
 /// Records that a request succeeded, and with it the parts of its prompt.
 pub fn record_success(gateway: &Gateway, plan: &RequestPlan<'_>) {
-    record_successes(gateway, plan.suspects.iter().copied());
+    record_successes(gateway, plan, plan.suspects.iter().copied());
 }
 
 /// Records that a response has gone on for some time, which clears the parts of the prompt.
 pub fn record_progress(gateway: &Gateway, plan: &RequestPlan<'_>) {
     let is_part = |key: &SuspectKey| matches!(key, SuspectKey::Part(_));
-    record_successes(gateway, plan.suspects.iter().copied().filter(is_part));
+    record_successes(gateway, plan, plan.suspects.iter().copied().filter(is_part));
 }
 
-fn record_successes<Keys>(gateway: &Gateway, keys: Keys)
+fn record_successes<Keys>(gateway: &Gateway, plan: &RequestPlan<'_>, keys: Keys)
 where
     Keys: Iterator<Item = SuspectKey>,
 {
     let now = gateway.now();
     let mut tables = gateway.tables.borrow_mut();
+    tables.holds.record_served(&plan.service, now);
     let held: Vec<SuspectKey> = keys.filter(|key| tables.holds.record_success(*key, now)).collect();
     drop(tables);
     if !held.is_empty() {
@@ -137,13 +150,13 @@
 
 /// Asks the first of the relays that keep the suspects whether one request with these may be tried.
 /// Without relays, this entry decides.
-pub async fn request_trial(gateway: &Gateway, keys: &TrialRequest) -> bool {
+pub async fn request_trial(gateway: &Gateway, suspects: &TrialRequest) -> bool {
     let Some(relay) = list_keepers(gateway).into_iter().next() else {
-        return gateway.tables.borrow_mut().holds.grant_trial(keys, gateway.now());
+        return gateway.tables.borrow_mut().holds.grant_trial(suspects, gateway.now());
     };
     let (path, timeout) = (TRIAL_PATH, REPORT_TIMEOUT);
     let asked =
-        relay_client::call_relay_anew(gateway, &relay.name, relay.address, path, keys, timeout);
+        relay_client::call_relay_anew(gateway, &relay.name, relay.address, path, suspects, timeout);
     asked.await.unwrap_or(false)
 }
 
@@ -192,10 +205,10 @@
         // The pooled connection may lead to a process that has ended.
         sent = relay_client::call_relay_anew(gateway, name, *address, path, report, timeout).await;
     }
-    let mut counts = gateway.suspect_reporter.counts.get();
-    counts.reports += 1;
-    counts.notes += report.ends.len();
-    gateway.suspect_reporter.counts.set(counts);
+    gateway.suspect_reporter.count_messages(|counts| {
+        counts.reports += 1;
+        counts.notes += report.ends.len();
+    });
     match &sent {
         Ok(reply) => apply_reply(gateway, relay, reply),
         Err(error) => {
@@ -226,13 +239,15 @@
     reporter.added.notify(1);
 }
 
-/// Logs at intervals how many messages about suspects this entry sent.
+/// Logs at intervals how many messages about suspects this entry sent, if there are any suspects.
 pub async fn log_messages(gateway: Rc<Gateway>) {
     loop {
         smol::Timer::after(LOG_INTERVAL).await;
         let MessageCounts { reports, notes, queries } = gateway.suspect_reporter.counts.take();
         let held = gateway.tables.borrow().holds.held_counts();
-        tracing::info!(event = "suspects_told", reports, notes, queries, held = ?held);
+        if reports > 0 || held.values().any(|count| *count > 0) {
+            tracing::info!(event = "suspects_told", reports, notes, queries, held = ?held);
+        }
     }
 }
 
@@ -255,9 +270,7 @@
     let LocatedRelay { name, address, .. } = relay;
     let known = gateway.tables.borrow().holds.known(name);
     let query = HoldQuery { known, wait: HOLD_WAIT };
-    let mut counts = gateway.suspect_reporter.counts.get();
-    counts.queries += 1;
-    gateway.suspect_reporter.counts.set(counts);
+    gateway.suspect_reporter.count_messages(|counts| counts.queries += 1);
     let timeout = HOLD_WAIT + HOLD_SLACK;
     let reply = relay_client::call_relay(gateway, name, *address, HOLD_PATH, &query, timeout).await;
     let reply = match reply {
--- a/toucanrail/src/holds.rs
+++ b/toucanrail/src/holds.rs
@@ -7,8 +7,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::endpoints::RelayName;
+use crate::ids::ServiceName;
 use crate::origin_keepers::ProcessNumber;
-use crate::suspects::{EndNote, HeldSuspect, SuccessTable, SuspectKey, SuspectTable};
+use crate::successes::SuccessTable;
+use crate::suspects::{EndNote, HeldSuspect, SuspectKey, SuspectTable};
 
 /// Time for which the word of a relay that no longer responds decides beside those of others.
 const WORD_TIME: Duration = Duration::from_secs(20);
@@ -42,7 +44,7 @@
     pub held: Vec<HeldSuspect>,
 }
 
-/// Suspects of a request, all of them held back, which an entry wants to try.
+/// Suspects of a request that is held back, which an entry wants to try.
 pub type TrialRequest = Vec<SuspectKey>;
 
 /// Which request is to be sent.
@@ -54,11 +56,9 @@
     Repeat,
 }
 
-/// Why a request is held back.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A request that is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestHold {
-    /// Those of its suspects that are held back.
-    pub keys: Vec<SuspectKey>,
     /// Time from which one such request may be tried; `None` if none is.
     pub trial_at: Option<Duration>,
 }
@@ -76,9 +76,9 @@
     fn new(suspect: &HeldSuspect, now: Duration) -> Self {
         Self {
             with: suspect.with.clone(),
-            starts_at: now + suspect.starts_in,
-            until: now + suspect.left,
-            trial_at: now + suspect.trial_in,
+            starts_at: now.saturating_add(suspect.starts_in),
+            until: now.saturating_add(suspect.left),
+            trial_at: now.saturating_add(suspect.trial_in),
         }
     }
 
@@ -108,6 +108,8 @@
     /// Time until which relays have been told what this entry has seen.
     told_until: Duration,
     successes: SuccessTable,
+    /// When a response of each service last went on.
+    served_at: BTreeMap<ServiceName, Duration>,
 }
 
 impl HoldTable {
@@ -130,6 +132,16 @@
         words.filter_map(|word| word.held.remove(&key)).count() > 0
     }
 
+    /// Records that a response of a service has gone on.
+    pub fn record_served(&mut self, service: &ServiceName, now: Duration) {
+        self.served_at.insert(Arc::clone(service), now);
+    }
+
+    /// Returns the time since a response of a service last went on.
+    pub fn served_age(&self, service: &str, now: Duration) -> Option<Duration> {
+        self.served_at.get(service).map(|at| now.saturating_sub(*at))
+    }
+
     /// Returns the time since this entry saw a success.
     pub fn success_age(&self, key: SuspectKey, now: Duration) -> Option<Duration> {
         self.successes.age(key, now)
@@ -138,8 +150,9 @@
     /// Returns a note as told `delay` after it was made, with what has succeeded since.
     pub fn renew_note(&self, note: &EndNote, delay: Duration, now: Duration) -> EndNote {
         let mut note = note.clone();
-        note.sent_ago += delay;
-        note.ended_ago += delay;
+        note.sent_ago = note.sent_ago.saturating_add(delay);
+        note.ended_ago = note.ended_ago.saturating_add(delay);
+        note.served_ago = note.served_ago.map(|ago| ago.saturating_add(delay));
         for suspect in &mut note.suspects {
             let known = suspect.succeeded_ago.map(|ago| ago + delay);
             suspect.succeeded_ago = self.successes.age(suspect.key, now).or(known);
@@ -255,8 +268,8 @@
     }
 
     /// Grants a trial by this entry's own word, where there is no relay.
-    pub fn grant_trial(&mut self, keys: &[SuspectKey], now: Duration) -> bool {
-        self.own.grant_trial(keys, now)
+    pub fn grant_trial(&mut self, suspects: &[SuspectKey], now: Duration) -> bool {
+        self.own.grant_trial(suspects, now)
     }
 
     /// Returns the suspects that are held back, by relay.
@@ -266,10 +279,7 @@
 }
 
 fn make_hold(rows: &[(SuspectKey, &WordRow)]) -> Option<RequestHold> {
-    let mut keys: Vec<SuspectKey> = rows.iter().map(|(key, _)| *key).collect();
-    keys.sort_unstable();
-    keys.dedup();
-    let may_try = keys.iter().all(|key| matches!(key, SuspectKey::Part(_)));
-    let trial_at = rows.iter().map(|(_, row)| row.trial_at).max().filter(|_| may_try);
-    (!keys.is_empty()).then_some(RequestHold { keys, trial_at })
+    let may_try = rows.iter().all(|(key, _)| matches!(key, SuspectKey::Part(_)));
+    let trial_at = rows.iter().map(|(_, row)| row.trial_at).max()?;
+    Some(RequestHold { trial_at: Some(trial_at).filter(|_| may_try) })
 }
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -95,6 +95,7 @@
 pub mod sse;
 pub mod statements;
 pub mod storecalls;
+pub mod successes;
 pub mod suspects;
 pub mod syncs;
 pub mod tenures;
--- a/toucanrail/src/suspects.rs
+++ b/toucanrail/src/suspects.rs
@@ -9,7 +9,8 @@
 //! A request is suspected of the ends at which it waited or its response had just begun, and so are
 //! the parts of its prompt; at a server that had begun responses to some of these, only the parts of
 //! those count. A verdict on a part needs ends under different requests, since one request may be at
-//! fault by itself, and counts no end at which several other servers ended too.
+//! fault by itself, and counts no end at which several other servers ended too. While nothing else is
+//! served either, it needs more of them: what is common to all requests stands in all ends.
 //!
 //! Entries tell what they see to relays, whose tables hold the ends that all entries have seen. Times
 //! travel as ages, since processes share no clock.
@@ -25,6 +26,8 @@
 
 /// Servers that may end under a suspect, one after the other, before it is held back.
 pub const MAX_ENDS: usize = 3;
+/// Ends that a verdict on a part needs while nothing else was served since the first of them.
+const MAX_UNPROVED_ENDS: usize = 8;
 /// Time for which a response must go on after its first event so that the request is not suspected,
 /// and the parts of its prompt have succeeded.
 pub const PROGRESS_TIME: Duration = Duration::from_millis(250);
@@ -36,8 +39,10 @@
 /// Time between the verdict on a part and its effect, in which entries that have seen the part succeed
 /// can say so.
 const PART_DELAY: Duration = Duration::from_millis(300);
-/// Time from the verdict on a part to the first trial with one request; doubles with each trial.
-const FIRST_TRIAL: Duration = Duration::from_secs(15);
+/// Time from the verdict to the first trial with one request, and from there to the next one, which
+/// doubles with each trial.
+const FIRST_TRIAL: Duration = Duration::from_secs(2);
+const NEXT_TRIAL: Duration = Duration::from_secs(15);
 /// Servers that end within this time of one another end together, and the number of other servers from
 /// which the end of one is no evidence against a part that they did not run.
 const TOGETHER_TIME: Duration = Duration::from_millis(30);
@@ -50,8 +55,6 @@
 const MAX_KEPT_ENDS: usize = 16;
 /// Contents that are kept of each end.
 const MAX_CONTENTS: usize = 8;
-/// Maximum number of successes in a table.
-const MAX_SUCCESSES: usize = 4_096;
 
 /// What may be at fault when a server ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -110,6 +113,8 @@
     pub sent_ago: Duration,
     /// Time since the end was seen.
     pub ended_ago: Duration,
+    /// Time since the entry last saw a response of the service go on.
+    pub served_ago: Option<Duration>,
     /// What may be at fault; nothing if the response had gone on.
     pub suspects: Vec<SuspectNote>,
 }
@@ -148,6 +153,8 @@
 struct SuspectRow {
     ends: Vec<SuspectEnd>,
     succeeded_at: Option<Duration>,
+    /// When another request of the service was last served.
+    served_at: Option<Duration>,
 }
 
 impl SuspectRow {
@@ -232,6 +239,7 @@
     ///         stage: RunStage::Waiting,
     ///         sent_ago: Duration::from_millis(30),
     ///         ended_ago: Duration::ZERO,
+    ///         served_ago: None,
     ///         suspects: vec![SuspectNote { key, succeeded_ago: None }],
     ///     };
     ///     assert_eq!(table.record_end(&note, at), at == Duration::from_secs(12));
@@ -250,6 +258,8 @@
             if let Some(ago) = succeeded_ago {
                 row.record_success(now.saturating_sub(*ago));
             }
+            let served_at = note.served_ago.map(|ago| now.saturating_sub(ago));
+            row.served_at = row.served_at.max(served_at);
             row.record_end(SuspectEnd {
                 process: note.process.clone(),
                 contents: vec![note.content],
@@ -319,18 +329,21 @@
         held.collect()
     }
 
-    /// Grants a trial of one request with these suspects, if all of them are held back and due.
-    pub fn grant_trial(&mut self, keys: &[SuspectKey], now: Duration) -> bool {
-        let is_due = |key: &SuspectKey| {
-            self.is_held(*key, now) && self.holds.get(key).is_some_and(|hold| now >= hold.trial_at)
-        };
-        if keys.is_empty() || !keys.iter().all(is_due) {
+    /// Grants a trial of one request with these suspects, if those that are held back are due and no
+    /// server has ended under another one: that would tell nothing of them.
+    pub fn grant_trial(&mut self, suspects: &[SuspectKey], now: Duration) -> bool {
+        let held = suspects.iter().copied().filter(|key| self.is_held(*key, now));
+        let held: Vec<SuspectKey> = held.collect();
+        let is_due =
+            |key: &SuspectKey| self.holds.get(key).is_some_and(|hold| now >= hold.trial_at);
+        let is_clean = |key: &SuspectKey| held.contains(key) || self.last_end(*key).is_none();
+        if held.is_empty() || !held.iter().all(is_due) || !suspects.iter().all(is_clean) {
             return false;
         }
-        for key in keys {
+        for key in &held {
             if let Some(hold) = self.holds.get_mut(key) {
+                hold.trial_at = now + NEXT_TRIAL * (1 << hold.trials.min(8));
                 hold.trials += 1;
-                hold.trial_at = now + FIRST_TRIAL * (1 << hold.trials.min(8));
             }
         }
         self.version += 1;
@@ -392,23 +405,26 @@
         row.is_some_and(|row| row.ends.iter().any(|end| end.process == *process))
     }
 
-    /// Returns the number of ends that count and followed one another; of a part, under different
-    /// requests.
-    fn chain_length(&self, key: SuspectKey) -> usize {
-        let ends = self.rows.get(&key).into_iter().flat_map(|row| &row.ends);
+    /// Returns whether enough servers have ended under a suspect, one after the other; of a part, under
+    /// different requests.
+    fn is_at_fault(&self, key: SuspectKey) -> bool {
+        let Some(row) = self.rows.get(&key) else {
+            return false;
+        };
         let is_part = matches!(key, SuspectKey::Part(_));
         let mut contents: BTreeSet<ContentKey> = BTreeSet::new();
-        let (mut length, mut last) = (0, None);
-        for end in ends.filter(|end| self.counts(key, end)) {
-            let follows = last.is_none_or(|last| end.sent_at >= last);
+        let mut chain = Vec::new();
+        for end in row.ends.iter().filter(|end| self.counts(key, end)) {
+            let follows = chain.last().is_none_or(|last| end.sent_at >= *last);
             let is_new = end.contents.iter().any(|content| !contents.contains(content));
             if follows && (is_new || !is_part) {
-                length += 1;
-                last = Some(end.ended_at);
+                chain.push(end.ended_at);
                 contents.extend(&end.contents);
             }
         }
-        length
+        let others_served = chain.first().is_some_and(|first| row.served_at > Some(*first));
+        let needed = if is_part && !others_served { MAX_UNPROVED_ENDS } else { MAX_ENDS };
+        chain.len() >= needed
     }
 
     /// Returns the other held parts that stood in all ends of a part.
@@ -434,7 +450,7 @@
     fn update_holds(&mut self, keys: &[SuspectKey], now: Duration) -> bool {
         let mut changed = false;
         for key in keys {
-            let is_held = self.chain_length(*key) >= MAX_ENDS;
+            let is_held = self.is_at_fault(*key);
             if is_held && !self.holds.contains_key(key) {
                 let (starts_at, trial_at) = (now + key.delay(), now + FIRST_TRIAL);
                 self.holds.insert(*key, HoldRow { starts_at, trial_at, trials: 0 });
@@ -474,37 +490,3 @@
         self.holds.retain(|key, _| rows.contains_key(key));
     }
 }
-
-/// When an entry last saw possible suspects succeed.
-#[derive(Debug, Default)]
-pub struct SuccessTable {
-    rows: BTreeMap<SuspectKey, Duration>,
-}
-
-impl SuccessTable {
-    /// Records a success.
-    pub fn record(&mut self, key: SuspectKey, now: Duration) {
-        self.rows.insert(key, now);
-        if self.rows.len() > MAX_SUCCESSES {
-            let mut times: Vec<Duration> = self.rows.values().copied().collect();
-            times.sort_unstable();
-            let median = times[times.len() / 2];
-            self.rows.retain(|_, at| *at > median);
-        }
-    }
-
-    /// Returns the time since the last success, if there was one.
-    ///
-    /// # Examples
-    /// ```
-    /// use std::time::Duration;
-    /// use toucanrail::suspects::{SuccessTable, SuspectKey};
-    /// let mut table = SuccessTable::default();
-    /// table.record(SuspectKey::Content(7), Duration::from_secs(1));
-    /// let age = table.age(SuspectKey::Content(7), Duration::from_secs(3));
-    /// assert_eq!(age, Some(Duration::from_secs(2)));
-    /// ```
-    pub fn age(&self, key: SuspectKey, now: Duration) -> Option<Duration> {
-        self.rows.get(&key).map(|at| now.saturating_sub(*at))
-    }
-}
