--- a/toucanrail/examples/message_sizes.rs
+++ b/toucanrail/examples/message_sizes.rs
@@ -2,12 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use toucanrail::budgets::{BillRow, BilledRun, BudgetShard};
 use toucanrail::catalogue::{CustomerEntry, ServiceClass};
+use toucanrail::holds::{HoldQuery, HoldReply};
 use toucanrail::messages::{LoadReport, MirrorQuery};
 use toucanrail::servers::{NodeEntry, NodeRole};
+use toucanrail::statements::ServerProcess;
 use toucanrail::storecalls;
+use toucanrail::suspects::{EndNote, HeldSuspect, RunStage, SuspectKey, SuspectNote};
 
 /// Size of the HTTP heads of a call between processes, request and response together, including the
 /// signature, in bytes.
@@ -20,7 +24,45 @@
     rmp_serde::to_vec_named(message).map_or(0, |bytes| bytes.len())
 }
 
+/// Returns a note of a server that ended under a request with three shared parts.
+fn end_note() -> EndNote {
+    let millis = Duration::from_millis;
+    let keys = (1..=3).map(|part| SuspectKey::Part(u64::MAX - part));
+    let keys = keys.chain([SuspectKey::Content(u64::MAX)]);
+    EndNote {
+        process: ServerProcess { id: Arc::from("i-56f208e07c"), started_at: 1 << 40 },
+        content: u64::MAX,
+        stage: RunStage::Writing,
+        sent_ago: millis(1_234),
+        ended_ago: millis(3),
+        served_ago: Some(millis(12)),
+        suspects: keys.map(|key| SuspectNote { key, succeeded_ago: Some(millis(345)) }).collect(),
+    }
+}
+
+fn print_suspects() {
+    println!("note of a server's end: {} bytes", encoded_size(&end_note()));
+    let held = |key| HeldSuspect {
+        key,
+        with: Vec::new(),
+        since: Duration::from_millis(1_234),
+        starts_in: Duration::ZERO,
+        left: Duration::from_millis(298_766),
+        trial_in: Duration::from_millis(1_766),
+    };
+    let list = |count| HoldReply {
+        process: u64::MAX,
+        version: 12,
+        held: (0..count).map(|part| held(SuspectKey::Part(u64::MAX - part))).collect(),
+    };
+    let query = HoldQuery { known: Some((u64::MAX, 12)), wait: Duration::from_secs(8) };
+    println!("query of what is held back: {} bytes", encoded_size(&query) + HEADS);
+    println!("reply, nothing held back: {} bytes", encoded_size(&list(0)));
+    println!("each suspect held back: {} bytes", encoded_size(&list(1)) - encoded_size(&list(0)));
+}
+
 fn main() {
+    print_suspects();
     let name = |text: &str| -> Arc<str> { Arc::from(text) };
     let address = SocketAddr::from(([10, 1, 2, 3], 7101));
     let query = MirrorQuery { address: Some(address), catalogue: 1 << 40, nodes: 1 << 40 };
