--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -1,5 +1,5 @@
-//! Reports of the requests under which servers ended, which an entry sends to relays, and the word of
-//! the relays on what is held back.
+//! Reports of the requests under which servers ended, which an entry sends to relays, and the replies
+//! of the relays about what is held back.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -92,8 +92,8 @@
     }
 }
 
-/// Records that a server ended under a request. Returns once the relays have been told, so that the
-/// word of all of them decides what follows.
+/// Records that a server ended under a request. Returns once the relays have replied, so that what
+/// follows takes the ends into account that other entries have seen.
 pub async fn report_end(gateway: &Gateway, note: EndNote) {
     let now = gateway.now();
     gateway.tables.borrow_mut().holds.record_end(&note, now);
@@ -219,7 +219,7 @@
     sent.is_ok()
 }
 
-/// Applies a relay's word. Tells the relays of suspects that have succeeded here, and a relay that is
+/// Applies a relay's reply. Tells the relays of suspects that have succeeded here, and a relay that is
 /// new to this entry of all ends that it has seen.
 fn apply_reply(gateway: &Gateway, relay: &LocatedRelay, reply: &HoldReply) {
     let now = gateway.now();
--- a/toucanrail/src/holds.rs
+++ b/toucanrail/src/holds.rs
@@ -12,8 +12,8 @@
 use crate::successes::SuccessTable;
 use crate::suspects::{EndNote, HeldSuspect, SuspectKey, SuspectTable};
 
-/// Time for which the word of a relay that no longer responds decides beside those of others.
-const WORD_TIME: Duration = Duration::from_secs(20);
+/// Age up to which the last reply of a relay counts beside newer ones of others.
+const MAX_REPLY_AGE: Duration = Duration::from_secs(20);
 
 /// What an entry tells a relay about suspects.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,14 +65,14 @@
 
 /// One suspect that a relay holds back.
 #[derive(Debug)]
-struct WordRow {
+struct SuspectHold {
     with: Vec<SuspectKey>,
     starts_at: Duration,
     until: Duration,
     trial_at: Duration,
 }
 
-impl WordRow {
+impl SuspectHold {
     fn new(suspect: &HeldSuspect, now: Duration) -> Self {
         Self {
             with: suspect.with.clone(),
@@ -93,17 +93,17 @@
 }
 
 #[derive(Debug)]
-struct RelayWord {
+struct RelayHolds {
     heard_at: Duration,
     process: ProcessNumber,
     version: u64,
-    held: BTreeMap<SuspectKey, WordRow>,
+    held: BTreeMap<SuspectKey, SuspectHold>,
 }
 
 /// What relays have told an entry about suspects, and what it has seen itself.
 #[derive(Debug, Default)]
 pub struct HoldTable {
-    words: BTreeMap<RelayName, RelayWord>,
+    replies: BTreeMap<RelayName, RelayHolds>,
     own: SuspectTable,
     /// Time until which relays have been told what this entry has seen.
     told_until: Duration,
@@ -128,8 +128,8 @@
     pub fn record_success(&mut self, key: SuspectKey, now: Duration) -> bool {
         self.successes.record(key, now);
         self.own.record_success(key, Duration::ZERO, now);
-        let words = self.words.values_mut();
-        words.filter_map(|word| word.held.remove(&key)).count() > 0
+        let replies = self.replies.values_mut();
+        replies.filter_map(|holds| holds.held.remove(&key)).count() > 0
     }
 
     /// Records that a response of a service has gone on.
@@ -154,7 +154,7 @@
         note.ended_ago = note.ended_ago.saturating_add(delay);
         note.served_ago = note.served_ago.map(|ago| ago.saturating_add(delay));
         for suspect in &mut note.suspects {
-            let known = suspect.succeeded_ago.map(|ago| ago + delay);
+            let known = suspect.succeeded_ago.map(|ago| ago.saturating_add(delay));
             suspect.succeeded_ago = self.successes.age(suspect.key, now).or(known);
         }
         note
@@ -199,19 +199,19 @@
             match self.successes.age(suspect.key, now).filter(|age| *age < suspect.since) {
                 Some(age) => succeeded.push((suspect.key, age)),
                 None => {
-                    held.insert(suspect.key, WordRow::new(suspect, now));
+                    held.insert(suspect.key, SuspectHold::new(suspect, now));
                 }
             }
         }
         let HoldReply { process, version, .. } = *reply;
-        let word = RelayWord { heard_at: now, process, version, held };
-        self.words.insert(Arc::clone(relay), word);
+        let holds = RelayHolds { heard_at: now, process, version, held };
+        self.replies.insert(Arc::clone(relay), holds);
         succeeded
     }
 
     /// Returns the process and the version of a relay's last reply.
     pub fn known(&self, relay: &RelayName) -> Option<(ProcessNumber, u64)> {
-        self.words.get(relay).map(|word| (word.process, word.version))
+        self.replies.get(relay).map(|holds| (holds.process, holds.version))
     }
 
     /// Returns whether a request with these suspects is held back, and why.
@@ -228,19 +228,19 @@
         told.or_else(|| self.find_untold(suspects, scope, now))
     }
 
-    /// Looks for a hold in the words of the relays that responded lately, or of all if none did.
+    /// Looks for a hold in the last replies of the relays that responded lately, or of all if none did.
     fn find_told(
         &self,
         suspects: &[SuspectKey],
         scope: HoldScope,
         now: Duration,
     ) -> Option<RequestHold> {
-        let is_current = |word: &RelayWord| now.saturating_sub(word.heard_at) < WORD_TIME;
-        let any_current = self.words.values().any(is_current);
-        let words = self.words.values().filter(|word| !any_current || is_current(word));
+        let is_current = |holds: &RelayHolds| now.saturating_sub(holds.heard_at) < MAX_REPLY_AGE;
+        let any_current = self.replies.values().any(is_current);
+        let replies = self.replies.values().filter(|holds| !any_current || is_current(holds));
         let mut rows = Vec::new();
-        for word in words {
-            let held = suspects.iter().filter_map(|key| Some((*key, word.held.get(key)?)));
+        for holds in replies {
+            let held = suspects.iter().filter_map(|key| Some((*key, holds.held.get(key)?)));
             rows.extend(held.filter(|(_, row)| row.applies_to(suspects, scope, now)));
         }
         make_hold(&rows)
@@ -258,27 +258,27 @@
             return None;
         }
         let held = self.own.held(now);
-        let rows: Vec<(SuspectKey, WordRow)> = held
+        let rows: Vec<(SuspectKey, SuspectHold)> = held
             .iter()
             .filter(|suspect| suspects.contains(&suspect.key) && is_untold(&suspect.key))
-            .map(|suspect| (suspect.key, WordRow::new(suspect, now)))
+            .map(|suspect| (suspect.key, SuspectHold::new(suspect, now)))
             .collect();
         let applying = rows.iter().filter(|(_, row)| row.applies_to(suspects, scope, now));
         make_hold(&applying.map(|(key, row)| (*key, row)).collect::<Vec<_>>())
     }
 
-    /// Grants a trial by this entry's own word, where there is no relay.
+    /// Grants a trial by what this entry has seen itself, where there is no relay.
     pub fn grant_trial(&mut self, suspects: &[SuspectKey], now: Duration) -> bool {
         self.own.grant_trial(suspects, now)
     }
 
     /// Returns the suspects that are held back, by relay.
     pub fn held_counts(&self) -> BTreeMap<RelayName, usize> {
-        self.words.iter().map(|(relay, word)| (Arc::clone(relay), word.held.len())).collect()
+        self.replies.iter().map(|(relay, holds)| (Arc::clone(relay), holds.held.len())).collect()
     }
 }
 
-fn make_hold(rows: &[(SuspectKey, &WordRow)]) -> Option<RequestHold> {
+fn make_hold(rows: &[(SuspectKey, &SuspectHold)]) -> Option<RequestHold> {
     let may_try = rows.iter().all(|(key, _)| matches!(key, SuspectKey::Part(_)));
     let trial_at = rows.iter().map(|(_, row)| row.trial_at).max()?;
     Some(RequestHold { trial_at: Some(trial_at).filter(|_| may_try) })
