One call to relays that is made again on a new connection

The same lines stood three times: for notes of origins, reports of suspects and questions for what is held back. A call on a pooled connection may lead to a process that has ended, and is made once more on a new one unless it timed out; call_relay_again does that for all three now. A flag and two log lines are worded and wrapped better. No change of behaviour; found on reading the whole change again.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -341,9 +341,9 @@
         }
         tracing::info!(
             event = "ended_under_request", request = %self.plan.info.id,
-            content = %format_args!("{:016x}", self.plan.content), server = %target.id, started_at = target.started_at,
-            stage = ?self.stream.stage(), progressed, last_event = self.stream.last_event(),
-            parts = %self.list_parts(),
+            content = %format_args!("{:016x}", self.plan.content), server = %target.id,
+            started_at = target.started_at, stage = ?self.stream.stage(), progressed,
+            last_event = self.stream.last_event(), parts = %self.list_parts(),
         );
         let now = self.gateway.now();
         let note = EndNote {
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -148,8 +148,8 @@
     /// Events of earlier attempts.
     earlier_events: u64,
     tokens_per_event: Tokens,
-    /// Whether it is known that the prompt's parts let a server write.
-    progress_told: bool,
+    /// Whether it was recorded that this response has gone on.
+    progress_recorded: bool,
 }
 
 impl StreamProgress {
@@ -161,7 +161,7 @@
             detector: SilenceDetector::default(),
             earlier_events: stream.scanner.count,
             tokens_per_event: tables.routes.tokens_per_event(&context.plan.service),
-            progress_told: false,
+            progress_recorded: false,
         }
     }
 
@@ -186,8 +186,8 @@
         self.last_event_at = Instant::now();
         flight.record_response_start();
         stream.attempt_begun_at.get_or_insert(self.last_event_at);
-        if !self.progress_told && stream.has_progressed() {
-            self.progress_told = true;
+        if !self.progress_recorded && stream.has_progressed() {
+            self.progress_recorded = true;
             suspect_reports::record_progress(context.gateway, context.plan);
         }
         if stream.origin.is_none() {
--- a/toucanrail-gateway/src/origin_notes.rs
+++ b/toucanrail-gateway/src/origin_notes.rs
@@ -133,14 +133,8 @@
 async fn call_with_notes(gateway: &Gateway, batch: &NoteBatch) -> io::Result<ProcessNumber> {
     let LocatedRelay { name, address, .. } = &batch.relay;
     let report = OriginReport { notes: batch.notes.clone(), versions: make_statements(gateway) };
-    let timeout = SEND_TIMEOUT;
-    match relay_client::call_relay(gateway, name, *address, NOTE_PATH, &report, timeout).await {
-        Err(error) if error.kind() != io::ErrorKind::TimedOut => {
-            let path = NOTE_PATH;
-            relay_client::call_relay_anew(gateway, name, *address, path, &report, timeout).await
-        }
-        sent => sent,
-    }
+    let (path, timeout) = (NOTE_PATH, SEND_TIMEOUT);
+    relay_client::call_relay_again(gateway, name, *address, path, &report, timeout).await
 }
 
 /// Returns what this entry knows of the servers' versions; nothing if it may lack changes.
--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -109,6 +109,28 @@
     call_on(gateway, relay, connection, path, message, timeout).await
 }
 
+/// Calls a relay, on a pooled connection if there is one, and once more on a new connection if that
+/// fails other than by its timeout: it may have led to a process that has ended.
+pub async fn call_relay_again<Message, Reply>(
+    gateway: &Gateway,
+    relay: &Arc<str>,
+    address: SocketAddr,
+    path: &str,
+    message: &Message,
+    timeout: Duration,
+) -> io::Result<Reply>
+where
+    Message: Serialize,
+    Reply: DeserializeOwned,
+{
+    match call_relay(gateway, relay, address, path, message, timeout).await {
+        Err(error) if error.kind() != io::ErrorKind::TimedOut => {
+            call_relay_anew(gateway, relay, address, path, message, timeout).await
+        }
+        result => result,
+    }
+}
+
 async fn call_on<Message, Reply>(
     gateway: &Gateway,
     relay: &Arc<str>,
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -200,11 +200,7 @@
 async fn send_report(gateway: &Gateway, relay: &LocatedRelay, report: &SuspectReport) -> bool {
     let LocatedRelay { name, address, .. } = relay;
     let (path, timeout) = (SUSPECT_PATH, REPORT_TIMEOUT);
-    let mut sent = relay_client::call_relay(gateway, name, *address, path, report, timeout).await;
-    if sent.as_ref().is_err_and(|error| error.kind() != io::ErrorKind::TimedOut) {
-        // The pooled connection may lead to a process that has ended.
-        sent = relay_client::call_relay_anew(gateway, name, *address, path, report, timeout).await;
-    }
+    let sent = relay_client::call_relay_again(gateway, name, *address, path, report, timeout).await;
     gateway.suspect_reporter.count_messages(|counts| {
         counts.reports += 1;
         counts.notes += report.ends.len();
@@ -271,15 +267,9 @@
     let known = gateway.tables.borrow().holds.known(name);
     let query = HoldQuery { known, wait: HOLD_WAIT };
     gateway.suspect_reporter.count_messages(|counts| counts.queries += 1);
-    let timeout = HOLD_WAIT + HOLD_SLACK;
-    let reply = relay_client::call_relay(gateway, name, *address, HOLD_PATH, &query, timeout).await;
-    let reply = match reply {
-        Err(error) if error.kind() != io::ErrorKind::TimedOut => {
-            let path = HOLD_PATH;
-            relay_client::call_relay_anew(gateway, name, *address, path, &query, timeout).await?
-        }
-        reply => reply?,
-    };
+    let (path, timeout) = (HOLD_PATH, HOLD_WAIT + HOLD_SLACK);
+    let reply =
+        relay_client::call_relay_again(gateway, name, *address, path, &query, timeout).await?;
     apply_reply(gateway, relay, &reply);
     Ok(())
 }
