Test processes keep their ports to themselves while they live

A caller's connection was answered by "404 Not Found" without any header field: no gateway answers a caller so, only its readiness endpoint does.

Cause: a test program had 100 ports and went round in them; a process takes 5 and up to 40 live at a time. A port was taken for free if nothing listened on it, so two processes that had not bound yet got the same one, and so did a process that another one's restart had left for a moment. One of the two exits, and its test goes on with the other's process.

Ruled out: the gateway's answer (no caller's path leads to a bare 404), and load (the runs were alone on the machine).

Change: a process has a lease of five consecutive ports until it is dropped, so also while it restarts; a program has 500 ports, 40 programs at a time.

Conclusion: the fault was in the tests' stand-in.

--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -6,18 +6,20 @@
 #![allow(dead_code)]
 
 pub mod crashes;
+mod ports;
 pub mod proxies;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
-use std::sync::{Arc, LazyLock, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use self::ports::PortLease;
 use self::proxies::Proxy;
 use serde_json::{Value, json};
 
@@ -29,45 +31,6 @@
 /// API key of the customer `acme`.
 pub const KEY: &str = "acme-key";
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// Number of ports of one test program, and the first port of all programs. They lie below the
-/// kernel's range of ephemeral ports: a port in that range was sometimes taken by an outgoing
-/// connection between being chosen and being used.
-const PORT_COUNT: u16 = 100;
-const PORT_BASE: u16 = 10_000;
-/// Number of test programs with disjoint port ranges.
-const PORT_BLOCKS: u32 = 200;
-
-/// Number of consecutive ports on which one process is reached by other processes.
-const INTERNAL_PORTS: u16 = 3;
-
-/// The first port of this program's range, and the socket that keeps other programs from using the
-/// same range.
-///
-/// Two programs with the same range could take each other's processes for their own: both find a
-/// port free, one of their gateways cannot bind it and exits, and its test goes on with the
-/// other's.
-static PORT_RANGE: LazyLock<(UdpSocket, u16)> = LazyLock::new(|| {
-    let first = std::process::id() % PORT_BLOCKS;
-    let blocks = (first..PORT_BLOCKS).chain(0..first);
-    let bases = blocks.map(|block| PORT_BASE + block as u16 * PORT_COUNT);
-    let reserve = |base: u16| Some((UdpSocket::bind(("127.0.0.1", base)).ok()?, base));
-    bases.into_iter().find_map(reserve).expect("a range of ports")
-});
-
-/// Returns the first of `count` consecutive ports on which nothing listens.
-fn free_ports(count: u16) -> u16 {
-    loop {
-        let (_, base) = &*PORT_RANGE;
-        let port = base + NEXT_PORT.fetch_add(count, Ordering::Relaxed) % (PORT_COUNT - count);
-        let free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
-        if (port..port + count).all(free) {
-            return port;
-        }
-    }
-}
-
 /// Serves each connection to a new loopback port in a thread of its own. Returns the address.
 fn spawn_server<Handler>(handler: Handler) -> SocketAddr
 where
@@ -568,6 +531,7 @@
     /// The address that the process opens last.
     last_address: SocketAddr,
     settings: PathBuf,
+    _ports: PortLease,
 }
 
 /// Settings that turn on evacuations and limits for cold servers.
@@ -664,8 +628,9 @@
         app: Option<SocketAddr>,
         extra_bounds: &str,
     ) -> Self {
-        let port = || SocketAddr::from(([127, 0, 0, 1], free_ports(1)));
-        let (callers, readiness, internal_port) = (port(), port(), free_ports(INTERNAL_PORTS));
+        let ports = PortLease::take();
+        let [callers, readiness, internal] = [0, 1, 2].map(|index| ports.address(index));
+        let internal_port = internal.port();
         let app = app.map_or(String::new(), |app| format!("app = \"{app}\"\n"));
         let text = format!(
             "{app}node = \"{vm}\"\nzone = \"a\"\nip = \"127.0.0.1\"\ninternal_ports = [{internal_port}, {}]\n\
@@ -684,7 +649,7 @@
         // entries.
         let last_port = internal_port + u16::from(program.ends_with("relay"));
         let last_address = SocketAddr::from(([127, 0, 0, 1], last_port));
-        Self { program, child, callers, readiness, last_address, settings }
+        Self { program, child, callers, readiness, last_address, settings, _ports: ports }
     }
 
     fn spawn(program: &str, settings: &Path) -> Child {
