Token counts that cannot be read are refused, and held budgets are exact

Counts that could not be parsed, two fields of them, and a request for a model without any held nothing at all, and ran.

Cause: what cannot be read was taken for absent, and what is absent for free; arithmetic on numbers from outside was not checked. Class: a decoder that cannot say that a value is wrong.

Evidence: token_counts, before: 3 of 5 fail (200 where 400 is expected; the gateway ends with "attempt to add with overflow").

Change: counts are decimal and at most 2^40, bounded where they are decoded; malformed or repeated counts, and counts that are missing although the customer has a budget and a model is named, are a 400 (2001) with the field's name, not run. What a request uses at most is one function of the decoded prompt; parts' sizes have the same bound.

After: token_counts passes 5 of 5.

Ruled out: that the store's side refuses such a hold; it never sees it.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -13,6 +13,7 @@
 use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail::suspects::SuspectKey;
+use toucanrail_platform::names;
 use toucanrail_platform::requests::{self, RequestInfo};
 use toucanrail_wire::heads::RequestHead;
 
@@ -51,11 +52,24 @@
     pub code: ResultCode,
     /// When the caller should retry, if retrying can help.
     pub retry_after: Option<Duration>,
+    /// Name of the header field that is the cause.
+    pub field: Option<&'static str>,
+}
+
+impl AdmissionRefusal {
+    /// Creates a refusal of a request that can succeed after a time.
+    pub fn with_retry(code: ResultCode, wait: Duration) -> Self {
+        Self { retry_after: Some(wait), ..Self::from(code) }
+    }
+
+    fn with_field(code: ResultCode, name: &'static str) -> Self {
+        Self { field: Some(name), ..Self::from(code) }
+    }
 }
 
 impl From<ResultCode> for AdmissionRefusal {
     fn from(code: ResultCode) -> Self {
-        Self { code, retry_after: None }
+        Self { code, retry_after: None, field: None }
     }
 }
 
@@ -76,13 +90,14 @@
             tracing::info!(
                 event = "refused", request = %info.id, code = refusal.code.number(),
                 reason = refusal.code.row().name, path = head.path(), config = version,
-                store_age_ms = age.as_millis() as u64,
+                store_age_ms = age.as_millis() as u64, field = refusal.field,
             );
             gateway.metrics.count_result(refusal.code);
             // The next request on this keep-alive connection would also reach an isolated entry.
             writer.close |= gateway.is_isolated();
-            let details =
+            let mut details =
                 responding::make_refusal(refusal.code, RunState::NotRun, refusal.retry_after);
+            details.field = refusal.field;
             // The caller may have disconnected; then nobody needs the refusal.
             writer.send_refusal(&details).ok();
         }
@@ -97,6 +112,7 @@
 ) -> Result<RequestPlan<'request>, AdmissionRefusal> {
     let info = requests::parse_request(head);
     let (route, customer) = match_route(gateway, head, &info)?;
+    check_token_counts(&info, customer.as_deref())?;
     check_stopping(gateway, route.timeout)?;
     let origin = if route.kind.is_stream() && info.takes_up_stream {
         Some(origin_search::find_origin(gateway, &info, &route).await?)
@@ -140,6 +156,17 @@
     Ok(plan)
 }
 
+/// Refuses a request whose token counts are malformed, or missing although a budget is held by them.
+fn check_token_counts(
+    info: &RequestInfo,
+    customer: Option<&CustomerProfile>,
+) -> Result<(), AdmissionRefusal> {
+    let has_budget = customer.is_some_and(|customer| customer.prepaid.is_some());
+    let is_missing = has_budget && info.is_for_model && info.prompt.is_none();
+    let name = info.malformed_field.or(is_missing.then_some(names::TOKENS_HEADER));
+    name.map_or(Ok(()), |name| Err(AdmissionRefusal::with_field(codetable::BAD_REQUEST, name)))
+}
+
 /// While the entry is stopping, refuses requests that may not finish within the grace period.
 fn check_stopping(gateway: &Gateway, timeout: Duration) -> Result<(), AdmissionRefusal> {
     let Some(stop_requested) = gateway.stop_requested.get() else {
@@ -150,7 +177,7 @@
     if fits && !gateway.admission_closed.get() {
         return Ok(());
     }
-    Err(AdmissionRefusal { code: codetable::STOPPING, retry_after: Some(grace + RESTART_DELAY) })
+    Err(AdmissionRefusal::with_retry(codetable::STOPPING, grace + RESTART_DELAY))
 }
 
 /// Returns what is suspected if servers end under a request.
@@ -177,7 +204,7 @@
 fn refuse_held(gateway: &Gateway, plan: &RequestPlan<'_>) -> AdmissionRefusal {
     gateway.metrics.count_event("requests_held_back");
     let wait = retry_delays::pick_delay(RefusalCause::HeldBack, plan.time_left(), fastrand::f64());
-    AdmissionRefusal { code: codetable::HELD_BACK, retry_after: Some(wait) }
+    AdmissionRefusal::with_retry(codetable::HELD_BACK, wait)
 }
 
 /// Refuses a request at once if the servers cannot start it in time.
@@ -189,7 +216,7 @@
         return Ok(());
     }
     let wait = retry_delays::pick_delay(RefusalCause::Overload, timeout, fastrand::f64());
-    Err(AdmissionRefusal { code: codetable::OVERLOADED, retry_after: Some(wait) })
+    Err(AdmissionRefusal::with_retry(codetable::OVERLOADED, wait))
 }
 
 fn match_route(
@@ -199,13 +226,13 @@
 ) -> Result<(Arc<RouteRule>, Option<Arc<CustomerProfile>>), AdmissionRefusal> {
     let tables = gateway.tables.borrow();
     let left = info.timeout.unwrap_or(Duration::MAX);
-    let wait = Some(retry_delays::pick_delay(RefusalCause::Uninformed, left, fastrand::f64()));
+    let wait = retry_delays::pick_delay(RefusalCause::Uninformed, left, fastrand::f64());
     if tables.routes.version() == 0 {
-        return Err(AdmissionRefusal { code: codetable::STORE_UNAVAILABLE, retry_after: wait });
+        return Err(AdmissionRefusal::with_retry(codetable::STORE_UNAVAILABLE, wait));
     }
     let unknown = |code: ResultCode| {
         if gateway.store.time_since_response() > STALE_STORE_AGE {
-            return AdmissionRefusal { code: codetable::STORE_UNAVAILABLE, retry_after: wait };
+            return AdmissionRefusal::with_retry(codetable::STORE_UNAVAILABLE, wait);
         }
         AdmissionRefusal::from(code)
     };
@@ -237,7 +264,7 @@
         request: &plan.info.id,
         service: &plan.service,
         prompt_tokens: prompt.prompt_tokens,
-        max_output: prompt.max_output,
+        max_usage: prompt.max_usage(),
         rank: plan.urgency,
         time_left: plan.time_left(),
     };
@@ -245,7 +272,7 @@
     if let Err(failure) = &reserved {
         tracing::info!(
             event = "budget_refused", request = %need.request, customer = %need.customer,
-            prompt = need.prompt_tokens, output = need.max_output, stated = need.prepaid_total, failure = ?failure,
+            prompt = need.prompt_tokens, max_usage = need.max_usage, stated = need.prepaid_total, failure = ?failure,
         );
     }
     reserved.map(Some).map_err(|failure| match failure {
@@ -255,7 +282,7 @@
                 && !gateway.loan_client.lenders_unreachable.get();
             let cause = if is_outage { RefusalCause::Outage } else { RefusalCause::Unconfirmed };
             let wait = retry_delays::pick_delay(cause, plan.time_left(), fastrand::f64());
-            AdmissionRefusal { code: codetable::BUDGET_UNCONFIRMED, retry_after: Some(wait) }
+            AdmissionRefusal::with_retry(codetable::BUDGET_UNCONFIRMED, wait)
         }
     })
 }
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -96,8 +96,8 @@
     pub service: &'request ServiceName,
     /// Prompt tokens.
     pub prompt_tokens: Tokens,
-    /// Maximum number of output tokens.
-    pub max_output: Tokens,
+    /// Maximum tokens of prompt and output together.
+    pub max_usage: Tokens,
     /// Urgency rank; 0 is the most urgent.
     pub rank: u8,
     /// Time left until the request's deadline.
@@ -110,7 +110,7 @@
     gateway: &Rc<Gateway>,
     need: &BudgetNeed<'_>,
 ) -> Result<BudgetGuard, HoldFailure> {
-    let amount = need.prompt_tokens + need.max_output;
+    let amount = need.max_usage;
     let source = if let Some(loaned) = request_loan(gateway, need, amount).await {
         loaned?
     } else {
@@ -317,14 +317,14 @@
 
     /// Adds output tokens that were received from a backend server.
     pub fn add_output_tokens(&self, tokens: Tokens) {
-        self.output.set(self.output.get() + tokens);
+        self.output.set(self.output.get().saturating_add(tokens));
     }
 
     /// Returns the tokens to bill: the prompt if a server may have processed it, plus the output.
     /// The server limits the output to what the caller asked for.
     pub fn used(&self) -> Tokens {
         let prompt = if self.may_have_run.get() { self.prompt } else { 0 };
-        (prompt + self.output.get()).min(self.amount)
+        prompt.saturating_add(self.output.get()).min(self.amount)
     }
 }
 
--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -68,7 +68,7 @@
     gateway.metrics.count_event("streams_not_taken_up");
     let left = info.timeout.unwrap_or(route.timeout);
     let wait = retry_delays::pick_delay(cause, left, fastrand::f64());
-    Err(AdmissionRefusal { code, retry_after: Some(wait) })
+    Err(AdmissionRefusal::with_retry(code, wait))
 }
 
 async fn search_origin(
--- a/toucanrail-wire/src/heads.rs
+++ b/toucanrail-wire/src/heads.rs
@@ -80,6 +80,11 @@
         self.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value)
     }
 
+    /// Returns whether a field occurs more than once.
+    pub fn is_repeated(&self, name: &str) -> bool {
+        self.iter().filter(|(known, _)| known.eq_ignore_ascii_case(name)).count() > 1
+    }
+
     /// Returns the fields that are forwarded to the next connection: neither hop-by-hop fields nor
     /// those that `Connection` names.
     pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &str)> {
--- a/toucanrail-wire/src/responses.rs
+++ b/toucanrail-wire/src/responses.rs
@@ -26,7 +26,7 @@
     pub retry_after: Option<Duration>,
     /// Detail that follows the code's message; may be empty.
     pub detail: String,
-    /// The invalid field of the caller's body.
+    /// The invalid field of the caller's body or head.
     pub field: Option<&'static str>,
 }
 
@@ -57,7 +57,7 @@
         self
     }
 
-    /// Names the invalid field of the caller's body.
+    /// Names the invalid field of the caller's body or head.
     #[must_use]
     pub fn field(mut self, name: &'static str) -> Self {
         self.field = Some(name);
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -100,6 +100,7 @@
 pub mod syncs;
 pub mod tenures;
 pub mod timeouts;
+pub mod token_counts;
 pub mod traces;
 pub mod usages;
 pub mod version_history;
