Sums of tokens do not wrap, and a bill takes no more than its hold

What could happen: a server that reports more usage than the hold of its request made a bill that its grant did not cover. The account's burn rate became 1.8e19 tokens a second (a build with overflow checks ended), and the shard skipped the row, so that the request was never billed. Totals near the type's limit, from an operator or the store, wrapped, and an account looked empty of commitments.

Cause: plain operators on amounts that come from outside. Class: arithmetic on amounts of money whose operands are not bounded in this module.

Change: sums saturate, so that what is committed is never less than it is; a bill is limited to its hold, what the customer owes first.

Ruled out: the platform's own bills; its gateway bounds each by its loan.

--- a/toucanrail/src/accounts.rs
+++ b/toucanrail/src/accounts.rs
@@ -1,6 +1,8 @@
 //! State of one customer's account at one entry: the grant, the holds on it, unsettled bills and
 //! waiting requests.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::time::Duration;
 
 use serde::Serialize;
@@ -8,6 +10,7 @@
 use crate::budgets::BillRow;
 use crate::ids::Tokens;
 use crate::syncs::GrantDemand;
+use crate::token_counts;
 
 /// Time constant of the exponentially smoothed burn rate.
 const BURN_TIME_CONSTANT: Duration = Duration::from_secs(10);
@@ -55,33 +58,41 @@
 
     /// Returns the total of the bills that no sync has picked up yet.
     pub fn unsettled_total(&self) -> Tokens {
-        self.unsettled.iter().map(BillRow::total).sum()
+        token_counts::sum(self.unsettled.iter().map(BillRow::total))
     }
 
     /// Returns the total that waiting requests are missing.
     pub fn shortage(&self) -> Tokens {
-        self.waiting.iter().sum()
+        token_counts::sum(self.waiting.iter().copied())
     }
 
     /// Returns the part of the grant that new requests may hold.
     pub fn available(&self) -> Tokens {
-        let taken = self.held + self.unsettled_total() + self.settling + self.returning;
+        let taken =
+            token_counts::sum([self.held, self.unsettled_total(), self.settling, self.returning]);
         self.granted.saturating_sub(taken)
     }
 
     /// Starts a hold. The amount must be available.
     pub fn begin_hold(&mut self, amount: Tokens) {
-        self.held += amount;
+        self.held = self.held.saturating_add(amount);
         self.used += amount as f64;
     }
 
-    /// Ends a hold: its bill is queued for the next sync, the rest is available at once.
+    /// Ends a hold: its bill, of at most the hold, is queued for the next sync, and the rest is
+    /// available at once.
     pub fn end_hold(&mut self, amount: Tokens, bill: Option<BillRow>) {
+        let bill = bill.map(|row| row.limit_to(amount));
         self.held = self.held.saturating_sub(amount);
-        self.used -= (amount - bill.as_ref().map_or(0, BillRow::total)) as f64;
+        self.used -= amount.saturating_sub(bill.as_ref().map_or(0, BillRow::total)) as f64;
         self.unsettled.extend(bill);
     }
 
+    /// Sets tokens aside to be returned to the shard.
+    pub fn set_aside(&mut self, amount: Tokens) {
+        self.returning = self.returning.saturating_add(amount);
+    }
+
     /// Records that a request waits until `amount` more is granted.
     pub fn begin_wait(&mut self, amount: Tokens) {
         self.waiting.push(amount);
@@ -113,7 +124,7 @@
     pub fn take_bills(&mut self, limit: usize) -> Vec<BillRow> {
         let count = limit.min(self.unsettled.len());
         let taken: Vec<BillRow> = self.unsettled.drain(..count).collect();
-        self.settling = taken.iter().map(BillRow::total).sum();
+        self.settling = token_counts::sum(taken.iter().map(BillRow::total));
         taken
     }
 
@@ -122,7 +133,7 @@
         self.unseen = false;
         GrantDemand {
             burn_rate: self.burn,
-            in_use: self.held + self.unsettled_total(),
+            in_use: self.held.saturating_add(self.unsettled_total()),
             shortage: self.shortage(),
             smallest_wait: self.waiting.iter().min().copied().unwrap_or(0),
             returning: self.returning,
@@ -134,7 +145,7 @@
     pub fn confirm(&mut self, granted: Tokens, returned: Tokens) {
         self.granted = granted;
         self.settling = 0;
-        self.returning -= returned.min(self.returning);
+        self.returning = self.returning.saturating_sub(returned);
     }
 
     /// Returns whether no bill is queued or in a sync.
--- a/toucanrail/src/archives.rs
+++ b/toucanrail/src/archives.rs
@@ -5,6 +5,8 @@
 //! key is in the shard, in the archive, or in both. A settlement reads the shard before the
 //! archive, so it cannot miss a key that is being moved.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
--- a/toucanrail/src/budgets.rs
+++ b/toucanrail/src/budgets.rs
@@ -10,6 +10,8 @@
 //! accounts, and settles what it used as bills. What a reclaim can neither prove spent nor unspent
 //! is frozen.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -23,6 +25,7 @@
 use crate::messages::MirrorObject;
 use crate::paths;
 use crate::storecalls;
+use crate::token_counts;
 
 /// Number of keyed requests above which an account moves the older half to its archive.
 pub const RECENT_KEY_LIMIT: usize = 512;
@@ -180,22 +183,38 @@
 impl BillRow {
     /// Returns the amount that the row takes from a grant.
     pub fn total(&self) -> Tokens {
-        self.billed + self.written_off + self.unproved
+        token_counts::sum([self.billed, self.written_off, self.unproved])
+    }
+
+    /// Returns the row with a total of at most `limit`. What was billed is kept first, as only that
+    /// is owed by the customer.
+    #[must_use]
+    pub fn limit_to(mut self, limit: Tokens) -> Self {
+        let mut left = limit;
+        for amount in [&mut self.billed, &mut self.written_off, &mut self.unproved] {
+            *amount = left.min(*amount);
+            left = left.saturating_sub(*amount);
+        }
+        self
     }
 
     /// Moves the billed usage to `written_off`, for a request that is already billed.
     fn write_off(&mut self) {
-        self.written_off += self.billed;
+        self.written_off = self.written_off.saturating_add(self.billed);
         self.billed = 0;
     }
 }
 
 impl BudgetAccount {
+    /// Returns the tokens that are billed, written off or frozen.
+    pub fn spent(&self) -> Tokens {
+        let frozen = self.frozen.values().copied();
+        token_counts::sum([self.billed, self.written_off].into_iter().chain(frozen))
+    }
+
     /// Returns the tokens that are billed, written off, frozen or granted.
     pub fn committed(&self) -> Tokens {
-        let frozen: Tokens = self.frozen.values().sum();
-        let granted: Tokens = self.grants.values().sum();
-        self.billed + self.written_off + frozen + granted
+        self.spent().saturating_add(token_counts::sum(self.grants.values().copied()))
     }
 
     /// Returns the tokens that can still be granted.
@@ -213,14 +232,13 @@
 
     /// Returns the tokens that are not billed, written off or frozen; part of them may be granted.
     pub fn unspent(&self) -> Tokens {
-        let frozen: Tokens = self.frozen.values().sum();
-        self.prepaid.saturating_sub(self.billed + self.written_off + frozen)
+        self.prepaid.saturating_sub(self.spent())
     }
 
     /// Returns the total granted to holders other than `entry`.
     pub fn granted_to_others(&self, entry: &EntryId) -> Tokens {
         let others = self.grants.iter().filter(|(holder, _)| *holder != entry);
-        others.map(|(_, granted)| granted).sum()
+        token_counts::sum(others.map(|(_, granted)| *granted))
     }
 
     /// Adds prepaid tokens.
@@ -235,7 +253,7 @@
         if amount > self.unallocated() {
             return Err(BudgetError::Committed(self.committed()));
         }
-        self.prepaid -= amount;
+        self.prepaid = self.prepaid.saturating_sub(amount);
         Ok(())
     }
 
@@ -254,18 +272,24 @@
     }
 
     fn apply_bill(&mut self, row: &BillRow) {
-        self.billed += row.billed;
-        self.written_off += row.written_off;
-        if row.unproved > 0 {
-            *self.frozen.entry(row.epoch).or_default() += row.unproved;
-        }
+        self.billed = self.billed.saturating_add(row.billed);
+        self.written_off = self.written_off.saturating_add(row.written_off);
+        self.freeze(row.epoch, row.unproved);
         if row.keyed && row.billed > 0 {
-            self.keyed += 1;
+            self.keyed = self.keyed.saturating_add(1);
             let bill = RecentBill { epoch: row.epoch, order: self.keyed };
             self.recent.insert(Arc::clone(&row.request), bill);
         }
     }
 
+    /// Freezes tokens of a tenure.
+    fn freeze(&mut self, epoch: Epoch, amount: Tokens) {
+        if amount > 0 {
+            let frozen = self.frozen.entry(epoch).or_default();
+            *frozen = frozen.saturating_add(amount);
+        }
+    }
+
     /// Returns the older half of the recent keyed requests if there are more than `limit`.
     pub fn keys_to_archive(&self, limit: usize) -> BTreeSet<RequestId> {
         if self.recent.len() <= limit {
@@ -295,7 +319,7 @@
     /// ```
     pub fn stranded(&self, account: &BudgetAccount) -> Tokens {
         let replaced = account.grants.iter().filter(|(holder, _)| self.is_replaced(holder));
-        replaced.map(|(_, granted)| granted).sum()
+        token_counts::sum(replaced.map(|(_, granted)| *granted))
     }
 
     /// Returns whether a later holder is a newer process of the same VM.
@@ -312,7 +336,7 @@
         if let Some(row) = self.holders.get(entry) {
             return row.epoch;
         }
-        self.epochs += 1;
+        self.epochs = self.epochs.saturating_add(1);
         let row = HolderRow {
             epoch: self.epochs,
             state: HolderState::Live,
@@ -362,11 +386,13 @@
             } else {
                 account.frozen.get_mut(&row.epoch)
             };
-            let Some(source) = source.filter(|source| **source >= total) else {
+            let Some(source) = source else {
                 continue;
             };
-            *source -= total;
-            account.apply_bill(row);
+            if let Some(left) = source.checked_sub(total) {
+                *source = left;
+                account.apply_bill(row);
+            }
         }
         for account in self.accounts.values_mut() {
             account.frozen.retain(|_, left| *left > 0);
@@ -381,8 +407,8 @@
         };
         for account in self.accounts.values_mut() {
             let left = account.grants.remove(entry).unwrap_or_default();
-            if !proved && left > 0 {
-                *account.frozen.entry(row.epoch).or_default() += left;
+            if !proved {
+                account.freeze(row.epoch, left);
             }
         }
     }
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -3,6 +3,8 @@
 //! An entry spends only from its own confirmed grants, so serving a request depends neither on the
 //! platform's object API being available nor on a clock.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +17,7 @@
 use crate::policies::{GrantChange, GrantPolicy, GrantView};
 use crate::syncs::{SyncOutcome, SyncPlan};
 use crate::tenures::ShardTenure;
+use crate::token_counts;
 
 /// Maximum number of bills in a batch; keeps its object well under the limit of one megabyte.
 const BATCH_LIMIT: usize = 1_500;
@@ -116,11 +119,9 @@
         let (Some(known), Some(account)) = (known, self.accounts.get(customer)) else {
             return false;
         };
-        let stranded = shard.stranded(known);
-        let unavailable =
-            known.billed + known.written_off + known.frozen.values().sum::<Tokens>() + stranded;
-        let own = account.held + account.unsettled_total() + account.settling;
-        known.prepaid.max(account.prepaid) < unavailable + own + amount
+        let unavailable = known.spent().saturating_add(shard.stranded(known));
+        let own = token_counts::sum([account.held, account.unsettled_total(), account.settling]);
+        known.prepaid.max(account.prepaid) < token_counts::sum([unavailable, own, amount])
     }
 
     /// Sets the agents that this entry wants to use.
@@ -176,7 +177,7 @@
         };
         let available = account.available();
         if epoch == 0 || available < amount {
-            let missing = amount - available.min(amount);
+            let missing = amount.saturating_sub(available);
             return match unallocated {
                 Some(left) if left < missing => Err(HoldRefusal::Exhausted(missing)),
                 _ => Err(HoldRefusal::Short(missing)),
@@ -191,7 +192,7 @@
         let known = shard.accounts.get(customer)?;
         // The next sync adds a top-up that is configured but not yet in the shard.
         let configured = self.accounts.get(customer).map_or(0, |account| account.prepaid);
-        Some(known.unallocated() + configured.saturating_sub(known.prepaid))
+        Some(known.unallocated().saturating_add(configured.saturating_sub(known.prepaid)))
     }
 
     /// Records that a request waits until `amount` more is granted.
@@ -262,7 +263,7 @@
         };
         let kept = if must_yield { 0 } else { account.shortage() };
         let given = account.available().saturating_sub(kept).min(wanted);
-        account.returning += given;
+        account.set_aside(given);
         given
     }
 
@@ -341,7 +342,7 @@
         let mut changed = false;
         for customer in customers {
             if let Some(account) = self.accounts.get_mut(customer) {
-                account.returning += account.available();
+                account.set_aside(account.available());
                 changed |= account.returning > 0;
             }
         }
@@ -360,7 +361,7 @@
                 continue;
             };
             if let GrantChange::Return(amount) = change {
-                account.returning += amount.min(account.available());
+                account.set_aside(amount.min(account.available()));
             }
             changed |= account.returning > 0 || !account.waiting.is_empty();
             changed |= matches!(change, GrantChange::Ask(amount) if amount > 0);
@@ -375,7 +376,7 @@
         let known = cached.and_then(|shard| shard.accounts.get(customer));
         Some(GrantView {
             burn_rate: account.burn,
-            in_use: account.held + account.unsettled_total(),
+            in_use: account.held.saturating_add(account.unsettled_total()),
             granted: account.granted.saturating_sub(account.returning),
             shortage: account.shortage(),
             unallocated: self.unallocated(customer).unwrap_or(0),
@@ -409,7 +410,7 @@
             shard: Arc::clone(shard),
             entry: Arc::clone(&self.entry),
             epoch: tenure.epoch,
-            sequence: tenure.applied + 1,
+            sequence: tenure.applied.saturating_add(1),
             rows,
             demands,
             acked: tenure.acked,
@@ -427,14 +428,14 @@
             // The plan is kept; the next sync reads from the shard whether it took effect.
             SyncOutcome::Unavailable => tenure.cached = None,
             SyncOutcome::Unchanged { shard: content, version } => {
-                tenure.confirmed_syncs += 1;
+                tenure.confirmed_syncs = tenure.confirmed_syncs.saturating_add(1);
                 tenure.plan = None;
                 tenure.cached = Some((version, content));
             }
             SyncOutcome::Revoked { applied } => self.drop_tenure(shard, applied),
             SyncOutcome::Applied { shard: content, version, epoch } => {
                 tenure.epoch = epoch;
-                tenure.confirmed_syncs += 1;
+                tenure.confirmed_syncs = tenure.confirmed_syncs.saturating_add(1);
                 if let Some(plan) = tenure.plan.take() {
                     if plan.leave {
                         return self.drop_tenure(shard, true);
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -5,6 +5,8 @@
 //! per region and shard calls the store as often as a single entry would, and an entry that dies
 //! loses only the loans of its requests in flight.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/toucanrail/src/policies.rs
+++ b/toucanrail/src/policies.rs
@@ -2,6 +2,8 @@
 //!
 //! Headroom is what an entry has granted beyond its current need.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::time::Duration;
 
 use crate::ids::Tokens;
@@ -125,16 +127,16 @@
     /// assert_eq!(GrantPolicy::FixedAmount { headroom: 100 }.target(&view), 110);
     /// ```
     pub fn target(&self, view: &GrantView) -> Tokens {
-        let needed = view.in_use + view.shortage;
-        let limit = view.granted + view.unallocated;
+        let needed = view.in_use.saturating_add(view.shortage);
+        let limit = view.granted.saturating_add(view.unallocated);
         let wanted = match *self {
-            Self::EqualSplit => needed.max(view.prepaid / view.holders.max(1)),
-            Self::FixedAmount { headroom } => needed + headroom,
+            Self::EqualSplit => needed.max(share_among(view.prepaid, view.holders)),
+            Self::FixedAmount { headroom } => needed.saturating_add(headroom),
             Self::BurnRate { horizon, floor, .. } => {
-                needed + Self::shared_headroom(view, horizon, floor)
+                needed.saturating_add(Self::shared_headroom(view, horizon, floor))
             }
             Self::OutageTolerant { horizon, floor, max_fraction } => {
-                needed + Self::outage_headroom(view, horizon, floor, max_fraction)
+                needed.saturating_add(Self::outage_headroom(view, horizon, floor, max_fraction))
             }
         };
         wanted.min(limit)
@@ -168,7 +170,8 @@
         }
         let expected = (view.burn_rate * horizon.as_secs_f64()) as Tokens;
         let unused = view.granted.saturating_sub(view.in_use);
-        let share = (view.unallocated + unused) / (2 * view.holders.max(1));
+        let left = view.unallocated.saturating_add(unused);
+        let share = share_among(left, view.holders.max(1).saturating_mul(2));
         expected.max(floor).min(share)
     }
 
@@ -184,16 +187,16 @@
             return GrantChange::Keep;
         }
         let target = self.target(view);
-        let needed = view.in_use + view.shortage;
+        let needed = view.in_use.saturating_add(view.shortage);
         let headroom = target.saturating_sub(needed);
         let low =
             if is_tolerant { (headroom as f64 * TOP_UP_FRACTION) as Tokens } else { headroom / 2 };
-        if view.granted < needed + low {
+        if view.granted < needed.saturating_add(low) {
             return GrantChange::Ask(target.saturating_sub(view.granted));
         }
         let returns = is_tolerant || matches!(self, Self::BurnRate { .. });
-        if returns && view.granted > needed + headroom.saturating_mul(2) {
-            return GrantChange::Return(view.granted - target);
+        if returns && view.granted > needed.saturating_add(headroom.saturating_mul(2)) {
+            return GrantChange::Return(view.granted.saturating_sub(target));
         }
         GrantChange::Keep
     }
@@ -213,6 +216,11 @@
     }
 }
 
+/// Returns one share of an amount; all of it if there are no shares.
+fn share_among(amount: Tokens, shares: u64) -> Tokens {
+    amount.checked_div(shares).unwrap_or(amount)
+}
+
 /// While the store does not answer, a request must leave this multiple of its amount available for
 /// each rank below the first.
 const RANK_WEIGHT: Tokens = 4;
@@ -230,7 +238,8 @@
 /// assert!(!policies::may_spend_in_outage(10_000, 9_000, 1));
 /// ```
 pub fn may_spend_in_outage(available: Tokens, amount: Tokens, rank: u8) -> bool {
-    amount.saturating_mul(1 + RANK_WEIGHT * Tokens::from(rank)) <= available
+    let weight = RANK_WEIGHT.saturating_mul(Tokens::from(rank)).saturating_add(1);
+    amount.saturating_mul(weight) <= available
 }
 
 /// A change of a grant's size.
--- a/toucanrail/src/reclaims.rs
+++ b/toucanrail/src/reclaims.rs
@@ -5,15 +5,18 @@
 //! unspent. Safety does not depend on clocks: the agents and the shard reject the epoch of a holder
 //! that resumes after its tenure was revoked.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::budgets::BilledRun;
 use crate::budgets::{BillBatch, BillRow, BudgetShard, ClosedTenure, HolderRow, HolderState};
-use crate::ids::{AgentId, EntryId, Epoch, RequestId, RunId, Sequence, ShardName, Tokens, Version};
+use crate::ids::{AgentId, EntryId, Epoch, RequestId, RunId, Sequence, ShardName, Version};
 use crate::messages::{FenceReply, UsageRow};
 use crate::paths;
 use crate::storecalls::{self, ObjectPath, StoreCall, StoreReply, WriteExpectation};
+use crate::token_counts;
 
 /// Number of conflicting writes after which the reclaim is abandoned.
 const CONFLICT_LIMIT: u32 = 24;
@@ -259,7 +262,7 @@
 
     /// Restarts the reclaim from reading the shard, up to the conflict limit.
     fn handle_conflict(&mut self) {
-        self.conflicts += 1;
+        self.conflicts = self.conflicts.saturating_add(1);
         self.stage = ReclaimStage::ReadShard;
         if self.conflicts > CONFLICT_LIMIT {
             self.end(ReclaimOutcome::Unavailable);
@@ -307,7 +310,7 @@
         let Some(row) = &self.holder_row else {
             return self.end(ReclaimOutcome::NotNeeded);
         };
-        self.sequences = (row.acked + 1..=row.settled + 1).collect();
+        self.sequences = (row.acked.saturating_add(1)..=row.settled.saturating_add(1)).collect();
         self.batches.clear();
         self.stage = ReclaimStage::ReadBills;
     }
@@ -396,7 +399,7 @@
         storecalls::encode_value(&BillBatch {
             shard: Arc::clone(&self.shard_name),
             epoch: self.epoch(),
-            sequence: self.holder_row.as_ref().map_or(0, |row| row.settled) + 1,
+            sequence: self.holder_row.as_ref().map_or(1, |row| row.settled.saturating_add(1)),
             rows: self.bills.clone(),
         })
     }
@@ -443,7 +446,7 @@
 /// charged: the complete one or, without any, the one with the largest usage.
 fn build_bill(rows: &[(&AgentId, &UsageRow)], epoch: Epoch) -> Option<BillRow> {
     let (_, first) = rows.first()?;
-    let total: Tokens = rows.iter().map(|(_, row)| row.used).sum();
+    let total = token_counts::sum(rows.iter().map(|(_, row)| row.used));
     let whole = rows.iter().find(|(_, row)| row.whole).map(|(_, row)| row.used);
     let largest = rows.iter().map(|(_, row)| row.used).max();
     let resumed = rows.iter().any(|(_, row)| row.resumed);
@@ -460,8 +463,8 @@
         epoch,
         keyed: first.keyed,
         billed,
-        written_off: total - billed,
-        unproved: rows.iter().map(|(_, row)| row.unproved).sum(),
+        written_off: total.saturating_sub(billed),
+        unproved: token_counts::sum(rows.iter().map(|(_, row)| row.unproved)),
         runs: runs.collect(),
     })
 }
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -4,6 +4,8 @@
 //! in one conditional update of the shard. The batch is written as a bill object first: if the
 //! holder dies before the update, its bills are found under the next sequence number.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -255,7 +257,7 @@
                 };
             }
             Some((epoch, _)) if self.plan.epoch == 0 => self.epoch = epoch,
-            None if self.plan.epoch == 0 => self.epoch = self.shard.epochs + 1,
+            None if self.plan.epoch == 0 => self.epoch = self.shard.epochs.saturating_add(1),
             _ => {}
         }
         let is_opening = tenure.is_none() && self.plan.epoch == 0;
@@ -482,7 +484,7 @@
     }
 
     fn handle_conflict(&mut self, next: SyncStage) {
-        self.conflicts += 1;
+        self.conflicts = self.conflicts.saturating_add(1);
         self.stage = next;
         if self.conflicts > CONFLICT_LIMIT {
             self.end(SyncOutcome::Unavailable);
@@ -515,7 +517,7 @@
         in_use: demand.in_use,
         granted: granted.saturating_sub(demand.returning),
         shortage: demand.shortage,
-        unallocated: account.unallocated() + demand.returning.min(granted),
+        unallocated: account.unallocated().saturating_add(demand.returning.min(granted)),
         prepaid: account.prepaid,
         granted_to_others: account.granted_to_others(entry),
         unspent: account.unspent(),
@@ -538,14 +540,14 @@
     let granted = *grant;
     let unallocated = account.unallocated();
     // An increase that satisfies none of the waiting requests would only be stranded here.
-    let is_useful =
-        demand.shortage == 0 || granted + unallocated >= demand.in_use + demand.smallest_wait;
+    let needed = demand.in_use.saturating_add(demand.smallest_wait);
+    let is_useful = demand.shortage == 0 || granted.saturating_add(unallocated) >= needed;
     // Tokens returned by this sync must not be requested again by it.
     if is_useful
         && demand.returning == 0
         && let GrantChange::Ask(amount) = change
         && let Some(grant) = account.grants.get_mut(entry)
     {
-        *grant += amount.min(unallocated);
+        *grant = grant.saturating_add(amount.min(unallocated));
     }
 }
--- a/toucanrail/src/tenures.rs
+++ b/toucanrail/src/tenures.rs
@@ -1,5 +1,7 @@
 //! One entry's tenure in one budget shard, as the entry tracks it.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -79,7 +81,7 @@
     /// Records that a run of a hold is sent to an agent (`busy`), or has ended there.
     pub fn mark_agent(&mut self, agent: &AgentId, busy: bool) {
         let count = self.busy_agents.entry(Arc::clone(agent)).or_default();
-        *count = if busy { *count + 1 } else { count.saturating_sub(1) };
+        *count = if busy { count.saturating_add(1) } else { count.saturating_sub(1) };
         if *count == 0 {
             self.busy_agents.remove(agent);
         }
@@ -106,6 +108,6 @@
         }
         self.unacked.retain(|_, batch| !batch.is_empty());
         let oldest = self.unacked.keys().next().copied();
-        self.acked = oldest.map_or(self.applied, |sequence| sequence - 1);
+        self.acked = oldest.map_or(self.applied, |sequence| sequence.saturating_sub(1));
     }
 }
--- a/toucanrail/src/token_counts.rs
+++ b/toucanrail/src/token_counts.rs
@@ -1,5 +1,7 @@
 //! Token counts from outside the fleet, and their sums.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use crate::ids::Tokens;
 
 /// The largest count, in tokens, that is accepted from outside. Thousands of them add up without an
--- a/toucanrail/src/usages.rs
+++ b/toucanrail/src/usages.rs
@@ -1,9 +1,12 @@
 //! Parses token usage from the responses of model engines: JSON bodies and server-sent events.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use serde::Deserialize;
 use serde_json::Value;
 
 use crate::ids::Tokens;
+use crate::token_counts;
 
 const EVENT_END: &[u8] = b"\n\n";
 const DATA_FIELD: &str = "data: ";
@@ -23,7 +26,7 @@
 impl UsageReport {
     /// Returns the number of tokens to charge.
     pub fn total(&self) -> Tokens {
-        self.prompt_tokens + self.completion_tokens
+        token_counts::sum([self.prompt_tokens, self.completion_tokens])
     }
 }
 
@@ -91,7 +94,7 @@
     /// ```
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let end = self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
-        let rest = self.buffer.split_off(end + EVENT_END.len());
+        let rest = self.buffer.split_off(end.saturating_add(EVENT_END.len()));
         let bytes = std::mem::replace(&mut self.buffer, rest);
         let kind = parse_event(&bytes);
         Some(StreamEvent { bytes, kind })
