Objects that cannot be decoded are not guessed and not written over

What could happen: an archive bucket that could not be decoded counted as empty and was written back without its keys, so that retries of those requests were billed again; a batch of bills that could not be decoded counted as none, with the same end in a reclaim; a late row was settled although the reclaim's batch could not be read.

Cause: decode_value's None was joined with "there is no such object". Class: an error made a zero.

Change: sync, reclaim and archive machines end at the first object that they cannot decode and name it; daemons and gateway log object_unreadable and count objects_unreadable.

Ruled out: holding back single rows, as a plan has to stay as it is until its outcome is known.

--- a/toucanrail-daemons/src/metrics.rs
+++ b/toucanrail-daemons/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::TextEncoder;
 use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 use toucanrail::codes::ResultCode;
+use toucanrail::storecalls::ObjectPath;
 use toucanrail_wire::responses;
 
 /// Bucket bounds of the latency histograms in seconds.
@@ -59,6 +60,15 @@
         self.events.with_label_values(&[kind]).inc();
     }
 
+    /// Counts and logs an object of the store that cannot be decoded, if there is one. What depends
+    /// on it stands still until an operator has restored it.
+    pub fn report_unreadable(&self, path: Option<&ObjectPath>) {
+        if let Some(path) = path {
+            self.count_event("objects_unreadable");
+            tracing::error!(event = "object_unreadable", %path);
+        }
+    }
+
     /// Adds to the count of a kind of event.
     pub fn add_events(&self, kind: &str, count: u64) {
         self.events.with_label_values(&[kind]).inc_by(count);
--- a/toucanrail-daemons/src/reclaiming.rs
+++ b/toucanrail-daemons/src/reclaiming.rs
@@ -134,6 +134,7 @@
         };
         machine.handle_reply(reply);
     }
+    entry.metrics.report_unreadable(machine.unreadable());
     machine.into_outcome()
 }
 
--- a/toucanrail-daemons/src/settlement.rs
+++ b/toucanrail-daemons/src/settlement.rs
@@ -90,6 +90,7 @@
     while let Some(call) = machine.next_call() {
         machine.handle_reply(entry.store.call(&call).await);
     }
+    entry.metrics.report_unreadable(machine.unreadable());
     let outcome = machine.into_outcome();
     let applied = matches!(outcome, SyncOutcome::Applied { .. } | SyncOutcome::Unchanged { .. });
     match outcome {
@@ -120,6 +121,7 @@
     while let Some(call) = machine.next_call() {
         machine.handle_reply(entry.store.call(&call).await);
     }
+    entry.metrics.report_unreadable(machine.unreadable());
     if machine.has_moved() {
         entry.metrics.count_event("archives");
     }
--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -280,6 +280,7 @@
             calls += 1;
             machine.handle_reply(self.store.call(&call).await);
         }
+        self.metrics.report_unreadable(machine.unreadable());
         let outcome = machine.into_outcome();
         let responded = !matches!(outcome, SyncOutcome::Unavailable);
         self.metrics.count_event(outcome_kind(&outcome));
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -244,6 +244,13 @@
         state.objects.get(&(kind.to_owned(), name.to_owned())).map(|(_, spec)| spec.clone())
     }
 
+    /// Returns the names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.state.lock().expect("the store");
+        let of_kind = state.objects.keys().filter(|(known, _)| known == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
     /// Returns whether an object exists.
     pub fn has(&self, kind: &str, name: &str) -> bool {
         let state = self.state.lock().expect("the store");
--- a/toucanrail/src/archives.rs
+++ b/toucanrail/src/archives.rs
@@ -39,6 +39,8 @@
     bucket: BTreeSet<RequestId>,
     bucket_expect: WriteExpectation,
     moved: bool,
+    /// The object that ended the move because it cannot be decoded.
+    unreadable: Option<ObjectPath>,
 }
 
 impl ArchiveMachine {
@@ -56,6 +58,7 @@
             bucket: BTreeSet::new(),
             bucket_expect: WriteExpectation::Absent,
             moved: false,
+            unreadable: None,
         }
     }
 
@@ -64,6 +67,11 @@
         self.moved
     }
 
+    /// Returns the object that ended the move because it cannot be decoded.
+    pub fn unreadable(&self) -> Option<&ObjectPath> {
+        self.unreadable.as_ref()
+    }
+
     /// Returns the next call, or `None` once the machine has finished.
     pub fn next_call(&self) -> Option<StoreCall> {
         let shard_path = paths::budget_path(&self.shard_name);
@@ -95,10 +103,7 @@
                 self.handle_shard(version, &value)
             }
             (ArchiveStage::ReadBucket, StoreReply::Found { version, value }) => {
-                let archived: Option<BTreeSet<RequestId>> = storecalls::decode_value(&value);
-                self.fill_bucket(archived.unwrap_or_default());
-                self.bucket_expect = WriteExpectation::At(version);
-                ArchiveStage::WriteBucket
+                self.handle_bucket(version, &value)
             }
             (ArchiveStage::ReadBucket, StoreReply::Missing) => {
                 self.fill_bucket(BTreeSet::new());
@@ -124,6 +129,7 @@
     /// Selects the account and the keys to move.
     fn handle_shard(&mut self, version: Version, value: &[u8]) -> ArchiveStage {
         let Some(shard) = storecalls::decode_value::<BudgetShard>(value) else {
+            self.unreadable = Some(paths::budget_path(&self.shard_name));
             return ArchiveStage::Done;
         };
         let selected = shard.accounts.iter().find_map(|(customer, account)| {
@@ -143,6 +149,17 @@
         ArchiveStage::ReadBucket
     }
 
+    /// Adds the keys to a bucket that exists. One that cannot be decoded is left as it is.
+    fn handle_bucket(&mut self, version: Version, value: &[u8]) -> ArchiveStage {
+        let Some(archived) = storecalls::decode_value(value) else {
+            self.unreadable = self.buckets.last().map(Arc::clone);
+            return ArchiveStage::Done;
+        };
+        self.fill_bucket(archived);
+        self.bucket_expect = WriteExpectation::At(version);
+        ArchiveStage::WriteBucket
+    }
+
     /// Sets the new content of the current bucket: the keys already archived and those to move.
     fn fill_bucket(&mut self, archived: BTreeSet<RequestId>) {
         let Some(path) = self.buckets.last() else {
--- a/toucanrail/src/reclaims.rs
+++ b/toucanrail/src/reclaims.rs
@@ -114,6 +114,8 @@
     bills: Vec<BillRow>,
     bill_version: Option<Version>,
     conflicts: u32,
+    /// The object that ended the reclaim because it cannot be decoded.
+    unreadable: Option<ObjectPath>,
     outcome: Option<ReclaimOutcome>,
 }
 
@@ -144,10 +146,17 @@
             bills: Vec::new(),
             bill_version: None,
             conflicts: 0,
+            unreadable: None,
             outcome: None,
         }
     }
 
+    /// Returns the object that ended the reclaim because it cannot be decoded. The reclaim can only
+    /// go on when an operator has restored it.
+    pub fn unreadable(&self) -> Option<&ObjectPath> {
+        self.unreadable.as_ref()
+    }
+
     /// Returns the outcome; [`ReclaimOutcome::Unavailable`] if the machine has not finished.
     pub fn into_outcome(self) -> ReclaimOutcome {
         self.outcome.unwrap_or(ReclaimOutcome::Unavailable)
@@ -219,12 +228,17 @@
         self.outcome = Some(outcome);
     }
 
+    fn end_unreadable(&mut self, path: ObjectPath) {
+        self.unreadable = Some(path);
+        self.end(ReclaimOutcome::Unavailable);
+    }
+
     fn handle_shard(&mut self, reply: StoreReply) {
         let StoreReply::Found { version, value } = reply else {
             return self.end(ReclaimOutcome::NotNeeded);
         };
         let Some(shard) = storecalls::decode_value::<BudgetShard>(&value) else {
-            return self.end(ReclaimOutcome::Unavailable);
+            return self.end_unreadable(paths::budget_path(&self.shard_name));
         };
         let Some(row) = shard.holders.get(&self.dead).cloned() else {
             return self.end(ReclaimOutcome::NotNeeded);
@@ -316,10 +330,12 @@
     }
 
     fn handle_batch(&mut self, reply: StoreReply) {
-        self.sequences.pop();
-        if let StoreReply::Found { value, .. } = reply
-            && let Some(batch) = storecalls::decode_value::<BillBatch>(&value)
-        {
+        let sequence = self.sequences.pop();
+        if let (Some(sequence), StoreReply::Found { value, .. }) = (sequence, reply) {
+            let Some(batch) = storecalls::decode_value(&value) else {
+                let path = paths::bill_path(&self.shard_name, self.epoch(), sequence);
+                return self.end_unreadable(path);
+            };
             self.batches.push(batch);
         }
         if self.sequences.is_empty() {
@@ -371,10 +387,12 @@
     }
 
     fn handle_archive(&mut self, reply: StoreReply) {
-        self.archives.pop();
-        if let StoreReply::Found { value, .. } = reply {
-            let keys: Option<BTreeSet<RequestId>> = storecalls::decode_value(&value);
-            self.archived.extend(keys.unwrap_or_default());
+        let path = self.archives.pop();
+        if let (Some(path), StoreReply::Found { value, .. }) = (path, reply) {
+            let Some(keys) = storecalls::decode_value::<BTreeSet<RequestId>>(&value) else {
+                return self.end_unreadable(path);
+            };
+            self.archived.extend(keys);
         }
         if self.archives.is_empty() {
             self.start_writing();
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -126,6 +126,8 @@
     /// The shard to write.
     new_shard: BudgetShard,
     conflicts: u32,
+    /// The object that ended the sync because it cannot be decoded.
+    unreadable: Option<ObjectPath>,
     outcome: Option<SyncOutcome>,
 }
 
@@ -152,6 +154,7 @@
             bill_expect: WriteExpectation::Absent,
             new_shard: BudgetShard::default(),
             conflicts: 0,
+            unreadable: None,
             outcome: None,
         };
         if let Some((version, shard)) = cached {
@@ -160,6 +163,12 @@
         machine
     }
 
+    /// Returns the object that ended the sync because it cannot be decoded. The sync can only go on
+    /// when an operator has restored it.
+    pub fn unreadable(&self) -> Option<&ObjectPath> {
+        self.unreadable.as_ref()
+    }
+
     /// Returns the outcome; [`SyncOutcome::Unavailable`] if the sync has not ended.
     pub fn into_outcome(self) -> SyncOutcome {
         self.outcome.unwrap_or(SyncOutcome::Unavailable)
@@ -208,6 +217,11 @@
         self.outcome = Some(outcome);
     }
 
+    fn end_unreadable(&mut self, path: ObjectPath) {
+        self.unreadable = Some(path);
+        self.end(SyncOutcome::Unavailable);
+    }
+
     fn bill_path(&self) -> ObjectPath {
         paths::bill_path(&self.plan.shard, self.epoch, self.plan.sequence)
     }
@@ -226,7 +240,7 @@
         match reply {
             StoreReply::Found { version, value } => match storecalls::decode_value(&value) {
                 Some(shard) => self.use_shard(Some(version), shard),
-                None => self.end(SyncOutcome::Unavailable),
+                None => self.end_unreadable(paths::budget_path(&self.plan.shard)),
             },
             // If the configuration sets the totals, the first entry creates the shard.
             StoreReply::Missing if self.has_configured_totals() => {
@@ -307,11 +321,12 @@
     }
 
     fn handle_reclaim_read(&mut self, reply: StoreReply) {
-        self.reads.pop();
-        if let StoreReply::Found { value, .. } = reply {
-            let batch: Option<BillBatch> = storecalls::decode_value(&value);
-            let rows = batch.map(|batch| batch.rows).unwrap_or_default();
-            self.reclaimed_requests.extend(rows.into_iter().map(|row| row.request));
+        let path = self.reads.pop();
+        if let (Some(path), StoreReply::Found { value, .. }) = (path, reply) {
+            let Some(batch) = storecalls::decode_value::<BillBatch>(&value) else {
+                return self.end_unreadable(path);
+            };
+            self.reclaimed_requests.extend(batch.rows.into_iter().map(|row| row.request));
         }
         if self.reads.is_empty() {
             self.start_archive_reads();
@@ -342,10 +357,12 @@
     }
 
     fn handle_archive_read(&mut self, reply: StoreReply) {
-        self.reads.pop();
-        if let StoreReply::Found { value, .. } = reply {
-            let keys: Option<BTreeSet<RequestId>> = storecalls::decode_value(&value);
-            self.archived.extend(keys.unwrap_or_default());
+        let path = self.reads.pop();
+        if let (Some(path), StoreReply::Found { value, .. }) = (path, reply) {
+            let Some(keys) = storecalls::decode_value::<BTreeSet<RequestId>>(&value) else {
+                return self.end_unreadable(path);
+            };
+            self.archived.extend(keys);
         }
         if self.reads.is_empty() {
             self.start_write();
@@ -465,6 +482,9 @@
     fn handle_bill_read(&mut self, reply: StoreReply) {
         match reply {
             StoreReply::Found { version, value } => {
+                if storecalls::decode_value::<BillBatch>(&value).is_none() {
+                    return self.end_unreadable(self.bill_path());
+                }
                 self.written_bill = Some(value);
                 self.bill_expect = WriteExpectation::At(version);
             }
