A batch of bills fits into its object, and no tenure ends with bills unsettled

What could happen: an entry or relay that left with more than 1,500 bills of a shard settled 1,500, and its grant went back as unspent: the rest was never billed, and could be spent again. A caller's request ids, as long as a head may be, made a batch too large for the store, and so did late bills, which no limit held: the shard never settled again. Late rows were compared one by one with what their tenure left frozen, so that batches listed more than was billed. A leave whose reply was lost counted as a revocation; its settled rows stayed late and made the process sync, and open a tenure, without end.

Cause: the limit of a batch counted rows of one kind, and the end of a tenure did not ask whether rows were left. Class: a bound on one part of a sum.

Change: BatchRoom counts rows and encoded bytes of all rows; a sync ends the tenure only if no bill is left behind, else it settles and leaves with the next; late rows take from one balance; a tenure that is neither open nor closed by a reclaim has ended as this entry asked.

Ruled out: the reclaim's batch as the place of the loss; it reads what agents report, which the platform's gateway does not have.

--- a/toucanrail/src/accounts.rs
+++ b/toucanrail/src/accounts.rs
@@ -7,6 +7,7 @@
 
 use serde::Serialize;
 
+use crate::batches::BatchRoom;
 use crate::budgets::BillRow;
 use crate::ids::Tokens;
 use crate::syncs::GrantDemand;
@@ -120,10 +121,9 @@
         self.used = 0.0;
     }
 
-    /// Moves up to `limit` bills into a sync.
-    pub fn take_bills(&mut self, limit: usize) -> Vec<BillRow> {
-        let count = limit.min(self.unsettled.len());
-        let taken: Vec<BillRow> = self.unsettled.drain(..count).collect();
+    /// Moves the bills that fit into a sync.
+    pub fn take_bills(&mut self, room: &mut BatchRoom) -> Vec<BillRow> {
+        let taken = room.take_rows(&mut self.unsettled);
         self.settling = token_counts::sum(taken.iter().map(BillRow::total));
         taken
     }
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::accounts::GrantAccount;
+use crate::batches::BatchRoom;
 use crate::budgets::{BillRow, BudgetAccount, BudgetShard, RECENT_KEY_LIMIT};
 use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RunId, ShardName, Tokens, Version};
 use crate::policies::{GrantChange, GrantPolicy, GrantView};
@@ -19,9 +20,6 @@
 use crate::tenures::ShardTenure;
 use crate::token_counts;
 
-/// Maximum number of bills in a batch; keeps its object well under the limit of one megabyte.
-const BATCH_LIMIT: usize = 1_500;
-
 /// What a sync includes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SyncScope {
@@ -395,14 +393,19 @@
         scope: SyncScope,
     ) -> Option<SyncPlan> {
         let tenure = self.shards.get_mut(shard)?;
-        let limit = if scope == SyncScope::TopUp { 0 } else { BATCH_LIMIT };
-        let mut rows = if limit > 0 { tenure.take_reclaimed_rows() } else { Vec::new() };
+        let mut room = match scope {
+            SyncScope::TopUp => BatchRoom::no_batch(),
+            SyncScope::Settle | SyncScope::Leave => BatchRoom::empty_batch(),
+        };
+        let mut rows = tenure.take_reclaimed_rows(&mut room);
+        let mut are_left = false;
         let mut demands = BTreeMap::new();
         for customer in customers {
             let Some(account) = self.accounts.get_mut(customer) else {
                 continue;
             };
-            rows.extend(account.take_bills(limit.saturating_sub(rows.len())));
+            rows.extend(account.take_bills(&mut room));
+            are_left |= !account.unsettled.is_empty();
             let demand = account.demand();
             demands.insert(Arc::clone(customer), demand);
         }
@@ -415,7 +418,8 @@
             demands,
             acked: tenure.acked,
             agents,
-            leave: scope == SyncScope::Leave,
+            // The end of a tenure returns its grants as unspent.
+            leave: scope == SyncScope::Leave && !are_left,
         })
     }
 
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod archives;
 pub mod attempts;
 pub mod backends;
+pub mod batches;
 pub mod boards;
 pub mod budgets;
 pub mod catalogue;
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -290,6 +290,9 @@
     /// it did and only its reply was lost, its bills are settled and must not be settled again as
     /// late ones.
     fn end_revoked(&mut self) {
+        if self.has_left() {
+            return self.end_applied(self.plan.epoch, self.version.unwrap_or_default());
+        }
         let epoch = self.plan.epoch;
         let holder = self.shard.holders.get(&self.plan.entry);
         let held = holder.filter(|row| row.epoch == epoch);
@@ -299,6 +302,13 @@
         self.end(SyncOutcome::Revoked { applied });
     }
 
+    /// Returns whether this sync has ended the tenure: it is neither open nor closed by a reclaim.
+    fn has_left(&self) -> bool {
+        let is_open = self.shard.holders.contains_key(&self.plan.entry);
+        let is_reclaimed = self.shard.closed.contains_key(&self.plan.epoch);
+        self.plan.leave && !is_open && !is_reclaimed
+    }
+
     /// Starts to read the reclaim batches of the tenures of late rows: late rows are billed only if
     /// the reclaim of their tenure did not bill them.
     fn start_reclaim_reads(&mut self) {
@@ -409,14 +419,17 @@
         self.end(SyncOutcome::Unchanged { shard, version });
     }
 
+    /// Selects the rows that are settled: those of this tenure, and late rows that the reclaim of
+    /// their tenure did not bill and that what it left frozen covers.
     fn select_rows(&mut self) {
-        let (epoch, shard) = (self.epoch, &self.shard);
+        let epoch = self.epoch;
+        let mut frozen = FrozenBalance::new(&self.shard);
         self.rows = self
             .plan
             .rows
             .iter()
             .filter(|row| row.epoch == epoch || !self.reclaimed_requests.contains(&row.request))
-            .filter(|row| row.epoch == epoch || has_frozen(shard, row))
+            .filter(|row| row.epoch == epoch || frozen.take(row))
             .cloned()
             .collect();
         self.shard.write_off_duplicates(&mut self.rows, &self.archived);
@@ -516,10 +529,29 @@
     StoreCall::Get { path }
 }
 
-fn has_frozen(shard: &BudgetShard, row: &BillRow) -> bool {
-    let account = shard.accounts.get(&row.customer);
-    let frozen = account.and_then(|account| account.frozen.get(&row.epoch));
-    frozen.is_some_and(|frozen| *frozen >= row.total())
+/// What closed tenures left frozen, less the late rows already selected.
+struct FrozenBalance<'shard> {
+    shard: &'shard BudgetShard,
+    taken: BTreeMap<(CustomerId, Epoch), Tokens>,
+}
+
+impl<'shard> FrozenBalance<'shard> {
+    fn new(shard: &'shard BudgetShard) -> Self {
+        Self { shard, taken: BTreeMap::new() }
+    }
+
+    /// Takes a row's total. Returns false if it is not covered.
+    fn take(&mut self, row: &BillRow) -> bool {
+        let account = self.shard.accounts.get(&row.customer);
+        let frozen = account.and_then(|account| account.frozen.get(&row.epoch)).copied();
+        let taken = self.taken.entry((Arc::clone(&row.customer), row.epoch)).or_default();
+        let total = taken.saturating_add(row.total());
+        let is_covered = frozen.is_some_and(|frozen| frozen >= total);
+        if is_covered {
+            *taken = total;
+        }
+        is_covered
+    }
 }
 
 /// Returns the policy's view of an account after the return of tokens. `holders` is left at 0,
--- a/toucanrail/src/tenures.rs
+++ b/toucanrail/src/tenures.rs
@@ -7,6 +7,7 @@
 
 use serde::Serialize;
 
+use crate::batches::BatchRoom;
 use crate::budgets::{BillRow, BudgetShard};
 use crate::ids::{AgentId, Epoch, RunId, Sequence, Version};
 use crate::syncs::SyncPlan;
@@ -45,20 +46,22 @@
         Self { late, ..Self::default() }
     }
 
-    /// Takes the late bills whose tenure is known to be closed.
+    /// Takes the late bills that fit into a sync and whose tenure is known to be closed.
     ///
     /// Until it is closed, its reclaim decides what is billed. A sync that opens a tenure carries
     /// no late bills, because after a lost reply it cannot be distinguished from one that never
     /// took effect.
-    pub fn take_reclaimed_rows(&mut self) -> Vec<BillRow> {
+    pub fn take_reclaimed_rows(&mut self, room: &mut BatchRoom) -> Vec<BillRow> {
         let closed = self.cached.as_ref().map(|(_, shard)| &shard.closed);
         let Some(closed) = closed.filter(|_| self.epoch != 0) else {
             return Vec::new();
         };
         let late = std::mem::take(&mut self.late);
-        let (ready, rest) = late.into_iter().partition(|row| closed.contains_key(&row.epoch));
+        let (mut ready, rest) = late.into_iter().partition(|row| closed.contains_key(&row.epoch));
+        let taken = room.take_rows(&mut ready);
         self.late = rest;
-        ready
+        self.late.extend(ready);
+        taken
     }
 
     /// Records that a plan took effect.
--- a/toucanrail/tests/token_extremes.rs
+++ b/toucanrail/tests/token_extremes.rs
@@ -5,6 +5,7 @@
 
 use proptest::prelude::*;
 use toucanrail::accounts::GrantAccount;
+use toucanrail::batches::BatchRoom;
 use toucanrail::budgets::{BillRow, BudgetAccount, BudgetShard};
 use toucanrail::grants::GrantTable;
 use toucanrail::ids::{CustomerId, Epoch, Tokens};
@@ -144,7 +145,7 @@
         prop_assert!(account.available() <= granted);
         account.update_burn_rate(Duration::from_millis(200));
         prop_assert!(account.burn.is_finite());
-        account.take_bills(1);
+        account.take_bills(&mut BatchRoom::empty_batch());
         account.confirm(second, returning);
         prop_assert!(account.available() <= second);
     }
