Calls declared not repeatable are recognised however they are written

What could happen: a declaration with two blanks passed the check and matched nothing, so that its calls ran twice after a failure. A route that ends in a slash matched only itself. A path with encoded or empty segments was taken for another one, and the server took it for the declared one.

Cause: the check asked for " /" somewhere, and matching compared raw bytes.

Change: one parser for the check and for matching (call_patterns); a pattern that cannot be parsed, from an older catalogue, covers every call; a path is compared as written and with its segments decoded and joined.

Ruled out: refusing odd paths, as callers may use them for other calls.

--- a/toucanrail-daemons/src/planning.rs
+++ b/toucanrail-daemons/src/planning.rs
@@ -225,9 +225,7 @@
         return reject(codetable::NO_SUCH_ROUTE, "");
     };
     let service = service.clone();
-    let route = service.route.as_deref().unwrap_or_default();
-    let subpath = call.path().strip_prefix(route).unwrap_or_default();
-    let subpath = if subpath.is_empty() { "/" } else { subpath };
+    let subpath = service.subpath(call.path()).unwrap_or("/");
     let repeatable = service.is_repeatable(call.request.method().as_ref(), subpath);
     let path = match call.request.url().query() {
         Some(query) => format!("{subpath}?{query}"),
--- a/toucanrail/src/catalogue.rs
+++ b/toucanrail/src/catalogue.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::call_patterns::CallPattern;
 use crate::ids::{CustomerId, ServiceName, Tokens, Version};
 use crate::messages::MirrorObject;
 use crate::storecalls;
@@ -184,8 +185,7 @@
     let bytes = service.least_bytes_per_token;
     reject_if(&mut errors, bytes == 0, "least-bytes-per-token", "must be at least 1");
     reject_if(&mut errors, service.deadline_seconds == 0, "deadline-seconds", "must be at least 1");
-    let calls = service.not_repeatable.iter();
-    let malformed = calls.filter(|call| !call.contains(" /")).count() > 0;
+    let malformed = service.not_repeatable.iter().any(|text| CallPattern::parse(text).is_none());
     reject_if(&mut errors, malformed, "not-repeatable", "each must be 'METHOD /path'");
     errors
 }
@@ -297,15 +297,20 @@
     /// Returns the plain service whose route is the longest prefix of the path, matched by whole
     /// path segments.
     pub fn service_by_path(&self, path: &str) -> Option<&ServiceEntry> {
-        let matching = self.services().filter(|service| {
-            let rest = service.route.as_deref().and_then(|route| path.strip_prefix(route));
-            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']))
-        });
+        let matching = self.services().filter(|service| service.subpath(path).is_some());
         matching.max_by_key(|service| service.route.as_deref().map_or(0, str::len))
     }
 }
 
 impl ServiceEntry {
+    /// Returns the path below the service's route, or `None` if the path is not below it.
+    pub fn subpath<'path>(&self, path: &'path str) -> Option<&'path str> {
+        let route = self.route.as_deref()?.trim_end_matches('/');
+        let rest = path.strip_prefix(route)?;
+        let is_below = rest.is_empty() || rest.starts_with(['/', '?']);
+        is_below.then_some(if rest.is_empty() { "/" } else { rest })
+    }
+
     /// Returns whether a call may run more than once; `path` is relative to the route.
     ///
     /// # Examples
@@ -319,10 +324,9 @@
     /// assert!(desk.is_repeatable("GET", "/deposits/7"));
     /// ```
     pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
-        !self.not_repeatable.iter().any(|call| {
-            let (wanted, prefix) = call.split_once(' ').unwrap_or((call, ""));
-            wanted.eq_ignore_ascii_case(method) && path.starts_with(prefix)
-        })
+        let mut patterns = self.not_repeatable.iter().map(|text| CallPattern::parse(text));
+        // A pattern that cannot be parsed may be meant for any call.
+        !patterns.any(|pattern| pattern.is_none_or(|pattern| pattern.matches(method, path)))
     }
 }
 
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod batches;
 pub mod boards;
 pub mod budgets;
+pub mod call_patterns;
 pub mod catalogue;
 pub mod catalogue_files;
 pub mod codes;
