A caller that leaves while its request waits for a grant is no longer counted

What could happen: the wait of a request was ended only where its future ran to its end. A caller that left within the 400 ms left its tokens in the account's list for good, and each later sync asked for them, so that grants grew beyond what anybody needed and were stranded at one process.

Evidence: departed_callers waiting_request, before: [160] is still listed 20 s after the caller has left.

Change: the wait is a value that ends it when dropped, in the gateway and in the project's own entry.

Ruled out: discard_wait, which ends some wait, not this one.

--- a/toucanrail-daemons/src/settlement.rs
+++ b/toucanrail-daemons/src/settlement.rs
@@ -176,18 +176,38 @@
     if refused.is_some() {
         return Err(codetable::BUDGET_EXHAUSTED);
     }
-    entry.lock().grants.begin_wait(customer, amount);
+    let pending = PendingWait::begin(entry, customer, amount);
     let waited =
         time_limits::timeout(entry.settings.budget_wait, wait_hold(entry, customer, amount));
     let waited = waited.await.unwrap_or(Err(codetable::BUDGET_UNCONFIRMED));
+    drop(pending);
     let mut tables = entry.lock();
-    tables.grants.end_wait(customer, amount);
     if waited == Err(codetable::BUDGET_EXHAUSTED) {
         tables.exhausted.insert(Arc::clone(customer), (entry.now() + EXHAUSTED_CACHE_TIME, amount));
     }
     waited
 }
 
+/// A request that waits for a grant, until this is dropped; its caller may leave at any time.
+struct PendingWait<'request> {
+    entry: &'request Arc<Entry>,
+    customer: &'request CustomerId,
+    amount: Tokens,
+}
+
+impl<'request> PendingWait<'request> {
+    fn begin(entry: &'request Arc<Entry>, customer: &'request CustomerId, amount: Tokens) -> Self {
+        entry.lock().grants.begin_wait(customer, amount);
+        Self { entry, customer, amount }
+    }
+}
+
+impl Drop for PendingWait<'_> {
+    fn drop(&mut self) {
+        self.entry.lock().grants.end_wait(self.customer, self.amount);
+    }
+}
+
 /// Waits until the grant covers a hold.
 ///
 /// A request is refused only if the shard was read after the request arrived, and after peers have
--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -159,11 +159,11 @@
             self.log_short(customer, amount);
             return Err(HoldFailure::Short);
         }
-        self.grants.borrow_mut().begin_wait(customer, amount);
+        let pending = PendingWait::begin(&self.grants, customer, amount);
         let waiting =
             time_limits::timeout(GRANT_WAIT.min(time_left / 4), self.wait_hold(customer, amount));
         let waited = waiting.await;
-        self.grants.borrow_mut().end_wait(customer, amount);
+        drop(pending);
         let acquired = waited.unwrap_or(Err(HoldFailure::Short));
         if acquired.is_err() {
             self.log_short(customer, amount);
@@ -311,6 +311,30 @@
     }
 }
 
+/// A request that waits for a grant, until this is dropped; its caller may leave at any time.
+struct PendingWait<'request> {
+    grants: &'request RefCell<GrantTable>,
+    customer: &'request CustomerId,
+    amount: Tokens,
+}
+
+impl<'request> PendingWait<'request> {
+    fn begin(
+        grants: &'request RefCell<GrantTable>,
+        customer: &'request CustomerId,
+        amount: Tokens,
+    ) -> Self {
+        grants.borrow_mut().begin_wait(customer, amount);
+        Self { grants, customer, amount }
+    }
+}
+
+impl Drop for PendingWait<'_> {
+    fn drop(&mut self) {
+        self.grants.borrow_mut().end_wait(self.customer, self.amount);
+    }
+}
+
 /// Returns the event kind that an outcome is counted under.
 fn outcome_kind(outcome: &SyncOutcome) -> &'static str {
     match outcome {
--- a/toucanrail-gateway/tests/departed_callers.rs
+++ b/toucanrail-gateway/tests/departed_callers.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use platform::{Action, Backend, Process, Store, request};
+use serde_json::{Value, json};
 
 /// Long enough for bytes and the end of a connection to arrive; shorter than any loan timeout.
 const ARRIVAL: Duration = Duration::from_millis(80);
@@ -106,3 +107,24 @@
     // The tests' route accepts pauses of 600 ms, and its callers wait for eight times that.
     assert!(start.elapsed() < Duration::from_millis(4_800), "{:?}", start.elapsed());
 }
+
+/// A caller leaves while its request waits for a grant. What it was missing is no longer asked for.
+#[test]
+fn waiting_request() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| Action::Respond(platform::signed_response("fine")));
+    platform::configure(&store, 1, &[&backend]);
+    let gateway = Process::start_gateway(&store);
+    store.set_blocked("budgets", true);
+    let text = request("POST", "/once/a", "r1", platform::PROMPT_HEADERS, "p");
+    let caller = send(&gateway, &text);
+    let waiting = || {
+        let state = platform::call(gateway.readiness, "GET /state HTTP/1.1\r\nHost: x\r\n\r\n");
+        let state: Value = serde_json::from_slice(&state.expect("the state").body).expect("JSON");
+        state["grants"]["accounts"]["acme"]["waiting"].clone()
+    };
+    platform::wait_until("the request", || waiting() == json!([160]));
+    drop(caller);
+    store.set_blocked("budgets", false);
+    platform::wait_until("the end of the wait", || waiting() == json!([]));
+}
