A stopping entry tells its lenders what its requests used

What could happen: loan ends were sent once at a stop, for at most 300 ms. If the lender did not answer in that time the call was cancelled with the ends that it had taken out of the queue; ends of requests that finished after it were sent only by chance of the 100 ms interval. The lender never learned of them: the requests were not billed, and their loans stayed open, which keeps the budget from everybody.

Cause: ends had no owner while they were being sent, and the process did not wait for them. Class: state that is taken out of its table across a wait.

Evidence: lender_shutdown unreachable_lender, before: the stream's 160 tokens are not billed 20 s after the lender can be reached again.

Change: ends that are not acknowledged go back to their queue when the call ends in whatever way; after the last request the process waits until each lender that is still listed has its ends, within its grace period, and logs ends_left otherwise.

A stop with reachable lenders takes no longer.

Ruled out: the lender's side; it takes repeated ends once.

--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -16,6 +16,7 @@
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::{CustomerId, RequestId, ServiceName, Tokens};
 use toucanrail::loans::{self, LoanEnd, LoanId, LoanReply, LoanRequest};
+use toucanrail_wire::time_limits;
 
 use crate::grant_manager::HoldFailure;
 use crate::relay_api::{LOAN_END_PATH, LOAN_PATH};
@@ -66,6 +67,8 @@
     pub lenders_unreachable: Cell<bool>,
     backoff: RelayBackoff,
     ends: RefCell<BTreeMap<Arc<str>, EndQueue>>,
+    /// Number of queues that are being sent.
+    sending: Cell<usize>,
 }
 
 /// The budget reserved for one request. Dropping it bills the tokens that were used, however the
@@ -263,8 +266,32 @@
     }
 }
 
-/// Sends the queued loan ends to all lenders concurrently. Returns true if none is left.
-pub async fn flush_loan_ends(gateway: &Rc<Gateway>) -> bool {
+/// Sends the loan ends of a stopping process until each lender that is still listed has them, for
+/// at most `timeout`. Loans whose ends do not arrive stay open for ever, unbilled.
+pub async fn finish_loan_ends(gateway: &Rc<Gateway>, timeout: Duration) {
+    let sending = async {
+        while has_unsent_ends(gateway) {
+            flush_loan_ends(gateway).await;
+            smol::Timer::after(END_INTERVAL).await;
+        }
+    };
+    if time_limits::timeout(timeout, sending).await.is_none() {
+        let lenders = gateway.loan_client.ends.borrow();
+        let ends: usize = lenders.values().map(|queue| queue.ends.len()).sum();
+        tracing::warn!(event = "ends_left", lenders = lenders.len(), ends);
+    }
+}
+
+/// Returns whether a lender that is listed has not acknowledged all loan ends.
+fn has_unsent_ends(gateway: &Gateway) -> bool {
+    let lenders = gateway.store.lenders();
+    let is_listed = |lender: &Arc<str>| lenders.iter().any(|(name, _)| name == lender);
+    let client = &gateway.loan_client;
+    client.sending.get() > 0 || client.ends.borrow().keys().any(is_listed)
+}
+
+/// Sends the queued loan ends to all lenders concurrently.
+async fn flush_loan_ends(gateway: &Rc<Gateway>) {
     let lenders: Vec<Arc<str>> = gateway.loan_client.ends.borrow().keys().map(Arc::clone).collect();
     let sending = lenders
         .into_iter()
@@ -272,14 +299,45 @@
     for task in sending.collect::<Vec<_>>() {
         task.await;
     }
-    gateway.loan_client.ends.borrow().is_empty()
+}
+
+/// Loan ends that are being sent to a lender. Those that it has not acknowledged are queued again
+/// when this is dropped.
+struct SentEnds<'gateway> {
+    gateway: &'gateway Gateway,
+    lender: &'gateway Arc<str>,
+    queue: EndQueue,
+}
+
+impl<'gateway> SentEnds<'gateway> {
+    fn take(gateway: &'gateway Gateway, lender: &'gateway Arc<str>) -> Option<Self> {
+        let queue = gateway.loan_client.ends.borrow_mut().remove(lender)?;
+        let sending = &gateway.loan_client.sending;
+        sending.set(sending.get() + 1);
+        Some(Self { gateway, lender, queue })
+    }
+}
+
+impl Drop for SentEnds<'_> {
+    fn drop(&mut self) {
+        let client = &self.gateway.loan_client;
+        client.sending.set(client.sending.get() - 1);
+        if self.queue.ends.is_empty() {
+            return;
+        }
+        let mut queues = client.ends.borrow_mut();
+        let empty = EndQueue { ends: Vec::new(), since: self.queue.since };
+        let current = queues.entry(Arc::clone(self.lender)).or_insert(empty);
+        current.since = current.since.min(self.queue.since);
+        current.ends.append(&mut self.queue.ends);
+    }
 }
 
 async fn send_queue(gateway: Rc<Gateway>, lender: Arc<str>) {
-    let Some(queue) = gateway.loan_client.ends.borrow_mut().remove(&lender) else {
+    let Some(mut sent_ends) = SentEnds::take(&gateway, &lender) else {
         return;
     };
-    let ends = queue.ends;
+    let ends = &sent_ends.queue.ends;
     let listed = gateway.store.lenders().into_iter().find(|(name, _)| *name == lender);
     let sent = match listed {
         Some((_, address)) => {
@@ -288,25 +346,21 @@
                 &lender,
                 address,
                 LOAN_END_PATH,
-                &ends,
+                ends,
                 END_TIMEOUT,
             )
             .await
         }
         None => Err(io::ErrorKind::NotFound.into()),
     };
-    let Err(error) = sent else {
-        return;
-    };
-    if gateway.now().saturating_sub(queue.since) > END_RETENTION {
-        tracing::warn!(event = "ends_dropped", %lender, ends = ends.len(), %error);
-        return;
+    match sent {
+        Ok(_) => sent_ends.queue.ends.clear(),
+        Err(error) if gateway.now().saturating_sub(sent_ends.queue.since) > END_RETENTION => {
+            tracing::warn!(event = "ends_dropped", %lender, ends = ends.len(), %error);
+            sent_ends.queue.ends.clear();
+        }
+        Err(_) => {}
     }
-    let mut queues = gateway.loan_client.ends.borrow_mut();
-    let empty = EndQueue { ends: Vec::new(), since: queue.since };
-    let current = queues.entry(lender).or_insert(empty);
-    current.since = current.since.min(queue.since);
-    current.ends.extend(ends);
 }
 
 impl BudgetGuard {
--- a/toucanrail-gateway/src/stopping.rs
+++ b/toucanrail-gateway/src/stopping.rs
@@ -6,7 +6,6 @@
 use async_signal::{Signal, Signals};
 use smol::stream::StreamExt;
 use toucanrail_platform::settings;
-use toucanrail_wire::time_limits;
 
 use crate::grant_manager;
 use crate::loan_client;
@@ -23,7 +22,7 @@
 const LENDING_MARGIN: Duration = Duration::from_millis(1_800);
 /// Taken off the grace period for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
-/// Maximum wait for lenders to accept the last loan ends.
+/// Least time in which lenders may accept the last loan ends.
 const LOAN_ENDS_TIMEOUT: Duration = Duration::from_millis(300);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -72,12 +71,14 @@
     // Set before the following waits: a request admitted during one of them would be cut off when
     // the process exits.
     gateway.admission_closed.set(true);
-    time_limits::timeout(LOAN_ENDS_TIMEOUT, loan_client::flush_loan_ends(gateway)).await;
     if let Some(lending) = lending {
         lending.await;
     }
     grant_manager::settle_all(&gateway.grant_manager).await;
-    wait_until_idle(gateway, stop_requested, grace.saturating_sub(EXIT_MARGIN)).await;
+    let limit = grace.saturating_sub(EXIT_MARGIN);
+    wait_until_idle(gateway, stop_requested, limit).await;
+    let left = limit.saturating_sub(stop_requested.elapsed()).max(LOAN_ENDS_TIMEOUT);
+    loan_client::finish_loan_ends(gateway, left).await;
     tracing::info!(
         event = "stopped",
         in_flight = gateway.in_flight.get(),
--- a/toucanrail-gateway/tests/lender_shutdown.rs
+++ b/toucanrail-gateway/tests/lender_shutdown.rs
@@ -5,7 +5,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use platform::proxies::{Proxy, ProxyFault};
 use platform::{Action, Backend, Process, Store, request};
+use serde_json::json;
 
 /// A lender is stopped while a stream that it lent the budget for is in progress. It must stay
 /// until the loan has ended. If it exited at once, the entry could not end the loan, the stream
@@ -87,3 +89,39 @@
         thread::sleep(Duration::from_secs(4));
     }
 }
+
+/// An entry is stopped while it cannot reach its lender, and a stream ends meanwhile. If it exited
+/// before the lender knew what was used, the stream would never be billed, and its loan would stay
+/// open for ever.
+#[test]
+fn unreachable_lender() {
+    let store = Store::start();
+    let events: Vec<String> =
+        (1..=60).map(|id| platform::chunk(&format!("id: {id}\ndata: x\n\n"))).collect();
+    let stream = [platform::STREAM_HEAD, &events.join("PAUSE"), "0\r\n\r\n"].concat();
+    let backend = Backend::start("i-1", move |_, _| Action::Respond(stream.clone()));
+    platform::configure_prepaid(&store, 1, &[&backend], 100_000);
+    let _relay = Process::start_relay(&store, "side-1");
+    platform::wait_until("the relay", || store.has("relays", "side-1"));
+    let mut entry = store.get("relays", "side-1").expect("its entry");
+    let lending = entry["lending"].as_str().expect("an address").parse().expect("an address");
+    let proxy = Proxy::start(lending);
+    entry["lending"] = json!(proxy.address.to_string());
+    store.put("relays", "side-1", entry);
+    let mut gateway = Process::start_with_settings(&store, "grace_s = 9\n");
+    let address = gateway.callers;
+    let caller = thread::spawn(move || {
+        let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
+        platform::call_raw(address, &request("POST", "/stream/a", "r1", &headers, "p"))
+    });
+    platform::wait_until("the request", || !backend.seen().is_empty());
+    assert!(store.granted("acme").keys().any(|holder| holder.starts_with("side-1")));
+    proxy.set_fault(ProxyFault::DropRequests);
+    gateway.signal("TERM");
+    assert!(caller.join().expect("the caller").ends_with("0\r\n\r\n"));
+    // Longer than the entry waits for callers after it is stopped.
+    thread::sleep(Duration::from_secs(3));
+    proxy.set_fault(ProxyFault::None);
+    assert!(gateway.wait_end());
+    platform::wait_until("the bill", || store.billed("acme") == 160);
+}
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -639,10 +639,11 @@
         let [callers, readiness, internal] = [0, 1, 2].map(|index| ports.address(index));
         let internal_port = internal.port();
         let app = app.map_or(String::new(), |app| format!("app = \"{app}\"\n"));
+        let grace = if extra_bounds.contains("grace_s") { "" } else { "grace_s = 4\n" };
         let text = format!(
             "{app}node = \"{vm}\"\nzone = \"a\"\nip = \"127.0.0.1\"\ninternal_ports = [{internal_port}, {}]\n\
              [listen]\nfront = \"{callers}\"\nreadiness_address = \"{readiness}\"\n\
-             [bounds]\ngrace_s = 4\nretry_budget_ratio = 0.2\nbudget_slack = 52\nbudget_window_s = 10\n\
+             [bounds]\n{grace}retry_budget_ratio = 0.2\nbudget_slack = 52\nbudget_window_s = 10\n\
              {extra_bounds}[zones]\na = \"north\"\nb = \"south\"\n\
              [provider]\naddress = \"{store}\"\n",
             internal_port + 9
