Comments and empty lines in a stream are not billed as output

What could happen: a server that keeps a connection open with comments, or sends an empty line more, had each counted as an event of several output tokens, and its caller was billed for them. A line of blanks counted as the end of an event.

Cause: the scanner counted empty lines, not events.

Change: a block counts if it has a field; a line ends with LF or CR LF, and only an empty one ends a block. All bytes are forwarded as before.

--- a/toucanrail/src/sse.rs
+++ b/toucanrail/src/sse.rs
@@ -21,6 +21,7 @@
     }
 
     /// Scans `pending` and returns the total length in bytes of the complete events at its start.
+    /// Blocks of comments and empty lines are forwarded like events, but not counted.
     ///
     /// `pending` must hold all bytes received after the last complete event; the caller removes the
     /// complete events from it before the next call.
@@ -35,16 +36,20 @@
         let mut complete = 0;
         let mut start = 0;
         let mut id = None;
+        let mut has_field = false;
         while let Some(length) = pending[start..].iter().position(|byte| *byte == b'\n') {
-            let line = pending[start..start + length].trim_ascii_end();
+            let line = &pending[start..start + length];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
             start += length + 1;
             if !line.is_empty() {
+                has_field |= !line.starts_with(b":");
                 id = parse_id(line).or(id);
                 continue;
             }
             complete = start;
-            self.count += 1;
+            self.count += u64::from(has_field);
             self.last_id = id.take().or(self.last_id);
+            has_field = false;
         }
         complete
     }
--- a/toucanrail/tests/stream_events.rs
+++ b/toucanrail/tests/stream_events.rs
@@ -90,3 +90,23 @@
     assert!(decoder.is_malformed() && !decoder.is_done());
     assert_eq!(decoder.end_with(ConnectionEnd::Closed), BodyEnd::Truncated);
 }
+
+/// Comments, which keep a connection open, and empty lines are no events: their callers are not
+/// billed for them.
+#[test]
+fn blocks_without_fields() {
+    let stream =
+        b": ping\n\nid: 1\ndata: a\n\n\n\n:\n: id: 7\n\r\n: b\nid: 2\r\ndata:\r\n\r\ndata\n\n";
+    let mut scanner = EventScanner::new();
+    assert_eq!(scanner.scan(stream), stream.len());
+    assert_eq!((scanner.count, scanner.last_id), (3, Some(2)));
+}
+
+/// A line of blanks is no end of an event.
+#[test]
+fn blank_line() {
+    let mut scanner = EventScanner::new();
+    let stream = b"id: 1\n  \ndata: a\n\n";
+    assert_eq!(scanner.scan(stream), stream.len());
+    assert_eq!((scanner.count, scanner.last_id), (1, Some(1)));
+}
