A chunked body ends only where every reader says so

What could happen: a size line without a size ended a body, any byte passed for the line feed behind a carriage return, and bytes between a chunk's data and the next line feed were skipped, so that this process and a server behind it could take different bytes for the next request or response (request smuggling). A size beyond 64 bits became the largest one; extensions and trailers had no limit.

Change: the scanner accepts exactly digits, extension, CR LF, data, CR LF, and trailers of at most 8 KiB; all else is malformed.

Ruled out: httparse::parse_chunk_size in the scanner itself, as it needs the whole line and the scanner is fed byte by byte; it is the second reading.

--- a/toucanrail/src/scanners.rs
+++ b/toucanrail/src/scanners.rs
@@ -7,6 +7,8 @@
 use crate::codetable;
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Maximum length in bytes of the extensions of one chunk, and of the trailers of a body.
+const MAX_CHUNK_OVERHEAD: u32 = 8 * 1024;
 
 /// How a message states the length of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -154,17 +156,24 @@
 pub struct ChunkScanner {
     state: ChunkState,
     size: u64,
+    /// Bytes of the current chunk's size line, or of the trailers.
+    overhead: u32,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChunkState {
+    /// Before the first digit of a size.
+    SizeStart,
     Size,
     Extension,
     SizeEnd,
     Data,
     DataEnd,
-    Trailer { line: u32 },
-    TrailerEnd { line: u32 },
+    DataLineFeed,
+    TrailerStart,
+    Trailer,
+    TrailerLineFeed,
+    LastLineFeed,
     Done,
     Malformed,
 }
@@ -172,7 +181,7 @@
 impl ChunkScanner {
     /// Creates a scanner positioned before the first chunk.
     pub const fn new() -> Self {
-        Self { state: ChunkState::Size, size: 0 }
+        Self { state: ChunkState::SizeStart, size: 0, overhead: 0 }
     }
 
     /// Returns whether the last chunk and the trailers have been scanned.
@@ -233,32 +242,45 @@
         self.size -= consumed;
         if self.size == 0 {
             self.state = ChunkState::DataEnd;
+            self.overhead = 0;
         }
         consumed as usize
     }
 
     /// Returns the state after a byte that is not chunk data.
     fn next_state(&mut self, byte: u8) -> ChunkState {
+        self.overhead = self.overhead.saturating_add(1);
+        if self.overhead > MAX_CHUNK_OVERHEAD {
+            return ChunkState::Malformed;
+        }
         match (self.state, byte) {
-            (ChunkState::Size | ChunkState::Extension, b'\r') => ChunkState::SizeEnd,
+            (ChunkState::SizeStart | ChunkState::Size, byte) if byte.is_ascii_hexdigit() => {
+                self.add_digit(byte)
+            }
             (ChunkState::Size, b';') => ChunkState::Extension,
-            (ChunkState::Size, byte) => match (byte as char).to_digit(16) {
-                Some(digit) => {
-                    self.size = self.size.saturating_mul(16).saturating_add(u64::from(digit));
-                    ChunkState::Size
-                }
-                None => ChunkState::Malformed,
-            },
-            (ChunkState::SizeEnd, _) if self.size == 0 => ChunkState::Trailer { line: 0 },
-            (ChunkState::SizeEnd, _) => ChunkState::Data,
-            (ChunkState::DataEnd, b'\n') => ChunkState::Size,
-            (ChunkState::Trailer { line }, b'\r') => ChunkState::TrailerEnd { line },
-            (ChunkState::Trailer { line }, _) => ChunkState::Trailer { line: line + 1 },
-            (ChunkState::TrailerEnd { line: 0 }, _) => ChunkState::Done,
-            (ChunkState::TrailerEnd { .. }, _) => ChunkState::Trailer { line: 0 },
-            (state, _) => state,
+            (ChunkState::Size | ChunkState::Extension, b'\r') => ChunkState::SizeEnd,
+            (ChunkState::SizeEnd, b'\n') if self.size == 0 => ChunkState::TrailerStart,
+            (ChunkState::SizeEnd, b'\n') => ChunkState::Data,
+            (ChunkState::DataEnd, b'\r') => ChunkState::DataLineFeed,
+            (ChunkState::DataLineFeed, b'\n') => ChunkState::SizeStart,
+            (ChunkState::TrailerStart, b'\r') => ChunkState::LastLineFeed,
+            (ChunkState::Trailer, b'\r') => ChunkState::TrailerLineFeed,
+            (ChunkState::TrailerLineFeed, b'\n') => ChunkState::TrailerStart,
+            (ChunkState::LastLineFeed, b'\n') => ChunkState::Done,
+            (ChunkState::Extension, byte) if byte != b'\n' => ChunkState::Extension,
+            (ChunkState::TrailerStart | ChunkState::Trailer, byte) if byte != b'\n' => {
+                ChunkState::Trailer
+            }
+            _ => ChunkState::Malformed,
         }
     }
+
+    fn add_digit(&mut self, digit: u8) -> ChunkState {
+        let value = (digit as char).to_digit(16).map(u64::from);
+        let size = self.size.checked_mul(16).and_then(|size| size.checked_add(value?));
+        self.size = size.unwrap_or_default();
+        if size.is_some() { ChunkState::Size } else { ChunkState::Malformed }
+    }
 }
 
 impl Default for ChunkScanner {
