Every Connection field counts

A sender may state its connection's options in several fields; those of the second and later ones were forwarded. Cause: FieldList::get returns the first. connection_fields fails before and passes now. Ruled out: the close option, which scan_head reads from each field.

--- a/toucanrail-wire/src/heads.rs
+++ b/toucanrail-wire/src/heads.rs
@@ -88,11 +88,12 @@
     /// Returns the fields that are forwarded to the next connection: neither hop-by-hop fields nor
     /// those that `Connection` names.
     pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &str)> {
-        let connection = self.get("connection").unwrap_or_default();
+        let is_connection = |name: &str| name.eq_ignore_ascii_case("connection");
+        let stated = self.iter().filter(|(name, _)| is_connection(name));
+        let options: Vec<&str> = stated.flat_map(|(_, value)| value.split(',')).collect();
         self.iter().filter(move |(name, _)| {
             let hop_by_hop = HOP_BY_HOP_FIELDS.iter().any(|hop| hop.eq_ignore_ascii_case(name));
-            let mut options = connection.split(',').map(str::trim);
-            !hop_by_hop && !options.any(|option| option.eq_ignore_ascii_case(name))
+            !hop_by_hop && !options.iter().any(|option| option.trim().eq_ignore_ascii_case(name))
         })
     }
 }
