--- a/toucanrail/src/matching.rs
+++ b/toucanrail/src/matching.rs
@@ -117,9 +117,6 @@
 pub struct EngineSpec {
     /// Maximum number of sequences in a batch.
     pub slots: u64,
-    /// Capacity of the KV cache, in tokens.
-    #[serde(rename = "memory")]
-    pub kv_tokens: Tokens,
     /// Number of tokens in one event of a stream.
     #[serde(rename = "stride")]
     pub tokens_per_event: Tokens,
@@ -130,10 +127,6 @@
 pub struct ServiceRule {
     /// Name of the service.
     pub name: ServiceName,
-    /// Path of the health check of its servers.
-    pub health_path: Arc<str>,
-    /// Number of connections that one of its servers accepts from all callers together.
-    pub connections: u32,
     /// Engine parameters, if it is a model service.
     pub engine: Option<EngineSpec>,
     /// Behaviour of its servers after a cold start, if they are slow at first.
