--- a/toucanrail-gateway/tests/forwarded_fields.rs
+++ b/toucanrail-gateway/tests/forwarded_fields.rs
@@ -114,6 +114,19 @@
     assert!((5_000..=6_000).contains(&given("")));
 }
 
+/// The name of the scheme in front of a key has no case, and blanks around the key do not count.
+#[test]
+fn key_scheme() {
+    let service = Service::start();
+    for scheme in ["Bearer ", "bearer ", "BEARER   "] {
+        let text = request("POST", "/once/a", "r1", "", "p").replace("Bearer ", scheme);
+        assert_eq!(service.forward(&text).field("x-tenant"), Some("acme"), "{scheme}");
+    }
+    let text = request("POST", "/once/a", "r1", "", "p").replace("Bearer ", "Basic ");
+    let response = platform::call(service.gateway.callers, &text).expect("a response");
+    assert_eq!(response.status(), 401);
+}
+
 /// A public route needs no key, and its requests have no customer.
 #[test]
 fn public_route() {
