--- a/toucanrail-wire/src/heads.rs
+++ b/toucanrail-wire/src/heads.rs
@@ -16,11 +16,12 @@
 const FIELD_LIMIT: usize = 96;
 
 /// Fields that apply to one connection and are not forwarded.
-const HOP_BY_HOP_FIELDS: [&str; 9] = [
+const HOP_BY_HOP_FIELDS: [&str; 10] = [
     "connection",
     "keep-alive",
     "proxy-connection",
     "proxy-authenticate",
+    "proxy-authorization",
     "te",
     "trailer",
     "transfer-encoding",
@@ -203,6 +204,9 @@
         let (Some(status), Some(minor)) = (response.code, response.version) else {
             return Err(malformed);
         };
+        if !(100..600).contains(&status) {
+            return Err(malformed);
+        }
         let base = bytes.as_ptr().addr();
         let reason = response.reason.filter(|reason| !reason.is_empty()).map_or(0..0, |reason| {
             let start = reason.as_ptr().addr() - base;
