Two parts of prompts that end servers, at once and one after the other

Both pass on the code as it is, so nothing is changed.

The lock of the fleets' stand-in stays, for its bounds are times; that fleets would take each other's ports is no longer so.

--- a/toucanrail-gateway/tests/crashing_parts.rs
+++ b/toucanrail-gateway/tests/crashing_parts.rs
@@ -28,8 +28,9 @@
 /// Time in which a part that is held back by mistake is served again.
 const CURE_TIME: Duration = Duration::from_secs(40);
 
-/// The part that ends servers.
+/// The part that ends servers, and another one.
 const HARMFUL_PART: &str = "dead1";
+const OTHER_HARMFUL_PART: &str = "dead2";
 /// Parts of sound requests: the first of all prompts, and one that few have.
 const COMMON_PARTS: &str = "a1:300";
 const RARE_PARTS: &str = "a1:300,b2:80";
@@ -46,7 +47,7 @@
 fn run_or_end(message: &Message) -> RunFate {
     let parts = message.field("x-prefix-hash").unwrap_or_default();
     let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
-    if shared.contains(HARMFUL_PART) {
+    if shared.contains(HARMFUL_PART) || shared.contains(OTHER_HARMFUL_PART) {
         return RunFate::End(platform::STREAM_HEAD.to_owned(), Duration::from_millis(10));
     }
     let events = (1..=12).map(|id| platform::chunk(&format!("id: {id}\ndata: x\n\n")) + "PAUSE");
@@ -72,7 +73,11 @@
 
 /// Sends requests with the harmful part behind `first` at all entries in turn, for some time.
 fn send_harmful(fleet: &CrashFleet, first: &str, interval: Duration, time: Duration) {
-    let shared = format!("{first},{HARMFUL_PART}:60");
+    send_part(fleet, first, HARMFUL_PART, interval, time);
+}
+
+fn send_part(fleet: &CrashFleet, first: &str, part: &str, interval: Duration, time: Duration) {
+    let shared = format!("{first},{part}:60");
     let start = Instant::now();
     thread::scope(|scope| {
         for entry in fleet.entries.iter().cycle() {
@@ -121,7 +126,11 @@
 /// Asserts that few requests with the part were sent to servers later than the window after the fifth
 /// end. Returns the time of the fifth, or of the last if there were fewer.
 fn assert_contained(fleet: &CrashFleet) -> Instant {
-    let runs = fleet.runs_of(HARMFUL_PART);
+    assert_part_contained(fleet, HARMFUL_PART)
+}
+
+fn assert_part_contained(fleet: &CrashFleet, part: &str) -> Instant {
+    let runs = fleet.runs_of(part);
     let fifth = runs.get(FREE_ENDS - 1).or(runs.last()).expect("a server that ended").at;
     let late = runs.iter().filter(|run| run.at > fifth + WINDOW).count();
     println!("{} servers ended, {late} after the window", runs.len());
@@ -164,6 +173,52 @@
     assert_none_held(&calls);
 }
 
+/// Two parts end servers at the same time, in requests that differ in nothing else.
+#[test]
+fn two_parts() {
+    let fleet = start_fleet();
+    let mut calm_until = Instant::now();
+    let calls = send_sound(&fleet, COMMON_PARTS, SOUND_INTERVAL, || {
+        thread::sleep(Duration::from_secs(2));
+        calm_until = Instant::now();
+        thread::scope(|scope| {
+            for part in [HARMFUL_PART, OTHER_HARMFUL_PART] {
+                let (interval, time) = (2 * HARMFUL_INTERVAL, Duration::from_secs(11));
+                let fleet = &fleet;
+                scope.spawn(move || send_part(fleet, COMMON_PARTS, part, interval, time));
+            }
+        });
+    });
+    let parts = [HARMFUL_PART, OTHER_HARMFUL_PART];
+    let fifths = parts.map(|part| assert_part_contained(&fleet, part));
+    assert_served(&calls, calm_until, fifths.into_iter().max().expect("a time"));
+    assert_none_held(&calls);
+}
+
+/// A part ends servers while another one is held back.
+#[test]
+fn later_part() {
+    let fleet = start_fleet();
+    let mut calm_until = Instant::now();
+    let calls = send_sound(&fleet, COMMON_PARTS, SOUND_INTERVAL, || {
+        thread::sleep(Duration::from_secs(3));
+        calm_until = Instant::now();
+        thread::scope(|scope| {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                send_harmful(fleet, COMMON_PARTS, 2 * HARMFUL_INTERVAL, Duration::from_secs(16));
+            });
+            thread::sleep(Duration::from_secs(6));
+            let time = Duration::from_secs(10);
+            send_part(fleet, COMMON_PARTS, OTHER_HARMFUL_PART, 2 * HARMFUL_INTERVAL, time);
+        });
+    });
+    assert_contained(&fleet);
+    let fifth = assert_part_contained(&fleet, OTHER_HARMFUL_PART);
+    assert_served(&calls, calm_until, fifth);
+    assert_none_held(&calls);
+}
+
 /// Requests with the part come one at a time, far apart.
 #[test]
 fn part_far_apart() {
--- a/toucanrail-gateway/tests/platform/crashes.rs
+++ b/toucanrail-gateway/tests/platform/crashes.rs
@@ -224,7 +224,8 @@
 /// Time in which entries hear of everything.
 pub const SETTLE_TIME: Duration = Duration::from_millis(500);
 
-/// Held by the fleet of the test that runs: fleets started together would take each other's ports.
+/// Held by the fleet of the test that runs: its bounds are times, which other fleets beside it would
+/// stretch.
 static FLEET_LOCK: Mutex<()> = Mutex::new(());
 
 /// A store, servers that requests can end, relays and entries.
