Events of engines that end their lines with CR LF reach their callers

What could happen, on the project's own interface: an engine that ends lines with CR LF had none of its events forwarded or metered until its stream ended, and an event without an end filled the memory, which was searched anew with each read (6 s for 6 MB).

Cause: the parser searched for two line feeds.

Evidence: engine_events, before: line_ends and blank_before_value fail; endless_event keeps all 6.5 MB.

Change: events end with an empty line, as lines are read once; what is larger than 1 MB is passed on in pieces and still counts as unfinished.

Ruled out: refusing such engines, as the format allows both line ends.

--- a/toucanrail/src/usages.rs
+++ b/toucanrail/src/usages.rs
@@ -8,8 +8,10 @@
 use crate::ids::Tokens;
 use crate::token_counts;
 
-const EVENT_END: &[u8] = b"\n\n";
-const DATA_FIELD: &str = "data: ";
+const DATA_FIELD: &str = "data:";
+/// Maximum size of an event that is kept until it is complete, in bytes; no engine sends larger
+/// ones.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 const DONE_DATA: &str = "[DONE]";
 
 /// Token usage as reported by an engine.
@@ -68,6 +70,10 @@
 #[derive(Debug, Default)]
 pub struct EventParser {
     buffer: Vec<u8>,
+    /// Length of the complete lines at the start of the buffer.
+    scanned: usize,
+    /// Whether the start of the event in the buffer has been returned already, as it was too large.
+    is_split: bool,
 }
 
 impl EventParser {
@@ -81,7 +87,8 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Returns the next complete event, if there is one.
+    /// Returns the next complete event, if there is one. An event that is too large to be kept is
+    /// returned in pieces of the kind [`EventKind::Other`].
     ///
     /// # Examples
     /// ```
@@ -93,16 +100,40 @@
     /// assert_eq!(parser.next_event().map(|event| event.kind), Some(EventKind::Done));
     /// ```
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
-        let rest = self.buffer.split_off(end.saturating_add(EVENT_END.len()));
-        let bytes = std::mem::replace(&mut self.buffer, rest);
-        let kind = parse_event(&bytes);
-        Some(StreamEvent { bytes, kind })
+        if let Some(end) = self.find_event_end() {
+            let bytes = self.take_bytes(end);
+            let is_split = std::mem::take(&mut self.is_split);
+            let kind = if is_split { EventKind::Other } else { parse_event(&bytes) };
+            return Some(StreamEvent { bytes, kind });
+        }
+        (self.buffer.len() > MAX_EVENT_BYTES).then(|| {
+            self.is_split = true;
+            StreamEvent { bytes: self.take_bytes(self.buffer.len()), kind: EventKind::Other }
+        })
+    }
+
+    /// Returns the length of the first event with the empty line behind it, if that has arrived.
+    fn find_event_end(&mut self) -> Option<usize> {
+        loop {
+            let rest = self.buffer.get(self.scanned..)?;
+            let length = rest.iter().position(|byte| *byte == b'\n')?;
+            let is_empty = matches!(rest.get(..length), Some(b"" | b"\r"));
+            self.scanned = self.scanned.saturating_add(length).saturating_add(1);
+            if is_empty {
+                return Some(self.scanned);
+            }
+        }
+    }
+
+    fn take_bytes(&mut self, length: usize) -> Vec<u8> {
+        self.scanned = 0;
+        let rest = self.buffer.split_off(length);
+        std::mem::replace(&mut self.buffer, rest)
     }
 
     /// Returns whether the buffer holds part of an event.
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.is_split || !self.buffer.is_empty()
     }
 }
 
@@ -131,6 +162,7 @@
 fn parse_event(bytes: &[u8]) -> EventKind {
     let text = std::str::from_utf8(bytes).unwrap_or_default();
     let data = text.lines().find_map(|line| line.strip_prefix(DATA_FIELD)).unwrap_or_default();
+    let data = data.strip_prefix(' ').unwrap_or(data);
     if data == DONE_DATA {
         return EventKind::Done;
     }
