Soak of servers' statements: servers that shed load at the same time, more entries

Shedding (503 with X-Not-Executed) was a fault of the fault soak alone, never beside a rate limit, a rest or a departure. A seed keeps its phases; shed times are drawn apart. TOUCANRAIL_SOAK_ENTRIES sets the number of entries.

Nothing was found.

--- a/toucanrail-gateway/tests/statement_soak.rs
+++ b/toucanrail-gateway/tests/statement_soak.rs
@@ -1,9 +1,9 @@
 //! Seeded soak test of what servers state in their responses: rate limits, rests and departures,
-//! while entries and relays are killed, stopped and paused, the store is cut off and registrations
-//! vanish. The bounds are checked against what servers receive.
+//! also while they shed load, and while entries and relays are killed, stopped and paused, the store
+//! is cut off and registrations vanish. The bounds are checked against what servers receive.
 //!
-//! `TOUCANRAIL_SOAK_SEEDS="1 2 3"` selects the seeds. CI runs those of `SEEDS`; each seed that ever
-//! fails is added to them.
+//! `TOUCANRAIL_SOAK_SEEDS="1 2 3"` selects the seeds, `TOUCANRAIL_SOAK_ENTRIES=12` the number of
+//! entries. CI runs the seeds of `SEEDS`; each seed that ever fails is added to them.
 
 mod platform;
 
@@ -18,7 +18,7 @@
 const SEEDS: [u64; 2] = [1, 2];
 const DURATION: Duration = Duration::from_secs(14);
 const CALLERS_PER_GATEWAY: usize = 2;
-const GATEWAY_COUNT: usize = 2;
+const DEFAULT_GATEWAYS: usize = 2;
 /// Time after which an entry must keep to what it has forwarded.
 const REACTION_TIME: Duration = Duration::from_millis(500);
 /// Time from the first statement of a limit in which it is not checked yet.
@@ -54,6 +54,13 @@
     statement: Statement,
 }
 
+/// Times in which a server does not run what it gets, and says so beside its statement.
+#[derive(Debug, Clone, Copy)]
+struct ShedTime {
+    start: Duration,
+    end: Duration,
+}
+
 /// A time in which a gateway was killed, stopped or paused.
 #[derive(Debug, Clone, Copy)]
 struct Disruption {
@@ -89,7 +96,19 @@
     phases
 }
 
-fn make_response(statement: Statement) -> String {
+/// Draws the times apart from the phases, so that a seed has the same phases with and without them.
+fn make_shed_times(rng: &mut fastrand::Rng) -> Vec<ShedTime> {
+    let mut times = Vec::new();
+    let mut start = Duration::from_millis(rng.u64(1_000..6_000));
+    while start < DURATION {
+        let end = start + Duration::from_millis(rng.u64(300..2_500));
+        times.push(ShedTime { start, end });
+        start = end + Duration::from_millis(rng.u64(500..6_000));
+    }
+    times
+}
+
+fn make_response(statement: Statement, sheds: bool) -> String {
     let field = match statement {
         Statement::Nothing => String::new(),
         Statement::Limit(rate) => format!("Server-Limit: {rate:.1}\r\n"),
@@ -102,6 +121,12 @@
             );
         }
     };
+    if sheds {
+        return format!(
+            "HTTP/1.1 503 x\r\nX-Attempt-Id: ID\r\nX-Not-Executed: 1\r\n{field}\
+             Content-Length: 0\r\n\r\n"
+        );
+    }
     let text = platform::signed_response("seven");
     text.replace("X-Replica-Signature: s\r\n", &format!("X-Replica-Signature: s\r\n{field}"))
 }
@@ -112,7 +137,7 @@
 }
 
 impl ScheduledServer {
-    fn start(id: &str, phases: Vec<Phase>, started: Instant) -> Self {
+    fn start(id: &str, phases: Vec<Phase>, shed_times: Vec<ShedTime>, started: Instant) -> Self {
         let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
         let (recorded, schedule) = (Arc::clone(&arrivals), phases.clone());
         let backend = Backend::start(id, move |_, message| {
@@ -123,7 +148,8 @@
             if let Some(gateway) = gateway_of(message) {
                 recorded.lock().expect("arrivals").push(Arrival { at, gateway, statement });
             }
-            Action::Respond(make_response(statement))
+            let sheds = shed_times.iter().any(|time| (time.start..time.end).contains(&at));
+            Action::Respond(make_response(statement, sheds))
         });
         Self { backend, phases, arrivals }
     }
@@ -260,34 +286,43 @@
     }
     // A process that starts again has listed its servers within this time.
     thread::sleep(Duration::from_millis(300));
-    (at < GATEWAY_COUNT).then(|| Disruption { gateway: at, start, end: started.elapsed() })
+    (at < count_gateways()).then(|| Disruption { gateway: at, start, end: started.elapsed() })
+}
+
+fn count_gateways() -> usize {
+    let count = std::env::var("TOUCANRAIL_SOAK_ENTRIES").ok().and_then(|text| text.parse().ok());
+    count.unwrap_or(DEFAULT_GATEWAYS)
 }
 
 /// Runs one seed. Returns the violations and how many requests were served.
 fn run_seed(seed: u64) -> (Vec<String>, u64) {
     let mut rng = fastrand::Rng::with_seed(seed);
+    let mut shed_rng = fastrand::Rng::with_seed(!seed);
+    let gateway_count = count_gateways();
     let store = Store::start();
     let started = Instant::now();
     let servers: Vec<ScheduledServer> = (1..=3)
         .map(|number| {
             // One server has no schedule, so that there is always one that works.
-            let phases = if number < 3 { make_phases(&mut rng) } else { Vec::new() };
-            ScheduledServer::start(&format!("i-{number}"), phases, started)
+            let has_phases = number < 3;
+            let phases = if has_phases { make_phases(&mut rng) } else { Vec::new() };
+            let shed_times = if has_phases { make_shed_times(&mut shed_rng) } else { Vec::new() };
+            ScheduledServer::start(&format!("i-{number}"), phases, shed_times, started)
         })
         .collect();
     let backends: Vec<&Backend> = servers.iter().map(|server| &server.backend).collect();
     platform::configure(&store, 1, &backends);
     let relays = ["side-1", "side-2"].map(|vm| Process::start_relay(&store, vm));
     let gateways: Vec<Process> =
-        (0..GATEWAY_COUNT).map(|_| Process::start_gateway(&store)).collect();
+        (0..gateway_count).map(|_| Process::start_gateway(&store)).collect();
     let entries: Vec<_> = gateways.iter().map(|gateway| gateway.callers).collect();
     let mut processes: Vec<Process> = gateways.into_iter().chain(relays).collect();
     let stopped = AtomicBool::new(false);
     let (disruptions, served) = thread::scope(|scope| {
         let stopped = &stopped;
-        let callers: Vec<_> = (0..GATEWAY_COUNT * CALLERS_PER_GATEWAY)
+        let callers: Vec<_> = (0..gateway_count * CALLERS_PER_GATEWAY)
             .map(|number| {
-                let gateway = number % GATEWAY_COUNT;
+                let gateway = number % gateway_count;
                 let address = entries[gateway];
                 scope.spawn(move || run_caller(gateway, number, address, stopped))
             })
