What a sync changes in its shard stands apart from its calls

syncs.rs held the plan, the changes of the shard and the state machine of the calls (600 lines), and accounts and tenures imported it for the plan alone, in a circle. Now sync_plans has the plan, shard_changes the selection of rows and the changed shard as pure functions, syncs the calls.

--- a/toucanrail/src/accounts.rs
+++ b/toucanrail/src/accounts.rs
@@ -10,7 +10,7 @@
 use crate::batches::BatchRoom;
 use crate::budgets::BillRow;
 use crate::ids::Tokens;
-use crate::syncs::GrantDemand;
+use crate::sync_plans::GrantDemand;
 use crate::token_counts;
 
 /// Time constant of the exponentially smoothed burn rate.
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -16,7 +16,8 @@
 use crate::budgets::{BillRow, BudgetAccount, BudgetShard, RECENT_KEY_LIMIT};
 use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RunId, ShardName, Tokens, Version};
 use crate::policies::{GrantChange, GrantPolicy, GrantView};
-use crate::syncs::{SyncOutcome, SyncPlan};
+use crate::sync_plans::SyncPlan;
+use crate::syncs::SyncOutcome;
 use crate::tenures::ShardTenure;
 use crate::token_counts;
 
--- a/toucanrail/src/syncs.rs
+++ b/toucanrail/src/syncs.rs
@@ -6,61 +6,20 @@
 
 #![deny(clippy::arithmetic_side_effects)]
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::budgets::{BillBatch, BillRow, BudgetShard};
-use crate::ids::Version;
-use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RequestId, Sequence, ShardName, Tokens};
+use crate::ids::{CustomerId, Epoch, RequestId, Version};
 use crate::paths;
-use crate::policies::{GrantChange, GrantPolicy, GrantView};
+use crate::policies::GrantPolicy;
+use crate::shard_changes;
 use crate::storecalls::{self, ObjectPath, StoreCall, StoreReply, WriteExpectation};
+use crate::sync_plans::SyncPlan;
 
 /// Number of write conflicts after which a sync gives up; a later one tries the same plan again.
 const CONFLICT_LIMIT: u32 = 24;
 
-/// What an account needs from a sync.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct GrantDemand {
-    /// Smoothed usage in tokens per second.
-    pub burn_rate: f64,
-    /// Tokens held, or used and not settled by this sync.
-    pub in_use: Tokens,
-    /// Total that waiting requests are missing.
-    pub shortage: Tokens,
-    /// Smallest amount that a waiting request is missing; 0 if none waits.
-    pub smallest_wait: Tokens,
-    /// Tokens set aside to be returned.
-    pub returning: Tokens,
-    /// Prepaid total from the configuration; the account is raised to it, never lowered. 0 if only
-    /// operators set the total, in the shard.
-    pub prepaid: Tokens,
-}
-
-/// The contents of one sync; unchanged until its outcome is known.
-#[derive(Debug, Clone, PartialEq)]
-pub struct SyncPlan {
-    /// The shard.
-    pub shard: ShardName,
-    /// The entry.
-    pub entry: EntryId,
-    /// Epoch of the tenure; 0 to open one.
-    pub epoch: Epoch,
-    /// Sequence number of this sync in the tenure. After a lost reply, it tells whether the sync
-    /// took effect.
-    pub sequence: Sequence,
-    /// The bills to settle.
-    pub rows: Vec<BillRow>,
-    /// What each account of the shard needs.
-    pub demands: BTreeMap<CustomerId, GrantDemand>,
-    /// The last sequence number whose runs all agents have dropped.
-    pub acked: Sequence,
-    /// Agents that the entry wants to use or that may still store runs of this tenure.
-    pub agents: BTreeSet<AgentId>,
-    /// Whether to end the tenure.
-    pub leave: bool,
-}
-
 /// The outcome of a sync.
 #[derive(Debug, Clone, PartialEq)]
 pub enum SyncOutcome {
@@ -380,8 +339,15 @@
     }
 
     fn start_write(&mut self) {
-        self.select_rows();
-        self.build_shard();
+        self.rows = shard_changes::select_rows(
+            &self.shard,
+            &self.plan,
+            self.epoch,
+            &self.reclaimed_requests,
+            &self.archived,
+        );
+        (self.epoch, self.new_shard) =
+            shard_changes::apply_plan(&self.shard, &self.plan, &self.rows, self.policy);
         if self.is_no_op() {
             return self.end_unchanged();
         }
@@ -419,68 +385,6 @@
         self.end(SyncOutcome::Unchanged { shard, version });
     }
 
-    /// Selects the rows that are settled: those of this tenure, and late rows that the reclaim of
-    /// their tenure did not bill and that what it left frozen covers.
-    fn select_rows(&mut self) {
-        let epoch = self.epoch;
-        let mut frozen = FrozenBalance::new(&self.shard);
-        self.rows = self
-            .plan
-            .rows
-            .iter()
-            .filter(|row| row.epoch == epoch || !self.reclaimed_requests.contains(&row.request))
-            .filter(|row| row.epoch == epoch || frozen.take(row))
-            .cloned()
-            .collect();
-        self.shard.write_off_duplicates(&mut self.rows, &self.archived);
-    }
-
-    fn build_shard(&mut self) {
-        let entry = Arc::clone(&self.plan.entry);
-        let mut shard = self.shard.clone();
-        self.epoch = shard.open_tenure(&entry);
-        shard.settle_rows(&entry, self.epoch, &self.rows);
-        for (customer, demand) in &self.plan.demands {
-            if demand.prepaid > 0 {
-                let account = shard.accounts.entry(Arc::clone(customer)).or_default();
-                account.prepaid = account.prepaid.max(demand.prepaid);
-            }
-        }
-        let changes = self.grant_changes(&shard);
-        for ((customer, demand), change) in self.plan.demands.iter().zip(changes) {
-            apply_change(&mut shard, &entry, customer, demand, change);
-        }
-        if let Some(row) = shard.live_tenure(&entry, self.epoch) {
-            row.settled = self.plan.sequence;
-            row.acked = row.acked.max(self.plan.acked);
-            row.agents.clone_from(&self.plan.agents);
-        }
-        if self.plan.leave {
-            shard.close_tenure(&entry, true);
-        }
-        self.new_shard = shard;
-    }
-
-    /// Returns the changes of all grants. If any grant or bill requires a write, it also fills up
-    /// the other grants.
-    fn grant_changes(&self, shard: &BudgetShard) -> Vec<GrantChange> {
-        let entry = &self.plan.entry;
-        let holders = shard.count_holder_names();
-        let views = self.plan.demands.iter().map(|(customer, demand)| {
-            let view = view_account(shard, entry, customer, demand);
-            GrantView { holders, ..view.unwrap_or_default() }
-        });
-        let views: Vec<GrantView> = views.collect();
-        let needs_more =
-            |view: &GrantView| matches!(self.policy.adjust(view), GrantChange::Ask(1..));
-        let returning = self.plan.demands.values().any(|demand| demand.returning > 0);
-        let must_write = returning || !self.rows.is_empty() || views.iter().any(needs_more);
-        let change = |view: &GrantView| {
-            if must_write { self.policy.adjust_on_write(view) } else { self.policy.adjust(view) }
-        };
-        views.iter().map(change).collect()
-    }
-
     fn handle_bill_write(&mut self, reply: &StoreReply) {
         match reply {
             StoreReply::Written { version } => {
@@ -528,78 +432,3 @@
 fn get_object(path: ObjectPath) -> StoreCall {
     StoreCall::Get { path }
 }
-
-/// What closed tenures left frozen, less the late rows already selected.
-struct FrozenBalance<'shard> {
-    shard: &'shard BudgetShard,
-    taken: BTreeMap<(CustomerId, Epoch), Tokens>,
-}
-
-impl<'shard> FrozenBalance<'shard> {
-    fn new(shard: &'shard BudgetShard) -> Self {
-        Self { shard, taken: BTreeMap::new() }
-    }
-
-    /// Takes a row's total. Returns false if it is not covered.
-    fn take(&mut self, row: &BillRow) -> bool {
-        let account = self.shard.accounts.get(&row.customer);
-        let frozen = account.and_then(|account| account.frozen.get(&row.epoch)).copied();
-        let taken = self.taken.entry((Arc::clone(&row.customer), row.epoch)).or_default();
-        let total = taken.saturating_add(row.total());
-        let is_covered = frozen.is_some_and(|frozen| frozen >= total);
-        if is_covered {
-            *taken = total;
-        }
-        is_covered
-    }
-}
-
-/// Returns the policy's view of an account after the return of tokens. `holders` is left at 0,
-/// since it is a property of the shard.
-fn view_account(
-    shard: &BudgetShard,
-    entry: &EntryId,
-    customer: &CustomerId,
-    demand: &GrantDemand,
-) -> Option<GrantView> {
-    let account = shard.accounts.get(customer)?;
-    let granted = account.grants.get(entry).copied().unwrap_or_default();
-    Some(GrantView {
-        burn_rate: demand.burn_rate,
-        in_use: demand.in_use,
-        granted: granted.saturating_sub(demand.returning),
-        shortage: demand.shortage,
-        unallocated: account.unallocated().saturating_add(demand.returning.min(granted)),
-        prepaid: account.prepaid,
-        granted_to_others: account.granted_to_others(entry),
-        unspent: account.unspent(),
-        ..GrantView::default()
-    })
-}
-
-fn apply_change(
-    shard: &mut BudgetShard,
-    entry: &EntryId,
-    customer: &CustomerId,
-    demand: &GrantDemand,
-    change: GrantChange,
-) {
-    let Some(account) = shard.accounts.get_mut(customer) else {
-        return;
-    };
-    let grant = account.grants.entry(Arc::clone(entry)).or_default();
-    *grant = grant.saturating_sub(demand.returning);
-    let granted = *grant;
-    let unallocated = account.unallocated();
-    // An increase that satisfies none of the waiting requests would only be stranded here.
-    let needed = demand.in_use.saturating_add(demand.smallest_wait);
-    let is_useful = demand.shortage == 0 || granted.saturating_add(unallocated) >= needed;
-    // Tokens returned by this sync must not be requested again by it.
-    if is_useful
-        && demand.returning == 0
-        && let GrantChange::Ask(amount) = change
-        && let Some(grant) = account.grants.get_mut(entry)
-    {
-        *grant = grant.saturating_add(amount.min(unallocated));
-    }
-}
--- a/toucanrail/src/tenures.rs
+++ b/toucanrail/src/tenures.rs
@@ -10,7 +10,7 @@
 use crate::batches::BatchRoom;
 use crate::budgets::{BillRow, BudgetShard};
 use crate::ids::{AgentId, Epoch, RunId, Sequence, Version};
-use crate::syncs::SyncPlan;
+use crate::sync_plans::SyncPlan;
 
 /// State of this entry's tenure in a shard.
 #[derive(Debug, Clone, Default, Serialize)]
--- a/toucanrail/tests/unreadable_objects.rs
+++ b/toucanrail/tests/unreadable_objects.rs
@@ -11,7 +11,8 @@
 use toucanrail::policies::GrantPolicy;
 use toucanrail::reclaims::{ReclaimCall, ReclaimMachine, ReclaimOutcome, ReclaimReply};
 use toucanrail::storecalls::{self, ObjectPath, StoreCall, StoreReply};
-use toucanrail::syncs::{GrantDemand, SyncMachine, SyncOutcome, SyncPlan};
+use toucanrail::sync_plans::{GrantDemand, SyncPlan};
+use toucanrail::syncs::{SyncMachine, SyncOutcome};
 
 const UNREADABLE: &[u8] = b"{\"format\":2}";
 /// Epoch of the tenure that is in force, and of one that another entry has closed.
