apply tells what it left undone, and what a customer that comes back has

What operators saw: a file that could not be applied to its end gave the cause alone, not which entries were in the catalogue by then; a customer that was removed and added again silently had its old account, without the opening budget.

Evidence: configuration half_applied_file and returned_customer fail before.

Change: a failure lists the entries that are in the catalogue and those that are not; the line of a new customer with an account states what is in it. The account itself is left as it is: what was paid and billed does not end with a catalogue entry.

Ruled out: undoing the entries already applied, as they may be in force.

--- a/toucanrail-daemons/src/catalogue_commands.rs
+++ b/toucanrail-daemons/src/catalogue_commands.rs
@@ -1,11 +1,12 @@
 //! Commands that read and edit the catalogue.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
 
 use serde_json::Value;
-use toucanrail::budgets::BudgetShard;
+use toucanrail::budgets::{BudgetAccount, BudgetShard};
 use toucanrail::catalogue::{CatalogueItem, CustomerEntry};
 use toucanrail::catalogue_files;
 use toucanrail::ids::Version;
@@ -97,19 +98,19 @@
     check_conflicts(&file, &known)?;
     let mut text = String::new();
     let mut newest_version = 0;
-    for item in &file.items {
-        let name = item.object_name();
-        let value = storecalls::encode_value(item);
-        let old = known.get(&name);
-        if let CatalogueItem::Customer(customer) = item {
-            open_account(tools, customer).await?;
-        }
-        if old.is_some_and(|object| object.value == value) {
-            continue;
+    for (index, item) in file.items.iter().enumerate() {
+        match apply_item(tools, item, known.get(&item.object_name())).await {
+            Ok(Some((version, lines))) => {
+                newest_version = newest_version.max(version);
+                text += &lines;
+            }
+            Ok(None) => {}
+            Err(cause) => {
+                let left = file.items[index..].iter().map(CatalogueItem::object_name);
+                text.extend(left.map(|name| format!("{name}: not applied\n")));
+                return Err(OperatorError::Partial(Box::new(cause), text));
+            }
         }
-        let version = write_item(tools, &name, old.map(|object| object.version), value).await?;
-        newest_version = newest_version.max(version);
-        text += &format!("{name}: in the catalogue at version {version}\n");
     }
     if text.is_empty() {
         return Ok("no changes\n".to_owned());
@@ -120,6 +121,37 @@
     Ok(text)
 }
 
+/// Writes one entry if it differs from the catalogue. Returns its new version and what to tell the
+/// operator.
+async fn apply_item(
+    tools: &OperatorTools,
+    item: &CatalogueItem,
+    old: Option<&MirrorObject>,
+) -> CommandResult<Option<(Version, String)>> {
+    let name = item.object_name();
+    let value = storecalls::encode_value(item);
+    let account = match item {
+        CatalogueItem::Customer(customer) => open_account(tools, customer).await?,
+        CatalogueItem::Service(_) => None,
+    };
+    if old.is_some_and(|object| object.value == value) {
+        return Ok(None);
+    }
+    let version = write_item(tools, &name, old.map(|object| object.version), value).await?;
+    let mut text = format!("{name}: in the catalogue at version {version}\n");
+    let is_new = old.is_none_or(|object| object.value.is_empty());
+    if let (true, CatalogueItem::Customer(customer), Some(account)) = (is_new, item, account) {
+        text += &format!(
+            "{name}: has an account with {} of {} tokens unspent; its opening budget of {} is not \
+             added\n",
+            account.unspent(),
+            account.prepaid,
+            customer.opening_budget,
+        );
+    }
+    Ok(Some((version, text)))
+}
+
 /// Returns a conflict if a file that `get` wrote would undo changes made since then.
 fn check_conflicts(
     file: &CatalogueFile,
@@ -169,17 +201,24 @@
     }
 }
 
-/// Creates a customer's account with its opening budget, unless it exists.
-async fn open_account(tools: &OperatorTools, customer: &CustomerEntry) -> CommandResult<()> {
-    let name = Arc::clone(&customer.name);
-    edit_shard(tools, &customer.name, move |shard| {
-        if shard.accounts.contains_key(&name) {
+/// Creates a customer's account with its opening budget. Returns the account if there is one
+/// already; it is left as it is.
+async fn open_account(
+    tools: &OperatorTools,
+    customer: &CustomerEntry,
+) -> CommandResult<Option<BudgetAccount>> {
+    let existing = RefCell::new(None);
+    edit_shard(tools, &customer.name, |shard| {
+        existing.replace(shard.accounts.get(&customer.name).cloned());
+        if existing.borrow().is_some() {
             return Ok(false);
         }
-        shard.accounts.entry(Arc::clone(&name)).or_default().top_up(customer.opening_budget)?;
+        let account = shard.accounts.entry(Arc::clone(&customer.name)).or_default();
+        account.top_up(customer.opening_budget)?;
         Ok(true)
     })
-    .await
+    .await?;
+    Ok(existing.into_inner())
 }
 
 /// Changes a customer's budget shard by conditional update. If `edit` returns false, nothing is
--- a/toucanrail-daemons/src/operators.rs
+++ b/toucanrail-daemons/src/operators.rs
@@ -95,6 +95,10 @@
             from()
             display("{error}")
         }
+        /// A catalogue file was applied in part; the exit code is that of its cause.
+        Partial(cause: Box<OperatorError>, entries: String) {
+            display("{cause}\n{entries}")
+        }
         /// Nothing with this name exists; exit code 1.
         Missing(what: String) {
             display("5001: {what} not found")
@@ -115,6 +119,7 @@
             Self::Conflict(_) => 3,
             Self::Unavailable(_) => 4,
             Self::Lagging(_) => 5,
+            Self::Partial(cause, _) => cause.exit_code(),
         }
     }
 }
--- a/toucanrail-daemons/tests/configuration.rs
+++ b/toucanrail-daemons/tests/configuration.rs
@@ -5,12 +5,15 @@
 
 mod fleet;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fleet::{Fleet, Process, authorized, result_code};
 use serde_json::json;
+use toucanrail::storecalls::{ObjectPath, StoreCall, StoreReply, WriteExpectation};
 use toucanrail_daemons::demos;
 use toucanrail_daemons::operators::OperatorError;
+use toucanrail_wire::stores::ObjectStore;
 
 /// Time within which an accepted change must be in force everywhere.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
@@ -236,3 +239,48 @@
         assert_eq!(fleet.fetch(&entry, health()).await.unwrap().status, 200);
     });
 }
+
+/// A file cannot be applied to its end. The operator is told which entries are in the catalogue and
+/// which are not.
+#[test]
+fn half_applied_file() {
+    smol::block_on(async {
+        let fleet = Fleet::start(10_000).await;
+        let path: ObjectPath = "budgets/shard-0".into();
+        let get = StoreCall::Get { path: Arc::clone(&path) };
+        let StoreReply::Found { version, .. } = fleet.tools.store.call(&get).await else {
+            panic!("no shard");
+        };
+        let (expect, value) = (WriteExpectation::At(version), b"{}".to_vec());
+        let put = StoreCall::Put { path, expect, value };
+        assert!(matches!(fleet.tools.store.call(&put).await, StoreReply::Written { .. }));
+        let customer = "\n[[customer]]\nname = \"new\"\nowner = \"o\"\nclass = \"standard\"\n\
+            key-digests = []\nopening-budget = 5\n";
+        let error = fleet.apply(&(catalogue(97) + customer)).await.unwrap_err();
+        assert_eq!(error.exit_code(), 1);
+        let text = error.to_string();
+        let lines: Vec<&str> = text.lines().collect();
+        assert!(lines[0].contains("budget shard in budgets/shard-0"), "{text}");
+        assert!(text.contains("service.levy-llm: in the catalogue at version"), "{text}");
+        assert!(text.contains("customer.new: not applied"), "{text}");
+    });
+}
+
+/// A customer is removed and comes back. Its account is still there, and the operator is told what
+/// is in it, as the opening budget is not added.
+#[test]
+fn returned_customer() {
+    smol::block_on(async {
+        let fleet = Fleet::start(10_000).await;
+        let text = "[[customer]]\nname = \"back\"\nowner = \"o\"\nclass = \"standard\"\n\
+            key-digests = []\nopening-budget = 70\n";
+        let first = fleet.apply(text).await.unwrap();
+        assert!(!first.contains("has an account"), "{first}");
+        fleet.run_command(&["remove", "customer.back"]).await.unwrap();
+        let again = fleet.apply(text).await.unwrap();
+        let expected = "customer.back: has an account with 70 of 70 tokens unspent; its opening \
+            budget of 70 is not added";
+        assert!(again.contains(expected), "{again}");
+        assert!(fleet.apply(text).await.unwrap().contains("no changes"));
+    });
+}
