Events of any size in tokens do not end an entry

The tokens of an event come from the configuration; times the number of events read at once they overflowed, which ended a build with overflow checks and billed too little in others. token_counts huge_events fails before ("attempt to multiply with overflow") and passes now.

--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -195,7 +195,8 @@
             origin_notes::note_origin(context);
         }
         if let Some(budget) = &context.plan.budget {
-            budget.add_output_tokens((stream.scanner.count - known) * self.tokens_per_event);
+            let events = stream.scanner.count - known;
+            budget.add_output_tokens(events.saturating_mul(self.tokens_per_event));
         }
         complete_len
     }
--- a/toucanrail-gateway/tests/token_counts.rs
+++ b/toucanrail-gateway/tests/token_counts.rs
@@ -2,10 +2,16 @@
 
 mod platform;
 
-use platform::request;
+use std::thread;
+use std::time::Duration;
+
 use platform::services::PlainService;
+use platform::{Action, Backend, request};
 use serde_json::Value;
 
+/// Long enough for an entry to hear of another server under an id.
+const REGISTRATION_TIME: Duration = Duration::from_millis(400);
+
 /// Counts that no request can have, or that cannot be read.
 const UNUSABLE_COUNTS: [&str; 14] = [
     "18446744073709551615,2",
@@ -66,6 +72,25 @@
     service.assert_refused(&request_with(counts), 402);
 }
 
+/// The configuration states events of more tokens than a number holds. A stream is billed as much as
+/// its request may use, and the entry goes on.
+#[test]
+fn huge_events() {
+    let service = PlainService::start_changed(|config| {
+        config["services"][0]["engine"]["stride"] = u64::MAX.into();
+    });
+    let events = platform::chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    let stream = [platform::STREAM_HEAD, &events, "0\r\n\r\n"].concat();
+    let backend = Backend::start("i-1", move |_, _| Action::Respond(stream.clone()));
+    platform::register(&service.store, &backend, "a", 0);
+    thread::sleep(REGISTRATION_TIME);
+    let headers = "X-Model: m\r\nX-Token-Usage: 100,60\r\nConnection: close\r\n";
+    let text = request("POST", "/stream/a", "r1", headers, "p");
+    let response = platform::call_raw(service.gateway.callers, &text);
+    assert!(response.contains("id: 3"), "{response}");
+    platform::wait_until("the bill", || service.store.billed("acme") == 160);
+}
+
 /// Requests without a model, and customers without a budget, need no counts.
 #[test]
 fn unneeded_counts() {
