A full batch encodes no more bills, and needs no flag for it

BatchRoom encoded the first bill of each account also when the batch took none, which is so in every top-up. A batch without room for rows is full, so that is_full was a second copy of that.

--- a/toucanrail/src/batches.rs
+++ b/toucanrail/src/batches.rs
@@ -16,7 +16,6 @@
 pub struct BatchRoom {
     rows: usize,
     bytes: usize,
-    is_full: bool,
 }
 
 impl BatchRoom {
@@ -29,12 +28,12 @@
     /// assert!(BatchRoom::empty_batch().take_rows(&mut queue).is_empty());
     /// ```
     pub fn empty_batch() -> Self {
-        Self { rows: MAX_ROWS, bytes: MAX_BYTES, is_full: false }
+        Self { rows: MAX_ROWS, bytes: MAX_BYTES }
     }
 
     /// Returns the room of a batch that takes no rows.
     pub fn no_batch() -> Self {
-        Self { rows: 0, bytes: 0, is_full: true }
+        Self { rows: 0, bytes: 0 }
     }
 
     /// Removes rows from the front of a queue for as long as they fit. The first row of a batch
@@ -45,13 +44,16 @@
     }
 
     fn reserve(&mut self, row: &BillRow) -> bool {
+        if self.rows == 0 {
+            return false;
+        }
         let size = storecalls::encode_value(row).len();
-        let fits = size <= self.bytes || self.rows == MAX_ROWS;
-        self.is_full |= !fits || self.rows == 0;
-        if !self.is_full {
-            self.rows = self.rows.saturating_sub(1);
-            self.bytes = self.bytes.saturating_sub(size);
+        if size > self.bytes && self.rows < MAX_ROWS {
+            *self = Self::no_batch();
+            return false;
         }
-        !self.is_full
+        self.rows = self.rows.saturating_sub(1);
+        self.bytes = self.bytes.saturating_sub(size);
+        true
     }
 }
