The end of a wait for a grant is a scope guard

The gateway and the project's own entry each had a type of twenty lines that ended a wait when dropped, alike but for how they reach the table. scopeguard, which the tree already depended on through others, does it in two lines. The wait ends at the same moments; departed_callers 5 of 5 (waiting_request among them).

--- a/toucanrail-daemons/src/settlement.rs
+++ b/toucanrail-daemons/src/settlement.rs
@@ -176,7 +176,9 @@
     if refused.is_some() {
         return Err(codetable::BUDGET_EXHAUSTED);
     }
-    let pending = PendingWait::begin(entry, customer, amount);
+    entry.lock().grants.begin_wait(customer, amount);
+    // Runs also if the caller leaves, which drops this future.
+    let pending = scopeguard::guard((), |()| entry.lock().grants.end_wait(customer, amount));
     let waited =
         time_limits::timeout(entry.settings.budget_wait, wait_hold(entry, customer, amount));
     let waited = waited.await.unwrap_or(Err(codetable::BUDGET_UNCONFIRMED));
@@ -188,26 +190,6 @@
     waited
 }
 
-/// A request that waits for a grant, until this is dropped; its caller may leave at any time.
-struct PendingWait<'request> {
-    entry: &'request Arc<Entry>,
-    customer: &'request CustomerId,
-    amount: Tokens,
-}
-
-impl<'request> PendingWait<'request> {
-    fn begin(entry: &'request Arc<Entry>, customer: &'request CustomerId, amount: Tokens) -> Self {
-        entry.lock().grants.begin_wait(customer, amount);
-        Self { entry, customer, amount }
-    }
-}
-
-impl Drop for PendingWait<'_> {
-    fn drop(&mut self) {
-        self.entry.lock().grants.end_wait(self.customer, self.amount);
-    }
-}
-
 /// Waits until the grant covers a hold.
 ///
 /// A request is refused only if the shard was read after the request arrived, and after peers have
--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -159,7 +159,10 @@
             self.log_short(customer, amount);
             return Err(HoldFailure::Short);
         }
-        let pending = PendingWait::begin(&self.grants, customer, amount);
+        self.grants.borrow_mut().begin_wait(customer, amount);
+        // Runs also if the caller leaves, which drops this future.
+        let pending =
+            scopeguard::guard((), |()| self.grants.borrow_mut().end_wait(customer, amount));
         let waiting =
             time_limits::timeout(GRANT_WAIT.min(time_left / 4), self.wait_hold(customer, amount));
         let waited = waiting.await;
@@ -311,30 +314,6 @@
     }
 }
 
-/// A request that waits for a grant, until this is dropped; its caller may leave at any time.
-struct PendingWait<'request> {
-    grants: &'request RefCell<GrantTable>,
-    customer: &'request CustomerId,
-    amount: Tokens,
-}
-
-impl<'request> PendingWait<'request> {
-    fn begin(
-        grants: &'request RefCell<GrantTable>,
-        customer: &'request CustomerId,
-        amount: Tokens,
-    ) -> Self {
-        grants.borrow_mut().begin_wait(customer, amount);
-        Self { grants, customer, amount }
-    }
-}
-
-impl Drop for PendingWait<'_> {
-    fn drop(&mut self) {
-        self.grants.borrow_mut().end_wait(self.customer, self.amount);
-    }
-}
-
 /// Returns the event kind that an outcome is counted under.
 fn outcome_kind(outcome: &SyncOutcome) -> &'static str {
     match outcome {
