Loan ends stay in their queue until the lender has them

Ends were taken out of their table while they were sent, so that a guard had to put back what was not acknowledged, a counter had to tell that some were out, and a second sender ran at a stop. Now the one sender sends a copy and removes it from the queue once it is acknowledged; a stop only waits until the queues are empty. Guard, counter and second sender are gone. A lender takes ends once, as before.

--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -51,7 +51,7 @@
 }
 
 /// Loan ends that one lender has not acknowledged.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct EndQueue {
     ends: Vec<LoanEnd>,
     /// When the oldest of them was queued.
@@ -67,8 +67,6 @@
     pub lenders_unreachable: Cell<bool>,
     backoff: RelayBackoff,
     ends: RefCell<BTreeMap<Arc<str>, EndQueue>>,
-    /// Number of queues that are being sent.
-    sending: Cell<usize>,
 }
 
 /// The budget reserved for one request. Dropping it bills the tokens that were used, however the
@@ -266,16 +264,15 @@
     }
 }
 
-/// Sends the loan ends of a stopping process until each lender that is still listed has them, for
-/// at most `timeout`. Loans whose ends do not arrive stay open for ever, unbilled.
-pub async fn finish_loan_ends(gateway: &Rc<Gateway>, timeout: Duration) {
-    let sending = async {
+/// Waits until each lender that is still listed has the loan ends of a stopping process, for at most
+/// `timeout`. Loans whose ends do not arrive stay open for ever, unbilled.
+pub async fn await_loan_ends(gateway: &Gateway, timeout: Duration) {
+    let waiting = async {
         while has_unsent_ends(gateway) {
-            flush_loan_ends(gateway).await;
             smol::Timer::after(END_INTERVAL).await;
         }
     };
-    if time_limits::timeout(timeout, sending).await.is_none() {
+    if time_limits::timeout(timeout, waiting).await.is_none() {
         let lenders = gateway.loan_client.ends.borrow();
         let ends: usize = lenders.values().map(|queue| queue.ends.len()).sum();
         tracing::warn!(event = "ends_left", lenders = lenders.len(), ends);
@@ -286,8 +283,7 @@
 fn has_unsent_ends(gateway: &Gateway) -> bool {
     let lenders = gateway.store.lenders();
     let is_listed = |lender: &Arc<str>| lenders.iter().any(|(name, _)| name == lender);
-    let client = &gateway.loan_client;
-    client.sending.get() > 0 || client.ends.borrow().keys().any(is_listed)
+    gateway.loan_client.ends.borrow().keys().any(is_listed)
 }
 
 /// Sends the queued loan ends to all lenders concurrently.
@@ -301,65 +297,40 @@
     }
 }
 
-/// Loan ends that are being sent to a lender. Those that it has not acknowledged are queued again
-/// when this is dropped.
-struct SentEnds<'gateway> {
-    gateway: &'gateway Gateway,
-    lender: &'gateway Arc<str>,
-    queue: EndQueue,
-}
-
-impl<'gateway> SentEnds<'gateway> {
-    fn take(gateway: &'gateway Gateway, lender: &'gateway Arc<str>) -> Option<Self> {
-        let queue = gateway.loan_client.ends.borrow_mut().remove(lender)?;
-        let sending = &gateway.loan_client.sending;
-        sending.set(sending.get() + 1);
-        Some(Self { gateway, lender, queue })
-    }
-}
-
-impl Drop for SentEnds<'_> {
-    fn drop(&mut self) {
-        let client = &self.gateway.loan_client;
-        client.sending.set(client.sending.get() - 1);
-        if self.queue.ends.is_empty() {
-            return;
-        }
-        let mut queues = client.ends.borrow_mut();
-        let empty = EndQueue { ends: Vec::new(), since: self.queue.since };
-        let current = queues.entry(Arc::clone(self.lender)).or_insert(empty);
-        current.since = current.since.min(self.queue.since);
-        current.ends.append(&mut self.queue.ends);
-    }
-}
-
+/// Sends the ends that are queued for a lender. They stay queued until the lender has them.
 async fn send_queue(gateway: Rc<Gateway>, lender: Arc<str>) {
-    let Some(mut sent_ends) = SentEnds::take(&gateway, &lender) else {
+    let queue = gateway.loan_client.ends.borrow().get(&lender).cloned();
+    let Some(EndQueue { ends, since }) = queue else {
         return;
     };
-    let ends = &sent_ends.queue.ends;
+    let started = gateway.now();
     let listed = gateway.store.lenders().into_iter().find(|(name, _)| *name == lender);
     let sent = match listed {
         Some((_, address)) => {
-            relay_client::call_relay::<_, bool>(
-                &gateway,
-                &lender,
-                address,
-                LOAN_END_PATH,
-                ends,
-                END_TIMEOUT,
-            )
-            .await
+            let (path, timeout) = (LOAN_END_PATH, END_TIMEOUT);
+            relay_client::call_relay::<_, bool>(&gateway, &lender, address, path, &ends, timeout)
+                .await
         }
         None => Err(io::ErrorKind::NotFound.into()),
     };
-    match sent {
-        Ok(_) => sent_ends.queue.ends.clear(),
-        Err(error) if gateway.now().saturating_sub(sent_ends.queue.since) > END_RETENTION => {
-            tracing::warn!(event = "ends_dropped", %lender, ends = ends.len(), %error);
-            sent_ends.queue.ends.clear();
+    if let Err(error) = sent {
+        if gateway.now().saturating_sub(since) <= END_RETENTION {
+            return;
+        }
+        tracing::warn!(event = "ends_dropped", %lender, ends = ends.len(), %error);
+    }
+    remove_ends(&gateway, &lender, ends.len(), started);
+}
+
+/// Removes the first ends of a lender's queue. Those behind them were queued later than `since`.
+fn remove_ends(gateway: &Gateway, lender: &Arc<str>, count: usize, since: Duration) {
+    let mut queues = gateway.loan_client.ends.borrow_mut();
+    if let Some(queue) = queues.get_mut(lender) {
+        queue.ends.drain(..count);
+        queue.since = since;
+        if queue.ends.is_empty() {
+            queues.remove(lender);
         }
-        Err(_) => {}
     }
 }
 
--- a/toucanrail-gateway/src/stopping.rs
+++ b/toucanrail-gateway/src/stopping.rs
@@ -78,7 +78,7 @@
     let limit = grace.saturating_sub(EXIT_MARGIN);
     wait_until_idle(gateway, stop_requested, limit).await;
     let left = limit.saturating_sub(stop_requested.elapsed()).max(LOAN_ENDS_TIMEOUT);
-    loan_client::finish_loan_ends(gateway, left).await;
+    loan_client::await_loan_ends(gateway, left).await;
     tracing::info!(
         event = "stopped",
         in_flight = gateway.in_flight.get(),
