Tests of budgets share their names and bills, those of lenders their caller

Three files each made the same bill and named the same shard, entry and customer; two tests of lenders started the same caller. bills/mod.rs and spawn_caller have them once.

--- a/toucanrail-gateway/tests/lender_shutdown.rs
+++ b/toucanrail-gateway/tests/lender_shutdown.rs
@@ -2,7 +2,7 @@
 
 mod platform;
 
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use platform::proxies::{Proxy, ProxyFault};
@@ -16,6 +16,15 @@
     [platform::STREAM_HEAD, &events.join("PAUSE"), "0\r\n\r\n"].concat()
 }
 
+/// Starts a caller of a stream, which returns the whole response.
+fn spawn_caller(gateway: &Process) -> JoinHandle<String> {
+    let address = gateway.callers;
+    thread::spawn(move || {
+        let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
+        platform::call_raw(address, &request("POST", "/stream/a", "r1", &headers, "p"))
+    })
+}
+
 /// A lender is stopped while a stream that it lent the budget for is in progress. It must stay
 /// until the loan has ended. If it exited at once, the entry could not end the loan, the stream
 /// would never be billed, and its unused budget would stay granted to the dead lender: a tenth of a
@@ -29,11 +38,7 @@
     let mut relay = Process::start_relay(&store, "side-1");
     platform::wait_until("the relay", || store.has("relays", "side-1"));
     let gateway = Process::start_gateway(&store);
-    let address = gateway.callers;
-    let caller = thread::spawn(move || {
-        let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
-        platform::call_raw(address, &request("POST", "/stream/a", "r1", &headers, "p"))
-    });
+    let caller = spawn_caller(&gateway);
     platform::wait_until("the request", || !backend.seen().is_empty());
     assert!(store.granted("acme").keys().any(|holder| holder.starts_with("side-1")));
     relay.signal("TERM");
@@ -112,11 +117,7 @@
     entry["lending"] = json!(proxy.address.to_string());
     store.put("relays", "side-1", entry);
     let mut gateway = Process::start_with_settings(&store, "grace_s = 9\n");
-    let address = gateway.callers;
-    let caller = thread::spawn(move || {
-        let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
-        platform::call_raw(address, &request("POST", "/stream/a", "r1", &headers, "p"))
-    });
+    let caller = spawn_caller(&gateway);
     platform::wait_until("the request", || !backend.seen().is_empty());
     assert!(store.granted("acme").keys().any(|holder| holder.starts_with("side-1")));
     proxy.set_fault(ProxyFault::DropRequests);
--- a/toucanrail/tests/bill_batches.rs
+++ b/toucanrail/tests/bill_batches.rs
@@ -1,11 +1,14 @@
 //! Batches of bills: each fits into an object of the store, and none of its rows is lost.
 
+mod bills;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use toucanrail::budgets::{BillBatch, BillRow, BudgetShard, ClosedTenure, HolderState};
+use bills::{customer, entry, shard_name};
+use toucanrail::budgets::{BillBatch, BudgetShard, ClosedTenure, HolderState};
 use toucanrail::grants::{GrantHold, GrantTable};
-use toucanrail::ids::{CustomerId, EntryId, Epoch, ShardName, Tokens, Version};
+use toucanrail::ids::{Epoch, Tokens, Version};
 use toucanrail::paths;
 use toucanrail::policies::GrantPolicy;
 use toucanrail::storecalls::{self, ObjectPath, StoreCall, StoreReply, WriteExpectation};
@@ -94,17 +97,8 @@
     /// Ends a request that used all of its hold.
     fn end(&mut self, hold: &GrantHold, id_length: usize) {
         self.next_request += 1;
-        let bill = BillRow {
-            request: Arc::from(format!("{:0id_length$}", self.next_request)),
-            customer: customer(),
-            service: Arc::from("desk"),
-            epoch: hold.epoch,
-            keyed: false,
-            billed: hold.amount,
-            written_off: 0,
-            unproved: 0,
-            runs: Vec::new(),
-        };
+        let request = format!("{:0id_length$}", self.next_request);
+        let bill = bills::make_bill(&request, hold.epoch, hold.amount);
         self.table.end_hold(hold, Some(bill));
     }
 
@@ -160,18 +154,6 @@
     }
 }
 
-fn shard_name() -> ShardName {
-    Arc::from("shard-0")
-}
-
-fn entry() -> EntryId {
-    Arc::from("entry-1.x")
-}
-
-fn customer() -> CustomerId {
-    Arc::from("acme")
-}
-
 /// Callers choose long request ids, which bills carry. The store refuses a batch that is too large,
 /// and the shard would never settle again.
 #[test]
--- a/toucanrail/tests/token_extremes.rs
+++ b/toucanrail/tests/token_extremes.rs
@@ -1,14 +1,17 @@
 //! Token amounts of any size: none wraps, and no account commits more than it has.
 
+mod bills;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use bills::customer;
 use proptest::prelude::*;
 use toucanrail::accounts::GrantAccount;
 use toucanrail::batches::BatchRoom;
 use toucanrail::budgets::{BillRow, BudgetAccount, BudgetShard};
 use toucanrail::grants::GrantTable;
-use toucanrail::ids::{CustomerId, Epoch, Tokens};
+use toucanrail::ids::{Epoch, Tokens};
 use toucanrail::policies::{self, GrantChange, GrantPolicy, GrantView};
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
 use toucanrail::syncs::{SyncMachine, SyncOutcome};
@@ -34,22 +37,8 @@
     ]
 }
 
-fn customer() -> CustomerId {
-    Arc::from("acme")
-}
-
 fn make_bill(epoch: Epoch, billed: Tokens, written_off: Tokens, unproved: Tokens) -> BillRow {
-    BillRow {
-        request: Arc::from("r1"),
-        customer: customer(),
-        service: Arc::from("desk"),
-        epoch,
-        keyed: false,
-        billed,
-        written_off,
-        unproved,
-        runs: Vec::new(),
-    }
+    BillRow { written_off, unproved, ..bills::make_bill("r1", epoch, billed) }
 }
 
 /// A server reports more usage than the request's hold. The bill takes no more than the hold, so
--- a/toucanrail/tests/unreadable_objects.rs
+++ b/toucanrail/tests/unreadable_objects.rs
@@ -1,12 +1,15 @@
 //! Objects in the store that cannot be decoded, such as those of another software version. Nothing
 //! is billed on a guess at what they hold, and none is written over.
 
+mod bills;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use bills::{customer, entry, shard_name};
 use toucanrail::archives::ArchiveMachine;
 use toucanrail::budgets::{BillRow, BudgetShard, ClosedTenure, RecentBill};
-use toucanrail::ids::{CustomerId, EntryId, Epoch, ShardName, Version};
+use toucanrail::ids::{Epoch, Version};
 use toucanrail::paths;
 use toucanrail::policies::GrantPolicy;
 use toucanrail::reclaims::{ReclaimCall, ReclaimMachine, ReclaimOutcome, ReclaimReply};
@@ -86,30 +89,9 @@
     }
 }
 
-fn shard_name() -> ShardName {
-    Arc::from("shard-0")
-}
-
-fn entry() -> EntryId {
-    Arc::from("entry-1.x")
-}
-
-fn customer() -> CustomerId {
-    Arc::from("acme")
-}
-
-fn make_bill(epoch: Epoch) -> BillRow {
-    BillRow {
-        request: Arc::from("ab12"),
-        customer: customer(),
-        service: Arc::from("desk"),
-        epoch,
-        keyed: true,
-        billed: 10,
-        written_off: 0,
-        unproved: 0,
-        runs: Vec::new(),
-    }
+/// Returns a bill of a request with a key.
+fn make_keyed_bill(epoch: Epoch) -> BillRow {
+    BillRow { keyed: true, ..bills::make_bill("ab12", epoch, 10) }
 }
 
 /// A shard in which the entry has a tenure and a grant, and an earlier tenure has been closed.
@@ -144,7 +126,7 @@
 fn settled_archive() {
     let path = paths::archive_path(&shard_name(), &Arc::from("ab12"));
     let mut table = ObjectTable::new(&make_shard(), &path);
-    table.sync(make_plan(vec![make_bill(EPOCH)]), None).assert_ended_by(&path);
+    table.sync(make_plan(vec![make_keyed_bill(EPOCH)]), None).assert_ended_by(&path);
     assert!(table.written.is_empty(), "{:?}", table.written);
 }
 
@@ -153,7 +135,7 @@
 fn reclaimed_batch() {
     let path = paths::reclaim_path(&shard_name(), CLOSED_EPOCH, &Arc::from("live.y"));
     let mut table = ObjectTable::new(&make_shard(), &path);
-    let late = BillRow { keyed: false, ..make_bill(CLOSED_EPOCH) };
+    let late = bills::make_bill("ab12", CLOSED_EPOCH, 10);
     table.sync(make_plan(vec![late]), None).assert_ended_by(&path);
     assert!(table.written.is_empty(), "{:?}", table.written);
 }
@@ -164,7 +146,7 @@
     let path = paths::bill_path(&shard_name(), EPOCH, 1);
     let mut table = ObjectTable::new(&make_shard(), &path);
     let mut machine = SyncMachine::new(
-        make_plan(vec![BillRow { keyed: false, ..make_bill(EPOCH) }]),
+        make_plan(vec![bills::make_bill("ab12", EPOCH, 10)]),
         GrantPolicy::FixedAmount { headroom: 100 },
         None,
     );
@@ -182,7 +164,7 @@
 fn stored_shard() {
     let path = paths::budget_path(&shard_name());
     let mut table = ObjectTable::new(&make_shard(), &path);
-    table.sync(make_plan(vec![make_bill(EPOCH)]), None).assert_ended_by(&path);
+    table.sync(make_plan(vec![make_keyed_bill(EPOCH)]), None).assert_ended_by(&path);
     table.reclaim().assert_ended_by(&path);
     assert!(table.written.is_empty(), "{:?}", table.written);
 }
@@ -208,7 +190,7 @@
         shard: shard_name(),
         epoch: EPOCH,
         sequence: 1,
-        rows: vec![make_bill(EPOCH)],
+        rows: vec![make_keyed_bill(EPOCH)],
     };
     let batch_path = paths::bill_path(&shard_name(), EPOCH, 1);
     table.objects.insert(batch_path, storecalls::encode_value(&batch));
