A fast harmful part no longer holds back sound requests

Cause: at 25 harmful requests a second that end servers before they respond, nothing succeeds between two ends. (1) Sound responses that had begun at these servers took the ends off the harmful part, whose requests still waited, so that only the part common to both reached a verdict, alone. (2) The trial due after 2 s went to a server that was down, was not sent, and the next one was due 15 s later.

Ruled out: companions that drop out of the 16 kept ends; entries that decide by ends untold to relays (all holds came from the three relays' replies).

Change: begun responses take an end off waiting parts only if one of their parts had not succeeded before. A part that had succeeded is held back together with parts that never have and stood in all its ends. A trial that was not sent is taken back at the relays.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -145,6 +145,7 @@
         arrived,
         deadline: arrived + timeout.saturating_sub(DEADLINE_MARGIN),
         budget: None,
+        is_trial: false,
     };
     let is_trial = check_holds(gateway, &plan)?;
     check_load(gateway, &plan)?;
@@ -152,6 +153,7 @@
     if is_trial && !suspect_reports::request_trial(gateway, &plan.suspects).await {
         return Err(refuse_held(gateway, &plan));
     }
+    plan.is_trial = is_trial;
     gateway.record_new_request(&plan.service);
     Ok(plan)
 }
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -87,6 +87,9 @@
         if !self.finished {
             self.log_end(RequestEnd::CallerGone);
         }
+        if self.plan.is_trial && self.history.run_state() == RunState::NotRun {
+            suspect_reports::return_trial(self.gateway, &self.plan.suspects);
+        }
     }
 }
 
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -240,6 +240,9 @@
     for (key, ago) in &report.successes {
         changed |= suspects.record_success(*key, *ago, now);
     }
+    for trial in &report.unused_trials {
+        changed |= suspects.return_trial(trial, now);
+    }
     if changed {
         api.holds_changed.notify(usize::MAX);
         tracing::info!(
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -60,6 +60,8 @@
     pub urgency: u8,
     /// Budget reserved for the request, if it needs any.
     pub budget: Option<BudgetGuard>,
+    /// Whether the request is a trial of suspects that are held back.
+    pub is_trial: bool,
 }
 
 impl RequestPlan<'_> {
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -160,6 +160,14 @@
     asked.await.unwrap_or(false)
 }
 
+/// Takes back a trial whose request was not sent to any server.
+pub fn return_trial(gateway: &Gateway, suspects: &[SuspectKey]) {
+    gateway.tables.borrow_mut().holds.return_trial(suspects, gateway.now());
+    let reporter = &gateway.suspect_reporter;
+    reporter.pending.borrow_mut().unused_trials.push(suspects.to_vec());
+    reporter.added.notify(1);
+}
+
 /// Sends what there is to report until the process exits.
 pub async fn send_reports(gateway: Rc<Gateway>) {
     let reporter = &gateway.suspect_reporter;
--- a/toucanrail-gateway/tests/crashing_parts.rs
+++ b/toucanrail-gateway/tests/crashing_parts.rs
@@ -358,3 +358,36 @@
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     }
 }
+
+/// Like [`run_or_end`], but the server ends before it has sent anything.
+fn ends_unheard(message: &Message) -> RunFate {
+    match run_or_end(message) {
+        RunFate::End(_, _) => RunFate::End(String::new(), Duration::from_millis(80)),
+        other => other,
+    }
+}
+
+/// Requests with the part come so fast that all servers are down at once, and end them before they
+/// respond. Sound requests that have begun elsewhere stand in the same ends.
+#[test]
+fn fast_part() {
+    let down_time = Duration::from_secs(2);
+    let fleet = CrashFleet::start(SERVER_COUNT, ENTRY_COUNT, SERVER_COUNT, down_time, ends_unheard);
+    let mut calm_until = Instant::now();
+    let calls = send_sound(&fleet, "a1:300", SOUND_INTERVAL, || {
+        thread::sleep(Duration::from_secs(2));
+        calm_until = Instant::now();
+        let start = Instant::now();
+        thread::scope(|scope| {
+            for entry in fleet.entries.iter().cycle() {
+                if start.elapsed() > Duration::from_secs(14) {
+                    break;
+                }
+                scope.spawn(|| call(entry, "dead1:160,a1:300"));
+                thread::sleep(Duration::from_millis(40));
+            }
+        });
+    });
+    let fifth = assert_contained(&fleet);
+    assert_served(&calls, calm_until, fifth);
+}
--- a/toucanrail/src/holds.rs
+++ b/toucanrail/src/holds.rs
@@ -22,6 +22,9 @@
     pub ends: Vec<EndNote>,
     /// Suspects that have succeeded, and the time since then.
     pub successes: Vec<(SuspectKey, Duration)>,
+    /// Trials whose requests were not sent.
+    #[serde(default)]
+    pub unused_trials: Vec<TrialRequest>,
 }
 
 /// An entry's question for the suspects that are held back; the relay replies as soon as it has news.
@@ -272,6 +275,11 @@
         self.own.grant_trial(suspects, now)
     }
 
+    /// Takes back a trial that was granted here and not used.
+    pub fn return_trial(&mut self, suspects: &[SuspectKey], now: Duration) {
+        self.own.return_trial(suspects, now);
+    }
+
     /// Returns the suspects that are held back, by relay.
     pub fn held_counts(&self) -> BTreeMap<RelayName, usize> {
         self.replies.iter().map(|(relay, holds)| (Arc::clone(relay), holds.held.len())).collect()
--- a/toucanrail/src/suspects.rs
+++ b/toucanrail/src/suspects.rs
@@ -8,7 +8,8 @@
 //!
 //! A request is suspected of the ends at which it waited or its response had just begun, and so are
 //! the parts of its prompt; at a server that had begun responses to some of these, only the parts of
-//! those count. A verdict on a part needs ends under different requests, since one request may be at
+//! those count, unless all of them had succeeded before: responses that have begun are bystanders too
+//! where a server ends before it responds. A verdict on a part needs ends under different requests, since one request may be at
 //! fault by itself, and counts no end at which several other servers ended too. While nothing else is
 //! served either, it needs more of them: what is common to all requests stands in all ends.
 //!
@@ -209,7 +210,8 @@
 pub struct SuspectTable {
     rows: BTreeMap<SuspectKey, SuspectRow>,
     holds: BTreeMap<SuspectKey, HoldRow>,
-    /// Processes that ended, by time, and whether they had begun a response which did not go on.
+    /// Processes that ended, by time, and whether they had begun a response which did not go on, with
+    /// a part that had not succeeded before.
     ended: BTreeMap<(Duration, ServerProcess), bool>,
     /// When each of them ended.
     end_times: BTreeMap<ServerProcess, Duration>,
@@ -249,8 +251,11 @@
     pub fn record_end(&mut self, note: &EndNote, now: Duration) -> bool {
         self.drop_expired(now);
         let ended_at = now.saturating_sub(note.ended_ago);
-        let is_part = |suspect: &SuspectNote| matches!(suspect.key, SuspectKey::Part(_));
-        let is_writing = note.stage == RunStage::Writing && note.suspects.iter().any(is_part);
+        let is_unproved_part = |suspect: &SuspectNote| {
+            matches!(suspect.key, SuspectKey::Part(_)) && suspect.succeeded_ago.is_none()
+        };
+        let is_writing =
+            note.stage == RunStage::Writing && note.suspects.iter().any(is_unproved_part);
         let ended_at = self.record_process(&note.process, ended_at, is_writing);
         for SuspectNote { key, succeeded_ago } in &note.suspects {
             let row = self.rows.entry(*key).or_default();
@@ -350,6 +355,29 @@
         true
     }
 
+    /// Takes back a trial whose request was not sent, so that the next one need not wait: servers that
+    /// are down when it is due would otherwise prolong a wrong verdict. Returns whether there was one.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::suspects::{SuspectKey, SuspectTable};
+    /// let mut table = SuspectTable::new();
+    /// assert!(!table.return_trial(&[SuspectKey::Part(7)], Duration::ZERO));
+    /// ```
+    pub fn return_trial(&mut self, suspects: &[SuspectKey], now: Duration) -> bool {
+        let mut returned = false;
+        for key in suspects {
+            if let Some(hold) = self.holds.get_mut(key).filter(|hold| hold.trials > 0) {
+                hold.trials -= 1;
+                hold.trial_at = hold.trial_at.min(now);
+                returned = true;
+            }
+        }
+        self.version += u64::from(returned);
+        returned
+    }
+
     /// Returns the time of the last end under a suspect.
     pub fn last_end(&self, key: SuspectKey) -> Option<Duration> {
         self.rows.get(&key).and_then(SuspectRow::last_end)
@@ -427,11 +455,21 @@
         chain.len() >= needed
     }
 
-    /// Returns the other held parts that stood in all ends of a part.
+    /// Returns the other held parts that stood in all ends of a part, and for a part that had succeeded
+    /// before also those that never have, which are the likelier cause.
     fn list_companions(&self, key: SuspectKey) -> Vec<SuspectKey> {
         let Some(row) = self.rows.get(&key).filter(|_| matches!(key, SuspectKey::Part(_))) else {
             return Vec::new();
         };
+        let is_unproved_companion = |(other, other_row): &(&SuspectKey, &SuspectRow)| {
+            let has_end = |end: &SuspectEnd| self.has_end(**other, &end.process);
+            matches!(other, SuspectKey::Part(_))
+                && other_row.succeeded_at.is_none()
+                && !self.holds.contains_key(other)
+                && row.ends.iter().all(has_end)
+        };
+        let rows = self.rows.iter().filter(|_| row.succeeded_at.is_some());
+        let unproved = rows.filter(is_unproved_companion).map(|(other, _)| *other);
         let is_companion = |other: &SuspectKey| {
             let Some(other) = self.rows.get(other) else {
                 return false;
@@ -443,7 +481,7 @@
         };
         let others = self.holds.keys().filter(|other| **other != key);
         let parts = others.filter(|other| matches!(other, SuspectKey::Part(_)));
-        parts.copied().filter(is_companion).collect()
+        parts.copied().filter(is_companion).chain(unproved).collect()
     }
 
     /// Updates the verdicts on some suspects. Returns whether any has changed.
--- a/toucanrail/tests/suspect_verdicts.rs
+++ b/toucanrail/tests/suspect_verdicts.rs
@@ -360,3 +360,46 @@
         }
     }
 }
+
+/// Servers end before they respond to a harmful request, and before responses to sound ones that have
+/// begun go on. The part that is common to both succeeded before and must not be held back alone.
+#[test]
+fn ends_before_response() {
+    let (common, harmful) = (PARTS[1], PARTS[0]);
+    let mut table = SuspectTable::new();
+    let mut at = NOW;
+    for server in 0..10 {
+        at = NOW + millis(40) * server as u32;
+        let mut sound = part_note(server, RunStage::Writing, &[common]);
+        sound.content = 1_000 + server;
+        sound.sent_ago = millis(20);
+        sound.served_ago = Some(millis(500));
+        sound.suspects[0].succeeded_ago = Some(at.saturating_sub(NOW) + millis(500));
+        table.record_end(&sound, at);
+        let mut note = part_note(server, RunStage::Waiting, &[harmful, common]);
+        note.sent_ago = millis(80);
+        note.served_ago = sound.served_ago;
+        note.suspects[1].succeeded_ago = sound.suspects[0].succeeded_ago;
+        table.record_end(&note, at);
+    }
+    let mut holds = HoldTable::default();
+    let reply = HoldReply { process: 1, version: 1, held: table.held(at) };
+    holds.apply_reply(&Arc::from("side-1"), &reply, at);
+    let at = at + OBJECTION_TIME;
+    assert!(holds.find_hold(&[harmful, common], HoldScope::New, at).is_some());
+    assert!(holds.find_hold(&[common], HoldScope::New, at).is_none());
+}
+
+/// All servers are down when a trial is due. It must not count as made, or a wrong verdict lasts for
+/// as long as the next one takes.
+#[test]
+fn unused_trial() {
+    let mut table = SuspectTable::new();
+    let start = record_part_ends(&mut table, 5, &[(RunStage::Writing, &PARTS[..1])]);
+    let at = start + Duration::from_secs(3);
+    assert!(table.grant_trial(&PARTS[..1], at));
+    assert!(!table.grant_trial(&PARTS[..1], at + millis(100)));
+    assert!(table.return_trial(&PARTS[..1], at + millis(200)));
+    assert!(table.grant_trial(&PARTS[..1], at + millis(300)));
+    assert!(!table.grant_trial(&PARTS[..1], at + Duration::from_secs(10)));
+}
