Link shares: callers' requests leave part of a small link to the entry's own calls

Cause: one caller saturates the link of a small entry; loans, boards and configuration are queued behind its bodies, and lenders and servers are taken for slow.

Change: a token bucket decides on each request once its head has been read (admit, wait or refuse with 3208 before the body is read). While the link is loaded, a lender without a reply is neither probed nor given up, and late first events do not lower the admission limit. Setting link-reserve; it takes effect where the settings state a link capacity.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -19,6 +19,7 @@
 
 use crate::admitting;
 use crate::buffers::{BodyHold, WriteBacklog};
+use crate::link_admission;
 use crate::listening;
 use crate::responding::{self, ResponseWriter};
 use crate::state::{ConnectionGuard, Gateway, RequestGuard};
@@ -39,6 +40,8 @@
 enum ReadError {
     /// The request was invalid or too slow; the caller receives this code.
     Refused(ResultCode),
+    /// The link has no share left for the request; the caller should retry after this time.
+    LinkFull(Duration),
     /// The connection is gone and nobody can be notified.
     Disconnected,
 }
@@ -87,7 +90,17 @@
         let (head, body, hold) = match read_request(gateway, &mut connection, limits).await {
             Ok(request) => request,
             Err(ReadError::Disconnected) => return Ok(()),
-            Err(ReadError::Refused(code)) => return refuse(gateway, connection, code).await,
+            Err(ReadError::Refused(code)) => {
+                tracing::info!(event = "refused_unread", code = code.number());
+                let wait = (code == codetable::MEMORY_FULL).then(|| {
+                    let cause = RefusalCause::FullEntry;
+                    retry_delays::pick_delay(cause, Duration::MAX, fastrand::f64())
+                });
+                return refuse(gateway, connection, code, wait).await;
+            }
+            Err(ReadError::LinkFull(wait)) => {
+                return refuse(gateway, connection, codetable::LINK_FULL, Some(wait)).await;
+            }
         };
         let close = head.close
             || gateway.stop_requested.get().is_some()
@@ -98,6 +111,7 @@
         let responding = async {
             admitting::handle_request(gateway, &head, &body, &mut writer, arrived).await;
             writer.finish().await.ok();
+            link_admission::record_response(gateway, &head, writer.size);
             true
         };
         // Polled first: once the caller is known to have disconnected, no further step of its
@@ -150,6 +164,7 @@
 ) -> Result<(RequestHead, Vec<u8>, BodyHold), ReadError> {
     let bytes = time_limits::io_timeout(limits.arrival, connection.read_head(limits.head)).await?;
     let head = RequestHead::parse(&bytes.ok_or(ReadError::Disconnected)?)?;
+    link_admission::await_share(gateway, &head, limits).await.map_err(ReadError::LinkFull)?;
     let mut decoder = BodyDecoder::for_request(head.length);
     let mut body = Vec::new();
     let mut hold = BodyHold::new(&gateway.memory);
@@ -183,15 +198,14 @@
     }
 }
 
+/// Refuses a request that was not read to its end, and closes its connection.
 async fn refuse(
     gateway: &Gateway,
     connection: BufferedConnection,
     code: ResultCode,
+    wait: Option<Duration>,
 ) -> io::Result<()> {
     gateway.metrics.count_result(code);
-    tracing::info!(event = "refused_unread", code = code.number());
-    let wait = (code == codetable::MEMORY_FULL)
-        .then(|| retry_delays::pick_delay(RefusalCause::FullEntry, Duration::MAX, fastrand::f64()));
     let details = responding::make_refusal(code, RunState::NotRun, wait);
     connection.writer().write_all(&responding::encode_refusal(&details, true)).await?;
     close_connection(connection, true).await
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod grant_manager;
 pub mod hosting;
 pub mod launching;
+pub mod link_admission;
 pub mod link_load;
 pub mod listening;
 pub mod liveness;
--- a/toucanrail-gateway/src/link_load.rs
+++ b/toucanrail-gateway/src/link_load.rs
@@ -25,6 +25,12 @@
         Self { gauge: Cell::new(LinkGauge::new(capacity)), pressure: Cell::default() }
     }
 
+    /// Returns the load of the busier direction as a fraction of the capacity; zero if none is
+    /// stated.
+    pub fn load(&self) -> f64 {
+        self.gauge.get().load()
+    }
+
     /// Returns whether the balancer should send new callers to other entries.
     pub fn is_away(&self, now: Duration) -> bool {
         self.pressure.get().is_away(now)
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -15,7 +15,8 @@
 use smol::future::FutureExt;
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::{CustomerId, RequestId, ServiceName, Tokens};
-use toucanrail::loans::{self, LoanEnd, LoanId, LoanReply, LoanRequest};
+use toucanrail::link_shares;
+use toucanrail::loans::{self, LenderVerdict, LoanEnd, LoanId, LoanReply, LoanRequest};
 use toucanrail_wire::time_limits;
 
 use crate::grant_manager::HoldFailure;
@@ -135,7 +136,7 @@
 }
 
 /// Requests a loan from the lenders in rank order. Returns `None` if no lender responds or all are
-/// stopping.
+/// stopping, and that the budget is short if the entry's own loaded link may have delayed the reply.
 async fn request_loan(
     gateway: &Rc<Gateway>,
     need: &BudgetNeed<'_>,
@@ -161,6 +162,7 @@
         // granted it, and nobody else would return it.
         let mut pending =
             PendingLoan { gateway, lender: &lender, loan: &loan, need, settled: false };
+        let load = gateway.delaying_load();
         match request_watched(gateway, &lender, address, &request).await {
             Ok(reply) => {
                 pending.settled = true;
@@ -172,6 +174,11 @@
                 tracing::info!(event = "lender_leaving", %lender);
                 gateway.loan_client.backoff.record_failure(&lender, gateway.now());
             }
+            Err(error) if is_inconclusive(gateway, &error, load) => {
+                tracing::info!(event = "lender_delayed", %lender, customer = %need.customer);
+                gateway.metrics.count_event("lenders_delayed");
+                return Some(Err(HoldFailure::Short));
+            }
             Err(error) => {
                 tracing::info!(event = "lender_failed", %lender, %error, customer = %need.customer);
                 gateway.metrics.count_event("lenders_failed");
@@ -183,22 +190,37 @@
     None
 }
 
+/// Returns whether a failed loan request says nothing about its lender. `load` is that of the link
+/// when the request was sent.
+fn is_inconclusive(gateway: &Gateway, error: &io::Error, load: f64) -> bool {
+    let timed_out = error.kind() == io::ErrorKind::TimedOut;
+    loans::judge_lender(timed_out, load.max(gateway.delaying_load())) == LenderVerdict::Unknown
+}
+
 /// Requests a loan from one lender, and gives up early if the lender fails a liveness probe.
 ///
 /// A lender that has to ask the store may take up to 400 ms to reply, which looks the same as a
 /// frozen one. Without the probe, a request waits for the full 650 ms before it tries the next
-/// lender, longer than callers accept.
+/// lender, longer than callers accept. While the entry's own link is loaded, a probe would be
+/// delayed like the request, so none is sent.
 async fn request_watched(
     gateway: &Rc<Gateway>,
     lender: &Arc<str>,
     address: SocketAddr,
     request: &LoanRequest,
 ) -> io::Result<LoanReply> {
-    let requesting =
-        relay_client::call_relay(gateway, lender, address, LOAN_PATH, request, LOAN_TIMEOUT);
+    let (path, timeout) = (LOAN_PATH, LOAN_TIMEOUT);
+    if link_shares::is_loaded(gateway.delaying_load()) {
+        return relay_client::call_relay_patiently(
+            gateway, lender, address, path, request, timeout,
+        )
+        .await;
+    }
+    let requesting = relay_client::call_relay(gateway, lender, address, path, request, timeout);
     let watching = async {
         smol::Timer::after(LIVENESS_DELAY).await;
-        if relay_client::is_alive(address, LIVENESS_TIMEOUT).await {
+        let is_loaded = link_shares::is_loaded(gateway.delaying_load());
+        if is_loaded || relay_client::is_alive(address, LIVENESS_TIMEOUT).await {
             std::future::pending::<()>().await;
         }
         Err(io::ErrorKind::TimedOut.into())
--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -91,6 +91,30 @@
     }
 }
 
+/// Like [`call_relay`], but a new connection may take as long as the call. For calls over a loaded
+/// link, which delays the opening of connections too.
+pub async fn call_relay_patiently<Message, Reply>(
+    gateway: &Gateway,
+    relay: &Arc<str>,
+    address: SocketAddr,
+    path: &str,
+    message: &Message,
+    timeout: Duration,
+) -> io::Result<Reply>
+where
+    Message: Serialize,
+    Reply: DeserializeOwned,
+{
+    let calling = async {
+        let connection = match gateway.connections.take(relay, IDLE_TIMEOUT) {
+            Some(connection) => connection,
+            None => BufferedConnection::connect(address).await?,
+        };
+        call_on(gateway, relay, connection, path, message, timeout).await
+    };
+    time_limits::io_timeout(timeout, calling).await
+}
+
 /// Calls a relay on a new connection: one in the pool may lead to a process that has ended.
 pub async fn call_relay_anew<Message, Reply>(
     gateway: &Gateway,
--- a/toucanrail-gateway/src/responding.rs
+++ b/toucanrail-gateway/src/responding.rs
@@ -26,12 +26,14 @@
     pub started: bool,
     /// Whether the response has been written to its end.
     pub complete: bool,
+    /// Bytes of the response so far.
+    pub size: usize,
 }
 
 impl ResponseWriter {
     /// Creates a writer for the response to one request.
     pub fn new(backlog: WriteBacklog, close: bool) -> Self {
-        Self { backlog, close, started: false, complete: false }
+        Self { backlog, close, started: false, complete: false, size: 0 }
     }
 
     /// Returns whether more of the response may be read from its server.
@@ -116,6 +118,7 @@
 
     fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
         self.started = true;
+        self.size += bytes.len();
         self.backlog.write(bytes)
     }
 
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -28,6 +28,7 @@
 use crate::call_log;
 use crate::grant_manager::{self, GrantManager};
 use crate::hosting;
+use crate::link_admission::LinkAdmission;
 use crate::link_load::{self, LinkLoad};
 use crate::loan_client::{self, LoanClient};
 use crate::origin_notes::{self, NoteSender};
@@ -112,6 +113,7 @@
         holds: HoldTable::default(),
     };
     let link = LinkLoad::new(settings.link_capacity);
+    let link_admission = LinkAdmission::new(settings.link_capacity, tuning.link_reserve);
     let memory = Rc::new(RefCell::new(MemoryBudget::new(settings.limits)));
     Ok(Gateway {
         settings,
@@ -129,6 +131,7 @@
         suspect_reporter: SuspectReporter::default(),
         memory,
         link,
+        link_admission,
         metrics,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -27,6 +27,7 @@
 
 use crate::buffers::SharedBudget;
 use crate::grant_manager::GrantManager;
+use crate::link_admission::LinkAdmission;
 use crate::link_load::LinkLoad;
 use crate::liveness::CachedReport;
 use crate::loan_client::LoanClient;
@@ -129,6 +130,8 @@
     pub memory: SharedBudget,
     /// Load of this VM's network link.
     pub link: LinkLoad,
+    /// Share of the link that callers' requests may use.
+    pub link_admission: LinkAdmission,
 }
 
 impl Gateway {
@@ -165,6 +168,12 @@
         self.loan_client.lenders_unreachable.get() && kinds.into_iter().all(is_unanswered)
     }
 
+    /// Returns the load of the entry's link, as a fraction of its capacity, to judge whether it delays
+    /// the entry's own calls; zero without a share for callers' requests.
+    pub fn delaying_load(&self) -> f64 {
+        if self.link_admission.is_enabled() { self.link.load() } else { 0.0 }
+    }
+
     /// Returns whether this entry hears of changes of the servers.
     pub fn lists_servers(&self) -> bool {
         self.store.unanswered_for(names::SERVER_KIND) <= MAX_LISTING_AGE
@@ -198,6 +207,7 @@
         let now = self.now();
         let mut tables = self.tables.borrow_mut();
         let row = tables.limits.entry(Arc::clone(service)).or_default();
+        row.record_link_load(self.delaying_load());
         let admits = row.admits(query, now);
         if !admits {
             let (waiting, limit) = row.waiting();
--- a/toucanrail-gateway/src/tuning.rs
+++ b/toucanrail-gateway/src/tuning.rs
@@ -7,7 +7,7 @@
 use toucanrail::settings::{SettingRow, SettingValues};
 
 /// All settings of the gateway.
-pub const SETTINGS: [SettingRow; 5] = [
+pub const SETTINGS: [SettingRow; 6] = [
     SettingRow {
         name: "grant-horizon",
         default: Some("5s"),
@@ -29,6 +29,11 @@
         help: "Number of store objects for accounts; 0 for one per customer. Must never change.",
     },
     SettingRow { name: "flush", default: Some("3s"), help: "Interval between settlements." },
+    SettingRow {
+        name: "link-reserve",
+        default: Some("0.2"),
+        help: "Fraction of an entry's link that is reserved for its own calls; 0 for no limit.",
+    },
 ];
 
 /// Parsed settings.
@@ -42,6 +47,8 @@
     /// All processes must use the same value, and it must never change: an account stored in two
     /// objects could be spent twice.
     pub shards: u64,
+    /// Fraction of an entry's link that callers' requests leave to its own calls; from 0 to below 1.
+    pub link_reserve: f64,
 }
 
 impl GatewayTuning {
@@ -54,6 +61,10 @@
         });
         let policy = GrantPolicy::OutageTolerant { horizon, floor, max_fraction };
         let shards = values.parse("shards", "a number");
-        Self { policy, flush: values.duration("flush"), shards }
+        let link_reserve =
+            values.parse_with("link-reserve", "a fraction from 0 to below 1", |text| {
+                text.parse().ok().filter(|part| (0.0..1.0).contains(part))
+            });
+        Self { policy, flush: values.duration("flush"), shards, link_reserve }
     }
 }
--- a/toucanrail/src/admissions.rs
+++ b/toucanrail/src/admissions.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 use crate::backends::FlightId;
+use crate::link_shares;
 
 /// Fraction of late first events above which requests are limited.
 const LATE_LIMIT: f64 = 0.4;
@@ -84,6 +85,9 @@
     #[serde(rename = "calm")]
     calm_steps: u32,
     step_began: Duration,
+    /// Whether the entry's own link is loaded now, and whether it was in this step.
+    link_loaded: bool,
+    link_loaded_in_step: bool,
 }
 
 impl AdmissionLimit {
@@ -112,6 +116,23 @@
         admits
     }
 
+    /// Records the current load of the entry's own link, as a fraction of its capacity.
+    ///
+    /// A loaded link delays first events by itself. They are then no evidence about the servers and
+    /// do not lower the limit, neither in this step nor, as long as the link stays loaded, in the
+    /// following ones.
+    ///
+    /// # Examples
+    /// ```
+    /// let mut limit = toucanrail::admissions::AdmissionLimit::default();
+    /// limit.record_link_load(0.9);
+    /// assert_eq!(limit.waiting(), (0, None));
+    /// ```
+    pub fn record_link_load(&mut self, load: f64) {
+        self.link_loaded = link_shares::is_loaded(load);
+        self.link_loaded_in_step |= self.link_loaded;
+    }
+
     /// Returns whether requests wait for too long: a limit is in effect, or at least one request
     /// has waited for more than half of its latency target.
     pub fn is_congested(&self, now: Duration) -> bool {
@@ -174,6 +195,7 @@
         self.step_began = now;
         (self.peak, self.first_events) = (self.rows.len(), 0);
         (self.on_time, self.late, self.refused) = (0, 0, 0);
+        self.link_loaded_in_step = self.link_loaded;
     }
 
     fn smooth_rate(&mut self, now: Duration) {
@@ -187,7 +209,7 @@
         self.calm_steps = if self.refused > 0 { 0 } else { self.calm_steps + 1 };
         let target_limit = self.target_limit();
         self.limit = match self.limit {
-            _ if self.is_overloaded(now) => Some(target_limit),
+            _ if self.is_overloaded(now) && !self.link_loaded_in_step => Some(target_limit),
             Some(_) if self.calm_steps >= MAX_CALM_STEPS => None,
             Some(limit) if self.peak as f64 >= limit * USED_FRACTION => {
                 Some(limit.max(target_limit))
--- a/toucanrail/src/codetable.rs
+++ b/toucanrail/src/codetable.rs
@@ -58,6 +58,8 @@
 pub const VERSION_GONE: ResultCode = ResultCode::new(3206);
 /// Servers ended under the request; it is held back for some time.
 pub const HELD_BACK: ResultCode = ResultCode::new(3207);
+/// The entry's network link has no share left for the request.
+pub const LINK_FULL: ResultCode = ResultCode::new(3208);
 /// The backend server's response ended early.
 pub const ANSWER_CUT: ResultCode = ResultCode::new(4001);
 /// The connection to the backend server went silent.
@@ -95,7 +97,7 @@
 
 /// All rows, ordered by number.
 #[rustfmt::skip]
-pub const ROWS: [CodeRow; 45] = [
+pub const ROWS: [CodeRow; 46] = [
     CodeRow { number: 1000, name: "ok", status: 200, run: RunState::Ran, text: "The request ran and its answer is whole." },
     CodeRow { number: 2001, name: "bad_request", status: 400, run: RunState::NotRun, text: "The request could not be read." },
     CodeRow { number: 2002, name: "ambiguous_length", status: 400, run: RunState::NotRun, text: "The request gives its length in more than one way." },
@@ -124,6 +126,7 @@
     CodeRow { number: 3205, name: "origin_unknown", status: 503, run: RunState::NotRun, text: "It is not known which software version began this stream." },
     CodeRow { number: 3206, name: "version_gone", status: 503, run: RunState::NotRun, text: "No backend server of the software version that began this stream is left." },
     CodeRow { number: 3207, name: "held_back", status: 503, run: RunState::NotRun, text: "Backend servers ended under requests like this one; it is held back for now." },
+    CodeRow { number: 3208, name: "link_full", status: 503, run: RunState::NotRun, text: "The process's network link has no room for the request." },
     CodeRow { number: 4001, name: "answer_cut", status: 502, run: RunState::Ran, text: "The backend server's answer ended early." },
     CodeRow { number: 4002, name: "silent_connection", status: 504, run: RunState::Unknown, text: "The connection to the backend server went silent." },
     CodeRow { number: 4003, name: "backend_failed", status: 502, run: RunState::Unknown, text: "The backend server failed." },
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod ledgers;
 pub mod limits;
 pub mod link_gauges;
+pub mod link_shares;
 pub mod loans;
 pub mod matching;
 pub mod members;
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -16,6 +16,7 @@
 
 use crate::grants::GrantHold;
 use crate::ids::{CustomerId, RequestId, ServiceName, Tokens};
+use crate::link_shares;
 
 /// Number of recently ended loans that are remembered, so that a loan request that arrives after
 /// the end of its loan is not granted. Covers a few seconds of a data centre's load.
@@ -127,6 +128,35 @@
     }
 }
 
+/// What a loan request without a reply says about its lender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LenderVerdict {
+    /// The lender has failed: the next one is asked, and this one is not called for some time.
+    Failed,
+    /// Nothing: the entry's own link delays its calls, and another lender would be asked over the
+    /// same link. The request is refused as unconfirmed.
+    Unknown,
+}
+
+/// Judges a lender that a loan request got no reply from. `timed_out` tells that nothing was
+/// received, as opposed to a closed or refused connection; `link_load` is the highest load of the
+/// entry's own link seen during the request, as a fraction of its capacity.
+///
+/// # Examples
+/// ```
+/// use toucanrail::loans::{self, LenderVerdict};
+/// assert_eq!(loans::judge_lender(true, 0.3), LenderVerdict::Failed);
+/// assert_eq!(loans::judge_lender(true, 0.9), LenderVerdict::Unknown);
+/// assert_eq!(loans::judge_lender(false, 0.9), LenderVerdict::Failed);
+/// ```
+pub fn judge_lender(timed_out: bool, link_load: f64) -> LenderVerdict {
+    if timed_out && link_shares::is_loaded(link_load) {
+        LenderVerdict::Unknown
+    } else {
+        LenderVerdict::Failed
+    }
+}
+
 /// Orders lenders by preference for a shard, using rendezvous hashing. All entries of a region
 /// prefer the same lender, so that it alone updates the shard, and the loss of a lender moves only
 /// the shards it served.
--- a/toucanrail/src/retry_delays.rs
+++ b/toucanrail/src/retry_delays.rs
@@ -15,7 +15,7 @@
 const OTHER_ENTRY_DELAY: Duration = Duration::from_millis(500);
 /// Delay if the budget is granted elsewhere or a write was lost.
 const GRANT_DELAY: Duration = Duration::from_millis(800);
-/// Mean delay if this entry has no room for the request; it is varied by up to half.
+/// Mean delay if this entry or its link has no room for the request; it is varied by up to half.
 const FULL_ENTRY_DELAY: Duration = Duration::from_millis(500);
 /// Minimum and spread of the delay after servers declined.
 const MIN_DECLINED_DELAY: Duration = Duration::from_millis(250);
@@ -28,6 +28,8 @@
     Uninformed,
     /// This entry has no memory left for the request.
     FullEntry,
+    /// This entry's network link has no share left for the request until this time has passed.
+    FullLink(Duration),
     /// The servers cannot begin the request in time.
     Overload,
     /// The customer's budget cannot be confirmed at the moment.
@@ -63,6 +65,7 @@
     let delay = match cause {
         RefusalCause::Uninformed => OTHER_ENTRY_DELAY,
         RefusalCause::FullEntry => FULL_ENTRY_DELAY.mul_f64(0.5 + random),
+        RefusalCause::FullLink(wait) => wait.saturating_add(FULL_ENTRY_DELAY.mul_f64(0.5 + random)),
         RefusalCause::Overload
         | RefusalCause::Outage
         | RefusalCause::VersionGone
