--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -3,11 +3,12 @@
 //!
 //! An *entry* (program `toucanrail-gateway`) accepts callers' requests and forwards them to backend
 //! servers. A single thread runs everything. A request passes through [`accepting`] (callers'
-//! connections), [`admitting`] (route, customer, load and budget), [`dispatching`] (choice of
-//! servers and retries), [`sending`] (one attempt at one server) and [`forwarding`] (the response
-//! body). Background tasks watch the store ([`store_watch`]), through a relay ([`relay_client`]) or
-//! through the endpoint chosen by [`store_access`], and manage budgets: [`loan_client`] takes loans
-//! from lenders, [`grant_manager`] uses the entry's own grants.
+//! connections), [`link_admission`] (share of the entry's link), [`admitting`] (route, customer,
+//! load and budget), [`dispatching`] (choice of servers and retries), [`sending`] (one attempt at
+//! one server) and [`forwarding`] (the response body). Background tasks watch the store
+//! ([`store_watch`]), through a relay ([`relay_client`]) or through the endpoint chosen by
+//! [`store_access`], and manage budgets: [`loan_client`] takes loans from lenders,
+//! [`grant_manager`] uses the entry's own grants.
 //!
 //! A *relay* (program `toucanrail-relay`) runs beside a backend server: [`relay`] forwards
 //! connections to the store, [`relay_api`] lends entries budget from the same [`grant_manager`],
--- a/toucanrail-gateway/src/link_admission.rs
+++ b/toucanrail-gateway/src/link_admission.rs
@@ -89,17 +89,12 @@
     let body = body.min(limits.body as u64) as f64;
     let tables = gateway.tables.borrow();
     let sizes = gateway.link_admission.sizes.borrow();
-    match tables.routes.find_route(head.host(), head.path()) {
-        Some(route) => ShareQuery {
-            cost: body + sizes.expected(&route.name),
-            rank: route.priority,
-            latency_target: route.latency_target,
-        },
-        None => {
-            let (rank, latency_target) = (link_shares::MAX_RANK, UNKNOWN_TARGET);
-            ShareQuery { cost: body, rank, latency_target }
-        }
-    }
+    let Some(route) = tables.routes.find_route(head.host(), head.path()) else {
+        let (rank, latency_target) = (link_shares::MAX_RANK, UNKNOWN_TARGET);
+        return ShareQuery { cost: body, rank, latency_target };
+    };
+    let cost = body + sizes.expected(&route.name);
+    ShareQuery { cost, rank: route.priority, latency_target: route.latency_target }
 }
 
 /// Logs a refusal and returns the time after which its caller should retry.
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -162,7 +162,7 @@
         // granted it, and nobody else would return it.
         let mut pending =
             PendingLoan { gateway, lender: &lender, loan: &loan, need, settled: false };
-        let load = gateway.delaying_load();
+        let link_load = gateway.delaying_load();
         match request_watched(gateway, &lender, address, &request).await {
             Ok(reply) => {
                 pending.settled = true;
@@ -174,7 +174,7 @@
                 tracing::info!(event = "lender_leaving", %lender);
                 gateway.loan_client.backoff.record_failure(&lender, gateway.now());
             }
-            Err(error) if is_inconclusive(gateway, &error, load) => {
+            Err(error) if is_inconclusive(gateway, &error, link_load) => {
                 tracing::info!(event = "lender_delayed", %lender, customer = %need.customer);
                 gateway.metrics.count_event("lenders_delayed");
                 return Some(Err(HoldFailure::Short));
@@ -190,11 +190,11 @@
     None
 }
 
-/// Returns whether a failed loan request says nothing about its lender. `load` is that of the link
-/// when the request was sent.
-fn is_inconclusive(gateway: &Gateway, error: &io::Error, load: f64) -> bool {
+/// Returns whether a failed loan request says nothing about its lender. `link_load` is that of the
+/// link when the request was sent.
+fn is_inconclusive(gateway: &Gateway, error: &io::Error, link_load: f64) -> bool {
     let timed_out = error.kind() == io::ErrorKind::TimedOut;
-    loans::judge_lender(timed_out, load.max(gateway.delaying_load())) == LenderVerdict::Unknown
+    loans::judge_lender(timed_out, link_load.max(gateway.delaying_load())) == LenderVerdict::Unknown
 }
 
 /// Requests a loan from one lender, and gives up early if the lender fails a liveness probe.
--- a/toucanrail/tests/retry_delays.rs
+++ b/toucanrail/tests/retry_delays.rs
@@ -31,6 +31,7 @@
 #[test]
 fn spread_retries() {
     let causes = [
+        RefusalCause::FullLink(Duration::from_millis(200)),
         RefusalCause::Overload,
         RefusalCause::Outage,
         RefusalCause::Unconfirmed,
