Relays decide which entries of a data centre are in rotation

A caller that sends more than a small entry's link carries was passed from one small entry to the next, since each entry decided about its own link and knew of no other.

Entries whose settings state a link capacity now report to the first relay of their data centre once a second, and apply its order. While an entry is loaded and a larger one has room, the relay takes out as many small entries as leave more than half in rotation. Without an order for 3 s an entry decides by itself, as before.

--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -82,6 +82,7 @@
         versions: RefCell::default(),
         suspects: RefCell::default(),
         holds_changed: Event::new(),
+        rotation: RefCell::default(),
         process: fastrand::u64(..),
     });
     let lending = relay_api::serve_entries(Rc::clone(executor), Rc::clone(&api), entries);
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod report_client;
 pub mod request_context;
 pub mod responding;
+pub mod rotation;
 pub mod sending;
 pub mod server_cache;
 pub mod server_ends;
--- a/toucanrail-gateway/src/link_load.rs
+++ b/toucanrail-gateway/src/link_load.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use toucanrail::link_gauges::{LinkCounts, LinkGauge, LinkPressure};
+use toucanrail::rotations::{RotationOrder, RotationState};
 use toucanrail_wire::connections;
 
 use crate::state::Gateway;
@@ -17,22 +18,43 @@
 pub struct LinkLoad {
     gauge: Cell<LinkGauge>,
     pressure: Cell<LinkPressure>,
+    rotation: Cell<RotationState>,
+    was_away: Cell<bool>,
 }
 
 impl LinkLoad {
     /// Creates the load of an idle link; `capacity` is in bytes a second.
     pub fn new(capacity: Option<f64>) -> Self {
-        Self { gauge: Cell::new(LinkGauge::new(capacity)), pressure: Cell::default() }
+        let gauge = Cell::new(LinkGauge::new(capacity));
+        let (pressure, rotation) = (Cell::default(), Cell::default());
+        Self { gauge, pressure, rotation, was_away: Cell::new(false) }
     }
 
-    /// Returns whether the balancer should send new callers to other entries.
+    /// Returns the load of the busier direction as a fraction of the capacity; zero if that is not
+    /// known.
+    pub fn load(&self) -> f64 {
+        self.gauge.get().load()
+    }
+
+    /// Returns whether the balancer should send new callers to other entries: by the order of a
+    /// relay, or by this entry's own decision if there is none.
     pub fn is_away(&self, now: Duration) -> bool {
-        self.pressure.get().is_away(now)
+        let ordered = self.rotation.get().ordered_out(now);
+        ordered.unwrap_or_else(|| self.pressure.get().is_away(now))
     }
 
     /// Returns whether a caller's connection should be closed after its response.
     pub fn closes_connections(&self, now: Duration) -> bool {
-        self.pressure.get().closes_connections(self.gauge.get().load(), now)
+        let load = self.load();
+        let ordered = self.rotation.get().closes_connections(load, now);
+        ordered.unwrap_or_else(|| self.pressure.get().closes_connections(load, now))
+    }
+
+    /// Applies the order that a report sent at `sent_at` brought.
+    pub fn record_order(&self, order: RotationOrder, sent_at: Duration) {
+        let mut rotation = self.rotation.get();
+        rotation.record_order(order, sent_at);
+        self.rotation.set(rotation);
     }
 
     fn measure(&self, now: Duration) {
@@ -40,18 +62,34 @@
         let (mut gauge, mut pressure) = (self.gauge.get(), self.pressure.get());
         gauge.record_counts(LinkCounts { received, sent }, now);
         pressure.record_load(gauge.load(), now);
-        if pressure.is_away(now) != self.is_away(now) {
+        let was_full = self.pressure.get().is_away(now);
+        if pressure.is_away(now) != was_full && self.rotation.get().ordered_out(now).is_none() {
             tracing::info!(event = "link_full", away = pressure.is_away(now), load = gauge.load());
         }
         self.gauge.set(gauge);
         self.pressure.set(pressure);
     }
+
+    /// Logs whether the entry has left the rotation or returned. Returns whether it has left.
+    fn record_change(&self, now: Duration) -> bool {
+        let away = self.is_away(now);
+        if self.was_away.replace(away) == away {
+            return false;
+        }
+        let cause = self.rotation.get().ordered_out(now).map_or("own decision", |_| "order");
+        tracing::info!(event = "rotation", away, load = self.load(), cause);
+        away
+    }
 }
 
 /// Measures the load at regular intervals.
 pub async fn measure(gateway: Rc<Gateway>) {
     loop {
         smol::Timer::after(INTERVAL).await;
-        gateway.link.measure(gateway.now());
+        let now = gateway.now();
+        gateway.link.measure(now);
+        if gateway.link.record_change(now) {
+            gateway.metrics.count_event("rotation_left");
+        }
     }
 }
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -109,6 +109,7 @@
         versions: RefCell::default(),
         suspects: RefCell::default(),
         holds_changed: Event::new(),
+        rotation: RefCell::default(),
         process: fastrand::u64(..),
     })
 }
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use event_listener::Event;
@@ -17,6 +18,7 @@
 use toucanrail::origin_keepers::ProcessNumber;
 use toucanrail::origins::{OriginReply, OriginReport, OriginTable};
 use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
+use toucanrail::rotations::{RotationCounts, RotationOrder, RotationReport, RotationTable};
 use toucanrail::suspects::SuspectTable;
 use toucanrail::version_history::StatementTable;
 use toucanrail_wire::connections::BufferedConnection;
@@ -54,6 +56,9 @@
 /// Path of a call that takes a [`TrialRequest`] and returns whether one request may be tried.
 pub const TRIAL_PATH: &str = "/suspects/try";
 
+/// Path of a call that takes a [`RotationReport`] and returns a [`RotationOrder`].
+pub const ROTATION_PATH: &str = "/rotation/report";
+
 /// Path of a call without arguments that returns `true` immediately.
 pub const ALIVE_PATH: &str = "/alive";
 
@@ -89,6 +94,8 @@
     pub suspects: RefCell<SuspectTable>,
     /// Notified when another suspect is held back, or one no longer is.
     pub holds_changed: Event,
+    /// Entries of the data centre, and which of them are out of rotation.
+    pub rotation: RefCell<RotationTable>,
     /// Random number of this process.
     pub process: ProcessNumber,
 }
@@ -147,6 +154,9 @@
             TRIAL_PATH => {
                 rpc::reply(&connection, &grant_trial(api, &rpc::decode(&body)?)).await?;
             }
+            ROTATION_PATH => {
+                rpc::reply(&connection, &order_rotation(api, rpc::decode(&body)?)).await?;
+            }
             REPORT_PATH => {
                 let report = match &api.report_client {
                     Some(report_client) => report_client.try_fetch().await,
@@ -266,6 +276,19 @@
     granted
 }
 
+fn order_rotation(api: &RelayApi, report: RotationReport) -> RotationOrder {
+    let now = api.change_feed.now();
+    let (entry, data_centre) = (Arc::clone(&report.entry), Arc::clone(&report.data_centre));
+    let (load, was_out) = (report.load, report.out);
+    let mut rotation = api.rotation.borrow_mut();
+    let order = rotation.report(report, now);
+    if was_out != (order != RotationOrder::Stay) {
+        let RotationCounts { live, out } = rotation.counts(&data_centre, now);
+        tracing::info!(event = "rotation_order", %entry, ?order, load, live, out);
+    }
+    order
+}
+
 /// Replies to a query as soon as the entry lacks something, or when its wait is over.
 async fn await_holds(api: &RelayApi, query: &HoldQuery) -> HoldReply {
     let waiting = async {
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -33,6 +33,7 @@
 use crate::origin_notes::{self, NoteSender};
 use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
+use crate::rotation;
 use crate::server_cache::ServerCache;
 use crate::state::{Gateway, GatewayTables};
 use crate::stopping;
@@ -71,6 +72,7 @@
     executor.spawn(store_watch::sweep(Rc::clone(&shared))).detach();
     executor.spawn(call_log::log_calls()).detach();
     executor.spawn(link_load::measure(Rc::clone(&shared))).detach();
+    executor.spawn(rotation::send_reports(Rc::clone(&shared))).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
     executor.spawn(origin_notes::send_notes(Rc::clone(&shared))).detach();
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -584,6 +584,16 @@
         process
     }
 
+    /// Starts a gateway on a VM whose link carries this many megabits a second, and waits until it
+    /// is ready.
+    pub fn start_gateway_with_link(store: &Store, vm: &str, megabits: u32) -> Self {
+        let program = env!("CARGO_BIN_EXE_toucanrail-gateway");
+        let settings = format!("[limits]\nlink_mbps = {megabits}\n");
+        let process = Self::start_with(program, store.address, vm, None, &settings);
+        process.wait_ready(true);
+        process
+    }
+
     /// Starts a relay.
     pub fn start_relay(store: &Store, vm: &str) -> Self {
         Self::start(env!("CARGO_BIN_EXE_toucanrail-relay"), store.relay_address, vm, None)
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod replays;
 pub mod retries;
 pub mod retry_delays;
+pub mod rotations;
 pub mod routing;
 pub mod scanners;
 pub mod servers;
