--- a/toucanrail/src/rotations.rs
+++ b/toucanrail/src/rotations.rs
@@ -7,6 +7,7 @@
 //! tolerates ([`RotationTable`]). An entry applies the orders that it gets ([`RotationState`]).
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -152,7 +153,7 @@
             lease_until: if report.out { lease_until } else { Duration::ZERO },
             report,
         };
-        self.rows.insert(row.report.entry.clone(), row);
+        self.rows.insert(Arc::clone(&row.report.entry), row);
     }
 
     fn plan(&mut self, now: Duration) {
@@ -222,7 +223,7 @@
         });
         let left = candidates.iter().skip(free).filter(|row| row.is_loaded(now)).count();
         let taken: Vec<VmId> =
-            candidates.iter().take(free).map(|row| row.report.entry.clone()).collect();
+            candidates.iter().take(free).map(|row| Arc::clone(&row.report.entry)).collect();
         for entry in taken {
             if let Some(row) = self.rows.get_mut(&entry) {
                 row.ordered_out = true;
@@ -256,7 +257,7 @@
 
     /// Lets the next entry return. Returns whether there is one.
     fn return_one(&mut self, now: Duration) -> bool {
-        let entry = self.next_return(now).map(|row| row.report.entry.clone());
+        let entry = self.next_return(now).map(|row| Arc::clone(&row.report.entry));
         let row = entry.and_then(|entry| self.rows.get_mut(&entry));
         row.map(|row| row.ordered_out = false).is_some()
     }
@@ -290,7 +291,7 @@
     /// assert_eq!(order, RotationOrder::Leave { lease: LEASE_TIME });
     /// ```
     pub fn report(&mut self, report: RotationReport, now: Duration) -> RotationOrder {
-        let (entry, data_centre) = (report.entry.clone(), report.data_centre.clone());
+        let (entry, data_centre) = (Arc::clone(&report.entry), Arc::clone(&report.data_centre));
         self.drop_silent(now);
         let centre = self.centres.entry(data_centre).or_insert_with(|| CentreRotation::new(now));
         centre.record_report(report, now);
