Requests leave a data centre by cost and by a share that changes in steps

Cause: a server of another data centre cost 5 ms for every request, whatever the delay and the price of its bytes, and all entries of a data centre that was short of servers sent away whatever was cheaper elsewhere at the same time.

Placement takes RemoteTerms in place of the constant REMOTE_COST and compares the lowest cost of local servers with that of remote ones that do not serve the request's session. Log offload_share, events sent_remote and sent_local, shares in the state dump.

Tests run: toucanrail remote_placement, backend_placement, load_probes, centre_evacuations; the gateway was checked with all its targets, its tests were not run yet.

--- a/toucanrail-gateway/src/admin.rs
+++ b/toucanrail-gateway/src/admin.rs
@@ -13,6 +13,7 @@
 use toucanrail::endpoints::EndpointTable;
 use toucanrail::grants::GrantTable;
 use toucanrail::ids::ServiceName;
+use toucanrail::remote_placement::OffloadShare;
 use toucanrail_platform::names;
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::heads::RequestHead;
@@ -36,6 +37,7 @@
     store_ways: EndpointTable,
     backends: &'tables BackendTable,
     limits: &'tables BTreeMap<ServiceName, AdmissionLimit>,
+    offloads: &'tables BTreeMap<ServiceName, OffloadShare>,
     grants: &'tables GrantTable,
 }
 
@@ -91,6 +93,7 @@
         store_ways: gateway.store.endpoints(),
         backends: &tables.backends,
         limits: &tables.limits,
+        offloads: &tables.offloads,
         grants: &grants,
     };
     // Serialization can only fail for maps whose keys are not strings.
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -28,7 +28,7 @@
 use crate::responding::{self, ResponseWriter};
 use crate::sending;
 use crate::server_ends;
-use crate::state::Gateway;
+use crate::state::{Gateway, GatewayTables};
 use crate::suspect_reports;
 
 /// Maximum wait for load reports; most relays respond within a few milliseconds.
@@ -59,6 +59,7 @@
         last_version: None,
         stream: StreamState::new(plan.info.last_event, plan.origin.clone()),
         failed_response: None,
+        offload_draw: fastrand::f64(),
         finished: false,
     };
     let end = dispatch.run(writer).await;
@@ -76,6 +77,9 @@
     last_version: Option<SoftwareVersion>,
     stream: StreamState,
     failed_response: Option<FailedResponse>,
+    /// Random number that decides whether all remote servers are candidates. It is drawn once, so
+    /// that probes and placement consider the same servers.
+    offload_draw: f64,
     finished: bool,
 }
 
@@ -111,10 +115,13 @@
             }
             self.tried.push(Arc::clone(&target.id));
             self.last_version = Some(Arc::clone(&target.software_version));
+            self.gateway.count_site(&target);
             let sent_at = self.gateway.now();
             let outcome = match self.attempt(&target, source, permit, writer).await {
                 AttemptResult::Complete => {
                     suspect_reports::record_success(self.gateway, self.plan);
+                    let (route, bytes) = (&self.plan.route.name, self.stream.received_bytes);
+                    self.gateway.record_response_size(route, bytes);
                     return RequestEnd::Whole;
                 }
                 AttemptResult::CallerGone => return RequestEnd::CallerGone,
@@ -186,13 +193,20 @@
     }
 
     fn placement_query(&self) -> PlacementQuery<'_> {
-        let prompt = self.plan.info.prompt.as_ref();
+        let plan = self.plan;
+        let prompt = plan.info.prompt.as_ref();
         PlacementQuery {
             data_centre: &self.gateway.settings.data_centre,
             parts: prompt.map_or(&[], |prompt| &prompt.parts),
             prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
             now: self.gateway.now(),
             random: fastrand::f64(),
+            remote: self.gateway.remote_terms(
+                &plan.service,
+                &plan.route.name,
+                plan.body.len(),
+                self.offload_draw,
+            ),
         }
     }
 
@@ -266,6 +280,7 @@
     /// there is a better source than the server itself.
     fn pick_target(&self, probed: &[ProbeRow]) -> Option<(BackendEntry, Option<SocketAddr>)> {
         let query = self.placement_query();
+        self.update_offload(&query);
         let tables = self.gateway.tables.borrow();
         let eligible = self.list_eligible(&tables.backends, query.now);
         let chosen = probes::pick_probed(&eligible, &query, probed, self.plan.route.latency_target);
@@ -276,6 +291,25 @@
         Some((row.entry.clone(), source.map(|source| source.entry.address)))
     }
 
+    /// Updates the service's share of requests that may leave the data centre. Only the first choice
+    /// counts: later ones lack the servers that were tried.
+    fn update_offload(&self, query: &PlacementQuery<'_>) {
+        if self.gateway.remote_costs.is_none() || !self.tried.is_empty() {
+            return;
+        }
+        let service = &self.plan.service;
+        let mut tables = self.gateway.tables.borrow_mut();
+        let GatewayTables { backends, offloads, .. } = &mut *tables;
+        let costs = placement::compare_costs(&self.list_eligible(backends, query.now), query);
+        let share = offloads.entry(Arc::clone(service)).or_default();
+        if share.record_costs(costs, query.now) {
+            tracing::info!(
+                event = "offload_share", %service, share = share.share(), local_ms = costs.local,
+                remote_ms = costs.remote,
+            );
+        }
+    }
+
     async fn attempt(
         &mut self,
         target: &BackendEntry,
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -80,6 +80,7 @@
         }
         Err(_) => return AttemptResult::Incomplete(AttemptOutcome::Lost),
     }
+    stream.received_bytes += body.len() as u64;
     let head = exchange.head.clone();
     exchange.release_connection(context.gateway, &context.target.id);
     if head.status >= 500 {
@@ -176,6 +177,7 @@
         let known = stream.scanner.count;
         let complete_len = stream.scanner.scan(pending);
         stream.partial_bytes = pending.len() - complete_len;
+        stream.received_bytes += complete_len as u64;
         self.events = stream.scanner.count - self.earlier_events;
         if complete_len == 0 {
             return 0;
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -160,6 +160,8 @@
     pub first_byte_at: Option<Instant>,
     /// Longest pause between events, for logging.
     pub longest_pause: Duration,
+    /// Bytes of responses that were received, without heads.
+    pub received_bytes: u64,
 }
 
 impl StreamState {
@@ -175,6 +177,7 @@
             attempt_begun_at: None,
             first_byte_at: None,
             longest_pause: Duration::ZERO,
+            received_bytes: 0,
         }
     }
 
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -108,6 +108,8 @@
         retries: BTreeMap::new(),
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
+        offloads: BTreeMap::new(),
+        response_sizes: BTreeMap::new(),
         origins: OriginTable::new(),
         holds: HoldTable::default(),
     };
@@ -129,6 +131,7 @@
         suspect_reporter: SuspectReporter::default(),
         memory,
         link,
+        remote_costs: tuning.remote_costs,
         metrics,
         executor,
         tables: RefCell::new(tables),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -16,6 +16,7 @@
 use toucanrail::origins::OriginTable;
 use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
+use toucanrail::remote_placement::{OffloadShare, RemoteCosts, RemoteTerms, ResponseSize};
 use toucanrail::retries::{RetryBudget, RetryLimits};
 use toucanrail::statements::ServerProcess;
 use toucanrail_daemons::metrics::ProcessMetrics;
@@ -68,6 +69,11 @@
     pub limits: BTreeMap<ServiceName, AdmissionLimit>,
     /// Estimates of free slots at the servers, by service.
     pub free_slots: BTreeMap<ServiceName, SlotGauge>,
+    /// Fractions of requests for which all servers of other data centres are candidates, by
+    /// service.
+    pub offloads: BTreeMap<ServiceName, OffloadShare>,
+    /// Sizes of responses, by route.
+    pub response_sizes: BTreeMap<Arc<str>, ResponseSize>,
     /// Origins of the streams that began here or were taken up here.
     pub origins: OriginTable,
     /// Requests that are held back because servers ended under them.
@@ -129,6 +135,8 @@
     pub memory: SharedBudget,
     /// Load of this VM's network link.
     pub link: LinkLoad,
+    /// Costs of servers in other data centres; `None` if no settings state them.
+    pub remote_costs: Option<RemoteCosts>,
 }
 
 impl Gateway {
@@ -225,6 +233,42 @@
         tables.free_slots.entry(Arc::clone(service)).or_default().record_reports(probed);
     }
 
+    /// Returns how a request may use servers of other data centres. `body` is its size in bytes, and
+    /// `draw` its random number in `0..1`.
+    pub fn remote_terms(
+        &self,
+        service: &ServiceName,
+        route: &Arc<str>,
+        body: usize,
+        draw: f64,
+    ) -> RemoteTerms {
+        let Some(costs) = self.remote_costs else {
+            return RemoteTerms::default();
+        };
+        let tables = self.tables.borrow();
+        let response = tables.response_sizes.get(route).map_or(0, ResponseSize::bytes);
+        RemoteTerms {
+            cost: costs.request_cost((body as u64).saturating_add(response)),
+            are_candidates: tables.offloads.get(service).is_some_and(|share| share.includes(draw)),
+        }
+    }
+
+    /// Records the size of a complete response of a route, in bytes.
+    pub fn record_response_size(&self, route: &Arc<str>, bytes: u64) {
+        if self.remote_costs.is_some() {
+            let mut tables = self.tables.borrow_mut();
+            tables.response_sizes.entry(Arc::clone(route)).or_default().record(bytes);
+        }
+    }
+
+    /// Counts a request that is sent to a server, by whether it leaves the data centre.
+    pub fn count_site(&self, target: &BackendEntry) {
+        if self.remote_costs.is_some() {
+            let is_local = target.data_centre == self.settings.data_centre;
+            self.metrics.count_event(if is_local { "sent_local" } else { "sent_remote" });
+        }
+    }
+
     fn with_retry_budget<Value, Work>(&self, service: &ServiceName, work: Work) -> Value
     where
         Work: FnOnce(&mut RetryBudget) -> Value,
--- a/toucanrail-gateway/src/tuning.rs
+++ b/toucanrail-gateway/src/tuning.rs
@@ -4,10 +4,14 @@
 
 use toucanrail::ids::Tokens;
 use toucanrail::policies::GrantPolicy;
-use toucanrail::settings::{SettingRow, SettingValues};
+use toucanrail::remote_placement::{self, RemoteCosts};
+use toucanrail::settings::{self, SettingRow, SettingValues};
+
+/// Maximum of `zone-delay`. More is a wrong unit: no two data centres are that far apart.
+const MAX_ZONE_DELAY: Duration = Duration::from_secs(1);
 
 /// All settings of the gateway.
-pub const SETTINGS: [SettingRow; 5] = [
+pub const SETTINGS: [SettingRow; 7] = [
     SettingRow {
         name: "grant-horizon",
         default: Some("5s"),
@@ -29,6 +33,16 @@
         help: "Number of store objects for accounts; 0 for one per customer. Must never change.",
     },
     SettingRow { name: "flush", default: Some("3s"), help: "Interval between settlements." },
+    SettingRow {
+        name: "zone-delay",
+        default: Some(""),
+        help: "One-way delay between two data centres, at most 1s.",
+    },
+    SettingRow {
+        name: "zone-price",
+        default: Some(""),
+        help: "Waiting time that one megabyte between data centres is worth, such as 20ms/MB.",
+    },
 ];
 
 /// Parsed settings.
@@ -42,6 +56,8 @@
     /// All processes must use the same value, and it must never change: an account stored in two
     /// objects could be spent twice.
     pub shards: u64,
+    /// Costs of servers in other data centres; `None` if neither their delay nor their price is set.
+    pub remote_costs: Option<RemoteCosts>,
 }
 
 impl GatewayTuning {
@@ -54,6 +70,23 @@
         });
         let policy = GrantPolicy::OutageTolerant { horizon, floor, max_fraction };
         let shards = values.parse("shards", "a number");
-        Self { policy, flush: values.duration("flush"), shards }
+        let remote_costs = Self::read_remote_costs(values);
+        Self { policy, flush: values.duration("flush"), shards, remote_costs }
+    }
+
+    /// If only one of the two settings is given, the other one keeps its default of
+    /// [`RemoteCosts`].
+    fn read_remote_costs(values: &mut SettingValues) -> Option<RemoteCosts> {
+        let delay = values.parse_with("zone-delay", "a time like 5ms, at most 1s", |text| {
+            let delay = settings::parse_duration(text).filter(|delay| *delay <= MAX_ZONE_DELAY);
+            if text.is_empty() { Some(None) } else { delay.map(Some) }
+        });
+        let price = values.parse_with("zone-price", "a price like 20ms/MB", |text| {
+            let price = remote_placement::parse_price(text);
+            if text.is_empty() { Some(None) } else { price.map(Some) }
+        });
+        let costs = RemoteCosts::default();
+        let (is_set, delay) = (delay.or(price).is_some(), delay.unwrap_or(costs.delay));
+        is_set.then_some(RemoteCosts { delay, price: price.unwrap_or(costs.price) })
     }
 }
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod reclaims;
 pub mod records;
 pub mod relay_ranks;
+pub mod remote_placement;
 pub mod replays;
 pub mod retries;
 pub mod retry_delays;
--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::affinity::{self, SpeedRow};
 use crate::backends::{BackendRow, PromptPart};
 use crate::ids::Tokens;
+use crate::remote_placement::{CostComparison, RemoteTerms};
 
 /// Assumed prefill rate of an engine, in prompt tokens per millisecond; sets the scale of the costs
 /// below.
@@ -17,9 +18,6 @@
 const SEQUENCE_COST: f64 = 4.0;
 /// Cost of one request at a server of a plain service, relative to its slots, in milliseconds.
 const PLAIN_REQUEST_COST: f64 = 60.0;
-/// Cost of a server in another data centre, in milliseconds; traffic between data centres is
-/// billed.
-const REMOTE_COST: f64 = 5.0;
 /// Cost of a server that has just started, in milliseconds: it is slow, and each request waits for
 /// a permit.
 const COLD_COST: f64 = 100.0;
@@ -47,15 +45,38 @@
     /// Random number in `0..1` that decides whether a server returning from an ejection is
     /// considered.
     pub random: f64,
+    /// Use of servers in other data centres.
+    pub remote: RemoteTerms,
 }
 
-/// Picks the server with the lowest expected cost.
+/// A server, with its expected cost for a request.
+#[derive(Debug, Clone, Copy)]
+struct CostRow<'rows> {
+    row: &'rows BackendRow,
+    /// In milliseconds.
+    cost: f64,
+    site: ServerSite,
+}
+
+/// Where a server is, as far as its choice depends on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ServerSite {
+    /// In the entry's data centre.
+    Local,
+    /// In another one, and preferred by the request's session or in possession of its shared parts.
+    Cached,
+    /// In another one; a candidate by the entry's share only.
+    Remote,
+}
+
+/// Picks the server with the lowest expected cost among the candidates.
 ///
 /// # Examples
 /// ```
 /// use toucanrail::placement::{self, PlacementQuery};
 /// let query = PlacementQuery {
 ///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
+///     remote: Default::default(),
 /// };
 /// assert!(placement::pick_backend(&[], &query).is_none());
 /// ```
@@ -63,23 +84,96 @@
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
 ) -> Option<&'rows BackendRow> {
+    let rows = filter_ramped(eligible, query);
+    let candidates = drop_remote(cost_rows(&rows, query), query);
+    let best = candidates.into_iter().min_by(|row, other| row.cost.total_cmp(&other.cost));
+    best.map(|best| best.row)
+}
+
+/// Returns the servers that the request may be placed at, in the order of `eligible`. While remote
+/// servers are not candidates, those in other data centres are left out, unless they serve the
+/// request's session or no local server is eligible.
+pub(crate) fn list_candidates<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+) -> Vec<&'rows BackendRow> {
+    drop_remote(cost_rows(eligible, query), query).iter().map(|row| row.row).collect()
+}
+
+/// Returns the lowest costs of local servers and of remote ones that are candidates by the entry's
+/// share only.
+///
+/// Remote servers that serve the request's session are left out: they are candidates in any case,
+/// and their cost says nothing about the spare capacity of their data centre.
+///
+/// # Examples
+/// ```
+/// use toucanrail::placement::{self, PlacementQuery};
+/// let query = PlacementQuery {
+///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
+///     remote: Default::default(),
+/// };
+/// assert_eq!(placement::compare_costs(&[], &query).local, None);
+/// ```
+pub fn compare_costs(eligible: &[&BackendRow], query: &PlacementQuery<'_>) -> CostComparison {
+    let rows = cost_rows(&filter_ramped(eligible, query), query);
+    let lowest = |site: ServerSite| {
+        let costs = rows.iter().filter(|row| row.site == site).map(|row| row.cost);
+        costs.min_by(f64::total_cmp)
+    };
+    CostComparison { local: lowest(ServerSite::Local), remote: lowest(ServerSite::Remote) }
+}
+
+/// Leaves out servers that return from an ejection, unless there are no others.
+fn filter_ramped<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+) -> Vec<&'rows BackendRow> {
     let ramped = eligible.iter().filter(|row| row.ejection.passes_ramp(query.now, query.random));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
-    let rows = if ramped.is_empty() { eligible } else { &ramped };
-    let costs = estimate_costs(rows, query);
-    let best = rows.iter().zip(costs).min_by(|(_, cost), (_, other)| cost.total_cmp(other));
-    best.map(|(best, _)| *best)
+    if ramped.is_empty() { eligible.to_vec() } else { ramped }
+}
+
+fn drop_remote<'rows>(
+    mut rows: Vec<CostRow<'rows>>,
+    query: &PlacementQuery<'_>,
+) -> Vec<CostRow<'rows>> {
+    let has_local = rows.iter().any(|row| row.site == ServerSite::Local);
+    if has_local && !query.remote.are_candidates {
+        rows.retain(|row| row.site != ServerSite::Remote);
+    }
+    rows
 }
 
 /// Returns the expected cost of each server, in the order of `rows`: the time to the first event
 /// plus the cost to other requests, in milliseconds.
 pub(crate) fn estimate_costs(rows: &[&BackendRow], query: &PlacementQuery<'_>) -> Vec<f64> {
+    cost_rows(rows, query).iter().map(|row| row.cost).collect()
+}
+
+fn cost_rows<'rows>(rows: &[&'rows BackendRow], query: &PlacementQuery<'_>) -> Vec<CostRow<'rows>> {
     let rows = affinity::with_slowdowns(rows);
     let preferred = session_key(query).and_then(|key| affinity::pick_preferred(&rows, key));
-    let is_preferred = |server: &SpeedRow<'_>| {
-        preferred.is_some_and(|preferred| preferred.row.entry.id == server.row.entry.id)
+    let rate = |server: &SpeedRow<'rows>| {
+        let is_preferred =
+            preferred.is_some_and(|preferred| preferred.row.entry.id == server.row.entry.id);
+        CostRow {
+            row: server.row,
+            cost: estimate_cost(server, query, is_preferred),
+            site: find_site(server.row, query, is_preferred),
+        }
     };
-    rows.iter().map(|server| estimate_cost(server, query, is_preferred(server))).collect()
+    rows.iter().map(rate).collect()
+}
+
+fn find_site(row: &BackendRow, query: &PlacementQuery<'_>, is_preferred: bool) -> ServerSite {
+    if *row.entry.data_centre == *query.data_centre {
+        return ServerSite::Local;
+    }
+    // Short shared parts are cached by nearly all servers and save no transfer.
+    let shared = query.prompt_tokens.saturating_sub(own_tokens(query));
+    let is_cached = || shared >= MIN_FETCH && row.cached_tokens(query.parts) >= shared;
+    if is_preferred || is_cached() { ServerSite::Cached } else { ServerSite::Remote }
 }
 
 /// Returns the server from which `target` may fetch shared parts of the prompt, or `None` if no
@@ -140,7 +234,7 @@
     let row = speed.row;
     let in_flight = row.flights.len() as f64;
     let is_remote = *row.entry.data_centre != *query.data_centre;
-    let base = if is_remote { REMOTE_COST } else { 0.0 };
+    let base = if is_remote { query.remote.cost } else { 0.0 };
     let cold = if row.is_cold(query.now) { COLD_COST } else { 0.0 };
     let permit = row.permit_delay(query.now).as_secs_f64() * 1_000.0;
     let base = base + cold + permit;
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -94,6 +94,7 @@
 /// use toucanrail::{placement::PlacementQuery, probes};
 /// let query = PlacementQuery {
 ///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
+///     remote: Default::default(),
 /// };
 /// assert!(probes::pick_candidates(&[], &query, &[0.2, 0.7]).is_empty());
 /// ```
@@ -105,8 +106,8 @@
     let Some(best) = placement::pick_backend(eligible, query) else {
         return Vec::new();
     };
-    let others = eligible.iter().copied().filter(|row| row.entry.id != best.entry.id);
-    let mut others: Vec<&BackendRow> = others.collect();
+    let mut others = placement::list_candidates(eligible, query);
+    others.retain(|row| row.entry.id != best.entry.id);
     let mut candidates = vec![best.entry.clone()];
     for draw in random {
         let Some(last) = others.len().checked_sub(1) else {
@@ -131,6 +132,7 @@
 /// use toucanrail::{placement::PlacementQuery, probes};
 /// let query = PlacementQuery {
 ///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
+///     remote: Default::default(),
 /// };
 /// assert!(probes::pick_probed(&[], &query, &[], Duration::from_secs(1)).is_none());
 /// ```
--- a/toucanrail/tests/backend_placement.rs
+++ b/toucanrail/tests/backend_placement.rs
@@ -7,6 +7,7 @@
 
 use toucanrail::backends::{BackendEntry, BackendTable, FlightRow, MISSING_GRACE, PromptPart};
 use toucanrail::placement::{self, PlacementQuery};
+use toucanrail::remote_placement::RemoteTerms;
 
 const NOW: Duration = Duration::from_secs(10);
 
@@ -51,7 +52,14 @@
 /// Creates the query of a request whose prompt consists of `parts`.
 fn make_query<'call>(data_centre: &'call str, parts: &'call [PromptPart]) -> PlacementQuery<'call> {
     let prompt_tokens = parts.iter().map(|part| part.tokens).sum();
-    PlacementQuery { data_centre, parts, prompt_tokens, now: NOW, random: 0.5 }
+    PlacementQuery {
+        data_centre,
+        parts,
+        prompt_tokens,
+        now: NOW,
+        random: 0.5,
+        remote: RemoteTerms::default(),
+    }
 }
 
 fn in_flight(uncached: u64) -> FlightRow {
--- a/toucanrail/tests/centre_evacuations.rs
+++ b/toucanrail/tests/centre_evacuations.rs
@@ -9,6 +9,7 @@
 use toucanrail::evacuations::EvacuationTable;
 use toucanrail::ids::DataCentre;
 use toucanrail::placement::{self, PlacementQuery};
+use toucanrail::remote_placement::RemoteTerms;
 
 const BOUND: Duration = Duration::from_secs(5);
 const NOW: Duration = Duration::from_secs(100);
@@ -116,6 +117,7 @@
             prompt_tokens: 12_000,
             now,
             random: 0.5,
+            remote: RemoteTerms::default(),
         };
         let eligible = table.eligible("llm", &[], now);
         let sources = table.fetch_sources("llm", &[], now);
--- a/toucanrail/tests/load_probes.rs
+++ b/toucanrail/tests/load_probes.rs
@@ -9,6 +9,7 @@
 use toucanrail::paces::{BackendReport, RunProgress};
 use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow, SlotGauge};
+use toucanrail::remote_placement::RemoteTerms;
 
 const LATENCY_TARGET: Duration = Duration::from_millis(500);
 const SLOTS: u64 = 16;
@@ -50,7 +51,14 @@
 
 fn make_query(parts: &[PromptPart], now: Duration) -> PlacementQuery<'_> {
     let prompt_tokens = parts.iter().map(|part| part.tokens).sum();
-    PlacementQuery { data_centre: "a", parts, prompt_tokens, now, random: 0.5 }
+    PlacementQuery {
+        data_centre: "a",
+        parts,
+        prompt_tokens,
+        now,
+        random: 0.5,
+        remote: RemoteTerms::default(),
+    }
 }
 
 fn make_parts(session: u64, own: u64) -> [PromptPart; 3] {
