--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -662,9 +662,13 @@
     }
 
     fn spawn(program: &str, settings: &Path) -> Child {
+        Self::make_command(program, settings).spawn().expect("a process")
+    }
+
+    fn make_command(program: &str, settings: &Path) -> Command {
         let mut command = Command::new(program);
-        let command = command.env("TOUCANRAIL_CONFIG", settings).stdout(Self::log_output(settings));
-        command.spawn().expect("a process")
+        command.env("TOUCANRAIL_CONFIG", settings).stdout(Self::log_output(settings));
+        command
     }
 
     /// Returns where a process writes its log: a file named after its settings in the directory
@@ -691,6 +695,13 @@
         self.child = Self::spawn(self.program, &self.settings);
     }
 
+    /// Kills the process and starts it again with additional flags.
+    pub fn restart_with(&mut self, flags: &[&str]) {
+        self.kill();
+        let mut command = Self::make_command(self.program, &self.settings);
+        self.child = command.args(flags).spawn().expect("a process");
+    }
+
     /// Sends a signal, given by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
