Placement by the pauses that streams tolerate

Cause: a prompt in prefill pauses all streams of its server, and placement weighed this without regard to the pause that callers accept. With limits of 400 and 500 ms streams were late by pauses although first events were on time.

Change: a pure model of the pause (pauses), the smallest pause target of each service's routes in the route table, a threshold of long prompts that follows from it, and the model's cost for probed servers and for this entry's own requests where the limit is below 600 ms. Otherwise placement is as before.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -223,8 +223,10 @@
         let Some(prompt) = &self.plan.info.prompt else {
             return Vec::new();
         };
-        if !probes::is_long(prompt.prompt_tokens) && !self.gateway.should_probe(&self.plan.service)
-        {
+        let rule = self.gateway.tables.borrow().routes.pause_rule(&self.plan.service);
+        if probes::is_long(prompt.prompt_tokens, &rule) {
+            self.gateway.metrics.count_event("long_prompts_probed");
+        } else if !self.gateway.should_probe(&self.plan.service) {
             return Vec::new();
         }
         let query = self.placement_query();
@@ -268,8 +270,10 @@
         let query = self.placement_query();
         let tables = self.gateway.tables.borrow();
         let eligible = self.list_eligible(&tables.backends, query.now);
-        let chosen = probes::pick_probed(&eligible, &query, probed, self.plan.route.latency_target);
-        let row = chosen.or_else(|| placement::pick_backend(&eligible, &query))?;
+        let rule = tables.routes.pause_rule(&self.plan.service);
+        let target = self.plan.route.latency_target;
+        let chosen = probes::pick_probed(&eligible, &query, probed, target, &rule);
+        let row = chosen.or_else(|| probes::pick_unprobed(&eligible, &query, &rule))?;
         let mut sources = tables.backends.fetch_sources(&self.plan.service, &self.tried, query.now);
         sources.retain(|row| self.is_region_allowed(row));
         let source = placement::pick_fetch_source(&sources, &query, row);
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -15,6 +15,7 @@
 use toucanrail::endpoints::RelayName;
 use toucanrail::ids::Version;
 use toucanrail::messages::{ChangesQuery, ChangesReply, MirrorChange, MirrorObject};
+use toucanrail::pauses;
 use toucanrail_platform::stores::{ListFreshness, StoreError};
 use toucanrail_platform::{configs, names, registrations};
 use toucanrail_wire::time_limits;
@@ -326,10 +327,19 @@
             }
         };
         let version = config.version;
-        let (applied, routes) = {
+        let (applied, routes, changed) = {
             let mut tables = gateway.tables.borrow_mut();
-            (tables.routes.apply_config(config), tables.routes.route_count())
+            let before = tables.routes.pause_rules().clone();
+            let applied = tables.routes.apply_config(config);
+            let changed = pauses::changed_limits(&before, tables.routes.pause_rules());
+            (applied, tables.routes.route_count(), changed)
         };
+        for (service, rule) in changed {
+            tracing::info!(
+                event = "pause_limit", %service, long_tokens = rule.long_tokens(),
+                limit_ms = rule.limit.map(|limit| limit.as_millis() as u64),
+            );
+        }
         if applied {
             gateway.metrics.in_force.set(i64::try_from(version).unwrap_or(i64::MAX));
             tracing::info!(event = "config_in_force", version, routes);
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod origins;
 pub mod paces;
 pub mod paths;
+pub mod pauses;
 pub mod permit_relays;
 pub mod permits;
 pub mod placement;
--- a/toucanrail/src/matching.rs
+++ b/toucanrail/src/matching.rs
@@ -9,6 +9,7 @@
 
 use crate::coldstarts::ColdRule;
 use crate::ids::{CustomerId, Region, ServiceName, Tokens, Version};
+use crate::pauses::PauseRule;
 
 /// Minimum time without an event, the first event included, after which callers abandon a stream.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -233,6 +234,7 @@
     customers: BTreeMap<CustomerId, Arc<CustomerProfile>>,
     limits: CallerLimits,
     longest_timeout: Duration,
+    pauses: BTreeMap<ServiceName, PauseRule>,
 }
 
 impl RouteTable {
@@ -266,7 +268,16 @@
             longest_timeout: self.longest_timeout.max(longest_timeout.unwrap_or_default()),
             ..Self::default()
         };
+        for rule in &config.services {
+            let tokens_per_event = rule.engine.map_or(1, |engine| engine.tokens_per_event);
+            let pause = PauseRule { limit: None, tokens_per_event };
+            table.pauses.insert(Arc::clone(&rule.name), pause);
+        }
         for rule in config.routes {
+            for target in &rule.targets {
+                let pause = table.pauses.entry(Arc::clone(&target.service)).or_default();
+                pause.add_target(rule.gap_target);
+            }
             let host = table.routes.entry(Arc::clone(&rule.host)).or_default();
             host.insert(Arc::clone(&rule.prefix), Arc::new(rule));
         }
@@ -359,6 +370,21 @@
         engine.map_or(1, |engine| engine.tokens_per_event)
     }
 
+    /// Returns the pauses that the streams of a service tolerate, by all routes that lead to it.
+    ///
+    /// # Examples
+    /// ```
+    /// assert!(toucanrail::matching::RouteTable::new().pause_rule("llm").limit.is_none());
+    /// ```
+    pub fn pause_rule(&self, service: &str) -> PauseRule {
+        self.pauses.get(service).copied().unwrap_or_default()
+    }
+
+    /// Returns the pause rules of all services.
+    pub fn pause_rules(&self) -> &BTreeMap<ServiceName, PauseRule> {
+        &self.pauses
+    }
+
     /// Returns the cold start behaviour of a service's servers, if they are slow at first.
     pub fn cold_rule(&self, service: &str) -> Option<ColdRule> {
         self.service(service).and_then(|service| service.cold)
--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -63,10 +63,24 @@
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
 ) -> Option<&'rows BackendRow> {
+    pick_cheapest(eligible, query, |_| 0.0)
+}
+
+/// Like [`pick_backend`], with a further cost of each server in milliseconds.
+pub(crate) fn pick_cheapest<'rows, ExtraCost>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+    extra_cost: ExtraCost,
+) -> Option<&'rows BackendRow>
+where
+    ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
+{
     let ramped = eligible.iter().filter(|row| row.ejection.passes_ramp(query.now, query.random));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
     let rows = if ramped.is_empty() { eligible } else { &ramped };
-    let costs = estimate_costs(rows, query);
+    let extra: Vec<f64> = affinity::with_slowdowns(rows).iter().map(extra_cost).collect();
+    let costs =
+        estimate_costs(rows, query).into_iter().zip(extra).map(|(cost, extra)| cost + extra);
     let best = rows.iter().zip(costs).min_by(|(_, cost), (_, other)| cost.total_cmp(other));
     best.map(|(best, _)| *best)
 }
@@ -124,7 +138,7 @@
 }
 
 /// Returns the prompt's tokens after its shared parts, which no server has cached.
-fn own_tokens(query: &PlacementQuery<'_>) -> Tokens {
+pub(crate) fn own_tokens(query: &PlacementQuery<'_>) -> Tokens {
     let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
     query.prompt_tokens.saturating_sub(shared.iter().map(|part| part.tokens).sum())
 }
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -9,9 +9,11 @@
 
 use serde::Serialize;
 
+use crate::affinity::{self, SpeedRow};
 use crate::backends::{BackendEntry, BackendRow};
 use crate::ids::Tokens;
 use crate::paces::BackendReport;
+use crate::pauses::{PauseLoad, PauseRule};
 use crate::placement::{self, PlacementQuery};
 
 /// Number of random servers to probe besides the one that would be chosen without probes.
@@ -23,9 +25,6 @@
 const SCARCE_FRACTION: f64 = 0.1;
 /// Fraction of requests before which servers are probed while slots are not known to be scarce.
 const EXPLORE_FRACTION: f64 = 0.06;
-/// Prompt length in tokens from which servers are probed before each placement: its prefill pauses
-/// all streams of the server.
-const LONG_PROMPT: Tokens = 16_384;
 /// Costs of one running stream at the server of a long prompt, and of one prompt that is prefilled
 /// before it, as fractions of its own prefill time.
 const STREAM_FRACTION: f64 = 0.02;
@@ -73,14 +72,17 @@
     (taken + 1).saturating_sub(entry.slots)
 }
 
-/// Returns whether a prompt is so long that servers are always probed before it is placed.
+/// Returns whether a prompt is so long that servers are always probed before it is placed: its
+/// prefill pauses all streams of the server.
 ///
 /// # Examples
 /// ```
-/// assert!(toucanrail::probes::is_long(40_000) && !toucanrail::probes::is_long(4_000));
+/// use toucanrail::{pauses::PauseRule, probes};
+/// let rule = PauseRule::default();
+/// assert!(probes::is_long(40_000, &rule) && !probes::is_long(4_000, &rule));
 /// ```
-pub fn is_long(prompt_tokens: Tokens) -> bool {
-    prompt_tokens >= LONG_PROMPT
+pub fn is_long(prompt_tokens: Tokens, rule: &PauseRule) -> bool {
+    prompt_tokens >= rule.long_tokens()
 }
 
 /// A probed server, with its report if the server and its relay responded.
@@ -120,7 +122,8 @@
 
 /// Picks the probed server with the lowest expected cost. The requests that must end at a server
 /// before another one begins add the time until as many slots are free. A server without a report
-/// is assumed to have free slots.
+/// is assumed to have free slots. If `rule` has a limit below 600 ms, a report also adds the cost of
+/// the pauses that the prompt causes and suffers there.
 ///
 /// Requests that this entry sent during the probes are included through `eligible`. Returns `None`
 /// if none of the probed servers is eligible any more.
@@ -128,43 +131,81 @@
 /// # Examples
 /// ```
 /// use std::time::Duration;
-/// use toucanrail::{placement::PlacementQuery, probes};
+/// use toucanrail::{pauses::PauseRule, placement::PlacementQuery, probes};
 /// let query = PlacementQuery {
 ///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
 /// };
-/// assert!(probes::pick_probed(&[], &query, &[], Duration::from_secs(1)).is_none());
+/// let rule = PauseRule::default();
+/// assert!(probes::pick_probed(&[], &query, &[], Duration::from_secs(1), &rule).is_none());
 /// ```
 pub fn pick_probed<'rows>(
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
     probed: &[ProbeRow],
     latency_target: Duration,
+    rule: &PauseRule,
 ) -> Option<&'rows BackendRow> {
     if probed.is_empty() {
         return None;
     }
     let costs = placement::estimate_costs(eligible, query);
-    let probed_rows = eligible.iter().zip(costs).filter_map(|(row, cost)| {
+    let speeds = affinity::with_slowdowns(eligible);
+    let probed_rows = speeds.iter().zip(costs).filter_map(|(SpeedRow { row, slowdown }, cost)| {
         let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
         let report = report.as_ref();
         let wait = report.map_or(0.0, |report| estimate_wait(&row.entry, report, latency_target));
         let interference =
-            report.map_or(0.0, |report| estimate_interference(report, query.prompt_tokens));
+            report.map_or(0.0, |report| estimate_interference(report, query, *slowdown, rule));
         Some((*row, cost + wait + interference))
     });
     let best = probed_rows.min_by(|(_, cost), (_, other)| cost.total_cmp(other));
     best.map(|(row, _)| row)
 }
 
-/// Returns the cost of a long prompt to the streams of its server, and the cost of the prompts
-/// before it, in milliseconds.
-fn estimate_interference(report: &BackendReport, prompt_tokens: Tokens) -> f64 {
-    if !is_long(prompt_tokens) {
+/// Picks the server with the lowest expected cost without load reports. If `rule` has a limit below
+/// 600 ms, this entry's own requests at each server add the cost of the pauses there, so that a
+/// prompt in prefill counts more than its own prefill time.
+///
+/// # Examples
+/// ```
+/// use toucanrail::{pauses::PauseRule, placement::PlacementQuery, probes};
+/// let query = PlacementQuery {
+///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
+/// };
+/// assert!(probes::pick_unprobed(&[], &query, &PauseRule::default()).is_none());
+/// ```
+pub fn pick_unprobed<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+    rule: &PauseRule,
+) -> Option<&'rows BackendRow> {
+    if query.prompt_tokens == 0 || rule.strict_limit().is_none() {
+        return placement::pick_backend(eligible, query);
+    }
+    let tokens = placement::own_tokens(query);
+    placement::pick_cheapest(eligible, query, |server| {
+        rule.placement_cost(tokens, PauseLoad::from_flights(server.row, server.slowdown))
+    })
+}
+
+/// Returns the cost of a prompt to the streams of its server, and the cost of the prompts before
+/// it, in milliseconds.
+fn estimate_interference(
+    report: &BackendReport,
+    query: &PlacementQuery<'_>,
+    slowdown: f64,
+    rule: &PauseRule,
+) -> f64 {
+    if rule.strict_limit().is_some() {
+        let load = PauseLoad::from_report(report, slowdown);
+        return rule.placement_cost(placement::own_tokens(query), load);
+    }
+    if !is_long(query.prompt_tokens, rule) {
         return 0.0;
     }
     let prefilling = report.count_prefilling() as f64;
     let streams = report.runs.iter().filter(|run| run.events > 0).count() as f64;
-    placement::prefill_time(prompt_tokens)
+    placement::prefill_time(query.prompt_tokens)
         * (STREAM_FRACTION * streams + QUEUED_FRACTION * prefilling)
 }
 
--- a/toucanrail/tests/load_probes.rs
+++ b/toucanrail/tests/load_probes.rs
@@ -7,6 +7,7 @@
 
 use toucanrail::backends::{BackendEntry, BackendTable, FlightRow, PromptPart};
 use toucanrail::paces::{BackendReport, RunProgress};
+use toucanrail::pauses::PauseRule;
 use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow, SlotGauge};
 
@@ -75,7 +76,9 @@
         .enumerate()
         .map(|(at, entry)| (entry, Some(make_load(at))))
         .collect();
-    let chosen = probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET).expect("a server");
+    let chosen =
+        probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+            .expect("a server");
     assert_ne!(chosen.entry.id, preferred);
 }
 
@@ -89,7 +92,8 @@
     let candidates = probes::pick_candidates(&eligible, &query, &[0.1, 0.9]);
     let probed: Vec<ProbeRow> = candidates.into_iter().map(|entry| (entry, None)).collect();
     let chosen =
-        probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET).map(|row| &row.entry.id);
+        probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+            .map(|row| &row.entry.id);
     assert_eq!(chosen, placement::pick_backend(&eligible, &query).map(|row| &row.entry.id));
 }
 
@@ -187,7 +191,7 @@
             })
             .collect();
         let chosen = if probes_first {
-            probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET)
+            probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
         } else {
             placement::pick_backend(&eligible, &query)
         };
@@ -271,6 +275,8 @@
     let eligible = table.eligible("llm", &[], RUN_TIME);
     let probed: Vec<ProbeRow> =
         (0..5).map(|at| (entry(at), Some(make_report(12 - 2 * at as u64, 0)))).collect();
-    let chosen = probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET).expect("a server");
+    let chosen =
+        probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+            .expect("a server");
     assert_eq!(*chosen.entry.id, *"s4");
 }
