--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -84,8 +84,25 @@
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
 ) -> Option<&'rows BackendRow> {
+    pick_cheapest(eligible, query, |_| 0.0)
+}
+
+/// Like [`pick_backend`], with a further cost of each server in milliseconds.
+pub(crate) fn pick_cheapest<'rows, ExtraCost>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+    extra_cost: ExtraCost,
+) -> Option<&'rows BackendRow>
+where
+    ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
+{
     let rows = filter_ramped(eligible, query);
-    let candidates = drop_remote(cost_rows(&rows, query), query);
+    let speeds = affinity::with_slowdowns(&rows);
+    let mut costs = cost_rows(&rows, query);
+    for (row, speed) in costs.iter_mut().zip(&speeds) {
+        row.cost += extra_cost(speed);
+    }
+    let candidates = drop_remote(costs, query);
     let best = candidates.into_iter().min_by(|row, other| row.cost.total_cmp(&other.cost));
     best.map(|best| best.row)
 }
@@ -218,7 +235,7 @@
 }
 
 /// Returns the prompt's tokens after its shared parts, which no server has cached.
-fn own_tokens(query: &PlacementQuery<'_>) -> Tokens {
+pub(crate) fn own_tokens(query: &PlacementQuery<'_>) -> Tokens {
     let shared = query.parts.split_last().map_or(&[][..], |(_, shared)| shared);
     query.prompt_tokens.saturating_sub(shared.iter().map(|part| part.tokens).sum())
 }
