The test of shared rotation also hangs the first relay

Only a killed relay was tested, which refuses connections at once; a hung one is found by the timeout of a report alone.

--- a/toucanrail-gateway/tests/shared_rotation.rs
+++ b/toucanrail-gateway/tests/shared_rotation.rs
@@ -32,17 +32,17 @@
 impl HeavyCaller {
     fn start(entry: SocketAddr) -> Self {
         let (stop, closed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-        let (stopping, closes) = (Arc::clone(&stop), Arc::clone(&closed));
+        let (signal, counter) = (Arc::clone(&stop), Arc::clone(&closed));
         let thread = thread::spawn(move || {
             let (mut connection, body) = (None, "x".repeat(BODY_BYTES));
             let (start, mut number) = (Instant::now(), 0_u32);
-            while !stopping.load(Ordering::Relaxed) {
+            while !signal.load(Ordering::Relaxed) {
                 number += 1;
                 let due = REQUEST_INTERVAL * number;
                 thread::sleep(due.saturating_sub(start.elapsed()));
                 let bytes = request("POST", "/safe/a", &format!("c{number}"), "", &body);
                 let stream = connection.take().or_else(|| TcpStream::connect(entry).ok());
-                connection = stream.and_then(|stream| exchange(stream, &bytes, &closes));
+                connection = stream.and_then(|stream| exchange(stream, &bytes, &counter));
             }
         });
         Self { stop, closed, thread: Some(thread) }
@@ -57,7 +57,7 @@
 }
 
 /// Sends a request and reads its response. Returns the connection if the entry keeps it open.
-fn exchange(mut stream: TcpStream, bytes: &str, closed: &AtomicUsize) -> Option<TcpStream> {
+fn exchange(mut stream: TcpStream, bytes: &str, counter: &AtomicUsize) -> Option<TcpStream> {
     stream.write_all(bytes.as_bytes()).ok()?;
     let mut received = Vec::new();
     let mut byte = [0];
@@ -68,7 +68,7 @@
         received.push(byte[0]);
     }
     let closes = String::from_utf8_lossy(&received).to_lowercase().contains("connection: close");
-    closed.fetch_add(usize::from(closes), Ordering::Relaxed);
+    counter.fetch_add(usize::from(closes), Ordering::Relaxed);
     Some(stream).filter(|_| !closes)
 }
 
@@ -122,8 +122,10 @@
     store.set_cut_off(false);
 
     let first = first_relay();
+    relays[first].signal("STOP");
+    stays_out(&small, Duration::from_secs(4), "only the first relay hangs");
     relays[first].kill();
-    stays_out(&small, Duration::from_secs(5), "another relay is left");
+    stays_out(&small, Duration::from_secs(4), "another relay is left");
     relays[1 - first].kill();
     small.wait_ready(true);
 }
