--- a/toucanrail-gateway/src/link_admission.rs
+++ b/toucanrail-gateway/src/link_admission.rs
@@ -15,6 +15,9 @@
 
 /// Assumed size of a chunked body, in bytes: that of a long prompt.
 const CHUNKED_BODY: u64 = 12_000;
+/// Bytes of one request besides its body and response: heads, framing of events, and the entry's own
+/// calls for it, such as its loan.
+const REQUEST_OVERHEAD: f64 = 1_400.0;
 /// Latency target of requests without a route, which are refused once they have been read.
 const UNKNOWN_TARGET: Duration = Duration::from_secs(1);
 /// Minimum time between two lines of the log on the share.
@@ -86,7 +89,7 @@
         BodyLength::Chunked => CHUNKED_BODY,
     };
     // A larger body is refused at the limit.
-    let body = body.min(limits.body as u64) as f64;
+    let body = body.min(limits.body as u64) as f64 + REQUEST_OVERHEAD;
     let tables = gateway.tables.borrow();
     let sizes = gateway.link_admission.sizes.borrow();
     let Some(route) = tables.routes.find_route(head.host(), head.path()) else {
--- a/toucanrail/src/link_shares.rs
+++ b/toucanrail/src/link_shares.rs
@@ -19,6 +19,11 @@
 const RANK_FRACTION: f64 = 0.1;
 /// The last rank that leaves more than the rank before it, and the rank of unknown routes.
 pub const MAX_RANK: u8 = 3;
+/// Fraction of the bucket that a request leaves to smaller ones, for a request much larger than the
+/// mean. One long prompt takes the share of five short requests.
+const SIZE_FRACTION: f64 = 0.5;
+/// Weight of a new request in the mean cost.
+const COST_WEIGHT: f64 = 0.02;
 /// Maximum wait for a share, and the part of the latency target that may be spent on it.
 const MAX_WAIT: Duration = Duration::from_millis(300);
 const TARGET_PARTS: u32 = 4;
@@ -84,6 +89,8 @@
     /// Bytes available; negative if requests wait.
     available: f64,
     filled_at: Duration,
+    /// Smoothed cost of a request in bytes.
+    mean_cost: f64,
     /// Shortest accepted wait in this window and in the one before it.
     shortest: (Duration, Duration),
     window_began: Duration,
@@ -99,7 +106,8 @@
         };
         let available = rate * DEPTH.as_secs_f64();
         let (filled_at, window_began) = (Duration::ZERO, Duration::ZERO);
-        Self { rate, available, filled_at, shortest: (MAX_WAIT, MAX_WAIT), window_began }
+        let mean_cost = ASSUMED_RESPONSE;
+        Self { rate, available, filled_at, mean_cost, shortest: (MAX_WAIT, MAX_WAIT), window_began }
     }
 
     /// Returns whether requests are limited at all.
@@ -129,13 +137,14 @@
             return ShareDecision::Admit;
         }
         self.fill(now);
+        self.mean_cost += (query.cost - self.mean_cost) * COST_WEIGHT;
         self.record_bound(query.max_wait(), now);
         if !is_loaded(load) {
             // The link carries more than what is counted here, so nothing is owed.
             self.available = (self.available - query.cost).max(0.0);
             return ShareDecision::Admit;
         }
-        let wait = self.wait(query.rank);
+        let wait = self.wait(query);
         if wait > self.shortest.0.min(self.shortest.1) {
             return ShareDecision::Refuse(wait);
         }
@@ -157,10 +166,12 @@
         self.shortest.0 = self.shortest.0.min(bound);
     }
 
-    /// Returns the time until a request of this rank may use the bucket.
-    fn wait(&self, rank: u8) -> Duration {
+    /// Returns the time until a request of this rank and size may use the bucket.
+    fn wait(&self, query: ShareQuery) -> Duration {
         let depth = self.rate * DEPTH.as_secs_f64();
-        let unused = depth * RANK_FRACTION * f64::from(rank.min(MAX_RANK));
+        let excess = (1.0 - self.mean_cost / query.cost.max(f64::MIN_POSITIVE)).max(0.0);
+        let rank = f64::from(query.rank.min(MAX_RANK));
+        let unused = depth * (RANK_FRACTION * rank + SIZE_FRACTION * excess);
         let missing = (unused - self.available).max(0.0);
         Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
     }
