Relative speeds are computed once for each placement

Cause: the extra cost of pauses had the paces of all servers sorted twice for each request, also for services without a pause limit.

Change: estimate_costs takes the servers with their relative speeds.

--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -78,18 +78,18 @@
     let ramped = eligible.iter().filter(|row| row.ejection.passes_ramp(query.now, query.random));
     let ramped: Vec<&BackendRow> = ramped.copied().collect();
     let rows = if ramped.is_empty() { eligible } else { &ramped };
-    let extra: Vec<f64> = affinity::with_slowdowns(rows).iter().map(extra_cost).collect();
+    let speeds = affinity::with_slowdowns(rows);
+    let costs = estimate_costs(&speeds, query);
     let costs =
-        estimate_costs(rows, query).into_iter().zip(extra).map(|(cost, extra)| cost + extra);
-    let best = rows.iter().zip(costs).min_by(|(_, cost), (_, other)| cost.total_cmp(other));
-    best.map(|(best, _)| *best)
+        speeds.iter().zip(costs).map(|(server, cost)| (server.row, cost + extra_cost(server)));
+    let best = costs.min_by(|(_, cost), (_, other)| cost.total_cmp(other));
+    best.map(|(best, _)| best)
 }
 
 /// Returns the expected cost of each server, in the order of `rows`: the time to the first event
 /// plus the cost to other requests, in milliseconds.
-pub(crate) fn estimate_costs(rows: &[&BackendRow], query: &PlacementQuery<'_>) -> Vec<f64> {
-    let rows = affinity::with_slowdowns(rows);
-    let preferred = session_key(query).and_then(|key| affinity::pick_preferred(&rows, key));
+pub(crate) fn estimate_costs(rows: &[SpeedRow<'_>], query: &PlacementQuery<'_>) -> Vec<f64> {
+    let preferred = session_key(query).and_then(|key| affinity::pick_preferred(rows, key));
     let is_preferred = |server: &SpeedRow<'_>| {
         preferred.is_some_and(|preferred| preferred.row.entry.id == server.row.entry.id)
     };
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -148,8 +148,8 @@
     if probed.is_empty() {
         return None;
     }
-    let costs = placement::estimate_costs(eligible, query);
     let speeds = affinity::with_slowdowns(eligible);
+    let costs = placement::estimate_costs(&speeds, query);
     let probed_rows = speeds.iter().zip(costs).filter_map(|(SpeedRow { row, slowdown }, cost)| {
         let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
         let report = report.as_ref();
