--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -98,7 +98,7 @@
 {
     let rows = filter_ramped(eligible, query);
     let speeds = affinity::with_slowdowns(&rows);
-    let mut costs = cost_rows(&rows, query);
+    let mut costs = cost_rows(&speeds, query);
     for (row, speed) in costs.iter_mut().zip(&speeds) {
         row.cost += extra_cost(speed);
     }
@@ -114,7 +114,8 @@
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
 ) -> Vec<&'rows BackendRow> {
-    drop_remote(cost_rows(eligible, query), query).iter().map(|row| row.row).collect()
+    let speeds = affinity::with_slowdowns(eligible);
+    drop_remote(cost_rows(&speeds, query), query).iter().map(|row| row.row).collect()
 }
 
 /// Returns the lowest costs of local servers and of remote ones that are candidates by the entry's
@@ -133,7 +134,8 @@
 /// assert_eq!(placement::compare_costs(&[], &query).local, None);
 /// ```
 pub fn compare_costs(eligible: &[&BackendRow], query: &PlacementQuery<'_>) -> CostComparison {
-    let rows = cost_rows(&filter_ramped(eligible, query), query);
+    let speeds = affinity::with_slowdowns(&filter_ramped(eligible, query));
+    let rows = cost_rows(&speeds, query);
     let lowest = |site: ServerSite| {
         let costs = rows.iter().filter(|row| row.site == site).map(|row| row.cost);
         costs.min_by(f64::total_cmp)
@@ -164,13 +166,12 @@
 
 /// Returns the expected cost of each server, in the order of `rows`: the time to the first event
 /// plus the cost to other requests, in milliseconds.
-pub(crate) fn estimate_costs(rows: &[&BackendRow], query: &PlacementQuery<'_>) -> Vec<f64> {
+pub(crate) fn estimate_costs(rows: &[SpeedRow<'_>], query: &PlacementQuery<'_>) -> Vec<f64> {
     cost_rows(rows, query).iter().map(|row| row.cost).collect()
 }
 
-fn cost_rows<'rows>(rows: &[&'rows BackendRow], query: &PlacementQuery<'_>) -> Vec<CostRow<'rows>> {
-    let rows = affinity::with_slowdowns(rows);
-    let preferred = session_key(query).and_then(|key| affinity::pick_preferred(&rows, key));
+fn cost_rows<'rows>(rows: &[SpeedRow<'rows>], query: &PlacementQuery<'_>) -> Vec<CostRow<'rows>> {
+    let preferred = session_key(query).and_then(|key| affinity::pick_preferred(rows, key));
     let rate = |server: &SpeedRow<'rows>| {
         let is_preferred =
             preferred.is_some_and(|preferred| preferred.row.entry.id == server.row.entry.id);
