--- a/toucanrail/src/link_shares.rs
+++ b/toucanrail/src/link_shares.rs
@@ -78,8 +78,8 @@
 
 /// Token bucket of the bytes that callers' requests may send over the link.
 ///
-/// A request waits until the bytes of those before it are paid for, whatever its own size, so that
-/// large requests are refused no more often than small ones. All requests accept the same wait, the
+/// A request waits until the bytes of those before it are paid for. One that is larger than the mean
+/// leaves part of the bucket to smaller ones, and is refused first. All requests accept the same wait, the
 /// shortest that one of the last second accepts: those that accept more would otherwise keep the
 /// bucket so empty that the others are always refused.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/toucanrail/src/pauses.rs
+++ b/toucanrail/src/pauses.rs
@@ -25,9 +25,8 @@
 const CHUNK_TOKENS: Tokens = 4_096;
 /// Assumed remaining length in tokens of a prompt in prefill; load reports do not state it.
 const QUEUED_TOKENS: Tokens = 4_096;
-/// Cost of a stream whose expected pause equals the limit, in milliseconds. In replays, 20 to 200
-/// differed by less than seeds do, and without this cost half as many streams again paused for too
-/// long.
+/// Cost of a stream whose expected pause equals the limit, in milliseconds; comparable to the wait
+/// for the first event that placement avoids otherwise.
 const STREAM_COST: f64 = 50.0;
 /// Exponent of the cost: a pause of half the limit costs a sixteenth, one of twice the limit
 /// sixteen times as much.
