--- a/toucanrail/tests/stream_pauses.rs
+++ b/toucanrail/tests/stream_pauses.rs
@@ -13,6 +13,7 @@
 use toucanrail::pauses::{self, PauseLoad, PauseRule};
 use toucanrail::placement::PlacementQuery;
 use toucanrail::probes::{self, ProbeRow};
+use toucanrail::remote_placement::RemoteTerms;
 
 const LIMIT: Duration = Duration::from_millis(500);
 const TOKENS_PER_EVENT: u64 = 7;
@@ -255,8 +256,14 @@
             let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
             let (prompt_tokens, time) = (shared + own, Duration::from_secs_f64(now / 1_000.0));
             let (data_centre, random) = ("a", 0.5);
-            let query =
-                PlacementQuery { data_centre, parts: &parts, prompt_tokens, now: time, random };
+            let query = PlacementQuery {
+                data_centre,
+                parts: &parts,
+                prompt_tokens,
+                now: time,
+                random,
+                remote: RemoteTerms::default(),
+            };
             let eligible = tables[entry].eligible("llm", &[], time);
             let draws: [f64; probes::PROBE_SAMPLES] = std::array::from_fn(|_| rng.f64());
             let index = |id: &str| id.parse::<usize>().expect("a number");
