--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -12,6 +12,7 @@
 use toucanrail::codetable;
 use toucanrail::holds::HoldScope;
 use toucanrail::ids::SoftwareVersion;
+use toucanrail::link_shares;
 use toucanrail::matching;
 use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow};
@@ -338,8 +339,11 @@
         if let Some(budget) = &self.plan.budget {
             budget.set_may_have_run(self.history.may_have_run);
         }
+        // A connection that the entry's own loaded link delays says nothing about the server.
+        let is_delayed = link_shares::is_loaded(self.gateway.delaying_load());
         let mut tables = self.gateway.tables.borrow_mut();
         match outcome {
+            AttemptOutcome::NotSent if is_delayed => {}
             AttemptOutcome::NotSent => tables.backends.record_connect_failure(&target.id, now),
             AttemptOutcome::Declined | AttemptOutcome::Withheld => {}
             AttemptOutcome::Failed
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -10,6 +10,7 @@
 use toucanrail::attempts::AttemptOutcome;
 use toucanrail::backends::{BackendEntry, FlightRow};
 use toucanrail::framing::BodyDecoder;
+use toucanrail::link_shares;
 use toucanrail::matching::RouteKind;
 use toucanrail_platform::requests::{self, ForwardInfo};
 use toucanrail_wire::connections::BufferedConnection;
@@ -172,7 +173,8 @@
         return Ok(connection);
     }
     gateway.metrics.count_event("connections_opened");
-    let timeout = CONNECT_TIMEOUT.min(plan.time_left());
+    let timeout = link_shares::connect_timeout(CONNECT_TIMEOUT, gateway.delaying_load());
+    let timeout = timeout.min(plan.time_left());
     let opened =
         time_limits::io_timeout(timeout, BufferedConnection::connect(target.address)).await;
     opened.map_err(|error| {
