Entries leave the rotation early, within permissions of a relay, and return once their links have drained

Cause: the relays took out as many small entries as they might, so that a heavy caller came to a large one. Under a full link, 110 to 170 requests a second were refused with 3002 after 650 ms, with their bodies read, since loans were answered after a second, and a limit on waiting requests that late first events had set stayed in effect. Change: an entry gets a permission from a load of 0.2 on, leaves at 0.5 and returns 4 s after its link was last loaded; at most half of the entries are out.

--- a/toucanrail-gateway/src/link_load.rs
+++ b/toucanrail-gateway/src/link_load.rs
@@ -36,11 +36,11 @@
         self.gauge.get().load()
     }
 
-    /// Returns whether the balancer should send new callers to other entries: by the order of a
-    /// relay, or by this entry's own decision if there is none.
+    /// Returns whether the balancer should send new callers to other entries: within the permission
+    /// of a relay, or by this entry's own decision if there is none.
     pub fn is_away(&self, now: Duration) -> bool {
-        let ordered = self.rotation.get().ordered_out(now);
-        ordered.unwrap_or_else(|| self.pressure.get().is_away(now))
+        let out = self.rotation.get().is_out(now);
+        out.unwrap_or_else(|| self.pressure.get().is_away(now))
     }
 
     /// Returns whether a caller's connection should be closed after its response.
@@ -50,6 +50,11 @@
         ordered.unwrap_or_else(|| self.pressure.get().closes_connections(load, now))
     }
 
+    /// Returns whether the relay should hear of the load at once.
+    pub fn is_report_urgent(&self, now: Duration) -> bool {
+        self.rotation.get().is_urgent(self.load(), now)
+    }
+
     /// Applies the order that a report sent at `sent_at` brought.
     pub fn record_order(&self, order: RotationOrder, sent_at: Duration) {
         let mut rotation = self.rotation.get();
@@ -63,11 +68,14 @@
         gauge.record_counts(LinkCounts { received, sent }, now);
         pressure.record_load(gauge.load(), now);
         let was_full = self.pressure.get().is_away(now);
-        if pressure.is_away(now) != was_full && self.rotation.get().ordered_out(now).is_none() {
+        let mut rotation = self.rotation.get();
+        rotation.record_load(gauge.load(), now);
+        if pressure.is_away(now) != was_full && rotation.is_out(now).is_none() {
             tracing::info!(event = "link_full", away = pressure.is_away(now), load = gauge.load());
         }
         self.gauge.set(gauge);
         self.pressure.set(pressure);
+        self.rotation.set(rotation);
     }
 
     /// Logs whether the entry has left the rotation or returned. Returns whether it has left.
@@ -76,7 +84,7 @@
         if self.was_away.replace(away) == away {
             return false;
         }
-        let cause = self.rotation.get().ordered_out(now).map_or("own decision", |_| "order");
+        let cause = self.rotation.get().is_out(now).map_or("own decision", |_| "permission");
         tracing::info!(event = "rotation", away, load = self.load(), cause);
         away
     }
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -163,7 +163,7 @@
         let mut pending =
             PendingLoan { gateway, lender: &lender, loan: &loan, need, settled: false };
         let link_load = gateway.delaying_load();
-        match request_watched(gateway, &lender, address, &request).await {
+        match request_watched(gateway, &lender, address, &request, need.time_left).await {
             Ok(reply) => {
                 pending.settled = true;
                 gateway.loan_client.lenders_unreachable.set(false);
@@ -208,9 +208,11 @@
     lender: &Arc<str>,
     address: SocketAddr,
     request: &LoanRequest,
+    time_left: Duration,
 ) -> io::Result<LoanReply> {
-    let (path, timeout) = (LOAN_PATH, LOAN_TIMEOUT);
-    if link_shares::is_loaded(gateway.delaying_load()) {
+    let (path, load) = (LOAN_PATH, gateway.delaying_load());
+    let timeout = loans::reply_timeout(LOAN_TIMEOUT, load, time_left);
+    if link_shares::is_loaded(load) {
         return relay_client::call_relay_patiently(
             gateway, lender, address, path, request, timeout,
         )
--- a/toucanrail-gateway/src/tuning.rs
+++ b/toucanrail-gateway/src/tuning.rs
@@ -35,7 +35,7 @@
     SettingRow { name: "flush", default: Some("3s"), help: "Interval between settlements." },
     SettingRow {
         name: "link-reserve",
-        default: Some("0.35"),
+        default: Some("0.2"),
         help: "Fraction of an entry's link that is reserved for its own calls; 0 for no limit.",
     },
     SettingRow {
--- a/toucanrail/src/admissions.rs
+++ b/toucanrail/src/admissions.rs
@@ -106,7 +106,8 @@
     /// ```
     pub fn admits(&mut self, query: AdmissionQuery, now: Duration) -> bool {
         self.end_step(now);
-        let Some(limit) = self.limit else {
+        // The limit was derived from first events that the link delayed; its share limits requests.
+        let Some(limit) = self.limit.filter(|_| !self.link_loaded) else {
             return true;
         };
         let bonus = if query.returned { RETURN_FRACTION } else { 0.0 };
@@ -120,7 +121,7 @@
     ///
     /// A loaded link delays first events by itself. They are then no evidence about the servers and
     /// do not lower the limit, neither in this step nor, as long as the link stays loaded, in the
-    /// following ones.
+    /// following ones. A limit that is in effect already is suspended meanwhile.
     ///
     /// # Examples
     /// ```
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
@@ -128,6 +129,30 @@
     }
 }
 
+/// Multiple of the usual timeout for which a reply is waited for at most while the link is loaded.
+const LOADED_TIMEOUT_FACTOR: u32 = 4;
+/// Fraction of a request's remaining time that may be spent on its loan while the link is loaded.
+const TIME_LEFT_FRACTION: f64 = 0.5;
+
+/// Returns the timeout of a loan request; `usual` is the one for an idle link. A loaded link delays
+/// replies by a second and more: the request would be refused with its body read already, and come
+/// again over the same link.
+///
+/// # Examples
+/// ```
+/// use std::time::Duration;
+/// use toucanrail::loans;
+/// let (usual, left) = (Duration::from_millis(650), Duration::from_secs(3));
+/// assert_eq!(loans::reply_timeout(usual, 0.2, left), usual);
+/// assert_eq!(loans::reply_timeout(usual, 0.9, left), Duration::from_millis(1_500));
+/// ```
+pub fn reply_timeout(usual: Duration, link_load: f64, time_left: Duration) -> Duration {
+    if !link_shares::is_loaded(link_load) {
+        return usual;
+    }
+    time_left.mul_f64(TIME_LEFT_FRACTION).clamp(usual, usual.saturating_mul(LOADED_TIMEOUT_FACTOR))
+}
+
 /// What a loan request without a reply says about its lender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LenderVerdict {
--- a/toucanrail/src/rotations.rs
+++ b/toucanrail/src/rotations.rs
@@ -1,10 +1,14 @@
 //! Decision which entries of a data centre get new callers from the balancer.
 //!
 //! The balancer assigns callers to entries by a hash and knows nothing of their links. A caller that
-//! sends more than a small entry's link carries stays late there, and an entry that leaves the
-//! rotation by itself passes it on to the next small one. One relay of the data centre therefore
-//! hears from all its entries ([`RotationReport`]) and takes out as many small ones as the balancer
-//! tolerates ([`RotationTable`]). An entry applies the orders that it gets ([`RotationState`]).
+//! sends more than a small entry's link carries fills that link within seconds, and for some callers
+//! no choice of entries in rotation leads to a large one. Their load is therefore spread over time:
+//! an entry leaves the rotation as soon as its link is loaded, the caller moves to the next one, and
+//! the link drains before the caller comes back.
+//!
+//! An entry decides by its own link ([`RotationState`]), since its calls are delayed once the link is
+//! full. One relay of the data centre hears from all entries ([`RotationReport`]) and permits as many
+//! of them to leave as the balancer tolerates ([`RotationTable`]).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,18 +22,15 @@
 /// Time for which an order holds, and for which a relay keeps what an entry reported. They are the
 /// same, so that a lease has ended at the entry when the relay forgets it.
 pub const LEASE_TIME: Duration = Duration::from_secs(3);
-/// Load from which an entry counts as loaded. Loads vary by half of their mean, and a link delays
-/// other messages from a load of 0.7 on.
-const LOADED_LOAD: f64 = 0.5;
-/// Time for which the load must last. Bursts of a few requests are shorter.
-const LOADED_TIME: Duration = Duration::from_millis(500);
-/// Time without a loaded entry after which entries return.
-const QUIET_TIME: Duration = Duration::from_secs(10);
-/// Time between two returns. The balancer's health checks are as far apart.
-const RETURN_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which an entry that was loaded does not make room for another one, once there were many
-/// swaps. Each of them costs a caller about three seconds.
-const SWAP_PAUSE: Duration = Duration::from_secs(30);
+/// Load from which an entry with a permission leaves. The balancer moves callers two to three seconds
+/// later, in which the load may double.
+const LEAVE_LOAD: f64 = 0.5;
+/// Load from which an entry is permitted to leave, so that it has the permission before its link
+/// delays its calls. An entry in rotation with less can take callers over.
+const PERMIT_LOAD: f64 = 0.2;
+/// Time for which an entry stays out after its link was last loaded. A link that was offered twice
+/// its capacity until its caller had moved drains in that time.
+const AWAY_TIME: Duration = Duration::from_secs(4);
 /// Load above which an entry that is out closes callers' connections.
 const CLOSING_LOAD: f64 = 0.3;
 
@@ -57,11 +58,11 @@
 /// A relay's reply to a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RotationOrder {
-    /// The entry is in rotation.
+    /// The entry is in rotation, whatever its load.
     Stay,
-    /// The entry is out of rotation.
+    /// The entry may be out of rotation while its link is loaded.
     Leave {
-        /// Time after the report was sent until which it stays out unless the lease is renewed.
+        /// Time after the report was sent until which the permission holds unless it is renewed.
         lease: Duration,
     },
 }
@@ -71,7 +72,7 @@
 pub struct RotationCounts {
     /// Entries that have reported within [`LEASE_TIME`].
     pub live: usize,
-    /// Of these, the ones that are out of rotation, or may be.
+    /// Of these, the ones that are out of rotation or permitted to leave.
     pub out: usize,
 }
 
@@ -80,34 +81,30 @@
 struct EntryRow {
     report: RotationReport,
     heard_at: Duration,
-    /// Time of the first of the latest reports that all state a high load.
-    high_since: Option<Duration>,
-    /// Last time at which the entry was loaded.
+    /// Last time at which the entry reported a load of [`LEAVE_LOAD`] or more.
     loaded_at: Option<Duration>,
-    /// Whether the entry is ordered out at its next report.
-    ordered_out: bool,
+    /// End of its permission to be out.
     lease_until: Duration,
+    /// Whether its last report found too many entries out for it to leave.
+    was_refused: bool,
 }
 
 impl EntryRow {
-    /// Returns whether the entry is or may be out of rotation, or will be after its next report.
-    fn is_out(&self, now: Duration) -> bool {
-        self.is_planned_out() || self.report.out || now < self.lease_until
-    }
-
-    /// Returns whether the entry is to be out of rotation.
-    fn is_planned_out(&self) -> bool {
-        self.ordered_out || self.report.stopping
+    /// Returns whether the entry is or may be out of rotation.
+    fn may_be_out(&self, now: Duration) -> bool {
+        self.report.stopping || self.report.out || now < self.lease_until
     }
 
-    fn is_loaded(&self, now: Duration) -> bool {
-        let lasting = |since| now.saturating_sub(since) >= LOADED_TIME;
-        !self.report.stopping && self.high_since.is_some_and(lasting)
+    /// Orders entries by the time since when they have not been loaded; those that are loaded come
+    /// last, in the order of their names.
+    fn return_rank(&self) -> (Option<Duration>, &VmId) {
+        let is_loaded = self.report.load >= LEAVE_LOAD;
+        (if is_loaded { Some(Duration::MAX) } else { self.loaded_at }, &self.report.entry)
     }
 
-    /// Returns the bytes a second of the busier direction.
-    fn rate(&self) -> f64 {
-        self.report.load * self.report.capacity
+    /// Returns whether the entry is out although its link has drained.
+    fn is_drained(&self) -> bool {
+        self.report.out && !self.report.stopping && self.report.load < PERMIT_LOAD
     }
 }
 
@@ -117,149 +114,70 @@
     rows: BTreeMap<VmId, EntryRow>,
     /// Time until which all live entries have reported at least once.
     complete_at: Duration,
-    /// Last time at which an entry was loaded.
-    loaded_at: Duration,
-    returned_at: Duration,
-    /// Entries that have returned to make room for loaded ones, since no entry was loaded.
-    swaps: usize,
 }
 
 impl CentreRotation {
     fn new(now: Duration) -> Self {
-        let complete_at = now + LEASE_TIME;
-        Self {
-            rows: BTreeMap::new(),
-            complete_at,
-            loaded_at: complete_at,
-            returned_at: now,
-            swaps: 0,
-        }
+        Self { rows: BTreeMap::new(), complete_at: now + LEASE_TIME }
     }
 
-    fn record_report(&mut self, report: RotationReport, now: Duration) {
+    fn record_report(&mut self, report: RotationReport, now: Duration) -> RotationOrder {
         let known = self.rows.remove(&report.entry);
         let known = known.filter(|row| row.report.process == report.process);
-        let high_since = known.as_ref().and_then(|row| row.high_since).unwrap_or(now);
-        let (loaded_at, ordered_out, lease_until) = known
-            .map_or((None, false, Duration::ZERO), |row| {
-                (row.loaded_at, row.ordered_out, row.lease_until)
-            });
-        let row = EntryRow {
-            heard_at: now,
-            high_since: (report.load >= LOADED_LOAD).then_some(high_since),
-            loaded_at,
-            ordered_out,
-            // An entry that is not out has not got the last order, or was told to stay.
-            lease_until: if report.out { lease_until } else { Duration::ZERO },
-            report,
-        };
-        self.rows.insert(Arc::clone(&row.report.entry), row);
+        let (loaded_at, lease_until) =
+            known.map_or((None, Duration::ZERO), |row| (row.loaded_at, row.lease_until));
+        let loaded_at = if report.load >= LEAVE_LOAD { Some(now) } else { loaded_at };
+        let entry = Arc::clone(&report.entry);
+        let was_refused = false;
+        let row = EntryRow { report, heard_at: now, loaded_at, lease_until, was_refused };
+        let (may_leave, was_refused) = self.decide(&row, now);
+        let lease_until = if may_leave { now + LEASE_TIME } else { Duration::ZERO };
+        self.rows.insert(entry, EntryRow { lease_until, was_refused, ..row });
+        if may_leave { RotationOrder::Leave { lease: LEASE_TIME } } else { RotationOrder::Stay }
     }
 
-    fn plan(&mut self, now: Duration) {
-        if now < self.complete_at {
-            for row in self.rows.values_mut() {
-                row.ordered_out = row.report.out && !row.report.stopping;
-            }
-            return;
-        }
-        for row in self.rows.values_mut().filter(|row| row.is_loaded(now)) {
-            row.loaded_at = Some(now);
-            self.loaded_at = now;
-        }
-        while self.rows.values().filter(|row| row.is_planned_out()).count() > self.max_out() {
-            if !self.return_one(now) {
-                break;
-            }
-        }
-        if let Some(limit) = self.relief_capacity(now) {
-            self.take_out(limit, now);
+    /// Decides on the report of an entry that is not among the rows. Returns whether it may be out,
+    /// and whether it may not because too many others are.
+    fn decide(&self, row: &EntryRow, now: Duration) -> (bool, bool) {
+        if row.report.stopping {
+            return (false, false);
         }
-        let is_quiet = now.saturating_sub(self.loaded_at) >= QUIET_TIME;
-        if is_quiet {
-            self.swaps = 0;
+        if now < self.complete_at {
+            return (row.report.out, false);
         }
-        let is_due = now.saturating_sub(self.returned_at) >= RETURN_INTERVAL;
-        if is_quiet && is_due && self.return_one(now) {
-            self.returned_at = now;
+        let others_out = self.rows.values().filter(|other| other.may_be_out(now)).count();
+        // The balancer uses all entries once fewer than half are in rotation.
+        let max_out = self.rows.len().div_ceil(2);
+        let is_crowded = others_out >= max_out;
+        if row.report.out {
+            let makes_room = is_crowded || (self.is_awaited(now) && row.is_drained());
+            return (!(makes_room && self.is_next(row)), false);
         }
+        let may_leave = row.report.load >= PERMIT_LOAD && self.has_relief(row, now);
+        (may_leave && !is_crowded, may_leave && is_crowded)
     }
 
-    /// Returns the maximum number of entries out of rotation, with which more than half remain in
-    /// it.
-    fn max_out(&self) -> usize {
-        self.rows.len().saturating_sub(1) / 2
+    /// Returns whether an entry waits for another one to return.
+    fn is_awaited(&self, now: Duration) -> bool {
+        self.rows.values().any(|row| row.was_refused && !row.may_be_out(now))
     }
 
-    fn count_out(&self, now: Duration) -> usize {
-        self.rows.values().filter(|row| row.is_out(now)).count()
+    /// Returns whether of the entries that are out, this one is the first to return.
+    fn is_next(&self, row: &EntryRow) -> bool {
+        let mut others = self.rows.values().filter(|other| other.report.out);
+        others.all(|other| other.report.stopping || other.return_rank() > row.return_rank())
     }
 
-    /// Returns the capacity of the largest entry in rotation that could carry the load of a loaded
-    /// smaller one and would not be loaded itself.
-    fn relief_capacity(&self, now: Duration) -> Option<f64> {
-        let is_relief = |row: &EntryRow, loaded: &EntryRow| {
-            let capacity = row.report.capacity;
-            let is_larger = capacity > loaded.report.capacity;
-            is_larger && row.rate() + loaded.rate() < LOADED_LOAD * capacity
-        };
-        let loaded: Vec<&EntryRow> = self.rows.values().filter(|row| row.is_loaded(now)).collect();
-        let relieves =
-            |row: &&EntryRow| !row.is_out(now) && loaded.iter().any(|other| is_relief(row, other));
-        let reliefs = self.rows.values().filter(relieves);
-        reliefs.map(|row| row.report.capacity).max_by(f64::total_cmp)
-    }
-
-    /// Orders entries smaller than `limit` out, as many as may be, so that the caller does not move
-    /// from one small entry to the next. If a loaded entry finds no place, another one returns.
-    fn take_out(&mut self, limit: f64, now: Duration) {
-        let free = self.max_out().saturating_sub(self.count_out(now));
-        let is_candidate = |row: &&EntryRow| !row.is_out(now) && row.report.capacity < limit;
-        let mut candidates: Vec<&EntryRow> = self.rows.values().filter(is_candidate).collect();
-        candidates.sort_by(|a, b| {
-            let by_size = a.report.capacity.total_cmp(&b.report.capacity);
-            let by_load = b.is_loaded(now).cmp(&a.is_loaded(now));
-            by_load.then(by_size).then(a.report.connections.cmp(&b.report.connections))
-        });
-        let left = candidates.iter().skip(free).filter(|row| row.is_loaded(now)).count();
-        let taken: Vec<VmId> =
-            candidates.iter().take(free).map(|row| Arc::clone(&row.report.entry)).collect();
-        for entry in taken {
-            if let Some(row) = self.rows.get_mut(&entry) {
-                row.ordered_out = true;
-            }
-        }
-        let is_returning = |row: &&EntryRow| row.is_out(now) && !row.is_planned_out();
-        let returning = self.rows.values().filter(is_returning).count();
-        for _ in returning..left {
-            if self.may_swap(now) && self.return_one(now) {
-                self.swaps += 1;
-            }
+    /// Returns whether other entries in rotation can take over callers. The largest entries stay in
+    /// rotation if there are smaller ones.
+    fn has_relief(&self, row: &EntryRow, now: Duration) -> bool {
+        let (mut has_larger, mut has_smaller, mut has_idle) = (false, false, false);
+        for other in self.rows.values() {
+            has_larger |= other.report.capacity > row.report.capacity;
+            has_smaller |= other.report.capacity < row.report.capacity;
+            has_idle |= !other.may_be_out(now) && other.report.load < PERMIT_LOAD;
         }
-    }
-
-    /// Returns whether an entry may return to make room for a loaded one.
-    ///
-    /// With some hashes a caller prefers more small entries than may be out, and would move among
-    /// them forever. After as many swaps as there are entries, it stays for [`SWAP_PAUSE`] where it
-    /// is.
-    fn may_swap(&self, now: Duration) -> bool {
-        let rested = |row: &EntryRow| row.loaded_at.is_none_or(|at| now >= at + SWAP_PAUSE);
-        self.swaps < self.rows.len() || self.next_return(now).is_some_and(rested)
-    }
-
-    /// Returns the entry that returns next: one that is not loaded, and has not been for the
-    /// longest time. A caller assigned by a hash would go back to the entry that it came from.
-    fn next_return(&self, now: Duration) -> Option<&EntryRow> {
-        let out = self.rows.values().filter(|row| row.ordered_out && !row.is_loaded(now));
-        out.min_by_key(|row| row.loaded_at)
-    }
-
-    /// Lets the next entry return. Returns whether there is one.
-    fn return_one(&mut self, now: Duration) -> bool {
-        let entry = self.next_return(now).map(|row| Arc::clone(&row.report.entry));
-        let row = entry.and_then(|entry| self.rows.get_mut(&entry));
-        row.map(|row| row.ordered_out = false).is_some()
+        has_idle && (has_larger || !has_smaller)
     }
 }
 
@@ -291,18 +209,10 @@
     /// assert_eq!(order, RotationOrder::Leave { lease: LEASE_TIME });
     /// ```
     pub fn report(&mut self, report: RotationReport, now: Duration) -> RotationOrder {
-        let (entry, data_centre) = (Arc::clone(&report.entry), Arc::clone(&report.data_centre));
+        let data_centre = Arc::clone(&report.data_centre);
         self.drop_silent(now);
         let centre = self.centres.entry(data_centre).or_insert_with(|| CentreRotation::new(now));
-        centre.record_report(report, now);
-        centre.plan(now);
-        match centre.rows.get_mut(&entry) {
-            Some(row) if row.ordered_out => {
-                row.lease_until = now + LEASE_TIME;
-                RotationOrder::Leave { lease: LEASE_TIME }
-            }
-            _ => RotationOrder::Stay,
-        }
+        centre.record_report(report, now)
     }
 
     /// Returns how many entries of a data centre are live and out of rotation.
@@ -317,7 +227,8 @@
         let Some(centre) = self.centres.get(data_centre) else {
             return RotationCounts::default();
         };
-        RotationCounts { live: centre.rows.len(), out: centre.count_out(now) }
+        let out = centre.rows.values().filter(|row| row.may_be_out(now)).count();
+        RotationCounts { live: centre.rows.len(), out }
     }
 
     fn drop_silent(&mut self, now: Duration) {
@@ -328,20 +239,35 @@
     }
 }
 
-/// The order that an entry applies.
+/// Whether an entry is out of rotation, by its relay's order and its own link.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RotationState {
     order: Option<(RotationOrder, Duration)>,
+    out_until: Duration,
 }
 
 impl RotationState {
     /// Records the order that a report sent at `sent_at` brought.
     pub fn record_order(&mut self, order: RotationOrder, sent_at: Duration) {
         self.order = Some((order, sent_at));
+        if order == RotationOrder::Stay {
+            self.out_until = Duration::ZERO;
+        }
+    }
+
+    /// Records the current load of the entry's link, as a fraction of its capacity.
+    pub fn record_load(&mut self, load: f64, now: Duration) {
+        let is_permitted = matches!(self.valid_order(now), Some(RotationOrder::Leave { .. }));
+        if load >= LEAVE_LOAD && (is_permitted || now < self.out_until) {
+            self.out_until = now + AWAY_TIME;
+        }
     }
 
-    /// Returns whether the latest order takes the entry out of rotation, or `None` if no order holds
-    /// and the entry decides by itself.
+    /// Returns whether the entry is out of rotation, or `None` if no order holds and the entry
+    /// decides without its relay.
+    ///
+    /// An entry that is out stays so until its link has drained, even if its reports are not
+    /// answered: a full link delays the replies, and callers would come back too early.
     ///
     /// # Examples
     /// ```
@@ -350,21 +276,49 @@
     /// let mut state = RotationState::default();
     /// let second = Duration::from_secs(1);
     /// state.record_order(RotationOrder::Leave { lease: second * 3 }, second);
-    /// assert_eq!(state.ordered_out(second * 2), Some(true));
-    /// assert_eq!(state.ordered_out(second * 4), None);
+    /// assert_eq!(state.is_out(second * 2), Some(false));
+    /// state.record_load(0.9, second * 3);
+    /// assert_eq!(state.is_out(second * 5), Some(true));
+    /// assert_eq!(state.is_out(second * 8), None);
     /// ```
-    pub fn ordered_out(&self, now: Duration) -> Option<bool> {
-        let (order, sent_at) = self.order?;
-        let age = now.saturating_sub(sent_at);
-        match order {
-            RotationOrder::Leave { lease } => (age < lease.min(LEASE_TIME)).then_some(true),
-            RotationOrder::Stay => (age < LEASE_TIME).then_some(false),
+    pub fn is_out(&self, now: Duration) -> Option<bool> {
+        if now < self.out_until {
+            return Some(true);
+        }
+        self.valid_order(now).map(|_| false)
+    }
+
+    /// Returns whether the relay should hear of the load at once: the entry would leave soon and is
+    /// not permitted to, or it is out and could make room for another one.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::rotations::RotationState;
+    /// assert!(RotationState::default().is_urgent(0.4, Duration::ZERO));
+    /// assert!(!RotationState::default().is_urgent(0.1, Duration::ZERO));
+    /// ```
+    pub fn is_urgent(&self, load: f64, now: Duration) -> bool {
+        match self.valid_order(now) {
+            Some(RotationOrder::Leave { .. }) => {
+                load < PERMIT_LOAD && self.is_out(now) == Some(true)
+            }
+            _ => load >= PERMIT_LOAD,
         }
     }
 
     /// Returns whether callers' connections are closed after their responses, or `None` if no order
     /// holds. Heavy callers move thereby; light ones may stay.
     pub fn closes_connections(&self, load: f64, now: Duration) -> Option<bool> {
-        self.ordered_out(now).map(|out| out && load > CLOSING_LOAD)
+        self.is_out(now).map(|out| out && load > CLOSING_LOAD)
+    }
+
+    fn valid_order(&self, now: Duration) -> Option<RotationOrder> {
+        let (order, sent_at) = self.order?;
+        let time = match order {
+            RotationOrder::Leave { lease } => lease.min(LEASE_TIME),
+            RotationOrder::Stay => LEASE_TIME,
+        };
+        (now.saturating_sub(sent_at) < time).then_some(order)
     }
 }
--- a/toucanrail/tests/link_shares.rs
+++ b/toucanrail/tests/link_shares.rs
@@ -202,3 +202,23 @@
     assert_eq!(limit_after(0.9, 0.9), None);
     assert_eq!(limit_after(0.9, 0.3), None);
 }
+
+/// A limit that had been set before the link was loaded refused requests for as long as it stayed so,
+/// since refusals kept the limit in effect.
+#[test]
+fn suspended_limit() {
+    let mut limit = AdmissionLimit::default();
+    let latency_target = Duration::from_millis(200);
+    let query = AdmissionQuery { rank: 0, returned: false };
+    for number in 0..200 {
+        let sent_at = Duration::from_millis(number * 10);
+        limit.admits(query, sent_at);
+        limit.record_sent(number, PendingRow { sent_at, latency_target });
+    }
+    let now = Duration::from_secs(2);
+    assert!(!limit.admits(query, now));
+    limit.record_link_load(0.9);
+    assert!(limit.admits(query, now));
+    limit.record_link_load(0.3);
+    assert!(!limit.admits(query, now));
+}
