Decisions of the request path apart from their effects

An explanation of where a request would go must call the decisions of the request path without their effects. Some of them were made together with effects: the wait for a permit with its timer, a trial of a held request with the record that it was asked for, the origin of a stream with logs and metrics, the choice of a server inside of the dispatch, and admission with the plan.

They are functions of their own now: permits::pick_wait, RequestHold::is_trial_due, origin_search::{find_known, judge_origin}, placing::PlacementContext and admitting::{make_plan, admission_query}. The cost of a server is the sum of placement::CostParts, added up in the same order as before.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -10,7 +10,9 @@
 use toucanrail::codetable;
 use toucanrail::contents::{self, ContentKey};
 use toucanrail::holds::HoldScope;
+use toucanrail::ids::ServiceName;
 use toucanrail::matching::{CustomerProfile, RouteRule};
+use toucanrail::origins::StreamOrigin;
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail::suspects::SuspectKey;
 use toucanrail_platform::names;
@@ -73,6 +75,9 @@
     }
 }
 
+/// A route, and the customer that pays unless the route is public.
+pub(crate) type MatchedRoute = (Arc<RouteRule>, Option<Arc<CustomerProfile>>);
+
 /// Admits and dispatches one request, or writes a refusal.
 pub async fn handle_request(
     gateway: &Rc<Gateway>,
@@ -111,11 +116,12 @@
     arrived: Instant,
 ) -> Result<RequestPlan<'request>, AdmissionRefusal> {
     let info = requests::parse_request(head);
-    let (route, customer) = match_route(gateway, head, &info)?;
+    let matched = match_route(gateway, head, &info)?;
+    let (route, customer) = &matched;
     check_token_counts(&info, customer.as_deref())?;
     check_stopping(gateway, route.timeout)?;
     let origin = if route.kind.is_stream() && info.takes_up_stream {
-        Some(origin_search::find_origin(gateway, &info, &route).await?)
+        Some(origin_search::find_origin(gateway, &info, route).await?)
     } else {
         None
     };
@@ -126,12 +132,35 @@
             .map(Arc::clone)
             .ok_or(codetable::NO_BACKEND_SERVER)?,
     };
+    let mut plan = make_plan(head, body, info, matched, service, origin, arrived);
+    let is_trial = check_holds(gateway, &plan)?;
+    check_load(gateway, &plan)?;
+    plan.budget = reserve_budget(gateway, &plan).await?;
+    if is_trial && !suspect_reports::request_trial(gateway, &plan.suspects).await {
+        return Err(refuse_held(gateway, &plan));
+    }
+    plan.is_trial = is_trial;
+    gateway.record_new_request(&plan.service);
+    Ok(plan)
+}
+
+/// Creates the plan of a request that has not been admitted yet.
+pub(crate) fn make_plan<'request>(
+    head: &'request RequestHead,
+    body: &'request [u8],
+    info: RequestInfo,
+    matched: MatchedRoute,
+    service: ServiceName,
+    origin: Option<StreamOrigin>,
+    arrived: Instant,
+) -> RequestPlan<'request> {
+    let (route, customer) = matched;
     let timeout = info.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let rank = customer.as_ref().and_then(|customer| customer.priority);
     let payer = customer.as_ref().map(|customer| &*customer.name);
     let content = contents::content_key(payer, &requests::content_fields(head), body);
     let suspects = list_suspects(content, &service, &info);
-    let mut plan = RequestPlan {
+    RequestPlan {
         head,
         body,
         urgency: rank.unwrap_or(route.priority),
@@ -146,20 +175,11 @@
         deadline: arrived + timeout.saturating_sub(DEADLINE_MARGIN),
         budget: None,
         is_trial: false,
-    };
-    let is_trial = check_holds(gateway, &plan)?;
-    check_load(gateway, &plan)?;
-    plan.budget = reserve_budget(gateway, &plan).await?;
-    if is_trial && !suspect_reports::request_trial(gateway, &plan.suspects).await {
-        return Err(refuse_held(gateway, &plan));
     }
-    plan.is_trial = is_trial;
-    gateway.record_new_request(&plan.service);
-    Ok(plan)
 }
 
 /// Refuses a request whose token counts are malformed, or missing although a budget is held by them.
-fn check_token_counts(
+pub(crate) fn check_token_counts(
     info: &RequestInfo,
     customer: Option<&CustomerProfile>,
 ) -> Result<(), AdmissionRefusal> {
@@ -170,7 +190,7 @@
 }
 
 /// While the entry is stopping, refuses requests that may not finish within the grace period.
-fn check_stopping(gateway: &Gateway, timeout: Duration) -> Result<(), AdmissionRefusal> {
+pub(crate) fn check_stopping(gateway: &Gateway, timeout: Duration) -> Result<(), AdmissionRefusal> {
     let Some(stop_requested) = gateway.stop_requested.get() else {
         return Ok(());
     };
@@ -197,7 +217,8 @@
     let Some(hold) = hold else {
         return Ok(false);
     };
-    if hold.trial_at.is_some_and(|at| now >= at) && suspect_reports::may_ask_trial(gateway) {
+    if hold.is_trial_due(suspect_reports::trial_asked_at(gateway), now) {
+        suspect_reports::record_trial_asked(gateway);
         return Ok(true);
     }
     Err(refuse_held(gateway, plan))
@@ -209,23 +230,33 @@
     AdmissionRefusal::with_retry(codetable::HELD_BACK, wait)
 }
 
+/// Returns the timeout that a caller states, or that of the route.
+fn stated_timeout(plan: &RequestPlan<'_>) -> Duration {
+    plan.info.timeout.unwrap_or(plan.route.timeout)
+}
+
+/// Returns the properties of a request on which its admission under load depends.
+pub(crate) fn admission_query(plan: &RequestPlan<'_>) -> AdmissionQuery {
+    let returned = stated_timeout(plan) < plan.route.timeout.mul_f64(RETURNED_TIME_RATIO);
+    AdmissionQuery { rank: plan.urgency, returned }
+}
+
 /// Refuses a request at once if the servers cannot start it in time.
 fn check_load(gateway: &Gateway, plan: &RequestPlan<'_>) -> Result<(), AdmissionRefusal> {
-    let timeout = plan.info.timeout.unwrap_or(plan.route.timeout);
-    let returned = timeout < plan.route.timeout.mul_f64(RETURNED_TIME_RATIO);
-    let query = AdmissionQuery { rank: plan.urgency, returned };
+    let query = admission_query(plan);
     if gateway.admits(&plan.service, query) {
         return Ok(());
     }
-    let wait = retry_delays::pick_delay(RefusalCause::Overload, timeout, fastrand::f64());
+    let wait =
+        retry_delays::pick_delay(RefusalCause::Overload, stated_timeout(plan), fastrand::f64());
     Err(AdmissionRefusal::with_retry(codetable::OVERLOADED, wait))
 }
 
-fn match_route(
+pub(crate) fn match_route(
     gateway: &Gateway,
     head: &RequestHead,
     info: &RequestInfo,
-) -> Result<(Arc<RouteRule>, Option<Arc<CustomerProfile>>), AdmissionRefusal> {
+) -> Result<MatchedRoute, AdmissionRefusal> {
     let tables = gateway.tables.borrow();
     let left = info.timeout.unwrap_or(Duration::MAX);
     let wait = retry_delays::pick_delay(RefusalCause::Uninformed, left, fastrand::f64());
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -1,19 +1,18 @@
 //! Dispatches an admitted request: tries servers until it has a response or no server may be tried.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use toucanrail::attempts::{AttemptHistory, AttemptOutcome, NextStep};
-use toucanrail::backends::{BackendEntry, BackendId, BackendRow, BackendTable};
+use toucanrail::backends::{BackendEntry, BackendId};
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::holds::HoldScope;
 use toucanrail::ids::SoftwareVersion;
 use toucanrail::link_shares;
-use toucanrail::matching;
+use toucanrail::permits as permit_rules;
 use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow};
 use toucanrail::retry_delays::{self, RefusalCause};
@@ -23,6 +22,7 @@
 use crate::liveness;
 use crate::loan_client::BudgetGuard;
 use crate::permits::{self, SendPermit};
+use crate::placing::{PlacementContext, ProbeCause};
 use crate::request_context::{
     AttemptContext, AttemptResult, FailedResponse, RequestPlan, StreamState,
 };
@@ -35,11 +35,6 @@
 /// Maximum wait for load reports; most relays respond within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// If all servers need permits, a request waits for one for at most this fraction of the route's
-/// latency target. Requests that wait for the same permit are spread over `PERMIT_JITTER`.
-const PERMIT_WAIT_RATIO: f64 = 0.8;
-const PERMIT_JITTER: Duration = Duration::from_millis(60);
-
 /// How a request ended, as logged.
 #[derive(Debug, Clone, Copy)]
 enum RequestEnd {
@@ -147,21 +142,18 @@
     /// available again. Returns false if that would take too long.
     async fn wait_for_permit(&self, target: &BackendEntry) -> bool {
         let now = self.gateway.now();
-        let wait = {
+        let delay = {
             let tables = self.gateway.tables.borrow();
             let row = tables.backends.get(&target.id);
             row.map_or(Duration::ZERO, |row| row.permit_delay(now))
         };
-        if wait.is_zero() {
-            return true;
-        }
-        let wait = wait + PERMIT_JITTER.mul_f64(fastrand::f64());
-        let fits = self.plan.arrived.elapsed() + wait
-            < self.plan.route.latency_target.mul_f64(PERMIT_WAIT_RATIO);
-        if fits {
+        let (plan, elapsed) = (self.plan, self.plan.arrived.elapsed());
+        let wait =
+            permit_rules::pick_wait(delay, elapsed, plan.route.latency_target, fastrand::f64());
+        if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
             smol::Timer::after(wait).await;
         }
-        fits
+        wait.is_some()
     }
 
     /// Returns whether a server rests or leaves, as it may have stated while the request waited for
@@ -193,61 +185,33 @@
         }
     }
 
-    fn placement_query(&self) -> PlacementQuery<'_> {
-        let plan = self.plan;
-        let prompt = plan.info.prompt.as_ref();
-        PlacementQuery {
-            data_centre: &self.gateway.settings.data_centre,
-            parts: prompt.map_or(&[], |prompt| &prompt.parts),
-            prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
-            now: self.gateway.now(),
-            random: fastrand::f64(),
-            remote: self.gateway.remote_terms(
-                &plan.service,
-                &plan.route.name,
-                plan.body.len(),
-                self.offload_draw,
-            ),
+    /// Returns what the choice of the next server depends on besides the tables.
+    fn placement(&self) -> PlacementContext<'_> {
+        PlacementContext {
+            gateway: self.gateway,
+            plan: self.plan,
+            body: self.plan.body.len(),
+            origin: self.stream.origin.as_ref(),
+            tried: &self.tried,
+            offload_draw: self.offload_draw,
         }
     }
 
-    /// Returns the servers that the request may be sent to next.
-    fn list_eligible<'table>(
-        &self,
-        table: &'table BackendTable,
-        now: Duration,
-    ) -> Vec<&'table BackendRow> {
-        let origin = self.stream.origin.as_ref();
-        let mut eligible = table.eligible_for(&self.plan.service, origin, &self.tried, now);
-        eligible.retain(|row| self.is_region_allowed(row));
-        eligible
-    }
-
-    /// Returns whether a server is in a region that both the route and the customer allow.
-    fn is_region_allowed(&self, row: &BackendRow) -> bool {
-        let anywhere = BTreeSet::new();
-        let customer = self.plan.customer.as_ref().map_or(&anywhere, |customer| &customer.regions);
-        let region = self.gateway.settings.regions.get(&row.entry.data_centre);
-        let rules = [&self.plan.route.regions, customer];
-        matching::allows_region(rules, region.map(|region| &**region))
-    }
-
     /// Requests load reports from the relays beside some of the servers. Done for long prompts, and
     /// for others while requests wait too long for their first event and free slots may be scarce.
     async fn probe_servers(&self) -> Vec<ProbeRow> {
-        let Some(prompt) = &self.plan.info.prompt else {
-            return Vec::new();
-        };
-        let rule = self.gateway.tables.borrow().routes.pause_rule(&self.plan.service);
-        if probes::is_long(prompt.prompt_tokens, &rule) {
-            self.gateway.metrics.count_event("long_prompts_probed");
-        } else if !self.gateway.should_probe(&self.plan.service) {
-            return Vec::new();
+        let placement = self.placement();
+        match placement.probe_cause(fastrand::f64()) {
+            Some(ProbeCause::LongPrompt) => {
+                self.gateway.metrics.count_event("long_prompts_probed");
+            }
+            Some(ProbeCause::ScarceSlots) => {}
+            None => return Vec::new(),
         }
-        let query = self.placement_query();
+        let query = placement.query(fastrand::f64());
         let candidates = {
             let tables = self.gateway.tables.borrow();
-            let eligible = self.list_eligible(&tables.backends, query.now);
+            let eligible = placement.list_eligible(&tables.backends, query.now);
             let random: [f64; probes::PROBE_SAMPLES] = std::array::from_fn(|_| fastrand::f64());
             probes::pick_candidates(&eligible, &query, &random)
         };
@@ -282,17 +246,11 @@
     /// Picks a server, and a second one that holds shared parts of the prompt in its cache, if
     /// there is a better source than the server itself.
     fn pick_target(&self, probed: &[ProbeRow]) -> Option<(BackendEntry, Option<SocketAddr>)> {
-        let query = self.placement_query();
+        let placement = self.placement();
+        let query = placement.query(fastrand::f64());
         self.update_offload(&query);
         let tables = self.gateway.tables.borrow();
-        let eligible = self.list_eligible(&tables.backends, query.now);
-        let rule = tables.routes.pause_rule(&self.plan.service);
-        let target = self.plan.route.latency_target;
-        let chosen = probes::pick_probed(&eligible, &query, probed, target, &rule);
-        let row = chosen.or_else(|| probes::pick_unprobed(&eligible, &query, &rule))?;
-        let mut sources = tables.backends.fetch_sources(&self.plan.service, &self.tried, query.now);
-        sources.retain(|row| self.is_region_allowed(row));
-        let source = placement::pick_fetch_source(&sources, &query, row);
+        let (row, source) = placement.pick_target(&tables, &query, probed)?;
         Some((row.entry.clone(), source.map(|source| source.entry.address)))
     }
 
@@ -305,7 +263,8 @@
         let service = &self.plan.service;
         let mut tables = self.gateway.tables.borrow_mut();
         let GatewayTables { backends, offloads, .. } = &mut *tables;
-        let costs = placement::compare_costs(&self.list_eligible(backends, query.now), query);
+        let costs =
+            placement::compare_costs(&self.placement().list_eligible(backends, query.now), query);
         let share = offloads.entry(Arc::clone(service)).or_default();
         if share.record_costs(costs, query.now) {
             tracing::info!(
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod origin_notes;
 pub mod origin_search;
 pub mod permits;
+pub mod placing;
 pub mod relay;
 pub mod relay_api;
 pub mod relay_client;
--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use toucanrail::codes::ResultCode;
 use toucanrail::codetable;
 use toucanrail::endpoints::LocatedRelay;
-use toucanrail::ids::RequestId;
+use toucanrail::ids::{RequestId, SoftwareVersion};
 use toucanrail::matching::RouteRule;
 use toucanrail::origin_keepers;
 use toucanrail::origins::{OriginNote, OriginReply, StreamOrigin};
@@ -26,7 +27,7 @@
 
 /// How the origin of a stream became known, as logged.
 #[derive(Debug, Clone, Copy)]
-enum OriginSource {
+pub(crate) enum OriginSource {
     /// From this entry's own table.
     Own,
     /// From a relay.
@@ -44,26 +45,20 @@
     info: &RequestInfo,
     route: &RouteRule,
 ) -> Result<StreamOrigin, AdmissionRefusal> {
-    let found = search_origin(gateway, info, route).await;
-    let serves = found.as_ref().is_some_and(|(origin, _)| {
-        let is_target = route.targets.iter().any(|target| target.service == origin.service);
-        is_target && gateway.tables.borrow().backends.may_continue(origin, gateway.now())
-    });
+    let (origin, source) = search_origin(gateway, info, route).await.unzip();
+    let version = origin.as_ref().map(|origin| SoftwareVersion::clone(&origin.version));
+    let judged = judge_origin(gateway, route, origin);
     tracing::info!(
         event = "stream_taken_up", request = %info.id, resumes = info.resumed_attempt.as_deref(),
-        after_event = info.last_event, source = ?found.as_ref().map(|(_, source)| source),
-        version = found.as_ref().map(|(origin, _)| &*origin.version), serves,
+        after_event = info.last_event, source = ?source, version = version.as_deref(),
+        serves = judged.is_ok(),
     );
-    let (code, cause) = match found {
-        Some((origin, _)) if serves => {
+    let (code, cause) = match judged {
+        Ok(origin) => {
             gateway.metrics.count_event("streams_taken_up");
             return Ok(origin);
         }
-        Some(_) if gateway.tables.borrow().backends.is_listed() => {
-            (codetable::VERSION_GONE, RefusalCause::VersionGone)
-        }
-        Some(_) => (codetable::NO_BACKEND_SERVER, RefusalCause::Uninformed),
-        None => (codetable::ORIGIN_UNKNOWN, RefusalCause::Uninformed),
+        Err(refusal) => refusal,
     };
     gateway.metrics.count_event("streams_not_taken_up");
     let left = info.timeout.unwrap_or(route.timeout);
@@ -71,20 +66,37 @@
     Err(AdmissionRefusal::with_retry(code, wait))
 }
 
+/// Returns the origin of a stream if the stream can go on there, and the reason otherwise. `origin`
+/// is none if it is not known.
+pub(crate) fn judge_origin(
+    gateway: &Gateway,
+    route: &RouteRule,
+    origin: Option<StreamOrigin>,
+) -> Result<StreamOrigin, (ResultCode, RefusalCause)> {
+    let origin = origin.ok_or((codetable::ORIGIN_UNKNOWN, RefusalCause::Uninformed))?;
+    let is_target = route.targets.iter().any(|target| target.service == origin.service);
+    let tables = gateway.tables.borrow();
+    if is_target && tables.backends.may_continue(&origin, gateway.now()) {
+        return Ok(origin);
+    }
+    Err(if tables.backends.is_listed() {
+        (codetable::VERSION_GONE, RefusalCause::VersionGone)
+    } else {
+        (codetable::NO_BACKEND_SERVER, RefusalCause::Uninformed)
+    })
+}
+
 async fn search_origin(
     gateway: &Rc<Gateway>,
     info: &RequestInfo,
     route: &RouteRule,
 ) -> Option<(StreamOrigin, OriginSource)> {
-    let attempt = info.resumed_attempt.as_ref();
-    let own = attempt.and_then(|attempt| find_own(gateway, attempt));
-    if let Some(origin) = own {
-        return Some((origin, OriginSource::Own));
+    let known = find_known(gateway, info, route);
+    if known.is_some() {
+        return known;
     }
+    let attempt = info.resumed_attempt.as_ref();
     let sole = find_sole_version(gateway, route);
-    if let (None, Some(sole)) = (attempt, sole.as_ref().filter(|sole| sole.is_proved)) {
-        return Some((sole.origin.clone(), OriginSource::SoleVersion));
-    }
     if attempt.is_none() && sole.is_none() {
         return None;
     }
@@ -102,6 +114,19 @@
     Some((sole.origin, OriginSource::SoleVersion))
 }
 
+/// Returns the origin of a stream if this entry knows it without asking a relay.
+pub(crate) fn find_known(
+    gateway: &Gateway,
+    info: &RequestInfo,
+    route: &RouteRule,
+) -> Option<(StreamOrigin, OriginSource)> {
+    if let Some(attempt) = &info.resumed_attempt {
+        return find_own(gateway, attempt).map(|origin| (origin, OriginSource::Own));
+    }
+    let sole = find_sole_version(gateway, route).filter(|sole| sole.is_proved)?;
+    Some((sole.origin, OriginSource::SoleVersion))
+}
+
 fn find_own(gateway: &Gateway, attempt: &RequestId) -> Option<StreamOrigin> {
     gateway.tables.borrow().origins.find(attempt, gateway.now()).cloned()
 }
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -228,13 +228,13 @@
     }
 
     /// Returns whether load reports should be requested before a request is placed: requests wait
-    /// too long for their first event, and free slots may be scarce.
-    pub fn should_probe(&self, service: &ServiceName) -> bool {
+    /// too long for their first event, and free slots may be scarce. `random` is in `0..1`.
+    pub fn should_probe(&self, service: &ServiceName, random: f64) -> bool {
         let now = self.now();
         let tables = self.tables.borrow();
         let free_slots = tables.free_slots.get(service).copied().unwrap_or_default();
         let pressed = tables.limits.get(service).is_some_and(|limit| limit.is_congested(now));
-        pressed && free_slots.should_probe(fastrand::f64())
+        pressed && free_slots.should_probe(random)
     }
 
     /// Records the load reports of servers of a service.
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -32,8 +32,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Interval between two lines in the log about these messages.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
-/// Minimum time between two questions for a trial.
-const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of notes kept for relays that start again.
 const MAX_KEPT_NOTES: usize = 256;
 
@@ -138,14 +136,14 @@
     }
 }
 
-/// Returns whether this entry may ask for a trial now.
-pub fn may_ask_trial(gateway: &Gateway) -> bool {
-    let (asked_at, now) = (&gateway.suspect_reporter.trial_asked_at, gateway.now());
-    let may_ask = now >= asked_at.get() + TRIAL_INTERVAL;
-    if may_ask {
-        asked_at.set(now);
-    }
-    may_ask
+/// Returns when this entry last asked for a trial.
+pub fn trial_asked_at(gateway: &Gateway) -> Duration {
+    gateway.suspect_reporter.trial_asked_at.get()
+}
+
+/// Records that this entry asks for a trial now.
+pub fn record_trial_asked(gateway: &Gateway) {
+    gateway.suspect_reporter.trial_asked_at.set(gateway.now());
 }
 
 /// Asks the first of the relays that keep the suspects whether one request with these may be tried.
--- a/toucanrail/src/holds.rs
+++ b/toucanrail/src/holds.rs
@@ -15,6 +15,9 @@
 /// Age up to which the last reply of a relay counts beside newer ones of others.
 const MAX_REPLY_AGE: Duration = Duration::from_secs(20);
 
+/// Minimum time between two of an entry's questions for a trial.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What an entry tells a relay about suspects.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
@@ -66,6 +69,25 @@
     pub trial_at: Option<Duration>,
 }
 
+impl RequestHold {
+    /// Returns whether a trial of the request may be asked for; `asked_at` is when the entry last
+    /// asked for one.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::holds::RequestHold;
+    /// let seconds = Duration::from_secs;
+    /// let hold = RequestHold { trial_at: Some(seconds(9)) };
+    /// assert!(hold.is_trial_due(seconds(0), seconds(9)));
+    /// assert!(!hold.is_trial_due(seconds(0), seconds(8)));
+    /// assert!(!hold.is_trial_due(seconds(9), seconds(9)));
+    /// ```
+    pub fn is_trial_due(&self, asked_at: Duration, now: Duration) -> bool {
+        self.trial_at.is_some_and(|at| now >= at) && now >= asked_at + TRIAL_INTERVAL
+    }
+}
+
 /// One suspect that a relay holds back.
 #[derive(Debug)]
 struct SuspectHold {
--- a/toucanrail/src/permits.rs
+++ b/toucanrail/src/permits.rs
@@ -14,6 +14,37 @@
 /// Time after the permit was requested within which the request must be sent.
 pub const PERMIT_VALIDITY: Duration = Duration::from_millis(150);
 
+/// If all servers need permits, a request waits for one for at most this fraction of the route's
+/// latency target. Requests that wait for the same permit are spread over `PERMIT_JITTER`.
+const PERMIT_WAIT_RATIO: f64 = 0.8;
+const PERMIT_JITTER: Duration = Duration::from_millis(60);
+
+/// Returns how long a request waits until a permit may be requested for its server, or `None` if
+/// that would take too long. `delay` is the time until then, `elapsed` the age of the request, and
+/// `random` in `0..1` spreads requests.
+///
+/// # Examples
+/// ```
+/// use std::time::Duration;
+/// use toucanrail::permits;
+/// let (target, millis) = (Duration::from_millis(200), Duration::from_millis);
+/// assert_eq!(permits::pick_wait(millis(0), millis(190), target, 0.5), Some(millis(0)));
+/// assert_eq!(permits::pick_wait(millis(50), millis(10), target, 0.5), Some(millis(80)));
+/// assert_eq!(permits::pick_wait(millis(150), millis(10), target, 0.5), None);
+/// ```
+pub fn pick_wait(
+    delay: Duration,
+    elapsed: Duration,
+    latency_target: Duration,
+    random: f64,
+) -> Option<Duration> {
+    if delay.is_zero() {
+        return Some(delay);
+    }
+    let wait = delay + PERMIT_JITTER.mul_f64(random);
+    (elapsed + wait < latency_target.mul_f64(PERMIT_WAIT_RATIO)).then_some(wait)
+}
+
 /// An entry's request for a permit to send one request to a server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PermitRequest {
--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use serde::Serialize;
+
 use crate::affinity::{self, SpeedRow};
 use crate::backends::{BackendRow, PromptPart};
 use crate::ids::Tokens;
@@ -49,12 +51,50 @@
     pub remote: RemoteTerms,
 }
 
+/// Components of a server's expected cost for a request, in milliseconds.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Serialize)]
+pub struct CostParts {
+    /// Way to another data centre, transfer included.
+    pub remote: f64,
+    /// Slowness of a server that has just started.
+    pub cold: f64,
+    /// Time until a permit may be requested.
+    pub permit: f64,
+    /// Fetch of shared prompt parts from another server.
+    pub fetch: f64,
+    /// For a model, prefill of the prompt and of those before it, and the sequences of the batch; for
+    /// a plain service, the requests in flight.
+    pub work: f64,
+    /// Requests beyond the slots.
+    pub overload: f64,
+    /// Past latency of a server of a plain service.
+    pub latency: f64,
+    /// Pauses of streams.
+    pub pauses: f64,
+}
+
+impl CostParts {
+    /// Returns the sum of the components.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::placement::CostParts;
+    /// let parts = CostParts { remote: 5.0, work: 20.0, ..CostParts::default() };
+    /// assert_eq!(parts.total(), 25.0);
+    /// ```
+    pub fn total(&self) -> f64 {
+        let Self { remote, cold, permit, fetch, work, overload, latency, pauses } = *self;
+        remote + cold + permit + fetch + work + overload + latency + pauses
+    }
+}
+
 /// A server, with its expected cost for a request.
 #[derive(Debug, Clone, Copy)]
-struct CostRow<'rows> {
-    row: &'rows BackendRow,
-    /// In milliseconds.
-    cost: f64,
+pub(crate) struct CostRow<'rows> {
+    pub(crate) row: &'rows BackendRow,
+    pub(crate) parts: CostParts,
+    /// Sum of the components, in milliseconds.
+    pub(crate) cost: f64,
     site: ServerSite,
 }
 
@@ -93,6 +133,20 @@
     query: &PlacementQuery<'_>,
     extra_cost: ExtraCost,
 ) -> Option<&'rows BackendRow>
+where
+    ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
+{
+    let candidates = cost_candidates(eligible, query, extra_cost);
+    let best = candidates.into_iter().min_by(|row, other| row.cost.total_cmp(&other.cost));
+    best.map(|best| best.row)
+}
+
+/// Returns the servers among which [`pick_cheapest`] chooses, with their costs.
+pub(crate) fn cost_candidates<'rows, ExtraCost>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+    extra_cost: ExtraCost,
+) -> Vec<CostRow<'rows>>
 where
     ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
 {
@@ -100,11 +154,10 @@
     let speeds = affinity::with_slowdowns(&rows);
     let mut costs = cost_rows(&speeds, query);
     for (row, speed) in costs.iter_mut().zip(&speeds) {
-        row.cost += extra_cost(speed);
+        row.parts.pauses = extra_cost(speed);
+        row.cost = row.parts.total();
     }
-    let candidates = drop_remote(costs, query);
-    let best = candidates.into_iter().min_by(|row, other| row.cost.total_cmp(&other.cost));
-    best.map(|best| best.row)
+    drop_remote(costs, query)
 }
 
 /// Returns the servers that the request may be placed at, in the order of `eligible`. While remote
@@ -175,9 +228,11 @@
     let rate = |server: &SpeedRow<'rows>| {
         let is_preferred =
             preferred.is_some_and(|preferred| preferred.row.entry.id == server.row.entry.id);
+        let parts = estimate_cost(server, query, is_preferred);
         CostRow {
             row: server.row,
-            cost: estimate_cost(server, query, is_preferred),
+            parts,
+            cost: parts.total(),
             site: find_site(server.row, query, is_preferred),
         }
     };
@@ -247,18 +302,25 @@
     query.parts.get(shared).map(|part| part.id)
 }
 
-/// Returns the expected time to the first event plus the cost to other requests, in milliseconds.
-fn estimate_cost(speed: &SpeedRow<'_>, query: &PlacementQuery<'_>, is_preferred: bool) -> f64 {
+/// Returns the expected time to the first event plus the cost to other requests.
+fn estimate_cost(
+    speed: &SpeedRow<'_>,
+    query: &PlacementQuery<'_>,
+    is_preferred: bool,
+) -> CostParts {
     let row = speed.row;
     let in_flight = row.flights.len() as f64;
     let is_remote = *row.entry.data_centre != *query.data_centre;
-    let base = if is_remote { query.remote.cost } else { 0.0 };
-    let cold = if row.is_cold(query.now) { COLD_COST } else { 0.0 };
-    let permit = row.permit_delay(query.now).as_secs_f64() * 1_000.0;
-    let base = base + cold + permit;
+    let base = CostParts {
+        remote: if is_remote { query.remote.cost } else { 0.0 },
+        cold: if row.is_cold(query.now) { COLD_COST } else { 0.0 },
+        permit: row.permit_delay(query.now).as_secs_f64() * 1_000.0,
+        ..CostParts::default()
+    };
     if query.prompt_tokens == 0 {
         let slots = row.entry.slots.max(1) as f64;
-        return base + in_flight / slots * PLAIN_REQUEST_COST + row.latency * 1_000.0 * 0.1;
+        let work = in_flight / slots * PLAIN_REQUEST_COST;
+        return CostParts { work, latency: row.latency * 1_000.0 * 0.1, ..base };
     }
     let own = own_tokens(query) as f64;
     // The other entries send the shared parts to their preferred server too, so it has them cached.
@@ -272,5 +334,5 @@
     let occupancy = (in_flight + 1.0) / row.entry.slots.max(1) as f64;
     let overload = if occupancy > 1.0 { (occupancy - 1.0) * 2_000.0 } else { 0.0 };
     let prefill = (uncached + backlog) / PREFILL_RATE + in_flight * SEQUENCE_COST;
-    base + fetch + prefill * speed.slowdown + overload
+    CostParts { fetch, work: prefill * speed.slowdown, overload, ..base }
 }
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -182,13 +182,21 @@
     query: &PlacementQuery<'_>,
     rule: &PauseRule,
 ) -> Option<&'rows BackendRow> {
+    placement::pick_cheapest(eligible, query, |server| pause_cost(server, query, rule))
+}
+
+/// Returns the cost of the pauses at a server by this entry's own requests there, in milliseconds.
+/// Zero for a plain service, and if `rule` has no limit below 600 ms.
+pub(crate) fn pause_cost(
+    server: &SpeedRow<'_>,
+    query: &PlacementQuery<'_>,
+    rule: &PauseRule,
+) -> f64 {
     if query.prompt_tokens == 0 || rule.strict_limit().is_none() {
-        return placement::pick_backend(eligible, query);
+        return 0.0;
     }
-    let tokens = placement::own_tokens(query);
-    placement::pick_cheapest(eligible, query, |server| {
-        rule.placement_cost(tokens, PauseLoad::from_flights(server.row, server.slowdown))
-    })
+    let load = PauseLoad::from_flights(server.row, server.slowdown);
+    rule.placement_cost(placement::own_tokens(query), load)
 }
 
 /// Returns the cost of a prompt to the streams of its server, and the cost of the prompts before
