An entry explains where a request would go now

Cause: an operator could not ask why an entry chooses a server or refuses a request; logs tell it of requests that were sent only.

It calls the decisions of the request path, those that change a table on a copy, and sends, reserves, logs and counts nothing. The addresses of callers and of the balancer do not serve it.

The store access remembers when each kind was last heard of, for the ages.

Link share, stopping, permits and streams that are taken up have no test with real processes.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -213,7 +213,10 @@
 
 /// Closes a connection. After a complete response, closes it gracefully so that the caller receives
 /// all of it.
-async fn close_connection(mut connection: BufferedConnection, complete: bool) -> io::Result<()> {
+pub(crate) async fn close_connection(
+    mut connection: BufferedConnection,
+    complete: bool,
+) -> io::Result<()> {
     if !complete {
         return Ok(());
     }
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -19,6 +19,8 @@
 //! rate limit only receives requests that got a permit ([`permits`]). If no VM runs a relay, entries
 //! host relays themselves ([`hosting`]).
 //!
+//! [`explaining`] tells operators where a request would go now, by the same decisions.
+//!
 //! Decisions are made in the `toucanrail` library; this crate owns sockets and timers.
 //!
 //! # Examples
@@ -41,6 +43,8 @@
 pub mod call_log;
 pub mod change_feed;
 pub mod dispatching;
+pub mod explain_command;
+pub mod explaining;
 pub mod forwarding;
 pub mod grant_manager;
 pub mod hosting;
--- a/toucanrail-gateway/src/link_admission.rs
+++ b/toucanrail-gateway/src/link_admission.rs
@@ -82,6 +82,12 @@
     }
 }
 
+/// Returns the decision on a request's share of the link as it would be made now, and takes none.
+pub fn preview_share(gateway: &Gateway, head: &RequestHead, limits: CallerLimits) -> ShareDecision {
+    let mut share = *gateway.link_admission.share.borrow();
+    share.decide(make_query(gateway, head, limits), gateway.link.load(), gateway.now())
+}
+
 fn make_query(gateway: &Gateway, head: &RequestHead, limits: CallerLimits) -> ShareQuery {
     let body = match head.length {
         BodyLength::Absent => 0,
--- a/toucanrail-gateway/src/liveness.rs
+++ b/toucanrail-gateway/src/liveness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use toucanrail::backends::BackendEntry;
+use toucanrail::backends::{BackendEntry, BackendId};
 use toucanrail::paces::BackendReport;
 use toucanrail::silences::{RunStatus, SilenceDetector, SilenceVerdict};
 
@@ -43,6 +43,15 @@
     report
 }
 
+/// Returns the age of the last load report of a server, or `None` if there is none or a new one is
+/// being fetched.
+pub fn report_age(gateway: &Gateway, server: &BackendId) -> Option<Duration> {
+    let row = gateway.load_reports.find(server)?;
+    let row = row.try_lock()?;
+    let cached = row.as_ref().filter(|cached| cached.report.is_some())?;
+    Some(gateway.now().saturating_sub(cached.taken_at))
+}
+
 async fn request_report(gateway: &Gateway, server: &BackendEntry) -> Option<BackendReport> {
     let (relay, address) = gateway.store.relay_at(server.address.ip())?;
     let timeout = REPORT_TIMEOUT;
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -70,6 +70,13 @@
     ends: RefCell<BTreeMap<Arc<str>, EndQueue>>,
 }
 
+impl LoanClient {
+    /// Returns whether a lender failed recently and is not asked now.
+    pub fn avoids(&self, lender: &Arc<str>, now: Duration) -> bool {
+        self.backoff.is_active(lender, now)
+    }
+}
+
 /// The budget reserved for one request. Dropping it bills the tokens that were used, however the
 /// request ends.
 #[derive(Debug)]
@@ -145,8 +152,7 @@
     let now = gateway.now();
     let lenders = gateway.store.lenders();
     let ranked = loans::rank_lenders(&lenders, &gateway.grant_manager.shard_of(need.customer));
-    let available =
-        ranked.into_iter().filter(|(name, _)| !gateway.loan_client.backoff.is_active(name, now));
+    let available = ranked.into_iter().filter(|(name, _)| !gateway.loan_client.avoids(name, now));
     for (lender, address) in available.take(MAX_LENDERS) {
         let number = gateway.loan_client.next_number.get();
         gateway.loan_client.next_number.set(number + 1);
--- a/toucanrail-gateway/src/relay_listing.rs
+++ b/toucanrail-gateway/src/relay_listing.rs
@@ -62,6 +62,7 @@
         let pause = match outcome {
             BoardOutcome::Updated(update) => {
                 listed_at = Some(gateway.now());
+                store.record_heard(RELAY_KIND);
                 revision = apply_update(store, update).or(revision);
                 BOARD_PAUSE
             }
@@ -70,6 +71,7 @@
                     && list_from_store(&gateway).await =>
             {
                 listed_at = Some(gateway.now());
+                store.record_heard(RELAY_KIND);
                 revision = None;
                 FAILURE_PAUSE
             }
--- a/toucanrail-gateway/src/server_cache.rs
+++ b/toucanrail-gateway/src/server_cache.rs
@@ -28,6 +28,11 @@
         Rc::clone(rows.entry(Arc::clone(server)).or_default())
     }
 
+    /// Returns the value of a server, to be locked, if it was ever fetched.
+    pub fn find(&self, server: &BackendId) -> Option<Rc<Mutex<Option<Value>>>> {
+        self.rows.borrow().get(server).map(Rc::clone)
+    }
+
     /// Drops the values of unknown servers.
     pub fn retain<Known>(&self, is_known: Known)
     where
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -24,7 +24,7 @@
 use toucanrail_wire::keepalive::KeepAlivePool;
 
 use crate::accepting;
-use crate::admin;
+use crate::admin::{self, AdminScope};
 use crate::call_log;
 use crate::grant_manager::{self, GrantManager};
 use crate::hosting;
@@ -62,8 +62,10 @@
     let shared = Rc::clone(&gateway);
     let executor = &gateway.executor;
     executor.spawn(accepting::serve_callers(Rc::clone(&shared), callers)).detach();
-    executor.spawn(admin::serve_admin(Rc::clone(&shared), readiness)).detach();
-    executor.spawn(admin::serve_admin(Rc::clone(&shared), internal)).detach();
+    executor
+        .spawn(admin::serve_admin(Rc::clone(&shared), readiness, AdminScope::Balancer))
+        .detach();
+    executor.spawn(admin::serve_admin(Rc::clone(&shared), internal, AdminScope::Internal)).detach();
     let probing = store_access::probe_endpoint(Rc::clone(&shared.store), shared.settings.store);
     executor.spawn(probing).detach();
     executor.spawn(relay_listing::watch_relays(Rc::clone(&shared))).detach();
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -227,6 +227,13 @@
         admits
     }
 
+    /// Returns whether [`admits`](Self::admits) would admit a request now, and changes nothing.
+    pub fn would_admit(&self, service: &ServiceName, query: AdmissionQuery) -> bool {
+        let mut row = self.tables.borrow().limits.get(service).cloned().unwrap_or_default();
+        row.record_link_load(self.delaying_load());
+        row.admits(query, self.now())
+    }
+
     /// Returns whether load reports should be requested before a request is placed: requests wait
     /// too long for their first event, and free slots may be scarce. `random` is in `0..1`.
     pub fn should_probe(&self, service: &ServiceName, random: f64) -> bool {
--- a/toucanrail-gateway/src/store_access.rs
+++ b/toucanrail-gateway/src/store_access.rs
@@ -45,6 +45,8 @@
     responded_at: Cell<Option<Duration>>,
     /// Uses of the store whose last call was not answered, and since when.
     unanswered: RefCell<BTreeMap<&'static str, Duration>>,
+    /// When the store, or a board, last responded to each use.
+    heard_at: RefCell<BTreeMap<&'static str, Duration>>,
 }
 
 impl StoreAccess {
@@ -61,6 +63,7 @@
             clock,
             responded_at: Cell::new(None),
             unanswered: RefCell::default(),
+            heard_at: RefCell::default(),
         }
     }
 
@@ -84,6 +87,7 @@
     pub fn record_call(&self, usage: &'static str, responded: bool) {
         let mut unanswered = self.unanswered.borrow_mut();
         if responded {
+            self.record_heard(usage);
             let age = self.time_since_response().as_millis() as u64;
             self.responded_at.set(Some(self.now()));
             if unanswered.remove(usage).is_some() {
@@ -95,6 +99,18 @@
         }
     }
 
+    /// Records that the store, or a board, has responded to a use.
+    pub fn record_heard(&self, usage: &'static str) {
+        self.heard_at.borrow_mut().insert(usage, self.now());
+    }
+
+    /// Returns the time since the store, or a board, last responded to a use; none if neither ever
+    /// has.
+    pub fn time_since_heard(&self, usage: &str) -> Option<Duration> {
+        let heard_at = self.heard_at.borrow().get(usage).copied();
+        heard_at.map(|at| self.now().saturating_sub(at))
+    }
+
     /// Returns whether the last call of a use of the store was not answered.
     pub fn is_unanswered(&self, usage: &str) -> bool {
         self.unanswered.borrow().contains_key(usage)
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -693,6 +693,11 @@
         file.expect("a log file").into()
     }
 
+    /// Returns the internal address of a gateway.
+    pub fn internal(&self) -> SocketAddr {
+        self.last_address
+    }
+
     /// Kills the process. It may have exited already, as after SIGTERM.
     pub fn kill(&mut self) {
         self.child.kill().ok();
--- a/toucanrail/src/admissions.rs
+++ b/toucanrail/src/admissions.rs
@@ -65,7 +65,7 @@
 
 /// The requests of one entry that wait for their first event at one service, and the current limit
 /// on them.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Default, Clone, Serialize)]
 pub struct AdmissionLimit {
     limit: Option<f64>,
     rows: BTreeMap<FlightId, PendingRow>,
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod ejections;
 pub mod endpoints;
 pub mod evacuations;
+pub mod explanations;
 pub mod frames;
 pub mod framing;
 pub mod grants;
