An entry is ready only once it knows what the relays hold back

Logs of two failures: three relays held the request back, and 65 ms later the entry that had started last sent it to a fourth server, 286 and 295 ms after its start.

Change: an entry asks as soon as the relays are listed, and is not ready until those that keep the suspects have replied, for at most 1 s after its start. Entries of a fleet that starts for the first time do not wait.

--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -38,7 +38,7 @@
 use crate::server_cache::ServerCache;
 use crate::server_ends::ProbeResult;
 use crate::store_access::StoreAccess;
-use crate::suspect_reports::SuspectReporter;
+use crate::suspect_reports::{self, SuspectReporter};
 
 /// Fraction of the fleet's retry limits that is divided among entries. The entries' windows are not
 /// aligned with those of the fleet; two of the fleet's windows cover them all, hence one half.
@@ -152,12 +152,14 @@
     ///
     /// Configuration, servers and evacuations are listed by concurrent calls. An entry that
     /// reported ready after the first of them would refuse every request for lack of servers until
-    /// the last one completes.
+    /// the last one completes. One that did not know yet what relays hold back would send requests
+    /// under which servers have ended.
     pub fn is_ready(&self) -> bool {
         let tables = self.tables.borrow();
         let is_informed = tables.routes.version() > 0
             && tables.backends.is_listed()
-            && tables.backends.evacuations.is_known();
+            && tables.backends.evacuations.is_known()
+            && suspect_reports::is_informed(self);
         let has_room = self.settings.limits.has_room(self.caller_connections.get());
         let is_available = has_room && !self.is_isolated() && !self.link.is_away(self.now());
         is_informed && self.stop_requested.get().is_none() && is_available
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -30,6 +30,9 @@
 const HOLD_SLACK: Duration = Duration::from_millis(500);
 /// Pause after a query that failed, or when there is no relay.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time after the start in which an entry is not ready until it knows what the relays hold back. A live
+/// relay replies within a few milliseconds; without one the entry is as useful as before.
+const MAX_READY_DELAY: Duration = Duration::from_secs(1);
 /// Interval between two lines in the log about these messages.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Minimum time between two questions for a trial.
@@ -255,8 +258,20 @@
     }
 }
 
+/// Returns whether this entry knows what each of the relays that keep the suspects holds back, or has
+/// waited long enough for it. Nothing is held back in a fleet that starts for the first time.
+pub fn is_informed(gateway: &Gateway) -> bool {
+    if gateway.settings.starts_fleet || gateway.now() >= MAX_READY_DELAY {
+        return true;
+    }
+    let tables = gateway.tables.borrow();
+    let is_known = |relay: &LocatedRelay| tables.holds.known(&relay.name).is_some();
+    gateway.store.time_since_relays_listed().is_some() && list_keepers(gateway).iter().all(is_known)
+}
+
 /// Follows what one of the relays holds back, until the process exits.
 pub async fn follow_holds(gateway: Rc<Gateway>, slot: usize) {
+    gateway.store.wait_relays_listed().await;
     loop {
         let Some(relay) = list_keepers(&gateway).into_iter().nth(slot) else {
             smol::Timer::after(RETRY_PAUSE).await;
--- a/toucanrail-gateway/tests/crashing_requests.rs
+++ b/toucanrail-gateway/tests/crashing_requests.rs
@@ -152,6 +152,20 @@
     assert!(runs <= MAX_ENDS, "{runs} servers ended");
 }
 
+/// An entry that was ready sent requests that are held back, for up to 300 ms: it had not yet asked the
+/// relays what they hold back.
+#[test]
+fn ready_entry() {
+    let fleet = start_fleet(3, 2);
+    repeat(&fleet, &[0, 1], "/safe/a", "deadly");
+    for number in 0..4 {
+        let entry = Process::start_gateway_on(&fleet.store, &format!("front-{}", 9 + number));
+        assert_refused(&[call(&entry, "/safe/a", &format!("f{number}"), "deadly")]);
+    }
+    let runs = fleet.count_runs("deadly");
+    assert!(runs <= MAX_ENDS, "{runs} servers ended");
+}
+
 /// One relay after the other is killed between the attempts and starts again.
 #[test]
 fn killed_relays() {
