Test of a fast harmful part that ends servers after the response head

Cause: crashing_parts fast_part covers 25 requests a second that end servers before they respond; the verdict distinguishes requests whose responses have begun, which no fast test reached.

Change: fast_heads sends 50 requests a second with the harmful part first, and servers end after the response head. Both tests share one function; the bounds of fast_part are unchanged.

--- a/toucanrail-gateway/tests/crashing_parts.rs
+++ b/toucanrail-gateway/tests/crashing_parts.rs
@@ -371,12 +371,14 @@
     }
 }
 
-/// Requests with the part come so fast that all servers are down at once, and end them before they
-/// respond. Sound requests that have begun elsewhere stand in the same ends.
-#[test]
-fn fast_part() {
+/// Asserts that harmful requests whose first part is the harmful one, at this interval, are contained
+/// and that sound requests are served.
+fn assert_fast_contained<Script>(interval: Duration, script: Script)
+where
+    Script: Fn(&Message) -> RunFate + Clone + Send + Sync + 'static,
+{
     let down_time = Duration::from_secs(2);
-    let fleet = CrashFleet::start(SERVER_COUNT, ENTRY_COUNT, SERVER_COUNT, down_time, ends_unheard);
+    let fleet = CrashFleet::start(SERVER_COUNT, ENTRY_COUNT, SERVER_COUNT, down_time, script);
     let mut calm_until = Instant::now();
     let calls = send_sound(&fleet, "a1:300", SOUND_INTERVAL, || {
         thread::sleep(CALM_TIME);
@@ -388,10 +390,24 @@
                     break;
                 }
                 scope.spawn(|| call(entry, "dead1:160,a1:300"));
-                thread::sleep(Duration::from_millis(40));
+                thread::sleep(interval);
             }
         });
     });
     let fifth = assert_contained(&fleet);
     assert_served(&calls, calm_until, fifth);
 }
+
+/// Requests with the part come so fast that all servers are down at once, and end them before they
+/// respond. Sound requests that have begun elsewhere stand in the same ends.
+#[test]
+fn fast_part() {
+    assert_fast_contained(Duration::from_millis(40), ends_unheard);
+}
+
+/// Requests with the part come twice as fast, and end servers after the head of the response, at which
+/// sound responses have begun too. Sound requests must not be held back in their place.
+#[test]
+fn fast_heads() {
+    assert_fast_contained(Duration::from_millis(20), run_or_end);
+}
