fault_soak covers link shares, remote placement and pause targets

All checks stay. New ones: a refusal with 3208 has status 503 and says not-run (that none of them ran was and is checked for all such refusals); each request has at most one settled bill, of no more than its prompt and events, and none if it was refused as not run; some requests are refused with 3208 and some are billed. The processes are stopped at the end, so that they settle. A restarted test process keeps its flags.

--- a/toucanrail-gateway/tests/fault_soak.rs
+++ b/toucanrail-gateway/tests/fault_soak.rs
@@ -1,7 +1,10 @@
 //! Seeded soak test: real gateways and relays under load, while they are killed, stopped, paused
-//! and cut off from the store, and servers lose, truncate and mix up responses. A second test adds
-//! proxies that delay, reset or stall the connections to servers and to the store, or cut them in
-//! one direction. The guarantees are checked against what callers and servers observe.
+//! and cut off from the store, and servers lose, truncate and mix up responses. The entries have
+//! links of unlike capacity, some callers send more than the small one carries, two of the three servers
+//! are in another data centre, and the streams' pause target is so strict that all prompts count as
+//! long. A second test adds proxies that delay, reset or stall the connections to servers and to the
+//! store, or cut them in one direction. The guarantees are checked against what callers and servers
+//! observe.
 //!
 //! `TOUCANRAIL_SOAK_SEEDS="1 2 3"` selects the seeds. CI runs those of `SEEDS`; each seed that ever
 //! fails is added to them.
@@ -17,6 +20,9 @@
 
 use platform::proxies::{Proxy, ProxyFault};
 use platform::{Action, Backend, Message, Process, Store, request};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use toucanrail::budgets::{BillBatch, BudgetShard};
 
 /// Seeds of every CI run.
 const SEEDS: [u64; 2] = [1, 2];
@@ -31,6 +37,17 @@
 const UNFRAMED_PERCENT: u32 = 20;
 const CALLER_COUNT: u64 = 4;
 const ROUTES: [&str; 4] = ["once", "safe", "stream", "resume"];
+/// Links of the entries, in megabits a second: 125,000 bytes a second, and one that is never loaded.
+const SMALL_LINK: u32 = 1;
+const LARGE_LINK: u32 = 1_000;
+/// Callers that fill the small link, and the size of their bodies: five of them a second do. One such
+/// caller got 2 refusals only in a run on a busy machine.
+const HEAVY_COUNT: u64 = 3;
+const LARGE_BODY: usize = 20_000;
+/// Pause target of the streams, in milliseconds. Prompts of 82 tokens and more are long for it.
+const GAP_AIM_MS: u64 = 3;
+/// Costs of servers in other data centres.
+const ZONE_FLAGS: [&str; 2] = ["--zone-delay=5ms", "--zone-price=20ms/MB"];
 
 /// What servers ran and callers received.
 #[derive(Debug, Default)]
@@ -39,9 +56,13 @@
     runs: BTreeMap<String, u32>,
     /// Attempts that were refused as not run.
     refused: Vec<String>,
+    /// Number of them that were refused for a full link.
+    link_refused: u64,
     /// Number of events that callers received, by attempt id.
     events: BTreeMap<String, u64>,
     served: u64,
+    /// Number of requests with bills.
+    billed: usize,
     violations: Vec<String>,
 }
 
@@ -104,15 +125,17 @@
     event + "id: 1".len()
 }
 
+/// Sends requests with bodies of this size at random entries.
 fn run_caller(
     number: u64,
     seed: u64,
+    body_size: usize,
     entries: &[SocketAddr],
     record: &Mutex<SoakRecord>,
     stopped: &AtomicBool,
 ) {
     let mut rng = fastrand::Rng::with_seed(seed ^ (number << 32));
-    let mut count = 0;
+    let (content, mut count) = ("b".repeat(body_size), 0);
     while !stopped.load(Ordering::Relaxed) {
         count += 1;
         let route = ROUTES[rng.usize(0..ROUTES.len())];
@@ -120,7 +143,7 @@
         let streams = matches!(route, "stream" | "resume");
         let headers = if streams { platform::PROMPT_HEADERS } else { "" };
         let headers = format!("{headers}Connection: close\r\n");
-        let (method, body) = if route == "safe" { ("GET", "") } else { ("POST", "b") };
+        let (method, body) = if route == "safe" { ("GET", "") } else { ("POST", &*content) };
         let text = request(method, &format!("/{route}/a"), &attempt, &headers, body);
         let Some(response) = platform::try_raw(entries[rng.usize(0..entries.len())], &text) else {
             thread::sleep(Duration::from_millis(30));
@@ -136,6 +159,12 @@
     if matches!(status, "408" | "421" | "429" | "503") {
         record.refused.push(attempt.to_owned());
     }
+    if response.contains("toucanrail-result: 3208") {
+        record.link_refused += 1;
+        if status != "503" || !response.contains("toucanrail-run: not-run") {
+            record.violations.push(format!("{attempt} was refused by {response}"));
+        }
+    }
     if status != "200" {
         return;
     }
@@ -211,6 +240,38 @@
     }
 }
 
+fn read_objects<Spec>(store: &Store, kind: &str) -> BTreeMap<String, Spec>
+where
+    Spec: DeserializeOwned,
+{
+    let specs = store.names(kind).into_iter().filter_map(|name| {
+        let spec = store.get(kind, &name)?;
+        Some((name, serde_json::from_value(spec).expect("an object")))
+    });
+    specs.collect()
+}
+
+/// Checks the settled bills: each request has at most one, of no more than it used, and none if it was
+/// refused as not run.
+fn check_bills(store: &Store, record: &mut SoakRecord) {
+    let shards: BTreeMap<String, BudgetShard> = read_objects(store, "budgets");
+    let mut billed: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for (name, batch) in read_objects::<BillBatch>(store, "bills") {
+        if shards[&*batch.shard].counts_batch(&batch, &name) {
+            for row in batch.rows.iter().filter(|row| row.billed > 0) {
+                billed.entry(row.request.to_string()).or_default().push(row.billed);
+            }
+        }
+    }
+    record.billed = billed.len();
+    for (attempt, bills) in billed {
+        let is_possible = bills[0] <= PROMPT_TOKENS + EVENTS_PER_STREAM * TOKENS_PER_EVENT;
+        if bills.len() > 1 || !is_possible || record.refused.contains(&attempt) {
+            record.violations.push(format!("{attempt} was billed {bills:?}"));
+        }
+    }
+}
+
 /// Injects a fault into the connections through one proxy for a while. Stalled connections stay
 /// stalled.
 fn inject_network_fault(rng: &mut fastrand::Rng, proxies: &[Proxy]) {
@@ -244,15 +305,30 @@
         proxies.extend(servers);
     }
     platform::configure_prepaid(&store, 1, &backends.each_ref(), BUDGET_TOKENS);
+    platform::configure_field(&store, 2, "routes", "gap_aim_ms", &json!(GAP_AIM_MS));
+    // One server is left in the entries' data centre. Beside two of them, a remote one got no request
+    // in five seeds.
+    for backend in &backends[1..] {
+        platform::register(&store, backend, "b", 0);
+    }
     let relays = ["side-1", "side-2"].map(|vm| Process::start_relay(&store, vm));
-    let gateways = [Process::start_gateway(&store), Process::start_gateway(&store)];
+    let links = [("front-1", SMALL_LINK), ("front-2", LARGE_LINK)];
+    let gateways = links.map(|(vm, link)| {
+        let mut gateway = Process::start_gateway_with_link(&store, vm, link);
+        gateway.restart_with(&ZONE_FLAGS);
+        gateway.wait_ready(true);
+        gateway
+    });
     let entries: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.callers).collect();
     let stopped = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..CALLER_COUNT)
+    let callers: Vec<_> = (0..CALLER_COUNT + HEAVY_COUNT)
         .map(|number| {
-            let (entries, record, stopped) =
-                (entries.clone(), Arc::clone(&record), Arc::clone(&stopped));
-            thread::spawn(move || run_caller(number, seed, &entries, &record, &stopped))
+            let (record, stopped) = (Arc::clone(&record), Arc::clone(&stopped));
+            // The last ones send large bodies to the entry with the small link.
+            let is_heavy = number >= CALLER_COUNT;
+            let (size, entries) =
+                if is_heavy { (LARGE_BODY, vec![entries[0]]) } else { (1, entries.clone()) };
+            thread::spawn(move || run_caller(number, seed, size, &entries, &record, &stopped))
         })
         .collect();
     let mut processes: Vec<Process> = relays.into_iter().chain(gateways).collect();
@@ -269,13 +345,19 @@
         caller.join().expect("a caller");
     }
     let mut record = std::mem::take(&mut *record.lock().expect("unpoisoned lock"));
+    // Entries end their loans before relays settle them.
+    for process in processes.iter_mut().rev() {
+        process.signal("TERM");
+        process.wait_end();
+    }
     check_record(&mut record);
+    check_bills(&store, &mut record);
     record
 }
 
 /// Entries and relays die, pause, stop and lose the store while servers misbehave. No budget is
 /// overspent, a request that must not be repeated runs at most once, a request reported as not run
-/// did not run, and a response that looks complete is complete.
+/// did not run, a request is billed at most once, and a response that looks complete is complete.
 #[test]
 fn seeded_faults() {
     run_seeds(&SEEDS, false);
@@ -294,8 +376,13 @@
         selected.map(|text| text.split_whitespace().filter_map(|seed| seed.parse().ok()).collect());
     for seed in selected.unwrap_or(default_seeds.to_vec()) {
         let record = run_seed(seed, with_proxies);
-        println!("seed {seed}: {} attempts ran, {} served", record.runs.len(), record.served);
+        let SoakRecord { runs, served, billed, link_refused, .. } = &record;
+        println!(
+            "seed {seed}: {} attempts ran, {served} served, {billed} billed, {link_refused} for a full link",
+            runs.len(),
+        );
         assert!(record.violations.is_empty(), "seed {seed}: {:?}", record.violations);
-        assert!(record.served > 20, "seed {seed}: only {} served", record.served);
+        assert!(*served > 20, "seed {seed}: only {served} served");
+        assert!(*link_refused > 0 && *billed > 0, "seed {seed}: {link_refused} {billed}");
     }
 }
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -539,6 +539,8 @@
     /// The address that the process opens last.
     last_address: SocketAddr,
     settings: PathBuf,
+    /// Flags given by `restart_with`.
+    flags: Vec<String>,
     _ports: PortLease,
 }
 
@@ -668,7 +670,16 @@
         // entries.
         let last_port = internal_port + u16::from(program.ends_with("relay"));
         let last_address = SocketAddr::from(([127, 0, 0, 1], last_port));
-        Self { program, child, callers, readiness, last_address, settings, _ports: ports }
+        Self {
+            program,
+            child,
+            callers,
+            readiness,
+            last_address,
+            settings,
+            flags: Vec::new(),
+            _ports: ports,
+        }
     }
 
     fn spawn(program: &str, settings: &Path) -> Child {
@@ -699,17 +710,17 @@
         self.child.wait().ok();
     }
 
-    /// Kills the process and starts it again with the same settings.
+    /// Kills the process and starts it again with the same settings and flags.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = Self::spawn(self.program, &self.settings);
+        let mut command = Self::make_command(self.program, &self.settings);
+        self.child = command.args(&self.flags).spawn().expect("a process");
     }
 
-    /// Kills the process and starts it again with additional flags.
+    /// Kills the process and starts it again with these flags, which later restarts keep.
     pub fn restart_with(&mut self, flags: &[&str]) {
-        self.kill();
-        let mut command = Self::make_command(self.program, &self.settings);
-        self.child = command.args(flags).spawn().expect("a process");
+        self.flags = flags.iter().map(|flag| (*flag).to_owned()).collect();
+        self.restart();
     }
 
     /// Sends a signal, given by its name without `SIG`.
