One module for the smoothed sizes of responses

The link share tracked the sizes of responses by route, and remote placement tracked them again, by route too, with the same weight of 0.05. response_sizes::ResponseSizes now does it for both; each keeps its own table, because the link share counts all responses and remote placement complete ones.

No decision changes: before the first response the link share assumes 3,000 bytes and remote placement none, as before.

--- a/toucanrail-gateway/src/link_admission.rs
+++ b/toucanrail-gateway/src/link_admission.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use toucanrail::codetable;
-use toucanrail::link_shares::{self, LinkShare, ResponseSizes, ShareDecision, ShareQuery};
+use toucanrail::link_shares::{self, LinkShare, ShareDecision, ShareQuery};
 use toucanrail::matching::CallerLimits;
+use toucanrail::response_sizes::ResponseSizes;
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail::scanners::BodyLength;
 use toucanrail_platform::requests;
@@ -96,7 +97,7 @@
         let (rank, latency_target) = (link_shares::MAX_RANK, UNKNOWN_TARGET);
         return ShareQuery { cost: body, rank, latency_target };
     };
-    let cost = body + sizes.expected(&route.name);
+    let cost = body + sizes.expected(&route.name).unwrap_or(link_shares::ASSUMED_RESPONSE);
     ShareQuery { cost, rank: route.priority, latency_target: route.latency_target }
 }
 
@@ -136,6 +137,6 @@
     }
     let tables = gateway.tables.borrow();
     if let Some(route) = tables.routes.find_route(head.host(), head.path()) {
-        gateway.link_admission.sizes.borrow_mut().record_response(&route.name, bytes);
+        gateway.link_admission.sizes.borrow_mut().record_response(&route.name, bytes as u64);
     }
 }
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -17,6 +17,7 @@
 use toucanrail::matching::RouteTable;
 use toucanrail::memory_budgets::MemoryBudget;
 use toucanrail::origins::OriginTable;
+use toucanrail::response_sizes::ResponseSizes;
 use toucanrail_daemons::metrics::ProcessMetrics;
 use toucanrail_daemons::starting::{self, ProcessClock};
 use toucanrail_platform::settings::NodeSettings;
@@ -112,7 +113,7 @@
         limits: BTreeMap::new(),
         free_slots: BTreeMap::new(),
         offloads: BTreeMap::new(),
-        response_sizes: BTreeMap::new(),
+        response_sizes: ResponseSizes::default(),
         origins: OriginTable::new(),
         holds: HoldTable::default(),
     };
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -16,7 +16,8 @@
 use toucanrail::origins::OriginTable;
 use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
-use toucanrail::remote_placement::{OffloadShare, RemoteCosts, RemoteTerms, ResponseSize};
+use toucanrail::remote_placement::{OffloadShare, RemoteCosts, RemoteTerms};
+use toucanrail::response_sizes::ResponseSizes;
 use toucanrail::retries::{RetryBudget, RetryLimits};
 use toucanrail::statements::ServerProcess;
 use toucanrail_daemons::metrics::ProcessMetrics;
@@ -73,8 +74,9 @@
     /// Fractions of requests for which all servers of other data centres are candidates, by
     /// service.
     pub offloads: BTreeMap<ServiceName, OffloadShare>,
-    /// Sizes of responses, by route.
-    pub response_sizes: BTreeMap<Arc<str>, ResponseSize>,
+    /// Sizes of complete responses, by route; recorded only where settings state what other data
+    /// centres cost.
+    pub response_sizes: ResponseSizes,
     /// Origins of the streams that began here or were taken up here.
     pub origins: OriginTable,
     /// Requests that are held back because servers ended under them.
@@ -256,7 +258,7 @@
             return RemoteTerms::default();
         };
         let tables = self.tables.borrow();
-        let response = tables.response_sizes.get(route).map_or(0, ResponseSize::bytes);
+        let response = tables.response_sizes.expected(route).map_or(0, |bytes| bytes as u64);
         RemoteTerms {
             cost: costs.request_cost((body as u64).saturating_add(response)),
             are_candidates: tables.offloads.get(service).is_some_and(|share| share.includes(draw)),
@@ -266,8 +268,7 @@
     /// Records the size of a complete response of a route, in bytes.
     pub fn record_response_size(&self, route: &Arc<str>, bytes: u64) {
         if self.remote_costs.is_some() {
-            let mut tables = self.tables.borrow_mut();
-            tables.response_sizes.entry(Arc::clone(route)).or_default().record(bytes);
+            self.tables.borrow_mut().response_sizes.record_response(route, bytes);
         }
     }
 
--- a/toucanrail/src/link_shares.rs
+++ b/toucanrail/src/link_shares.rs
@@ -5,8 +5,6 @@
 //! lenders and servers for slow. Part of the link is therefore reserved for the entry's own calls,
 //! and requests that exceed the rest are refused before their bodies are read.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Load, as a fraction of the capacity, from which requests wait for their share and delays are
@@ -33,11 +31,7 @@
 /// Time over which the shortest accepted wait is determined.
 const BOUND_WINDOW: Duration = Duration::from_secs(1);
 /// Size of a response, in bytes, of a route that has had none yet.
-const ASSUMED_RESPONSE: f64 = 3_000.0;
-/// Weight of a new response in the smoothed size of a route's responses.
-const RESPONSE_WEIGHT: f64 = 0.05;
-/// Maximum number of routes whose responses are remembered; names of removed routes stay.
-const MAX_ROUTES: usize = 4_096;
+pub const ASSUMED_RESPONSE: f64 = 3_000.0;
 
 /// Returns whether a link with this load, as a fraction of its capacity, delays what crosses it.
 /// Late replies are then no evidence about those who sent them.
@@ -196,35 +190,3 @@
         Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
     }
 }
-
-/// Smoothed sizes of the responses of each route.
-#[derive(Debug, Clone, Default)]
-pub struct ResponseSizes {
-    rows: BTreeMap<Arc<str>, f64>,
-}
-
-impl ResponseSizes {
-    /// Records the size of a route's response in bytes.
-    ///
-    /// # Examples
-    /// ```
-    /// use toucanrail::link_shares::ResponseSizes;
-    /// let mut sizes = ResponseSizes::default();
-    /// sizes.record_response(&"chat".into(), 1_000);
-    /// sizes.record_response(&"chat".into(), 3_000);
-    /// assert!((sizes.expected("chat") - 1_100.0).abs() < 1.0);
-    /// ```
-    pub fn record_response(&mut self, route: &Arc<str>, bytes: usize) {
-        let bytes = bytes as f64;
-        if let Some(size) = self.rows.get_mut(route) {
-            *size += (bytes - *size) * RESPONSE_WEIGHT;
-        } else if self.rows.len() < MAX_ROUTES {
-            self.rows.insert(Arc::clone(route), bytes);
-        }
-    }
-
-    /// Returns the expected size of a route's response in bytes.
-    pub fn expected(&self, route: &str) -> f64 {
-        self.rows.get(route).copied().unwrap_or(ASSUMED_RESPONSE)
-    }
-}
--- a/toucanrail/src/remote_placement.rs
+++ b/toucanrail/src/remote_placement.rs
@@ -27,8 +27,6 @@
 const MAX_EXCESS: f64 = 5.0 * RISE_MARGIN;
 /// Weight of a step's mean in the smoothed costs.
 const STEP_WEIGHT: f64 = 0.7;
-/// Weight of a new size in a smoothed size.
-const SIZE_WEIGHT: f64 = 0.05;
 /// Change of the share that is worth a log line.
 const LOGGED_CHANGE: f64 = 0.2;
 /// Tolerance of that comparison, as shares are rounded.
@@ -229,27 +227,3 @@
         self.share = (current + steps).clamp(0.0, STEP_COUNT) / STEP_COUNT;
     }
 }
-
-/// Smoothed size of responses, in bytes.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Serialize)]
-pub struct ResponseSize(f64);
-
-impl ResponseSize {
-    /// Returns the size in bytes; 0 before the first response.
-    pub fn bytes(&self) -> u64 {
-        self.0 as u64
-    }
-
-    /// Records the size of a complete response.
-    ///
-    /// # Examples
-    /// ```
-    /// let mut size = toucanrail::remote_placement::ResponseSize::default();
-    /// size.record(1_000);
-    /// assert_eq!(size.bytes(), 1_000);
-    /// ```
-    pub fn record(&mut self, bytes: u64) {
-        let weight = if self.0 == 0.0 { 1.0 } else { SIZE_WEIGHT };
-        self.0 += (bytes as f64 - self.0) * weight;
-    }
-}
