Placement computes the costs of the servers once for a request

Where zone settings are given, compare_costs computed the costs of all servers a second time for each request. probes::pick_server now yields the chosen server and the comparison of local and remote costs from the same rows; it replaces pick_probed, pick_unprobed and compare_costs, and the tests call it in their place with the same assertions.

Choices are as before. In the comparison, a server that returns from an ejection is considered whenever the choice considers it, which it always does among probed servers.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -29,7 +29,7 @@
 use crate::responding::{self, ResponseWriter};
 use crate::sending;
 use crate::server_ends;
-use crate::state::{Gateway, GatewayTables};
+use crate::state::Gateway;
 use crate::suspect_reports;
 
 /// Maximum wait for load reports; most relays respond within a few milliseconds.
@@ -282,37 +282,27 @@
     /// Picks a server, and a second one that holds shared parts of the prompt in its cache, if
     /// there is a better source than the server itself.
     fn pick_target(&self, probed: &[ProbeRow]) -> Option<(BackendEntry, Option<SocketAddr>)> {
-        let query = self.placement_query();
-        self.update_offload(&query);
-        let tables = self.gateway.tables.borrow();
-        let eligible = self.list_eligible(&tables.backends, query.now);
-        let rule = tables.routes.pause_rule(&self.plan.service);
-        let target = self.plan.route.latency_target;
-        let chosen = probes::pick_probed(&eligible, &query, probed, target, &rule);
-        let row = chosen.or_else(|| probes::pick_unprobed(&eligible, &query, &rule))?;
-        let mut sources = tables.backends.fetch_sources(&self.plan.service, &self.tried, query.now);
-        sources.retain(|row| self.is_region_allowed(row));
-        let source = placement::pick_fetch_source(&sources, &query, row);
-        Some((row.entry.clone(), source.map(|source| source.entry.address)))
-    }
-
-    /// Updates the service's share of requests that may leave the data centre. Only the first choice
-    /// counts: later ones lack the servers that were tried.
-    fn update_offload(&self, query: &PlacementQuery<'_>) {
-        if self.gateway.remote_costs.is_none() || !self.tried.is_empty() {
-            return;
-        }
-        let service = &self.plan.service;
-        let mut tables = self.gateway.tables.borrow_mut();
-        let GatewayTables { backends, offloads, .. } = &mut *tables;
-        let costs = placement::compare_costs(&self.list_eligible(backends, query.now), query);
-        let share = offloads.entry(Arc::clone(service)).or_default();
-        if share.record_costs(costs, query.now) {
-            tracing::info!(
-                event = "offload_share", %service, share = share.share(), local_ms = costs.local,
-                remote_ms = costs.remote,
-            );
+        let (query, plan) = (self.placement_query(), self.plan);
+        let (target, costs) = {
+            let tables = self.gateway.tables.borrow();
+            let eligible = self.list_eligible(&tables.backends, query.now);
+            let rule = tables.routes.pause_rule(&plan.service);
+            let latency_target = plan.route.latency_target;
+            let choice = probes::pick_server(&eligible, &query, probed, latency_target, &rule);
+            let target = choice.row.map(|row| {
+                let mut sources =
+                    tables.backends.fetch_sources(&plan.service, &self.tried, query.now);
+                sources.retain(|row| self.is_region_allowed(row));
+                let source = placement::pick_fetch_source(&sources, &query, row);
+                (row.entry.clone(), source.map(|source| source.entry.address))
+            });
+            (target, choice.costs)
+        };
+        // Later choices lack the servers that were tried.
+        if self.tried.is_empty() {
+            self.gateway.record_costs(&plan.service, costs, query.now);
         }
+        target
     }
 
     async fn attempt(
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -16,7 +16,7 @@
 use toucanrail::origins::OriginTable;
 use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
-use toucanrail::remote_placement::{OffloadShare, RemoteCosts, RemoteTerms};
+use toucanrail::remote_placement::{CostComparison, OffloadShare, RemoteCosts, RemoteTerms};
 use toucanrail::response_sizes::ResponseSizes;
 use toucanrail::retries::{RetryBudget, RetryLimits};
 use toucanrail::statements::ServerProcess;
@@ -265,6 +265,22 @@
         }
     }
 
+    /// Updates a service's share of requests that may leave the data centre, from the costs of the
+    /// servers for one request.
+    pub fn record_costs(&self, service: &ServiceName, costs: CostComparison, now: Duration) {
+        if self.remote_costs.is_none() {
+            return;
+        }
+        let mut tables = self.tables.borrow_mut();
+        let share = tables.offloads.entry(Arc::clone(service)).or_default();
+        if share.record_costs(costs, now) {
+            tracing::info!(
+                event = "offload_share", %service, share = share.share(), local_ms = costs.local,
+                remote_ms = costs.remote,
+            );
+        }
+    }
+
     /// Records the size of a complete response of a route, in bytes.
     pub fn record_response_size(&self, route: &Arc<str>, bytes: u64) {
         if self.remote_costs.is_some() {
--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -49,12 +49,13 @@
     pub remote: RemoteTerms,
 }
 
-/// A server, with its expected cost for a request.
+/// A server, with its expected cost for a request: the time to the first event plus the cost to
+/// other requests.
 #[derive(Debug, Clone, Copy)]
-struct CostRow<'rows> {
-    row: &'rows BackendRow,
+pub(crate) struct CostRow<'rows> {
+    pub(crate) server: SpeedRow<'rows>,
     /// In milliseconds.
-    cost: f64,
+    pub(crate) cost: f64,
     site: ServerSite,
 }
 
@@ -84,27 +85,25 @@
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
 ) -> Option<&'rows BackendRow> {
-    pick_cheapest(eligible, query, |_| 0.0)
+    pick_cheapest(rate_ramped(eligible, query), query, |_| 0.0)
 }
 
-/// Like [`pick_backend`], with a further cost of each server in milliseconds.
+/// Picks the server with the lowest cost among the candidates, with a further cost of each server in
+/// milliseconds.
 pub(crate) fn pick_cheapest<'rows, ExtraCost>(
-    eligible: &[&'rows BackendRow],
+    mut rows: Vec<CostRow<'rows>>,
     query: &PlacementQuery<'_>,
     extra_cost: ExtraCost,
 ) -> Option<&'rows BackendRow>
 where
     ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
 {
-    let rows = filter_ramped(eligible, query);
-    let speeds = affinity::with_slowdowns(&rows);
-    let mut costs = cost_rows(&speeds, query);
-    for (row, speed) in costs.iter_mut().zip(&speeds) {
-        row.cost += extra_cost(speed);
+    for row in &mut rows {
+        row.cost += extra_cost(&row.server);
     }
-    let candidates = drop_remote(costs, query);
+    let candidates = drop_remote(rows, query);
     let best = candidates.into_iter().min_by(|row, other| row.cost.total_cmp(&other.cost));
-    best.map(|best| best.row)
+    best.map(|best| best.server.row)
 }
 
 /// Returns the servers that the request may be placed at, in the order of `eligible`. While remote
@@ -114,8 +113,7 @@
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
 ) -> Vec<&'rows BackendRow> {
-    let speeds = affinity::with_slowdowns(eligible);
-    drop_remote(cost_rows(&speeds, query), query).iter().map(|row| row.row).collect()
+    drop_remote(rate_servers(eligible, query), query).iter().map(|row| row.server.row).collect()
 }
 
 /// Returns the lowest costs of local servers and of remote ones that are candidates by the entry's
@@ -123,19 +121,7 @@
 ///
 /// Remote servers that serve the request's session are left out: they are candidates in any case,
 /// and their cost says nothing about the spare capacity of their data centre.
-///
-/// # Examples
-/// ```
-/// use toucanrail::placement::{self, PlacementQuery};
-/// let query = PlacementQuery {
-///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
-///     remote: Default::default(),
-/// };
-/// assert_eq!(placement::compare_costs(&[], &query).local, None);
-/// ```
-pub fn compare_costs(eligible: &[&BackendRow], query: &PlacementQuery<'_>) -> CostComparison {
-    let speeds = affinity::with_slowdowns(&filter_ramped(eligible, query));
-    let rows = cost_rows(&speeds, query);
+pub(crate) fn compare_costs(rows: &[CostRow<'_>]) -> CostComparison {
     let lowest = |site: ServerSite| {
         let costs = rows.iter().filter(|row| row.site == site).map(|row| row.cost);
         costs.min_by(f64::total_cmp)
@@ -164,19 +150,18 @@
     rows
 }
 
-/// Returns the expected cost of each server, in the order of `rows`: the time to the first event
-/// plus the cost to other requests, in milliseconds.
-pub(crate) fn estimate_costs(rows: &[SpeedRow<'_>], query: &PlacementQuery<'_>) -> Vec<f64> {
-    cost_rows(rows, query).iter().map(|row| row.cost).collect()
-}
-
-fn cost_rows<'rows>(rows: &[SpeedRow<'rows>], query: &PlacementQuery<'_>) -> Vec<CostRow<'rows>> {
-    let preferred = session_key(query).and_then(|key| affinity::pick_preferred(rows, key));
+/// Returns the expected cost of each server, in the order of `eligible`.
+pub(crate) fn rate_servers<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+) -> Vec<CostRow<'rows>> {
+    let rows = affinity::with_slowdowns(eligible);
+    let preferred = session_key(query).and_then(|key| affinity::pick_preferred(&rows, key));
+    let preferred = preferred.map(|preferred| &preferred.row.entry.id);
     let rate = |server: &SpeedRow<'rows>| {
-        let is_preferred =
-            preferred.is_some_and(|preferred| preferred.row.entry.id == server.row.entry.id);
+        let is_preferred = preferred.is_some_and(|id| *id == server.row.entry.id);
         CostRow {
-            row: server.row,
+            server: *server,
             cost: estimate_cost(server, query, is_preferred),
             site: find_site(server.row, query, is_preferred),
         }
@@ -184,6 +169,14 @@
     rows.iter().map(rate).collect()
 }
 
+/// Like [`rate_servers`], without servers that return from an ejection, unless there are no others.
+pub(crate) fn rate_ramped<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+) -> Vec<CostRow<'rows>> {
+    rate_servers(&filter_ramped(eligible, query), query)
+}
+
 fn find_site(row: &BackendRow, query: &PlacementQuery<'_>, is_preferred: bool) -> ServerSite {
     if *row.entry.data_centre == *query.data_centre {
         return ServerSite::Local;
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -9,12 +9,13 @@
 
 use serde::Serialize;
 
-use crate::affinity::{self, SpeedRow};
+use crate::affinity::SpeedRow;
 use crate::backends::{BackendEntry, BackendRow};
 use crate::ids::Tokens;
 use crate::paces::BackendReport;
 use crate::pauses::{PauseLoad, PauseRule};
-use crate::placement::{self, PlacementQuery};
+use crate::placement::{self, CostRow, PlacementQuery};
+use crate::remote_placement::CostComparison;
 
 /// Number of random servers to probe besides the one that would be chosen without probes.
 pub const PROBE_SAMPLES: usize = 4;
@@ -121,13 +122,25 @@
     candidates
 }
 
-/// Picks the probed server with the lowest expected cost. The requests that must end at a server
-/// before another one begins add the time until as many slots are free. A server without a report
-/// is assumed to have free slots. If `rule` has a limit below 600 ms, a report also adds the cost of
-/// the pauses that the prompt causes and suffers there.
+/// The server chosen for a request, and the costs on which its use of other data centres depends.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerChoice<'rows> {
+    /// The chosen server; `None` if no server is eligible.
+    pub row: Option<&'rows BackendRow>,
+    /// Lowest costs of local and of remote servers.
+    pub costs: CostComparison,
+}
+
+/// Picks the server with the lowest expected cost, among the probed ones if one of them is still
+/// eligible.
+///
+/// The requests that must end at a probed server before another one begins add the time until as
+/// many slots are free. A server without a report is assumed to have free slots. If `rule` has a
+/// limit below 600 ms, the pauses that the prompt causes and suffers at a server add their cost: from
+/// the report of a probed server, else from this entry's own requests there, so that a prompt in
+/// prefill counts more than its own prefill time.
 ///
-/// Requests that this entry sent during the probes are included through `eligible`. Returns `None`
-/// if none of the probed servers is eligible any more.
+/// Requests that this entry sent during the probes are included through `eligible`.
 ///
 /// # Examples
 /// ```
@@ -137,56 +150,58 @@
 ///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
 ///     remote: Default::default(),
 /// };
-/// let rule = PauseRule::default();
-/// assert!(probes::pick_probed(&[], &query, &[], Duration::from_secs(1), &rule).is_none());
+/// let (target, rule) = (Duration::from_secs(1), PauseRule::default());
+/// assert!(probes::pick_server(&[], &query, &[], target, &rule).row.is_none());
 /// ```
-pub fn pick_probed<'rows>(
+pub fn pick_server<'rows>(
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
     probed: &[ProbeRow],
     latency_target: Duration,
     rule: &PauseRule,
-) -> Option<&'rows BackendRow> {
-    if probed.is_empty() {
-        return None;
+) -> ServerChoice<'rows> {
+    if !probed.is_empty() {
+        let rows = placement::rate_servers(eligible, query);
+        let row = pick_probed(&rows, query, probed, latency_target, rule);
+        if row.is_some() {
+            return ServerChoice { row, costs: placement::compare_costs(&rows) };
+        }
     }
-    let speeds = affinity::with_slowdowns(eligible);
-    let costs = placement::estimate_costs(&speeds, query);
-    let probed_rows = speeds.iter().zip(costs).filter_map(|(SpeedRow { row, slowdown }, cost)| {
+    let rows = placement::rate_ramped(eligible, query);
+    let costs = placement::compare_costs(&rows);
+    ServerChoice { row: pick_unprobed(rows, query, rule), costs }
+}
+
+fn pick_probed<'rows>(
+    rows: &[CostRow<'rows>],
+    query: &PlacementQuery<'_>,
+    probed: &[ProbeRow],
+    latency_target: Duration,
+    rule: &PauseRule,
+) -> Option<&'rows BackendRow> {
+    let probed_rows = rows.iter().filter_map(|CostRow { server, cost, .. }| {
+        let SpeedRow { row, slowdown } = *server;
         let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
         let report = report.as_ref();
         let wait = report.map_or(0.0, |report| estimate_wait(&row.entry, report, latency_target));
         let interference =
-            report.map_or(0.0, |report| estimate_interference(report, query, *slowdown, rule));
-        Some((*row, cost + wait + interference))
+            report.map_or(0.0, |report| estimate_interference(report, query, slowdown, rule));
+        Some((row, *cost + wait + interference))
     });
     let best = probed_rows.min_by(|(_, cost), (_, other)| cost.total_cmp(other));
     best.map(|(row, _)| row)
 }
 
-/// Picks the server with the lowest expected cost without load reports. If `rule` has a limit below
-/// 600 ms, this entry's own requests at each server add the cost of the pauses there, so that a
-/// prompt in prefill counts more than its own prefill time.
-///
-/// # Examples
-/// ```
-/// use toucanrail::{pauses::PauseRule, placement::PlacementQuery, probes};
-/// let query = PlacementQuery {
-///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
-///     remote: Default::default(),
-/// };
-/// assert!(probes::pick_unprobed(&[], &query, &PauseRule::default()).is_none());
-/// ```
-pub fn pick_unprobed<'rows>(
-    eligible: &[&'rows BackendRow],
+fn pick_unprobed<'rows>(
+    rows: Vec<CostRow<'rows>>,
     query: &PlacementQuery<'_>,
     rule: &PauseRule,
 ) -> Option<&'rows BackendRow> {
     if query.prompt_tokens == 0 || rule.strict_limit().is_none() {
-        return placement::pick_backend(eligible, query);
+        return placement::pick_cheapest(rows, query, |_| 0.0);
     }
     let tokens = placement::own_tokens(query);
-    placement::pick_cheapest(eligible, query, |server| {
+    placement::pick_cheapest(rows, query, |server| {
         rule.placement_cost(tokens, PauseLoad::from_flights(server.row, server.slowdown))
     })
 }
--- a/toucanrail/tests/load_probes.rs
+++ b/toucanrail/tests/load_probes.rs
@@ -85,7 +85,8 @@
         .map(|(at, entry)| (entry, Some(make_load(at))))
         .collect();
     let chosen =
-        probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+        probes::pick_server(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+            .row
             .expect("a server");
     assert_ne!(chosen.entry.id, preferred);
 }
@@ -100,7 +101,8 @@
     let candidates = probes::pick_candidates(&eligible, &query, &[0.1, 0.9]);
     let probed: Vec<ProbeRow> = candidates.into_iter().map(|entry| (entry, None)).collect();
     let chosen =
-        probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+        probes::pick_server(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+            .row
             .map(|row| &row.entry.id);
     assert_eq!(chosen, placement::pick_backend(&eligible, &query).map(|row| &row.entry.id));
 }
@@ -199,7 +201,8 @@
             })
             .collect();
         let chosen = if probes_first {
-            probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+            probes::pick_server(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+                .row
         } else {
             placement::pick_backend(&eligible, &query)
         };
@@ -284,7 +287,8 @@
     let probed: Vec<ProbeRow> =
         (0..5).map(|at| (entry(at), Some(make_report(12 - 2 * at as u64, 0)))).collect();
     let chosen =
-        probes::pick_probed(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+        probes::pick_server(&eligible, &query, &probed, LATENCY_TARGET, &PauseRule::default())
+            .row
             .expect("a server");
     assert_eq!(*chosen.entry.id, *"s4");
 }
--- a/toucanrail/tests/remote_placement.rs
+++ b/toucanrail/tests/remote_placement.rs
@@ -7,7 +7,9 @@
 
 use proptest::prelude::*;
 use toucanrail::backends::{BackendEntry, BackendTable, FlightId, FlightRow, PromptPart};
+use toucanrail::pauses::PauseRule;
 use toucanrail::placement::{self, PlacementQuery};
+use toucanrail::probes;
 use toucanrail::remote_placement::{CostComparison, OffloadShare, RemoteCosts, RemoteTerms};
 
 const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
@@ -163,11 +165,13 @@
         if let Some(costs) = costs {
             let are_candidates = share.includes(rng.f64());
             query.remote = RemoteTerms { cost: costs.request_cost(BYTES), are_candidates };
-            share.record_costs(placement::compare_costs(&eligible, &query), now);
         } else {
             eligible.retain(|row| *row.entry.data_centre == **data_centre);
         }
-        let server = placement::pick_backend(&eligible, &query).expect("a server").entry.clone();
+        let rule = PauseRule::default();
+        let choice = probes::pick_server(&eligible, &query, &[], LATENCY_TARGET, &rule);
+        share.record_costs(choice.costs, now);
+        let server = choice.row.expect("a server").entry.clone();
         let is_away = *server.data_centre != **data_centre;
         let way = if is_away { DELAY } else { Duration::ZERO };
         let until = busy.entry(Arc::clone(&server.id)).or_default();
--- a/toucanrail/tests/stream_pauses.rs
+++ b/toucanrail/tests/stream_pauses.rs
@@ -272,8 +272,7 @@
             let probe = |entry: BackendEntry| (entry.clone(), servers[index(&entry.id)].report());
             let probed: Vec<ProbeRow> = candidates.into_iter().map(probe).collect();
             let limit = Duration::from_secs_f64(target / 1_000.0);
-            let chosen = probes::pick_probed(&eligible, &query, &probed, limit, rule);
-            let chosen = chosen.or_else(|| probes::pick_unprobed(&eligible, &query, rule));
+            let chosen = probes::pick_server(&eligible, &query, &probed, limit, rule).row;
             let id = Arc::clone(&chosen.expect("a server").entry.id);
             let flight = FlightRow { sent_at: time, uncached: own, begun: false };
             let flight = tables[entry].record_sent(&id, flight, &parts);
