Calls to relays take their connect timeout as an argument

call_relay_patiently repeated call_relay apart from its connect timeout. call_relay now takes it; loans over a loaded link pass their whole timeout and bound the call by it, as before.

--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -210,13 +210,14 @@
     request: &LoanRequest,
 ) -> io::Result<LoanReply> {
     let (path, timeout) = (LOAN_PATH, LOAN_TIMEOUT);
-    if link_shares::is_loaded(gateway.delaying_load()) {
-        return relay_client::call_relay_patiently(
-            gateway, lender, address, path, request, timeout,
-        )
-        .await;
+    let is_loaded = link_shares::is_loaded(gateway.delaying_load());
+    // A loaded link delays the opening of connections too.
+    let connect_timeout = if is_loaded { timeout } else { relay_client::CONNECT_TIMEOUT };
+    let requesting =
+        relay_client::call_relay(gateway, lender, address, path, request, connect_timeout, timeout);
+    if is_loaded {
+        return time_limits::io_timeout(timeout, requesting).await;
     }
-    let requesting = relay_client::call_relay(gateway, lender, address, path, request, timeout);
     let watching = async {
         smol::Timer::after(LIVENESS_DELAY).await;
         let is_loaded = link_shares::is_loaded(gateway.delaying_load());
@@ -330,8 +331,16 @@
     let sent = match listed {
         Some((_, address)) => {
             let (path, timeout) = (LOAN_END_PATH, END_TIMEOUT);
-            relay_client::call_relay::<_, bool>(&gateway, &lender, address, path, &ends, timeout)
-                .await
+            relay_client::call_relay::<_, bool>(
+                &gateway,
+                &lender,
+                address,
+                path,
+                &ends,
+                relay_client::CONNECT_TIMEOUT,
+                timeout,
+            )
+            .await
         }
         None => Err(io::ErrorKind::NotFound.into()),
     };
--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -16,8 +16,8 @@
 use crate::relay_api::ALIVE_PATH;
 use crate::state::Gateway;
 
-/// Connect timeout. Relays are a few milliseconds away; a dead one does not respond at all.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Usual connect timeout. Relays are a few milliseconds away; a dead one does not respond at all.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Maximum idle time of a pooled connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Backoff of a relay that did not respond or is stopping. It doubles with each consecutive
@@ -72,47 +72,28 @@
     time_limits::io_timeout(timeout, probing).await.unwrap_or(false)
 }
 
-/// Calls a relay, on a pooled connection if there is one.
+/// Calls a relay, on a pooled connection if there is one. A new one is opened within
+/// `connect_timeout`; calls over a loaded link need more than [`CONNECT_TIMEOUT`] for that.
 pub async fn call_relay<Message, Reply>(
     gateway: &Gateway,
     relay: &Arc<str>,
     address: SocketAddr,
     path: &str,
     message: &Message,
+    connect_timeout: Duration,
     timeout: Duration,
 ) -> io::Result<Reply>
 where
     Message: Serialize,
     Reply: DeserializeOwned,
 {
-    match gateway.connections.take(relay, IDLE_TIMEOUT) {
-        Some(connection) => call_on(gateway, relay, connection, path, message, timeout).await,
-        None => call_relay_anew(gateway, relay, address, path, message, timeout).await,
-    }
-}
-
-/// Like [`call_relay`], but a new connection may take as long as the call. For calls over a loaded
-/// link, which delays the opening of connections too.
-pub async fn call_relay_patiently<Message, Reply>(
-    gateway: &Gateway,
-    relay: &Arc<str>,
-    address: SocketAddr,
-    path: &str,
-    message: &Message,
-    timeout: Duration,
-) -> io::Result<Reply>
-where
-    Message: Serialize,
-    Reply: DeserializeOwned,
-{
-    let calling = async {
-        let connection = match gateway.connections.take(relay, IDLE_TIMEOUT) {
-            Some(connection) => connection,
-            None => BufferedConnection::connect(address).await?,
-        };
-        call_on(gateway, relay, connection, path, message, timeout).await
+    let connection = if let Some(connection) = gateway.connections.take(relay, IDLE_TIMEOUT) {
+        connection
+    } else {
+        let connecting = BufferedConnection::connect(address);
+        time_limits::io_timeout(connect_timeout, connecting).await?
     };
-    time_limits::io_timeout(timeout, calling).await
+    call_on(gateway, relay, connection, path, message, timeout).await
 }
 
 /// Calls a relay on a new connection: one in the pool may lead to a process that has ended.
@@ -147,7 +128,8 @@
     Message: Serialize,
     Reply: DeserializeOwned,
 {
-    match call_relay(gateway, relay, address, path, message, timeout).await {
+    let connect_timeout = CONNECT_TIMEOUT;
+    match call_relay(gateway, relay, address, path, message, connect_timeout, timeout).await {
         Err(error) if error.kind() != io::ErrorKind::TimedOut => {
             call_relay_anew(gateway, relay, address, path, message, timeout).await
         }
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -309,7 +309,9 @@
     query: &ChangesQuery,
 ) -> io::Result<ChangesReply> {
     let timeout = query.wait + BOARD_SLACK;
-    relay_client::call_relay(gateway, board, address, CHANGES_PATH, query, timeout).await
+    let connect_timeout = relay_client::CONNECT_TIMEOUT;
+    relay_client::call_relay(gateway, board, address, CHANGES_PATH, query, connect_timeout, timeout)
+        .await
 }
 
 struct ConfigHandler;
