Reports of probed servers count in the comparison that feeds the offload share

Cause: an entry saw only its own requests in flight, so neighbours that their own entries had filled looked idle, and requests left for them.

Change: the comparison adds the requests of other entries, from reports younger than 1 s; a server without one gets the mean of its data centre. While the share excludes remote servers, a probe asks one of them besides the others; it is no candidate for the request. Nothing is recorded or added without zone settings, and the choice itself keeps its costs.

--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -239,10 +239,20 @@
         pressed && free_slots.should_probe(fastrand::f64())
     }
 
-    /// Records the load reports of servers of a service.
+    /// Records the load reports of servers of a service; those of single servers only where settings
+    /// state what other data centres cost.
     pub fn record_reports(&self, service: &ServiceName, probed: &[ProbeRow]) {
+        let now = self.now();
         let mut tables = self.tables.borrow_mut();
         tables.free_slots.entry(Arc::clone(service)).or_default().record_reports(probed);
+        if self.remote_costs.is_none() {
+            return;
+        }
+        for (entry, report) in probed {
+            if let Some(report) = report {
+                tables.backends.record_report(&entry.id, report, now);
+            }
+        }
     }
 
     /// Returns how a request may use servers of other data centres. `body` is its size in bytes, and
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -15,6 +15,8 @@
 use crate::evacuations::EvacuationTable;
 use crate::ids::{DataCentre, ServiceName, SoftwareVersion, Tokens, Version};
 use crate::origins::StreamOrigin;
+use crate::paces::BackendReport;
+use crate::reported_loads::ReportedLoad;
 use crate::statements::{RememberedStatements, ServerProcess, ServerStatements};
 use crate::version_history::VersionHistory;
 
@@ -140,6 +142,9 @@
     pub replaced: bool,
     /// Time per stream event in a small batch, as measured by the relay beside the server.
     pub pace: Option<Duration>,
+    /// Load of the server by its latest report, if reports are recorded.
+    #[serde(skip)]
+    pub reported: Option<ReportedLoad>,
     #[serde(skip)]
     parts: BTreeMap<PartId, Duration>,
 }
@@ -159,6 +164,7 @@
             missing_since: None,
             replaced: false,
             pace: None,
+            reported: None,
             parts: BTreeMap::new(),
         }
     }
@@ -452,6 +458,13 @@
         self.next_flight
     }
 
+    /// Records a server's report of its load.
+    pub fn record_report(&mut self, id: &str, report: &BackendReport, now: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.reported = Some(ReportedLoad::new(report, &row.flights, now));
+        }
+    }
+
     /// Records that the response to a request has begun.
     pub fn record_first_event(&mut self, id: &str, number: FlightId, now: Duration) {
         let Some(row) = self.rows.get_mut(id) else {
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -89,6 +89,7 @@
 pub mod relay_ranks;
 pub mod remote_placement;
 pub mod replays;
+pub mod reported_loads;
 pub mod response_sizes;
 pub mod retries;
 pub mod retry_delays;
--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -4,12 +4,14 @@
 //! only some servers have cached, and other entries that place requests at the same time without
 //! coordination.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::affinity::{self, SpeedRow};
 use crate::backends::{BackendRow, PromptPart};
 use crate::ids::Tokens;
 use crate::remote_placement::{CostComparison, RemoteTerms};
+use crate::reported_loads::OtherRequests;
 
 /// Assumed prefill rate of an engine, in prompt tokens per millisecond; sets the scale of the costs
 /// below.
@@ -31,6 +33,11 @@
 /// Minimum number of shared tokens that are fetched; prefilling fewer is as fast.
 const MIN_FETCH: Tokens = 1_024;
 
+/// Maximum length in tokens that is assumed for other entries' prompts in prefill. Reports do not
+/// state it; prompts of a service are taken to be as long as the request's own, but a long prompt is
+/// rare among them.
+const MAX_OTHER_PROMPT: Tokens = 4_096;
+
 /// Properties of the request and its entry on which the choice depends.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementQuery<'request> {
@@ -121,9 +128,27 @@
 ///
 /// Remote servers that serve the request's session are left out: they are candidates in any case,
 /// and their cost says nothing about the spare capacity of their data centre.
-pub(crate) fn compare_costs(rows: &[CostRow<'_>]) -> CostComparison {
+///
+/// The requests of other entries are added, from reports. A server without a recent report gets the
+/// mean of those in its data centre that have one: an entry asks a few servers at a time, and the
+/// others would look idle.
+pub(crate) fn compare_costs(rows: &[CostRow<'_>], query: &PlacementQuery<'_>) -> CostComparison {
+    let mut reported: BTreeMap<&str, Vec<OtherRequests>> = BTreeMap::new();
+    for row in rows.iter().map(|row| row.server.row) {
+        if let Some(others) = row.reported.and_then(|load| load.others(query.now)) {
+            reported.entry(&row.entry.data_centre).or_default().push(others);
+        }
+    }
+    let means =
+        reported.iter().map(|(data_centre, rows)| (*data_centre, OtherRequests::mean(rows)));
+    let means: BTreeMap<&str, Option<OtherRequests>> = means.collect();
+    let full_cost = |CostRow { server, cost, .. }: &CostRow<'_>| {
+        let others = server.row.reported.and_then(|load| load.others(query.now));
+        let mean = || means.get(&*server.row.entry.data_centre).copied().flatten();
+        cost + others.or_else(mean).map_or(0.0, |others| others_cost(server, query, others))
+    };
     let lowest = |site: ServerSite| {
-        let costs = rows.iter().filter(|row| row.site == site).map(|row| row.cost);
+        let costs = rows.iter().filter(|row| row.site == site).map(full_cost);
         costs.min_by(f64::total_cmp)
     };
     CostComparison { local: lowest(ServerSite::Local), remote: lowest(ServerSite::Remote) }
@@ -139,7 +164,8 @@
     if ramped.is_empty() { eligible.to_vec() } else { ramped }
 }
 
-fn drop_remote<'rows>(
+/// Leaves out servers that the entry's share excludes, unless no local server is eligible.
+pub(crate) fn drop_remote<'rows>(
     mut rows: Vec<CostRow<'rows>>,
     query: &PlacementQuery<'_>,
 ) -> Vec<CostRow<'rows>> {
@@ -262,8 +288,25 @@
     let uncached = own + recomputed * (1.0 + RECOMPUTE_FACTOR);
     let waiting = row.flights.values().filter(|flight| !flight.begun);
     let backlog: f64 = waiting.map(|flight| flight.uncached as f64).sum();
-    let occupancy = (in_flight + 1.0) / row.entry.slots.max(1) as f64;
-    let overload = if occupancy > 1.0 { (occupancy - 1.0) * 2_000.0 } else { 0.0 };
+    let overload = overload_cost(row, in_flight);
     let prefill = (uncached + backlog) / PREFILL_RATE + in_flight * SEQUENCE_COST;
     base + fetch + prefill * speed.slowdown + overload
 }
+
+/// Returns the cost of a request beyond the slots of a server, in milliseconds.
+fn overload_cost(row: &BackendRow, in_flight: f64) -> f64 {
+    let occupancy = (in_flight + 1.0) / row.entry.slots.max(1) as f64;
+    if occupancy > 1.0 { (occupancy - 1.0) * 2_000.0 } else { 0.0 }
+}
+
+/// Returns what the requests of other entries add to the cost of a server, in milliseconds.
+fn others_cost(speed: &SpeedRow<'_>, query: &PlacementQuery<'_>, others: OtherRequests) -> f64 {
+    let in_flight = speed.row.flights.len() as f64;
+    if query.prompt_tokens == 0 {
+        return others.count / speed.row.entry.slots.max(1) as f64 * PLAIN_REQUEST_COST;
+    }
+    let backlog = others.prefilling * prefill_time(own_tokens(query).min(MAX_OTHER_PROMPT));
+    let overload =
+        overload_cost(speed.row, in_flight + others.count) - overload_cost(speed.row, in_flight);
+    (backlog + others.count * SEQUENCE_COST) * speed.slowdown + overload
+}
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -90,7 +90,8 @@
 pub type ProbeRow = (BackendEntry, Option<BackendReport>);
 
 /// Returns the servers to probe: the one with the lowest expected cost, and one more for each
-/// number in `random`, all of them in `0..1`.
+/// number in `random`, all of them in `0..1`. While the entry's share excludes servers of other data
+/// centres, one of these is added for the comparison of costs.
 ///
 /// # Examples
 /// ```
@@ -119,9 +120,25 @@
         let index = ((others.len() as f64 * *draw) as usize).min(last);
         candidates.push(others.swap_remove(index).entry.clone());
     }
+    candidates.extend(sample_remote(eligible, query));
     candidates
 }
 
+/// Returns a random server of those that the entry's share excludes, if it excludes any. The request
+/// cannot be placed there, but without its report the neighbours would look idle and the share would
+/// rise.
+fn sample_remote(eligible: &[&BackendRow], query: &PlacementQuery<'_>) -> Option<BackendEntry> {
+    if query.remote.are_candidates {
+        return None;
+    }
+    let candidates = placement::list_candidates(eligible, query);
+    let is_excluded =
+        |row: &&&BackendRow| candidates.iter().all(|other| other.entry.id != row.entry.id);
+    let excluded: Vec<_> = eligible.iter().filter(is_excluded).collect();
+    let index = (excluded.len() as f64 * query.random) as usize;
+    excluded.get(index).map(|row| row.entry.clone())
+}
+
 /// The server chosen for a request, and the costs on which its use of other data centres depends.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerChoice<'rows> {
@@ -164,11 +181,11 @@
         let rows = placement::rate_servers(eligible, query);
         let row = pick_probed(&rows, query, probed, latency_target, rule);
         if row.is_some() {
-            return ServerChoice { row, costs: placement::compare_costs(&rows) };
+            return ServerChoice { row, costs: placement::compare_costs(&rows, query) };
         }
     }
     let rows = placement::rate_ramped(eligible, query);
-    let costs = placement::compare_costs(&rows);
+    let costs = placement::compare_costs(&rows, query);
     ServerChoice { row: pick_unprobed(rows, query, rule), costs }
 }
 
@@ -179,7 +196,8 @@
     latency_target: Duration,
     rule: &PauseRule,
 ) -> Option<&'rows BackendRow> {
-    let probed_rows = rows.iter().filter_map(|CostRow { server, cost, .. }| {
+    let candidates = placement::drop_remote(rows.to_vec(), query);
+    let probed_rows = candidates.iter().filter_map(|CostRow { server, cost, .. }| {
         let SpeedRow { row, slowdown } = *server;
         let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
         let report = report.as_ref();
