--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -13,7 +13,6 @@
 use toucanrail::ids::SoftwareVersion;
 use toucanrail::link_shares;
 use toucanrail::permits as permit_rules;
-use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow};
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail::suspects::{EndNote, SuspectKey, SuspectNote};
@@ -29,7 +28,7 @@
 use crate::responding::{self, ResponseWriter};
 use crate::sending;
 use crate::server_ends;
-use crate::state::{Gateway, GatewayTables};
+use crate::state::Gateway;
 use crate::suspect_reports;
 
 /// Maximum wait for load reports; most relays respond within a few milliseconds.
@@ -248,30 +247,20 @@
     fn pick_target(&self, probed: &[ProbeRow]) -> Option<(BackendEntry, Option<SocketAddr>)> {
         let placement = self.placement();
         let query = placement.query(fastrand::f64());
-        self.update_offload(&query);
-        let tables = self.gateway.tables.borrow();
-        let (row, source) = placement.pick_target(&tables, &query, probed)?;
-        Some((row.entry.clone(), source.map(|source| source.entry.address)))
-    }
-
-    /// Updates the service's share of requests that may leave the data centre. Only the first choice
-    /// counts: later ones lack the servers that were tried.
-    fn update_offload(&self, query: &PlacementQuery<'_>) {
-        if self.gateway.remote_costs.is_none() || !self.tried.is_empty() {
-            return;
-        }
-        let service = &self.plan.service;
-        let mut tables = self.gateway.tables.borrow_mut();
-        let GatewayTables { backends, offloads, .. } = &mut *tables;
-        let costs =
-            placement::compare_costs(&self.placement().list_eligible(backends, query.now), query);
-        let share = offloads.entry(Arc::clone(service)).or_default();
-        if share.record_costs(costs, query.now) {
-            tracing::info!(
-                event = "offload_share", %service, share = share.share(), local_ms = costs.local,
-                remote_ms = costs.remote,
-            );
+        let (target, costs) = {
+            let tables = self.gateway.tables.borrow();
+            let choice = placement.pick_server(&tables, &query, probed);
+            let target = choice.row.map(|row| {
+                let source = placement.pick_source(&tables, &query, row);
+                (row.entry.clone(), source.map(|source| source.entry.address))
+            });
+            (target, choice.costs)
+        };
+        // Later choices lack the servers that were tried.
+        if let Some(costs) = costs.filter(|_| self.tried.is_empty()) {
+            self.gateway.record_costs(&self.plan.service, costs, query.now);
         }
+        target
     }
 
     async fn attempt(
--- a/toucanrail-gateway/src/explaining.rs
+++ b/toucanrail-gateway/src/explaining.rs
@@ -318,13 +318,14 @@
         CandidateView { cost, report_age_ms }
     };
     explanation.candidates = costs.into_iter().map(view).collect();
-    let target = placement.pick_target(&tables, &query, &[]);
+    let chosen = placement.pick_server(&tables, &query, &[]).row;
     let latency_target = plan.route.latency_target;
-    let target = target.filter(|(row, _)| {
+    let chosen = chosen.filter(|row| {
         let delay = row.permit_delay(query.now);
         permits::pick_wait(delay, Duration::ZERO, latency_target, TYPICAL_DRAW).is_some()
     });
-    if let Some((row, source)) = target {
+    if let Some(row) = chosen {
+        let source = placement.pick_source(&tables, &query, row);
         explanation.chosen = Some(Arc::clone(&row.entry.id));
         explanation.fetch_from = source.map(|source| Arc::clone(&source.entry.id));
         if row.needs_permit(query.now) {
--- a/toucanrail-gateway/src/placing.rs
+++ b/toucanrail-gateway/src/placing.rs
@@ -8,7 +8,7 @@
 use toucanrail::matching;
 use toucanrail::origins::StreamOrigin;
 use toucanrail::placement::{self, PlacementQuery};
-use toucanrail::probes::{self, ProbeRow};
+use toucanrail::probes::{self, ProbeRow, ServerChoice};
 
 use crate::request_context::RequestPlan;
 use crate::state::{Gateway, GatewayTables};
@@ -89,22 +89,30 @@
         is_scarce.then_some(ProbeCause::ScarceSlots)
     }
 
-    /// Picks a server, and a second one that holds shared parts of the prompt in its cache, if
-    /// there is a better source than the server itself.
-    pub fn pick_target<'table>(
+    /// Picks a server.
+    pub fn pick_server<'table>(
         &self,
         tables: &'table GatewayTables,
         query: &PlacementQuery<'_>,
         probed: &[ProbeRow],
-    ) -> Option<(&'table BackendRow, Option<&'table BackendRow>)> {
-        let service = &self.plan.service;
+    ) -> ServerChoice<'table> {
         let eligible = self.list_eligible(&tables.backends, query.now);
-        let rule = tables.routes.pause_rule(service);
-        let target = self.plan.route.latency_target;
-        let chosen = probes::pick_probed(&eligible, query, probed, target, &rule);
-        let row = chosen.or_else(|| probes::pick_unprobed(&eligible, query, &rule))?;
+        let rule = tables.routes.pause_rule(&self.plan.service);
+        let latency_target = self.plan.route.latency_target;
+        probes::pick_server(&eligible, query, probed, latency_target, &rule)
+    }
+
+    /// Picks a server that holds shared parts of the prompt in its cache, if there is a better source
+    /// than the chosen server itself.
+    pub fn pick_source<'table>(
+        &self,
+        tables: &'table GatewayTables,
+        query: &PlacementQuery<'_>,
+        chosen: &BackendRow,
+    ) -> Option<&'table BackendRow> {
+        let service = &self.plan.service;
         let mut sources = tables.backends.fetch_sources(service, self.tried, query.now);
         sources.retain(|row| self.is_region_allowed(row));
-        Some((row, placement::pick_fetch_source(&sources, query, row)))
+        placement::pick_fetch_source(&sources, query, chosen)
     }
 }
--- a/toucanrail/src/explanations.rs
+++ b/toucanrail/src/explanations.rs
@@ -25,7 +25,8 @@
     pub parts_ms: CostParts,
 }
 
-/// Returns the servers among which [`probes::pick_unprobed`] chooses, the chosen one first.
+/// Returns the servers among which [`probes::pick_server`] chooses without reports, the chosen one
+/// first.
 ///
 /// # Examples
 /// ```
@@ -42,16 +43,18 @@
     rule: &PauseRule,
 ) -> Vec<CandidateCost> {
     let pause_cost = |server: &_| probes::pause_cost(server, query, rule);
-    let mut rows = placement::cost_candidates(eligible, query, pause_cost);
+    let rows = placement::rate_ramped(eligible, query);
+    let mut rows = placement::cost_candidates(rows, query, pause_cost);
     // The sort is stable, so that of equal costs the first one is chosen here as well.
     rows.sort_by(|row, other| row.cost.total_cmp(&other.cost));
     let candidate = |row: &placement::CostRow<'_>| {
-        let entry = &row.row.entry;
+        let backend = row.server.row;
+        let entry = &backend.entry;
         CandidateCost {
             server: BackendId::clone(&entry.id),
             data_centre: DataCentre::clone(&entry.data_centre),
             version: SoftwareVersion::clone(&entry.software_version),
-            in_flight: row.row.flights.len(),
+            in_flight: backend.flights.len(),
             cost_ms: row.cost,
             parts_ms: row.parts,
         }
--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -4,6 +4,7 @@
 //! only some servers have cached, and other entries that place requests at the same time without
 //! coordination.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -12,6 +13,7 @@
 use crate::backends::{BackendRow, PromptPart};
 use crate::ids::Tokens;
 use crate::remote_placement::{CostComparison, RemoteTerms};
+use crate::reported_loads::OtherRequests;
 
 /// Assumed prefill rate of an engine, in prompt tokens per millisecond; sets the scale of the costs
 /// below.
@@ -33,6 +35,11 @@
 /// Minimum number of shared tokens that are fetched; prefilling fewer is as fast.
 const MIN_FETCH: Tokens = 1_024;
 
+/// Maximum length in tokens that is assumed for other entries' prompts in prefill. Reports do not
+/// state it; prompts of a service are taken to be as long as the request's own, but a long prompt is
+/// rare among them.
+const MAX_OTHER_PROMPT: Tokens = 4_096;
+
 /// Properties of the request and its entry on which the choice depends.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementQuery<'request> {
@@ -88,10 +95,11 @@
     }
 }
 
-/// A server, with its expected cost for a request.
+/// A server, with its expected cost for a request: the time to the first event plus the cost to
+/// other requests.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CostRow<'rows> {
-    pub(crate) row: &'rows BackendRow,
+    pub(crate) server: SpeedRow<'rows>,
     pub(crate) parts: CostParts,
     /// Sum of the components, in milliseconds.
     pub(crate) cost: f64,
@@ -124,40 +132,38 @@
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
 ) -> Option<&'rows BackendRow> {
-    pick_cheapest(eligible, query, |_| 0.0)
+    pick_cheapest(rate_ramped(eligible, query), query, |_| 0.0)
 }
 
-/// Like [`pick_backend`], with a further cost of each server in milliseconds.
+/// Picks the server with the lowest cost among the candidates, with a further cost of each server in
+/// milliseconds.
 pub(crate) fn pick_cheapest<'rows, ExtraCost>(
-    eligible: &[&'rows BackendRow],
+    rows: Vec<CostRow<'rows>>,
     query: &PlacementQuery<'_>,
     extra_cost: ExtraCost,
 ) -> Option<&'rows BackendRow>
 where
     ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
 {
-    let candidates = cost_candidates(eligible, query, extra_cost);
+    let candidates = cost_candidates(rows, query, extra_cost);
     let best = candidates.into_iter().min_by(|row, other| row.cost.total_cmp(&other.cost));
-    best.map(|best| best.row)
+    best.map(|best| best.server.row)
 }
 
 /// Returns the servers among which [`pick_cheapest`] chooses, with their costs.
 pub(crate) fn cost_candidates<'rows, ExtraCost>(
-    eligible: &[&'rows BackendRow],
+    mut rows: Vec<CostRow<'rows>>,
     query: &PlacementQuery<'_>,
     extra_cost: ExtraCost,
 ) -> Vec<CostRow<'rows>>
 where
     ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
 {
-    let rows = filter_ramped(eligible, query);
-    let speeds = affinity::with_slowdowns(&rows);
-    let mut costs = cost_rows(&speeds, query);
-    for (row, speed) in costs.iter_mut().zip(&speeds) {
-        row.parts.pauses = extra_cost(speed);
+    for row in &mut rows {
+        row.parts.pauses = extra_cost(&row.server);
         row.cost = row.parts.total();
     }
-    drop_remote(costs, query)
+    drop_remote(rows, query)
 }
 
 /// Returns the servers that the request may be placed at, in the order of `eligible`. While remote
@@ -167,8 +173,7 @@
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
 ) -> Vec<&'rows BackendRow> {
-    let speeds = affinity::with_slowdowns(eligible);
-    drop_remote(cost_rows(&speeds, query), query).iter().map(|row| row.row).collect()
+    drop_remote(rate_servers(eligible, query), query).iter().map(|row| row.server.row).collect()
 }
 
 /// Returns the lowest costs of local servers and of remote ones that are candidates by the entry's
@@ -177,20 +182,26 @@
 /// Remote servers that serve the request's session are left out: they are candidates in any case,
 /// and their cost says nothing about the spare capacity of their data centre.
 ///
-/// # Examples
-/// ```
-/// use toucanrail::placement::{self, PlacementQuery};
-/// let query = PlacementQuery {
-///     data_centre: "a", parts: &[], prompt_tokens: 0, now: Default::default(), random: 0.5,
-///     remote: Default::default(),
-/// };
-/// assert_eq!(placement::compare_costs(&[], &query).local, None);
-/// ```
-pub fn compare_costs(eligible: &[&BackendRow], query: &PlacementQuery<'_>) -> CostComparison {
-    let speeds = affinity::with_slowdowns(&filter_ramped(eligible, query));
-    let rows = cost_rows(&speeds, query);
+/// The requests of other entries are added, from reports. A server without a recent report gets the
+/// mean of those in its data centre that have one: an entry asks a few servers at a time, and the
+/// others would look idle.
+pub(crate) fn compare_costs(rows: &[CostRow<'_>], query: &PlacementQuery<'_>) -> CostComparison {
+    let mut reported: BTreeMap<&str, Vec<OtherRequests>> = BTreeMap::new();
+    for row in rows.iter().map(|row| row.server.row) {
+        if let Some(others) = row.reported.and_then(|load| load.others(query.now)) {
+            reported.entry(&row.entry.data_centre).or_default().push(others);
+        }
+    }
+    let means =
+        reported.iter().map(|(data_centre, rows)| (*data_centre, OtherRequests::mean(rows)));
+    let means: BTreeMap<&str, Option<OtherRequests>> = means.collect();
+    let full_cost = |CostRow { server, cost, .. }: &CostRow<'_>| {
+        let others = server.row.reported.and_then(|load| load.others(query.now));
+        let mean = || means.get(&*server.row.entry.data_centre).copied().flatten();
+        cost + others.or_else(mean).map_or(0.0, |others| others_cost(server, query, others))
+    };
     let lowest = |site: ServerSite| {
-        let costs = rows.iter().filter(|row| row.site == site).map(|row| row.cost);
+        let costs = rows.iter().filter(|row| row.site == site).map(full_cost);
         costs.min_by(f64::total_cmp)
     };
     CostComparison { local: lowest(ServerSite::Local), remote: lowest(ServerSite::Remote) }
@@ -206,7 +217,8 @@
     if ramped.is_empty() { eligible.to_vec() } else { ramped }
 }
 
-fn drop_remote<'rows>(
+/// Leaves out servers that the entry's share excludes, unless no local server is eligible.
+pub(crate) fn drop_remote<'rows>(
     mut rows: Vec<CostRow<'rows>>,
     query: &PlacementQuery<'_>,
 ) -> Vec<CostRow<'rows>> {
@@ -217,20 +229,19 @@
     rows
 }
 
-/// Returns the expected cost of each server, in the order of `rows`: the time to the first event
-/// plus the cost to other requests, in milliseconds.
-pub(crate) fn estimate_costs(rows: &[SpeedRow<'_>], query: &PlacementQuery<'_>) -> Vec<f64> {
-    cost_rows(rows, query).iter().map(|row| row.cost).collect()
-}
-
-fn cost_rows<'rows>(rows: &[SpeedRow<'rows>], query: &PlacementQuery<'_>) -> Vec<CostRow<'rows>> {
-    let preferred = session_key(query).and_then(|key| affinity::pick_preferred(rows, key));
+/// Returns the expected cost of each server, in the order of `eligible`.
+pub(crate) fn rate_servers<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+) -> Vec<CostRow<'rows>> {
+    let rows = affinity::with_slowdowns(eligible);
+    let preferred = session_key(query).and_then(|key| affinity::pick_preferred(&rows, key));
+    let preferred = preferred.map(|preferred| &preferred.row.entry.id);
     let rate = |server: &SpeedRow<'rows>| {
-        let is_preferred =
-            preferred.is_some_and(|preferred| preferred.row.entry.id == server.row.entry.id);
+        let is_preferred = preferred.is_some_and(|id| *id == server.row.entry.id);
         let parts = estimate_cost(server, query, is_preferred);
         CostRow {
-            row: server.row,
+            server: *server,
             parts,
             cost: parts.total(),
             site: find_site(server.row, query, is_preferred),
@@ -239,6 +250,14 @@
     rows.iter().map(rate).collect()
 }
 
+/// Like [`rate_servers`], without servers that return from an ejection, unless there are no others.
+pub(crate) fn rate_ramped<'rows>(
+    eligible: &[&'rows BackendRow],
+    query: &PlacementQuery<'_>,
+) -> Vec<CostRow<'rows>> {
+    rate_servers(&filter_ramped(eligible, query), query)
+}
+
 fn find_site(row: &BackendRow, query: &PlacementQuery<'_>, is_preferred: bool) -> ServerSite {
     if *row.entry.data_centre == *query.data_centre {
         return ServerSite::Local;
@@ -331,8 +350,25 @@
     let uncached = own + recomputed * (1.0 + RECOMPUTE_FACTOR);
     let waiting = row.flights.values().filter(|flight| !flight.begun);
     let backlog: f64 = waiting.map(|flight| flight.uncached as f64).sum();
-    let occupancy = (in_flight + 1.0) / row.entry.slots.max(1) as f64;
-    let overload = if occupancy > 1.0 { (occupancy - 1.0) * 2_000.0 } else { 0.0 };
+    let overload = overload_cost(row, in_flight);
     let prefill = (uncached + backlog) / PREFILL_RATE + in_flight * SEQUENCE_COST;
     CostParts { fetch, work: prefill * speed.slowdown, overload, ..base }
 }
+
+/// Returns the cost of a request beyond the slots of a server, in milliseconds.
+fn overload_cost(row: &BackendRow, in_flight: f64) -> f64 {
+    let occupancy = (in_flight + 1.0) / row.entry.slots.max(1) as f64;
+    if occupancy > 1.0 { (occupancy - 1.0) * 2_000.0 } else { 0.0 }
+}
+
+/// Returns what the requests of other entries add to the cost of a server, in milliseconds.
+fn others_cost(speed: &SpeedRow<'_>, query: &PlacementQuery<'_>, others: OtherRequests) -> f64 {
+    let in_flight = speed.row.flights.len() as f64;
+    if query.prompt_tokens == 0 {
+        return others.count / speed.row.entry.slots.max(1) as f64 * PLAIN_REQUEST_COST;
+    }
+    let backlog = others.prefilling * prefill_time(own_tokens(query).min(MAX_OTHER_PROMPT));
+    let overload =
+        overload_cost(speed.row, in_flight + others.count) - overload_cost(speed.row, in_flight);
+    (backlog + others.count * SEQUENCE_COST) * speed.slowdown + overload
+}
--- a/toucanrail/tests/explained_costs.rs
+++ b/toucanrail/tests/explained_costs.rs
@@ -14,6 +14,7 @@
 use toucanrail::remote_placement::RemoteTerms;
 
 const NOW: Duration = Duration::from_secs(9);
+const LATENCY_TARGET: Duration = Duration::from_millis(500);
 
 /// Creates servers in two data centres with these numbers of requests in flight.
 fn make_table(flights: &[usize]) -> BackendTable {
@@ -56,7 +57,7 @@
         let table = make_table(&flights);
         let parts = [(1, tokens / 2), (2, tokens - tokens / 2)];
         let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
-        let remote = RemoteTerms { cost: 12.0, are_candidates };
+        let remote = RemoteTerms { cost: 12.0, are_candidates, are_compared: false };
         let query = PlacementQuery {
             data_centre: "a", parts: &parts, prompt_tokens: tokens, now: NOW, random: 0.5, remote,
         };
@@ -64,7 +65,8 @@
         let rule = PauseRule { limit, tokens_per_event: 7 };
         let eligible = table.eligible("llm", &[], NOW);
         let costs = explanations::list_costs(&eligible, &query, &rule);
-        let chosen = probes::pick_unprobed(&eligible, &query, &rule).expect("a server");
+        let chosen = probes::pick_server(&eligible, &query, &[], LATENCY_TARGET, &rule).row;
+        let chosen = chosen.expect("a server");
         prop_assert_eq!(&costs[0].server, &chosen.entry.id);
         for cost in &costs {
             prop_assert!((cost.parts_ms.total() - cost.cost_ms).abs() < 1e-9);
--- a/toucanrail/tests/stream_pauses.rs
+++ b/toucanrail/tests/stream_pauses.rs
@@ -213,8 +213,7 @@
         let probe = |entry: BackendEntry| (entry.clone(), engines[index(&entry.id)].report());
         let probed: Vec<ProbeRow> = candidates.into_iter().map(probe).collect();
         let limit = Duration::from_secs_f64(target / 1_000.0);
-        let chosen = probes::pick_probed(&eligible, &query, &probed, limit, rule);
-        let chosen = chosen.or_else(|| probes::pick_unprobed(&eligible, &query, rule));
+        let chosen = probes::pick_server(&eligible, &query, &probed, limit, rule).row;
         let chosen = chosen.expect("a server");
         let source = placement::pick_fetch_source(&eligible, &query, chosen);
         let source = source.map(|source| index(&source.entry.id));
