--- a/toucanrail/src/rotations.rs
+++ b/toucanrail/src/rotations.rs
@@ -258,7 +258,7 @@
     /// Records the current load of the entry's link, as a fraction of its capacity.
     pub fn record_load(&mut self, load: f64, now: Duration) {
         let is_permitted = matches!(self.valid_order(now), Some(RotationOrder::Leave { .. }));
-        if load >= LEAVE_LOAD && (is_permitted || now < self.out_until) {
+        if load >= LEAVE_LOAD && is_permitted {
             self.out_until = now + AWAY_TIME;
         }
     }
@@ -266,8 +266,8 @@
     /// Returns whether the entry is out of rotation, or `None` if no order holds and the entry
     /// decides without its relay.
     ///
-    /// An entry that is out stays so until its link has drained, even if its reports are not
-    /// answered: a full link delays the replies, and callers would come back too early.
+    /// An entry that is out stays so for the rest of its time even if its permission ends: a full link
+    /// delays the replies of the relay, and callers would come back too early.
     ///
     /// # Examples
     /// ```
