Candidates of a request are listed without rating all servers again

Cause: before each probed request, the costs of all servers were computed once for the choice and once more to list the candidates, a third time where a share excludes remote servers; without zone settings all servers are candidates anyway. The rows of a probed choice were copied to leave some out. Change: placement::candidates filters rows in place, split_candidates returns candidates and excluded servers from one rating, and rates nothing where all are candidates.

--- a/toucanrail/src/explanations.rs
+++ b/toucanrail/src/explanations.rs
@@ -5,7 +5,7 @@
 use crate::backends::{BackendId, BackendRow};
 use crate::ids::{DataCentre, SoftwareVersion};
 use crate::pauses::PauseRule;
-use crate::placement::{self, CostParts, PlacementQuery};
+use crate::placement::{self, CostParts, CostRow, PlacementQuery};
 use crate::probes;
 
 /// A server among which a request's server is chosen.
@@ -43,11 +43,12 @@
     rule: &PauseRule,
 ) -> Vec<CandidateCost> {
     let pause_cost = |server: &_| probes::pause_cost(server, query, rule);
-    let rows = placement::rate_ramped(eligible, query);
-    let mut rows = placement::cost_candidates(rows, query, pause_cost);
+    let mut rows = placement::rate_ramped(eligible, query);
+    placement::add_pause_costs(&mut rows, pause_cost);
+    let mut rows: Vec<&CostRow<'_>> = placement::candidates(&rows, query).collect();
     // The sort is stable, so that of equal costs the first one is chosen here as well.
     rows.sort_by(|row, other| row.cost.total_cmp(&other.cost));
-    let candidate = |row: &placement::CostRow<'_>| {
+    let candidate = |row: &CostRow<'_>| {
         let backend = row.server.row;
         let entry = &backend.entry;
         CandidateCost {
@@ -59,5 +60,5 @@
             parts_ms: row.parts,
         }
     };
-    rows.iter().map(candidate).collect()
+    rows.into_iter().map(candidate).collect()
 }
--- a/toucanrail/src/placement.rs
+++ b/toucanrail/src/placement.rs
@@ -138,42 +138,59 @@
 /// Picks the server with the lowest cost among the candidates, with a further cost of each server in
 /// milliseconds.
 pub(crate) fn pick_cheapest<'rows, ExtraCost>(
-    rows: Vec<CostRow<'rows>>,
+    mut rows: Vec<CostRow<'rows>>,
     query: &PlacementQuery<'_>,
     extra_cost: ExtraCost,
 ) -> Option<&'rows BackendRow>
 where
     ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
 {
-    let candidates = cost_candidates(rows, query, extra_cost);
-    let best = candidates.into_iter().min_by(|row, other| row.cost.total_cmp(&other.cost));
+    add_pause_costs(&mut rows, extra_cost);
+    let best = candidates(&rows, query).min_by(|row, other| row.cost.total_cmp(&other.cost));
     best.map(|best| best.server.row)
 }
 
-/// Returns the servers among which [`pick_cheapest`] chooses, with their costs.
-pub(crate) fn cost_candidates<'rows, ExtraCost>(
-    mut rows: Vec<CostRow<'rows>>,
-    query: &PlacementQuery<'_>,
-    extra_cost: ExtraCost,
-) -> Vec<CostRow<'rows>>
+/// Adds the cost of pauses to each row.
+pub(crate) fn add_pause_costs<'rows, PauseCost>(rows: &mut [CostRow<'rows>], pause_cost: PauseCost)
 where
-    ExtraCost: Fn(&SpeedRow<'rows>) -> f64,
+    PauseCost: Fn(&SpeedRow<'rows>) -> f64,
 {
-    for row in &mut rows {
-        row.parts.pauses = extra_cost(&row.server);
+    for row in rows {
+        row.parts.pauses = pause_cost(&row.server);
         row.cost = row.parts.total();
     }
-    drop_remote(rows, query)
 }
 
-/// Returns the servers that the request may be placed at, in the order of `eligible`. While remote
+/// Returns the rows of the servers that the request may be placed at, in their order. While remote
 /// servers are not candidates, those in other data centres are left out, unless they serve the
 /// request's session or no local server is eligible.
-pub(crate) fn list_candidates<'rows>(
+pub(crate) fn candidates<'list, 'rows>(
+    rows: &'list [CostRow<'rows>],
+    query: &PlacementQuery<'_>,
+) -> impl Iterator<Item = &'list CostRow<'rows>> + use<'list, 'rows> {
+    let excludes_remote = excludes_remote(rows, query);
+    rows.iter().filter(move |row| !excludes_remote || row.site != ServerSite::Remote)
+}
+
+fn excludes_remote(rows: &[CostRow<'_>], query: &PlacementQuery<'_>) -> bool {
+    !query.remote.are_candidates && rows.iter().any(|row| row.site == ServerSite::Local)
+}
+
+/// Divides the eligible servers into those that the request may be placed at, and those that the
+/// entry's share excludes, both in the order of `eligible`.
+pub(crate) fn split_candidates<'rows>(
     eligible: &[&'rows BackendRow],
     query: &PlacementQuery<'_>,
-) -> Vec<&'rows BackendRow> {
-    drop_remote(rate_servers(eligible, query), query).iter().map(|row| row.server.row).collect()
+) -> (Vec<&'rows BackendRow>, Vec<&'rows BackendRow>) {
+    if query.remote.are_candidates {
+        return (eligible.to_vec(), Vec::new());
+    }
+    let rows = rate_servers(eligible, query);
+    let excludes_remote = excludes_remote(&rows, query);
+    let (excluded, candidates): (Vec<_>, Vec<_>) =
+        rows.iter().partition(|row| excludes_remote && row.site == ServerSite::Remote);
+    let list = |rows: Vec<&CostRow<'rows>>| rows.iter().map(|row| row.server.row).collect();
+    (list(candidates), list(excluded))
 }
 
 /// Returns the lowest costs of local servers and of remote ones that are candidates by the entry's
@@ -192,12 +209,13 @@
             reported.entry(&row.entry.data_centre).or_default().push(others);
         }
     }
-    let means =
-        reported.iter().map(|(data_centre, rows)| (*data_centre, OtherRequests::mean(rows)));
-    let means: BTreeMap<&str, Option<OtherRequests>> = means.collect();
+    let means = reported
+        .iter()
+        .filter_map(|(data_centre, rows)| Some((*data_centre, OtherRequests::mean(rows)?)));
+    let means: BTreeMap<&str, OtherRequests> = means.collect();
     let full_cost = |CostRow { server, cost, .. }: &CostRow<'_>| {
         let others = server.row.reported.and_then(|load| load.others(query.now));
-        let mean = || means.get(&*server.row.entry.data_centre).copied().flatten();
+        let mean = || means.get(&*server.row.entry.data_centre).copied();
         cost + others.or_else(mean).map_or(0.0, |others| others_cost(server, query, others))
     };
     let lowest = |site: ServerSite| {
@@ -217,18 +235,6 @@
     if ramped.is_empty() { eligible.to_vec() } else { ramped }
 }
 
-/// Leaves out servers that the entry's share excludes, unless no local server is eligible.
-pub(crate) fn drop_remote<'rows>(
-    mut rows: Vec<CostRow<'rows>>,
-    query: &PlacementQuery<'_>,
-) -> Vec<CostRow<'rows>> {
-    let has_local = rows.iter().any(|row| row.site == ServerSite::Local);
-    if has_local && !query.remote.are_candidates {
-        rows.retain(|row| row.site != ServerSite::Remote);
-    }
-    rows
-}
-
 /// Returns the expected cost of each server, in the order of `eligible`.
 pub(crate) fn rate_servers<'rows>(
     eligible: &[&'rows BackendRow],
--- a/toucanrail/src/probes.rs
+++ b/toucanrail/src/probes.rs
@@ -110,7 +110,7 @@
     let Some(best) = placement::pick_backend(eligible, query) else {
         return Vec::new();
     };
-    let mut others = placement::list_candidates(eligible, query);
+    let (mut others, excluded) = placement::split_candidates(eligible, query);
     others.retain(|row| row.entry.id != best.entry.id);
     let mut candidates = vec![best.entry.clone()];
     for draw in random {
@@ -120,23 +120,11 @@
         let index = ((others.len() as f64 * *draw) as usize).min(last);
         candidates.push(others.swap_remove(index).entry.clone());
     }
-    candidates.extend(sample_remote(eligible, query));
-    candidates
-}
-
-/// Returns a random server of those that the entry's share excludes, if it excludes any. The request
-/// cannot be placed there, but without its report the neighbours would look idle and the share would
-/// rise.
-fn sample_remote(eligible: &[&BackendRow], query: &PlacementQuery<'_>) -> Option<BackendEntry> {
-    if query.remote.are_candidates {
-        return None;
-    }
-    let candidates = placement::list_candidates(eligible, query);
-    let is_excluded =
-        |row: &&&BackendRow| candidates.iter().all(|other| other.entry.id != row.entry.id);
-    let excluded: Vec<_> = eligible.iter().filter(is_excluded).collect();
+    // The request cannot be placed there, but without a report the neighbours would look idle and the
+    // share would rise.
     let index = (excluded.len() as f64 * query.random) as usize;
-    excluded.get(index).map(|row| row.entry.clone())
+    candidates.extend(excluded.get(index).map(|row| row.entry.clone()));
+    candidates
 }
 
 /// The server chosen for a request, and the costs on which its use of other data centres depends.
@@ -200,16 +188,17 @@
     latency_target: Duration,
     rule: &PauseRule,
 ) -> Option<&'rows BackendRow> {
-    let candidates = placement::drop_remote(rows.to_vec(), query);
-    let probed_rows = candidates.iter().filter_map(|CostRow { server, cost, .. }| {
-        let SpeedRow { row, slowdown } = *server;
-        let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
-        let report = report.as_ref();
-        let wait = report.map_or(0.0, |report| estimate_wait(&row.entry, report, latency_target));
-        let interference =
-            report.map_or(0.0, |report| estimate_interference(report, query, slowdown, rule));
-        Some((row, *cost + wait + interference))
-    });
+    let probed_rows =
+        placement::candidates(rows, query).filter_map(|CostRow { server, cost, .. }| {
+            let SpeedRow { row, slowdown } = *server;
+            let (_, report) = probed.iter().find(|(entry, _)| entry.id == row.entry.id)?;
+            let report = report.as_ref();
+            let wait =
+                report.map_or(0.0, |report| estimate_wait(&row.entry, report, latency_target));
+            let interference =
+                report.map_or(0.0, |report| estimate_interference(report, query, slowdown, rule));
+            Some((row, *cost + wait + interference))
+        });
     let best = probed_rows.min_by(|(_, cost), (_, other)| cost.total_cmp(other));
     best.map(|(row, _)| row)
 }
