OffloadShare::latest_costs goes: nothing calls it

Cause: the share's latest costs are written to the state dump from the fields; the method was left over from the log line, which has the comparison itself.

--- a/toucanrail/src/remote_placement.rs
+++ b/toucanrail/src/remote_placement.rs
@@ -141,7 +141,7 @@
     share: f64,
     /// Smoothed cost by which local servers exceed remote ones, in milliseconds.
     excess_ms: f64,
-    /// Latest costs, for logs.
+    /// Latest costs, for operators.
     local_ms: Option<f64>,
     remote_ms: Option<f64>,
     #[serde(skip)]
@@ -170,11 +170,6 @@
         draw < self.share
     }
 
-    /// Returns the lowest costs of local and of remote servers for the latest request, for logs.
-    pub fn latest_costs(&self) -> CostComparison {
-        CostComparison { local: self.local_ms, remote: self.remote_ms }
-    }
-
     /// Records the costs of the servers for one request, and changes the share if a step has
     /// passed. Returns whether the share has changed enough for a log line since the last one.
     ///
