Rotation: reports state no number of connections, and orders are logged when they change

Cause: the number of callers' connections ordered entries to be taken out, which relays no longer do, so that nothing reads it. The relay logged rotation_order whenever the order differed from what the entry reported; since an order is a permission, that was with each report of an entry that is permitted and in rotation. No order changes.

--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -279,10 +279,11 @@
 fn order_rotation(api: &RelayApi, report: RotationReport) -> RotationOrder {
     let now = api.change_feed.now();
     let (entry, data_centre) = (Arc::clone(&report.entry), Arc::clone(&report.data_centre));
-    let (load, was_out) = (report.load, report.out);
+    let load = report.load;
     let mut rotation = api.rotation.borrow_mut();
+    let was_permitted = rotation.is_permitted(&data_centre, &entry, now);
     let order = rotation.report(report, now);
-    if was_out != (order != RotationOrder::Stay) {
+    if was_permitted != (order != RotationOrder::Stay) {
         let RotationCounts { live, out } = rotation.counts(&data_centre, now);
         tracing::info!(event = "rotation_order", %entry, ?order, load, live, out);
     }
--- a/toucanrail-gateway/src/rotation.rs
+++ b/toucanrail-gateway/src/rotation.rs
@@ -77,7 +77,6 @@
         data_centre: Arc::clone(&settings.data_centre),
         capacity,
         load: gateway.link.load(),
-        connections: gateway.caller_connections.get(),
         out: gateway.link.is_away(gateway.now()),
         stopping: gateway.stop_requested.get().is_some(),
     }
--- a/toucanrail/src/rotations.rs
+++ b/toucanrail/src/rotations.rs
@@ -47,8 +47,6 @@
     pub capacity: f64,
     /// Load of the busier direction as a fraction of the capacity.
     pub load: f64,
-    /// Number of callers' connections.
-    pub connections: usize,
     /// Whether the entry is out of rotation now.
     pub out: bool,
     /// Whether the entry is stopping. It is then out of rotation for good.
@@ -201,7 +199,7 @@
     ///     for (name, capacity, load) in [("a", 25e6, 0.01), ("b", 25e6, 0.01), ("c", 1e6, 0.9)] {
     ///         let report = RotationReport {
     ///             entry: Arc::from(name), process: 1, data_centre: Arc::from("d"), capacity, load,
-    ///             connections: 1, out: false, stopping: false,
+    ///             out: false, stopping: false,
     ///         };
     ///         order = table.report(report, Duration::from_secs(second));
     ///     }
@@ -215,6 +213,18 @@
         centre.record_report(report, now)
     }
 
+    /// Returns whether the last order for an entry permits it to leave, and still holds.
+    ///
+    /// # Examples
+    /// ```
+    /// use toucanrail::rotations::RotationTable;
+    /// assert!(!RotationTable::default().is_permitted("d", "a", Default::default()));
+    /// ```
+    pub fn is_permitted(&self, data_centre: &str, entry: &str, now: Duration) -> bool {
+        let row = self.centres.get(data_centre).and_then(|centre| centre.rows.get(entry));
+        row.is_some_and(|row| now < row.lease_until)
+    }
+
     /// Returns how many entries of a data centre are live and out of rotation.
     ///
     /// # Examples
--- a/toucanrail/tests/entry_rotation.rs
+++ b/toucanrail/tests/entry_rotation.rs
@@ -155,7 +155,6 @@
                     data_centre: Arc::from("a"),
                     capacity: entry.capacity,
                     load,
-                    connections: 1,
                     out: entry.state.is_out(now) == Some(true) || entry.stopping,
                     stopping: entry.stopping,
                 };
