Calls to relays state a connect timeout only where it is not the usual one

Cause: four callers passed the usual connect timeout so that one, the loan client, could pass another. Change: call_relay has the usual one, and calls call_relay_within, which the loan client uses. No timeout changes.

--- a/toucanrail-gateway/src/liveness.rs
+++ b/toucanrail-gateway/src/liveness.rs
@@ -54,17 +54,8 @@
 
 async fn request_report(gateway: &Gateway, server: &BackendEntry) -> Option<BackendReport> {
     let (relay, address) = gateway.store.relay_at(server.address.ip())?;
-    let (connect_timeout, timeout) = (relay_client::CONNECT_TIMEOUT, REPORT_TIMEOUT);
-    let reply = relay_client::call_relay(
-        gateway,
-        &relay,
-        address,
-        REPORT_PATH,
-        &(),
-        connect_timeout,
-        timeout,
-    )
-    .await;
+    let timeout = REPORT_TIMEOUT;
+    let reply = relay_client::call_relay(gateway, &relay, address, REPORT_PATH, &(), timeout).await;
     reply.unwrap_or_else(|error| {
         tracing::debug!(event = "look_failed", server = %server.id, %error);
         None
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -221,8 +221,15 @@
     let timeout = loans::reply_timeout(LOAN_TIMEOUT, load, time_left);
     // A loaded link delays the opening of connections too.
     let connect_timeout = if is_loaded { timeout } else { relay_client::CONNECT_TIMEOUT };
-    let requesting =
-        relay_client::call_relay(gateway, lender, address, path, request, connect_timeout, timeout);
+    let requesting = relay_client::call_relay_within(
+        gateway,
+        lender,
+        address,
+        path,
+        request,
+        connect_timeout,
+        timeout,
+    );
     if is_loaded {
         return time_limits::io_timeout(timeout, requesting).await;
     }
@@ -339,16 +346,8 @@
     let sent = match listed {
         Some((_, address)) => {
             let (path, timeout) = (LOAN_END_PATH, END_TIMEOUT);
-            relay_client::call_relay::<_, bool>(
-                &gateway,
-                &lender,
-                address,
-                path,
-                &ends,
-                relay_client::CONNECT_TIMEOUT,
-                timeout,
-            )
-            .await
+            relay_client::call_relay::<_, bool>(&gateway, &lender, address, path, &ends, timeout)
+                .await
         }
         None => Err(io::ErrorKind::NotFound.into()),
     };
--- a/toucanrail-gateway/src/permits.rs
+++ b/toucanrail-gateway/src/permits.rs
@@ -89,16 +89,8 @@
     let stated = request.stated.map(|stated| relay.scale_rate(stated));
     let request = PermitRequest { stated, ..request.clone() };
     let timeout = PERMIT_TIMEOUT;
-    let reply = relay_client::call_relay(
-        gateway,
-        name,
-        *address,
-        PERMIT_PATH,
-        &request,
-        relay_client::CONNECT_TIMEOUT,
-        timeout,
-    )
-    .await;
+    let reply =
+        relay_client::call_relay(gateway, name, *address, PERMIT_PATH, &request, timeout).await;
     let mut failures = gateway.permit_failures.borrow_mut();
     match reply {
         Ok(reply) => {
--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -72,9 +72,26 @@
     time_limits::io_timeout(timeout, probing).await.unwrap_or(false)
 }
 
-/// Calls a relay, on a pooled connection if there is one. A new one is opened within
-/// `connect_timeout`; calls over a loaded link need more than [`CONNECT_TIMEOUT`] for that.
+/// Calls a relay, on a pooled connection if there is one.
 pub async fn call_relay<Message, Reply>(
+    gateway: &Gateway,
+    relay: &Arc<str>,
+    address: SocketAddr,
+    path: &str,
+    message: &Message,
+    timeout: Duration,
+) -> io::Result<Reply>
+where
+    Message: Serialize,
+    Reply: DeserializeOwned,
+{
+    let connect_timeout = CONNECT_TIMEOUT;
+    call_relay_within(gateway, relay, address, path, message, connect_timeout, timeout).await
+}
+
+/// Like [`call_relay`], with the timeout of a new connection; calls over a loaded link need more than
+/// the usual one.
+pub async fn call_relay_within<Message, Reply>(
     gateway: &Gateway,
     relay: &Arc<str>,
     address: SocketAddr,
@@ -128,8 +145,7 @@
     Message: Serialize,
     Reply: DeserializeOwned,
 {
-    let connect_timeout = CONNECT_TIMEOUT;
-    match call_relay(gateway, relay, address, path, message, connect_timeout, timeout).await {
+    match call_relay(gateway, relay, address, path, message, timeout).await {
         Err(error) if error.kind() != io::ErrorKind::TimedOut => {
             call_relay_anew(gateway, relay, address, path, message, timeout).await
         }
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -309,9 +309,7 @@
     query: &ChangesQuery,
 ) -> io::Result<ChangesReply> {
     let timeout = query.wait + BOARD_SLACK;
-    let connect_timeout = relay_client::CONNECT_TIMEOUT;
-    relay_client::call_relay(gateway, board, address, CHANGES_PATH, query, connect_timeout, timeout)
-        .await
+    relay_client::call_relay(gateway, board, address, CHANGES_PATH, query, timeout).await
 }
 
 struct ConfigHandler;
