One rule stretches the timeouts of calls over a loaded link

Cause: loans and connections to servers each had a factor of four and a branch on the link's load. Change: link_shares::call_timeout (connect_timeout before) serves both; the timeouts are the same.

--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -173,7 +173,7 @@
         return Ok(connection);
     }
     gateway.metrics.count_event("connections_opened");
-    let timeout = link_shares::connect_timeout(CONNECT_TIMEOUT, gateway.delaying_load());
+    let timeout = link_shares::call_timeout(CONNECT_TIMEOUT, gateway.delaying_load());
     let timeout = timeout.min(plan.time_left());
     let opened =
         time_limits::io_timeout(timeout, BufferedConnection::connect(target.address)).await;
--- a/toucanrail/src/link_shares.rs
+++ b/toucanrail/src/link_shares.rs
@@ -10,8 +10,7 @@
 /// Load, as a fraction of the capacity, from which requests wait for their share and delays are
 /// attributed to the link. It is below the load at which callers' requests use all of their share.
 const LOADED: f64 = 0.7;
-/// Multiple of the usual connect timeout while the link is loaded. Its queue was seen to delay replies
-/// by up to 700 ms.
+/// Multiple of the usual timeouts while the link is loaded. Its queue delays replies by up to a second.
 const LOADED_TIMEOUT_FACTOR: u32 = 4;
 /// Time in which the bucket fills, which bounds the bursts that are admitted at once. It is below
 /// the latency targets of callers.
@@ -45,18 +44,18 @@
     load >= LOADED
 }
 
-/// Returns the timeout for opening a connection to a backend server; `usual` is the one for an idle
-/// link. A connection that is given up on a loaded link is followed by others, which load it further.
+/// Returns the maximum timeout of a call over the entry's link; `usual` is the one for an idle link.
+/// A call that is given up on a loaded link is followed by others, which load it further.
 ///
 /// # Examples
 /// ```
 /// use std::time::Duration;
 /// use toucanrail::link_shares;
 /// let usual = Duration::from_millis(250);
-/// assert_eq!(link_shares::connect_timeout(usual, 0.3), usual);
-/// assert!(link_shares::connect_timeout(usual, 0.9) > usual);
+/// assert_eq!(link_shares::call_timeout(usual, 0.3), usual);
+/// assert!(link_shares::call_timeout(usual, 0.9) > usual);
 /// ```
-pub fn connect_timeout(usual: Duration, load: f64) -> Duration {
+pub fn call_timeout(usual: Duration, load: f64) -> Duration {
     if is_loaded(load) { usual * LOADED_TIMEOUT_FACTOR } else { usual }
 }
 
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -129,8 +129,6 @@
     }
 }
 
-/// Multiple of the usual timeout for which a reply is waited for at most while the link is loaded.
-const LOADED_TIMEOUT_FACTOR: u32 = 4;
 /// Fraction of a request's remaining time that may be spent on its loan while the link is loaded.
 const TIME_LEFT_FRACTION: f64 = 0.5;
 
@@ -147,10 +145,8 @@
 /// assert_eq!(loans::reply_timeout(usual, 0.9, left), Duration::from_millis(1_500));
 /// ```
 pub fn reply_timeout(usual: Duration, link_load: f64, time_left: Duration) -> Duration {
-    if !link_shares::is_loaded(link_load) {
-        return usual;
-    }
-    time_left.mul_f64(TIME_LEFT_FRACTION).clamp(usual, usual.saturating_mul(LOADED_TIMEOUT_FACTOR))
+    let max = link_shares::call_timeout(usual, link_load);
+    time_left.mul_f64(TIME_LEFT_FRACTION).clamp(usual, max)
 }
 
 /// What a loan request without a reply says about its lender.
