Tests of kept connections read responses with the platform's reader

Cause: shared_rotation repeated the reading loop of crowded_entry, and both that of read_message. Change: both call it, and still take only a complete response with the expected body for one. No assertion changes.

--- a/toucanrail-gateway/tests/crowded_entry.rs
+++ b/toucanrail-gateway/tests/crowded_entry.rs
@@ -2,7 +2,7 @@
 
 mod platform;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 
 use platform::{Action, Backend, Process, Store, request};
@@ -21,15 +21,8 @@
     let mut stream = TcpStream::connect(entry.callers).ok()?;
     let bytes = request("POST", "/safe/a", &format!("c{number}"), "", "x");
     stream.write_all(bytes.as_bytes()).ok()?;
-    let mut received = Vec::new();
-    let mut byte = [0];
-    while !received.ends_with(b"\r\n\r\nfine") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        received.push(byte[0]);
-    }
-    Some((stream, String::from_utf8_lossy(&received).to_lowercase()))
+    let response = platform::read_message(&mut stream).filter(|read| read.body == b"fine")?;
+    Some((stream, response.head.to_lowercase()))
 }
 
 /// An entry whose connections run out closes some after their responses instead of turning new callers
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -86,7 +86,7 @@
 }
 
 /// Reads a message with a `Content-Length`, or without a body.
-fn read_message(stream: &mut TcpStream) -> Option<Message> {
+pub fn read_message(stream: &mut TcpStream) -> Option<Message> {
     let mut message = read_head(stream)?;
     read_body(stream, &mut message)?;
     Some(message)
--- a/toucanrail-gateway/tests/shared_rotation.rs
+++ b/toucanrail-gateway/tests/shared_rotation.rs
@@ -2,7 +2,7 @@
 
 mod platform;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -59,15 +59,8 @@
 /// Sends a request and reads its response. Returns the connection if the entry keeps it open.
 fn exchange(mut stream: TcpStream, bytes: &str, counter: &AtomicUsize) -> Option<TcpStream> {
     stream.write_all(bytes.as_bytes()).ok()?;
-    let mut received = Vec::new();
-    let mut byte = [0];
-    while !received.ends_with(b"\r\n\r\nfine") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        received.push(byte[0]);
-    }
-    let closes = String::from_utf8_lossy(&received).to_lowercase().contains("connection: close");
+    let response = platform::read_message(&mut stream).filter(|read| read.body == b"fine")?;
+    let closes = response.head.to_lowercase().contains("connection: close");
     counter.fetch_add(usize::from(closes), Ordering::Relaxed);
     Some(stream).filter(|_| !closes)
 }
