--- a/toucanrail/src/suspects.rs
+++ b/toucanrail/src/suspects.rs
@@ -471,11 +471,11 @@
         let rows = self.rows.iter().filter(|_| row.succeeded_at.is_some());
         let unproved = rows.filter(is_unproved_companion).map(|(other, _)| *other);
         let is_companion = |other: &SuspectKey| {
-            let Some(other) = self.rows.get(other) else {
+            let Some(other_row) = self.rows.get(other) else {
                 return false;
             };
-            let oldest = other.ends.first().map_or(Duration::MAX, |end| end.ended_at);
-            let shared = |end: &SuspectEnd| other.ends.iter().any(|at| at.process == end.process);
+            let oldest = other_row.ends.first().map_or(Duration::MAX, |end| end.ended_at);
+            let shared = |end: &SuspectEnd| self.has_end(*other, &end.process);
             let mut ends = row.ends.iter().filter(|end| end.ended_at >= oldest).peekable();
             ends.peek().is_some() && ends.all(shared)
         };
