--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -36,6 +36,52 @@
     SoleVersion,
 }
 
+impl OriginSource {
+    /// Returns the kind of event under which streams that go on are counted.
+    fn event_kind(self) -> &'static str {
+        match self {
+            Self::Own => "taken_up_own",
+            Self::Relay => "taken_up_relay",
+            Self::SoleVersion => "taken_up_sole_version",
+        }
+    }
+}
+
+/// Returns the kind of event under which streams that are refused for a reason are counted.
+fn refusal_kind(code: ResultCode) -> &'static str {
+    match code {
+        codetable::ORIGIN_UNKNOWN => "not_taken_up_unknown",
+        codetable::VERSION_GONE => "not_taken_up_version_gone",
+        _ => "not_taken_up_unlisted",
+    }
+}
+
+/// How a search went, as logged.
+#[derive(Debug, Clone, Copy, Default)]
+struct SearchTrace {
+    /// Relays that were asked.
+    asked: usize,
+    answered: usize,
+    /// Relays that refused the connection or broke it.
+    refused: usize,
+    timed_out: usize,
+    /// Age of the note at the relay that knew it.
+    noted_ago: Option<Duration>,
+}
+
+impl SearchTrace {
+    fn record(&mut self, reply: &io::Result<OriginReply>) {
+        match reply {
+            Ok(reply) => {
+                self.answered += 1;
+                self.noted_ago = reply.noted_ago.or(self.noted_ago);
+            }
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => self.timed_out += 1,
+            Err(_) => self.refused += 1,
+        }
+    }
+}
+
 /// Returns where a stream began that a caller takes up, or why it cannot go on.
 ///
 /// If no server of the version that began it is left, or the version is not known, the request is
@@ -45,22 +91,31 @@
     info: &RequestInfo,
     route: &RouteRule,
 ) -> Result<StreamOrigin, AdmissionRefusal> {
-    let (origin, source) = search_origin(gateway, info, route).await.unzip();
+    let (started, mut trace) = (gateway.now(), SearchTrace::default());
+    let (origin, source) = search_origin(gateway, info, route, &mut trace).await.unzip();
     let version = origin.as_ref().map(|origin| SoftwareVersion::clone(&origin.version));
     let judged = judge_origin(gateway, route, origin);
+    let reason = judged.as_ref().err().map(|(code, _)| code.number());
     tracing::info!(
         event = "stream_taken_up", request = %info.id, resumes = info.resumed_attempt.as_deref(),
         after_event = info.last_event, source = ?source, version = version.as_deref(),
-        serves = judged.is_ok(),
+        serves = judged.is_ok(), reason, asked = trace.asked, answered = trace.answered,
+        refused = trace.refused, timed_out = trace.timed_out,
+        noted_ms = trace.noted_ago.map(|ago| ago.as_millis() as u64),
+        took_ms = gateway.now().saturating_sub(started).as_millis() as u64,
     );
     let (code, cause) = match judged {
         Ok(origin) => {
             gateway.metrics.count_event("streams_taken_up");
+            if let Some(source) = source {
+                gateway.metrics.count_event(source.event_kind());
+            }
             return Ok(origin);
         }
         Err(refusal) => refusal,
     };
     gateway.metrics.count_event("streams_not_taken_up");
+    gateway.metrics.count_event(refusal_kind(code));
     let left = info.timeout.unwrap_or(route.timeout);
     let wait = retry_delays::pick_delay(cause, left, fastrand::f64());
     Err(AdmissionRefusal::with_retry(code, wait))
@@ -90,6 +145,7 @@
     gateway: &Rc<Gateway>,
     info: &RequestInfo,
     route: &RouteRule,
+    trace: &mut SearchTrace,
 ) -> Option<(StreamOrigin, OriginSource)> {
     let known = find_known(gateway, info, route);
     if known.is_some() {
@@ -100,7 +156,7 @@
     if attempt.is_none() && sole.is_none() {
         return None;
     }
-    let replies = ask_relays(gateway, attempt).await;
+    let replies = ask_relays(gateway, attempt, trace).await;
     let noted = replies.iter().find_map(|reply| reply.origin.clone());
     if let (Some(attempt), Some(origin)) = (attempt, noted) {
         let (attempt, valid_for) = (Arc::clone(attempt), origin_notes::note_time(info, route));
@@ -167,27 +223,33 @@
 }
 
 /// Asks the relays that may keep the origin of an attempt, all at once, until one knows it.
-async fn ask_relays(gateway: &Rc<Gateway>, attempt: Option<&RequestId>) -> Vec<OriginReply> {
+async fn ask_relays(
+    gateway: &Rc<Gateway>,
+    attempt: Option<&RequestId>,
+    trace: &mut SearchTrace,
+) -> Vec<OriginReply> {
     let key = attempt.map_or("", |attempt| &**attempt);
     let asked = origin_keepers::list_asked(&gateway.store.located_relays(), key);
+    trace.asked = asked.len();
     let (replies, received) = smol::channel::bounded(asked.len().max(1));
     for relay in asked {
         let (asking, attempt) = (Rc::clone(gateway), attempt.map(Arc::clone));
         let replies = replies.clone();
         let task = gateway.executor.spawn(async move {
-            match ask_relay(&asking, &relay, attempt.as_ref()).await {
-                // Nobody receives the reply if another relay has told the origin before.
-                Ok(reply) => drop(replies.send(reply).await),
-                Err(error) => {
-                    tracing::info!(event = "origin_unanswered", relay = %relay.name, %error);
-                }
+            let reply = ask_relay(&asking, &relay, attempt.as_ref()).await;
+            if let Err(error) = &reply {
+                tracing::info!(event = "origin_unanswered", relay = %relay.name, %error);
             }
+            // Nobody receives the reply if another relay has told the origin before.
+            replies.send(reply).await.ok();
         });
         task.detach();
     }
     drop(replies);
     let mut all = Vec::new();
     while let Ok(reply) = received.recv().await {
+        trace.record(&reply);
+        let Ok(reply) = reply else { continue };
         let is_found = reply.origin.is_some();
         all.push(reply);
         if is_found {
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -231,7 +231,8 @@
     let now = api.change_feed.now();
     let origins = api.origins.borrow();
     let origin = attempt.and_then(|attempt| origins.find(attempt, now)).cloned();
-    let reply = OriginReply { origin, versions: api.versions.borrow().valid(now) };
+    let noted_ago = attempt.and_then(|attempt| origins.note_age(attempt, now));
+    let reply = OriginReply { origin, noted_ago, versions: api.versions.borrow().valid(now) };
     tracing::info!(
         event = "origin_asked", attempt = attempt.map(|attempt| &**attempt),
         version = reply.origin.as_ref().map(|origin| &*origin.version),
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -9,6 +9,7 @@
 mod ports;
 pub mod proxies;
 pub mod services;
+pub mod streams;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
--- a/toucanrail-gateway/tests/stream_versions.rs
+++ b/toucanrail-gateway/tests/stream_versions.rs
@@ -3,118 +3,14 @@
 
 mod platform;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use platform::{Action, Backend, Message, Process, Store, request};
-
-/// Number of events in a complete stream.
-const EVENTS: u64 = 6;
-/// Timeout of all routes; an entry proves a sole version by itself after a longer time.
-const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
-/// Long enough for the entry to tell relays where a stream began, and for a reset relay to be back
-/// in use.
-const RECORD_TIME: Duration = Duration::from_millis(500);
-
-/// A store, two servers of version `v1`, relays and two entries.
-struct Fleet {
-    store: Store,
-    old: [Backend; 2],
-    new: Backend,
-    relays: Vec<Process>,
-    entries: [Process; 2],
-}
-
-/// Streams the events after the caller's last one; each names the server's version.
-fn stream_version(version: &'static str) -> impl Fn(usize, &Message) -> Action {
-    move |_, message| {
-        let last = message.field("last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
-        let events = (last + 1..=EVENTS).map(|id| format!("id: {id}\ndata: {version}\n\n"));
-        let chunks = events.map(|event| platform::chunk(&event) + "PAUSE");
-        Action::Respond([platform::STREAM_HEAD, &chunks.collect::<String>(), "0\r\n\r\n"].concat())
-    }
-}
-
-impl Fleet {
-    fn start(relay_count: usize) -> Self {
-        let store = Store::start();
-        let old = ["i-5", "i-6"].map(|id| Backend::start(id, stream_version("v1")));
-        // Of servers with equal loads, entries prefer the first by id.
-        let new = Backend::start("i-0", stream_version("v2"));
-        platform::configure_prepaid(&store, 1, &[&old[0], &old[1]], 100_000);
-        let names = (0..relay_count).map(|number| format!("side-{number}"));
-        let names: Vec<String> = names.collect();
-        let relays = names.iter().map(|name| Process::start_relay(&store, name)).collect();
-        platform::wait_until("the relays", || names.iter().all(|name| store.has("relays", name)));
-        let entries = ["front-1", "front-2"].map(|vm| Process::start_gateway_on(&store, vm));
-        Self { store, old, new, relays, entries }
-    }
-
-    /// Adds the server of version `v2`, and waits until both entries send new streams there.
-    fn add_version(&self) {
-        platform::register_version(&self.store, &self.new, "v2");
-        for entry in &self.entries {
-            platform::wait_until("the new version", || {
-                call_stream(entry, &fresh_id(), "").contains("data: v2")
-            });
-        }
-    }
-
-    /// Asserts that `response` refuses a request, which no server received.
-    fn assert_refused(&self, response: &str, id: &str) {
-        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
-        assert!(response.to_lowercase().contains("toucanrail-run: not-run"), "{response}");
-        for server in self.old.iter().chain([&self.new]) {
-            let seen = server.seen();
-            assert!(seen.iter().all(|message| message.field("x-attempt-id") != Some(id)));
-        }
-    }
-}
-
-/// Asserts that `response` is the rest of a stream after its first event, from the servers of
-/// version `v1` alone.
-fn assert_old(response: &str) {
-    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
-    assert_eq!(response.matches("data: v1").count() as u64, EVENTS - 1, "{response}");
-    assert!(!response.contains("data: v2") && response.ends_with("0\r\n\r\n"), "{response}");
-}
-
-/// Returns an id that no request has had.
-fn fresh_id() -> String {
-    static NEXT_ID: AtomicU64 = AtomicU64::new(0);
-    format!("fresh-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
-}
-
-/// Sends a request for a resumable stream and returns the whole response.
-fn call_stream(entry: &Process, id: &str, headers: &str) -> String {
-    platform::call_raw(entry.callers, &stream_request(id, headers))
-}
-
-fn stream_request(id: &str, headers: &str) -> String {
-    let headers = format!("X-Model: m\r\nX-Token-Usage: 100,60\r\nConnection: close\r\n{headers}");
-    request("POST", "/resume/a", id, &headers, "p")
-}
-
-/// Begins a stream and returns the connection after its first event.
-fn begin_stream(entry: &Process, id: &str) -> TcpStream {
-    let mut caller = TcpStream::connect(entry.callers).expect("a connection");
-    caller.write_all(stream_request(id, "").as_bytes()).expect("to write");
-    let mut received = Vec::new();
-    let mut byte = [0];
-    while !received.ends_with(b"data: v1\n\n") {
-        assert_eq!(caller.read(&mut byte).expect("an event"), 1, "{received:?}");
-        received.push(byte[0]);
-    }
-    caller
-}
-
-/// Takes a stream up after its first event.
-fn take_up(entry: &Process, id: &str, began_as: &str) -> String {
-    call_stream(entry, id, &format!("Last-Event-Id: 1\r\nResumes: {began_as}\r\n"))
-}
+use platform::streams::{
+    EVENTS, Fleet, RECORD_TIME, ROUTE_TIMEOUT, assert_old, begin_stream, call_stream, fresh_id,
+    stream_version, take_up,
+};
+use platform::{Action, Backend, Process, Store};
 
 /// A server breaks a stream off, and the only other one runs another version. The caller must not
 /// get its events in the same response.
--- a/toucanrail/src/origins.rs
+++ b/toucanrail/src/origins.rs
@@ -52,6 +52,8 @@
 pub struct OriginReply {
     /// Where it began, if an entry has noted that.
     pub origin: Option<StreamOrigin>,
+    /// Time since the relay got that note.
+    pub noted_ago: Option<Duration>,
     /// What entries state of the versions of the services' servers.
     pub versions: VersionStatements,
 }
@@ -60,6 +62,7 @@
 struct OriginRow {
     /// None if notes contradict one another.
     origin: Option<StreamOrigin>,
+    noted_at: Duration,
     expires_at: Duration,
 }
 
@@ -91,7 +94,8 @@
             return;
         }
         self.order.push_back(RequestId::clone(&attempt));
-        let row = OriginRow { origin: Some(origin), expires_at: now.saturating_add(valid_for) };
+        let expires_at = now.saturating_add(valid_for);
+        let row = OriginRow { origin: Some(origin), noted_at: now, expires_at };
         self.rows.insert(attempt, row);
     }
 
@@ -113,6 +117,11 @@
         self.rows.get(attempt).filter(|row| now < row.expires_at)?.origin.as_ref()
     }
 
+    /// Returns the time since the first note for an attempt, if there is one.
+    pub fn note_age(&self, attempt: &str, now: Duration) -> Option<Duration> {
+        self.rows.get(attempt).map(|row| now.saturating_sub(row.noted_at))
+    }
+
     /// Returns the number of the newest note; 0 if there was none.
     pub fn newest(&self) -> NoteNumber {
         self.dropped + self.order.len() as NoteNumber
