Origins of streams are searched for and told again at the relays that respond

Cause 1: an entry notes origins at the first relays by rank that respond, and a search asked a fixed number of ranks, whoever responded. With most listed relays gone the two had none in common. A search now asks the next relay by rank for each one that does not respond, and knows which did not respond lately.

Cause 2: a relay that starts again got the notes with the next stream of the same bucket only.

With them: a batch for a relay that hangs delayed those for all others for up to 400 ms (slow_relay), and a stream taken up several times, each time with a new timeout, outlived its note (renewed_note).

--- a/toucanrail-gateway/src/origin_notes.rs
+++ b/toucanrail-gateway/src/origin_notes.rs
@@ -1,15 +1,17 @@
 //! Notes of where streams began, which an entry sends to relays.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use event_listener::Event;
-use toucanrail::endpoints::LocatedRelay;
+use smol::future::FutureExt;
+use toucanrail::endpoints::{LocatedRelay, RelayName};
 use toucanrail::matching::{RouteKind, RouteRule};
-use toucanrail::origin_keepers::{KeeperTable, NoteBatch, ProcessNumber};
+use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch, ProcessNumber};
 use toucanrail::origins::{OriginNote, OriginReport};
 use toucanrail::version_history::VersionStatements;
 use toucanrail_platform::requests::RequestInfo;
@@ -37,6 +39,18 @@
     sent: Cell<(usize, usize)>,
 }
 
+impl NoteSender {
+    /// Returns the relays that have not responded lately.
+    pub fn unavailable(&self, now: Duration) -> BTreeSet<RelayName> {
+        self.keepers.borrow().unavailable(now)
+    }
+
+    /// Records that a relay did not respond.
+    pub fn record_unavailable(&self, relay: &RelayName, now: Duration) {
+        self.keepers.borrow_mut().record_unavailable(relay, now);
+    }
+}
+
 /// Notes that the server of an attempt has begun a stream, if its caller may take it up.
 pub fn note_origin(context: &AttemptContext<'_, '_>) {
     let AttemptContext { gateway, plan, target, .. } = *context;
@@ -71,14 +85,17 @@
     loop {
         let listener = gateway.note_sender.noted.listen();
         if !has_news(&gateway) {
-            listener.await;
+            let checking = async {
+                if !has_notes(&gateway) {
+                    std::future::pending::<()>().await;
+                }
+                smol::Timer::after(origin_keepers::CHECK_INTERVAL).await;
+            };
+            listener.or(checking).await;
         }
-        let batches = plan_batches(&gateway);
-        let sending = batches
-            .into_iter()
-            .map(|batch| gateway.executor.spawn(send_batch(Rc::clone(&gateway), batch)));
-        for task in sending.collect::<Vec<_>>() {
-            task.await;
+        // A relay that does not respond must not delay what others get.
+        for batch in plan_batches(&gateway) {
+            gateway.executor.spawn(send_batch(Rc::clone(&gateway), batch)).detach();
         }
         smol::Timer::after(SEND_INTERVAL).await;
     }
@@ -100,6 +117,10 @@
     gateway.note_sender.keepers.borrow().has_news(&gateway.tables.borrow().origins)
 }
 
+fn has_notes(gateway: &Gateway) -> bool {
+    gateway.tables.borrow().origins.notes_after(0, gateway.now()).next().is_some()
+}
+
 fn plan_batches(gateway: &Gateway) -> Vec<NoteBatch> {
     let (relays, now) = (gateway.store.located_relays(), gateway.now());
     let tables = gateway.tables.borrow();
--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smol::channel::Receiver;
 use toucanrail::codes::ResultCode;
 use toucanrail::codetable;
-use toucanrail::endpoints::LocatedRelay;
+use toucanrail::endpoints::{LocatedRelay, RelayName};
 use toucanrail::ids::{RequestId, SoftwareVersion};
 use toucanrail::matching::RouteRule;
-use toucanrail::origin_keepers;
+use toucanrail::origin_keepers::SearchPlan;
 use toucanrail::origins::{OriginNote, OriginReply, StreamOrigin};
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail::version_history::VersionStatement;
@@ -24,6 +25,8 @@
 
 /// Timeout of a question for an origin; a live relay responds within a few milliseconds.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after which no further relays are asked.
+const SEARCH_TIME: Duration = Duration::from_millis(600);
 
 /// How the origin of a stream became known, as logged.
 #[derive(Debug, Clone, Copy)]
@@ -147,9 +150,9 @@
     route: &RouteRule,
     trace: &mut SearchTrace,
 ) -> Option<(StreamOrigin, OriginSource)> {
-    let known = find_known(gateway, info, route);
-    if known.is_some() {
-        return known;
+    if let Some((origin, source)) = find_known(gateway, info, route) {
+        note_again(gateway, info, route, &origin);
+        return Some((origin, source));
     }
     let attempt = info.resumed_attempt.as_ref();
     let sole = find_sole_version(gateway, route);
@@ -158,18 +161,23 @@
     }
     let replies = ask_relays(gateway, attempt, trace).await;
     let noted = replies.iter().find_map(|reply| reply.origin.clone());
-    if let (Some(attempt), Some(origin)) = (attempt, noted) {
-        let (attempt, valid_for) = (Arc::clone(attempt), origin_notes::note_time(info, route));
-        origin_notes::insert_note(
-            gateway,
-            OriginNote { attempt, origin: origin.clone(), valid_for },
-        );
+    if let Some(origin) = noted {
+        note_again(gateway, info, route, &origin);
         return Some((origin, OriginSource::Relay));
     }
     let sole = sole.filter(|sole| sole.is_proved || sole.is_confirmed(&replies))?;
     Some((sole.origin, OriginSource::SoleVersion))
 }
 
+/// Notes where a stream began that a caller takes up, for the time in which it may do so again.
+fn note_again(gateway: &Gateway, info: &RequestInfo, route: &RouteRule, origin: &StreamOrigin) {
+    if let Some(attempt) = &info.resumed_attempt {
+        let (attempt, origin) = (Arc::clone(attempt), origin.clone());
+        let valid_for = origin_notes::note_time(info, route);
+        origin_notes::insert_note(gateway, OriginNote { attempt, origin, valid_for });
+    }
+}
+
 /// Returns the origin of a stream if this entry knows it without asking a relay.
 pub(crate) fn find_known(
     gateway: &Gateway,
@@ -222,41 +230,63 @@
     Some(SoleVersion { origin: StreamOrigin { service: Arc::clone(service), version }, is_proved })
 }
 
-/// Asks the relays that may keep the origin of an attempt, all at once, until one knows it.
+/// Asks the relays that may keep the origin of an attempt, until one knows it: all of a wave at once,
+/// and for those that do not respond the next ones by rank.
 async fn ask_relays(
     gateway: &Rc<Gateway>,
     attempt: Option<&RequestId>,
     trace: &mut SearchTrace,
 ) -> Vec<OriginReply> {
     let key = attempt.map_or("", |attempt| &**attempt);
-    let asked = origin_keepers::list_asked(&gateway.store.located_relays(), key);
-    trace.asked = asked.len();
-    let (replies, received) = smol::channel::bounded(asked.len().max(1));
-    for relay in asked {
+    let (relays, started) = (gateway.store.located_relays(), gateway.now());
+    let mut plan = SearchPlan::new(gateway.note_sender.unavailable(started));
+    let mut replies = Vec::new();
+    while gateway.now().saturating_sub(started) < SEARCH_TIME {
+        let wave = plan.next_wave(&relays, key);
+        if wave.is_empty() {
+            break;
+        }
+        trace.asked += wave.len();
+        let received = ask_all(gateway, wave, attempt);
+        while let Ok((relay, reply)) = received.recv().await {
+            trace.record(&reply);
+            match reply {
+                Ok(reply) => {
+                    let is_found = reply.origin.is_some();
+                    replies.push(reply);
+                    if is_found {
+                        return replies;
+                    }
+                }
+                Err(_) => plan.record_unavailable(&relay),
+            }
+        }
+    }
+    replies
+}
+
+/// Asks relays at the same time. Returns where their replies arrive.
+fn ask_all(
+    gateway: &Rc<Gateway>,
+    relays: Vec<LocatedRelay>,
+    attempt: Option<&RequestId>,
+) -> Receiver<(RelayName, io::Result<OriginReply>)> {
+    let (replies, received) = smol::channel::bounded(relays.len().max(1));
+    for relay in relays {
         let (asking, attempt) = (Rc::clone(gateway), attempt.map(Arc::clone));
         let replies = replies.clone();
         let task = gateway.executor.spawn(async move {
             let reply = ask_relay(&asking, &relay, attempt.as_ref()).await;
             if let Err(error) = &reply {
                 tracing::info!(event = "origin_unanswered", relay = %relay.name, %error);
+                asking.note_sender.record_unavailable(&relay.name, asking.now());
             }
             // Nobody receives the reply if another relay has told the origin before.
-            replies.send(reply).await.ok();
+            replies.send((relay.name, reply)).await.ok();
         });
         task.detach();
     }
-    drop(replies);
-    let mut all = Vec::new();
-    while let Ok(reply) = received.recv().await {
-        trace.record(&reply);
-        let Ok(reply) = reply else { continue };
-        let is_found = reply.origin.is_some();
-        all.push(reply);
-        if is_found {
-            break;
-        }
-    }
-    all
+    received
 }
 
 async fn ask_relay(
--- a/toucanrail/src/origins.rs
+++ b/toucanrail/src/origins.rs
@@ -12,6 +12,8 @@
 use crate::ids::{RequestId, ServiceName, SoftwareVersion};
 use crate::version_history::VersionStatements;
 
+/// Time by which a note has to be valid for longer than the ones before, to be told to relays again.
+const MIN_RENEWAL: Duration = Duration::from_secs(1);
 /// Maximum number of streams in a table; bounds its memory to about 5 MB.
 const MAX_ROWS: usize = 16_384;
 
@@ -64,13 +66,15 @@
     origin: Option<StreamOrigin>,
     noted_at: Duration,
     expires_at: Duration,
+    /// Number of its newest note in `order`.
+    number: NoteNumber,
 }
 
 /// The origins of the streams that callers may still take up.
 #[derive(Debug, Default)]
 pub struct OriginTable {
     rows: BTreeMap<RequestId, OriginRow>,
-    /// Attempts in the order of their notes.
+    /// Attempts in the order of their notes; one whose time was extended is in it once more.
     order: VecDeque<RequestId>,
     /// Number of the first note in `order`, less one.
     dropped: NoteNumber,
@@ -82,21 +86,26 @@
         Self::default()
     }
 
-    /// Inserts a note, and drops expired ones.
+    /// Inserts a note, and drops expired ones. A note for a known attempt extends the time for which
+    /// that is valid, since a caller that comes back may come back once more.
     ///
     /// If two notes for one attempt differ, a caller has used its id twice, and the origin counts
     /// as unknown.
     pub fn insert(&mut self, note: OriginNote, now: Duration) {
         self.drop_expired(now);
         let OriginNote { attempt, origin, valid_for } = note;
+        let (number, expires_at) = (self.newest() + 1, now.saturating_add(valid_for));
         if let Some(row) = self.rows.get_mut(&attempt) {
             row.origin.take_if(|known| *known != origin);
-            return;
+            if expires_at < row.expires_at.saturating_add(MIN_RENEWAL) {
+                return;
+            }
+            (row.number, row.expires_at) = (number, expires_at);
+        } else {
+            let row = OriginRow { origin: Some(origin), noted_at: now, expires_at, number };
+            self.rows.insert(RequestId::clone(&attempt), row);
         }
-        self.order.push_back(RequestId::clone(&attempt));
-        let expires_at = now.saturating_add(valid_for);
-        let row = OriginRow { origin: Some(origin), noted_at: now, expires_at };
-        self.rows.insert(attempt, row);
+        self.order.push_back(attempt);
     }
 
     /// Returns the origin of the stream whose first event an attempt received, if it is known.
@@ -136,7 +145,7 @@
         let first = number.max(self.dropped);
         let skipped = usize::try_from(first - self.dropped).unwrap_or(usize::MAX);
         (first + 1..).zip(self.order.iter().skip(skipped)).filter_map(move |(number, attempt)| {
-            let row = self.rows.get(attempt)?;
+            let row = self.rows.get(attempt).filter(|row| row.number == number)?;
             let valid_for = row.expires_at.checked_sub(now).filter(|left| !left.is_zero())?;
             let origin = row.origin.clone()?;
             Some((number, OriginNote { attempt: RequestId::clone(attempt), origin, valid_for }))
@@ -156,11 +165,14 @@
     /// Drops expired notes from the front, and the oldest one of a full table.
     fn drop_expired(&mut self, now: Duration) {
         while let Some(oldest) = self.order.front() {
-            let expired = self.rows.get(oldest).is_none_or(|row| row.expires_at <= now);
-            if !expired && self.order.len() < MAX_ROWS {
+            let number = self.dropped + 1;
+            let newest = self.rows.get(oldest).filter(|row| row.number == number);
+            if newest.is_some_and(|row| now < row.expires_at) && self.order.len() < MAX_ROWS {
                 return;
             }
-            self.rows.remove(oldest);
+            if newest.is_some() {
+                self.rows.remove(oldest);
+            }
             self.order.pop_front();
             self.dropped += 1;
         }
--- a/toucanrail/tests/stream_origins.rs
+++ b/toucanrail/tests/stream_origins.rs
@@ -7,7 +7,7 @@
 
 use proptest::prelude::*;
 use toucanrail::endpoints::LocatedRelay;
-use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch};
+use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch, SearchPlan};
 use toucanrail::origins::{OriginNote, OriginTable, StreamOrigin};
 use toucanrail::version_history::{StatementTable, VersionHistory, VersionStatement};
 
@@ -62,12 +62,24 @@
         }
     }
 
+    /// Searches as an entry does that does not know which relays are dead.
     fn find(&self, relays: &[LocatedRelay], attempt: &str) -> Option<StreamOrigin> {
-        let asked = origin_keepers::list_asked(relays, attempt);
-        let living = asked.iter().filter(|relay| !self.dead.contains(&relay.name));
-        living
-            .filter_map(|relay| self.tables.get(&relay.name))
-            .find_map(|(_, table)| table.find(attempt, NOW).cloned())
+        let mut plan = SearchPlan::default();
+        loop {
+            let wave = plan.next_wave(relays, attempt);
+            if wave.is_empty() {
+                return None;
+            }
+            for relay in wave {
+                if self.dead.contains(&relay.name) {
+                    plan.record_unavailable(&relay.name);
+                } else if let Some((_, table)) = self.tables.get(&relay.name)
+                    && let Some(origin) = table.find(attempt, NOW)
+                {
+                    return Some(origin.clone());
+                }
+            }
+        }
     }
 }
 
@@ -155,6 +167,85 @@
     }
 }
 
+/// Most listed relays have left with their VMs. An entry that has never called them finds the notes at
+/// the first ones that respond.
+#[test]
+fn departed_relays() {
+    for (count, departed) in [(6, 4), (18, 9), (34, 16), (40, 36), (117, 60)] {
+        let (relays, mut set, mut own, mut keepers) =
+            (relays(count), RelaySet::default(), OriginTable::new(), KeeperTable::new());
+        let mut rng = fastrand::Rng::with_seed(7);
+        let gone = rng.choose_multiple(&relays, departed);
+        set.dead = gone.into_iter().map(|relay| Arc::clone(&relay.name)).collect();
+        for number in 0..50 {
+            own.insert(note(&number.to_string(), "v1"), NOW);
+        }
+        while keepers.has_news(&own) {
+            let batches = keepers.plan_batches(&own, &relays, NOW);
+            set.deliver(&mut keepers, &own, batches);
+        }
+        let found = (0..50).filter(|number| set.find(&relays, &number.to_string()).is_some());
+        assert_eq!(found.count(), 50, "{departed} of {count} relays have left");
+    }
+}
+
+/// Relays restart while their entry has no new stream. It finds out, and tells them its notes again.
+#[test]
+fn idle_entry() {
+    let (relays, mut set, mut own, mut keepers) =
+        (relays(18), RelaySet::default(), OriginTable::new(), KeeperTable::new());
+    own.insert(note("a", "v1"), NOW);
+    let batches = keepers.plan_batches(&own, &relays, NOW);
+    set.deliver(&mut keepers, &own, batches);
+    for relay in &relays {
+        set.restart(&relay.name);
+    }
+    assert!(set.find(&relays, "a").is_none());
+    let batches = keepers.plan_batches(&own, &relays, NOW + origin_keepers::CHECK_INTERVAL);
+    set.deliver(&mut keepers, &own, batches);
+    assert!(set.find(&relays, "a").is_some());
+}
+
+/// One relay does not respond for a while. What the others get does not wait for it.
+#[test]
+fn slow_relay() {
+    let (relays, mut set, mut own, mut keepers) =
+        (relays(2), RelaySet::default(), OriginTable::new(), KeeperTable::new());
+    own.insert(note("a", "v1"), NOW);
+    let mut batches = keepers.plan_batches(&own, &relays, NOW);
+    let slow = batches.pop().expect("a batch for each relay");
+    set.deliver(&mut keepers, &own, batches);
+    own.insert(note("b", "v1"), NOW);
+    let batches = keepers.plan_batches(&own, &relays, NOW);
+    assert!(batches.iter().all(|batch| batch.relay != slow.relay));
+    set.deliver(&mut keepers, &own, batches);
+    assert!(set.find(&relays, "b").is_some());
+    set.deliver(&mut keepers, &own, vec![slow]);
+    let batches = keepers.plan_batches(&own, &relays, NOW);
+    assert_eq!(batches.len(), 1);
+    set.deliver(&mut keepers, &own, batches);
+    assert!(!keepers.has_news(&own));
+}
+
+/// A caller comes back several times, each time with a new timeout. Its stream is known for as long as
+/// it may come back, also at the relays.
+#[test]
+fn renewed_note() {
+    let mut table = OriginTable::new();
+    let mut now = NOW;
+    table.insert(note("a", "v1"), now);
+    for _ in 0..4 {
+        table.insert(note("b", "v1"), now);
+        now += Duration::from_secs(10);
+        let known = table.newest();
+        table.insert(note("a", "v1"), now);
+        assert_eq!(table.notes_after(known, now).count(), 1);
+    }
+    assert!(table.find("a", now + Duration::from_secs(14)).is_some());
+    table.insert(note("c", "v1"), now + Duration::from_secs(30));
+    assert_eq!(table.len(), 1);
+}
+
 /// Versions of a service are several while a second one is registered and for as long as a stream
 /// lasts after it.
 #[test]
