Relays write origins of streams to the store, entries read them where no relay knows a stream

Cause: origins were in the memory of two relays and of the noting entry alone. Restarts of both relays while that entry is gone or quiet, as in a release or a rolling stop, leave no copy. Class: state that outlives its holders is kept nowhere but in their memory.

Ruled out: a copy at more relays, or copies that relays keep up among themselves, since a power loss of all takes those as well.

Change: while a service runs several software versions, each relay writes what it remembers to an object of its own (kind origins), twice a second at most, and reads what an earlier process of it wrote before its first write. An entry whose search finds nothing at the relays lists these objects; searches that overlap share one listing. Without a second version nothing is written.

--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -71,7 +71,8 @@
 pub struct GrantManager {
     /// The grants.
     pub grants: RefCell<GrantTable>,
-    store: Rc<StoreAccess>,
+    /// Access to the store.
+    pub store: Rc<StoreAccess>,
     tuning: GatewayTuning,
     metrics: ProcessMetrics,
     executor: Rc<LocalExecutor<'static>>,
--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -17,6 +17,7 @@
 use toucanrail_platform::stores::ListFreshness;
 
 use crate::change_feed::ChangeFeed;
+use crate::origin_store::{self, OriginStore};
 use crate::relay;
 use crate::relay_api::{self, RelayApi};
 use crate::relay_registration;
@@ -80,6 +81,7 @@
         report_client: None,
         origins: RefCell::default(),
         versions: RefCell::default(),
+        origin_store: OriginStore::new(&settings.vm),
         suspects: RefCell::default(),
         holds_changed: Event::new(),
         rotation: RefCell::default(),
@@ -87,6 +89,7 @@
     });
     let lending = relay_api::serve_entries(Rc::clone(executor), Rc::clone(&api), entries);
     executor.spawn(lending).detach();
+    executor.spawn(origin_store::write_origins(Rc::clone(&api))).detach();
     let entry = relay_registration::new_entry(settings, settings.hosted_relay, true);
     executor.spawn(relay_registration::maintain_entry(settings.clone(), entry, None)).detach();
     Ok(api)
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod logging;
 pub mod origin_notes;
 pub mod origin_search;
+pub mod origin_store;
 pub mod permits;
 pub mod placing;
 pub mod relay;
--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -19,6 +19,7 @@
 
 use crate::admitting::AdmissionRefusal;
 use crate::origin_notes;
+use crate::origin_store;
 use crate::relay_api::ORIGIN_PATH;
 use crate::relay_client;
 use crate::state::Gateway;
@@ -35,6 +36,8 @@
     Own,
     /// From a relay.
     Relay,
+    /// From the store.
+    Stored,
     /// The service has had one version for longer than any stream lasts.
     SoleVersion,
 }
@@ -45,6 +48,7 @@
         match self {
             Self::Own => "taken_up_own",
             Self::Relay => "taken_up_relay",
+            Self::Stored => "taken_up_stored",
             Self::SoleVersion => "taken_up_sole_version",
         }
     }
@@ -165,8 +169,19 @@
         note_again(gateway, info, route, &origin);
         return Some((origin, OriginSource::Relay));
     }
-    let sole = sole.filter(|sole| sole.is_proved || sole.is_confirmed(&replies))?;
-    Some((sole.origin, OriginSource::SoleVersion))
+    let sole = match sole {
+        Some(sole) if sole.is_proved || sole.is_confirmed(&replies) => Some(sole),
+        _ => {
+            if let Some(attempt) = attempt
+                && let Some(origin) = origin_store::find_stored(gateway, attempt).await
+            {
+                note_again(gateway, info, route, &origin);
+                return Some((origin, OriginSource::Stored));
+            }
+            None
+        }
+    };
+    Some((sole?.origin, OriginSource::SoleVersion))
 }
 
 /// Notes where a stream began that a caller takes up, for the time in which it may do so again.
--- /dev/null
+++ b/toucanrail-gateway/src/origin_store.rs
@@ -0,0 +1,167 @@
+//! Origins of streams in the store: relays write them, entries read them where no relay knows a stream.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::lock::Mutex;
+use toucanrail::ids::RequestId;
+use toucanrail::origins::{OriginNote, OriginReport, OriginTable, StreamOrigin};
+use toucanrail::storecalls::{self, StoreCall, StoreReply};
+use toucanrail::stored_origins::{self, OriginWriter, StoredOrigins};
+use toucanrail_platform::stores::ListFreshness;
+
+use crate::relay_api::RelayApi;
+use crate::state::Gateway;
+
+/// Minimum time between two writes of a relay.
+const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a failed call; it doubles with each consecutive failure, up to the maximum.
+const MIN_RETRY_PAUSE: Duration = Duration::from_secs(1);
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(8);
+/// Interval at which a relay checks whether stored origins have expired.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum time for the last write of a relay that stops.
+const FLUSH_TIME: Duration = Duration::from_millis(600);
+/// Minimum time between two reads of an entry.
+const READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Timeout of each page of a listing of the stored origins.
+const LIST_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// What a relay writes to the store about streams.
+#[derive(Debug)]
+pub struct OriginStore {
+    writer: RefCell<OriginWriter>,
+    noted: Event,
+}
+
+impl OriginStore {
+    /// Creates the state of a relay that has just started.
+    pub fn new(relay: &str) -> Self {
+        Self { writer: OriginWriter::new(relay).into(), noted: Event::new() }
+    }
+}
+
+/// Records what an entry tells a relay about streams.
+pub fn record_report(api: &RelayApi, report: OriginReport) {
+    let now = api.change_feed.now();
+    api.versions.borrow_mut().record(report.versions, now);
+    let mut origins = api.origins.borrow_mut();
+    for note in report.notes {
+        origins.insert(note, now);
+    }
+    api.origin_store.noted.notify(1);
+}
+
+/// Writes to the store what a relay remembers, until the process exits.
+pub async fn write_origins(api: Rc<RelayApi>) {
+    let mut retry_pause = MIN_RETRY_PAUSE;
+    loop {
+        let noted = api.origin_store.noted.listen();
+        let mut pause = WRITE_INTERVAL;
+        if write_all(&api).await {
+            retry_pause = MIN_RETRY_PAUSE;
+            let expiring = async {
+                Timer::after(EXPIRY_INTERVAL).await;
+            };
+            noted.or(expiring).await;
+        } else {
+            pause = retry_pause;
+            retry_pause = retry_pause.saturating_mul(2).min(MAX_RETRY_PAUSE);
+        }
+        Timer::after(pause).await;
+    }
+}
+
+/// Writes what is left when a relay stops.
+pub async fn flush(api: &RelayApi) {
+    let writing = async {
+        write_all(api).await;
+    };
+    let expiring = async {
+        Timer::after(FLUSH_TIME).await;
+    };
+    writing.or(expiring).await;
+}
+
+/// Makes calls until the store has all that the relay remembers. Returns false if it does not respond.
+async fn write_all(api: &RelayApi) -> bool {
+    let OriginStore { writer, .. } = &api.origin_store;
+    while let Some(call) = next_origin_call(api) {
+        let reply = api.grant_manager.store.call(&call).await;
+        let (restored, now) = (writer.borrow_mut().handle_reply(&reply), api.change_feed.now());
+        for note in restored {
+            api.origins.borrow_mut().insert(note, now);
+        }
+        if reply == StoreReply::Unavailable {
+            return false;
+        }
+    }
+    true
+}
+
+fn next_origin_call(api: &RelayApi) -> Option<StoreCall> {
+    let now = api.change_feed.now();
+    let versions = api.versions.borrow().valid(now);
+    api.origin_store.writer.borrow_mut().next_call(&api.origins.borrow(), &versions, now)
+}
+
+/// What an entry has read of the relays' objects.
+#[derive(Debug, Default)]
+pub struct OriginReader {
+    stored: RefCell<OriginTable>,
+    /// When the last read began, while no search reads. Searches that overlap share a read.
+    stored_at: Mutex<Option<Duration>>,
+}
+
+/// Returns where a stream began that no relay knows, if the store tells it.
+pub async fn find_stored(gateway: &Gateway, attempt: &RequestId) -> Option<StreamOrigin> {
+    let (reader, asked_at) = (&gateway.origin_reader, gateway.now());
+    let mut read_at = reader.stored_at.lock().await;
+    if await_read(gateway, *read_at, asked_at).await {
+        *read_at = Some(gateway.now());
+        read_origins(gateway).await;
+    }
+    drop(read_at);
+    reader.stored.borrow().find(attempt, gateway.now()).cloned()
+}
+
+/// Waits until the next read is allowed. Returns false if none is needed, because the last one began
+/// after the search did.
+async fn await_read(gateway: &Gateway, read_at: Option<Duration>, asked_at: Duration) -> bool {
+    let Some(read_at) = read_at else {
+        return true;
+    };
+    if read_at >= asked_at {
+        return false;
+    }
+    Timer::after((read_at + READ_INTERVAL).saturating_sub(gateway.now())).await;
+    true
+}
+
+async fn read_origins(gateway: &Gateway) {
+    let kind = stored_origins::ORIGIN_KIND;
+    let listed = gateway.store.list_kind(kind, ListFreshness::Latest, LIST_TIMEOUT).await;
+    match listed {
+        Ok(listing) => {
+            let now = gateway.now();
+            let mut table = OriginTable::new();
+            let stored = listing.objects.iter();
+            let stored = stored
+                .filter_map(|object| storecalls::decode_value::<StoredOrigins>(&object.value));
+            for note in stored.flat_map(|stored| stored.notes().collect::<Vec<OriginNote>>()) {
+                table.insert(note, now);
+            }
+            tracing::info!(
+                event = "origins_read",
+                relays = listing.objects.len(),
+                streams = table.len()
+            );
+            *gateway.origin_reader.stored.borrow_mut() = table;
+        }
+        Err(failure) => tracing::info!(event = "origins_unread", %failure),
+    }
+}
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -28,6 +28,7 @@
 use crate::change_feed::ChangeFeed;
 use crate::grant_manager::{self, GrantManager};
 use crate::listening;
+use crate::origin_store::{self, OriginStore};
 use crate::relay_api::{self, RelayApi};
 use crate::relay_listing;
 use crate::relay_registration;
@@ -60,6 +61,7 @@
     executor.spawn(grant_manager::run_syncs(Rc::clone(&api.grant_manager))).detach();
     executor.spawn(measure_burn(Rc::clone(&api))).detach();
     executor.spawn(relay_api::log_origins(Rc::clone(&api))).detach();
+    executor.spawn(origin_store::write_origins(Rc::clone(&api))).detach();
     executor.spawn(call_log::log_calls()).detach();
     let report_client = api.report_client.as_ref().map(Rc::clone);
     let entry = relay_registration::new_entry(settings, settings.internal, false);
@@ -69,6 +71,7 @@
     smol::block_on(executor.run(async {
         wait_for_stop().await;
         relay_api::drain(&api, settings.shutdown_grace.saturating_sub(GRACE_MARGIN)).await;
+        origin_store::flush(&api).await;
         grant_manager::settle_all(&api.grant_manager).await;
     }));
     let loans = api.loans.borrow().len();
@@ -107,6 +110,7 @@
         report_client,
         origins: RefCell::default(),
         versions: RefCell::default(),
+        origin_store: OriginStore::new(&settings.vm),
         suspects: RefCell::default(),
         holds_changed: Event::new(),
         rotation: RefCell::default(),
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -16,7 +16,7 @@
 use toucanrail::ids::RequestId;
 use toucanrail::loans::{LoanEnd, LoanReply, LoanRequest, LoanTable};
 use toucanrail::origin_keepers::ProcessNumber;
-use toucanrail::origins::{OriginReply, OriginReport, OriginTable};
+use toucanrail::origins::{OriginReply, OriginTable};
 use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
 use toucanrail::rotations::{RotationCounts, RotationOrder, RotationReport, RotationTable};
 use toucanrail::suspects::SuspectTable;
@@ -28,6 +28,7 @@
 use crate::change_feed::{CHANGES_PATH, ChangeFeed};
 use crate::grant_manager::{self, GrantManager, HoldFailure};
 use crate::listening;
+use crate::origin_store::{self, OriginStore};
 use crate::report_client::ReportClient;
 
 /// Path of a call that takes a [`LoanRequest`] and returns a [`LoanReply`].
@@ -43,7 +44,7 @@
 /// Path of a call that takes a [`PermitRequest`] and returns a [`PermitReply`].
 pub const PERMIT_PATH: &str = "/permit";
 
-/// Path of a call that takes an [`OriginReport`] and returns the relay's [`ProcessNumber`].
+/// Path of a call that takes an [`OriginReport`](toucanrail::origins::OriginReport) and returns the relay's [`ProcessNumber`].
 pub const NOTE_PATH: &str = "/origins/note";
 /// Path of a call that takes the id of a caller's attempt, if it is known, and returns an
 /// [`OriginReply`].
@@ -90,6 +91,8 @@
     pub origins: RefCell<OriginTable>,
     /// What entries state of the software versions of servers.
     pub versions: RefCell<StatementTable>,
+    /// What of these two is written to the store.
+    pub origin_store: OriginStore,
     /// Suspects of servers' ends that entries have reported.
     pub suspects: RefCell<SuspectTable>,
     /// Notified when another suspect is held back, or one no longer is.
@@ -136,7 +139,7 @@
                 rpc::reply(&connection, &grant_permit(api, &request)).await?;
             }
             NOTE_PATH => {
-                note_origins(api, rpc::decode(&body)?);
+                origin_store::record_report(api, rpc::decode(&body)?);
                 rpc::reply(&connection, &api.process).await?;
             }
             ORIGIN_PATH => {
@@ -207,15 +210,6 @@
     reply
 }
 
-fn note_origins(api: &RelayApi, report: OriginReport) {
-    let now = api.change_feed.now();
-    api.versions.borrow_mut().record(report.versions, now);
-    let mut origins = api.origins.borrow_mut();
-    for note in report.notes {
-        origins.insert(note, now);
-    }
-}
-
 /// Logs at intervals how many streams the relay remembers.
 pub async fn log_origins(api: Rc<RelayApi>) {
     loop {
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -33,6 +33,7 @@
 use crate::link_load::{self, LinkLoad};
 use crate::loan_client::{self, LoanClient};
 use crate::origin_notes::{self, NoteSender};
+use crate::origin_store::OriginReader;
 use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
 use crate::rotation;
@@ -135,6 +136,7 @@
         server_probes: ServerCache::default(),
         permit_failures: RefCell::default(),
         note_sender: NoteSender::default(),
+        origin_reader: OriginReader::default(),
         suspect_reporter: SuspectReporter::default(),
         memory,
         link,
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -34,6 +34,7 @@
 use crate::liveness::CachedReport;
 use crate::loan_client::LoanClient;
 use crate::origin_notes::NoteSender;
+use crate::origin_store::OriginReader;
 use crate::relay_api::RelayApi;
 use crate::relay_client::RelayBackoff;
 use crate::server_cache::ServerCache;
@@ -132,6 +133,8 @@
     pub permit_failures: RefCell<RelayFailures>,
     /// Sends the origins of streams to relays.
     pub note_sender: NoteSender,
+    /// Reads those that relays have written to the store.
+    pub origin_reader: OriginReader,
     /// Tells relays under which requests servers ended.
     pub suspect_reporter: SuspectReporter,
     /// Bytes held for callers.
--- a/toucanrail-gateway/tests/taken_up_streams.rs
+++ b/toucanrail-gateway/tests/taken_up_streams.rs
@@ -150,6 +150,7 @@
     platform::wait_until("a stream that goes on", || {
         unnamed(&fleet.entries[0]).starts_with("HTTP/1.1 200")
     });
+    begin_streams(&fleet.entries[0]);
     thread::sleep(RECORD_TIME);
     restart_all(&mut fleet);
     let restarted = Instant::now();
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -105,6 +105,7 @@
 pub mod sse;
 pub mod statements;
 pub mod storecalls;
+pub mod stored_origins;
 pub mod successes;
 pub mod suspects;
 pub mod sync_plans;
