The versions that have served a service are recorded in the store

What callers saw: after a power loss of all processes, or after a restart or a cut of each entry, streams that they took up were refused as unknown (3205) for as long as a stream lasts, though all servers ran one version.

Cause: the proof that one version began all streams rested on how long an entry had listed the servers without a gap, and was lost with each start and each cut.

Change: relays keep a record for each service (kind versions): a version that any entry lists is added to it, and removed only after no entry has stated several for a minute. An entry that finds nothing else reads it: if it and the entry's own listing name the same version alone, the stream goes on there. A record that cannot be read proves nothing and is not written over.

--- a/toucanrail-gateway/src/origin_notes.rs
+++ b/toucanrail-gateway/src/origin_notes.rs
@@ -13,7 +13,7 @@
 use toucanrail::matching::{RouteKind, RouteRule};
 use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch, ProcessNumber};
 use toucanrail::origins::{OriginNote, OriginReport};
-use toucanrail::version_history::VersionStatements;
+use toucanrail::version_history::{ListedVersions, VersionStatements};
 use toucanrail_platform::requests::RequestInfo;
 
 use crate::relay_api::NOTE_PATH;
@@ -153,16 +153,20 @@
 /// Sends a batch on a pooled connection, and on a new one if that has ended.
 async fn call_with_notes(gateway: &Gateway, batch: &NoteBatch) -> io::Result<ProcessNumber> {
     let LocatedRelay { name, address, .. } = &batch.relay;
-    let report = OriginReport { notes: batch.notes.clone(), versions: make_statements(gateway) };
+    let (notes, (versions, listed)) = (batch.notes.clone(), make_statements(gateway));
+    let report = OriginReport { notes, versions, listed };
     let (path, timeout) = (NOTE_PATH, SEND_TIMEOUT);
     relay_client::call_relay_again(gateway, name, *address, path, &report, timeout).await
 }
 
-/// Returns what this entry knows of the servers' versions; nothing if it may lack changes.
-fn make_statements(gateway: &Gateway) -> VersionStatements {
+/// Returns what this entry knows of the servers' versions, and all that it lists; nothing if it may
+/// lack changes.
+fn make_statements(gateway: &Gateway) -> (VersionStatements, ListedVersions) {
     if !gateway.lists_servers() {
-        return VersionStatements::new();
+        return Default::default();
     }
     let lifetime = gateway.stream_lifetime();
-    gateway.tables.borrow().backends.versions().make_statements(gateway.now(), lifetime)
+    let tables = gateway.tables.borrow();
+    let versions = tables.backends.versions();
+    (versions.make_statements(gateway.now(), lifetime), versions.listed_versions())
 }
--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -171,14 +171,14 @@
     }
     let sole = match sole {
         Some(sole) if sole.is_proved || sole.is_confirmed(&replies) => Some(sole),
-        _ => {
+        sole => {
             if let Some(attempt) = attempt
                 && let Some(origin) = origin_store::find_stored(gateway, attempt).await
             {
                 note_again(gateway, info, route, &origin);
                 return Some((origin, OriginSource::Stored));
             }
-            None
+            find_recorded(gateway, route, sole).await
         }
     };
     Some((sole?.origin, OriginSource::SoleVersion))
@@ -210,6 +210,18 @@
     gateway.tables.borrow().origins.find(attempt, gateway.now()).cloned()
 }
 
+/// Returns the only version that this entry lists if the store has recorded no other one either.
+async fn find_recorded(
+    gateway: &Gateway,
+    route: &RouteRule,
+    sole: Option<SoleVersion>,
+) -> Option<SoleVersion> {
+    let service = sole?.origin.service;
+    let record = origin_store::read_versions(gateway, &service).await?;
+    // Another version may have been listed meanwhile.
+    find_sole_version(gateway, route).filter(|sole| record.is_sole(&sole.origin.version))
+}
+
 /// The only version that this entry has seen at the servers of a service.
 #[derive(Debug)]
 struct SoleVersion {
--- a/toucanrail-gateway/src/origin_store.rs
+++ b/toucanrail-gateway/src/origin_store.rs
@@ -1,6 +1,8 @@
-//! Origins of streams in the store: relays write them, entries read them where no relay knows a stream.
+//! Origins of streams and records of versions in the store: relays write them, entries read them where
+//! no relay knows a stream.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,10 +10,11 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::lock::Mutex;
-use toucanrail::ids::RequestId;
+use toucanrail::ids::{RequestId, ServiceName};
 use toucanrail::origins::{OriginNote, OriginReport, OriginTable, StreamOrigin};
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
 use toucanrail::stored_origins::{self, OriginWriter, StoredOrigins};
+use toucanrail::version_records::{self, RecordKeeper, VersionRecord};
 use toucanrail_platform::stores::ListFreshness;
 
 use crate::relay_api::RelayApi;
@@ -35,13 +38,15 @@
 #[derive(Debug)]
 pub struct OriginStore {
     writer: RefCell<OriginWriter>,
+    records: RefCell<RecordKeeper>,
     noted: Event,
 }
 
 impl OriginStore {
     /// Creates the state of a relay that has just started.
     pub fn new(relay: &str) -> Self {
-        Self { writer: OriginWriter::new(relay).into(), noted: Event::new() }
+        let (writer, records) = (OriginWriter::new(relay).into(), RefCell::default());
+        Self { writer, records, noted: Event::new() }
     }
 }
 
@@ -49,6 +54,7 @@
 pub fn record_report(api: &RelayApi, report: OriginReport) {
     let now = api.change_feed.now();
     api.versions.borrow_mut().record(report.versions, now);
+    api.origin_store.records.borrow_mut().record_listed(report.listed);
     let mut origins = api.origins.borrow_mut();
     for note in report.notes {
         origins.insert(note, now);
@@ -89,7 +95,7 @@
 
 /// Makes calls until the store has all that the relay remembers. Returns false if it does not respond.
 async fn write_all(api: &RelayApi) -> bool {
-    let OriginStore { writer, .. } = &api.origin_store;
+    let OriginStore { writer, records, .. } = &api.origin_store;
     while let Some(call) = next_origin_call(api) {
         let reply = api.grant_manager.store.call(&call).await;
         let (restored, now) = (writer.borrow_mut().handle_reply(&reply), api.change_feed.now());
@@ -100,6 +106,13 @@
             return false;
         }
     }
+    while let Some(call) = next_record_call(api) {
+        let reply = api.grant_manager.store.call(&call).await;
+        records.borrow_mut().handle_reply(&reply, api.change_feed.now());
+        if reply == StoreReply::Unavailable {
+            return false;
+        }
+    }
     true
 }
 
@@ -109,12 +122,20 @@
     api.origin_store.writer.borrow_mut().next_call(&api.origins.borrow(), &versions, now)
 }
 
+fn next_record_call(api: &RelayApi) -> Option<StoreCall> {
+    let now = api.change_feed.now();
+    let versions = api.versions.borrow().valid(now);
+    api.origin_store.records.borrow_mut().next_call(&versions, now)
+}
+
 /// What an entry has read of the relays' objects.
 #[derive(Debug, Default)]
 pub struct OriginReader {
     stored: RefCell<OriginTable>,
-    /// When the last read began, while no search reads. Searches that overlap share a read.
+    records: RefCell<BTreeMap<ServiceName, VersionRecord>>,
+    /// When the last read of each began, while no search reads. Searches that overlap share a read.
     stored_at: Mutex<Option<Duration>>,
+    records_at: Mutex<BTreeMap<ServiceName, Duration>>,
 }
 
 /// Returns where a stream began that no relay knows, if the store tells it.
@@ -165,3 +186,24 @@
         Err(failure) => tracing::info!(event = "origins_unread", %failure),
     }
 }
+
+/// Returns which versions of a service may have begun streams, if the store tells it.
+pub async fn read_versions(gateway: &Gateway, service: &ServiceName) -> Option<VersionRecord> {
+    let (reader, asked_at) = (&gateway.origin_reader, gateway.now());
+    let mut read_at = reader.records_at.lock().await;
+    if await_read(gateway, read_at.get(service).copied(), asked_at).await {
+        read_at.insert(ServiceName::clone(service), gateway.now());
+        let path = version_records::record_path(service);
+        let record = match gateway.store.call(&StoreCall::Get { path }).await {
+            StoreReply::Found { value, .. } => storecalls::decode_value(&value),
+            _ => None,
+        };
+        let mut records = reader.records.borrow_mut();
+        match record {
+            Some(record) => drop(records.insert(ServiceName::clone(service), record)),
+            None => drop(records.remove(service)),
+        }
+    }
+    drop(read_at);
+    reader.records.borrow().get(service).cloned()
+}
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -116,3 +116,4 @@
 pub mod traces;
 pub mod usages;
 pub mod version_history;
+pub mod version_records;
--- a/toucanrail/src/origins.rs
+++ b/toucanrail/src/origins.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{RequestId, ServiceName, SoftwareVersion};
-use crate::version_history::VersionStatements;
+use crate::version_history::{ListedVersions, VersionStatements};
 
 /// Time by which a note has to be valid for longer than the ones before, to be told to relays again.
 const MIN_RENEWAL: Duration = Duration::from_secs(1);
@@ -47,6 +47,8 @@
     pub notes: Vec<OriginNote>,
     /// Versions of the services' servers.
     pub versions: VersionStatements,
+    /// All versions that the entry lists, also where it cannot state that there are no others.
+    pub listed: ListedVersions,
 }
 
 /// What a relay knows about a stream that a caller takes up.
--- a/toucanrail/src/version_history.rs
+++ b/toucanrail/src/version_history.rs
@@ -2,7 +2,7 @@
 //!
 //! A stream whose origin nobody knows may go on only if no other version can have begun it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
 const SOLE_TIME: Duration = Duration::from_secs(2);
 /// Time for which a relay takes no statement of a sole version after one of several: entries learn
 /// of a version at different times.
-const SEVERAL_TIME: Duration = Duration::from_secs(60);
+pub const SEVERAL_TIME: Duration = Duration::from_secs(60);
 
 /// What an entry knows of the versions that a service has run in the time in which streams are taken
 /// up.
@@ -26,6 +26,10 @@
     Several,
 }
 
+/// Versions by service, as an entry lists them: those of registered servers, and of servers that were
+/// registered lately.
+pub type ListedVersions = BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>;
+
 /// Versions of the servers that are registered, or were until lately.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -113,6 +117,19 @@
         versions.keys().next()
     }
 
+    /// Returns the versions that each service has run since the servers were listed; nothing if they
+    /// have not been.
+    pub fn listed_versions(&self) -> ListedVersions {
+        if self.known_since.is_none() {
+            return ListedVersions::new();
+        }
+        let rows = self.rows.iter();
+        rows.map(|(service, versions)| {
+            (ServiceName::clone(service), versions.keys().cloned().collect())
+        })
+        .collect()
+    }
+
     /// Returns what is known of each service. A service of which that is not enough is left out.
     pub fn make_statements(&self, now: Duration, lifetime: Duration) -> VersionStatements {
         let statements = self.rows.iter().filter_map(|(service, versions)| {
