Kinds of objects that the platform's store takes: stream-origins, software-versions

Calls that the store does not carry out are logged (origins_unwritten), as are reads (versions_read).

--- a/toucanrail-gateway/src/origin_store.rs
+++ b/toucanrail-gateway/src/origin_store.rs
@@ -102,14 +102,14 @@
         for note in restored {
             api.origins.borrow_mut().insert(note, now);
         }
-        if reply == StoreReply::Unavailable {
+        if is_lost(&call, &reply) {
             return false;
         }
     }
     while let Some(call) = next_record_call(api) {
         let reply = api.grant_manager.store.call(&call).await;
         records.borrow_mut().handle_reply(&reply, api.change_feed.now());
-        if reply == StoreReply::Unavailable {
+        if is_lost(&call, &reply) {
             return false;
         }
     }
@@ -128,6 +128,16 @@
     api.origin_store.records.borrow_mut().next_call(&versions, now)
 }
 
+/// Returns whether the store did not carry a call out, which is logged.
+fn is_lost(call: &StoreCall, reply: &StoreReply) -> bool {
+    let (StoreCall::Get { path } | StoreCall::Put { path, .. }) = call;
+    let is_lost = *reply == StoreReply::Unavailable;
+    if is_lost {
+        tracing::info!(event = "origins_unwritten", %path);
+    }
+    is_lost
+}
+
 /// What an entry has read of the relays' objects.
 #[derive(Debug, Default)]
 pub struct OriginReader {
@@ -198,6 +208,7 @@
             StoreReply::Found { value, .. } => storecalls::decode_value(&value),
             _ => None,
         };
+        tracing::info!(event = "versions_read", %service, record = ?record);
         let mut records = reader.records.borrow_mut();
         match record {
             Some(record) => drop(records.insert(ServiceName::clone(service), record)),
--- a/toucanrail/src/stored_origins.rs
+++ b/toucanrail/src/stored_origins.rs
@@ -17,7 +17,7 @@
 use crate::version_history::{VersionStatement, VersionStatements};
 
 /// Object kind of the relays' origins; each object is named after its relay.
-pub const ORIGIN_KIND: &str = "origins";
+pub const ORIGIN_KIND: &str = "stream-origins";
 /// Maximum size of the attempt ids in one object, half of what the store takes.
 const MAX_ID_BYTES: usize = 512 * 1024;
 /// Upper bound of the time for which stored origins are valid, whatever an object states.
--- a/toucanrail/src/version_records.rs
+++ b/toucanrail/src/version_records.rs
@@ -16,7 +16,7 @@
 use crate::version_history::{self, ListedVersions, VersionStatement, VersionStatements};
 
 /// Object kind of the records; each object is named after its service.
-pub const VERSION_KIND: &str = "versions";
+pub const VERSION_KIND: &str = "software-versions";
 
 /// Object of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/toucanrail/tests/stored_origins.rs
+++ b/toucanrail/tests/stored_origins.rs
@@ -49,7 +49,7 @@
     }
 
     fn attempts(&self, relay: &str) -> usize {
-        let object = self.objects.get(&*format!("origins/{relay}"));
+        let object = self.objects.get(&*format!("stream-origins/{relay}"));
         let stored = object.and_then(|(_, value)| storecalls::decode_value::<StoredOrigins>(value));
         stored.map_or(0, |stored| stored.notes().count())
     }
