A permission that was refused counts until its entry states that it has none

What callers saw: of two equal entries both were out of rotation, so that the balancer used both, the loaded one among them (at_most_half, sizes [0, 0]).

Cause: an entry was back in rotation with a permission that had 2.6 s left. Its load had fallen, so the relay refused to renew it and gave the permission to the other entry at once. The refusal was lost; the load rose again and the entry left within its lease. The class: something lent counted as returned once its return was ordered, not once it was known. The relay's restart had no part in it.

Reports now state what the entry follows, and a permission counts until the entry reports that it has none. Reports of earlier versions do not state it and are decided as before.

--- a/toucanrail/src/rotations.rs
+++ b/toucanrail/src/rotations.rs
@@ -34,6 +34,20 @@
 /// Load above which an entry that is out closes callers' connections.
 const CLOSING_LOAD: f64 = 0.3;
 
+/// What an entry follows when it sends a report.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RotationBasis {
+    /// Not stated, as by earlier versions.
+    #[default]
+    Unstated,
+    /// No order holds: the entry decides by itself.
+    Alone,
+    /// An order to stay.
+    Stay,
+    /// A permission to leave.
+    Permission,
+}
+
 /// What an entry reports of itself each second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RotationReport {
@@ -51,6 +65,9 @@
     pub out: bool,
     /// Whether the entry is stopping. It is then out of rotation for good.
     pub stopping: bool,
+    /// What the entry follows now.
+    #[serde(default)]
+    pub basis: RotationBasis,
 }
 
 /// A relay's reply to a report.
@@ -88,9 +105,11 @@
 }
 
 impl EntryRow {
-    /// Returns whether the entry is or may be out of rotation.
+    /// Returns whether the entry is or may be out of rotation. A permission that has been refused
+    /// since counts until the entry reports that it has none, as the reply may be lost.
     fn may_be_out(&self, now: Duration) -> bool {
-        self.report.stopping || self.report.out || now < self.lease_until
+        let is_permitted = self.report.basis == RotationBasis::Permission || now < self.lease_until;
+        self.report.stopping || self.report.out || is_permitted
     }
 
     /// Orders entries by the time since when they have not been loaded; those that are loaded come
@@ -122,11 +141,10 @@
     fn record_report(&mut self, report: RotationReport, now: Duration) -> RotationOrder {
         let known = self.rows.remove(&report.entry);
         let known = known.filter(|row| row.report.process == report.process);
-        let (loaded_at, lease_until) =
-            known.map_or((None, Duration::ZERO), |row| (row.loaded_at, row.lease_until));
+        let loaded_at = known.and_then(|row| row.loaded_at);
         let loaded_at = if report.load >= LEAVE_LOAD { Some(now) } else { loaded_at };
         let entry = Arc::clone(&report.entry);
-        let was_refused = false;
+        let (lease_until, was_refused) = (Duration::ZERO, false);
         let row = EntryRow { report, heard_at: now, loaded_at, lease_until, was_refused };
         let (may_leave, was_refused) = self.decide(&row, now);
         let lease_until = if may_leave { now + LEASE_TIME } else { Duration::ZERO };
@@ -192,14 +210,16 @@
     /// # Examples
     /// ```
     /// use std::{sync::Arc, time::Duration};
-    /// use toucanrail::rotations::{LEASE_TIME, RotationOrder, RotationReport, RotationTable};
+    /// use toucanrail::rotations::{
+    ///     LEASE_TIME, RotationBasis, RotationOrder, RotationReport, RotationTable,
+    /// };
     /// let mut table = RotationTable::default();
     /// let mut order = RotationOrder::Stay;
     /// for second in 0..6 {
     ///     for (name, capacity, load) in [("a", 25e6, 0.01), ("b", 25e6, 0.01), ("c", 1e6, 0.9)] {
     ///         let report = RotationReport {
     ///             entry: Arc::from(name), process: 1, data_centre: Arc::from("d"), capacity, load,
-    ///             out: false, stopping: false,
+    ///             out: false, stopping: false, basis: RotationBasis::Stay,
     ///         };
     ///         order = table.report(report, Duration::from_secs(second));
     ///     }
@@ -254,13 +274,18 @@
 pub struct RotationState {
     order: Option<(RotationOrder, Duration)>,
     out_until: Duration,
+    /// Whether the last order took a permission back, which the relay learns by the next report.
+    is_withdrawn: bool,
 }
 
 impl RotationState {
     /// Records the order that a report sent at `sent_at` brought.
     pub fn record_order(&mut self, order: RotationOrder, sent_at: Duration) {
+        let is_stay = order == RotationOrder::Stay;
+        let is_permitted = self.basis(sent_at) == RotationBasis::Permission;
+        self.is_withdrawn = is_stay && (is_permitted || sent_at < self.out_until);
         self.order = Some((order, sent_at));
-        if order == RotationOrder::Stay {
+        if is_stay {
             self.out_until = Duration::ZERO;
         }
     }
@@ -298,8 +323,27 @@
         self.valid_order(now).map(|_| false)
     }
 
-    /// Returns whether the relay should hear of the load at once: the entry would leave soon and is
-    /// not permitted to, or it is out and could make room for another one.
+    /// Returns what the entry follows.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::rotations::{RotationBasis, RotationOrder, RotationState};
+    /// let mut state = RotationState::default();
+    /// assert_eq!(state.basis(Duration::ZERO), RotationBasis::Alone);
+    /// state.record_order(RotationOrder::Stay, Duration::ZERO);
+    /// assert_eq!(state.basis(Duration::from_secs(1)), RotationBasis::Stay);
+    /// ```
+    pub fn basis(&self, now: Duration) -> RotationBasis {
+        match self.valid_order(now) {
+            Some(RotationOrder::Leave { .. }) => RotationBasis::Permission,
+            Some(RotationOrder::Stay) => RotationBasis::Stay,
+            None => RotationBasis::Alone,
+        }
+    }
+
+    /// Returns whether the relay should hear of the entry at once: the entry would leave soon and is
+    /// not permitted to, or it has a permission that another one could use, or has had to give it up.
     ///
     /// # Examples
     /// ```
@@ -310,10 +354,8 @@
     /// ```
     pub fn is_urgent(&self, load: f64, now: Duration) -> bool {
         match self.valid_order(now) {
-            Some(RotationOrder::Leave { .. }) => {
-                load < PERMIT_LOAD && self.is_out(now) == Some(true)
-            }
-            _ => load >= PERMIT_LOAD,
+            Some(RotationOrder::Leave { .. }) => load < PERMIT_LOAD,
+            _ => load >= PERMIT_LOAD || self.is_withdrawn,
         }
     }
 
--- a/toucanrail/tests/entry_rotation.rs
+++ b/toucanrail/tests/entry_rotation.rs
@@ -7,7 +7,9 @@
 
 use proptest::prelude::*;
 use toucanrail::link_gauges::{LinkCounts, LinkGauge};
-use toucanrail::rotations::{LEASE_TIME, RotationReport, RotationState, RotationTable};
+use toucanrail::rotations::{
+    LEASE_TIME, RotationBasis, RotationReport, RotationState, RotationTable,
+};
 use xxhash_rust::xxh3;
 
 /// Capacities of a small and a large entry's link, and rates of callers, in bytes a second.
@@ -157,6 +159,7 @@
                     load,
                     out: entry.state.is_out(now) == Some(true) || entry.stopping,
                     stopping: entry.stopping,
+                    basis: entry.state.basis(now),
                 };
                 let order = self.tables[entry.relay].report(report, now);
                 if !entry.deaf {
@@ -297,6 +300,42 @@
     assert!(centre.outs.last() <= Some(&4), "{:?}", centre.outs);
 }
 
+/// The relay takes an entry's permission back because its load has fallen, and the reply is lost. If
+/// the relay gave the permission to another entry before the lease ends, both could be out.
+#[test]
+fn lost_refusal() {
+    for caller in 0..20 {
+        let mut centre = Centre::new(&[SMALL; 2], Hashing::Modulo, caller, 0.0);
+        centre.run(5);
+        centre.entries[0].offered = 0.6 * SMALL;
+        centre.run(3);
+        assert_eq!(centre.outs.last(), Some(&1), "{caller}: the entry has not left");
+        centre.entries[0].offered = 0.1 * SMALL;
+        while centre.outs.last() != Some(&0) {
+            centre.step();
+        }
+        centre.entries[0].deaf = true;
+        centre.run(1);
+        centre.entries[1].offered = 0.8 * SMALL;
+        centre.run(1);
+        centre.entries[0].offered = 0.95 * SMALL;
+        centre.run(2);
+        assert!(centre.longest_shortage().is_zero(), "{caller}: {:?}", centre.outs);
+        (centre.entries[0].deaf, centre.entries[0].offered) = (false, LIGHT);
+        centre.run(7);
+        assert_eq!(centre.outs.last(), Some(&1), "{caller}: the other entry has not left");
+    }
+}
+
+/// Reports of earlier versions do not state what the entry follows, and must still be read.
+#[test]
+fn earlier_report() {
+    let report = r#"{"entry":"e","process":1,"data_centre":"a","capacity":1e6,"load":0.1,"out":false,
+        "stopping":false}"#;
+    let report: RotationReport = serde_json::from_str(report).expect("a report");
+    assert_eq!(report.basis, RotationBasis::Unstated);
+}
+
 /// Entries that report to two relays for a while: more than half are out for one lease at most.
 #[test]
 fn two_relays() {
