Relays that do not know their entries leave those without an order undecided

Cause: the relay told it to stay, which holds for 3 s; later replies waited behind callers' bodies, and the entry's own decision applies only once no order holds.

An entry that follows no order now gets Undecided, which holds for 0.5 s, until the others have reported (1.25 s), and is then decided about as usual. Entries with an order and those of earlier versions get what they got before.

Entries whose replies are lost decide by themselves, and more than half may then be out.

--- a/toucanrail/src/rotations.rs
+++ b/toucanrail/src/rotations.rs
@@ -22,6 +22,11 @@
 /// Time for which an order holds, and for which a relay keeps what an entry reported. They are the
 /// same, so that a lease has ended at the entry when the relay forgets it.
 pub const LEASE_TIME: Duration = Duration::from_secs(3);
+/// Time in which each entry whose link is not full reports at least once.
+const REPORT_TIME: Duration = Duration::from_millis(1_250);
+/// Time for which an entry waits for the next order while its relay knows too little to decide. An
+/// entry under load reports twice in that time.
+const UNDECIDED_TIME: Duration = Duration::from_millis(500);
 /// Load from which an entry with a permission leaves. The balancer moves callers two to three seconds
 /// later, in which the load may double.
 const LEAVE_LOAD: f64 = 0.5;
@@ -75,6 +80,9 @@
 pub enum RotationOrder {
     /// The entry is in rotation, whatever its load.
     Stay,
+    /// The relay does not know its entries yet. The entry decides by itself unless another order
+    /// follows within half a second. Only entries that follow no order get this reply.
+    Undecided,
     /// The entry may be out of rotation while its link is loaded.
     Leave {
         /// Time after the report was sent until which the permission holds unless it is renewed.
@@ -129,13 +137,18 @@
 #[derive(Debug)]
 struct CentreRotation {
     rows: BTreeMap<VmId, EntryRow>,
+    /// Time until which entries have reported unless their links are full. From then on those that
+    /// follow no order are decided about: an order to stay would hold if the link fills up and delays
+    /// the next one.
+    reported_at: Duration,
     /// Time until which all live entries have reported at least once.
     complete_at: Duration,
 }
 
 impl CentreRotation {
     fn new(now: Duration) -> Self {
-        Self { rows: BTreeMap::new(), complete_at: now + LEASE_TIME }
+        let (reported_at, complete_at) = (now + REPORT_TIME, now + LEASE_TIME);
+        Self { rows: BTreeMap::new(), reported_at, complete_at }
     }
 
     fn record_report(&mut self, report: RotationReport, now: Duration) -> RotationOrder {
@@ -146,31 +159,44 @@
         let entry = Arc::clone(&report.entry);
         let (lease_until, was_refused) = (Duration::ZERO, false);
         let row = EntryRow { report, heard_at: now, loaded_at, lease_until, was_refused };
-        let (may_leave, was_refused) = self.decide(&row, now);
-        let lease_until = if may_leave { now + LEASE_TIME } else { Duration::ZERO };
+        let (order, was_refused) = self.decide(&row, now);
+        let lease_until = match order {
+            RotationOrder::Leave { lease } => now + lease,
+            RotationOrder::Stay | RotationOrder::Undecided => Duration::ZERO,
+        };
         self.rows.insert(entry, EntryRow { lease_until, was_refused, ..row });
-        if may_leave { RotationOrder::Leave { lease: LEASE_TIME } } else { RotationOrder::Stay }
+        order
     }
 
-    /// Decides on the report of an entry that is not among the rows. Returns whether it may be out,
-    /// and whether it may not because too many others are.
-    fn decide(&self, row: &EntryRow, now: Duration) -> (bool, bool) {
+    /// Decides on the report of an entry that is not among the rows. Returns the order, and whether
+    /// the entry must stay because too many others are out.
+    fn decide(&self, row: &EntryRow, now: Duration) -> (RotationOrder, bool) {
+        let permission = RotationOrder::Leave { lease: LEASE_TIME };
         if row.report.stopping {
-            return (false, false);
+            return (RotationOrder::Stay, false);
         }
         if now < self.complete_at {
-            return (row.report.out, false);
+            if row.report.out {
+                return (permission, false);
+            }
+            if row.report.basis != RotationBasis::Alone {
+                return (RotationOrder::Stay, false);
+            }
+            if now < self.reported_at || row.report.load < PERMIT_LOAD {
+                return (RotationOrder::Undecided, false);
+            }
         }
         let others_out = self.rows.values().filter(|other| other.may_be_out(now)).count();
         // The balancer uses all entries once fewer than half are in rotation.
-        let max_out = self.rows.len().div_ceil(2);
-        let is_crowded = others_out >= max_out;
-        if row.report.out {
+        let is_crowded = others_out >= self.rows.len().div_ceil(2);
+        let (may_leave, was_refused) = if row.report.out {
             let makes_room = is_crowded || (self.is_awaited(now) && row.is_drained());
-            return (!(makes_room && self.is_next(row)), false);
-        }
-        let may_leave = row.report.load >= PERMIT_LOAD && self.has_relief(row, now);
-        (may_leave && !is_crowded, may_leave && is_crowded)
+            (!(makes_room && self.is_next(row)), false)
+        } else {
+            let may_leave = row.report.load >= PERMIT_LOAD && self.has_relief(row, now);
+            (may_leave && !is_crowded, may_leave && is_crowded)
+        };
+        (if may_leave { permission } else { RotationOrder::Stay }, was_refused)
     }
 
     /// Returns whether an entry waits for another one to return.
@@ -338,7 +364,7 @@
         match self.valid_order(now) {
             Some(RotationOrder::Leave { .. }) => RotationBasis::Permission,
             Some(RotationOrder::Stay) => RotationBasis::Stay,
-            None => RotationBasis::Alone,
+            Some(RotationOrder::Undecided) | None => RotationBasis::Alone,
         }
     }
 
@@ -370,6 +396,7 @@
         let time = match order {
             RotationOrder::Leave { lease } => lease.min(LEASE_TIME),
             RotationOrder::Stay => LEASE_TIME,
+            RotationOrder::Undecided => UNDECIDED_TIME,
         };
         (now.saturating_sub(sent_at) < time).then_some(order)
     }
