An agent's ledger never runs an evicted attempt again

After 20,000 settled attempts the ledger forgot the oldest ids. A command delivered again that late was admitted, and a query about such an attempt said that it never came: the retry of a call that may run at most once, whose writer had died, would have run it a second time. The set of voided attempts grew without end.

Entries number their attempts; commands, queries and run records carry the number. The ledger keeps the highest number that it evicted of each entry: an unknown attempt up to it is refused as seen before, and reported as ended without proof of its usage. Voided ids share the limit. Attempts without a number (of an entry of an earlier version) are treated as before.

Fences still grow by one row for each tenure that is reclaimed.

--- a/toucanrail-daemons/src/agents.rs
+++ b/toucanrail-daemons/src/agents.rs
@@ -281,7 +281,7 @@
             Ok(query) => query,
             Err(refusal) => return *refusal,
         };
-        let report = self.lock_ledger().query(&query.run, query.mode);
+        let report = self.lock_ledger().query(&query);
         if report == toucanrail::messages::RunReport::Running && query.mode == QueryMode::Cancel {
             let call =
                 OutboundRequest::get(format!("/engine/cancel/{}", query.run)).on_new_connection();
--- a/toucanrail-daemons/src/attempts.rs
+++ b/toucanrail-daemons/src/attempts.rs
@@ -9,7 +9,7 @@
 use toucanrail::codes::ResultCode;
 use toucanrail::codetable;
 use toucanrail::frames::FrameDecoder;
-use toucanrail::ids::{AgentId, RunId, SoftwareVersion, Tokens};
+use toucanrail::ids::{AgentId, SoftwareVersion, Tokens};
 use toucanrail::messages::{
     AgentReply, HeaderField, QueryMode, RunQuery, RunReport, StoredResponse,
 };
@@ -148,7 +148,7 @@
     entry.client.evict(target.address);
     let waited = time_limits::timeout(
         RESULT_TIMEOUT,
-        query_result(entry, target, &command.run, command.hold),
+        query_result(entry, target, &cancel_query(command), command.hold),
     )
     .await;
     match waited {
@@ -247,17 +247,26 @@
     }
 }
 
+/// Returns the query that cancels the attempt of a command.
+pub fn cancel_query(command: &RunCommand) -> RunQuery {
+    RunQuery {
+        run: Arc::clone(&command.run),
+        entry: Arc::clone(&command.entry),
+        number: command.number,
+        mode: QueryMode::Cancel,
+    }
+}
+
 /// Cancels an attempt and queries its agent until it reports the result or is provably gone.
 pub async fn query_result(
     entry: &Arc<Entry>,
     target: &AttemptTarget,
-    run: &RunId,
+    query: &RunQuery,
     hold: Tokens,
 ) -> AttemptResult {
-    let query = RunQuery { run: Arc::clone(run), mode: QueryMode::Cancel };
     loop {
         let reply: io::Result<AgentReply> =
-            entry.client.send(target.address, routes::RUN_QUERY, &query, QUERY_TIMEOUT).await;
+            entry.client.send(target.address, routes::RUN_QUERY, query, QUERY_TIMEOUT).await;
         match reply {
             Ok(reply) if reply.agent != target.agent => return gone_result(hold),
             Ok(AgentReply { fate: Some(RunReport::NeverCame), .. }) => {
--- a/toucanrail-daemons/src/billing.rs
+++ b/toucanrail-daemons/src/billing.rs
@@ -6,6 +6,7 @@
 use toucanrail::budgets::{BillRow, BilledRun};
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::{RunId, Tokens, Version};
+use toucanrail::messages::RunQuery;
 use toucanrail::records::{self, RecordState, RunRecord};
 
 use crate::attempts::{self, AttemptResult, AttemptTarget};
@@ -113,8 +114,8 @@
     pub plan: RequestPlan,
     /// Agent that the attempt was sent to.
     pub target: AttemptTarget,
-    /// Id of the attempt.
-    pub run: RunId,
+    /// Query that cancels the attempt.
+    pub query: RunQuery,
     /// Hold of the attempt.
     pub hold: GrantHold,
     /// Run record, if the request is not repeatable.
@@ -135,7 +136,7 @@
     /// meantime, the usage of this one is written off.
     pub async fn resolve(self) {
         let resolving =
-            attempts::query_result(&self.entry, &self.target, &self.run, self.hold.amount);
+            attempts::query_result(&self.entry, &self.target, &self.query, self.hold.amount);
         let result = resolving.await;
         if let Some((record, version)) = &self.record {
             recording::close_record_retrying(&self.entry, record, *version, record_state(&result))
@@ -153,7 +154,7 @@
             return None;
         };
         let mut sum = UsageSum { unproved: *unproved, ..UsageSum::default() };
-        sum.add_run(&self.target, &self.run, *used);
+        sum.add_run(&self.target, &self.query.run, *used);
         if self.chargeable && *used > 0 && self.claim.claim().await {
             sum.billed = *used;
         } else {
--- a/toucanrail-daemons/src/recording.rs
+++ b/toucanrail-daemons/src/recording.rs
@@ -29,15 +29,14 @@
         writer: Arc::clone(&entry.id),
         nonce: fastrand::u64(..),
         attempt: 1,
+        number: entry.next_run_number(),
         agent: Arc::clone(agent),
         state: RecordState::Started,
     });
     while let Some(call) = machine.next_call() {
         let reply = match call {
             RecordCall::Store(call) => RecordReply::Store(entry.store.call(&call).await),
-            RecordCall::Query { agent, run, mode } => {
-                query_agent(entry, &agent, RunQuery { run, mode }).await
-            }
+            RecordCall::Query { agent, query } => query_agent(entry, &agent, query).await,
         };
         machine.handle_reply(reply);
     }
--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -10,7 +10,7 @@
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::grants::GrantHold;
-use toucanrail::ids::{AgentId, RunId, SoftwareVersion, Tokens, Version};
+use toucanrail::ids::{AgentId, RunId, RunNumber, SoftwareVersion, Tokens, Version};
 use toucanrail::limits::ServiceLoad;
 use toucanrail::messages::{RunCommand, StoredResponse};
 use toucanrail::records::{self, RecordOutcome, RecordState, RunRecord};
@@ -72,6 +72,8 @@
     /// known.
     stream_version: Option<SoftwareVersion>,
     attempt: u32,
+    /// Number of the last attempt among those of the entry.
+    run_number: RunNumber,
     record: Option<(RunRecord, Version)>,
     /// What earlier attempts show about whether the request ran; `None` as long as all of them
     /// provably did not run.
@@ -106,6 +108,7 @@
             tried: BTreeSet::new(),
             stream_version: None,
             attempt: 0,
+            run_number: 0,
             record: None,
             run_state: None,
             _guard: guard,
@@ -363,12 +366,14 @@
             // A keyed request may be running at another entry too, so the ids of attempts contain a
             // nonce.
             let nonce = fastrand::u32(..);
+            self.run_number = self.entry.next_run_number();
             return Ok(Arc::from(format!("{}.{}-{nonce:08x}", self.plan.request, self.attempt)));
         }
         match recording::open_record(&self.entry, &self.plan, &target.agent).await {
             RecordOutcome::Run { record, version } => {
                 self.trace(format!("recorded as attempt {} at {}", record.attempt, record.agent));
                 let run = record.run();
+                self.run_number = record.number;
                 self.record = Some((record, version));
                 Ok(run)
             }
@@ -395,7 +400,7 @@
         if self.writer.has_started() && self.stream_version.is_none() {
             self.stream_version.clone_from(&target.software_version);
         }
-        self.record_result(target, &run, &hold, &result).await;
+        self.record_result(target, &command, &hold, &result).await;
         result
     }
 
@@ -407,6 +412,7 @@
             run: Arc::clone(run),
             agent: Arc::clone(&target.agent),
             entry: Arc::clone(&self.entry.id),
+            number: self.run_number,
             customer: Arc::clone(&plan.customer.name),
             service: Arc::clone(&plan.service.name),
             shard: Arc::clone(&hold.shard),
@@ -431,10 +437,11 @@
     async fn record_result(
         &mut self,
         target: &AttemptTarget,
-        run: &RunId,
+        command: &RunCommand,
         hold: &GrantHold,
         result: &AttemptResult,
     ) {
+        let run = &command.run;
         let delivered = self.writer.has_started();
         let unresolved = matches!(result, AttemptResult::Unresolved { .. });
         {
@@ -479,7 +486,7 @@
             AttemptResult::Unresolved { code } => {
                 self.trace(format!("result not known yet: {}", code.row().name));
                 self.record_run_state(0);
-                self.resolve_later(target, run);
+                self.resolve_later(target, command);
             }
         }
         self.close_record(result).await;
@@ -497,7 +504,7 @@
 
     /// Hands an attempt whose agent does not answer to a background task, which keeps the attempt's
     /// part of the hold until the result is known.
-    fn resolve_later(&mut self, target: &AttemptTarget, run: &RunId) {
+    fn resolve_later(&mut self, target: &AttemptTarget, command: &RunCommand) {
         let Some(hold) = &mut self.hold else {
             return;
         };
@@ -507,7 +514,7 @@
             entry: Arc::clone(&self.entry),
             plan: self.plan.clone(),
             target: target.clone(),
-            run: Arc::clone(run),
+            query: attempts::cancel_query(command),
             hold: attempt_hold,
             record: self.record.take(),
             chargeable: self.writer.has_started() || !self.plan.repeatable,
--- a/toucanrail-daemons/src/state.rs
+++ b/toucanrail-daemons/src/state.rs
@@ -3,14 +3,14 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use event_listener::Event;
 use http_types::Response;
 use toucanrail::grants::GrantTable;
-use toucanrail::ids::{CustomerId, EntryId, ShardName, Tokens};
+use toucanrail::ids::{CustomerId, EntryId, RunNumber, ShardName, Tokens};
 use toucanrail::limits::LoadLimiter;
 use toucanrail::members::MemberTable;
 use toucanrail::paths;
@@ -169,6 +169,8 @@
     internal_address: SocketAddr,
     tables: Mutex<EntryTables>,
     stopping: AtomicBool,
+    /// Number of attempts that this entry has started.
+    run_count: AtomicU64,
     in_flight: Arc<()>,
 }
 
@@ -198,6 +200,7 @@
             internal_address: settings.common.advertise.unwrap_or(internal_address),
             tables: Mutex::new(tables),
             stopping: AtomicBool::new(false),
+            run_count: AtomicU64::new(0),
             in_flight: Arc::new(()),
             settings,
         })
@@ -231,6 +234,11 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the number of the next attempt among those of this entry.
+    pub fn next_run_number(&self) -> RunNumber {
+        self.run_count.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Returns a token that delays the shutdown while a request holds it.
     pub fn begin_request(&self) -> Arc<()> {
         Arc::clone(&self.in_flight)
--- a/toucanrail/src/ids.rs
+++ b/toucanrail/src/ids.rs
@@ -23,6 +23,8 @@
 pub type RequestId = Arc<str>;
 /// Id of one attempt of a request at one agent: the request id, a dot and the attempt number.
 pub type RunId = Arc<str>;
+/// Number of an attempt among those of its entry, which counts them from 1.
+pub type RunNumber = u64;
 /// Name of a budget shard, an object that holds the accounts of some customers.
 pub type ShardName = Arc<str>;
 /// Prepaid units; each prompt token and each generated token costs one.
--- a/toucanrail/src/ledgers.rs
+++ b/toucanrail/src/ledgers.rs
@@ -12,18 +12,27 @@
 
 use crate::codes::ResultCode;
 use crate::codetable;
-use crate::ids::{AgentId, CustomerId, Epoch, RequestId, RunId, ServiceName, ShardName, Tokens};
-use crate::messages::{FenceReply, QueryMode, RunCommand, RunReport, StoredResponse, UsageRow};
+use crate::ids::{
+    AgentId, CustomerId, EntryId, Epoch, RequestId, RunId, RunNumber, ServiceName, ShardName,
+    Tokens,
+};
+use crate::messages::{
+    FenceReply, QueryMode, RunCommand, RunQuery, RunReport, StoredResponse, UsageRow,
+};
 
-/// Number of dropped attempts whose ids are retained, with the responses of those that may not be
-/// repeated.
-const DROPPED_LIMIT: usize = 20_000;
+/// Number of dropped or voided attempts whose ids are retained, with the responses of those that
+/// may not be repeated.
+const RETAINED_LIMIT: usize = 20_000;
 
 /// One attempt, as the ledger records it.
 #[derive(Debug, Clone, Serialize)]
 pub struct LedgerRow {
     /// The request that the attempt belongs to.
     pub request: RequestId,
+    /// The entry that sent the command.
+    pub entry: EntryId,
+    /// Number of the attempt among those of its entry; 0 if the entry does not number them.
+    pub number: RunNumber,
     /// The customer that is charged.
     pub customer: CustomerId,
     /// The service.
@@ -58,6 +67,20 @@
     },
 }
 
+/// An attempt whose id is retained until it is evicted.
+#[derive(Debug)]
+struct RetainedRun {
+    run: RunId,
+    entry: EntryId,
+    number: RunNumber,
+}
+
+impl RetainedRun {
+    fn new(run: &RunId, entry: &EntryId, number: RunNumber) -> Self {
+        Self { run: Arc::clone(run), entry: Arc::clone(entry), number }
+    }
+}
+
 /// The attempts known to one incarnation of an agent.
 #[derive(Debug, Serialize)]
 pub struct UsageLedger {
@@ -72,9 +95,12 @@
     /// Attempts that were settled and removed from `runs`.
     #[serde(skip)]
     dropped: BTreeSet<RunId>,
-    /// The dropped attempts in order, for eviction.
+    /// The dropped and voided attempts in order, for eviction.
     #[serde(skip)]
-    dropped_order: VecDeque<RunId>,
+    retained_order: VecDeque<RetainedRun>,
+    /// Highest number of an attempt of each entry whose id was evicted. Attempts with lower numbers
+    /// may have run here.
+    evicted: BTreeMap<EntryId, RunNumber>,
     /// Whether the agent is stopping and rejects new attempts.
     pub leaving: bool,
 }
@@ -89,7 +115,8 @@
             voided: BTreeSet::new(),
             responses: BTreeMap::new(),
             dropped: BTreeSet::new(),
-            dropped_order: VecDeque::new(),
+            retained_order: VecDeque::new(),
+            evicted: BTreeMap::new(),
             leaving: false,
         }
     }
@@ -115,6 +142,9 @@
         if self.voided.contains(&command.run) {
             return Err(codetable::VOIDED);
         }
+        if self.may_be_evicted(&command.entry, command.number) {
+            return Err(codetable::ALREADY_SEEN);
+        }
         if self.fences.contains(&(Arc::clone(&command.shard), command.epoch)) {
             return Err(codetable::FENCED);
         }
@@ -126,6 +156,8 @@
         }
         let row = LedgerRow {
             request: Arc::clone(&command.request),
+            entry: Arc::clone(&command.entry),
+            number: command.number,
             customer: Arc::clone(&command.customer),
             service: Arc::clone(&command.service),
             shard: Arc::clone(&command.shard),
@@ -160,8 +192,10 @@
 
     /// Withdraws an admitted attempt that provably never reached the backend server.
     pub fn withdraw(&mut self, run: &RunId) {
-        self.runs.remove(run);
-        self.voided.insert(Arc::clone(run));
+        if let Some(row) = self.runs.remove(run) {
+            self.voided.insert(Arc::clone(run));
+            self.retain_id(RetainedRun::new(run, &row.entry, row.number));
+        }
     }
 
     /// Permanently rejects new attempts of a tenure, and returns the usage of its ended ones.
@@ -186,29 +220,39 @@
     pub fn acknowledge(&mut self, runs: &[RunId]) {
         for run in runs {
             let ended = self.runs.get(run).is_some_and(|row| row.state != RunPhase::Running);
-            if ended {
-                self.runs.remove(run);
-                self.retain_dropped(run);
+            if ended && let Some(row) = self.runs.remove(run) {
+                self.dropped.insert(Arc::clone(run));
+                self.retain_id(RetainedRun::new(run, &row.entry, row.number));
             }
         }
     }
 
-    /// Retains the id of a dropped attempt, and evicts the oldest ones beyond the limit together
-    /// with their responses.
-    fn retain_dropped(&mut self, run: &RunId) {
-        self.dropped.insert(Arc::clone(run));
-        self.dropped_order.push_back(Arc::clone(run));
-        while self.dropped_order.len() > DROPPED_LIMIT {
-            if let Some(oldest) = self.dropped_order.pop_front() {
-                self.dropped.remove(&oldest);
-                self.responses.remove(&oldest);
+    /// Retains the id of a dropped or voided attempt, and evicts the oldest ones beyond the limit
+    /// together with their responses.
+    fn retain_id(&mut self, retained: RetainedRun) {
+        self.retained_order.push_back(retained);
+        while self.retained_order.len() > RETAINED_LIMIT {
+            if let Some(oldest) = self.retained_order.pop_front() {
+                self.dropped.remove(&oldest.run);
+                self.voided.remove(&oldest.run);
+                self.responses.remove(&oldest.run);
+                let highest = self.evicted.entry(oldest.entry).or_default();
+                *highest = oldest.number.max(*highest);
             }
         }
     }
 
-    /// Returns the state of an attempt. Unless `mode` is [`QueryMode::Look`], an attempt that was
+    /// Returns whether an attempt whose id is not known may be one whose id was evicted.
+    fn may_be_evicted(&self, entry: &EntryId, number: RunNumber) -> bool {
+        self.evicted.get(entry).is_some_and(|highest| (1..=*highest).contains(&number))
+    }
+
+    /// Returns the state of an attempt. Unless the mode is [`QueryMode::Look`], an attempt that was
     /// not received is voided, so that it never runs here.
-    pub fn query(&mut self, run: &RunId, mode: QueryMode) -> RunReport {
+    ///
+    /// An attempt that may have been evicted is reported as ended without proof of its usage.
+    pub fn query(&mut self, query: &RunQuery) -> RunReport {
+        let run = &query.run;
         let answer = self.responses.get(run).cloned();
         if let Some(row) = self.runs.get(run) {
             return match row.state {
@@ -221,8 +265,15 @@
         if self.dropped.contains(run) {
             return RunReport::Ended { whole: answer.is_some(), used: 0, unproved: 0, answer };
         }
-        if mode != QueryMode::Look {
+        if self.voided.contains(run) {
+            return RunReport::NeverCame;
+        }
+        if self.may_be_evicted(&query.entry, query.number) {
+            return RunReport::Ended { whole: false, used: 0, unproved: 0, answer: None };
+        }
+        if query.mode != QueryMode::Look {
             self.voided.insert(Arc::clone(run));
+            self.retain_id(RetainedRun::new(run, &query.entry, query.number));
         }
         RunReport::NeverCame
     }
--- a/toucanrail/src/messages.rs
+++ b/toucanrail/src/messages.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::codes::{ResultCode, RunState};
-use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RequestId, RunId, ServiceName, ShardName};
-use crate::ids::{SoftwareVersion, Tokens, Version, VmId};
+use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RequestId, RunId, RunNumber, ServiceName};
+use crate::ids::{ShardName, SoftwareVersion, Tokens, Version, VmId};
 
 /// An HTTP header field.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,6 +44,9 @@
     pub agent: AgentId,
     /// Entry that sends the command.
     pub entry: EntryId,
+    /// Number of this attempt among those of the entry; 0 if the entry does not number them.
+    #[serde(default)]
+    pub number: RunNumber,
     /// Customer that pays.
     pub customer: CustomerId,
     /// The service.
@@ -224,6 +227,12 @@
 pub struct RunQuery {
     /// The attempt.
     pub run: RunId,
+    /// Entry that started the attempt; empty if the sender does not know it.
+    #[serde(default)]
+    pub entry: EntryId,
+    /// Number of the attempt among those of its entry; 0 if it is not known.
+    #[serde(default)]
+    pub number: RunNumber,
     /// What to do with the attempt.
     pub mode: QueryMode,
 }
--- a/toucanrail/src/records.rs
+++ b/toucanrail/src/records.rs
@@ -11,8 +11,8 @@
 
 use crate::codes::ResultCode;
 use crate::codetable;
-use crate::ids::{AgentId, CustomerId, EntryId, RequestId, RunId, Version};
-use crate::messages::{HeaderField, QueryMode, RunReport, StoredResponse};
+use crate::ids::{AgentId, CustomerId, EntryId, RequestId, RunId, RunNumber, Version};
+use crate::messages::{HeaderField, QueryMode, RunQuery, RunReport, StoredResponse};
 use crate::paths;
 use crate::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
 
@@ -34,6 +34,10 @@
     pub nonce: u64,
     /// The number of the last attempt.
     pub attempt: u32,
+    /// The number of the last attempt among those of its writer; 0 if the writer does not number
+    /// them.
+    #[serde(default)]
+    pub number: RunNumber,
     /// The only agent that the last attempt may be sent to.
     pub agent: AgentId,
     /// The state of the request.
@@ -110,10 +114,8 @@
     Query {
         /// The agent's incarnation.
         agent: AgentId,
-        /// The attempt.
-        run: RunId,
-        /// What the agent does about an attempt that has not arrived or is running.
-        mode: QueryMode,
+        /// The attempt, and what the agent does about it if it has not arrived or is running.
+        query: RunQuery,
     },
 }
 
@@ -201,8 +203,12 @@
             RecordStage::Read => Some(RecordCall::Store(StoreCall::Get { path })),
             RecordStage::Query => found.map(|(_, record)| RecordCall::Query {
                 agent: Arc::clone(&record.agent),
-                run: record.run(),
-                mode: QueryMode::Void,
+                query: RunQuery {
+                    run: record.run(),
+                    entry: Arc::clone(&record.writer),
+                    number: record.number,
+                    mode: QueryMode::Void,
+                },
             }),
             RecordStage::Rewrite => found.map(|(version, _)| {
                 RecordCall::Store(StoreCall::Put {
--- a/toucanrail/tests/run_records.rs
+++ b/toucanrail/tests/run_records.rs
@@ -80,6 +80,7 @@
             digest: Arc::from("same"),
             writer,
             nonce: self.nonce,
+            number: self.nonce,
             attempt: 1,
             agent: Arc::clone(self.agents[agent].agent()),
             state: RecordState::Started,
@@ -102,8 +103,8 @@
         let reply = match call {
             RecordCall::Store(call) => RecordReply::Store(self.store.call(&call, mood)),
             RecordCall::Query { .. } if mood == StoreFault::Unavailable => RecordReply::Unreachable,
-            RecordCall::Query { agent, run, mode } => match self.agent(&agent) {
-                Some(agent) => RecordReply::Report(self.agents[agent].query(&run, mode)),
+            RecordCall::Query { agent, query } => match self.agent(&agent) {
+                Some(agent) => RecordReply::Report(self.agents[agent].query(&query)),
                 None => RecordReply::Gone,
             },
         };
@@ -209,6 +210,7 @@
     RunCommand {
         request: Arc::clone(&record.request),
         entry: Arc::clone(&record.writer),
+        number: record.number,
         hold: 5,
         keyed: true,
         repeatable: false,
--- a/toucanrail/tests/world/mod.rs
+++ b/toucanrail/tests/world/mod.rs
@@ -592,6 +592,7 @@
         run,
         agent,
         entry: Arc::from("entry-1"),
+        number: 0,
         customer: Arc::from("brewer"),
         service: Arc::from("levy-llm"),
         shard: Arc::from("shard-0"),
