An attempt that did not run leaves its hold to the next one

If the store's reply to the record of an attempt that did not run was lost, the entry handed the request's hold to the task that writes the record again. The next attempt was recorded as started, found no hold, was refused with 3002 and its record stayed Started, so that later retries depended on an agent that had never seen it.

The hold now stays with the request, as such an attempt uses nothing, and a recorded attempt without a hold closes its record. The stand-in platform can lose the replies to writes of one kind of objects.

--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -386,7 +386,9 @@
         self.tried.insert(Arc::clone(&target.agent));
         let Some(hold) = self.hold.clone() else {
             let code = codetable::BUDGET_UNCONFIRMED;
-            return AttemptResult::NotRun { code, retry_after: DEFAULT_RETRY_AFTER };
+            let result = AttemptResult::NotRun { code, retry_after: DEFAULT_RETRY_AFTER };
+            self.close_record(&result).await;
+            return result;
         };
         let command = self.build_command(target, &run, &hold);
         self.trace(format!("sent to {} as {run}", target.agent));
@@ -546,9 +548,11 @@
             return;
         }
         // The caller gets its response now. Until the record is written, the agent keeps the
-        // result.
+        // result. An attempt that did not run leaves its hold to the next one.
         let entry = Arc::clone(&self.entry);
-        let bill = self.hold.take().map(|hold| (self.take_bill(&hold), hold));
+        let ran = !matches!(result, AttemptResult::NotRun { .. });
+        let hold = if ran { self.hold.take() } else { None };
+        let bill = hold.map(|hold| (self.take_bill(&hold), hold));
         let guard = entry.begin_request();
         smol::spawn(async move {
             recording::close_record_retrying(&entry, &record, version, state).await;
--- a/toucanrail-daemons/tests/at_most_once.rs
+++ b/toucanrail-daemons/tests/at_most_once.rs
@@ -101,6 +101,38 @@
     });
 }
 
+/// One of two agents is gone, and the store's reply is lost when an attempt there is recorded as not
+/// run. The return must still be filed, at the other agent.
+#[test]
+fn lost_result() {
+    smol::block_on(async {
+        let fleet = Fleet::start(10_000).await;
+        let (plain, mut agent, first, _second) = start(&fleet).await;
+        let (other, backend) = fleet.start_plain();
+        let _other_agent = fleet.start_agent("agent-2", "filing-app", backend);
+        let entry = fleet.start_entry("entry-3", &[("routing", "round-robin")]);
+        fleet.wait_servers(&entry, 2).await;
+        drop(first);
+        // Each agent is picked in turn, so the one that is gone is next after the other.
+        for turn in 0.. {
+            let key = format!("early-{turn}");
+            fleet.fetch(&entry, file_return(&key)).await.unwrap();
+            if turn > 3 && other.runs().contains_key(&key) {
+                break;
+            }
+        }
+        agent.kill();
+        fleet.platform.faults.change(|plan| {
+            plan.lose_kind = "records".to_owned();
+            plan.lose_answers = 2;
+        });
+        let response = fleet.fetch(&entry, file_return("k1")).await.unwrap();
+        assert_eq!((response.status, result_code(&response)), (200, 1000));
+        assert_eq!(fleet.platform.faults.plan().lose_answers, 0);
+        assert_eq!((plain.runs().get("k1"), other.runs()["k1"]), (None, 1));
+    });
+}
+
 /// The entry is killed while the return runs. A retry through the other entry must get the response
 /// of that run, which the agent has stored, and must not file the return again.
 #[test]
--- a/toucanrail-standins/src/faults.rs
+++ b/toucanrail-standins/src/faults.rs
@@ -26,6 +26,8 @@
     pub overtaken_requests: u64,
     /// Number of writes that take effect but never get a response.
     pub lose_answers: u64,
+    /// Kind of the objects that `lose_answers` applies to; all if empty.
+    pub lose_kind: String,
     /// Keeps watches from reporting changes before they time out.
     pub watch_gap: bool,
     /// Number of responses that are truncated after `cut_after` tokens.
--- a/toucanrail-standins/src/platforms.rs
+++ b/toucanrail-standins/src/platforms.rs
@@ -129,7 +129,8 @@
 
     async fn put(&self, name: &str, request: &ReceivedRequest) -> Response {
         let response = self.write(name, request);
-        if self.faults.consume(|plan| &mut plan.lose_answers) {
+        let is_affected = name.starts_with(&self.faults.plan().lose_kind);
+        if is_affected && self.faults.consume(|plan| &mut plan.lose_answers) {
             // Simulates a lost response: the write has taken effect.
             std::future::pending::<()>().await;
         }
