Connections with bytes behind a bodiless response are not used again

A response with status 204 or 304, or to a HEAD request, released its connection to the pool without a look at what had arrived behind its head. Those bytes were dropped, so that the rest of a stray response would have been read as the response to the next exchange.

Failing first: 1 connection for 3 such responses; now 3, and 1 for clean ones.

--- a/toucanrail-wire/src/clients.rs
+++ b/toucanrail-wire/src/clients.rs
@@ -134,7 +134,7 @@
 pub struct StreamingResponse {
     /// The status and the fields.
     pub response: Response,
-    message: Option<MessageStream>,
+    message: MessageStream,
     stream: TcpStream,
     buffer: Vec<u8>,
     reusable: bool,
@@ -172,7 +172,7 @@
         self.buffer.resize(READ_SIZE, 0);
         let count =
             time_limits::io_timeout(idle_timeout, self.response.read(&mut self.buffer)).await?;
-        if count == 0 && !self.message.as_ref().is_none_or(MessageStream::is_complete) {
+        if count == 0 && !self.message.is_complete() {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         Ok(self.buffer[..count].to_vec())
@@ -180,11 +180,8 @@
 
     /// Returns the connection to the pool if the body was read completely and no bytes follow it.
     pub fn release(self) {
-        let complete = self
-            .message
-            .as_ref()
-            .is_none_or(|message| message.is_complete() && message.take_leftover().is_empty());
-        if complete && self.reusable {
+        let is_clean = self.message.is_complete() && self.message.take_leftover().is_empty();
+        if is_clean && self.reusable {
             self.pool.put(self.address, self.stream);
         }
     }
@@ -299,7 +296,7 @@
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, format!("{error}")))?;
         Ok(StreamingResponse {
             response,
-            message: Some(message).filter(|_| !has_no_body),
+            message,
             stream,
             buffer: Vec::new(),
             reusable: !info.close,
--- a/toucanrail-wire/tests/http_edges.rs
+++ b/toucanrail-wire/tests/http_edges.rs
@@ -232,7 +232,8 @@
     let pool = ConnectionPool::new(ClientLimits::default());
     for _ in 0..3 {
         let response = pool.fetch(address, OutboundRequest::get("/"), TIMEOUT).await.unwrap();
-        assert_eq!(response.body, b"ab");
+        let expected: &[u8] = if response.status == 204 { b"" } else { b"ab" };
+        assert_eq!(response.body, expected);
     }
     connections.load(Ordering::SeqCst)
 }
@@ -256,6 +257,10 @@
         let chunked =
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\nHT";
         assert_eq!(count_connections(chunked).await, 3);
+        let empty = b"HTTP/1.1 204 No Content\r\n\r\n";
+        assert_eq!(count_connections(empty).await, 1, "a connection without a body is reused");
+        let after_empty = b"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\n";
+        assert_eq!(count_connections(after_empty).await, 3);
         let closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab";
         assert_eq!(count_connections(closing).await, 3);
     });
