The time for a request's head counts from its first byte

The timeout applied to each read, so that a caller which sent one byte every few seconds held one of an entry's connections until the head's size limit: hours with the usual 10 s and 8 KiB.

Failing first, with a timeout of 300 ms and a byte each 50 ms: refused after 3.5 s, when the caller stopped sending; now with 408 within four times the timeout.

--- a/toucanrail-wire/src/listeners.rs
+++ b/toucanrail-wire/src/listeners.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_h1::server;
 use http_types::{Method, Request, Response};
@@ -31,7 +31,7 @@
     pub max_body: usize,
     /// Maximum number of open connections.
     pub max_connections: usize,
-    /// Timeout of each read of a request's head, and of reading its complete body.
+    /// Timeout of reading a request's head from its first byte on, and of reading its body.
     pub request_timeout: Duration,
     /// Maximum idle time between requests.
     pub idle_timeout: Duration,
@@ -183,6 +183,7 @@
     limits: &ServerLimits,
 ) -> io::Result<Option<Result<(usize, HeadInfo), ResultCode>>> {
     let mut reader = stream.clone();
+    let mut began_at = (!buffered.is_empty()).then(Instant::now);
     loop {
         if let Some(end) = scanners::find_head_end(buffered) {
             return Ok(Some(check_head(&buffered[..end], limits).map(|info| (end, info))));
@@ -190,12 +191,16 @@
         if buffered.len() > limits.max_head {
             return Ok(Some(Err(codetable::HEAD_TOO_LARGE)));
         }
-        let timeout =
-            if buffered.is_empty() { limits.idle_timeout } else { limits.request_timeout };
+        let timeout = began_at.map_or(limits.idle_timeout, |began_at| {
+            limits.request_timeout.saturating_sub(began_at.elapsed())
+        });
         match time_limits::io_timeout(timeout, reader.read(chunk)).await {
             Ok(0) if buffered.is_empty() => return Ok(None),
             Ok(0) => return Ok(Some(Err(codetable::CUT_REQUEST))),
-            Ok(count) => buffered.extend_from_slice(&chunk[..count]),
+            Ok(count) => {
+                began_at.get_or_insert_with(Instant::now);
+                buffered.extend_from_slice(&chunk[..count]);
+            }
             Err(error) if error.kind() == io::ErrorKind::TimedOut && !buffered.is_empty() => {
                 return Ok(Some(Err(codetable::SLOW_SENDER)));
             }
--- a/toucanrail-wire/tests/http_edges.rs
+++ b/toucanrail-wire/tests/http_edges.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
@@ -123,6 +123,32 @@
     });
 }
 
+/// A caller that sends one byte at a time must not hold its connection for longer than the time for a
+/// request.
+#[test]
+fn byte_by_byte() {
+    smol::block_on(async {
+        let request_timeout = Duration::from_millis(300);
+        let limits = ServerLimits { request_timeout, ..ServerLimits::default() };
+        let (address, _) = start_echo_server(limits);
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let started = Instant::now();
+        let mut writer = stream.clone();
+        let sending = smol::spawn(async move {
+            for byte in b"GET /".iter().chain(std::iter::repeat_n(&b'a', 60)) {
+                writer.write_all(&[*byte]).await.ok();
+                smol::Timer::after(Duration::from_millis(50)).await;
+            }
+        });
+        let mut response = Vec::new();
+        stream.read_to_end(&mut response).await.ok();
+        let waited = started.elapsed();
+        drop(sending);
+        assert!(response.starts_with(b"HTTP/1.1 408"), "{}", String::from_utf8_lossy(&response));
+        assert!(waited < request_timeout * 4, "{waited:?}");
+    });
+}
+
 #[test]
 fn connection_limit() {
     smol::block_on(async {
