--- a/toucanrail-wire/src/keepalive.rs
+++ b/toucanrail-wire/src/keepalive.rs
@@ -24,6 +24,12 @@
     expires_at: Instant,
 }
 
+impl KeepAliveConnection {
+    fn is_reusable(&self, now: Instant) -> bool {
+        now < self.expires_at && self.connection.is_reusable()
+    }
+}
+
 /// Pool of idle connections by server id.
 ///
 /// The key is not the address, because the platform reuses addresses for other servers.
@@ -52,7 +58,7 @@
                 connections.push(candidate);
                 return None;
             }
-            if now < candidate.expires_at && candidate.connection.is_reusable() {
+            if candidate.is_reusable(now) {
                 return Some(candidate.connection);
             }
         }
@@ -66,6 +72,9 @@
         let now = Instant::now();
         let mut idle_connections = self.idle_connections.borrow_mut();
         let connections = idle_connections.entry(Arc::clone(id)).or_default();
+        if connections.len() >= MAX_IDLE_PER_SERVER {
+            connections.retain(|kept| kept.is_reusable(now));
+        }
         if connections.len() < MAX_IDLE_PER_SERVER && !idle.is_zero() {
             connections.push(KeepAliveConnection {
                 connection,
@@ -85,9 +94,7 @@
         let now = Instant::now();
         let mut idle_connections = self.idle_connections.borrow_mut();
         for connections in idle_connections.values_mut() {
-            connections.retain(|candidate| {
-                now < candidate.expires_at && candidate.connection.is_reusable()
-            });
+            connections.retain(|kept| kept.is_reusable(now));
         }
         idle_connections.retain(|_, connections| !connections.is_empty());
     }
