Cached responses count with their header fields

The table of keyed requests bounded the bytes of the bodies. Responses without a body were never evicted, whatever their fields took.

Failing first: 20,000 responses with 4 KiB of fields each (82 MB) were all cached; now at most 16 MiB of them are.

--- a/toucanrail/src/replays.rs
+++ b/toucanrail/src/replays.rs
@@ -11,10 +11,12 @@
 use crate::codes::ResultCode;
 use crate::codetable;
 use crate::ids::RequestId;
-use crate::messages::StoredResponse;
+use crate::messages::{HeaderField, StoredResponse};
 
-/// Maximum total size of the cached response bodies, in bytes; the oldest are evicted first.
+/// Maximum total size of the cached responses, in bytes; the oldest are evicted first.
 const CACHE_BYTES: usize = 16 * 1024 * 1024;
+/// Size of the entries of one request in the tables, in bytes.
+const ROW_OVERHEAD: usize = 256;
 
 #[derive(Debug, Clone, Serialize)]
 struct KeyedRow {
@@ -27,7 +29,7 @@
 #[derive(Debug, Default, Serialize)]
 pub struct ReplayTable {
     rows: BTreeMap<RequestId, KeyedRow>,
-    /// Completed requests with the sizes of their response bodies, oldest first.
+    /// Completed requests with the sizes of their rows, oldest first.
     #[serde(skip)]
     eviction_order: VecDeque<(RequestId, usize)>,
     bytes: usize,
@@ -75,7 +77,7 @@
             return;
         };
         if let Some(row) = self.rows.get_mut(request) {
-            let size = response.body.len();
+            let size = row_size(request, &row.digest, &response);
             row.response = Some(response);
             self.eviction_order.push_back((Arc::clone(request), size));
             self.bytes += size;
@@ -89,3 +91,12 @@
         }
     }
 }
+
+/// Returns the memory that the row of a completed request takes, in bytes.
+fn row_size(request: &RequestId, digest: &str, response: &StoredResponse) -> usize {
+    let fields = response.fields.iter().map(|field| {
+        size_of::<HeaderField>().saturating_add(field.name.len()).saturating_add(field.value.len())
+    });
+    let sizes = [ROW_OVERHEAD, request.len(), digest.len(), response.body.len()];
+    sizes.into_iter().chain(fields).fold(0, usize::saturating_add)
+}
