The policy least-reported compares fractions of the slots

The reported load was divided by the slots as integers, so that all servers with a free slot were equal and the first one was always chosen.

Failing first: of loads 7, 5, 3 and 6 of 8 the first server was chosen; now the third.

--- a/toucanrail/src/routing.rs
+++ b/toucanrail/src/routing.rs
@@ -79,7 +79,8 @@
         RoutingPolicy::RoundRobin => Some(eligible[table.next_index % eligible.len()]),
         RoutingPolicy::Random => sample(eligible, query.random[0]),
         RoutingPolicy::LeastReported => {
-            eligible.iter().copied().min_by_key(|row| row.reported / row.slots)
+            let load = |row: &ServerRow| row.reported as f64 / row.slots as f64;
+            eligible.iter().copied().min_by(|left, right| load(left).total_cmp(&load(right)))
         }
         RoutingPolicy::PureAffinity => match query.prefix {
             Some(prefix) => rank_servers(eligible, prefix).into_iter().next(),
--- a/toucanrail/tests/server_choice.rs
+++ b/toucanrail/tests/server_choice.rs
@@ -73,6 +73,16 @@
     }
 }
 
+/// All servers have free slots. The one with the least reported load must be chosen, not the first.
+#[test]
+fn least_reported() {
+    let (table, usable) = table_of(&[7, 5, 3, 6]);
+    let eligible = table.eligible(&service(), &usable, &BTreeSet::new(), NOW, 0.5);
+    let query = RouteQuery { prefix: None, random: [0.0; 2], now: NOW };
+    let row = routing::pick_server(RoutingPolicy::LeastReported, &table, &eligible, &query);
+    assert_eq!(row.map(|row| &*row.agent), Some("agent-2"));
+}
+
 /// All requests share one prefix. The server that has it cached must not be overloaded: its load is
 /// bounded relative to the mean.
 #[test]
