Callers that an uninformed entry refuses do not retry together

They were all told 500 ms. The delay is now spread by a quarter around it. The test of the spread also covers a full entry.

Failing first: spread_retries, Uninformed, the same delay for each random number; now three of three differ.

--- a/toucanrail/src/retry_delays.rs
+++ b/toucanrail/src/retry_delays.rs
@@ -11,9 +11,9 @@
 const MAX_FRACTION: f64 = 1.0 / 3.0;
 /// Fraction of the longest delay over which callers are spread.
 const JITTER: f64 = 0.3;
-/// Delay if another entry can serve the caller.
+/// Mean delay if another entry can serve the caller; it is varied by up to a quarter.
 const OTHER_ENTRY_DELAY: Duration = Duration::from_millis(500);
-/// Delay if the budget is granted elsewhere or a write was lost.
+/// Mean delay if the budget is granted elsewhere or a write was lost; varied alike.
 const GRANT_DELAY: Duration = Duration::from_millis(800);
 /// Mean delay if this entry or its link has no room for the request; it is varied by up to half.
 const FULL_ENTRY_DELAY: Duration = Duration::from_millis(500);
@@ -63,7 +63,7 @@
 pub fn pick_delay(cause: RefusalCause, left: Duration, random: f64) -> Duration {
     let longest = left.mul_f64(MAX_FRACTION);
     let delay = match cause {
-        RefusalCause::Uninformed => OTHER_ENTRY_DELAY,
+        RefusalCause::Uninformed => OTHER_ENTRY_DELAY.mul_f64(0.75 + 0.5 * random),
         RefusalCause::FullEntry => FULL_ENTRY_DELAY.mul_f64(0.5 + random),
         RefusalCause::FullLink(wait) => wait.saturating_add(FULL_ENTRY_DELAY.mul_f64(0.5 + random)),
         RefusalCause::Overload
--- a/toucanrail/tests/retry_delays.rs
+++ b/toucanrail/tests/retry_delays.rs
@@ -31,6 +31,8 @@
 #[test]
 fn spread_retries() {
     let causes = [
+        RefusalCause::Uninformed,
+        RefusalCause::FullEntry,
         RefusalCause::FullLink(Duration::from_millis(200)),
         RefusalCause::Overload,
         RefusalCause::Outage,
