A retry budget keeps its counts when its window changes

Buckets are numbered by their length, which follows from the window. After a change the old numbers belonged to other times: with a longer window the retries spent before counted for ever, with a shorter one for none of it. Buckets are now renumbered, retries as late and requests as early as they may have been.

Failing first: changed_window at 10 s, which holds now at 10 s and 300 ms after 1 s.

--- a/toucanrail/src/retries.rs
+++ b/toucanrail/src/retries.rs
@@ -1,6 +1,6 @@
 //! Retry budgets and backoff.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -78,7 +78,23 @@
 
     /// Replaces the limits; requests and retries already counted in the window are kept.
     pub fn set_limits(&mut self, limits: RetryLimits) {
+        let old_length = bucket_millis(self.limits.window);
+        let length = bucket_millis(limits.window);
         self.limits = limits;
+        if length == old_length {
+            return;
+        }
+        let mut buckets: BTreeMap<u64, WindowBucket> = BTreeMap::new();
+        // Where a bucket overlaps several new ones, retries count as late as they may have been
+        // made, and requests as early.
+        for bucket in std::mem::take(&mut self.buckets) {
+            let first = bucket.number.saturating_mul(old_length);
+            let last = first.saturating_add(old_length - 1);
+            buckets.entry(first / length).or_default().requests += bucket.requests;
+            buckets.entry(last / length).or_default().spent += bucket.spent;
+        }
+        let renumber = |(number, bucket)| WindowBucket { number, ..bucket };
+        self.buckets = buckets.into_iter().map(renumber).collect();
     }
 
     /// Records an original request.
@@ -130,8 +146,7 @@
 
     /// Returns the bucket of a time, and drops those that are outside every window containing it.
     fn bucket_at(&mut self, now: Duration) -> &mut WindowBucket {
-        let length = (self.limits.window / WINDOW_BUCKETS).max(Duration::from_millis(1));
-        let number = (now.as_millis() / length.as_millis()) as u64;
+        let number = now.as_millis() as u64 / bucket_millis(self.limits.window);
         self.buckets.retain(|bucket| bucket.number + u64::from(WINDOW_BUCKETS) >= number);
         if self.buckets.back().is_none_or(|bucket| bucket.number < number) {
             self.buckets.push_back(WindowBucket { number, ..WindowBucket::default() });
@@ -141,6 +156,11 @@
     }
 }
 
+/// Returns the length of a bucket in milliseconds, at least 1.
+fn bucket_millis(window: Duration) -> u64 {
+    ((window / WINDOW_BUCKETS).as_millis() as u64).max(1)
+}
+
 impl Default for RetryBudget {
     fn default() -> Self {
         Self::new()
--- a/toucanrail/tests/attempt_steps.rs
+++ b/toucanrail/tests/attempt_steps.rs
@@ -152,3 +152,18 @@
     history.record(AttemptOutcome::Broken);
     assert_eq!(history.next_step(AttemptOutcome::Broken, LEFT), NextStep::Truncate);
 }
+
+/// The window of a budget changes. Retries spent before count until they are outside the new window,
+/// and no longer.
+#[test]
+fn changed_window() {
+    let limits = RetryLimits { share: 0.0, reserve: 10.0, window: Duration::from_secs(1) };
+    for window in [WINDOW, Duration::from_millis(300)] {
+        let mut budget = RetryBudget::with_limits(limits);
+        let spent_at = Duration::from_secs(100);
+        while budget.try_spend(spent_at) {}
+        budget.set_limits(RetryLimits { window, ..limits });
+        assert!(!budget.may_spend(spent_at + window.mul_f64(0.9)), "{window:?}");
+        assert!(budget.may_spend(spent_at + window * 2), "{window:?}");
+    }
+}
