Servers keep the first parts of a prompt of very many parts

More parts than are remembered per server, all of one time, were all dropped with the older half, so that the next request of the session saw no cache anywhere.

--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -220,14 +220,15 @@
     }
 
     fn record_parts(&mut self, parts: &[PromptPart], now: Duration) {
-        for part in parts {
+        // The first parts of a longer prompt: those after a part that is not cached do not count.
+        for part in parts.iter().take(MAX_PARTS) {
             self.parts.insert(part.id, now);
         }
         if self.parts.len() > MAX_PARTS {
             let mut times: Vec<Duration> = self.parts.values().copied().collect();
             times.sort_unstable();
             let median = times[times.len() / 2];
-            self.parts.retain(|_, at| *at > median);
+            self.parts.retain(|_, at| *at > median || *at == now);
         }
     }
 }
--- a/toucanrail/tests/backend_placement.rs
+++ b/toucanrail/tests/backend_placement.rs
@@ -310,3 +310,15 @@
     // A prompt that a fast server prefills 170 ms sooner is not placed at a slow one.
     assert_eq!(count(&table, 33_000), 0);
 }
+
+/// A prompt has more parts than are remembered per server. The server that has received it must still
+/// count as having its first parts cached.
+#[test]
+fn many_parts() {
+    let mut table = make_table();
+    let parts: Vec<PromptPart> = (0..5_000).map(|id| PromptPart { id, tokens: 10 }).collect();
+    table.record_sent("s1", in_flight(50_000), &parts);
+    let eligible = table.eligible("llm", &[], NOW);
+    let row = eligible.iter().find(|row| &*row.entry.id == "s1").expect("a registered server");
+    assert!(row.cached_tokens(&parts) >= 10_000, "{} tokens", row.cached_tokens(&parts));
+}
