The daemons forward repeated fields whole, and none of one connection

Of a field that occurs several times, such as Set-Cookie, only the last value arrived, in both directions and in replayed responses. A caller's proxy-authorization and the fields that its Connection names reached the backend server. One function now selects the fields of requests and responses; the client sends each value as a field.

Failing first: of two cookies one arrived (b=2); now both, in the first response and in the replayed one.

--- a/toucanrail-daemons/src/execution.rs
+++ b/toucanrail-daemons/src/execution.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http_types::Method;
+use http_types::{Headers, Method};
 use serde::Deserialize;
 use smol::future::FutureExt;
 use toucanrail::codes::{ResultCode, RunState};
@@ -31,13 +31,17 @@
 /// HTTP status with which a model engine reports that it does not know a request.
 const UNKNOWN_REQUEST_STATUS: u16 = 404;
 /// Header fields that apply to a single connection or are generated anew on the next one.
-const HOP_BY_HOP_FIELDS: [&str; 9] = [
+const HOP_BY_HOP_FIELDS: [&str; 13] = [
     "connection",
     "content-length",
     "date",
     "engine-request-id",
     "host",
     "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
     "transfer-encoding",
     "trailer",
     "upgrade",
@@ -90,9 +94,25 @@
     orphaned: bool,
 }
 
-/// Tells whether a header field is forwarded.
-pub fn is_forwarded(name: &str) -> bool {
-    !HOP_BY_HOP_FIELDS.contains(&name)
+/// Returns the header fields of a message that are forwarded, with all their values: neither
+/// hop-by-hop fields nor those that `Connection` names.
+pub fn end_to_end_fields(headers: &Headers) -> Vec<HeaderField> {
+    let stated = headers.get("connection").into_iter().flatten();
+    let options: Vec<&str> =
+        stated.flat_map(|value| value.as_str().split(',')).map(str::trim).collect();
+    let is_forwarded = |name: &str| {
+        !HOP_BY_HOP_FIELDS.contains(&name)
+            && !options.iter().any(|option| option.eq_ignore_ascii_case(name))
+    };
+    let fields = headers.iter().filter(|(name, _)| is_forwarded(name.as_str()));
+    let fields = fields.flat_map(|(name, values)| {
+        let name: Arc<str> = Arc::from(name.as_str());
+        values.iter().map(move |value| HeaderField {
+            name: Arc::clone(&name),
+            value: Arc::from(value.as_str()),
+        })
+    });
+    fields.collect()
 }
 
 /// Runs an admitted command and records its result in the ledger, even if the entry disconnects in
@@ -169,7 +189,7 @@
     let foreign = response_id.is_some_and(|id| id != &*command.run);
     let head = ReadEvent::Head {
         status: response.status(),
-        fields: forwarded_fields(&response.response),
+        fields: end_to_end_fields(response.response.as_ref()),
         foreign,
     };
     if events.send(head).await.is_err() || foreign {
@@ -212,15 +232,6 @@
     if command.repeatable { call } else { call.on_new_connection() }
 }
 
-fn forwarded_fields(response: &http_types::Response) -> Vec<HeaderField> {
-    let fields = response.iter().filter(|(name, _)| is_forwarded(name.as_str()));
-    let fields = fields.map(|(name, values)| HeaderField {
-        name: Arc::from(name.as_str()),
-        value: Arc::from(values.last().as_str()),
-    });
-    fields.collect()
-}
-
 impl RunTask {
     /// Handles an event; `false` once the attempt has ended.
     async fn handle_event(&mut self, event: RunEvent) -> bool {
--- a/toucanrail-daemons/src/planning.rs
+++ b/toucanrail-daemons/src/planning.rs
@@ -283,17 +283,11 @@
 }
 
 fn forwarded_fields(call: &ReceivedRequest) -> Vec<HeaderField> {
-    let fields = call.request.iter().filter(|(name, _)| {
-        let name = name.as_str();
-        execution::is_forwarded(name)
-            && !INTERNAL_FIELDS.contains(&name)
-            && !name.starts_with("engine-")
+    let mut fields = execution::end_to_end_fields(call.request.as_ref());
+    fields.retain(|field| {
+        !INTERNAL_FIELDS.contains(&&*field.name) && !field.name.starts_with("engine-")
     });
-    let fields = fields.map(|(name, values)| HeaderField {
-        name: Arc::from(name.as_str()),
-        value: Arc::from(values.last().as_str()),
-    });
-    fields.collect()
+    fields
 }
 
 /// Returns the response body of `GET /v1/models`: the models that a customer may use.
--- a/toucanrail-daemons/src/responding.rs
+++ b/toucanrail-daemons/src/responding.rs
@@ -1,5 +1,7 @@
 //! Writes the response of a request to its caller.
 
+use std::collections::BTreeSet;
+
 use http_types::Response;
 use toucanrail::codes::RunState;
 use toucanrail::codetable;
@@ -99,8 +101,14 @@
 
 /// Adds the header fields of a backend server's response, and those that mark it as run.
 pub fn set_fields(response: &mut Response, fields: &[HeaderField]) {
+    let mut known = BTreeSet::new();
     for field in fields {
-        response.insert_header(&*field.name, &*field.value);
+        // The first value replaces a default, the others are added to it.
+        if known.insert(&field.name) {
+            response.insert_header(&*field.name, &*field.value);
+        } else {
+            response.append_header(&*field.name, &*field.value);
+        }
     }
     response.insert_header(responses::RESULT_HEADER, codetable::OK.number().to_string());
     response.insert_header(responses::RUN_HEADER, RunState::Ran.as_str());
--- a/toucanrail-standins/src/plains.rs
+++ b/toucanrail-standins/src/plains.rs
@@ -66,12 +66,14 @@
         if !self.faults.apply_delays().await {
             return responses::text(503, "down");
         }
+        let fields: Vec<&str> = request.request.iter().map(|(name, _)| name.as_str()).collect();
         let body = json!({
             "path": request.path(),
             "method": request.request.method().to_string(),
             "key": key,
             "run": count,
             "received": request.body.len(),
+            "fields": fields,
         });
         let mut response = responses::json(200, &body);
         if let Some(status) =
@@ -79,6 +81,9 @@
         {
             response.set_status(status.try_into().unwrap_or(http_types::StatusCode::Ok));
         }
+        for cookie in request.request.header("plain-cookie").into_iter().flatten() {
+            response.append_header("set-cookie", cookie.as_str());
+        }
         if self.faults.consume(|plan| &mut plan.cut_answers) {
             return truncated_response();
         }
--- a/toucanrail-wire/src/clients.rs
+++ b/toucanrail-wire/src/clients.rs
@@ -350,7 +350,7 @@
         .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
     let mut http_request = Request::new(request.method, url);
     for (name, value) in &request.fields {
-        http_request.insert_header(name.as_str(), value.as_str());
+        http_request.append_header(name.as_str(), value.as_str());
     }
     http_request.set_body(request.body);
     if let Some((_, kind)) = request.fields.iter().find(|(name, _)| name == "content-type") {
