Control requests of the stand-ins hold the faults while they merge

A control request read the faults, merged its fields and wrote the result in two locks. A counted fault that was consumed in between came back.

Failing first: of 20,000 faults 28,711 were injected; now 20,000.

--- a/toucanrail-standins/src/faults.rs
+++ b/toucanrail-standins/src/faults.rs
@@ -102,19 +102,24 @@
         if request.body.is_empty() {
             return responses::json(200, &self.plan());
         }
-        let merged = serde_json::to_value(self.plan()).ok().and_then(|mut plan| {
-            let overrides: serde_json::Value = serde_json::from_slice(&request.body).ok()?;
-            for (name, value) in overrides.as_object()? {
-                plan[name] = value.clone();
-            }
-            serde_json::from_value(plan).ok()
-        });
-        match merged {
-            Some(plan) => {
-                *self.lock() = plan;
-                responses::json(200, &self.plan())
+        // Locked throughout, so that a fault consumed meanwhile is not restored.
+        let mut plan = self.lock();
+        match merge_plan(&plan, &request.body) {
+            Some(merged) => {
+                *plan = merged;
+                responses::json(200, &*plan)
             }
             None => responses::text(400, "not a fault plan"),
         }
     }
 }
+
+/// Returns the plan with the fields of a JSON object replaced.
+fn merge_plan(plan: &FaultPlan, overrides: &[u8]) -> Option<FaultPlan> {
+    let mut merged = serde_json::to_value(plan).ok()?;
+    let overrides: serde_json::Value = serde_json::from_slice(overrides).ok()?;
+    for (name, value) in overrides.as_object()? {
+        merged[name] = value.clone();
+    }
+    serde_json::from_value(merged).ok()
+}
