The load tool refuses a load without entries, and its counts do not underflow

An empty list of entries passed the settings and ended the tool at its first request. Counters of a platform that was replaced during the load are lower than before, and their difference underflowed.

Failing first: no error for an empty list, and 'attempt to subtract with overflow'; now an error that names the setting, and 0.

--- a/toucanrail-standins/src/loads.rs
+++ b/toucanrail-standins/src/loads.rs
@@ -206,7 +206,9 @@
             })
         };
         Self {
-            entries: parse_addresses(values, "entries"),
+            entries: values.parse_with("entries", "at least one address", |text| {
+                parse_list(text).filter(|entries: &Vec<SocketAddr>| !entries.is_empty())
+            }),
             customers: values.parse_with("customers", "name:key:share, ...", parse_customers),
             model: values.text("model").to_owned(),
             route: values.text("route").to_owned(),
--- a/toucanrail-standins/src/reports.rs
+++ b/toucanrail-standins/src/reports.rs
@@ -269,9 +269,9 @@
     check_budgets(&mut report, &engines, &shards);
     check_runs(&mut report, attempts, &engines, &runs, &bills);
     report.store = CallCounts {
-        reads: after.reads - before.reads,
-        writes: after.writes - before.writes,
-        watches: after.watches - before.watches,
+        reads: after.reads.saturating_sub(before.reads),
+        writes: after.writes.saturating_sub(before.writes),
+        watches: after.watches.saturating_sub(before.watches),
     };
     report.writes_per_request = report.store.writes as f64 / report.requests.max(1) as f64;
     (report.stuck_peak, report.stuck_seconds) = sampler.stuck();
