A stopping lender returns its unused grant although a sync runs

The release of unused grants skipped each shard whose sync, or the pause after it, was in progress. Such a grant was returned only with the last settlement, after all loans had ended: with long streams up to the grace period, in which the customer could be refused. The release now waits for the sync and runs for all shards at once, bounded like the settlement.

--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -46,7 +46,7 @@
 const GRANT_WAIT: Duration = Duration::from_millis(400);
 /// Interval at which shards are checked for due syncs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout of the last settlement of a stopping process.
+/// Timeout of the release and of the last settlement of a stopping process.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Why a hold was refused.
@@ -355,30 +355,44 @@
 
 /// Closes the manager and releases what no request holds. Requests in progress keep their holds.
 pub async fn release_unused(manager: &Rc<GrantManager>) {
-    manager.closed.set(true);
-    let shards = manager.grants.borrow().shards();
-    for shard in shards.iter().filter(|shard| !manager.syncing.borrow().contains(*shard)) {
-        manager.sync_shard(shard, true).await;
+    if !close_shards(manager, release_shard).await {
+        tracing::warn!(event = "left_unreleased");
+    }
+}
+
+async fn release_shard(manager: Rc<GrantManager>, shard: ShardName) {
+    while manager.syncing.borrow().contains(&shard) {
+        smol::Timer::after(SYNC_PAUSE).await;
     }
+    manager.sync_shard(&shard, true).await;
 }
 
 /// Closes the manager, settles all shards and releases unused grants. What open holds may still use
 /// stays granted.
 pub async fn settle_all(manager: &Rc<GrantManager>) {
+    if !close_shards(manager, settle_shard).await {
+        tracing::warn!(event = "left_unsettled");
+    }
+}
+
+/// Closes the manager and runs `work` for all shards at once. Returns false if it takes too long.
+async fn close_shards<Work, Working>(manager: &Rc<GrantManager>, work: Work) -> bool
+where
+    Work: Fn(Rc<GrantManager>, ShardName) -> Working,
+    Working: Future<Output = ()> + 'static,
+{
     manager.closed.set(true);
     let shards = manager.grants.borrow().shards();
     let tasks: Vec<_> = shards
         .into_iter()
-        .map(|shard| manager.executor.spawn(settle_shard(Rc::clone(manager), shard)))
+        .map(|shard| manager.executor.spawn(work(Rc::clone(manager), shard)))
         .collect();
-    let settling = async {
+    let working = async {
         for task in tasks {
             task.await;
         }
     };
-    if time_limits::timeout(SETTLE_TIMEOUT, settling).await.is_none() {
-        tracing::warn!(event = "left_unsettled");
-    }
+    time_limits::timeout(SETTLE_TIMEOUT, working).await.is_some()
 }
 
 async fn settle_shard(manager: Rc<GrantManager>, shard: ShardName) {
--- a/toucanrail-gateway/tests/lender_shutdown.rs
+++ b/toucanrail-gateway/tests/lender_shutdown.rs
@@ -50,6 +50,31 @@
     assert_eq!(store.billed("acme"), 160);
 }
 
+/// A lender is stopped just after a sync of its grants, while a stream that it lent the budget for is
+/// in progress. What the stream does not hold must be returned at once, not after the stream.
+#[test]
+fn unused_grant() {
+    let store = Store::start();
+    let stream = long_stream();
+    let backend = Backend::start("i-1", move |_, _| Action::Respond(stream.clone()));
+    platform::configure_prepaid(&store, 1, &[&backend], 100_000);
+    let mut relay = Process::start_relay(&store, "side-1");
+    platform::wait_until("the relay", || store.has("relays", "side-1"));
+    let gateway = Process::start_gateway(&store);
+    let caller = spawn_caller(&gateway);
+    platform::wait_until("the request", || !backend.seen().is_empty());
+    relay.signal("TERM");
+    let stopped = Instant::now();
+    platform::wait_until("the return of the unused grant", || {
+        let granted = store.granted("acme");
+        granted.iter().all(|(holder, amount)| !holder.starts_with("side-1") || *amount <= 160)
+    });
+    let waited = stopped.elapsed();
+    assert!(!caller.is_finished(), "returned after the stream, {waited:?} after the signal");
+    caller.join().unwrap();
+    assert!(relay.wait_end());
+}
+
 /// A lender that is stopping lends no more; the next request is served all the same.
 #[test]
 fn stopping_lender() {
