Retries of a call whose response was too large to store are told that it ran

The record of such a call said Unknown, so that each retry got 2204 with 'unknown', although the first caller had the whole response; so did the record that a retry wrote after the death of the writer, if the agent had seen the whole response without keeping it. Records have the state Ran for both, and retries get 2205 with 'ran'.

--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -531,11 +531,11 @@
             return;
         };
         let state = match result {
-            // The body is too large to be stored. A retry is refused, as the outcome recorded for
-            // it is unknown.
-            AttemptResult::Complete { .. } if self.writer.has_started() => RecordState::Unknown,
-            AttemptResult::Complete { .. } if self.writer.held.len() > MAX_RECORD_BYTES => {
-                RecordState::Unknown
+            // The body is too large to be stored.
+            AttemptResult::Complete { .. }
+                if self.writer.has_started() || self.writer.held.len() > MAX_RECORD_BYTES =>
+            {
+                RecordState::Ran
             }
             AttemptResult::Complete { .. } => {
                 let body = self.writer.held.clone();
--- a/toucanrail-daemons/tests/at_most_once.rs
+++ b/toucanrail-daemons/tests/at_most_once.rs
@@ -49,6 +49,25 @@
     });
 }
 
+/// A return is filed whose response is too large to be stored. Retries are told that it ran, not that
+/// nobody knows, and it is filed once.
+#[test]
+fn large_answer() {
+    smol::block_on(async {
+        let fleet = Fleet::start(10_000).await;
+        let (plain, _agent, first, second) = start(&fleet).await;
+        let call = || file_return("k1").field("plain-padding", "600000");
+        let response = fleet.fetch(&first, call()).await.unwrap();
+        assert_eq!(response.status, 200);
+        for entry in [&second, &first] {
+            let again = fleet.fetch(entry, call()).await.unwrap();
+            assert_eq!(again.field("toucanrail-run"), Some("ran"));
+            assert_eq!((again.status, result_code(&again)), (409, 2205));
+        }
+        assert_eq!(plain.runs()["k1"], 1);
+    });
+}
+
 /// Both entries receive the same return at the same time. One runs it; the other refuses it as in
 /// flight or gives the same response.
 #[test]
--- a/toucanrail-standins/src/plains.rs
+++ b/toucanrail-standins/src/plains.rs
@@ -67,7 +67,9 @@
             return responses::text(503, "down");
         }
         let fields: Vec<&str> = request.request.iter().map(|(name, _)| name.as_str()).collect();
+        let padding = request.field("plain-padding").and_then(|text| text.parse().ok());
         let body = json!({
+            "padding": "x".repeat(padding.unwrap_or(0)),
             "path": request.path(),
             "method": request.request.method().to_string(),
             "key": key,
--- a/toucanrail/src/codetable.rs
+++ b/toucanrail/src/codetable.rs
@@ -34,6 +34,8 @@
 pub const IN_FLIGHT: ResultCode = ResultCode::new(2203);
 /// The outcome of the run with this `Idempotency-Key` is unknown; it is not run again.
 pub const END_UNKNOWN: ResultCode = ResultCode::new(2204);
+/// The run with this `Idempotency-Key` has ended, but its response was not stored; it is not run again.
+pub const RESPONSE_NOT_STORED: ResultCode = ResultCode::new(2205);
 /// The prepaid budget does not cover this request.
 pub const BUDGET_EXHAUSTED: ResultCode = ResultCode::new(3001);
 /// The budget cannot be confirmed at present.
@@ -97,7 +99,7 @@
 
 /// All rows, ordered by number.
 #[rustfmt::skip]
-pub const ROWS: [CodeRow; 46] = [
+pub const ROWS: [CodeRow; 47] = [
     CodeRow { number: 1000, name: "ok", status: 200, run: RunState::Ran, text: "The request ran and its answer is whole." },
     CodeRow { number: 2001, name: "bad_request", status: 400, run: RunState::NotRun, text: "The request could not be read." },
     CodeRow { number: 2002, name: "ambiguous_length", status: 400, run: RunState::NotRun, text: "The request gives its length in more than one way." },
@@ -114,6 +116,7 @@
     CodeRow { number: 2202, name: "key_reused", status: 422, run: RunState::NotRun, text: "This Idempotency-Key was used with another request." },
     CodeRow { number: 2203, name: "in_flight", status: 409, run: RunState::Unknown, text: "A request with this Idempotency-Key is still running." },
     CodeRow { number: 2204, name: "end_unknown", status: 409, run: RunState::Unknown, text: "It is not known how the run with this key ended; it is not run again." },
+    CodeRow { number: 2205, name: "response_not_stored", status: 409, run: RunState::Ran, text: "The run with this key has ended, but its response was not stored; it is not run again." },
     CodeRow { number: 3001, name: "budget_exhausted", status: 402, run: RunState::NotRun, text: "The prepaid budget does not cover this request." },
     CodeRow { number: 3002, name: "budget_unconfirmed", status: 503, run: RunState::NotRun, text: "The budget could not be confirmed just now." },
     CodeRow { number: 3101, name: "overloaded", status: 429, run: RunState::NotRun, text: "The service is at its capacity." },
--- a/toucanrail/src/records.rs
+++ b/toucanrail/src/records.rs
@@ -60,6 +60,8 @@
         /// The body.
         body: RecordBody,
     },
+    /// The request ran, but its response is too large to be stored; it never runs again.
+    Ran,
     /// The end of the last attempt cannot be determined; the request never runs again.
     Unknown,
 }
@@ -261,6 +263,7 @@
             RecordState::Finished { status, fields, body } => {
                 RecordOutcome::Replay(StoredResponse { status, fields, body: body.into_bytes() })
             }
+            RecordState::Ran => RecordOutcome::Refuse(codetable::RESPONSE_NOT_STORED),
             RecordState::NotRun | RecordState::Unknown => {
                 RecordOutcome::Refuse(codetable::END_UNKNOWN)
             }
@@ -293,7 +296,7 @@
         match record.state {
             RecordState::Started => self.stage = RecordStage::Query,
             RecordState::NotRun => self.start_attempt(&record),
-            RecordState::Finished { .. } | RecordState::Unknown => {
+            RecordState::Finished { .. } | RecordState::Ran | RecordState::Unknown => {
                 self.written = record;
                 self.end_with_record(version);
             }
@@ -316,6 +319,9 @@
             RecordReply::Report(RunReport::Ended { answer: Some(response), .. }) => {
                 self.rewrite(&record, finished_state(response));
             }
+            RecordReply::Report(RunReport::Ended { whole: true, .. }) => {
+                self.rewrite(&record, RecordState::Ran);
+            }
             RecordReply::Report(RunReport::Ended { .. }) | RecordReply::Gone => {
                 self.rewrite(&record, RecordState::Unknown);
             }
