A stopping entry admits requests by their own timeout

Whether a request can finish within the grace period was judged by the longest time that its route allows. A caller with a timeout of 1 s was refused with 6 s of grace left, and told to retry after 6.5 s.

--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -119,7 +119,7 @@
     let matched = match_route(gateway, head, &info)?;
     let (route, customer) = &matched;
     check_token_counts(&info, customer.as_deref())?;
-    check_stopping(gateway, route.timeout)?;
+    check_stopping(gateway, find_timeout(route, &info))?;
     let origin = if route.kind.is_stream() && info.takes_up_stream {
         Some(origin_search::find_origin(gateway, &info, route).await?)
     } else {
@@ -144,6 +144,11 @@
     Ok(plan)
 }
 
+/// Returns the time that a request may take: the caller's timeout, and no more than the route's.
+pub(crate) fn find_timeout(route: &RouteRule, info: &RequestInfo) -> Duration {
+    info.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout))
+}
+
 /// Creates the plan of a request that has not been admitted yet.
 pub(crate) fn make_plan<'request>(
     head: &'request RequestHead,
@@ -155,7 +160,7 @@
     arrived: Instant,
 ) -> RequestPlan<'request> {
     let (route, customer) = matched;
-    let timeout = info.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    let timeout = find_timeout(&route, &info);
     let rank = customer.as_ref().and_then(|customer| customer.priority);
     let payer = customer.as_ref().map(|customer| &*customer.name);
     let content = contents::content_key(payer, &requests::content_fields(head), body);
--- a/toucanrail-gateway/src/explaining.rs
+++ b/toucanrail-gateway/src/explaining.rs
@@ -220,7 +220,8 @@
     let (route, customer) = &matched;
     explanation.customer = customer.as_ref().map(|customer| Arc::clone(&customer.name));
     explanation.check(admitting::check_token_counts(&info, customer.as_deref()));
-    explanation.check(admitting::check_stopping(gateway, route.timeout));
+    let timeout = admitting::find_timeout(route, &info);
+    explanation.check(admitting::check_stopping(gateway, timeout));
     let mut origin = None;
     if route.kind.is_stream() && info.takes_up_stream {
         let Some((found, _)) = origin_search::find_known(gateway, &info, route) else {
--- a/toucanrail-gateway/tests/gateway_disruptions.rs
+++ b/toucanrail-gateway/tests/gateway_disruptions.rs
@@ -34,6 +34,39 @@
     assert!(gateway.wait_end());
 }
 
+/// A stopping entry has time left for a request with a short timeout, though not for the longest that
+/// its route allows. If it were refused, its caller would have no time left for another entry.
+#[test]
+fn short_timeout() {
+    let store = Store::start();
+    let events = (1..=150).map(|id| platform::chunk(&format!("id: {id}\ndata: x\n\n")));
+    let events: Vec<String> = events.collect();
+    let stream = [platform::STREAM_HEAD, &events.join("PAUSE"), "0\r\n\r\n"].concat();
+    let backend = Backend::start("i-1", move |_, message| match message.field("x-model") {
+        Some(_) => Action::Respond(stream.clone()),
+        None => Action::Respond(platform::signed_response("short")),
+    });
+    platform::configure(&store, 1, &[&backend]);
+    let mut gateway = Process::start_with_settings(&store, "grace_s = 9\n");
+    let address = gateway.callers;
+    let headers = |more: &str| format!("{more}Connection: close\r\n");
+    let prompt = request("POST", "/stream/a", "r1", &headers(platform::PROMPT_HEADERS), "p");
+    let stream = thread::spawn(move || platform::call_raw(address, &prompt));
+    platform::wait_until("the request", || !backend.seen().is_empty());
+    gateway.signal("TERM");
+    thread::sleep(Duration::from_millis(3_200));
+    let call = |id: &str, timeout: &str| {
+        let text = request("POST", "/once/a", id, &headers(""), "p");
+        platform::call_raw(address, &text.replace("X-Timeout-Ms: 8000", timeout))
+    };
+    let long = call("r2", "X-Timeout-Ms: 8000");
+    assert!(long.starts_with("HTTP/1.1 503"), "{long}");
+    let short = call("r3", "X-Timeout-Ms: 1000");
+    assert!(short.starts_with("HTTP/1.1 200"), "{short}");
+    assert!(stream.join().unwrap().contains("id: 150"));
+    assert!(gateway.wait_end());
+}
+
 /// A stopping entry had no request in flight and waited for the store to take its grants back.
 /// Requests that it admitted in the meantime were cut off when it exited.
 #[test]
