The operator's order tells a refused command from an unanswered one

Each failure was shown as 5002, 'refused', also if the engine or the agent did not respond and the command may have been executed. Calls within the fleet now tell statuses of refusals apart; all other failures of an order are 4101 with exit code 4.

Failing first: a frozen engine gave 5002 (status 502); now 4101.

--- a/toucanrail-daemons/src/fleet_client.rs
+++ b/toucanrail-daemons/src/fleet_client.rs
@@ -63,8 +63,9 @@
     /// A failed call evicts the idle connections to the address, since they may be unresponsive too.
     ///
     /// # Errors
-    /// Returns an error if the call fails or times out, if the status is not 200, and with kind
-    /// `InvalidData` if the reply cannot be decoded.
+    /// Returns an error if the call fails or times out, or if the status is not 200, with kind
+    /// `PermissionDenied` if the process refused the message, and with kind `InvalidData` if the
+    /// reply cannot be decoded.
     pub async fn send<Message, Reply>(
         &self,
         address: SocketAddr,
@@ -80,7 +81,11 @@
         let response = self.pool.fetch(address, request, timeout).await;
         let response = response.inspect_err(|_| self.pool.evict(address))?;
         if response.status != 200 {
-            return Err(io::Error::other(format!("unexpected status {}", response.status)));
+            let kind = match response.status {
+                400..500 => io::ErrorKind::PermissionDenied,
+                _ => io::ErrorKind::Other,
+            };
+            return Err(io::Error::new(kind, format!("unexpected status {}", response.status)));
         }
         rmp_serde::from_slice(&response.body)
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
--- a/toucanrail-daemons/src/inspection_commands.rs
+++ b/toucanrail-daemons/src/inspection_commands.rs
@@ -194,8 +194,10 @@
         client.send(address, routes::ENGINE_COMMAND, &command, CALL_TIMEOUT).await;
     match reply {
         Ok(_) => Ok("done\n".to_owned()),
-        Err(error) => {
-            Err(OperatorError::Conflict(format!("command to the model engine failed: {error}")))
+        Err(error) if error.kind() == std::io::ErrorKind::PermissionDenied => {
+            Err(OperatorError::Conflict(format!("the command was refused: {error}")))
         }
+        // The engine may have executed the command.
+        Err(error) => Err(OperatorError::Unavailable(format!("the model engine ({error})"))),
     }
 }
