--- a/toucanrail-daemons/src/serving.rs
+++ b/toucanrail-daemons/src/serving.rs
@@ -10,7 +10,7 @@
 use toucanrail::codes::{ResultCode, RunState};
 use toucanrail::codetable;
 use toucanrail::grants::GrantHold;
-use toucanrail::ids::{AgentId, RunId, SoftwareVersion, Tokens, Version};
+use toucanrail::ids::{AgentId, RunId, RunNumber, SoftwareVersion, Tokens, Version};
 use toucanrail::limits::ServiceLoad;
 use toucanrail::messages::{RunCommand, StoredResponse};
 use toucanrail::records::{self, RecordOutcome, RecordState, RunRecord};
@@ -72,6 +72,8 @@
     /// known.
     stream_version: Option<SoftwareVersion>,
     attempt: u32,
+    /// Number of the last attempt among those of the entry.
+    run_number: RunNumber,
     record: Option<(RunRecord, Version)>,
     /// What earlier attempts show about whether the request ran; `None` as long as all of them
     /// provably did not run.
@@ -106,6 +108,7 @@
             tried: BTreeSet::new(),
             stream_version: None,
             attempt: 0,
+            run_number: 0,
             record: None,
             run_state: None,
             _guard: guard,
@@ -363,12 +366,14 @@
             // A keyed request may be running at another entry too, so the ids of attempts contain a
             // nonce.
             let nonce = fastrand::u32(..);
+            self.run_number = self.entry.next_run_number();
             return Ok(Arc::from(format!("{}.{}-{nonce:08x}", self.plan.request, self.attempt)));
         }
         match recording::open_record(&self.entry, &self.plan, &target.agent).await {
             RecordOutcome::Run { record, version } => {
                 self.trace(format!("recorded as attempt {} at {}", record.attempt, record.agent));
                 let run = record.run();
+                self.run_number = record.number;
                 self.record = Some((record, version));
                 Ok(run)
             }
@@ -381,7 +386,9 @@
         self.tried.insert(Arc::clone(&target.agent));
         let Some(hold) = self.hold.clone() else {
             let code = codetable::BUDGET_UNCONFIRMED;
-            return AttemptResult::NotRun { code, retry_after: DEFAULT_RETRY_AFTER };
+            let result = AttemptResult::NotRun { code, retry_after: DEFAULT_RETRY_AFTER };
+            self.close_record(&result).await;
+            return result;
         };
         let command = self.build_command(target, &run, &hold);
         self.trace(format!("sent to {} as {run}", target.agent));
@@ -395,7 +402,7 @@
         if self.writer.has_started() && self.stream_version.is_none() {
             self.stream_version.clone_from(&target.software_version);
         }
-        self.record_result(target, &run, &hold, &result).await;
+        self.record_result(target, &command, &hold, &result).await;
         result
     }
 
@@ -407,6 +414,7 @@
             run: Arc::clone(run),
             agent: Arc::clone(&target.agent),
             entry: Arc::clone(&self.entry.id),
+            number: self.run_number,
             customer: Arc::clone(&plan.customer.name),
             service: Arc::clone(&plan.service.name),
             shard: Arc::clone(&hold.shard),
@@ -431,10 +439,11 @@
     async fn record_result(
         &mut self,
         target: &AttemptTarget,
-        run: &RunId,
+        command: &RunCommand,
         hold: &GrantHold,
         result: &AttemptResult,
     ) {
+        let run = &command.run;
         let delivered = self.writer.has_started();
         let unresolved = matches!(result, AttemptResult::Unresolved { .. });
         {
@@ -479,7 +488,7 @@
             AttemptResult::Unresolved { code } => {
                 self.trace(format!("result not known yet: {}", code.row().name));
                 self.record_run_state(0);
-                self.resolve_later(target, run);
+                self.resolve_later(target, command);
             }
         }
         self.close_record(result).await;
@@ -497,7 +506,7 @@
 
     /// Hands an attempt whose agent does not answer to a background task, which keeps the attempt's
     /// part of the hold until the result is known.
-    fn resolve_later(&mut self, target: &AttemptTarget, run: &RunId) {
+    fn resolve_later(&mut self, target: &AttemptTarget, command: &RunCommand) {
         let Some(hold) = &mut self.hold else {
             return;
         };
@@ -507,7 +516,7 @@
             entry: Arc::clone(&self.entry),
             plan: self.plan.clone(),
             target: target.clone(),
-            run: Arc::clone(run),
+            query: attempts::cancel_query(command),
             hold: attempt_hold,
             record: self.record.take(),
             chargeable: self.writer.has_started() || !self.plan.repeatable,
@@ -522,11 +531,11 @@
             return;
         };
         let state = match result {
-            // The body is too large to be stored. A retry is refused, as the outcome recorded for
-            // it is unknown.
-            AttemptResult::Complete { .. } if self.writer.has_started() => RecordState::Unknown,
-            AttemptResult::Complete { .. } if self.writer.held.len() > MAX_RECORD_BYTES => {
-                RecordState::Unknown
+            // The body is too large to be stored.
+            AttemptResult::Complete { .. }
+                if self.writer.has_started() || self.writer.held.len() > MAX_RECORD_BYTES =>
+            {
+                RecordState::Ran
             }
             AttemptResult::Complete { .. } => {
                 let body = self.writer.held.clone();
@@ -539,9 +548,11 @@
             return;
         }
         // The caller gets its response now. Until the record is written, the agent keeps the
-        // result.
+        // result. An attempt that did not run leaves its hold to the next one.
         let entry = Arc::clone(&self.entry);
-        let bill = self.hold.take().map(|hold| (self.take_bill(&hold), hold));
+        let ran = !matches!(result, AttemptResult::NotRun { .. });
+        let hold = if ran { self.hold.take() } else { None };
+        let bill = hold.map(|hold| (self.take_bill(&hold), hold));
         let guard = entry.begin_request();
         smol::spawn(async move {
             recording::close_record_retrying(&entry, &record, version, state).await;
--- a/toucanrail/src/records.rs
+++ b/toucanrail/src/records.rs
@@ -11,8 +11,8 @@
 
 use crate::codes::ResultCode;
 use crate::codetable;
-use crate::ids::{AgentId, CustomerId, EntryId, RequestId, RunId, Version};
-use crate::messages::{HeaderField, QueryMode, RunReport, StoredResponse};
+use crate::ids::{AgentId, CustomerId, EntryId, RequestId, RunId, RunNumber, Version};
+use crate::messages::{HeaderField, QueryMode, RunQuery, RunReport, StoredResponse};
 use crate::paths;
 use crate::storecalls::{self, StoreCall, StoreReply, WriteExpectation};
 
@@ -34,6 +34,10 @@
     pub nonce: u64,
     /// The number of the last attempt.
     pub attempt: u32,
+    /// The number of the last attempt among those of its writer; 0 if the writer does not number
+    /// them.
+    #[serde(default)]
+    pub number: RunNumber,
     /// The only agent that the last attempt may be sent to.
     pub agent: AgentId,
     /// The state of the request.
@@ -56,6 +60,8 @@
         /// The body.
         body: RecordBody,
     },
+    /// The request ran, but its response is too large to be stored; it never runs again.
+    Ran,
     /// The end of the last attempt cannot be determined; the request never runs again.
     Unknown,
 }
@@ -110,10 +116,8 @@
     Query {
         /// The agent's incarnation.
         agent: AgentId,
-        /// The attempt.
-        run: RunId,
-        /// What the agent does about an attempt that has not arrived or is running.
-        mode: QueryMode,
+        /// The attempt, and what the agent does about it if it has not arrived or is running.
+        query: RunQuery,
     },
 }
 
@@ -201,8 +205,12 @@
             RecordStage::Read => Some(RecordCall::Store(StoreCall::Get { path })),
             RecordStage::Query => found.map(|(_, record)| RecordCall::Query {
                 agent: Arc::clone(&record.agent),
-                run: record.run(),
-                mode: QueryMode::Void,
+                query: RunQuery {
+                    run: record.run(),
+                    entry: Arc::clone(&record.writer),
+                    number: record.number,
+                    mode: QueryMode::Void,
+                },
             }),
             RecordStage::Rewrite => found.map(|(version, _)| {
                 RecordCall::Store(StoreCall::Put {
@@ -255,6 +263,7 @@
             RecordState::Finished { status, fields, body } => {
                 RecordOutcome::Replay(StoredResponse { status, fields, body: body.into_bytes() })
             }
+            RecordState::Ran => RecordOutcome::Refuse(codetable::RESPONSE_NOT_STORED),
             RecordState::NotRun | RecordState::Unknown => {
                 RecordOutcome::Refuse(codetable::END_UNKNOWN)
             }
@@ -287,7 +296,7 @@
         match record.state {
             RecordState::Started => self.stage = RecordStage::Query,
             RecordState::NotRun => self.start_attempt(&record),
-            RecordState::Finished { .. } | RecordState::Unknown => {
+            RecordState::Finished { .. } | RecordState::Ran | RecordState::Unknown => {
                 self.written = record;
                 self.end_with_record(version);
             }
@@ -310,6 +319,9 @@
             RecordReply::Report(RunReport::Ended { answer: Some(response), .. }) => {
                 self.rewrite(&record, finished_state(response));
             }
+            RecordReply::Report(RunReport::Ended { whole: true, .. }) => {
+                self.rewrite(&record, RecordState::Ran);
+            }
             RecordReply::Report(RunReport::Ended { .. }) | RecordReply::Gone => {
                 self.rewrite(&record, RecordState::Unknown);
             }
