Relays that have left are checked in the background and passed over by all uses of an entry

What callers saw: after a release, requests at entries that had just started were refused for lack of budget (503), although a lender had all of it; a request that relays held back was sent and ended servers (502).

Cause: entries of relays that left with their VMs stay in the store and rank before living ones. Each use kept its own backoff, learnt of each gone relay by a caller's request or one every 300 ms, and forgot it after 12 s. A request tried two lenders, then took a grant of its own: the entry held the whole budget. An entry was ready after 1 s without knowing what relays hold back.

Change: one table of the relays to which no connection could be opened, filled where an entry connects to relays. Gone ones are checked at growing intervals and passed over by loans, boards, the keepers of suspects and the search for origins. After the start and after a failure, others are searched in waves; an entry is ready after the first search, or 1 s. A calm entry sends one small message a shard at its start.

--- a/toucanrail-gateway/src/explaining.rs
+++ b/toucanrail-gateway/src/explaining.rs
@@ -285,7 +285,7 @@
     let customer = plan.customer.as_ref().filter(|customer| customer.prepaid.is_some())?;
     let needed = plan.info.prompt.as_ref()?.max_usage();
     let manager = &gateway.grant_manager;
-    let ranked = loans::rank_lenders(&gateway.store.lenders(), &manager.shard_of(&customer.name));
+    let ranked = loans::rank_lenders(&gateway.working_lenders(), &manager.shard_of(&customer.name));
     let mut available =
         ranked.into_iter().filter(|(name, _)| !gateway.loan_client.avoids(name, gateway.now()));
     let grants = manager.grants.borrow();
--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -128,6 +128,11 @@
         paths::shard_of(customer, self.tuning.shards)
     }
 
+    /// Returns the number of shards; 0 if each customer has its own.
+    pub fn shard_count(&self) -> u64 {
+        self.tuning.shards
+    }
+
     /// Acquires a hold on the customer's grant, waiting for a sync if the grant does not cover the
     /// amount.
     pub async fn acquire_hold(
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod placing;
 pub mod relay;
 pub mod relay_api;
+pub mod relay_checks;
 pub mod relay_client;
 pub mod relay_listing;
 pub mod relay_registration;
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use smol::future::FutureExt;
+use toucanrail::endpoints::RelayName;
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::{CustomerId, RequestId, ServiceName, Tokens};
 use toucanrail::link_shares;
@@ -33,6 +34,10 @@
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of lenders tried for one request.
 const MAX_LENDERS: usize = 2;
+/// Maximum time for which a request whose lender is gone waits until another one has been found, and
+/// the same as a fraction of the time that it has left.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
+const SEARCH_FRACTION: f64 = 0.25;
 /// Interval at which loan ends are sent; the ends queued for a lender within one interval share a
 /// message.
 const END_INTERVAL: Duration = Duration::from_millis(100);
@@ -149,11 +154,8 @@
     need: &BudgetNeed<'_>,
     amount: Tokens,
 ) -> Option<Result<BudgetSource, HoldFailure>> {
-    let now = gateway.now();
-    let lenders = gateway.store.lenders();
-    let ranked = loans::rank_lenders(&lenders, &gateway.grant_manager.shard_of(need.customer));
-    let available = ranked.into_iter().filter(|(name, _)| !gateway.loan_client.avoids(name, now));
-    for (lender, address) in available.take(MAX_LENDERS) {
+    for _ in 0..MAX_LENDERS {
+        let (lender, address) = pick_lender(gateway, need.customer)?;
         let number = gateway.loan_client.next_number.get();
         gateway.loan_client.next_number.set(number + 1);
         let loan: LoanId = Arc::from(format!("{}.{number}", gateway.id));
@@ -190,12 +192,24 @@
                 gateway.metrics.count_event("lenders_failed");
                 gateway.loan_client.lenders_unreachable.set(true);
                 gateway.loan_client.backoff.record_failure(&lender, gateway.now());
+                if gateway.relay_checker.health().is_failed(address) {
+                    let timeout = SEARCH_TIMEOUT.min(need.time_left.mul_f64(SEARCH_FRACTION));
+                    gateway.relay_checker.await_search(timeout).await;
+                }
             }
         }
     }
     None
 }
 
+/// Returns the first lender by rank that responds.
+fn pick_lender(gateway: &Gateway, customer: &CustomerId) -> Option<(RelayName, SocketAddr)> {
+    let now = gateway.now();
+    let shard = gateway.grant_manager.shard_of(customer);
+    let ranked = loans::rank_lenders(&gateway.working_lenders(), &shard);
+    ranked.into_iter().find(|(name, _)| !gateway.loan_client.avoids(name, now))
+}
+
 /// Returns whether a failed loan request says nothing about its lender. `link_load` is that of the
 /// link when the request was sent.
 fn is_inconclusive(gateway: &Gateway, error: &io::Error, link_load: f64) -> bool {
--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -1,5 +1,6 @@
 //! The search for the origin of a stream that a caller takes up.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -239,7 +240,7 @@
 ) -> Vec<OriginReply> {
     let key = attempt.map_or("", |attempt| &**attempt);
     let (relays, started) = (gateway.store.located_relays(), gateway.now());
-    let mut plan = SearchPlan::new(gateway.note_sender.unavailable(started));
+    let mut plan = SearchPlan::new(list_unavailable(gateway, &relays, started));
     let mut replies = Vec::new();
     while gateway.now().saturating_sub(started) < SEARCH_TIME {
         let wave = plan.next_wave(&relays, key);
@@ -265,6 +266,19 @@
     replies
 }
 
+/// Returns the relays that have not responded lately to any use.
+fn list_unavailable(
+    gateway: &Gateway,
+    relays: &[LocatedRelay],
+    now: Duration,
+) -> BTreeSet<RelayName> {
+    let mut unavailable = gateway.note_sender.unavailable(now);
+    let health = gateway.relay_checker.health();
+    let failed = relays.iter().filter(|relay| health.is_failed(relay.address));
+    unavailable.extend(failed.map(|relay| Arc::clone(&relay.name)));
+    unavailable
+}
+
 /// Asks relays at the same time. Returns where their replies arrive.
 fn ask_all(
     gateway: &Rc<Gateway>,
--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -9,6 +9,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use toucanrail::link_shares;
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::rpc;
 use toucanrail_wire::time_limits;
@@ -72,6 +73,25 @@
     time_limits::io_timeout(timeout, probing).await.unwrap_or(false)
 }
 
+/// Connects to a relay, and records whether it responds. A connection that is late while the entry's
+/// own link is loaded tells nothing of the relay.
+async fn connect(
+    gateway: &Gateway,
+    address: SocketAddr,
+    timeout: Duration,
+) -> io::Result<BufferedConnection> {
+    let link_load = gateway.delaying_load();
+    let connected = time_limits::io_timeout(timeout, BufferedConnection::connect(address)).await;
+    let link_load = link_load.max(gateway.delaying_load());
+    match &connected {
+        Ok(_) => gateway.relay_checker.record_response(address, gateway.now()),
+        Err(error)
+            if error.kind() == io::ErrorKind::TimedOut && link_shares::is_loaded(link_load) => {}
+        Err(_) => gateway.relay_checker.record_failure(address, gateway.now()),
+    }
+    connected
+}
+
 /// Calls a relay, on a pooled connection if there is one.
 pub async fn call_relay<Message, Reply>(
     gateway: &Gateway,
@@ -107,8 +127,7 @@
     let connection = if let Some(connection) = gateway.connections.take(relay, IDLE_TIMEOUT) {
         connection
     } else {
-        let connecting = BufferedConnection::connect(address);
-        time_limits::io_timeout(connect_timeout, connecting).await?
+        connect(gateway, address, connect_timeout).await?
     };
     call_on(gateway, relay, connection, path, message, timeout).await
 }
@@ -126,8 +145,7 @@
     Message: Serialize,
     Reply: DeserializeOwned,
 {
-    let connecting = BufferedConnection::connect(address);
-    let connection = time_limits::io_timeout(CONNECT_TIMEOUT, connecting).await?;
+    let connection = connect(gateway, address, CONNECT_TIMEOUT).await?;
     call_on(gateway, relay, connection, path, message, timeout).await
 }
 
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -33,6 +33,7 @@
 use crate::link_load::{self, LinkLoad};
 use crate::loan_client::{self, LoanClient};
 use crate::origin_notes::{self, NoteSender};
+use crate::relay_checks::{self, RelayChecker};
 use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
 use crate::rotation;
@@ -70,6 +71,7 @@
     let probing = store_access::probe_endpoint(Rc::clone(&shared.store), shared.settings.store);
     executor.spawn(probing).detach();
     executor.spawn(relay_listing::watch_relays(Rc::clone(&shared))).detach();
+    executor.spawn(relay_checks::check_relays(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_config(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_servers(Rc::clone(&shared))).detach();
     executor.spawn(store_watch::watch_evacuations(Rc::clone(&shared))).detach();
@@ -128,6 +130,7 @@
         store,
         grant_manager: Rc::new(grant_manager),
         loan_client: LoanClient::default(),
+        relay_checker: RelayChecker::default(),
         failed_boards: RelayBackoff::default(),
         stale_boards: RelayBackoff::default(),
         hosted_relay: RefCell::new(None),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,6 +11,7 @@
 use smol::LocalExecutor;
 use toucanrail::admissions::{AdmissionLimit, AdmissionQuery};
 use toucanrail::backends::{BackendEntry, BackendTable, FlightId};
+use toucanrail::endpoints::RelayName;
 use toucanrail::holds::HoldTable;
 use toucanrail::ids::{EntryId, ServiceName};
 use toucanrail::matching::RouteTable;
@@ -35,6 +37,7 @@
 use crate::loan_client::LoanClient;
 use crate::origin_notes::NoteSender;
 use crate::relay_api::RelayApi;
+use crate::relay_checks::{self, RelayChecker};
 use crate::relay_client::RelayBackoff;
 use crate::server_cache::ServerCache;
 use crate::server_ends::ProbeResult;
@@ -118,6 +121,8 @@
     pub grant_manager: Rc<GrantManager>,
     /// State of loans from lenders.
     pub loan_client: LoanClient,
+    /// Which relays respond.
+    pub relay_checker: RelayChecker,
     /// Relays whose boards failed recently; not queried until their backoff ends.
     pub failed_boards: RelayBackoff,
     /// Boards that recently had no fresh data of a kind from the store, by relay and kind.
@@ -161,7 +166,8 @@
         let is_informed = tables.routes.version() > 0
             && tables.backends.is_listed()
             && tables.backends.evacuations.is_known()
-            && suspect_reports::is_informed(self);
+            && suspect_reports::is_informed(self)
+            && relay_checks::is_searched(self);
         let has_room = self.settings.limits.has_room(self.caller_connections.get());
         let is_available = has_room && !self.is_isolated() && !self.link.is_away(self.now());
         is_informed && self.stop_requested.get().is_none() && is_available
@@ -180,6 +186,15 @@
         self.loan_client.lenders_unreachable.get() && kinds.into_iter().all(is_unanswered)
     }
 
+    /// Returns the lenders of this region that respond, or all if none does.
+    pub fn working_lenders(&self) -> Vec<(RelayName, SocketAddr)> {
+        self.relay_checker.health().working(
+            self.store.lenders(),
+            |(_, address)| *address,
+            self.now(),
+        )
+    }
+
     /// Returns the load of the entry's link, as a fraction of its capacity, to judge whether it delays
     /// the entry's own calls; zero without a share for callers' requests.
     pub fn delaying_load(&self) -> f64 {
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -255,7 +255,7 @@
     wait: Duration,
     after: Option<Version>,
 ) -> BoardOutcome {
-    let boards = boards::pick_boards(&gateway.store.lenders(), &gateway.settings.vm);
+    let boards = list_boards(gateway);
     let available =
         boards.iter().filter(|(name, _)| !gateway.failed_boards.is_active(name, gateway.now()));
     let query = ChangesQuery { kind: Arc::from(kind), after, wait };
@@ -302,6 +302,12 @@
     if stale { BoardOutcome::Stale } else { BoardOutcome::Unavailable }
 }
 
+/// Returns the boards that respond, in order of preference.
+pub fn list_boards(gateway: &Gateway) -> Vec<(RelayName, SocketAddr)> {
+    let listed = gateway.store.lenders().len();
+    boards::pick_boards(&gateway.working_lenders(), listed, &gateway.settings.vm)
+}
+
 async fn query_board(
     gateway: &Gateway,
     board: &RelayName,
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -32,7 +32,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time after the start in which an entry is not ready until it knows what the relays hold back. A live
 /// relay replies within a few milliseconds; without one the entry is as useful as before.
-const MAX_READY_DELAY: Duration = Duration::from_secs(1);
+pub const MAX_READY_DELAY: Duration = Duration::from_secs(1);
 /// Interval between two lines in the log about these messages.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of notes kept for relays that start again.
@@ -196,13 +196,19 @@
 
 /// Returns the relays that keep the suspects: of those that respond, or of all if none does.
 fn list_keepers(gateway: &Gateway) -> Vec<LocatedRelay> {
+    rank_keepers(gateway, COPIES)
+}
+
+/// Returns the first relays by rank as keepers of the suspects.
+pub(crate) fn rank_keepers(gateway: &Gateway, count: usize) -> Vec<LocatedRelay> {
     let now = gateway.now();
-    let relays = gateway.store.located_relays();
+    let health = gateway.relay_checker.health();
+    let relays = health.working(gateway.store.located_relays(), |relay| relay.address, now);
     let responds =
         |relay: &&LocatedRelay| !gateway.suspect_reporter.failed.is_active(&relay.name, now);
     let working: Vec<LocatedRelay> = relays.iter().filter(responds).cloned().collect();
     let relays = if working.is_empty() { &relays } else { &working };
-    relay_ranks::pick_relays(relays, relay_ranks::rank_seed(RANK_PURPOSE), COPIES)
+    relay_ranks::pick_relays(relays, relay_ranks::rank_seed(RANK_PURPOSE), count)
 }
 
 /// Sends a report to a relay. Returns whether the relay has got it.
@@ -278,7 +284,12 @@
         if let Err(error) = query_holds(&gateway, &relay).await {
             tracing::info!(event = "holds_unknown", relay = %relay.name, %error);
             gateway.suspect_reporter.failed.record_failure(&relay.name, gateway.now());
-            smol::Timer::after(RETRY_PAUSE).await;
+            let checker = &gateway.relay_checker;
+            if checker.health().is_passed_over(relay.address, gateway.now()) {
+                checker.await_search(RETRY_PAUSE).await;
+            } else {
+                smol::Timer::after(RETRY_PAUSE).await;
+            }
         }
     }
 }
--- a/toucanrail-gateway/tests/crashing_requests.rs
+++ b/toucanrail-gateway/tests/crashing_requests.rs
@@ -181,6 +181,44 @@
     assert!(runs <= MAX_ENDS, "{runs} servers ended: {responses:?}");
 }
 
+/// The entry that saw the ends is killed, then all relays restart one after the other. Another entry
+/// was told what they held back.
+#[test]
+fn witness_gone() {
+    let mut fleet = start_fleet(3, 2);
+    repeat(&fleet, &[0], "/safe/a", "deadly");
+    fleet.entries[0].kill();
+    for relay in &mut fleet.relays {
+        relay.restart();
+        thread::sleep(crashes::SETTLE_TIME);
+    }
+    // The other entry has asked all of them again.
+    thread::sleep(crashes::SETTLE_TIME * 10);
+    let responses = repeat(&fleet, &[1], "/safe/a", "deadly");
+    let runs = fleet.count_runs("deadly");
+    assert!(runs <= MAX_ENDS, "{runs} servers ended");
+    assert_refused(&responses);
+}
+
+/// Most relays in the store have left with their VMs. An entry that has just started is ready only
+/// with what the others hold back.
+#[test]
+fn departed_keepers() {
+    let mut fleet = start_fleet(4, 1);
+    let living = ["side-0", "side-1", "side-2", "side-3"];
+    platform::register_departed_first(&fleet.store, &living, "suspects", 36);
+    fleet.entries[0].restart();
+    fleet.entries[0].wait_ready(true);
+    thread::sleep(crashes::SETTLE_TIME * 10);
+    repeat(&fleet, &[0], "/safe/a", "deadly");
+    for number in 0..4 {
+        let entry = Process::start_gateway_on(&fleet.store, &format!("front-{}", 9 + number));
+        assert_refused(&[call(&entry, "/safe/a", &format!("f{number}"), "deadly")]);
+    }
+    let runs = fleet.count_runs("deadly");
+    assert!(runs <= MAX_ENDS, "{runs} servers ended");
+}
+
 /// The store is silent from before the first end on.
 #[test]
 fn returns_in_outage() {
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -24,6 +24,7 @@
 use self::ports::PortLease;
 use self::proxies::Proxy;
 use serde_json::{Value, json};
+use toucanrail::loans;
 
 /// Timeout of everything that a test waits for. Reaching it is a failure; no test depends on its
 /// length.
@@ -846,6 +847,29 @@
     store.put("servers", &backend.id, entry);
 }
 
+/// Registers relays that have left with their VMs and rank before all `living` ones for a purpose.
+pub fn register_departed_first(store: &Store, living: &[&str], purpose: &str, count: usize) {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let names = (0..4_000).map(|number| format!("gone-{number}"));
+    let names = names.chain(living.iter().map(|name| (*name).to_owned()));
+    let relays: Vec<_> = names.map(|name| (Arc::from(name), address)).collect();
+    let ranked = loans::rank_lenders(&relays, purpose).into_iter().map(|(name, _)| name);
+    let departed: Vec<Arc<str>> =
+        ranked.take_while(|name| !living.contains(&&**name)).take(count).collect();
+    assert_eq!(departed.len(), count);
+    for name in &departed {
+        register_departed(store, name);
+    }
+}
+
+/// Registers a relay that has left with its VM: nothing listens at its address.
+pub fn register_departed(store: &Store, vm: &str) {
+    let entry = json!({
+        "address": "127.0.0.1:1", "lending": "127.0.0.1:1", "data_centre": "a", "region": "",
+    });
+    store.put("relays", vm, entry);
+}
+
 /// Writes a server's registration with a software version.
 pub fn register_version(store: &Store, backend: &Backend, version: &str) {
     let mut entry = backend.entry("desk");
--- a/toucanrail-gateway/tests/taken_up_streams.rs
+++ b/toucanrail-gateway/tests/taken_up_streams.rs
@@ -6,11 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use platform::Process;
 use platform::streams::{
     EVENTS, Fleet, RECORD_TIME, ROUTE_TIMEOUT, begin_any, call_stream, fresh_id, take_up,
 };
-use platform::{Process, Store};
-use serde_json::json;
 
 /// Streams that are taken up, and new ones beside them.
 const STREAMS: usize = 16;
@@ -111,7 +110,7 @@
 fn departed_relays() {
     let mut fleet = Fleet::start(RELAYS);
     for number in 0..9 * RELAYS {
-        register_departed(&fleet.store, &format!("gone-{number}"));
+        platform::register_departed(&fleet.store, &format!("gone-{number}"));
     }
     // An entry that starts lists the relays.
     fleet.entries[0].restart();
@@ -123,14 +122,6 @@
     assert_share(&fleet.entries[1], &streams);
 }
 
-/// Registers a relay at an address where nothing listens.
-fn register_departed(store: &Store, vm: &str) {
-    let entry = json!({
-        "address": "127.0.0.1:1", "lending": "127.0.0.1:1", "data_centre": "a", "region": "north",
-    });
-    store.put("relays", vm, entry);
-}
-
 /// All entries and relays lose power at the same moment.
 #[test]
 fn all_lose_power() {
--- a/toucanrail/src/boards.rs
+++ b/toucanrail/src/boards.rs
@@ -226,19 +226,21 @@
 }
 
 /// Returns the relays whose boards an entry asks, in order of preference; none in a small fleet.
+/// `relays` are those of the region that respond, `listed` is the number of all.
 ///
 /// All entries of a region use the same few boards. Each entry has an order of its own among those
 /// in use, so that the entries of a board that fails are spread over all others.
 ///
 /// # Examples
 /// ```
-/// assert!(toucanrail::boards::pick_boards(&[], "front-1").is_empty());
+/// assert!(toucanrail::boards::pick_boards(&[], 30, "front-1").is_empty());
 /// ```
 pub fn pick_boards(
     relays: &[(RelayName, SocketAddr)],
+    listed: usize,
     entry: &str,
 ) -> Vec<(RelayName, SocketAddr)> {
-    if !uses_boards(relays.len()) {
+    if !uses_boards(listed) {
         return Vec::new();
     }
     let in_use = relays.len().div_ceil(RELAYS_PER_BOARD);
--- a/toucanrail/src/paths.rs
+++ b/toucanrail/src/paths.rs
@@ -75,10 +75,20 @@
 pub fn shard_of(customer: &CustomerId, shards: u64) -> ShardName {
     match shards {
         0 => Arc::clone(customer),
-        _ => Arc::from(format!("shard-{}", xxh3::xxh3_64(customer.as_bytes()) % shards)),
+        _ => shard_name(xxh3::xxh3_64(customer.as_bytes()) % shards),
     }
 }
 
+/// Returns the name of a shard that several customers share.
+///
+/// # Examples
+/// ```
+/// assert_eq!(&*toucanrail::paths::shard_name(3), "shard-3");
+/// ```
+pub fn shard_name(number: u64) -> ShardName {
+    Arc::from(format!("shard-{number}"))
+}
+
 /// Returns the path of a budget shard.
 pub fn budget_path(shard: &ShardName) -> ObjectPath {
     Arc::from(format!("{BUDGETS}/{shard}"))
--- a/toucanrail/tests/board_updates.rs
+++ b/toucanrail/tests/board_updates.rs
@@ -112,7 +112,7 @@
     let relays = make_relays(relays);
     let mut counts = BTreeMap::new();
     for number in 0..entries {
-        let boards = boards::pick_boards(&relays, &format!("front-{number}"));
+        let boards = boards::pick_boards(&relays, relays.len(), &format!("front-{number}"));
         let (board, _) =
             boards.into_iter().find(|(name, _)| Some(&**name) != failed).expect("a board");
         *counts.entry(board).or_insert(0) += 1;
