Entries serve others while a server sends without end

A server that wrote one event without end, or a body, as fast as the entry read it, stopped the whole entry: reads that never have to wait did not return to the executor, so that neither timers nor other requests ran, and each read scanned the whole partial event again.

Readers now yield every 128 KiB, and a partial event is scanned only where an empty line arrives.

--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -175,7 +175,8 @@
         pending: &[u8],
     ) -> usize {
         let known = stream.scanner.count;
-        let complete_len = stream.scanner.scan(pending);
+        let ends = sse::may_end_event(pending, stream.partial_bytes);
+        let complete_len = if ends { stream.scanner.scan(pending) } else { 0 };
         stream.partial_bytes = pending.len() - complete_len;
         stream.received_bytes += complete_len as u64;
         self.events = stream.scanner.count - self.earlier_events;
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 pub mod crashes;
+pub mod endless;
 mod ports;
 pub mod proxies;
 pub mod services;
--- a/toucanrail-wire/src/connections.rs
+++ b/toucanrail-wire/src/connections.rs
@@ -11,6 +11,9 @@
 /// Bytes requested per read: enough for a complete prompt of the usual size or a few hundred
 /// events.
 const READ_SIZE: usize = 16 * 1024;
+/// Bytes after which a reader yields to the other tasks of its thread: a peer that sends faster than
+/// its bytes are handled never makes it wait.
+const YIELD_INTERVAL: usize = 8 * READ_SIZE;
 
 thread_local! {
     /// Bytes that all connections of this thread have received and sent.
@@ -43,13 +46,15 @@
     socket: Arc<Async<TcpStream>>,
     /// Bytes read but not consumed.
     pub buffer: Vec<u8>,
+    /// Bytes read since the reader last yielded.
+    read_unyielded: usize,
 }
 
 impl BufferedConnection {
     /// Wraps a connected socket and disables Nagle's algorithm on it.
     pub fn new(socket: Async<TcpStream>) -> io::Result<Self> {
         socket.get_ref().set_nodelay(true)?;
-        Ok(Self { socket: Arc::new(socket), buffer: Vec::new() })
+        Ok(Self { socket: Arc::new(socket), buffer: Vec::new(), read_unyielded: 0 })
     }
 
     /// Opens a connection.
@@ -64,8 +69,13 @@
 
     /// Reads more bytes into the buffer and returns their number; 0 at the end of the connection.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        if self.read_unyielded >= YIELD_INTERVAL {
+            self.read_unyielded = 0;
+            smol::future::yield_now().await;
+        }
         let buffer = &mut self.buffer;
-        self.socket
+        let count = self
+            .socket
             .read_with(|mut socket| {
                 // Not read into the buffer itself: an idle connection would keep `READ_SIZE` bytes.
                 let mut chunk = [0; READ_SIZE];
@@ -74,7 +84,9 @@
                 count_received(count);
                 Ok(count)
             })
-            .await
+            .await?;
+        self.read_unyielded += count;
+        Ok(count)
     }
 
     /// Reads until the buffer holds a complete head, and removes it from the buffer. Returns none
--- a/toucanrail/src/sse.rs
+++ b/toucanrail/src/sse.rs
@@ -55,6 +55,26 @@
     }
 }
 
+/// Returns whether an event may end in `pending` behind its first `scanned` bytes, in which none
+/// ends.
+///
+/// An event that arrives in many parts is scanned once by it, instead of once for each part.
+///
+/// # Examples
+/// ```
+/// use toucanrail::sse;
+/// assert!(sse::may_end_event(b"data: a\n\n", 8));
+/// assert!(!sse::may_end_event(b"data: a\ndata", 8));
+/// ```
+pub fn may_end_event(pending: &[u8], scanned: usize) -> bool {
+    // The empty line at the end of an event may follow a line break that was scanned.
+    let new = &pending[scanned.saturating_sub(2)..];
+    let begins_empty = scanned <= 1 && (pending.starts_with(b"\n") || pending.starts_with(b"\r\n"));
+    begins_empty
+        || new.windows(2).any(|window| window == b"\n\n")
+        || new.windows(3).any(|window| window == b"\n\r\n")
+}
+
 /// Returns whether a stream is complete whose body ended like this, after `events` complete events
 /// and `partial_bytes` of another one.
 ///
--- a/toucanrail/tests/stream_events.rs
+++ b/toucanrail/tests/stream_events.rs
@@ -110,3 +110,26 @@
     assert_eq!(scanner.scan(stream), stream.len());
     assert_eq!((scanner.count, scanner.last_id), (1, Some(1)));
 }
+
+proptest! {
+    /// Guards against an event that is held back because its end fell between two reads.
+    #[test]
+    fn split_event_ends(
+        parts in prop::collection::vec(
+            prop::sample::select(vec!["\n", "\r", "\r\n", "id: 1", ": c", "data: a\n", "\n\n"]),
+            1..24,
+        ),
+    ) {
+        let (mut scanner, mut lazy) = (EventScanner::new(), EventScanner::new());
+        let (mut pending, mut scanned) = (Vec::new(), 0);
+        for byte in parts.concat().bytes() {
+            pending.push(byte);
+            let complete = scanner.scan(&pending);
+            let ends = sse::may_end_event(&pending, scanned);
+            prop_assert_eq!(if ends { lazy.scan(&pending) } else { 0 }, complete);
+            pending.drain(..complete);
+            scanned = pending.len();
+        }
+        prop_assert_eq!((lazy.last_id, lazy.count), (scanner.last_id, scanner.count));
+    }
+}
