Servers whose bodies never end are ejected

A sound head reset a server's count of failures, so that one whose bodies broke off, or never ended, failed each call without being ejected, until the entry had no retries left.

An ejection state now counts as a success what goes beyond a head: the first event of a stream, or a whole buffered response. A whole failure (500) counts as before.

--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -69,6 +69,7 @@
     mut exchange: OpenExchange,
     writer: &mut ResponseWriter,
     stream: &mut StreamState,
+    flight: &FlightGuard,
 ) -> AttemptResult {
     let mut body = Vec::new();
     let mut hold = BodyHold::new(&context.gateway.memory);
@@ -80,6 +81,7 @@
         }
         Err(_) => return AttemptResult::Incomplete(AttemptOutcome::Lost),
     }
+    flight.record_success();
     stream.received_bytes += body.len() as u64;
     let head = exchange.head.clone();
     exchange.release_connection(context.gateway, &context.target.id);
@@ -188,6 +190,7 @@
         }
         self.last_event_at = Instant::now();
         flight.record_response_start();
+        flight.record_success();
         stream.attempt_begun_at.get_or_insert(self.last_event_at);
         if !self.progress_recorded && stream.has_progressed() {
             self.progress_recorded = true;
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -75,7 +75,7 @@
         return forwarding::forward_stream(context, exchange, writer, stream, &flight).await;
     }
     flight.record_response_start();
-    forwarding::forward_buffered(context, exchange, writer, stream).await
+    forwarding::forward_buffered(context, exchange, writer, stream, &flight).await
 }
 
 fn register_flight(
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -416,6 +416,12 @@
         }
     }
 
+    /// Records that the server has sent an event, or a whole response.
+    pub fn record_success(&self) {
+        let now = self.gateway.now();
+        self.gateway.tables.borrow_mut().backends.record_success(&self.process.id, now);
+    }
+
     /// Records what the server states in the head of its response.
     pub fn record_statements(&self, info: &ResponseInfo) {
         let now = self.gateway.now();
--- a/toucanrail-gateway/tests/endless_responses.rs
+++ b/toucanrail-gateway/tests/endless_responses.rs
@@ -29,6 +29,9 @@
 const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Filler: ";
 const LINES: &str = "HTTP/1.1 200 OK\r\n";
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\r\n";
+const FAILED: &str = "HTTP/1.1 500 Failed\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\
+    Transfer-Encoding: chunked\r\n\r\n";
+const CHUNK: &str = "10\r\naaaaaaaaaaaaaaaa\r\n";
 const LINE: &str = "X-Filler: a\r\n";
 
 fn respond(message: &Message) -> Action {
@@ -124,12 +127,26 @@
     check_beside(1, "", "a", FAST);
 }
 
-/// Guards against an entry that serves nobody while it reads an event that does not end.
+/// Guards against a server that is never ejected since its heads are sound, and against an entry that
+/// serves nobody while it reads a body.
+#[test]
+fn fast_bodies() {
+    check_beside(1, UNFRAMED, "a", FAST);
+    check_beside(3, UNFRAMED, "a", FAST);
+}
+
+/// Guards against the same for lines of an event that never ends.
 #[test]
 fn endless_events() {
     check_beside(1, UNFRAMED, "data: a\n", FAST);
 }
 
+/// Guards against the same for the body of a failure.
+#[test]
+fn failure_bodies() {
+    check_beside(1, FAILED, CHUNK, FAST);
+}
+
 /// Guards against heads that arrive bytewise: their callers waited, and calls beside them were
 /// refused for overload.
 #[test]
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -471,7 +471,6 @@
             return;
         };
         row.connect_failures = 0;
-        row.ejection.record_success(now);
         if let Some(flight) = row.flights.get_mut(&number) {
             flight.begun = true;
             let wait = now.saturating_sub(flight.sent_at).as_secs_f64();
@@ -510,6 +509,14 @@
         }
     }
 
+    /// Records that a response has gone beyond its head: its first event, or its whole body. A head
+    /// alone proves nothing, since its body may never end.
+    pub fn record_success(&mut self, id: &str, now: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.ejection.record_success(now);
+        }
+    }
+
     /// Records a failed attempt.
     pub fn record_failure(&mut self, id: &str, now: Duration) {
         if let Some(row) = self.rows.get_mut(id) {
