What precedes a response on its connection is bounded

Interim heads (1xx) and the body of a response to another request were read without a bound of bytes. An entry spent its time on them, and nobody else was served.

Interim heads count with the response head (32 KiB); a body that is skipped may have the size of one that is buffered (8 MiB).

24 calls, ten a second, one such server beside a sound one. interim_heads: 0 of 24 served, no other request for 13 to 15 s -> 24 served within 42 ms (with yielding readers alone 22 served). foreign_bodies: 64 MiB taken of one response, where the test's server ends it -> 11.9 MB with the kernel's buffers.

--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -32,7 +32,7 @@
 /// Interval at which a response waits for memory.
 const FULL_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum size of a body that is buffered before it is forwarded, and of one event of a stream.
-const MAX_BUFFERED_BODY: usize = 8 * 1024 * 1024;
+pub const MAX_BUFFERED_BODY: usize = 8 * 1024 * 1024;
 
 /// Reads a body to its end. Waits while there is no memory for it.
 pub async fn read_body(
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -35,10 +35,12 @@
 const REPEATABLE_MAX_IDLE: Duration = Duration::from_secs(10);
 /// Status of a response by another server than the one that the request was sent to.
 const OTHER_SERVER_STATUS: u16 = 421;
-/// Maximum size of a response head.
+/// Maximum size of a response head, together with those of interim responses before it.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Number of responses to other requests that are skipped on one connection before it is given up.
 const MAX_FOREIGN_RESPONSES: u32 = 2;
+/// Maximum size of a skipped body: that of a body that is buffered.
+const MAX_SKIPPED_BODY: usize = forwarding::MAX_BUFFERED_BODY;
 /// The server of a repeatable request is checked after this multiple of the route's latency target.
 const SILENCE_TIMEOUT_FACTOR: u32 = 2;
 /// Lower bound of that time, so that a stalled network does not double the load.
@@ -213,12 +215,13 @@
     connection: &mut BufferedConnection,
     id: &str,
 ) -> io::Result<ResponseHead> {
-    let mut foreign = 0;
+    let (mut foreign, mut interim_bytes) = (0, 0);
     loop {
-        let bytes = connection.read_head(MAX_HEAD_BYTES).await?;
+        let bytes = connection.read_head(MAX_HEAD_BYTES - interim_bytes).await?;
         let bytes = bytes.ok_or(io::ErrorKind::UnexpectedEof)?;
         let head = ResponseHead::parse(&bytes).map_err(|_| io::ErrorKind::InvalidData)?;
         if (100..200).contains(&head.status) {
+            interim_bytes += bytes.len();
             continue;
         }
         if requests::parse_response(&head, id).matches_attempt != Some(false) {
@@ -233,16 +236,18 @@
 }
 
 async fn skip_body(connection: &mut BufferedConnection, head: &ResponseHead) -> io::Result<()> {
+    let mut skipped = 0;
     let mut decoder = BodyDecoder::for_response(head.length);
     let mut body = Vec::new();
     loop {
         let consumed = decoder.feed(&connection.buffer, &mut body);
         connection.buffer.drain(..consumed);
         body.clear();
+        skipped += consumed;
         if decoder.is_done() {
             return Ok(());
         }
-        if decoder.is_malformed() || connection.fill().await? == 0 {
+        if decoder.is_malformed() || skipped > MAX_SKIPPED_BODY || connection.fill().await? == 0 {
             return Err(io::ErrorKind::InvalidData.into());
         }
     }
--- a/toucanrail-gateway/tests/endless_responses.rs
+++ b/toucanrail-gateway/tests/endless_responses.rs
@@ -28,6 +28,9 @@
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Filler: ";
 const LINES: &str = "HTTP/1.1 200 OK\r\n";
+const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+const FOREIGN: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Signature: s\r\n\
+    Content-Length: 99999999999\r\n\r\n";
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\r\n";
 const FAILED: &str = "HTTP/1.1 500 Failed\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\
     Transfer-Encoding: chunked\r\n\r\n";
@@ -127,6 +130,18 @@
     check_beside(1, "", "a", FAST);
 }
 
+/// Guards against an entry that reads interim responses for ever and serves nobody else meanwhile.
+#[test]
+fn interim_heads() {
+    check_beside(1, "", INTERIM, FAST);
+}
+
+/// Guards against the same for the body of a response to another request.
+#[test]
+fn foreign_bodies() {
+    check_beside(1, FOREIGN, "a", FAST);
+}
+
 /// Guards against a server that is never ejected since its heads are sound, and against an entry that
 /// serves nobody while it reads a body.
 #[test]
