Responses whose bytes trickle in fail early

A head or a body that arrived bytewise kept its caller waiting: until the deadline where the server's load report explained a late response, where the body was buffered, or where the request may not be sent again; else for twice the route's latency target, as long as a silent server. The server was counted as failing only then, and such waits counted as late first events of the service.

Once the first byte of a head or an event has arrived, the rest must follow within half of the latency target (0.3 s at least), or twice the target (2 s at least) where no other server may get the request. A buffered body that has begun must bring 1 KiB in each period of twice that. Silence before the first byte is treated as before, so that queues and long prompts cost nothing; a pause between head and body is not limited either. Such an attempt is malformed: a failure of the server, which may be followed by another try, is no sign that it has restarted, and tells nothing of the load.

--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -296,6 +296,7 @@
             AttemptOutcome::Declined | AttemptOutcome::Withheld => {}
             AttemptOutcome::Failed
             | AttemptOutcome::Lost
+            | AttemptOutcome::Malformed
             | AttemptOutcome::Broken
             | AttemptOutcome::TimedOut => tables.backends.record_failure(&target.id, now),
         }
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -8,7 +8,7 @@
 use toucanrail::attempts::AttemptOutcome;
 use toucanrail::framing::{BodyEnd, ConnectionEnd};
 use toucanrail::ids::Tokens;
-use toucanrail::silences::SilenceDetector;
+use toucanrail::silences::{PartProgress, SilenceDetector};
 use toucanrail::sse;
 use toucanrail_wire::time_limits;
 
@@ -31,19 +31,45 @@
 const MIN_STALL: Duration = Duration::from_secs(1);
 /// Interval at which a response waits for memory.
 const FULL_PAUSE: Duration = Duration::from_millis(20);
+/// A buffered body must make progress within this multiple of the time for one part of a response.
+const BODY_PART_FACTOR: u32 = 2;
 /// Maximum size of a body that is buffered before it is forwarded, and of one event of a stream.
 pub const MAX_BUFFERED_BODY: usize = 8 * 1024 * 1024;
 
-/// Reads a body to its end. Waits while there is no memory for it.
+/// Returns the outcome of an attempt whose response could not be read.
+pub fn failure_outcome(error: &io::Error) -> AttemptOutcome {
+    match error.kind() {
+        io::ErrorKind::InvalidData | io::ErrorKind::FileTooLarge => AttemptOutcome::Malformed,
+        _ => AttemptOutcome::Lost,
+    }
+}
+
+/// Waits for the rest of a part of a response, and fails with `InvalidData` if it takes longer.
+pub async fn complete_part<Value, Fut>(timeout: Duration, reading: Fut) -> io::Result<Value>
+where
+    Fut: Future<Output = io::Result<Value>>,
+{
+    let read = time_limits::io_timeout(timeout, reading).await;
+    read.map_err(|error| match error.kind() {
+        io::ErrorKind::TimedOut => io::ErrorKind::InvalidData.into(),
+        _ => error,
+    })
+}
+
+/// Reads a body to its end. Waits while there is no memory for it. Once bytes of the body have
+/// arrived, fails with `InvalidData` if there is no progress for `timeout`.
 pub async fn read_body(
     exchange: &mut OpenExchange,
     body: &mut Vec<u8>,
     hold: &mut BodyHold,
+    timeout: Duration,
 ) -> io::Result<()> {
+    let (begun, mut progress, mut received) = (Instant::now(), PartProgress::default(), 0);
     loop {
         let buffer = &mut exchange.connection.buffer;
         let consumed = exchange.decoder.feed(buffer, body);
         buffer.drain(..consumed);
+        received += consumed;
         while !hold.try_raise(body.len()) {
             Timer::after(FULL_PAUSE).await;
         }
@@ -53,7 +79,13 @@
         if exchange.decoder.is_malformed() || body.len() > MAX_BUFFERED_BODY {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        if exchange.connection.fill().await? == 0 {
+        progress.record(received, begun.elapsed());
+        let filling = exchange.connection.fill();
+        let count = match progress.time_left(timeout, begun.elapsed()) {
+            Some(left) => complete_part(left, filling).await?,
+            None => filling.await?,
+        };
+        if count == 0 {
             return match exchange.decoder.end_with(ConnectionEnd::Closed) {
                 BodyEnd::Framed | BodyEnd::Closed => Ok(()),
                 BodyEnd::Truncated => Err(io::ErrorKind::UnexpectedEof.into()),
@@ -73,13 +105,14 @@
 ) -> AttemptResult {
     let mut body = Vec::new();
     let mut hold = BodyHold::new(&context.gateway.memory);
-    let reading = read_body(&mut exchange, &mut body, &mut hold);
+    let body_timeout = context.part_timeout() * BODY_PART_FACTOR;
+    let reading = read_body(&mut exchange, &mut body, &mut hold, body_timeout);
     match time_limits::io_timeout(context.plan.time_left(), reading).await {
         Ok(()) => {}
         Err(error) if error.kind() == io::ErrorKind::TimedOut => {
             return AttemptResult::Incomplete(AttemptOutcome::TimedOut);
         }
-        Err(_) => return AttemptResult::Incomplete(AttemptOutcome::Lost),
+        Err(error) => return AttemptResult::Incomplete(failure_outcome(&error)),
     }
     flight.record_success();
     stream.received_bytes += body.len() as u64;
@@ -119,7 +152,10 @@
             return AttemptResult::CallerGone;
         }
         pending.drain(..complete_len);
-        if ended || exchange.decoder.is_malformed() || pending.len() > MAX_BUFFERED_BODY {
+        if exchange.decoder.is_malformed() || pending.len() > MAX_BUFFERED_BODY {
+            return AttemptResult::Incomplete(malformed_outcome(writer));
+        }
+        if ended {
             return AttemptResult::Incomplete(truncation_outcome(writer));
         }
         match read_more(&mut exchange, writer, &mut tick).await {
@@ -147,6 +183,9 @@
     /// Complete events of this attempt.
     events: u64,
     last_event_at: Instant,
+    begun_at: Instant,
+    /// Progress of the event that is not complete.
+    partial: PartProgress,
     detector: SilenceDetector,
     /// Events of earlier attempts.
     earlier_events: u64,
@@ -161,6 +200,8 @@
         Self {
             events: 0,
             last_event_at: Instant::now(),
+            begun_at: Instant::now(),
+            partial: PartProgress::default(),
             detector: SilenceDetector::default(),
             earlier_events: stream.scanner.count,
             tokens_per_event: tables.routes.tokens_per_event(&context.plan.service),
@@ -183,8 +224,10 @@
         stream.received_bytes += complete_len as u64;
         self.events = stream.scanner.count - self.earlier_events;
         if complete_len == 0 {
+            self.partial.record(pending.len(), self.begun_at.elapsed());
             return 0;
         }
+        self.partial.restart(stream.partial_bytes, self.begun_at.elapsed());
         if stream.first_byte_at.is_some() {
             stream.longest_pause = stream.longest_pause.max(self.last_event_at.elapsed());
         }
@@ -224,6 +267,14 @@
         if plan.time_left().is_zero() {
             return Some(AttemptResult::Incomplete(AttemptOutcome::TimedOut));
         }
+        let now = self.begun_at.elapsed();
+        if !writer.may_grow() {
+            self.partial.record_pause(now);
+        }
+        let part_left = self.partial.time_left(context.part_timeout(), now);
+        if part_left.is_some_and(|left| left.is_zero()) {
+            return Some(AttemptResult::Incomplete(malformed_outcome(writer)));
+        }
         let stall = (plan.route.gap_target * STALL_FACTOR).max(MIN_STALL);
         let stalled = context.may_fail_over && self.last_event_at.elapsed() > stall;
         let lost = stalled && liveness::check_lost(context, &mut self.detector, self.events).await;
@@ -268,6 +319,10 @@
     reading.or(flushing).or(ticking).await
 }
 
+fn malformed_outcome(writer: &ResponseWriter) -> AttemptOutcome {
+    if writer.started { AttemptOutcome::Broken } else { AttemptOutcome::Malformed }
+}
+
 fn truncation_outcome(writer: &ResponseWriter) -> AttemptOutcome {
     if writer.started { AttemptOutcome::Broken } else { AttemptOutcome::Lost }
 }
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -11,9 +11,11 @@
 use toucanrail::contents::ContentKey;
 use toucanrail::framing::BodyDecoder;
 use toucanrail::ids::ServiceName;
+use toucanrail::link_shares;
 use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::origins::StreamOrigin;
 use toucanrail::scanners::BodyLength;
+use toucanrail::silences;
 use toucanrail::sse::EventScanner;
 use toucanrail::suspects::{self, RunStage, SuspectKey};
 use toucanrail_platform::requests::RequestInfo;
@@ -105,6 +107,15 @@
     pub may_fail_over: bool,
 }
 
+impl AttemptContext<'_, '_> {
+    /// Returns the time within which a part of the response must be complete after its first byte.
+    pub fn part_timeout(&self) -> Duration {
+        let target = self.plan.route.latency_target;
+        let usual = silences::part_timeout(target, self.may_fail_over);
+        link_shares::call_timeout(usual, self.gateway.delaying_load())
+    }
+}
+
 /// Outcome of one attempt.
 #[derive(Debug)]
 pub enum AttemptResult {
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -55,6 +55,20 @@
     let AttemptContext { gateway, plan, target, .. } = *context;
     stream.begin_attempt();
     let flight = register_flight(gateway, plan, target);
+    let result = run_exchange(context, writer, stream, &flight).await;
+    if matches!(result, AttemptResult::Incomplete(AttemptOutcome::Malformed)) {
+        flight.record_malformed();
+    }
+    result
+}
+
+async fn run_exchange(
+    context: &AttemptContext<'_, '_>,
+    writer: &mut ResponseWriter,
+    stream: &mut StreamState,
+    flight: &FlightGuard,
+) -> AttemptResult {
+    let plan = context.plan;
     let opened = open_exchange(context, stream.last_event()).await;
     let exchange = match opened {
         Ok(exchange) => exchange,
@@ -74,10 +88,10 @@
         return AttemptResult::Incomplete(AttemptOutcome::Lost);
     }
     if succeeded && plan.route.kind.is_stream() {
-        return forwarding::forward_stream(context, exchange, writer, stream, &flight).await;
+        return forwarding::forward_stream(context, exchange, writer, stream, flight).await;
     }
     flight.record_response_start();
-    forwarding::forward_buffered(context, exchange, writer, stream, &flight).await
+    forwarding::forward_buffered(context, exchange, writer, stream, flight).await
 }
 
 fn register_flight(
@@ -141,7 +155,8 @@
     }
     let mut bytes = requests::write_request_head(plan.head, &info);
     bytes.extend_from_slice(plan.body);
-    let exchange = exchange_heads(&mut connection, &bytes, &plan.info.id);
+    let part_timeout = context.part_timeout();
+    let exchange = exchange_heads(&mut connection, &bytes, &plan.info.id, part_timeout);
     let watched = exchange.or(wait_until_unresponsive(context));
     let (head, request_sent) =
         match time_limits::io_timeout(plan.time_left_to_first_byte(), watched).await {
@@ -156,7 +171,7 @@
             }
             Err(error) => {
                 tracing::debug!(event = "exchange_broken", server = %target.id, %error);
-                return Err(AttemptOutcome::Lost);
+                return Err(forwarding::failure_outcome(&error));
             }
         };
     let decoder = BodyDecoder::for_response(head.length);
@@ -194,6 +209,7 @@
     connection: &mut BufferedConnection,
     bytes: &[u8],
     id: &str,
+    part_timeout: Duration,
 ) -> io::Result<(ResponseHead, bool)> {
     let writer = connection.writer();
     let mut request_sent = false;
@@ -203,7 +219,7 @@
         request_sent = writer.write_all(bytes).await.is_ok();
         std::future::pending().await
     };
-    let head = read_matching_head(connection, id).or(writing).await?;
+    let head = read_matching_head(connection, id, part_timeout).or(writing).await?;
     Ok((head, request_sent))
 }
 
@@ -214,10 +230,15 @@
 async fn read_matching_head(
     connection: &mut BufferedConnection,
     id: &str,
+    part_timeout: Duration,
 ) -> io::Result<ResponseHead> {
     let (mut foreign, mut interim_bytes) = (0, 0);
     loop {
-        let bytes = connection.read_head(MAX_HEAD_BYTES - interim_bytes).await?;
+        if connection.buffer.is_empty() && connection.fill().await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let reading = connection.read_head(MAX_HEAD_BYTES - interim_bytes);
+        let bytes = forwarding::complete_part(part_timeout, reading).await?;
         let bytes = bytes.ok_or(io::ErrorKind::UnexpectedEof)?;
         let head = ResponseHead::parse(&bytes).map_err(|_| io::ErrorKind::InvalidData)?;
         if (100..200).contains(&head.status) {
@@ -231,7 +252,7 @@
         if foreign > MAX_FOREIGN_RESPONSES || head.close {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        skip_body(connection, &head).await?;
+        forwarding::complete_part(part_timeout, skip_body(connection, &head)).await?;
     }
 }
 
@@ -273,7 +294,7 @@
     let mut body = Vec::new();
     let mut hold = BodyHold::new(&gateway.memory);
     let timeout = CONNECT_TIMEOUT.min(plan.time_left());
-    let reading = forwarding::read_body(&mut exchange, &mut body, &mut hold);
+    let reading = forwarding::read_body(&mut exchange, &mut body, &mut hold, timeout);
     let read = time_limits::io_timeout(timeout, reading).await;
     if read.is_ok() && status != OTHER_SERVER_STATUS {
         exchange.release_connection(gateway, &target.id);
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -422,6 +422,15 @@
         self.gateway.tables.borrow_mut().backends.record_success(&self.process.id, now);
     }
 
+    /// Records that the server has sent bytes that are no response.
+    pub fn record_malformed(&self) {
+        let now = self.gateway.now();
+        let mut tables = self.gateway.tables.borrow_mut();
+        if let Some(limit) = tables.limits.get_mut(&self.service) {
+            limit.record_malformed(self.number, now);
+        }
+    }
+
     /// Records what the server states in the head of its response.
     pub fn record_statements(&self, info: &ResponseInfo) {
         let now = self.gateway.now();
--- a/toucanrail-gateway/tests/endless_responses.rs
+++ b/toucanrail-gateway/tests/endless_responses.rs
@@ -22,10 +22,16 @@
 /// Maximum time in which an entry refuses a request that needs no server.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
 
+/// Maximum memory of a relay, in megabytes; its process has ten times as much as it uses when idle.
+const MAX_RELAY_MEMORY: u64 = 64;
+
 const FAST: Duration = Duration::ZERO;
 const SLOW: Duration = Duration::from_millis(200);
 const SLOWER: Duration = Duration::from_secs(1);
 
+/// A load report of a server whose queue explains that requests wait.
+const REPORT: &str =
+    "HTTP/1.1 200 OK\r\nContent-Length: 32\r\n\r\n{\"born\":1,\"waiting\":3,\"runs\":[]}";
 const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Filler: ";
 const LINES: &str = "HTTP/1.1 200 OK\r\n";
 const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -72,22 +78,51 @@
     longest
 }
 
+/// What a play differs in.
+#[derive(Debug, Clone, Copy)]
+struct Play {
+    response: EndlessResponse,
+    sound_count: usize,
+    /// Latency target of all routes, in milliseconds.
+    latency_target: u64,
+    call_interval: Duration,
+    /// Whether a relay runs beside the faulty server.
+    with_relay: bool,
+}
+
+impl Play {
+    fn new(opening: &'static str, filler: &'static str, interval: Duration) -> Self {
+        Self {
+            response: EndlessResponse { opening, filler, interval, report: REPORT },
+            sound_count: 1,
+            latency_target: 200,
+            call_interval: CALL_INTERVAL,
+            with_relay: false,
+        }
+    }
+}
+
 /// Checks that a server with such responses costs its callers nothing beside sound ones.
 fn check_beside(sound_count: usize, opening: &'static str, filler: &'static str, pace: Duration) {
+    check_play(Play { sound_count, ..Play::new(opening, filler, pace) });
+}
+
+fn check_play(play: Play) {
     let store = Store::start();
-    let response = EndlessResponse { opening, filler, interval: pace };
-    let (faulty, largest) = Backend::start_endless("i-0", response);
-    let sound = (1..=sound_count)
+    let (faulty, largest) = Backend::start_endless("i-0", play.response);
+    let sound = (1..=play.sound_count)
         .map(|number| Backend::start(&format!("i-{number}"), |_, message| respond(message)));
     let sound: Vec<Backend> = sound.collect();
     let all: Vec<&Backend> = std::iter::once(&faulty).chain(&sound).collect();
     platform::configure_prepaid(&store, 1, &all, 100_000);
+    platform::configure_field(&store, 2, "routes", "goal_ms", &play.latency_target.into());
+    let relay = play.with_relay.then(|| Process::start_relay_beside(&store, "side-1", &faulty));
     let gateway = Process::start_gateway(&store);
     let (gateway, done) = (&gateway, &AtomicBool::new(false));
     let (responses, refusal_time) = thread::scope(|scope| {
         let refusals = scope.spawn(|| time_refusals(gateway, done));
         let calls = (0..CALLS).map(|number| {
-            thread::sleep(CALL_INTERVAL);
+            thread::sleep(play.call_interval);
             scope.spawn(move || send_call(gateway, number))
         });
         let calls: Vec<_> = calls.collect();
@@ -103,10 +138,13 @@
     let longest = responses.iter().map(|(_, time)| *time).max().unwrap_or_default();
     let statuses: Vec<&str> =
         responses.iter().map(|(response, _)| response.get(9..12).unwrap_or_default()).collect();
-    let (calls, taken) = (faulty.seen().len(), largest.load(Ordering::Relaxed));
+    let is_call = |message: &&Message| message.field("x-attempt-id").is_some();
+    let calls = faulty.seen().iter().filter(is_call).count();
+    let taken = largest.load(Ordering::Relaxed);
+    let memory = relay.map_or(0, |relay| relay.peak_memory_mb());
     let figures = format!(
         "served {served}, longest {longest:?}, {calls} calls at the faulty server, {taken} bytes, \
-         refusals {refusal_time:?}, {statuses:?}"
+         refusals {refusal_time:?}, relay's memory {memory} MB, {statuses:?}"
     );
     println!("{figures}");
     assert_eq!(served, CALLS, "{figures}");
@@ -114,6 +152,7 @@
     assert!(calls <= MAX_FAULTY_CALLS, "{figures}");
     assert!(taken < MAX_TAKEN, "{figures}");
     assert!(refusal_time < MAX_REFUSAL_TIME, "{figures}");
+    assert!(memory < MAX_RELAY_MEMORY, "{figures}");
 }
 
 /// Guards against heads without end that callers wait for.
@@ -170,3 +209,71 @@
     check_beside(1, HEAD, "a", SLOWER);
     check_beside(3, HEAD, "a", SLOW);
 }
+
+/// Guards against the same where routes allow more time, and where more calls come.
+#[test]
+fn many_slow_heads() {
+    let play = Play::new(HEAD, "a", SLOW);
+    check_play(Play { latency_target: 1_000, ..play });
+    check_play(Play { call_interval: CALL_INTERVAL / 5, ..play });
+    check_play(Play { latency_target: 1_000, call_interval: CALL_INTERVAL / 5, ..play });
+}
+
+/// Guards against heads that arrive bytewise from a server whose load report explains a late one.
+#[test]
+fn reported_heads() {
+    check_play(Play { with_relay: true, ..Play::new(HEAD, "a", SLOW) });
+    check_play(Play { with_relay: true, ..Play::new(UNFRAMED, "data: a", SLOW) });
+}
+
+/// Guards against a submission whose caller waits for a head that arrives bytewise until its timeout.
+#[test]
+fn submitted_heads() {
+    let store = Store::start();
+    let play = Play::new(HEAD, "a", SLOW);
+    let (faulty, _) = Backend::start_endless("i-0", play.response);
+    platform::configure(&store, 1, &[&faulty]);
+    let gateway = Process::start_gateway(&store);
+    let begun = Instant::now();
+    let text = request("POST", "/once/a", "r1", "", "file");
+    let response = platform::call(gateway.callers, &text).expect("a response");
+    assert_eq!(response.status(), 502);
+    assert_eq!(response.field("toucanrail-run"), Some("unknown"));
+    assert!(begun.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", begun.elapsed());
+}
+
+/// Guards against a sound response being given up because its parts arrive one after the other.
+#[test]
+fn paused_parts() {
+    let store = Store::start();
+    let backend = Backend::start("i-1", |_, _| {
+        let response = platform::signed_response("whole");
+        let (head, body) = response.split_at(response.len() - 3);
+        let (begin, head) = head.split_at(9);
+        let pause = "PAUSE".repeat(7);
+        Action::Respond([begin, &pause, head, &pause, body].concat())
+    });
+    platform::configure(&store, 1, &[&backend]);
+    let gateway = Process::start_gateway(&store);
+    for number in 0..4 {
+        let text = request("GET", "/safe/a", &format!("r{number}"), "", "");
+        assert_eq!(platform::call(gateway.callers, &text).expect("a response").body, b"whole");
+    }
+    assert_eq!(backend.seen().len(), 4);
+}
+
+/// Guards against the same for bodies.
+#[test]
+fn slow_bodies() {
+    check_beside(1, UNFRAMED, "a", SLOW);
+    check_beside(1, UNFRAMED, "a", SLOWER);
+    check_beside(1, FAILED, CHUNK, SLOW);
+    check_beside(3, UNFRAMED, "a", SLOW);
+}
+
+/// Guards against the same for interim heads and bodies of other requests.
+#[test]
+fn slow_preambles() {
+    check_beside(1, FOREIGN, "a", SLOW);
+    check_beside(1, "", INTERIM, SLOW);
+}
--- a/toucanrail-gateway/tests/platform/endless.rs
+++ b/toucanrail-gateway/tests/platform/endless.rs
@@ -24,6 +24,8 @@
     pub filler: &'static str,
     /// Interval of single bytes; zero to write as fast as the connection takes.
     pub interval: Duration,
+    /// Response to queries for the server's load; empty if it is endless as well.
+    pub report: &'static str,
 }
 
 impl EndlessResponse {
@@ -59,6 +61,16 @@
         let address = super::spawn_server_on(Ipv4Addr::LOCALHOST, move |mut stream| {
             stream.set_write_timeout(Some(MAX_TIME)).expect("a timeout");
             while let Some(message) = super::read_message(&mut stream) {
+                if message.target() == "/api/report" && !response.report.is_empty() {
+                    if stream.write_all(response.report.as_bytes()).is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                let response = match message.target() {
+                    "/api/report" => EndlessResponse { interval: Duration::ZERO, ..response },
+                    _ => response,
+                };
                 let id = message.field("x-attempt-id").unwrap_or_default().to_owned();
                 received.lock().expect("requests").push(message);
                 let taken = response.write_to(&mut stream, &id);
--- a/toucanrail/src/admissions.rs
+++ b/toucanrail/src/admissions.rs
@@ -168,6 +168,13 @@
         self.remove_pending(number, now);
     }
 
+    /// Records that a server responded to a request with bytes that are no response. That it waited
+    /// tells nothing of the load.
+    pub fn record_malformed(&mut self, number: FlightId, now: Duration) {
+        self.end_step(now);
+        self.rows.remove(&number);
+    }
+
     /// Removes a waiting request; returns false if its first event was recorded before.
     fn remove_pending(&mut self, number: FlightId, now: Duration) -> bool {
         self.end_step(now);
--- a/toucanrail/src/attempts.rs
+++ b/toucanrail/src/attempts.rs
@@ -27,6 +27,9 @@
     Failed,
     /// The request was sent, but no complete response arrived; nothing was forwarded to the caller.
     Lost,
+    /// The request was sent, and bytes arrived that are no response or do not make one in time; nothing
+    /// was forwarded to the caller.
+    Malformed,
     /// Part of a stream was forwarded, and the rest did not arrive.
     Broken,
     /// The deadline passed.
@@ -74,6 +77,7 @@
             AttemptOutcome::Declined => self.sent += 1,
             AttemptOutcome::Failed
             | AttemptOutcome::Lost
+            | AttemptOutcome::Malformed
             | AttemptOutcome::Broken
             | AttemptOutcome::TimedOut => {
                 self.sent += 1;
--- a/toucanrail/src/silences.rs
+++ b/toucanrail/src/silences.rs
@@ -5,12 +5,92 @@
 //! the request could no longer be reported as not run, and it would be sent again to a server with
 //! a queue of its own.
 
+use std::time::Duration;
+
 use crate::ids::RequestId;
 use crate::paces::BackendReport;
 
 /// Consecutive checks that must find no trace of a request before it is given up; after the first
 /// one, the response may still be on its way.
 const MAX_MISSES: u32 = 2;
+/// Fraction of the latency target within which a part of a response must be complete, so that another
+/// server can still respond in time, and its lower bound, which allows for a lost packet.
+const PART_FRACTION: f64 = 0.5;
+const MIN_PART_TIMEOUT: Duration = Duration::from_millis(300);
+/// The same where no other server may get the request; it is given up later, since its caller gets
+/// nothing in its place.
+const FINAL_PART_FACTOR: f64 = 2.0;
+const MIN_FINAL_PART_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that count as progress of a part that is not complete.
+const MIN_PROGRESS: usize = 1024;
+
+/// Returns the time within which a part of a response, such as its head or an event, must be complete
+/// after its first byte.
+///
+/// A queue or a long prompt delays the first byte. A server that has begun a part has the rest of it,
+/// so that one whose bytes trickle in is at fault.
+///
+/// # Examples
+/// ```
+/// use std::time::Duration;
+/// use toucanrail::silences;
+/// let target = Duration::from_secs(1);
+/// assert!(silences::part_timeout(target, true) < target);
+/// assert!(silences::part_timeout(target, false) > target);
+/// ```
+pub fn part_timeout(latency_target: Duration, may_fail_over: bool) -> Duration {
+    if may_fail_over {
+        latency_target.mul_f64(PART_FRACTION).max(MIN_PART_TIMEOUT)
+    } else {
+        latency_target.mul_f64(FINAL_PART_FACTOR).max(MIN_FINAL_PART_TIMEOUT)
+    }
+}
+
+/// Progress of a part of a response that has begun to arrive and is not complete.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct PartProgress {
+    bytes: usize,
+    since: Duration,
+}
+
+impl PartProgress {
+    /// Begins a new part, of which `bytes` have arrived.
+    pub fn restart(&mut self, bytes: usize, now: Duration) {
+        *self = Self { bytes, since: now };
+    }
+
+    /// Records how many bytes of the part have arrived.
+    pub fn record(&mut self, bytes: usize, now: Duration) {
+        if self.bytes == 0 || bytes >= self.bytes + MIN_PROGRESS {
+            self.restart(bytes, now);
+        }
+    }
+
+    /// Records that nothing is read for now, so that there can be no progress.
+    pub fn record_pause(&mut self, now: Duration) {
+        self.since = now;
+    }
+
+    /// Returns the time left for further progress, each of which may take `timeout`; none before the
+    /// first byte.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::silences::PartProgress;
+    /// let (timeout, half) = (Duration::from_secs(2), Duration::from_secs(1));
+    /// let mut progress = PartProgress::default();
+    /// assert_eq!(progress.time_left(timeout, timeout), None);
+    /// progress.record(1, Duration::ZERO);
+    /// progress.record(2, half);
+    /// assert_eq!(progress.time_left(timeout, half), Some(half));
+    /// progress.record(5_000, half);
+    /// assert_eq!(progress.time_left(timeout, half), Some(timeout));
+    /// ```
+    pub fn time_left(&self, timeout: Duration, now: Duration) -> Option<Duration> {
+        (self.bytes > 0).then(|| (self.since + timeout).saturating_sub(now))
+    }
+}
 
 /// State of one request at its server, as seen by the relay beside the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/toucanrail/tests/admission_limits.rs
+++ b/toucanrail/tests/admission_limits.rs
@@ -155,3 +155,26 @@
     let [first, third, returning] = admitted;
     assert!(third * 2 < first && first < returning, "{admitted:?}");
 }
+
+/// Guards against a service that looks overloaded because one of its servers sends bytes that are no
+/// responses: requests that waited for it, beside a sound server, must not limit others.
+#[test]
+fn malformed_responses() {
+    let mut limit = AdmissionLimit::default();
+    for number in 0..400 {
+        let now = TICK * 10 * number;
+        let sent_at = now.saturating_sub(LATENCY_TARGET * 2);
+        limit.record_sent(
+            2 * u64::from(number),
+            PendingRow { sent_at, latency_target: LATENCY_TARGET },
+        );
+        limit.record_malformed(2 * u64::from(number), now);
+        limit.record_sent(
+            2 * u64::from(number) + 1,
+            PendingRow { sent_at: now, latency_target: LATENCY_TARGET },
+        );
+        assert!(limit.admits(FIRST_RANK, now));
+        limit.record_first_event(2 * u64::from(number) + 1, now + TICK);
+    }
+    assert_eq!(limit.waiting(), (0, None));
+}
--- a/toucanrail/tests/attempt_steps.rs
+++ b/toucanrail/tests/attempt_steps.rs
@@ -17,6 +17,7 @@
         AttemptOutcome::Declined,
         AttemptOutcome::Failed,
         AttemptOutcome::Lost,
+        AttemptOutcome::Malformed,
         AttemptOutcome::TimedOut,
     ])
 }
