Declined requests whose bodies do not end count as failures

A server that declines requests and never ends the body of its refusal was not ejected: each call at it cost a retry, until none was left and callers got 429 beside an idle sound server. The request still counts as not run.

--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -274,8 +274,13 @@
     }
 }
 
+/// Returns whether a body could not be read because it did not end in its bounds.
+fn is_unending(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::InvalidData | io::ErrorKind::TimedOut)
+}
+
 /// Handles a server that declined to run the request. The connection can be reused once the body
-/// has been read.
+/// has been read; one whose body does not end counts as a failure of the server.
 async fn finish_declined(
     context: &AttemptContext<'_, '_>,
     mut exchange: OpenExchange,
@@ -296,6 +301,10 @@
     let timeout = CONNECT_TIMEOUT.min(plan.time_left());
     let reading = forwarding::read_body(&mut exchange, &mut body, &mut hold, timeout);
     let read = time_limits::io_timeout(timeout, reading).await;
+    let is_delayed = link_shares::is_loaded(gateway.delaying_load());
+    if read.as_ref().is_err_and(is_unending) && !is_delayed {
+        gateway.tables.borrow_mut().backends.record_failure(&target.id, gateway.now());
+    }
     if read.is_ok() && status != OTHER_SERVER_STATUS {
         exchange.release_connection(gateway, &target.id);
     }
--- a/toucanrail-gateway/tests/endless_responses.rs
+++ b/toucanrail-gateway/tests/endless_responses.rs
@@ -40,6 +40,8 @@
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\r\n";
 const FAILED: &str = "HTTP/1.1 500 Failed\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\
     Transfer-Encoding: chunked\r\n\r\n";
+const DECLINED: &str = "HTTP/1.1 503 Full\r\nX-Attempt-Id: ID\r\nX-Not-Executed: 1\r\n\
+    Transfer-Encoding: chunked\r\n\r\n";
 const CHUNK: &str = "10\r\naaaaaaaaaaaaaaaa\r\n";
 const LINE: &str = "X-Filler: a\r\n";
 
@@ -201,6 +203,13 @@
     check_beside(1, FAILED, CHUNK, FAST);
 }
 
+/// Guards against requests that wait for the body of a server that declined them.
+#[test]
+fn declined_bodies() {
+    check_beside(1, DECLINED, CHUNK, FAST);
+    check_beside(1, DECLINED, CHUNK, SLOW);
+}
+
 /// Guards against heads that arrive bytewise: their callers waited, and calls beside them were
 /// refused for overload.
 #[test]
