--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -35,10 +35,12 @@
 const REPEATABLE_MAX_IDLE: Duration = Duration::from_secs(10);
 /// Status of a response by another server than the one that the request was sent to.
 const OTHER_SERVER_STATUS: u16 = 421;
-/// Maximum size of a response head.
+/// Maximum size of a response head, together with those of interim responses before it.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Number of responses to other requests that are skipped on one connection before it is given up.
 const MAX_FOREIGN_RESPONSES: u32 = 2;
+/// Maximum size of a skipped body: that of a body that is buffered.
+const MAX_SKIPPED_BODY: usize = forwarding::MAX_BUFFERED_BODY;
 /// The server of a repeatable request is checked after this multiple of the route's latency target.
 const SILENCE_TIMEOUT_FACTOR: u32 = 2;
 /// Lower bound of that time, so that a stalled network does not double the load.
@@ -53,6 +55,20 @@
     let AttemptContext { gateway, plan, target, .. } = *context;
     stream.begin_attempt();
     let flight = register_flight(gateway, plan, target);
+    let result = run_exchange(context, writer, stream, &flight).await;
+    if matches!(result, AttemptResult::Incomplete(AttemptOutcome::Malformed)) {
+        flight.record_malformed();
+    }
+    result
+}
+
+async fn run_exchange(
+    context: &AttemptContext<'_, '_>,
+    writer: &mut ResponseWriter,
+    stream: &mut StreamState,
+    flight: &FlightGuard,
+) -> AttemptResult {
+    let plan = context.plan;
     let opened = open_exchange(context, stream.last_event()).await;
     let exchange = match opened {
         Ok(exchange) => exchange,
@@ -72,10 +88,10 @@
         return AttemptResult::Incomplete(AttemptOutcome::Lost);
     }
     if succeeded && plan.route.kind.is_stream() {
-        return forwarding::forward_stream(context, exchange, writer, stream, &flight).await;
+        return forwarding::forward_stream(context, exchange, writer, stream, flight).await;
     }
     flight.record_response_start();
-    forwarding::forward_buffered(context, exchange, writer, stream).await
+    forwarding::forward_buffered(context, exchange, writer, stream, flight).await
 }
 
 fn register_flight(
@@ -139,7 +155,8 @@
     }
     let mut bytes = requests::write_request_head(plan.head, &info);
     bytes.extend_from_slice(plan.body);
-    let exchange = exchange_heads(&mut connection, &bytes, &plan.info.id);
+    let part_timeout = context.part_timeout();
+    let exchange = exchange_heads(&mut connection, &bytes, &plan.info.id, part_timeout);
     let watched = exchange.or(wait_until_unresponsive(context));
     let (head, request_sent) =
         match time_limits::io_timeout(plan.time_left_to_first_byte(), watched).await {
@@ -154,7 +171,7 @@
             }
             Err(error) => {
                 tracing::debug!(event = "exchange_broken", server = %target.id, %error);
-                return Err(AttemptOutcome::Lost);
+                return Err(forwarding::failure_outcome(&error));
             }
         };
     let decoder = BodyDecoder::for_response(head.length);
@@ -192,6 +209,7 @@
     connection: &mut BufferedConnection,
     bytes: &[u8],
     id: &str,
+    part_timeout: Duration,
 ) -> io::Result<(ResponseHead, bool)> {
     let writer = connection.writer();
     let mut request_sent = false;
@@ -201,7 +219,7 @@
         request_sent = writer.write_all(bytes).await.is_ok();
         std::future::pending().await
     };
-    let head = read_matching_head(connection, id).or(writing).await?;
+    let head = read_matching_head(connection, id, part_timeout).or(writing).await?;
     Ok((head, request_sent))
 }
 
@@ -212,13 +230,19 @@
 async fn read_matching_head(
     connection: &mut BufferedConnection,
     id: &str,
+    part_timeout: Duration,
 ) -> io::Result<ResponseHead> {
-    let mut foreign = 0;
+    let (mut foreign, mut interim_bytes) = (0, 0);
     loop {
-        let bytes = connection.read_head(MAX_HEAD_BYTES).await?;
+        if connection.buffer.is_empty() && connection.fill().await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let reading = connection.read_head(MAX_HEAD_BYTES - interim_bytes);
+        let bytes = forwarding::complete_part(part_timeout, reading).await?;
         let bytes = bytes.ok_or(io::ErrorKind::UnexpectedEof)?;
         let head = ResponseHead::parse(&bytes).map_err(|_| io::ErrorKind::InvalidData)?;
         if (100..200).contains(&head.status) {
+            interim_bytes += bytes.len();
             continue;
         }
         if requests::parse_response(&head, id).matches_attempt != Some(false) {
@@ -228,28 +252,35 @@
         if foreign > MAX_FOREIGN_RESPONSES || head.close {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        skip_body(connection, &head).await?;
+        forwarding::complete_part(part_timeout, skip_body(connection, &head)).await?;
     }
 }
 
 async fn skip_body(connection: &mut BufferedConnection, head: &ResponseHead) -> io::Result<()> {
+    let mut skipped = 0;
     let mut decoder = BodyDecoder::for_response(head.length);
     let mut body = Vec::new();
     loop {
         let consumed = decoder.feed(&connection.buffer, &mut body);
         connection.buffer.drain(..consumed);
         body.clear();
+        skipped += consumed;
         if decoder.is_done() {
             return Ok(());
         }
-        if decoder.is_malformed() || connection.fill().await? == 0 {
+        if decoder.is_malformed() || skipped > MAX_SKIPPED_BODY || connection.fill().await? == 0 {
             return Err(io::ErrorKind::InvalidData.into());
         }
     }
 }
 
+/// Returns whether a body could not be read because it did not end in its bounds.
+fn is_unending(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::InvalidData | io::ErrorKind::TimedOut)
+}
+
 /// Handles a server that declined to run the request. The connection can be reused once the body
-/// has been read.
+/// has been read; one whose body does not end counts as a failure of the server.
 async fn finish_declined(
     context: &AttemptContext<'_, '_>,
     mut exchange: OpenExchange,
@@ -268,8 +299,12 @@
     let mut body = Vec::new();
     let mut hold = BodyHold::new(&gateway.memory);
     let timeout = CONNECT_TIMEOUT.min(plan.time_left());
-    let reading = forwarding::read_body(&mut exchange, &mut body, &mut hold);
+    let reading = forwarding::read_body(&mut exchange, &mut body, &mut hold, timeout);
     let read = time_limits::io_timeout(timeout, reading).await;
+    let is_delayed = link_shares::is_loaded(gateway.delaying_load());
+    if read.as_ref().is_err_and(is_unending) && !is_delayed {
+        gateway.tables.borrow_mut().backends.record_failure(&target.id, gateway.now());
+    }
     if read.is_ok() && status != OTHER_SERVER_STATUS {
         exchange.release_connection(gateway, &target.id);
     }
