A record of versions proves something only if its first version was proved; contradictions and statements go before it

Found by review, by reading; no run showed them. A record that was missing was created from what is listed, also after a release during which nothing was recorded, and then proved a version that had not begun older streams: it is created only when an entry states that there was no other (missing_record). A search took the record although relays stated several versions, and the store although a relay has notes that contradict one another: both are refused now. A lagging entry's statement removed versions that another entry lists: a version goes only after none has listed it for a minute. Records are written before origins, and whether or not those can be. Reads of a store that does not respond pause for 2 s; objects of departed relays are read first, so that a full table drops those.

--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -170,6 +170,9 @@
         note_again(gateway, info, route, &origin);
         return Some((origin, OriginSource::Relay));
     }
+    if replies.iter().any(OriginReply::is_contradictory) {
+        return None;
+    }
     let sole = match sole {
         Some(sole) if sole.is_proved || sole.is_confirmed(&replies) => Some(sole),
         sole => {
@@ -179,6 +182,7 @@
                 note_again(gateway, info, route, &origin);
                 return Some((origin, OriginSource::Stored));
             }
+            let sole = sole.filter(|sole| !sole.is_refuted(&replies));
             find_recorded(gateway, route, sole).await
         }
     };
@@ -233,6 +237,13 @@
 }
 
 impl SoleVersion {
+    /// Returns whether another entry has stated anything else than this version.
+    fn is_refuted(&self, replies: &[OriginReply]) -> bool {
+        let StreamOrigin { service, version } = &self.origin;
+        let mut stated = replies.iter().filter_map(|reply| reply.versions.get(service));
+        stated.any(|statement| *statement != VersionStatement::Sole(Arc::clone(version)))
+    }
+
     /// Returns whether other entries have stated that there is no other version.
     fn is_confirmed(&self, replies: &[OriginReply]) -> bool {
         let StreamOrigin { service, version } = &self.origin;
--- a/toucanrail-gateway/src/origin_store.rs
+++ b/toucanrail-gateway/src/origin_store.rs
@@ -11,6 +11,7 @@
 use smol::future::FutureExt;
 use smol::lock::Mutex;
 use toucanrail::ids::{RequestId, ServiceName};
+use toucanrail::messages::MirrorObject;
 use toucanrail::origins::{OriginNote, OriginReport, OriginTable, StreamOrigin};
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
 use toucanrail::stored_origins::{self, OriginWriter, StoredOrigins};
@@ -31,6 +32,8 @@
 const FLUSH_TIME: Duration = Duration::from_millis(600);
 /// Minimum time between two reads of an entry.
 const READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after a failed read in which searches do not read again.
+const FAILURE_PAUSE: Duration = Duration::from_secs(2);
 /// Timeout of each page of a listing of the stored origins.
 const LIST_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -60,7 +63,7 @@
 pub fn record_report(api: &RelayApi, report: OriginReport) {
     let now = api.change_feed.now();
     api.versions.borrow_mut().record(report.versions, now);
-    api.origin_store.records.borrow_mut().record_listed(report.listed);
+    api.origin_store.records.borrow_mut().record_listed(report.listed, now);
     let mut origins = api.origins.borrow_mut();
     for note in report.notes {
         origins.insert(note, now);
@@ -103,6 +106,15 @@
 async fn write_all(api: &RelayApi) -> bool {
     let OriginStore { writer, records, calling, .. } = &api.origin_store;
     let _calling = calling.lock().await;
+    let mut responds = true;
+    while let Some(call) = next_record_call(api) {
+        let reply = api.grant_manager.store.call(&call).await;
+        records.borrow_mut().handle_reply(&reply, api.change_feed.now());
+        if is_lost(&call, &reply) {
+            responds = false;
+            break;
+        }
+    }
     while let Some(call) = next_origin_call(api) {
         let reply = api.grant_manager.store.call(&call).await;
         let (restored, now) = (writer.borrow_mut().handle_reply(&reply), api.change_feed.now());
@@ -113,14 +125,7 @@
             return false;
         }
     }
-    while let Some(call) = next_record_call(api) {
-        let reply = api.grant_manager.store.call(&call).await;
-        records.borrow_mut().handle_reply(&reply, api.change_feed.now());
-        if is_lost(&call, &reply) {
-            return false;
-        }
-    }
-    true
+    responds
 }
 
 fn next_origin_call(api: &RelayApi) -> Option<StoreCall> {
@@ -161,7 +166,9 @@
     let mut read_at = reader.stored_at.lock().await;
     if await_read(gateway, *read_at, asked_at).await {
         *read_at = Some(gateway.now());
-        read_origins(gateway).await;
+        if !read_origins(gateway).await {
+            *read_at = Some(gateway.now() + FAILURE_PAUSE);
+        }
     }
     drop(read_at);
     reader.stored.borrow().find(attempt, gateway.now()).cloned()
@@ -180,14 +187,18 @@
     true
 }
 
-async fn read_origins(gateway: &Gateway) {
+/// Lists the relays' objects. Returns whether the store responded.
+async fn read_origins(gateway: &Gateway) -> bool {
     let kind = stored_origins::ORIGIN_KIND;
     let listed = gateway.store.list_kind(kind, ListFreshness::Latest, LIST_TIMEOUT).await;
     match listed {
         Ok(listing) => {
             let now = gateway.now();
             let mut table = OriginTable::new();
-            let stored = listing.objects.iter();
+            // Objects of relays that have left come first, so that a full table drops those.
+            let mut objects: Vec<&MirrorObject> = listing.objects.iter().collect();
+            objects.sort_by_key(|object| object.version);
+            let stored = objects.iter();
             let stored = stored
                 .filter_map(|object| storecalls::decode_value::<StoredOrigins>(&object.value));
             for note in stored.flat_map(|stored| stored.notes().collect::<Vec<OriginNote>>()) {
@@ -199,8 +210,12 @@
                 streams = table.len()
             );
             *gateway.origin_reader.stored.borrow_mut() = table;
+            true
+        }
+        Err(failure) => {
+            tracing::info!(event = "origins_unread", %failure);
+            false
         }
-        Err(failure) => tracing::info!(event = "origins_unread", %failure),
     }
 }
 
@@ -213,6 +228,10 @@
         let path = version_records::record_path(service);
         let record = match gateway.store.call(&StoreCall::Get { path }).await {
             StoreReply::Found { value, .. } => storecalls::decode_value(&value),
+            StoreReply::Unavailable => {
+                read_at.insert(ServiceName::clone(service), gateway.now() + FAILURE_PAUSE);
+                None
+            }
             _ => None,
         };
         tracing::info!(event = "versions_read", %service, record = ?record);
--- a/toucanrail/src/origins.rs
+++ b/toucanrail/src/origins.rs
@@ -82,6 +82,13 @@
     dropped: NoteNumber,
 }
 
+impl OriginReply {
+    /// Returns whether the relay has notes for the attempt that contradict one another.
+    pub fn is_contradictory(&self) -> bool {
+        self.origin.is_none() && self.noted_ago.is_some()
+    }
+}
+
 impl OriginTable {
     /// Creates an empty table.
     pub fn new() -> Self {
@@ -128,9 +135,11 @@
         self.rows.get(attempt).filter(|row| now < row.expires_at)?.origin.as_ref()
     }
 
-    /// Returns the time since the first note for an attempt, if there is one.
+    /// Returns the time since the first note for an attempt, if it has a valid one. Without an origin
+    /// its notes contradict one another.
     pub fn note_age(&self, attempt: &str, now: Duration) -> Option<Duration> {
-        self.rows.get(attempt).map(|row| now.saturating_sub(row.noted_at))
+        let row = self.rows.get(attempt).filter(|row| now < row.expires_at)?;
+        Some(now.saturating_sub(row.noted_at))
     }
 
     /// Returns the number of the newest note; 0 if there was none.
--- a/toucanrail/src/version_records.rs
+++ b/toucanrail/src/version_records.rs
@@ -18,6 +18,9 @@
 /// Object kind of the records; each object is named after its service.
 pub const VERSION_KIND: &str = "software-versions";
 
+/// Time after which a record that was missing is read again.
+const MISSING_TIME: Duration = Duration::from_secs(2);
+
 /// Object of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionRecord {
@@ -54,8 +57,8 @@
 
 #[derive(Debug, Default)]
 struct RecordRow {
-    /// Versions that entries have listed.
-    listed: BTreeSet<SoftwareVersion>,
+    /// Versions that entries have listed, and when last.
+    listed: BTreeMap<SoftwareVersion, Duration>,
     known: Option<KnownRecord>,
 }
 
@@ -70,6 +73,12 @@
     known_since: Duration,
 }
 
+impl KnownRecord {
+    fn is_missing(&self) -> bool {
+        self.expect == WriteExpectation::Absent
+    }
+}
+
 impl RecordRow {
     /// Returns the record as it should be, if it is another one.
     fn plan_record(
@@ -79,27 +88,33 @@
         now: Duration,
     ) -> Option<VersionRecord> {
         let record = known.record.as_ref()?;
-        if !self.listed.is_subset(&record.versions) {
-            let versions = record.versions.union(&self.listed).cloned().collect();
-            return Some(VersionRecord { versions });
+        let sole = match statement {
+            Some(VersionStatement::Sole(version)) => Some(version),
+            _ => None,
+        };
+        // A record that is new must not lack versions that have served before.
+        if known.is_missing() && sole.is_none() {
+            return None;
         }
+        let mut versions: BTreeSet<SoftwareVersion> = self.listed.keys().cloned().collect();
         // A version that was added lately may be one that the entries of this relay have not seen yet.
         let is_settled = now.saturating_sub(known.known_since) > version_history::SEVERAL_TIME;
-        match statement {
-            Some(VersionStatement::Sole(version)) if is_settled && !record.is_sole(version) => {
-                let versions = [SoftwareVersion::clone(version)].into();
-                Some(VersionRecord { versions })
-            }
-            _ => None,
+        if sole.is_none() || !is_settled {
+            versions.extend(record.versions.iter().cloned());
         }
+        versions.extend(sole.cloned());
+        (versions != record.versions).then_some(VersionRecord { versions })
     }
 }
 
 impl RecordKeeper {
-    /// Records the versions that an entry lists.
-    pub fn record_listed(&mut self, listed: ListedVersions) {
+    /// Records the versions that an entry lists, and forgets those that none has listed for a long
+    /// time.
+    pub fn record_listed(&mut self, listed: ListedVersions, now: Duration) {
         for (service, versions) in listed {
-            self.rows.entry(service).or_default().listed.extend(versions);
+            let row = self.rows.entry(service).or_default();
+            row.listed.extend(versions.into_iter().map(|version| (version, now)));
+            row.listed.retain(|_, at| now.saturating_sub(*at) <= version_history::SEVERAL_TIME);
         }
     }
 
@@ -110,14 +125,16 @@
     /// ```
     /// use std::time::Duration;
     /// use toucanrail::storecalls::{StoreCall, StoreReply};
+    /// use toucanrail::version_history::VersionStatement;
     /// use toucanrail::version_records::RecordKeeper;
     /// let (mut keeper, now) = (RecordKeeper::default(), Duration::ZERO);
-    /// keeper.record_listed([("llm".into(), ["v1".into()].into())].into());
-    /// assert!(matches!(keeper.next_call(&[].into(), now), Some(StoreCall::Get { .. })));
+    /// let statements = [("llm".into(), VersionStatement::Sole("v1".into()))].into();
+    /// keeper.record_listed([("llm".into(), ["v1".into()].into())].into(), now);
+    /// assert!(matches!(keeper.next_call(&statements, now), Some(StoreCall::Get { .. })));
     /// keeper.handle_reply(&StoreReply::Missing, now);
-    /// assert!(matches!(keeper.next_call(&[].into(), now), Some(StoreCall::Put { .. })));
+    /// assert!(matches!(keeper.next_call(&statements, now), Some(StoreCall::Put { .. })));
     /// keeper.handle_reply(&StoreReply::Written { version: 1 }, now);
-    /// assert!(keeper.next_call(&[].into(), now).is_none());
+    /// assert!(keeper.next_call(&statements, now).is_none());
     /// ```
     pub fn next_call(
         &mut self,
@@ -126,11 +143,10 @@
     ) -> Option<StoreCall> {
         for (service, row) in &mut self.rows {
             let statement = statements.get(service);
-            if let Some(VersionStatement::Sole(version)) = statement {
-                // No entry has stated several versions for a long time.
-                row.listed.retain(|listed| listed == version);
-            }
             let path = record_path(service);
+            // Another relay may have created the record meanwhile.
+            row.known
+                .take_if(|known| known.is_missing() && now >= known.known_since + MISSING_TIME);
             let Some(known) = &row.known else {
                 self.calling = Some((ServiceName::clone(service), None));
                 return Some(StoreCall::Get { path });
--- a/toucanrail/tests/stored_origins.rs
+++ b/toucanrail/tests/stored_origins.rs
@@ -108,9 +108,9 @@
     }
 }
 
-fn list(keeper: &mut RecordKeeper, versions: &[&str]) {
+fn list(keeper: &mut RecordKeeper, versions: &[&str], now: Duration) {
     let versions = versions.iter().map(|version| Arc::from(*version)).collect();
-    keeper.record_listed([(Arc::from("llm"), versions)].into());
+    keeper.record_listed([(Arc::from("llm"), versions)].into(), now);
 }
 
 /// Nothing is written while a service has one version. When a second one appears, the streams that
@@ -175,37 +175,58 @@
     let mut store = MapStore::default();
     let mut keepers = [RecordKeeper::default(), RecordKeeper::default()];
     for (keeper, version) in keepers.iter_mut().zip(["v1", "v2"]) {
-        list(keeper, &[version]);
-        keep(keeper, &several(), &mut store, NOW);
+        list(keeper, &[version], NOW);
+        keep(keeper, &sole(version), &mut store, NOW);
     }
     assert_eq!(store.versions(), ["v1", "v2"]);
-    list(&mut keepers[0], &["v3"]);
+    list(&mut keepers[0], &["v3"], NOW);
     keep(&mut keepers[0], &several(), &mut store, NOW);
-    list(&mut keepers[1], &["v4"]);
+    list(&mut keepers[1], &["v4"], NOW);
     keep(&mut keepers[1], &several(), &mut store, NOW);
     assert_eq!(store.versions(), ["v1", "v2", "v3", "v4"]);
 }
 
-/// A version leaves the record only after no entry has stated several for a long time, and not while
-/// it was added a moment ago by a relay whose entries have seen it.
+/// There is no record, and versions that nobody lists any more may have begun streams. The one that is
+/// listed now is recorded only once an entry has proved that there was no other.
+#[test]
+fn missing_record() {
+    let (mut store, mut keeper) = (MapStore::default(), RecordKeeper::default());
+    list(&mut keeper, &["v2"], NOW);
+    for statements in [[].into(), several()] {
+        keep(&mut keeper, &statements, &mut store, NOW);
+        assert_eq!(store.writes, 0);
+    }
+    keep(&mut keeper, &sole("v2"), &mut store, NOW);
+    assert_eq!(store.versions(), ["v2"]);
+}
+
+/// A version leaves the record only after no entry has listed it for a long time, and not while it was
+/// added a moment ago by a relay whose entries have seen it.
 #[test]
 fn removed_version() {
     let mut store = MapStore::default();
     let mut keepers = [RecordKeeper::default(), RecordKeeper::default()];
-    list(&mut keepers[0], &["v1", "v2"]);
+    list(&mut keepers[0], &["v1"], NOW);
+    keep(&mut keepers[0], &sole("v1"), &mut store, NOW);
+    list(&mut keepers[0], &["v1", "v2"], NOW);
     keep(&mut keepers[0], &several(), &mut store, NOW);
-    list(&mut keepers[1], &["v1"]);
+    list(&mut keepers[1], &["v1"], NOW);
     keep(&mut keepers[1], &sole("v1"), &mut store, NOW);
     assert_eq!(store.versions(), ["v1", "v2"]);
     let settled = NOW + version_history::SEVERAL_TIME;
+    list(&mut keepers[0], &["v2"], settled);
     keep(&mut keepers[0], &sole("v2"), &mut store, settled);
     assert_eq!(store.versions(), ["v1", "v2"]);
     let settled = settled + Duration::from_secs(1);
+    list(&mut keepers[0], &["v2"], settled);
     keep(&mut keepers[0], &sole("v2"), &mut store, settled);
     assert_eq!(store.versions(), ["v2"]);
     let writes = store.writes;
-    keep(&mut keepers[0], &sole("v2"), &mut store, settled);
-    assert_eq!(store.writes, writes);
+    for keeper in &mut keepers {
+        list(keeper, &["v2"], settled);
+        keep(keeper, &sole("v2"), &mut store, settled);
+    }
+    assert_eq!((store.writes, store.versions()), (writes, vec!["v2".to_owned()]));
 }
 
 /// A record that cannot be decoded may name more versions than are listed now. It stays as it is.
@@ -214,7 +235,7 @@
     let mut store = MapStore::default();
     store.objects.insert(version_records::record_path("llm"), (1, b"[1".to_vec()));
     let mut keeper = RecordKeeper::default();
-    list(&mut keeper, &["v1"]);
+    list(&mut keeper, &["v1"], NOW);
     keep(&mut keeper, &sole("v1"), &mut store, NOW);
     assert_eq!(store.writes, 0);
 }
