--- a/toucanrail-gateway/src/link_load.rs
+++ b/toucanrail-gateway/src/link_load.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use toucanrail::link_gauges::{LinkCounts, LinkGauge, LinkPressure};
-use toucanrail::rotations::{RotationBasis, RotationOrder, RotationState};
+use toucanrail::rotations::{RotationOrder, RotationState};
 use toucanrail_wire::connections;
 
 use crate::state::Gateway;
@@ -55,11 +55,6 @@
         self.rotation.get().is_urgent(self.load(), now)
     }
 
-    /// Returns what the entry follows in its rotation.
-    pub fn rotation_basis(&self, now: Duration) -> RotationBasis {
-        self.rotation.get().basis(now)
-    }
-
     /// Applies the order that a report sent at `sent_at` brought.
     pub fn record_order(&self, order: RotationOrder, sent_at: Duration) {
         let mut rotation = self.rotation.get();
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -278,7 +278,7 @@
     let mut rotation = api.rotation.borrow_mut();
     let was_permitted = rotation.is_permitted(&data_centre, &entry, now);
     let order = rotation.report(report, now);
-    if was_permitted != rotation.is_permitted(&data_centre, &entry, now) {
+    if was_permitted != (order != RotationOrder::Stay) {
         let RotationCounts { live, out } = rotation.counts(&data_centre, now);
         tracing::info!(event = "rotation_order", %entry, ?order, load, live, out);
     }
--- a/toucanrail-gateway/src/rotation.rs
+++ b/toucanrail-gateway/src/rotation.rs
@@ -70,16 +70,15 @@
 }
 
 fn make_report(gateway: &Gateway, capacity: f64, process: u64) -> RotationReport {
-    let (settings, now) = (&gateway.settings, gateway.now());
+    let settings = &gateway.settings;
     RotationReport {
         entry: Arc::clone(&settings.vm),
         process,
         data_centre: Arc::clone(&settings.data_centre),
         capacity,
         load: gateway.link.load(),
-        out: gateway.link.is_away(now),
+        out: gateway.link.is_away(gateway.now()),
         stopping: gateway.stop_requested.get().is_some(),
-        basis: gateway.link.rotation_basis(now),
     }
 }
 
--- a/toucanrail/src/rotations.rs
+++ b/toucanrail/src/rotations.rs
@@ -22,11 +22,6 @@
 /// Time for which an order holds, and for which a relay keeps what an entry reported. They are the
 /// same, so that a lease has ended at the entry when the relay forgets it.
 pub const LEASE_TIME: Duration = Duration::from_secs(3);
-/// Time in which each entry whose link is not full reports at least once.
-const REPORT_TIME: Duration = Duration::from_millis(1_250);
-/// Time for which an entry waits for the next order while its relay knows too little to decide. An
-/// entry under load reports twice in that time.
-const UNDECIDED_TIME: Duration = Duration::from_millis(500);
 /// Load from which an entry with a permission leaves. The balancer moves callers two to three seconds
 /// later, in which the load may double.
 const LEAVE_LOAD: f64 = 0.5;
@@ -39,20 +34,6 @@
 /// Load above which an entry that is out closes callers' connections.
 const CLOSING_LOAD: f64 = 0.3;
 
-/// What an entry follows when it sends a report.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RotationBasis {
-    /// Not stated, as by earlier versions.
-    #[default]
-    Unstated,
-    /// No order holds: the entry decides by itself.
-    Alone,
-    /// An order to stay.
-    Stay,
-    /// A permission to leave.
-    Permission,
-}
-
 /// What an entry reports of itself each second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RotationReport {
@@ -70,9 +51,6 @@
     pub out: bool,
     /// Whether the entry is stopping. It is then out of rotation for good.
     pub stopping: bool,
-    /// What the entry follows now.
-    #[serde(default)]
-    pub basis: RotationBasis,
 }
 
 /// A relay's reply to a report.
@@ -80,9 +58,6 @@
 pub enum RotationOrder {
     /// The entry is in rotation, whatever its load.
     Stay,
-    /// The relay does not know its entries yet. The entry decides by itself unless another order
-    /// follows within half a second. Only entries that follow no order get this reply.
-    Undecided,
     /// The entry may be out of rotation while its link is loaded.
     Leave {
         /// Time after the report was sent until which the permission holds unless it is renewed.
@@ -113,11 +88,9 @@
 }
 
 impl EntryRow {
-    /// Returns whether the entry is or may be out of rotation. A permission that has been refused
-    /// since counts until the entry reports that it has none, as the reply may be lost.
+    /// Returns whether the entry is or may be out of rotation.
     fn may_be_out(&self, now: Duration) -> bool {
-        let is_permitted = self.report.basis == RotationBasis::Permission || now < self.lease_until;
-        self.report.stopping || self.report.out || is_permitted
+        self.report.stopping || self.report.out || now < self.lease_until
     }
 
     /// Orders entries by the time since when they have not been loaded; those that are loaded come
@@ -137,66 +110,49 @@
 #[derive(Debug)]
 struct CentreRotation {
     rows: BTreeMap<VmId, EntryRow>,
-    /// Time until which entries have reported unless their links are full. From then on those that
-    /// follow no order are decided about: an order to stay would hold if the link fills up and delays
-    /// the next one.
-    reported_at: Duration,
     /// Time until which all live entries have reported at least once.
     complete_at: Duration,
 }
 
 impl CentreRotation {
     fn new(now: Duration) -> Self {
-        let (reported_at, complete_at) = (now + REPORT_TIME, now + LEASE_TIME);
-        Self { rows: BTreeMap::new(), reported_at, complete_at }
+        Self { rows: BTreeMap::new(), complete_at: now + LEASE_TIME }
     }
 
     fn record_report(&mut self, report: RotationReport, now: Duration) -> RotationOrder {
         let known = self.rows.remove(&report.entry);
         let known = known.filter(|row| row.report.process == report.process);
-        let loaded_at = known.and_then(|row| row.loaded_at);
+        let (loaded_at, lease_until) =
+            known.map_or((None, Duration::ZERO), |row| (row.loaded_at, row.lease_until));
         let loaded_at = if report.load >= LEAVE_LOAD { Some(now) } else { loaded_at };
         let entry = Arc::clone(&report.entry);
-        let (lease_until, was_refused) = (Duration::ZERO, false);
+        let was_refused = false;
         let row = EntryRow { report, heard_at: now, loaded_at, lease_until, was_refused };
-        let (order, was_refused) = self.decide(&row, now);
-        let lease_until = match order {
-            RotationOrder::Leave { lease } => now + lease,
-            RotationOrder::Stay | RotationOrder::Undecided => Duration::ZERO,
-        };
+        let (may_leave, was_refused) = self.decide(&row, now);
+        let lease_until = if may_leave { now + LEASE_TIME } else { Duration::ZERO };
         self.rows.insert(entry, EntryRow { lease_until, was_refused, ..row });
-        order
+        if may_leave { RotationOrder::Leave { lease: LEASE_TIME } } else { RotationOrder::Stay }
     }
 
-    /// Decides on the report of an entry that is not among the rows. Returns the order, and whether
-    /// the entry must stay because too many others are out.
-    fn decide(&self, row: &EntryRow, now: Duration) -> (RotationOrder, bool) {
-        let permission = RotationOrder::Leave { lease: LEASE_TIME };
+    /// Decides on the report of an entry that is not among the rows. Returns whether it may be out,
+    /// and whether it may not because too many others are.
+    fn decide(&self, row: &EntryRow, now: Duration) -> (bool, bool) {
         if row.report.stopping {
-            return (RotationOrder::Stay, false);
+            return (false, false);
         }
         if now < self.complete_at {
-            if row.report.out {
-                return (permission, false);
-            }
-            if row.report.basis != RotationBasis::Alone {
-                return (RotationOrder::Stay, false);
-            }
-            if now < self.reported_at || row.report.load < PERMIT_LOAD {
-                return (RotationOrder::Undecided, false);
-            }
+            return (row.report.out, false);
         }
         let others_out = self.rows.values().filter(|other| other.may_be_out(now)).count();
         // The balancer uses all entries once fewer than half are in rotation.
-        let is_crowded = others_out >= self.rows.len().div_ceil(2);
-        let (may_leave, was_refused) = if row.report.out {
+        let max_out = self.rows.len().div_ceil(2);
+        let is_crowded = others_out >= max_out;
+        if row.report.out {
             let makes_room = is_crowded || (self.is_awaited(now) && row.is_drained());
-            (!(makes_room && self.is_next(row)), false)
-        } else {
-            let may_leave = row.report.load >= PERMIT_LOAD && self.has_relief(row, now);
-            (may_leave && !is_crowded, may_leave && is_crowded)
-        };
-        (if may_leave { permission } else { RotationOrder::Stay }, was_refused)
+            return (!(makes_room && self.is_next(row)), false);
+        }
+        let may_leave = row.report.load >= PERMIT_LOAD && self.has_relief(row, now);
+        (may_leave && !is_crowded, may_leave && is_crowded)
     }
 
     /// Returns whether an entry waits for another one to return.
@@ -236,16 +192,14 @@
     /// # Examples
     /// ```
     /// use std::{sync::Arc, time::Duration};
-    /// use toucanrail::rotations::{
-    ///     LEASE_TIME, RotationBasis, RotationOrder, RotationReport, RotationTable,
-    /// };
+    /// use toucanrail::rotations::{LEASE_TIME, RotationOrder, RotationReport, RotationTable};
     /// let mut table = RotationTable::default();
     /// let mut order = RotationOrder::Stay;
     /// for second in 0..6 {
     ///     for (name, capacity, load) in [("a", 25e6, 0.01), ("b", 25e6, 0.01), ("c", 1e6, 0.9)] {
     ///         let report = RotationReport {
     ///             entry: Arc::from(name), process: 1, data_centre: Arc::from("d"), capacity, load,
-    ///             out: false, stopping: false, basis: RotationBasis::Stay,
+    ///             out: false, stopping: false,
     ///         };
     ///         order = table.report(report, Duration::from_secs(second));
     ///     }
@@ -300,18 +254,13 @@
 pub struct RotationState {
     order: Option<(RotationOrder, Duration)>,
     out_until: Duration,
-    /// Whether the last order took a permission back, which the relay learns by the next report.
-    is_withdrawn: bool,
 }
 
 impl RotationState {
     /// Records the order that a report sent at `sent_at` brought.
     pub fn record_order(&mut self, order: RotationOrder, sent_at: Duration) {
-        let is_stay = order == RotationOrder::Stay;
-        let is_permitted = self.basis(sent_at) == RotationBasis::Permission;
-        self.is_withdrawn = is_stay && (is_permitted || sent_at < self.out_until);
         self.order = Some((order, sent_at));
-        if is_stay {
+        if order == RotationOrder::Stay {
             self.out_until = Duration::ZERO;
         }
     }
@@ -349,27 +298,8 @@
         self.valid_order(now).map(|_| false)
     }
 
-    /// Returns what the entry follows.
-    ///
-    /// # Examples
-    /// ```
-    /// use std::time::Duration;
-    /// use toucanrail::rotations::{RotationBasis, RotationOrder, RotationState};
-    /// let mut state = RotationState::default();
-    /// assert_eq!(state.basis(Duration::ZERO), RotationBasis::Alone);
-    /// state.record_order(RotationOrder::Stay, Duration::ZERO);
-    /// assert_eq!(state.basis(Duration::from_secs(1)), RotationBasis::Stay);
-    /// ```
-    pub fn basis(&self, now: Duration) -> RotationBasis {
-        match self.valid_order(now) {
-            Some(RotationOrder::Leave { .. }) => RotationBasis::Permission,
-            Some(RotationOrder::Stay) => RotationBasis::Stay,
-            Some(RotationOrder::Undecided) | None => RotationBasis::Alone,
-        }
-    }
-
-    /// Returns whether the relay should hear of the entry at once: the entry would leave soon and is
-    /// not permitted to, or it has a permission that another one could use, or has had to give it up.
+    /// Returns whether the relay should hear of the load at once: the entry would leave soon and is
+    /// not permitted to, or it is out and could make room for another one.
     ///
     /// # Examples
     /// ```
@@ -380,8 +310,10 @@
     /// ```
     pub fn is_urgent(&self, load: f64, now: Duration) -> bool {
         match self.valid_order(now) {
-            Some(RotationOrder::Leave { .. }) => load < PERMIT_LOAD,
-            _ => load >= PERMIT_LOAD || self.is_withdrawn,
+            Some(RotationOrder::Leave { .. }) => {
+                load < PERMIT_LOAD && self.is_out(now) == Some(true)
+            }
+            _ => load >= PERMIT_LOAD,
         }
     }
 
@@ -396,7 +328,6 @@
         let time = match order {
             RotationOrder::Leave { lease } => lease.min(LEASE_TIME),
             RotationOrder::Stay => LEASE_TIME,
-            RotationOrder::Undecided => UNDECIDED_TIME,
         };
         (now.saturating_sub(sent_at) < time).then_some(order)
     }
--- a/toucanrail/tests/entry_rotation.rs
+++ b/toucanrail/tests/entry_rotation.rs
@@ -6,11 +6,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use toucanrail::link_gauges::{LinkCounts, LinkGauge, LinkPressure};
-use toucanrail::link_shares;
-use toucanrail::rotations::{
-    LEASE_TIME, RotationBasis, RotationReport, RotationState, RotationTable,
-};
+use toucanrail::link_gauges::{LinkCounts, LinkGauge};
+use toucanrail::rotations::{LEASE_TIME, RotationReport, RotationState, RotationTable};
 use xxhash_rust::xxh3;
 
 /// Capacities of a small and a large entry's link, and rates of callers, in bytes a second.
@@ -32,9 +29,6 @@
 const LAG: usize = 21;
 /// Steps between two urgent reports.
 const URGENT_STEPS: usize = 3;
-/// Time for which an entry waits for a reply in seconds, and while its link is loaded.
-const REPLY_TIME: f64 = 0.15;
-const LOADED_REPLY_TIME: f64 = 1.5;
 /// Seconds until the relay knows its entries and the first of them has been relieved.
 const START_SECONDS: usize = 8;
 
@@ -66,7 +60,6 @@
     /// Bytes that wait for the link.
     queue: f64,
     state: RotationState,
-    pressure: LinkPressure,
     /// Step of each second in which it reports.
     phase: usize,
     /// Relay that it reports to.
@@ -79,29 +72,6 @@
     ready: Vec<bool>,
 }
 
-impl Entry {
-    /// Starts the entry again, as a new process.
-    fn restart(&mut self) {
-        self.process += 1;
-        (self.state, self.pressure) = (RotationState::default(), LinkPressure::default());
-        (self.gauge, self.counts) = (LinkGauge::new(Some(self.capacity)), LinkCounts::default());
-    }
-
-    /// Returns whether replies come too late because of the bytes that wait for the link.
-    fn is_waiting(&self, load: f64) -> bool {
-        let is_loaded = link_shares::is_loaded(load);
-        let time = if is_loaded { LOADED_REPLY_TIME } else { REPLY_TIME };
-        self.queue > time * self.capacity
-    }
-
-    /// Returns whether the entry is out of rotation. Without an order it decides by itself if
-    /// `decides_alone`.
-    fn is_out(&self, decides_alone: bool, now: Duration) -> bool {
-        let alone = || decides_alone && self.pressure.is_away(now);
-        self.stopping || self.state.is_out(now).unwrap_or_else(alone)
-    }
-}
-
 /// A data centre with its relays and one heavy caller.
 struct Centre {
     entries: Vec<Entry>,
@@ -110,8 +80,6 @@
     caller: u64,
     heavy: f64,
     place: usize,
-    /// Whether entries without an order decide by themselves, and replies wait for full links.
-    decides_alone: bool,
     /// Where the heavy caller was after each step, and the numbers of entries out at each.
     places: Vec<usize>,
     outs: Vec<usize>,
@@ -130,7 +98,6 @@
             counts: LinkCounts::default(),
             queue: 0.0,
             state: RotationState::default(),
-            pressure: LinkPressure::default(),
             phase: rng.usize(..STEPS_PER_SECOND),
             relay: 0,
             alive: true,
@@ -146,7 +113,6 @@
             caller,
             heavy,
             place: hashing.pick(caller, &all),
-            decides_alone: false,
             places: Vec::new(),
             outs: Vec::new(),
             delays: Vec::new(),
@@ -181,7 +147,6 @@
             entry.gauge.record_counts(entry.counts, now);
             let load = entry.gauge.load();
             entry.state.record_load(load, now);
-            entry.pressure.record_load(load, now);
             let is_urgent = entry.state.is_urgent(load, now) && step % URGENT_STEPS == 0;
             if step % STEPS_PER_SECOND == entry.phase || is_urgent {
                 let report = RotationReport {
@@ -190,20 +155,18 @@
                     data_centre: Arc::from("a"),
                     capacity: entry.capacity,
                     load,
-                    out: entry.is_out(self.decides_alone, now),
+                    out: entry.state.is_out(now) == Some(true) || entry.stopping,
                     stopping: entry.stopping,
-                    basis: entry.state.basis(now),
                 };
                 let order = self.tables[entry.relay].report(report, now);
-                let is_late = self.decides_alone && entry.is_waiting(load);
-                if !entry.deaf && !is_late {
+                if !entry.deaf {
                     entry.state.record_order(order, now);
                 }
             }
         }
         let mut outs = 0;
         for entry in &mut self.entries {
-            let out = entry.is_out(self.decides_alone, now);
+            let out = entry.state.is_out(now) == Some(true) || entry.stopping;
             outs += usize::from(entry.alive && out);
             entry.ready.push(entry.alive && !out);
         }
@@ -312,34 +275,6 @@
     assert!(outs.iter().all(|out| *out > 0), "{outs:?}");
 }
 
-/// Returns the steps until an entry leaves the rotation, which starts beside relays that start and
-/// gets a heavy caller `steps` later.
-fn count_steps(centre: Centre, steps: usize, deaf: bool) -> usize {
-    let mut centre = Centre { heavy: 0.0, decides_alone: true, ..centre };
-    centre.entries.iter_mut().for_each(|entry| entry.deaf = deaf);
-    (0..steps).for_each(|_| centre.step());
-    centre.heavy = 2.0 * HEAVY;
-    while centre.outs.last().is_none_or(|outs| *outs == 0) && centre.outs.len() < 200 {
-        centre.step();
-    }
-    centre.outs.len()
-}
-
-/// An entry that starts under load beside relays that start as well was told to stay, and then its
-/// link delayed all further orders. It must leave no later than without any relay.
-#[test]
-fn unknown_entries() {
-    for capacities in [&SIX[..], &EIGHT[..], &[SMALL; 6], &[SMALL; 2]] {
-        for (caller, steps) in (0..40).flat_map(|caller| (0..35).map(move |steps| (caller, steps)))
-        {
-            let make_centre = || Centre::new(capacities, Hashing::Modulo, caller, 0.0);
-            let [ordered, alone] =
-                [false, true].map(|deaf| count_steps(make_centre(), steps, deaf));
-            assert!(ordered <= alone, "{caller}: {ordered} and {alone} steps, from {steps} on");
-        }
-    }
-}
-
 /// An entry dies while others are out: fewer may be out, and some return.
 #[test]
 fn dead_entry() {
@@ -362,42 +297,6 @@
     assert!(centre.outs.last() <= Some(&4), "{:?}", centre.outs);
 }
 
-/// The relay takes an entry's permission back because its load has fallen, and the reply is lost. If
-/// the relay gave the permission to another entry before the lease ends, both could be out.
-#[test]
-fn lost_refusal() {
-    for caller in 0..20 {
-        let mut centre = Centre::new(&[SMALL; 2], Hashing::Modulo, caller, 0.0);
-        centre.run(5);
-        centre.entries[0].offered = 0.6 * SMALL;
-        centre.run(3);
-        assert_eq!(centre.outs.last(), Some(&1), "{caller}: the entry has not left");
-        centre.entries[0].offered = 0.1 * SMALL;
-        while centre.outs.last() != Some(&0) {
-            centre.step();
-        }
-        centre.entries[0].deaf = true;
-        centre.run(1);
-        centre.entries[1].offered = 0.8 * SMALL;
-        centre.run(1);
-        centre.entries[0].offered = 0.95 * SMALL;
-        centre.run(2);
-        assert!(centre.longest_shortage().is_zero(), "{caller}: {:?}", centre.outs);
-        (centre.entries[0].deaf, centre.entries[0].offered) = (false, LIGHT);
-        centre.run(7);
-        assert_eq!(centre.outs.last(), Some(&1), "{caller}: the other entry has not left");
-    }
-}
-
-/// Reports of earlier versions do not state what the entry follows, and must still be read.
-#[test]
-fn earlier_report() {
-    let report = r#"{"entry":"e","process":1,"data_centre":"a","capacity":1e6,"load":0.1,"out":false,
-        "stopping":false}"#;
-    let report: RotationReport = serde_json::from_str(report).expect("a report");
-    assert_eq!(report.basis, RotationBasis::Unstated);
-}
-
 /// Entries that report to two relays for a while: more than half are out for one lease at most.
 #[test]
 fn two_relays() {
@@ -438,32 +337,4 @@
         }
         prop_assert!(centre.longest_shortage().is_zero(), "{:?}", centre.outs);
     }
-
-    /// While relays and entries restart and entries without an order decide by themselves, half of
-    /// the entries or more are in rotation. Replies are not lost.
-    #[test]
-    fn restarts_alone(
-        sizes in proptest::collection::vec(0_usize..3, 1..12),
-        seed in 0_u64..1_000_000,
-    ) {
-        let capacities: Vec<f64> = sizes.iter().map(|size| [SMALL, 4.0 * SMALL, LARGE][*size]).collect();
-        let mut centre = Centre::new(&capacities, Hashing::Modulo, seed, 0.0);
-        centre.decides_alone = true;
-        let mut rng = fastrand::Rng::with_seed(seed);
-        for _ in 0..60 {
-            for entry in &mut centre.entries {
-                if rng.f64() < 0.3 {
-                    entry.offered = entry.capacity * rng.f64();
-                }
-                if rng.f64() < 0.1 {
-                    entry.restart();
-                }
-            }
-            if rng.f64() < 0.1 {
-                centre.tables[0] = RotationTable::default();
-            }
-            centre.run(1);
-        }
-        prop_assert!(centre.longest_shortage().is_zero(), "{:?}", centre.outs);
-    }
 }
