--- a/toucanrail-daemons/tests/end_to_end_fields.rs
+++ b/toucanrail-daemons/tests/end_to_end_fields.rs
@@ -13,11 +13,7 @@
 #[test]
 fn repeated_fields() {
     smol::block_on(async {
-        let fleet = Fleet::start(10_000).await;
-        let (_plain, backend) = fleet.start_plain();
-        let _agent = fleet.start_agent("agent-1", "filing-app", backend);
-        let entry = fleet.start_entry("entry-1", &[]);
-        fleet.wait_servers(&entry, 1).await;
+        let (fleet, _plain, _agent, entry) = Fleet::start_with_plain(10_000).await;
         let call = authorized("/filing/returns", &json!({"month": "May"}))
             .field("idempotency-key", "k1")
             .field("plain-cookie", "a=1")
--- a/toucanrail-daemons/tests/fleet/mod.rs
+++ b/toucanrail-daemons/tests/fleet/mod.rs
@@ -149,6 +149,16 @@
         (fleet, engine, agent, entry)
     }
 
+    /// The same with one plain service.
+    pub async fn start_with_plain(budget: u64) -> (Self, PlainStandin, Process, Process) {
+        let fleet = Self::start(budget).await;
+        let (plain, backend) = fleet.start_plain();
+        let agent = fleet.start_agent("agent-1", "filing-app", backend);
+        let entry = fleet.start_entry("entry-1", &[]);
+        fleet.wait_servers(&entry, 1).await;
+        (fleet, plain, agent, entry)
+    }
+
     pub fn start_entry(&self, name: &str, extra: &[(&'static str, &str)]) -> Process {
         let mut args = self.args(name);
         args.extend(extra.iter().map(|(name, value)| (*name, (*value).to_owned())));
--- a/toucanrail-daemons/tests/request_path.rs
+++ b/toucanrail-daemons/tests/request_path.rs
@@ -50,11 +50,7 @@
 #[test]
 fn plain_service() {
     smol::block_on(async {
-        let fleet = Fleet::start(10_000).await;
-        let (_plain, backend) = fleet.start_plain();
-        let _agent = fleet.start_agent("agent-1", "filing-app", backend);
-        let entry = fleet.start_entry("entry-1", &[]);
-        fleet.wait_servers(&entry, 1).await;
+        let (fleet, _plain, _agent, entry) = Fleet::start_with_plain(10_000).await;
         let request =
             authorized("/filing/balance?year=2026", &json!({})).field("plain-status", "418");
         let response = fleet.fetch(&entry, request).await.unwrap();
--- a/toucanrail-gateway/src/origin_notes.rs
+++ b/toucanrail-gateway/src/origin_notes.rs
@@ -12,7 +12,7 @@
 use toucanrail::endpoints::{LocatedRelay, RelayName};
 use toucanrail::matching::{RouteKind, RouteRule};
 use toucanrail::origin_keepers::{self, KeeperTable, NoteBatch, ProcessNumber};
-use toucanrail::origins::{OriginNote, OriginReport};
+use toucanrail::origins::{self, OriginNote, OriginReport};
 use toucanrail::version_history::{ListedVersions, VersionStatements};
 use toucanrail_platform::requests::RequestInfo;
 
@@ -27,8 +27,6 @@
 const SEND_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between two lines in the log about the notes.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
-/// Upper bound of the time for which an origin is kept, whatever a caller states.
-const MAX_NOTE_TIME: Duration = Duration::from_secs(120);
 
 /// Sends the origins of streams to relays.
 #[derive(Debug, Default)]
@@ -70,7 +68,7 @@
 
 /// Returns the time in which the caller of a request may take its stream up.
 pub fn note_time(info: &RequestInfo, route: &RouteRule) -> Duration {
-    info.timeout.unwrap_or(route.timeout).min(MAX_NOTE_TIME)
+    info.timeout.unwrap_or(route.timeout).min(origins::MAX_NOTE_TIME)
 }
 
 /// Inserts a note, which is sent to the relays.
--- a/toucanrail-gateway/src/origin_store.rs
+++ b/toucanrail-gateway/src/origin_store.rs
@@ -11,8 +11,7 @@
 use smol::future::FutureExt;
 use smol::lock::Mutex;
 use toucanrail::ids::{RequestId, ServiceName};
-use toucanrail::messages::MirrorObject;
-use toucanrail::origins::{OriginNote, OriginReport, OriginTable, StreamOrigin};
+use toucanrail::origins::{OriginReport, OriginTable, StreamOrigin};
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
 use toucanrail::stored_origins::{self, OriginWriter, StoredOrigins};
 use toucanrail::version_records::{self, RecordKeeper, VersionRecord};
@@ -150,97 +149,94 @@
     is_lost
 }
 
+/// Something that searches read from the store. Those that overlap share a read.
+#[derive(Debug, Default)]
+struct SharedRead<Value> {
+    value: Value,
+    /// When the last read began; later than now while no search reads after a failure.
+    read_at: Option<Duration>,
+}
+
+impl<Value> SharedRead<Value> {
+    /// Waits until the next read is allowed. Returns false if none is needed, because the last one began
+    /// after the search did.
+    async fn begin(&mut self, gateway: &Gateway, asked_at: Duration) -> bool {
+        if self.read_at.is_some_and(|read_at| read_at >= asked_at) {
+            return false;
+        }
+        if let Some(read_at) = self.read_at {
+            Timer::after((read_at + READ_INTERVAL).saturating_sub(gateway.now())).await;
+        }
+        self.read_at = Some(gateway.now());
+        true
+    }
+
+    /// Records that the store did not respond.
+    fn record_failure(&mut self, now: Duration) {
+        self.read_at = Some(now + FAILURE_PAUSE);
+    }
+}
+
 /// What an entry has read of the relays' objects.
 #[derive(Debug, Default)]
 pub struct OriginReader {
-    stored: RefCell<OriginTable>,
-    records: RefCell<BTreeMap<ServiceName, VersionRecord>>,
-    /// When the last read of each began, while no search reads. Searches that overlap share a read.
-    stored_at: Mutex<Option<Duration>>,
-    records_at: Mutex<BTreeMap<ServiceName, Duration>>,
+    origins: Mutex<SharedRead<OriginTable>>,
+    records: Mutex<BTreeMap<ServiceName, SharedRead<Option<VersionRecord>>>>,
 }
 
 /// Returns where a stream began that no relay knows, if the store tells it.
 pub async fn find_stored(gateway: &Gateway, attempt: &RequestId) -> Option<StreamOrigin> {
-    let (reader, asked_at) = (&gateway.origin_reader, gateway.now());
-    let mut read_at = reader.stored_at.lock().await;
-    if await_read(gateway, *read_at, asked_at).await {
-        *read_at = Some(gateway.now());
-        if !read_origins(gateway).await {
-            *read_at = Some(gateway.now() + FAILURE_PAUSE);
+    let asked_at = gateway.now();
+    let mut origins = gateway.origin_reader.origins.lock().await;
+    if origins.begin(gateway, asked_at).await {
+        match read_origins(gateway).await {
+            Some(table) => origins.value = table,
+            None => origins.record_failure(gateway.now()),
         }
     }
-    drop(read_at);
-    reader.stored.borrow().find(attempt, gateway.now()).cloned()
-}
-
-/// Waits until the next read is allowed. Returns false if none is needed, because the last one began
-/// after the search did.
-async fn await_read(gateway: &Gateway, read_at: Option<Duration>, asked_at: Duration) -> bool {
-    let Some(read_at) = read_at else {
-        return true;
-    };
-    if read_at >= asked_at {
-        return false;
-    }
-    Timer::after((read_at + READ_INTERVAL).saturating_sub(gateway.now())).await;
-    true
+    origins.value.find(attempt, gateway.now()).cloned()
 }
 
-/// Lists the relays' objects. Returns whether the store responded.
-async fn read_origins(gateway: &Gateway) -> bool {
+/// Lists the relays' objects. Returns `None` if the store does not respond.
+async fn read_origins(gateway: &Gateway) -> Option<OriginTable> {
     let kind = stored_origins::ORIGIN_KIND;
     let listed = gateway.store.list_kind(kind, ListFreshness::Latest, LIST_TIMEOUT).await;
-    match listed {
-        Ok(listing) => {
-            let now = gateway.now();
-            let mut table = OriginTable::new();
-            // Objects of relays that have left come first, so that a full table drops those.
-            let mut objects: Vec<&MirrorObject> = listing.objects.iter().collect();
-            objects.sort_by_key(|object| object.version);
-            let stored = objects.iter();
-            let stored = stored
-                .filter_map(|object| storecalls::decode_value::<StoredOrigins>(&object.value));
-            for note in stored.flat_map(|stored| stored.notes().collect::<Vec<OriginNote>>()) {
-                table.insert(note, now);
-            }
-            tracing::info!(
-                event = "origins_read",
-                relays = listing.objects.len(),
-                streams = table.len()
-            );
-            *gateway.origin_reader.stored.borrow_mut() = table;
-            true
-        }
+    let mut objects = match listed {
+        Ok(listing) => listing.objects,
         Err(failure) => {
             tracing::info!(event = "origins_unread", %failure);
-            false
+            return None;
+        }
+    };
+    // Objects of relays that have left come first, so that a full table drops those.
+    objects.sort_by_key(|object| object.version);
+    let (mut table, now) = (OriginTable::new(), gateway.now());
+    for object in &objects {
+        let stored: Option<StoredOrigins> = storecalls::decode_value(&object.value);
+        for note in stored.iter().flat_map(StoredOrigins::notes) {
+            table.insert(note, now);
         }
     }
+    tracing::info!(event = "origins_read", relays = objects.len(), streams = table.len());
+    Some(table)
 }
 
 /// Returns which versions of a service may have begun streams, if the store tells it.
 pub async fn read_versions(gateway: &Gateway, service: &ServiceName) -> Option<VersionRecord> {
-    let (reader, asked_at) = (&gateway.origin_reader, gateway.now());
-    let mut read_at = reader.records_at.lock().await;
-    if await_read(gateway, read_at.get(service).copied(), asked_at).await {
-        read_at.insert(ServiceName::clone(service), gateway.now());
+    let asked_at = gateway.now();
+    let mut records = gateway.origin_reader.records.lock().await;
+    let record = records.entry(ServiceName::clone(service)).or_default();
+    if record.begin(gateway, asked_at).await {
         let path = version_records::record_path(service);
-        let record = match gateway.store.call(&StoreCall::Get { path }).await {
+        let reply = gateway.store.call(&StoreCall::Get { path }).await;
+        if reply == StoreReply::Unavailable {
+            record.record_failure(gateway.now());
+        }
+        record.value = match reply {
             StoreReply::Found { value, .. } => storecalls::decode_value(&value),
-            StoreReply::Unavailable => {
-                read_at.insert(ServiceName::clone(service), gateway.now() + FAILURE_PAUSE);
-                None
-            }
             _ => None,
         };
-        tracing::info!(event = "versions_read", %service, record = ?record);
-        let mut records = reader.records.borrow_mut();
-        match record {
-            Some(record) => drop(records.insert(ServiceName::clone(service), record)),
-            None => drop(records.remove(service)),
-        }
+        tracing::info!(event = "versions_read", %service, record = ?record.value);
     }
-    drop(read_at);
-    reader.records.borrow().get(service).cloned()
+    record.value.clone()
 }
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -44,7 +44,8 @@
 /// Path of a call that takes a [`PermitRequest`] and returns a [`PermitReply`].
 pub const PERMIT_PATH: &str = "/permit";
 
-/// Path of a call that takes an [`OriginReport`](toucanrail::origins::OriginReport) and returns the relay's [`ProcessNumber`].
+/// Path of a call that takes an [`OriginReport`](toucanrail::origins::OriginReport) and returns the
+/// relay's [`ProcessNumber`].
 pub const NOTE_PATH: &str = "/origins/note";
 /// Path of a call that takes the id of a caller's attempt, if it is known, and returns an
 /// [`OriginReply`].
--- a/toucanrail-gateway/tests/lender_shutdown.rs
+++ b/toucanrail-gateway/tests/lender_shutdown.rs
@@ -25,21 +25,36 @@
     })
 }
 
+/// A stream in progress, for which a relay has lent the budget.
+struct LentStream {
+    store: Store,
+    relay: Process,
+    gateway: Process,
+    caller: JoinHandle<String>,
+}
+
+impl LentStream {
+    fn begin() -> Self {
+        let store = Store::start();
+        let stream = long_stream();
+        let backend = Backend::start("i-1", move |_, _| Action::Respond(stream.clone()));
+        platform::configure_prepaid(&store, 1, &[&backend], 100_000);
+        let relay = Process::start_relay(&store, "side-1");
+        platform::wait_until("the relay", || store.has("relays", "side-1"));
+        let gateway = Process::start_gateway(&store);
+        let caller = spawn_caller(&gateway);
+        platform::wait_until("the request", || !backend.seen().is_empty());
+        Self { store, relay, gateway, caller }
+    }
+}
+
 /// A lender is stopped while a stream that it lent the budget for is in progress. It must stay
 /// until the loan has ended. If it exited at once, the entry could not end the loan, the stream
 /// would never be billed, and its unused budget would stay granted to the dead lender: a tenth of a
 /// customer's budget was lost in this way with each VM that was removed.
 #[test]
 fn open_loan() {
-    let store = Store::start();
-    let stream = long_stream();
-    let backend = Backend::start("i-1", move |_, _| Action::Respond(stream.clone()));
-    platform::configure_prepaid(&store, 1, &[&backend], 100_000);
-    let mut relay = Process::start_relay(&store, "side-1");
-    platform::wait_until("the relay", || store.has("relays", "side-1"));
-    let gateway = Process::start_gateway(&store);
-    let caller = spawn_caller(&gateway);
-    platform::wait_until("the request", || !backend.seen().is_empty());
+    let LentStream { store, mut relay, gateway: _gateway, caller } = LentStream::begin();
     assert!(store.granted("acme").keys().any(|holder| holder.starts_with("side-1")));
     relay.signal("TERM");
     let response = caller.join().unwrap();
@@ -54,15 +69,7 @@
 /// in progress. What the stream does not hold must be returned at once, not after the stream.
 #[test]
 fn unused_grant() {
-    let store = Store::start();
-    let stream = long_stream();
-    let backend = Backend::start("i-1", move |_, _| Action::Respond(stream.clone()));
-    platform::configure_prepaid(&store, 1, &[&backend], 100_000);
-    let mut relay = Process::start_relay(&store, "side-1");
-    platform::wait_until("the relay", || store.has("relays", "side-1"));
-    let gateway = Process::start_gateway(&store);
-    let caller = spawn_caller(&gateway);
-    platform::wait_until("the request", || !backend.seen().is_empty());
+    let LentStream { store, mut relay, gateway: _gateway, caller } = LentStream::begin();
     relay.signal("TERM");
     let stopped = Instant::now();
     platform::wait_until("the return of the unused grant", || {
--- a/toucanrail/src/origins.rs
+++ b/toucanrail/src/origins.rs
@@ -12,6 +12,8 @@
 use crate::ids::{RequestId, ServiceName, SoftwareVersion};
 use crate::version_history::{ListedVersions, VersionStatements};
 
+/// Upper bound of the time for which an origin is kept, whatever a caller states.
+pub const MAX_NOTE_TIME: Duration = Duration::from_secs(120);
 /// Time by which a note has to be valid for longer than the ones before, to be told to relays again.
 const MIN_RENEWAL: Duration = Duration::from_secs(1);
 /// Maximum number of streams in a table; bounds its memory to about 5 MB.
--- a/toucanrail/src/stored_origins.rs
+++ b/toucanrail/src/stored_origins.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{RequestId, ServiceName, SoftwareVersion};
-use crate::origins::{NoteNumber, OriginNote, OriginTable, StreamOrigin};
+use crate::origins::{self, NoteNumber, OriginNote, OriginTable, StreamOrigin};
 use crate::storecalls::{self, ObjectPath, StoreCall, StoreReply, WriteExpectation};
 use crate::version_history::{VersionStatement, VersionStatements};
 
@@ -20,8 +20,6 @@
 pub const ORIGIN_KIND: &str = "stream-origins";
 /// Maximum size of the attempt ids in one object, half of what the store takes.
 const MAX_ID_BYTES: usize = 512 * 1024;
-/// Upper bound of the time for which stored origins are valid, whatever an object states.
-const MAX_VALID_TIME: Duration = Duration::from_secs(120);
 
 /// Object of one relay.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,8 +32,8 @@
 }
 
 impl StoredOrigins {
-    /// Returns the origins as notes, valid from now on for as long as they were when written. They
-    /// may have been written a while ago; a note that is valid for too long does no harm.
+    /// Returns the origins as notes, valid from now on for as long as they were when written, since
+    /// nothing tells how long ago that was. An attempt has one origin, so that an old note is not wrong.
     ///
     /// # Examples
     /// ```
@@ -45,7 +43,7 @@
     /// assert_eq!(stored.notes().count(), 2);
     /// ```
     pub fn notes(&self) -> impl Iterator<Item = OriginNote> {
-        let valid_for = Duration::from_millis(self.valid_ms).min(MAX_VALID_TIME);
+        let valid_for = Duration::from_millis(self.valid_ms).min(origins::MAX_NOTE_TIME);
         let streams = self.streams.iter().flat_map(|(service, versions)| {
             versions.iter().map(move |(version, attempts)| (service, version, attempts))
         });
--- a/toucanrail/src/version_records.rs
+++ b/toucanrail/src/version_records.rs
@@ -143,16 +143,16 @@
     ) -> Option<StoreCall> {
         for (service, row) in &mut self.rows {
             let statement = statements.get(service);
-            let path = record_path(service);
             // Another relay may have created the record meanwhile.
             row.known
                 .take_if(|known| known.is_missing() && now >= known.known_since + MISSING_TIME);
             let Some(known) = &row.known else {
                 self.calling = Some((ServiceName::clone(service), None));
-                return Some(StoreCall::Get { path });
+                return Some(StoreCall::Get { path: record_path(service) });
             };
             if let Some(record) = row.plan_record(known, statement, now) {
-                let (expect, value) = (known.expect, storecalls::encode_value(&record));
+                let (path, expect) = (record_path(service), known.expect);
+                let value = storecalls::encode_value(&record);
                 self.calling = Some((ServiceName::clone(service), Some(record)));
                 return Some(StoreCall::Put { path, expect, value });
             }
