A relay that is known to have failed starts no further search

Each connection that failed made the task that searches for responding relays rank the lenders of all shards, the boards and the keepers again, also if the relay had failed before: an entry that is cut off fails as often as it gets requests, and what is searched for does not change by it. Only a new failure starts a search; a request that waits for one still asks for it.

Run: departed_relays, crashing_requests, hosted_relays, lender_shutdown, fleet_boards but board_watches (known red), doc tests of relay_health: passed. Not measured.

--- a/toucanrail-gateway/src/relay_checks.rs
+++ b/toucanrail-gateway/src/relay_checks.rs
@@ -45,10 +45,12 @@
         self.health.borrow_mut().record_response(relay, now);
     }
 
-    /// Records that no connection to a relay could be opened.
+    /// Records that no connection to a relay could be opened. A search follows if that is new: calls of
+    /// an entry that is cut off fail all the time.
     pub fn record_failure(&self, relay: SocketAddr, now: Duration) {
-        self.health.borrow_mut().record_failure(relay, now);
-        self.failed.notify(1);
+        if self.health.borrow_mut().record_failure(relay, now) {
+            self.failed.notify(1);
+        }
     }
 
     /// Waits until other relays have been searched in place of one that has just failed, for at most
--- a/toucanrail/src/relay_health.rs
+++ b/toucanrail/src/relay_health.rs
@@ -51,10 +51,12 @@
         self.responded.insert(relay);
     }
 
-    /// Records that no connection to a relay could be opened.
-    pub fn record_failure(&mut self, relay: SocketAddr, now: Duration) {
+    /// Records that no connection to a relay could be opened. Returns false if that was known.
+    pub fn record_failure(&mut self, relay: SocketAddr, now: Duration) -> bool {
         let first = FailureRow { since: now, check_at: now + FIRST_CHECK, interval: FIRST_CHECK };
+        let is_known = self.is_failed(relay);
         self.failed.entry(relay).or_insert(first);
+        !is_known
     }
 
     /// Returns whether the last connection to a relay could not be opened.
