--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -543,7 +543,8 @@
             lab.record("BROKEN: " + line)
         lab.record("the rule %s" % ("was broken" if broken else "held"))
         print("%s: the rule %s" % (os.path.basename(folder), "was broken" if broken else "held"))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Whatever else goes wrong says nothing about the rule.
+        code = 2
         print("cannot run: %s %s" % (type(error).__name__, error))
         if lab:
             lab.record("cannot run: %s %s" % (type(error).__name__, error))
