--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -122,12 +122,13 @@
             gateway.metrics.count_result(codetable::CANCELLED);
             tracing::info!(
                 event = "caller_gone", request = %requests::parse_request(&head).id,
-                begun = writer.started, took_ms = arrived.elapsed().as_millis() as u64,
+                begun = writer.has_started(), took_ms = arrived.elapsed().as_millis() as u64,
             );
             return Ok(());
         }
-        if writer.close || !writer.complete {
-            return close_connection(connection, writer.complete).await;
+        let complete = writer.is_complete();
+        if writer.close || !complete {
+            return close_connection(connection, complete).await;
         }
     }
 }
--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -103,8 +103,10 @@
             let mut details =
                 responding::make_refusal(refusal.code, RunState::NotRun, refusal.retry_after);
             details.field = refusal.field;
-            // The caller may have disconnected; then nobody needs the refusal.
-            writer.send_refusal(&details).ok();
+            if let Some(head_writer) = writer.head_writer() {
+                // The caller may have disconnected; then nobody needs the refusal.
+                head_writer.send_refusal(&details).ok();
+            }
         }
     }
 }
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -25,7 +25,7 @@
 use crate::request_context::{
     AttemptContext, AttemptResult, FailedResponse, RequestPlan, StreamState,
 };
-use crate::responding::{self, ResponseWriter};
+use crate::responding::{self, HeadWriter, ResponseWriter};
 use crate::sending;
 use crate::server_ends;
 use crate::state::Gateway;
@@ -277,7 +277,7 @@
         let (gateway, plan) = (self.gateway, self.plan);
         let context = AttemptContext { gateway, plan, target, source, permit, may_fail_over };
         let result = sending::run_attempt(&context, writer, &mut self.stream).await;
-        self.history.begun = writer.started;
+        self.history.begun = writer.has_started();
         result
     }
 
@@ -380,21 +380,24 @@
     }
 
     fn finish(&mut self, step: NextStep, writer: &mut ResponseWriter) -> RequestEnd {
+        let Some(head_writer) = writer.head_writer() else {
+            return RequestEnd::Cut;
+        };
         match step {
             NextStep::Forward => match self.failed_response.take() {
                 Some(response) => {
                     // The caller may have disconnected; then nobody needs the response.
-                    writer.send_response(&response.head, &response.body).ok();
+                    head_writer.send_response(&response.head, &response.body).ok();
                     RequestEnd::Delivered
                 }
-                None => self.refuse(codetable::BACKEND_FAILED, writer),
+                None => self.refuse(codetable::BACKEND_FAILED, head_writer),
             },
-            NextStep::Fail(code) => self.refuse(code, writer),
+            NextStep::Fail(code) => self.refuse(code, head_writer),
             NextStep::Truncate | NextStep::Retry => RequestEnd::Cut,
         }
     }
 
-    fn refuse(&self, code: ResultCode, writer: &mut ResponseWriter) -> RequestEnd {
+    fn refuse(&self, code: ResultCode, writer: HeadWriter<'_>) -> RequestEnd {
         let run = self.history.run_state();
         let wait =
             retry_delays::pick_delay(self.refusal_cause(), self.plan.time_left(), fastrand::f64());
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -6,10 +6,12 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use toucanrail::attempts::AttemptOutcome;
+use toucanrail::body_formats::BodyFormat;
 use toucanrail::framing::{BodyEnd, ConnectionEnd};
 use toucanrail::ids::Tokens;
 use toucanrail::silences::{PartProgress, SilenceDetector};
 use toucanrail::sse;
+use toucanrail_wire::heads::ResponseHead;
 use toucanrail_wire::time_limits;
 
 use crate::buffers::BodyHold;
@@ -36,6 +38,12 @@
 /// Maximum size of a body that is buffered before it is forwarded, and of one event of a stream.
 pub const MAX_BUFFERED_BODY: usize = 8 * 1024 * 1024;
 
+/// Returns the format of the body behind a response's head.
+pub fn body_format(head: &ResponseHead) -> BodyFormat {
+    let field = |name| head.fields.get(name);
+    BodyFormat::new(head.status, field("content-type"), field("content-encoding"))
+}
+
 /// Returns the outcome of an attempt whose response could not be read.
 pub fn failure_outcome(error: &io::Error) -> AttemptOutcome {
     match error.kind() {
@@ -118,11 +126,11 @@
     stream.received_bytes += body.len() as u64;
     let head = exchange.head.clone();
     exchange.release_connection(context.gateway, &context.target.id);
-    if head.status >= 500 {
+    let Some(head_writer) = writer.head_writer().filter(|_| head.status < 500) else {
         return AttemptResult::Failed(FailedResponse { head, body });
-    }
+    };
     stream.first_byte_at = Some(Instant::now());
-    match writer.send_response(&head, &body) {
+    match head_writer.send_response(&head, &body) {
         Ok(()) => AttemptResult::Complete,
         Err(_) => AttemptResult::CallerGone,
     }
@@ -320,11 +328,11 @@
 }
 
 fn malformed_outcome(writer: &ResponseWriter) -> AttemptOutcome {
-    if writer.started { AttemptOutcome::Broken } else { AttemptOutcome::Malformed }
+    if writer.has_started() { AttemptOutcome::Broken } else { AttemptOutcome::Malformed }
 }
 
 fn truncation_outcome(writer: &ResponseWriter) -> AttemptOutcome {
-    if writer.started { AttemptOutcome::Broken } else { AttemptOutcome::Lost }
+    if writer.has_started() { AttemptOutcome::Broken } else { AttemptOutcome::Lost }
 }
 
 fn forward_events(
@@ -334,10 +342,12 @@
     events: &[u8],
 ) -> bool {
     stream.first_byte_at.get_or_insert_with(Instant::now);
-    let sent = if writer.started {
-        writer.send_events(events)
-    } else {
-        writer.start_stream(&exchange.head, events)
+    let sent = match writer.head_writer() {
+        Some(head_writer) => {
+            stream.format = Some(body_format(&exchange.head));
+            head_writer.start_stream(&exchange.head, events)
+        }
+        None => writer.send_events(events),
     };
     sent.is_ok()
 }
@@ -350,7 +360,8 @@
     events: &[u8],
 ) -> AttemptResult {
     stream.first_byte_at.get_or_insert_with(Instant::now);
-    if !writer.started && writer.start_stream(&exchange.head, &[]).is_err() {
+    let started = writer.head_writer().map(|writer| writer.start_stream(&exchange.head, &[]));
+    if started.is_some_and(|sent| sent.is_err()) {
         return AttemptResult::CallerGone;
     }
     let sent = writer.finish_stream(events);
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -8,6 +8,7 @@
 
 use toucanrail::attempts::AttemptOutcome;
 use toucanrail::backends::BackendEntry;
+use toucanrail::body_formats::BodyFormat;
 use toucanrail::contents::ContentKey;
 use toucanrail::framing::BodyDecoder;
 use toucanrail::ids::ServiceName;
@@ -160,6 +161,8 @@
     pub scanner: EventScanner,
     /// Where the stream began, from its first event on.
     pub origin: Option<StreamOrigin>,
+    /// Format of the body that the caller has begun to receive.
+    pub format: Option<BodyFormat>,
     /// How the newest response states the length of its body, for logging.
     pub framing: Option<BodyLength>,
     /// Bytes received after the last complete event of the newest response, which decide whether it
@@ -183,6 +186,7 @@
         Self {
             scanner,
             origin,
+            format: None,
             framing: None,
             partial_bytes: 0,
             attempt_begun_at: None,
@@ -209,6 +213,11 @@
         if self.framing.is_some() { RunStage::Writing } else { RunStage::Waiting }
     }
 
+    /// Returns whether a body of this format can follow what the caller has received.
+    pub fn accepts(&self, format: &BodyFormat) -> bool {
+        self.format.as_ref().is_none_or(|begun| begun == format)
+    }
+
     /// Returns the name of the newest response's framing, for logging.
     pub fn framing_name(&self) -> Option<&'static str> {
         self.framing.map(BodyLength::as_str)
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -87,6 +87,16 @@
         // The response is not signed, so it was not made by a backend server.
         return AttemptResult::Incomplete(AttemptOutcome::Lost);
     }
+    let format = forwarding::body_format(&exchange.head);
+    if !stream.accepts(&format) {
+        // The connection is closed, because the rest of this response is not read.
+        tracing::info!(
+            event = "continuation_refused", request = %plan.info.id, server = %context.target.id,
+            begun = ?stream.format, ?format, last_event = stream.last_event(),
+        );
+        context.gateway.metrics.count_event("continuations_refused");
+        return AttemptResult::Incomplete(AttemptOutcome::Failed);
+    }
     if succeeded && plan.route.kind.is_stream() {
         return forwarding::forward_stream(context, exchange, writer, stream, flight).await;
     }
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod backends;
 pub mod batches;
 pub mod boards;
+pub mod body_formats;
 pub mod budgets;
 pub mod call_patterns;
 pub mod catalogue;
