Responses to HEAD have no body

A HEAD request whose response states a length was answered with 504 after the route's timeout, though its server had answered; streams and refusals put a last chunk or a JSON body behind the head, which a caller with a kept connection takes for the next response.

Cause: neither the decoder of a server's body nor the writer of a caller's knew the request's method.

--- a/toucanrail-gateway/src/accepting.rs
+++ b/toucanrail-gateway/src/accepting.rs
@@ -107,7 +107,7 @@
             || gateway.link.closes_connections(gateway.now())
             || !gateway.settings.limits.keeps_connections(gateway.caller_connections.get());
         let backlog = WriteBacklog::new(connection.writer(), &gateway.memory);
-        let mut writer = ResponseWriter::new(backlog, close);
+        let mut writer = ResponseWriter::new(backlog, close, head.method());
         let responding = async {
             admitting::handle_request(gateway, &head, &body, &mut writer, arrived).await;
             writer.finish().await.ok();
@@ -208,7 +208,8 @@
 ) -> io::Result<()> {
     gateway.metrics.count_result(code);
     let details = responding::make_refusal(code, RunState::NotRun, wait);
-    connection.writer().write_all(&responding::encode_refusal(&details, true)).await?;
+    let (bytes, body) = responding::encode_refusal(&details, true);
+    connection.writer().write_all(&[bytes, body].concat()).await?;
     close_connection(connection, true).await
 }
 
--- a/toucanrail-gateway/src/sending.rs
+++ b/toucanrail-gateway/src/sending.rs
@@ -23,7 +23,7 @@
 use crate::request_context::{
     AttemptContext, AttemptResult, OpenExchange, RequestPlan, StreamState,
 };
-use crate::responding::ResponseWriter;
+use crate::responding::{self, ResponseWriter};
 use crate::state::{FlightGuard, Gateway};
 
 /// Maximum time to connect. A live server accepts within a few milliseconds; one with a full
@@ -184,7 +184,11 @@
                 return Err(forwarding::failure_outcome(&error));
             }
         };
-    let decoder = BodyDecoder::for_response(head.length);
+    let decoder = if plan.head.method() == responding::HEAD_METHOD {
+        BodyDecoder::Exact(0)
+    } else {
+        BodyDecoder::for_response(head.length)
+    };
     Ok(OpenExchange { connection, head, decoder, request_sent })
 }
 
