A server that begins a resumed stream again does not repeat events to the caller

A server that ignores Last-Event-Id sends the events again that the caller has got, and the entry forwarded them: pieces came twice.

Cause: the scanner read ids only to know where to resume, and compared them with nothing.

Change: an event whose id is not above the one that a response was asked to begin after is a fault of its server (Broken or Malformed); nothing of it is forwarded, and another server is asked. continued_streams replayed_events failed before (event 1 twice) and passes; stream_versions and taken_up_streams pass as before.

--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -160,7 +160,8 @@
             return AttemptResult::CallerGone;
         }
         pending.drain(..complete_len);
-        if exchange.decoder.is_malformed() || pending.len() > MAX_BUFFERED_BODY {
+        let is_malformed = exchange.decoder.is_malformed() || stream.scanner.is_replay();
+        if is_malformed || pending.len() > MAX_BUFFERED_BODY {
             return AttemptResult::Incomplete(malformed_outcome(writer));
         }
         if ended {
--- a/toucanrail-gateway/src/request_context.rs
+++ b/toucanrail-gateway/src/request_context.rs
@@ -182,9 +182,8 @@
     /// Creates the state of a stream that resumes after `last_event`, the last event that the
     /// caller already has, and began at `origin`.
     pub fn new(last_event: Option<u64>, origin: Option<StreamOrigin>) -> Self {
-        let scanner = EventScanner { last_id: last_event, ..EventScanner::new() };
         Self {
-            scanner,
+            scanner: EventScanner::after(last_event),
             origin,
             format: None,
             framing: None,
@@ -198,6 +197,7 @@
 
     /// Forgets the framing and the partial event of an earlier response.
     pub fn begin_attempt(&mut self) {
+        self.scanner.resume();
         self.framing = None;
         self.partial_bytes = 0;
         self.attempt_begun_at = None;
--- a/toucanrail-gateway/tests/continued_streams.rs
+++ b/toucanrail-gateway/tests/continued_streams.rs
@@ -88,6 +88,18 @@
     }
 }
 
+/// Guards against events that the caller has got already, from a server that begins the stream again.
+#[test]
+fn replayed_events() {
+    let chunk = platform::chunk(&[FIRST_EVENT, SECOND_EVENT].concat());
+    let replayed = [platform::STREAM_HEAD, &chunk, LAST_CHUNK].concat();
+    let (_store, _servers, gateway) = start_fleet(&replayed, 1);
+    let response = call_stream(&gateway);
+    assert_eq!(response.matches("data: a").count(), 1, "{response}");
+    assert_eq!(response.matches("data: b").count(), 1, "{response}");
+    assert!(response.ends_with(LAST_CHUNK), "{response}");
+}
+
 /// Guards against a stream that is given up although a third server can continue it.
 #[test]
 fn third_server() {
--- a/toucanrail/src/sse.rs
+++ b/toucanrail/src/sse.rs
@@ -12,6 +12,10 @@
     pub last_id: Option<u64>,
     /// Number of complete events so far.
     pub count: u64,
+    /// Id after which the newest response was asked to begin.
+    resumed_after: Option<u64>,
+    /// Whether the newest response has an event that the caller has got already.
+    replays: bool,
 }
 
 impl EventScanner {
@@ -20,6 +24,32 @@
         Self::default()
     }
 
+    /// Creates a scanner of a stream of which the caller has the events up to `last_id`.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self { last_id, ..Self::default() }
+    }
+
+    /// Prepares for the response of another server, which is asked to begin after the last event.
+    pub fn resume(&mut self) {
+        // Callers state 0 if they have no event.
+        self.resumed_after = self.last_id.filter(|id| *id > 0);
+        self.replays = false;
+    }
+
+    /// Returns whether the newest response repeats an event from before it was resumed. Such events
+    /// and those after them do not count as complete.
+    ///
+    /// # Examples
+    /// ```
+    /// let mut scanner = toucanrail::sse::EventScanner::new();
+    /// scanner.scan(b"id: 4\ndata: a\n\n");
+    /// scanner.resume();
+    /// assert_eq!((scanner.scan(b"id: 4\ndata: a\n\n"), scanner.is_replay()), (0, true));
+    /// ```
+    pub fn is_replay(&self) -> bool {
+        self.replays
+    }
+
     /// Scans `pending` and returns the total length in bytes of the complete events at its start.
     /// Blocks of comments and empty lines are forwarded like events, but not counted.
     ///
@@ -46,6 +76,10 @@
                 id = parse_id(line).or(id);
                 continue;
             }
+            if id.is_some() && id <= self.resumed_after {
+                self.replays = true;
+                break;
+            }
             complete = start;
             self.count += u64::from(has_field);
             self.last_id = id.take().or(self.last_id);
