--- a/toucanrail-daemons/src/agents.rs
+++ b/toucanrail-daemons/src/agents.rs
@@ -38,6 +38,8 @@
 /// Interval between health probes of the backend server.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum size of what a backend server reports of itself or of a request, in bytes.
+const MAX_STATUS_SIZE: u64 = 1024 * 1024;
 /// Number of consecutive failed probes after which the backend server counts as unhealthy.
 const UNHEALTHY_PROBE_FAILURES: u32 = 3;
 /// Longest wait of a stopping agent for its last runs to be settled.
@@ -133,7 +135,11 @@
     /// If its metrics cannot be registered.
     pub fn new(settings: AgentSettings, address: SocketAddr) -> io::Result<Self> {
         let id = starting::new_incarnation(&settings.common.name);
-        let limits = ClientLimits { connect_timeout: PROBE_TIMEOUT, ..ClientLimits::default() };
+        let limits = ClientLimits {
+            connect_timeout: PROBE_TIMEOUT,
+            max_body: MAX_STATUS_SIZE,
+            ..ClientLimits::default()
+        };
         Ok(Self {
             ledger: Mutex::new(UsageLedger::new(Arc::clone(&id))),
             id,
--- a/toucanrail-gateway/src/report_client.rs
+++ b/toucanrail-gateway/src/report_client.rs
@@ -1,5 +1,6 @@
 //! Reads load reports of the backend server beside a relay.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,6 +9,9 @@
 
 /// Timeout of a report call; the server is on the same VM.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of a report, in bytes. It has a row for each running request, with the id that its
+/// caller chose.
+const MAX_REPORT_SIZE: u64 = 1024 * 1024;
 
 /// Reads the load reports of the backend server on this VM, where they are current and cost no call
 /// to the store.
@@ -26,7 +30,13 @@
 
     /// Fetches a report.
     pub async fn fetch(&self) -> Result<BackendReport, StoreError> {
-        self.client.fetch_report(self.server, REPORT_TIMEOUT).await
+        let report = self.client.fetch_report(self.server, REPORT_TIMEOUT, MAX_REPORT_SIZE).await;
+        if let Err(StoreError::NoResponse(error)) = &report
+            && error.kind() == io::ErrorKind::FileTooLarge
+        {
+            tracing::info!(event = "report_too_large", server = %self.server);
+        }
+        report
     }
 
     /// Fetches a report, or returns `None` if the server does not respond with one.
--- a/toucanrail-gateway/tests/endless_responses.rs
+++ b/toucanrail-gateway/tests/endless_responses.rs
@@ -42,6 +42,10 @@
     Transfer-Encoding: chunked\r\n\r\n";
 const DECLINED: &str = "HTTP/1.1 503 Full\r\nX-Attempt-Id: ID\r\nX-Not-Executed: 1\r\n\
     Transfer-Encoding: chunked\r\n\r\n";
+const STATED: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\
+    Content-Length: 99999999999\r\n\r\n";
+const EXTENSION: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\n\
+    Transfer-Encoding: chunked\r\n\r\n10;";
 const CHUNK: &str = "10\r\naaaaaaaaaaaaaaaa\r\n";
 const LINE: &str = "X-Filler: a\r\n";
 
@@ -271,6 +275,17 @@
     assert_eq!(backend.seen().len(), 4);
 }
 
+/// Guards against load reports that a relay keeps in memory until it exceeds its own, or reads for
+/// ever while entries wait for their loans.
+#[test]
+fn endless_reports() {
+    for (opening, filler) in [(STATED, " "), (LINES, LINE), (EXTENSION, "a")] {
+        let play = Play::new(opening, filler, FAST);
+        let response = EndlessResponse { report: "", ..play.response };
+        check_play(Play { response, with_relay: true, ..play });
+    }
+}
+
 /// Guards against the same for bodies.
 #[test]
 fn slow_bodies() {
--- a/toucanrail-wire/src/clients.rs
+++ b/toucanrail-wire/src/clients.rs
@@ -28,6 +28,8 @@
 pub struct ClientLimits {
     /// Maximum size of a response's head, in bytes.
     pub max_head: usize,
+    /// Maximum size of a response's body that is read whole, with its framing, in bytes.
+    pub max_body: u64,
     /// Timeout for opening a connection.
     pub connect_timeout: Duration,
     /// Time after which an idle connection is not reused.
@@ -40,6 +42,7 @@
     fn default() -> Self {
         Self {
             max_head: 16 * 1024,
+            max_body: 16 * 1024 * 1024,
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(30),
             max_idle: 64,
@@ -84,6 +87,9 @@
     pub body: Vec<u8>,
     /// Whether to open a new connection instead of reusing an idle one.
     pub new_connection: bool,
+    /// Maximum size of the response's body, with its framing, if it is below
+    /// [`ClientLimits::max_body`].
+    pub max_body: Option<u64>,
 }
 
 impl OutboundRequest {
@@ -95,6 +101,7 @@
             fields: Vec::new(),
             body: Vec::new(),
             new_connection: false,
+            max_body: None,
         }
     }
 
@@ -117,6 +124,13 @@
         self
     }
 
+    /// Limits the size of the response's body, with its framing.
+    #[must_use]
+    pub fn limit_body(mut self, max_body: u64) -> Self {
+        self.max_body = Some(max_body);
+        self
+    }
+
     /// Sends the request on a new connection.
     #[must_use]
     pub fn on_new_connection(mut self) -> Self {
@@ -207,6 +221,9 @@
     }
 
     /// Sends a request and reads the complete response, all within `timeout`.
+    ///
+    /// Fails with `FileTooLarge` if the body, with its framing, exceeds the limit of the request or
+    /// [`ClientLimits::max_body`].
     pub async fn fetch(
         &self,
         address: SocketAddr,
@@ -214,7 +231,8 @@
         timeout: Duration,
     ) -> io::Result<CompleteResponse> {
         let exchange = async {
-            let mut open_response = self.open(address, request, timeout).await?;
+            let max_body = request.max_body.unwrap_or(u64::MAX).min(self.limits.max_body);
+            let mut open_response = self.open_within(address, request, timeout, max_body).await?;
             let mut body = Vec::new();
             loop {
                 let chunk = open_response.read_chunk(timeout).await?;
@@ -233,17 +251,28 @@
     }
 
     /// Sends a request and waits at most `timeout` for the head of the response. Connecting has its
-    /// own limit, [`ClientLimits::connect_timeout`].
+    /// own limit, [`ClientLimits::connect_timeout`]. The body has no limit, so the caller must not
+    /// keep all of it.
     pub async fn open(
         &self,
         address: SocketAddr,
         request: OutboundRequest,
         timeout: Duration,
+    ) -> Result<StreamingResponse, RequestError> {
+        self.open_within(address, request, timeout, u64::MAX).await
+    }
+
+    async fn open_within(
+        &self,
+        address: SocketAddr,
+        request: OutboundRequest,
+        timeout: Duration,
+        max_body: u64,
     ) -> Result<StreamingResponse, RequestError> {
         let connected = self.connect(address, request.new_connection).await;
         let stream = connected.map_err(RequestError::NotSent)?;
         // Boxed because the decoder's state is large and each wrapping future would copy it.
-        let exchange = Box::pin(self.exchange(address, stream, request));
+        let exchange = Box::pin(self.exchange(address, stream, request, max_body));
         time_limits::io_timeout(timeout, exchange).await.map_err(RequestError::MaybeSent)
     }
 
@@ -281,6 +310,7 @@
         address: SocketAddr,
         stream: TcpStream,
         request: OutboundRequest,
+        max_body: u64,
     ) -> io::Result<StreamingResponse> {
         let head_only = request.method == Method::Head;
         send_request(&stream, address, request).await?;
@@ -290,7 +320,10 @@
             return Err(invalid("response has neither Content-Length nor chunked encoding"));
         }
         let length = if has_no_body { BodyLength::Absent } else { info.length };
-        let message = MessageStream::new(bytes, end, length, stream.clone());
+        if matches!(length, BodyLength::Exact(count) if count > max_body) {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        let message = MessageStream::new(bytes, end, length, max_body, stream.clone());
         let response = Box::pin(client::decode(message.clone()))
             .await
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, format!("{error}")))?;
--- a/toucanrail-wire/src/listeners.rs
+++ b/toucanrail-wire/src/listeners.rs
@@ -19,6 +19,9 @@
 use crate::time_limits;
 
 const READ_SIZE: usize = 8 * 1024;
+/// Size of a body with its framing, as a multiple of its data: a chunk of one byte has five bytes
+/// around it.
+const MAX_FRAMING_FACTOR: u64 = 6;
 /// Pause after a failed accept, which usually means that no file descriptor is available.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -155,7 +158,8 @@
             Err(code) => return reject(stream, limits, code).await,
         };
         let bytes = std::mem::take(&mut buffered);
-        let message = MessageStream::new(bytes, end, info.length, stream.clone());
+        let max_body = limits.max_body as u64 * MAX_FRAMING_FACTOR;
+        let message = MessageStream::new(bytes, end, info.length, max_body, stream.clone());
         let received =
             time_limits::timeout(limits.request_timeout, receive(&message, limits)).await;
         let received = match received.unwrap_or(Err(codetable::SLOW_SENDER)) {
@@ -263,7 +267,10 @@
     stream.shutdown(std::net::Shutdown::Write).ok();
     let mut chunk = vec![0; READ_SIZE];
     let reading = async {
-        while stream.read(&mut chunk).await? > 0 {}
+        while stream.read(&mut chunk).await? > 0 {
+            // The timeout applies also while bytes keep coming.
+            smol::future::yield_now().await;
+        }
         Ok(())
     };
     time_limits::io_timeout(LINGER, reading).await.ok();
--- a/toucanrail-wire/src/message_streams.rs
+++ b/toucanrail-wire/src/message_streams.rs
@@ -10,10 +10,15 @@
 use smol::net::TcpStream;
 use toucanrail::scanners::{BodyLength, ChunkScanner};
 
+/// Bytes after which a reader yields to the other tasks of its thread. A peer that sends as fast as
+/// its bytes are read would hold them up, and with them the timeout of the read itself.
+const YIELD_INTERVAL: u64 = 128 * 1024;
+
 /// Provides the bytes of one message and nothing after it.
 ///
 /// `async-h1` reports a regular end when the peer closes the connection early. To make truncated
-/// messages visible, this stream fails with `UnexpectedEof` unless the body is complete.
+/// messages visible, this stream fails with `UnexpectedEof` unless the body is complete. It fails with
+/// `FileTooLarge` once the body, with its framing, exceeds a limit.
 #[derive(Debug, Clone)]
 pub struct MessageStream {
     state: Arc<Mutex<MessageState>>,
@@ -26,6 +31,10 @@
     position: usize,
     head_length: usize,
     body: BodyState,
+    /// Bytes of the body, with its framing, that may still be read.
+    allowed: u64,
+    /// Bytes read since the reader last yielded.
+    read_unyielded: u64,
 }
 
 #[derive(Debug)]
@@ -63,14 +72,22 @@
 
 impl MessageStream {
     /// Makes a stream of a message whose first bytes, `prefix`, have been read from `stream`: a
-    /// head of `head_length` bytes and possibly the start of the body.
-    pub fn new(prefix: Vec<u8>, head_length: usize, length: BodyLength, stream: TcpStream) -> Self {
+    /// head of `head_length` bytes and possibly the start of the body. The body, with its framing, may
+    /// have `max_body` bytes.
+    pub fn new(
+        prefix: Vec<u8>,
+        head_length: usize,
+        length: BodyLength,
+        max_body: u64,
+        stream: TcpStream,
+    ) -> Self {
         let body = match length {
             BodyLength::Absent => BodyState::Exact(0),
             BodyLength::Exact(count) => BodyState::Exact(count),
             BodyLength::Chunked => BodyState::Chunked(ChunkScanner::new()),
         };
-        let state = MessageState { prefix, position: 0, head_length, body };
+        let (position, allowed, read_unyielded) = (0, max_body, 0);
+        let state = MessageState { prefix, position, head_length, body, allowed, read_unyielded };
         Self { state: Arc::new(Mutex::new(state)), stream }
     }
 
@@ -92,18 +109,36 @@
 }
 
 impl MessageState {
-    fn copy_prefix(&mut self, buffer: &mut [u8]) -> usize {
+    fn copy_prefix(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         let available = buffer.len().min(self.prefix.len() - self.position);
         let start = self.position;
         let consumed = if start < self.head_length {
             available.min(self.head_length - start)
         } else {
             let Self { prefix, body, .. } = self;
-            body.consume(&prefix[start..start + available])
+            let consumed = body.consume(&prefix[start..start + available]);
+            self.count_body(consumed)?;
+            consumed
         };
         buffer[..consumed].copy_from_slice(&self.prefix[start..start + consumed]);
         self.position += consumed;
-        consumed
+        Ok(consumed)
+    }
+
+    /// Counts bytes of the body against the limit.
+    fn count_body(&mut self, count: usize) -> io::Result<()> {
+        let left = self.allowed.checked_sub(count as u64);
+        self.allowed = left.ok_or(io::ErrorKind::FileTooLarge)?;
+        Ok(())
+    }
+
+    /// Returns whether the reader must let other tasks run before it reads on.
+    fn must_yield(&mut self) -> bool {
+        let must_yield = self.read_unyielded >= YIELD_INTERVAL;
+        if must_yield {
+            self.read_unyielded = 0;
+        }
+        must_yield
     }
 }
 
@@ -118,16 +153,22 @@
         if state.position < state.head_length
             || (state.position < state.prefix.len() && !state.body.is_done())
         {
-            return Poll::Ready(Ok(state.copy_prefix(buffer)));
+            return Poll::Ready(state.copy_prefix(buffer));
         }
         if state.body.is_done() {
             return Poll::Ready(Ok(0));
         }
+        if state.must_yield() {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let limit = state.body.max_read(buffer.len());
         match Pin::new(stream).poll_read(context, &mut buffer[..limit]) {
             Poll::Ready(Ok(0)) => Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
             Poll::Ready(Ok(count)) => {
                 let consumed = state.body.consume(&buffer[..count]);
+                state.read_unyielded += count as u64;
+                state.count_body(consumed)?;
                 let head_length = state.head_length;
                 state.prefix.truncate(head_length);
                 state.position = head_length;
