Streams begin at a version only once the store's record names it

A report from a system like ours: after all entries were killed, streams that callers took up went on with another version's text. It can happen here: where relays cannot write to the store, a second version begins streams, all processes lose power and the version's server is gone, the record names the first version alone and the rest comes from there (joined_versions unwritten_record failed before at the first stream that it takes up).

Cause: versions were written down after their first stream.

Change: an entry has a relay write a further version to the record before streams begin there (recorded_versions, VersionHistory::may_begin), as long as a server of a recorded version can take them; statements of other entries confirm a sole version only beside the record. joined_versions, stream_versions and taken_up_streams pass.

--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod origin_store;
 pub mod permits;
 pub mod placing;
+pub mod recorded_versions;
 pub mod relay;
 pub mod relay_api;
 pub mod relay_checks;
--- a/toucanrail-gateway/src/origin_search.rs
+++ b/toucanrail-gateway/src/origin_search.rs
@@ -173,20 +173,39 @@
     if replies.iter().any(OriginReply::is_contradictory) {
         return None;
     }
-    let sole = match sole {
-        Some(sole) if sole.is_proved || sole.is_confirmed(&replies) => Some(sole),
-        sole => {
-            if let Some(attempt) = attempt
-                && let Some(origin) = origin_store::find_stored(gateway, attempt).await
-            {
-                note_again(gateway, info, route, &origin);
-                return Some((origin, OriginSource::Stored));
-            }
-            let sole = sole.filter(|sole| !sole.is_refuted(&replies));
-            find_recorded(gateway, route, sole).await
-        }
-    };
-    Some((sole?.origin, OriginSource::SoleVersion))
+    if let Some(sole) = &sole
+        && (sole.is_proved || is_confirmed(gateway, route, sole, &replies).await)
+    {
+        return Some((sole.origin.clone(), OriginSource::SoleVersion));
+    }
+    if let Some(attempt) = attempt
+        && let Some(origin) = origin_store::find_stored(gateway, attempt).await
+    {
+        note_again(gateway, info, route, &origin);
+        return Some((origin, OriginSource::Stored));
+    }
+    let sole = sole.filter(|sole| !sole.is_refuted(&replies));
+    let sole = find_recorded(gateway, route, sole).await?;
+    Some((sole.origin, OriginSource::SoleVersion))
+}
+
+/// Returns whether other entries have stated that there is no other version. They may have done so just
+/// before another one began streams and was killed, so that the store's record must not name it.
+async fn is_confirmed(
+    gateway: &Gateway,
+    route: &RouteRule,
+    sole: &SoleVersion,
+    replies: &[OriginReply],
+) -> bool {
+    let StreamOrigin { service, version } = &sole.origin;
+    if !sole.is_confirmed(replies) {
+        return false;
+    }
+    let record = origin_store::read_versions(gateway, service).await;
+    // Another version may have been listed meanwhile.
+    let listed = find_sole_version(gateway, route);
+    record.is_none_or(|record| record.is_sole(version))
+        && listed.is_some_and(|listed| listed.origin == sole.origin)
 }
 
 /// Notes where a stream began that a caller takes up, for the time in which it may do so again.
--- a/toucanrail-gateway/src/origin_store.rs
+++ b/toucanrail-gateway/src/origin_store.rs
@@ -14,6 +14,7 @@
 use toucanrail::origins::{OriginReport, OriginTable, StreamOrigin};
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
 use toucanrail::stored_origins::{self, OriginWriter, StoredOrigins};
+use toucanrail::version_history::ListedVersions;
 use toucanrail::version_records::{self, RecordKeeper, VersionRecord};
 use toucanrail_platform::stores::ListFreshness;
 
@@ -101,19 +102,35 @@
     writing.or(expiring).await;
 }
 
-/// Makes calls until the store has all that the relay remembers. Returns false if it does not respond.
-async fn write_all(api: &RelayApi) -> bool {
-    let OriginStore { writer, records, calling, .. } = &api.origin_store;
+/// Writes versions of services to their records. Returns whether the records name all of them.
+pub async fn record_versions(api: &RelayApi, listed: ListedVersions) -> bool {
+    let OriginStore { records, calling, .. } = &api.origin_store;
     let _calling = calling.lock().await;
-    let mut responds = true;
+    let now = api.change_feed.now();
+    records.borrow_mut().refresh(&listed, now);
+    records.borrow_mut().record_listed(listed.clone(), now);
+    write_records(api).await;
+    records.borrow().has_recorded(&listed)
+}
+
+/// Makes calls until the records are up to date. Returns false if the store does not respond.
+async fn write_records(api: &RelayApi) -> bool {
     while let Some(call) = next_record_call(api) {
         let reply = api.grant_manager.store.call(&call).await;
+        let records = &api.origin_store.records;
         records.borrow_mut().handle_reply(&reply, api.change_feed.now());
         if is_lost(&call, &reply) {
-            responds = false;
-            break;
+            return false;
         }
     }
+    true
+}
+
+/// Makes calls until the store has all that the relay remembers. Returns false if it does not respond.
+async fn write_all(api: &RelayApi) -> bool {
+    let OriginStore { writer, calling, .. } = &api.origin_store;
+    let _calling = calling.lock().await;
+    let responds = write_records(api).await;
     while let Some(call) = next_origin_call(api) {
         let reply = api.grant_manager.store.call(&call).await;
         let (restored, now) = (writer.borrow_mut().handle_reply(&reply), api.change_feed.now());
--- a/toucanrail-gateway/src/placing.rs
+++ b/toucanrail-gateway/src/placing.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 use toucanrail::backends::{BackendId, BackendRow, BackendTable};
-use toucanrail::matching;
+use toucanrail::matching::{self, RouteKind};
 use toucanrail::origins::StreamOrigin;
 use toucanrail::placement::{self, PlacementQuery};
 use toucanrail::probes::{self, ProbeRow, ServerChoice};
@@ -40,6 +40,16 @@
     pub offload_draw: f64,
 }
 
+/// Keeps the servers whose versions are recorded in the store, if there are any.
+fn prefer_recorded(table: &BackendTable, eligible: &mut Vec<&BackendRow>) {
+    let is_recorded = |row: &BackendRow| {
+        table.versions().may_begin(&row.entry.service, &row.entry.software_version)
+    };
+    if eligible.iter().any(|row| is_recorded(row)) {
+        eligible.retain(|row| is_recorded(row));
+    }
+}
+
 impl PlacementContext<'_> {
     /// Returns the properties of the request on which the choice depends. `random` in `0..1` decides
     /// whether servers that return from an ejection are considered.
@@ -65,6 +75,10 @@
     ) -> Vec<&'table BackendRow> {
         let mut eligible = table.eligible_for(&self.plan.service, self.origin, self.tried, now);
         eligible.retain(|row| self.is_region_allowed(row));
+        if self.origin.is_none() && self.plan.route.kind == (RouteKind::Stream { resumable: true })
+        {
+            prefer_recorded(table, &mut eligible);
+        }
         eligible
     }
 
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -20,7 +20,7 @@
 use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
 use toucanrail::rotations::{RotationCounts, RotationOrder, RotationReport, RotationTable};
 use toucanrail::suspects::SuspectTable;
-use toucanrail::version_history::StatementTable;
+use toucanrail::version_history::{ListedVersions, StatementTable};
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::rpc;
 use toucanrail_wire::time_limits;
@@ -51,6 +51,10 @@
 /// [`OriginReply`].
 pub const ORIGIN_PATH: &str = "/origins/find";
 
+/// Path of a call that takes [`ListedVersions`] and returns whether the store's records name all of
+/// them.
+pub const RECORD_PATH: &str = "/versions/record";
+
 /// Path of a call that takes a [`SuspectReport`] and returns a [`HoldReply`].
 pub const SUSPECT_PATH: &str = "/suspects/report";
 /// Path of a call that takes a [`HoldQuery`] and returns a [`HoldReply`].
@@ -147,6 +151,11 @@
                 let attempt: Option<RequestId> = rpc::decode(&body)?;
                 rpc::reply(&connection, &find_origin(api, attempt.as_ref())).await?;
             }
+            RECORD_PATH => {
+                let listed: ListedVersions = rpc::decode(&body)?;
+                let is_recorded = origin_store::record_versions(api, listed).await;
+                rpc::reply(&connection, &is_recorded).await?;
+            }
             SUSPECT_PATH => {
                 record_suspects(api, &rpc::decode(&body)?);
                 rpc::reply(&connection, &list_holds(api)).await?;
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -34,6 +34,7 @@
 use crate::loan_client::{self, LoanClient};
 use crate::origin_notes::{self, NoteSender};
 use crate::origin_store::OriginReader;
+use crate::recorded_versions::{self, VersionRecorder};
 use crate::relay_checks::{self, RelayChecker};
 use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
@@ -83,6 +84,7 @@
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
     executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
     executor.spawn(origin_notes::send_notes(Rc::clone(&shared))).detach();
+    executor.spawn(recorded_versions::record_versions(Rc::clone(&shared))).detach();
     executor.spawn(origin_notes::log_notes(Rc::clone(&shared))).detach();
     executor.spawn(suspect_reports::send_reports(Rc::clone(&shared))).detach();
     for slot in 0..suspect_reports::COPIES {
@@ -139,6 +141,7 @@
         server_probes: ServerCache::default(),
         permit_failures: RefCell::default(),
         note_sender: NoteSender::default(),
+        version_recorder: VersionRecorder::default(),
         origin_reader: OriginReader::default(),
         suspect_reporter: SuspectReporter::default(),
         memory,
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -37,6 +37,7 @@
 use crate::loan_client::LoanClient;
 use crate::origin_notes::NoteSender;
 use crate::origin_store::OriginReader;
+use crate::recorded_versions::VersionRecorder;
 use crate::relay_api::RelayApi;
 use crate::relay_checks::{self, RelayChecker};
 use crate::relay_client::RelayBackoff;
@@ -138,6 +139,8 @@
     pub permit_failures: RefCell<RelayFailures>,
     /// Sends the origins of streams to relays.
     pub note_sender: NoteSender,
+    /// Has new versions of servers recorded in the store.
+    pub version_recorder: VersionRecorder,
     /// Reads those that relays have written to the store.
     pub origin_reader: OriginReader,
     /// Tells relays under which requests servers ended.
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -21,6 +21,7 @@
 use toucanrail_wire::time_limits;
 
 use crate::change_feed::CHANGES_PATH;
+use crate::recorded_versions;
 use crate::relay_client;
 use crate::state::{Gateway, GatewayTables};
 
@@ -408,6 +409,8 @@
                 if !cold.is_zero() {
                     tables.backends.record_cold(&object.name, cold, now);
                 }
+                drop(tables);
+                recorded_versions::check_recorded(gateway);
                 true
             }
             Err(reason) => {
@@ -450,6 +453,7 @@
             self.record_missing(gateway, id);
         }
         gateway.tables.borrow_mut().backends.mark_listed(gateway.now());
+        recorded_versions::check_recorded(gateway);
         tracing::info!(event = "servers_listed", servers = listed.len(), known = known.len());
     }
 
--- a/toucanrail-gateway/tests/platform/streams.rs
+++ b/toucanrail-gateway/tests/platform/streams.rs
@@ -36,7 +36,11 @@
 
 impl Fleet {
     pub fn start(relay_count: usize) -> Self {
-        let store = Store::start();
+        Self::start_at(Store::start(), relay_count)
+    }
+
+    /// Starts a fleet at a store, which may be behind proxies.
+    pub fn start_at(store: Store, relay_count: usize) -> Self {
         let old = ["i-5", "i-6"].map(|id| Backend::start(id, stream_version("v1")));
         // Of servers with equal loads, entries prefer the first by id.
         let new = Backend::start("i-0", stream_version("v2"));
@@ -49,6 +53,14 @@
         Self { store, old, new, relays, entries }
     }
 
+    /// Waits until a restarted entry could tell that all servers have run one version.
+    pub fn wait_sole_version(&self) {
+        super::wait_until("a stream that goes on", || {
+            call_stream(&self.entries[0], &fresh_id(), "Last-Event-Id: 1\r\n")
+                .starts_with("HTTP/1.1 200")
+        });
+    }
+
     /// Adds the server of version `v2`, and waits until both entries send new streams there.
     pub fn add_version(&self) {
         super::register_version(&self.store, &self.new, "v2");
@@ -103,17 +115,24 @@
 
 /// Begins a stream at any version. Returns the connection after its first event, and the version.
 pub fn begin_any(entry: &Process, id: &str) -> (TcpStream, String) {
+    try_begin(entry, id).expect("an event")
+}
+
+/// Like [`begin_any`], but returns `None` if the request is refused.
+pub fn try_begin(entry: &Process, id: &str) -> Option<(TcpStream, String)> {
     let mut caller = TcpStream::connect(entry.callers).expect("a connection");
     caller.write_all(stream_request(id, "").as_bytes()).expect("to write");
     let mut received = Vec::new();
     let mut byte = [0];
     while !received.ends_with(b"\n\n") {
-        assert_eq!(caller.read(&mut byte).expect("an event"), 1, "{received:?}");
+        if caller.read(&mut byte).expect("a response") == 0 {
+            return None;
+        }
         received.push(byte[0]);
     }
     let received = String::from_utf8_lossy(&received);
-    let (_, version) = received.rsplit_once("data: ").expect("an event");
-    (caller, version.trim_end().to_owned())
+    let (_, version) = received.rsplit_once("data: ")?;
+    Some((caller, version.trim_end().to_owned()))
 }
 
 /// Takes a stream up after its first event.
--- a/toucanrail-gateway/tests/taken_up_streams.rs
+++ b/toucanrail-gateway/tests/taken_up_streams.rs
@@ -138,9 +138,7 @@
 fn sole_after_loss() {
     let mut fleet = Fleet::start(RELAYS);
     let unnamed = |entry: &Process| call_stream(entry, &fresh_id(), "Last-Event-Id: 1\r\n");
-    platform::wait_until("a stream that goes on", || {
-        unnamed(&fleet.entries[0]).starts_with("HTTP/1.1 200")
-    });
+    fleet.wait_sole_version();
     begin_streams(&fleet.entries[0]);
     thread::sleep(RECORD_TIME);
     restart_all(&mut fleet);
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -18,7 +18,7 @@
 use crate::paces::BackendReport;
 use crate::reported_loads::ReportedLoad;
 use crate::statements::{RememberedStatements, ServerProcess, ServerStatements};
-use crate::version_history::VersionHistory;
+use crate::version_history::{ListedVersions, VersionHistory};
 
 /// Id of a backend server; most restarts assign a new one.
 pub type BackendId = Arc<str>;
@@ -348,6 +348,11 @@
             .sweep(now, lifetime, |service, version| registered.contains(&(service, version)));
     }
 
+    /// Records that the store's records name versions.
+    pub fn record_written_versions(&mut self, written: &ListedVersions) {
+        self.versions.record_written(written);
+    }
+
     /// Returns which software versions the servers of each service have run.
     pub fn versions(&self) -> &VersionHistory {
         &self.versions
--- a/toucanrail/src/version_history.rs
+++ b/toucanrail/src/version_history.rs
@@ -35,6 +35,9 @@
 pub struct VersionHistory {
     /// When the last server of a version was missed; none while one is registered.
     rows: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Option<Duration>>>,
+    /// Versions of services with several that the store's records name. Streams begin at these only,
+    /// since a power loss right after a stream's first event may leave no other trace of its version.
+    recorded: ListedVersions,
     /// When all servers were last listed.
     known_since: Option<Duration>,
     /// Whether no stream began before.
@@ -45,7 +48,46 @@
     /// Records that a server is registered.
     pub fn record_registered(&mut self, service: &ServiceName, version: &SoftwareVersion) {
         let versions = self.rows.entry(ServiceName::clone(service)).or_default();
-        versions.insert(SoftwareVersion::clone(version), None);
+        let is_known = versions.insert(SoftwareVersion::clone(version), None).is_some();
+        if !is_known && versions.len() > 1 && self.known_since.is_some() {
+            let earlier = versions.keys().filter(|known| *known != version).cloned();
+            self.recorded.entry(ServiceName::clone(service)).or_insert_with(|| earlier.collect());
+        }
+    }
+
+    /// Returns whether streams may begin at servers of a version.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::version_history::VersionHistory;
+    /// let (service, mut history) = ("llm".into(), VersionHistory::default());
+    /// history.record_registered(&service, &"v1".into());
+    /// history.record_listed(Duration::ZERO);
+    /// history.record_registered(&service, &"v2".into());
+    /// assert!(history.may_begin("llm", "v1") && !history.may_begin("llm", "v2"));
+    /// history.record_written(&history.unrecorded_versions());
+    /// assert!(history.may_begin("llm", "v2"));
+    /// ```
+    pub fn may_begin(&self, service: &str, version: &str) -> bool {
+        self.recorded.get(service).is_none_or(|versions| versions.contains(version))
+    }
+
+    /// Returns all versions of the services with versions that the store's records may lack.
+    pub fn unrecorded_versions(&self) -> ListedVersions {
+        let mut listed = self.listed_versions();
+        listed.retain(|service, versions| {
+            versions.len() > 1 && self.recorded.get(service) != Some(versions)
+        });
+        listed
+    }
+
+    /// Records that the store's records name versions.
+    pub fn record_written(&mut self, written: &ListedVersions) {
+        for (service, versions) in written {
+            let recorded = self.recorded.entry(ServiceName::clone(service)).or_default();
+            recorded.extend(versions.iter().cloned());
+        }
     }
 
     /// Records that the fleet starts for the first time, so that there are no older streams.
@@ -80,6 +122,12 @@
                 now.saturating_sub(*missed_at.get_or_insert(now)) <= lifetime
             });
         }
+        let rows = &self.rows;
+        self.recorded.retain(|service, recorded| {
+            let known = rows.get(service).filter(|versions| versions.len() > 1);
+            recorded.retain(|version| known.is_some_and(|known| known.contains_key(version)));
+            known.is_some()
+        });
     }
 
     /// Returns the version that began all streams of a service in the last `lifetime`, or none if
--- a/toucanrail/src/version_records.rs
+++ b/toucanrail/src/version_records.rs
@@ -20,6 +20,8 @@
 
 /// Time after which a record that was missing is read again.
 const MISSING_TIME: Duration = Duration::from_secs(2);
+/// Time after which a record is read again before a version counts as named by it.
+const REFRESH_TIME: Duration = Duration::from_secs(2);
 
 /// Object of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,8 +94,8 @@
             Some(VersionStatement::Sole(version)) => Some(version),
             _ => None,
         };
-        // A record that is new must not lack versions that have served before.
-        if known.is_missing() && sole.is_none() {
+        // A record that is new must not name one version if others may have served before.
+        if known.is_missing() && sole.is_none() && self.listed.len() < 2 {
             return None;
         }
         let mut versions: BTreeSet<SoftwareVersion> = self.listed.keys().cloned().collect();
@@ -118,6 +120,25 @@
         }
     }
 
+    /// Reads the records of services again that were last read or written some time ago: another relay
+    /// may have removed a version from them.
+    pub fn refresh(&mut self, services: &ListedVersions, now: Duration) {
+        for service in services.keys() {
+            if let Some(row) = self.rows.get_mut(service) {
+                row.known.take_if(|known| now >= known.known_since + REFRESH_TIME);
+            }
+        }
+    }
+
+    /// Returns whether the records name all of these versions.
+    pub fn has_recorded(&self, listed: &ListedVersions) -> bool {
+        listed.iter().all(|(service, versions)| {
+            let known = self.rows.get(service).and_then(|row| row.known.as_ref());
+            let record = known.and_then(|known| known.record.as_ref());
+            record.is_some_and(|record| versions.is_subset(&record.versions))
+        })
+    }
+
     /// Returns the next call to the store, or `None` if the records are up to date. `statements` are
     /// those of all entries that the relay hears of.
     ///
