--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -14,9 +14,10 @@
 use smol::LocalExecutor;
 use smol::future::FutureExt;
 use toucanrail::accounts::GrantAccount;
-use toucanrail::budgets::BillRow;
+use toucanrail::budgets::{BillRow, BilledRun};
 use toucanrail::grants::{GrantHold, GrantTable};
 use toucanrail::ids::{CustomerId, EntryId, ShardName, Tokens};
+use toucanrail::loans::{self, LoanId};
 use toucanrail::syncs::{SyncMachine, SyncOutcome};
 use toucanrail::{paths, policies};
 use toucanrail_daemons::metrics::ProcessMetrics;
@@ -74,7 +75,8 @@
     /// Access to the store.
     pub store: Rc<StoreAccess>,
     tuning: GatewayTuning,
-    metrics: ProcessMetrics,
+    /// Metrics of the process.
+    pub metrics: ProcessMetrics,
     executor: Rc<LocalExecutor<'static>>,
     /// Recent refusals, by customer.
     refusals: RefCell<BTreeMap<CustomerId, CachedRefusal>>,
@@ -135,19 +137,20 @@
     }
 
     /// Acquires a hold on the customer's grant, waiting for a sync if the grant does not cover the
-    /// amount.
+    /// amount, or if the tenure does not yet name the borrower of a loan.
     pub async fn acquire_hold(
         &self,
         customer: &CustomerId,
         amount: Tokens,
         rank: u8,
         time_left: Duration,
+        borrower: Option<&EntryId>,
     ) -> Result<GrantHold, HoldFailure> {
         if !self.may_spend(customer, amount, rank) {
             self.log_short(customer, amount);
             return Err(HoldFailure::Short);
         }
-        if let Ok(hold) = self.grants.borrow_mut().hold(customer, amount) {
+        if let Some(hold) = self.try_hold(customer, amount, borrower) {
             return Ok(hold);
         }
         // No sync could change this: totals come with the configuration, and the billed amount only
@@ -169,9 +172,8 @@
         // Runs also if the caller leaves, which drops this future.
         let pending =
             scopeguard::guard((), |()| self.grants.borrow_mut().end_wait(customer, amount));
-        let waiting =
-            time_limits::timeout(GRANT_WAIT.min(time_left / 4), self.wait_hold(customer, amount));
-        let waited = waiting.await;
+        let waiting = self.wait_hold(customer, amount, borrower);
+        let waited = time_limits::timeout(GRANT_WAIT.min(time_left / 4), waiting).await;
         drop(pending);
         let acquired = waited.unwrap_or(Err(HoldFailure::Short));
         if acquired.is_err() {
@@ -180,6 +182,23 @@
         acquired
     }
 
+    /// Holds an amount if the grant covers it and the tenure names the borrower.
+    fn try_hold(
+        &self,
+        customer: &CustomerId,
+        amount: Tokens,
+        borrower: Option<&EntryId>,
+    ) -> Option<GrantHold> {
+        let mut grants = self.grants.borrow_mut();
+        if let Some(borrower) = borrower {
+            grants.want_agent(borrower);
+            if !grants.usable_agents(customer).is_some_and(|agents| agents.contains(borrower)) {
+                return None;
+            }
+        }
+        grants.hold(customer, amount).ok()
+    }
+
     /// Returns whether a request may use the grant. While the store does not respond, the remaining
     /// grant is reserved for the most urgent rank and for small requests.
     fn may_spend(&self, customer: &CustomerId, amount: Tokens, rank: u8) -> bool {
@@ -193,6 +212,7 @@
         &self,
         customer: &CustomerId,
         amount: Tokens,
+        borrower: Option<&EntryId>,
     ) -> Result<GrantHold, HoldFailure> {
         // Only a shard that was read after the request arrived may refuse it. A sync that is
         // already in progress may have read the shard earlier.
@@ -204,10 +224,10 @@
             self.grants.borrow_mut().request_sync(customer);
             self.sync_requested.notify(usize::MAX);
             synced.await;
-            let mut grants = self.grants.borrow_mut();
-            if let Ok(hold) = grants.hold(customer, amount) {
+            if let Some(hold) = self.try_hold(customer, amount, borrower) {
                 return Ok(hold);
             }
+            let grants = self.grants.borrow();
             if grants.confirmed_syncs(&shard) < needed {
                 continue;
             }
@@ -222,8 +242,21 @@
         }
     }
 
-    /// Ends a hold and bills the tokens that its request used.
-    pub fn end_hold(&self, hold: &GrantHold, request: Arc<str>, service: Arc<str>, used: Tokens) {
+    /// Ends a hold and bills the tokens that its request used. `loan` is the loan that the hold was
+    /// for, if it was lent.
+    pub fn end_hold(
+        &self,
+        hold: &GrantHold,
+        request: Arc<str>,
+        service: Arc<str>,
+        used: Tokens,
+        loan: Option<&LoanId>,
+    ) {
+        let run = |loan: &LoanId| BilledRun {
+            run: Arc::clone(loan),
+            agent: Arc::from(loans::borrower_of(loan)),
+            used,
+        };
         let bill = (used > 0).then(|| BillRow {
             request,
             customer: Arc::clone(&hold.customer),
@@ -233,21 +266,45 @@
             billed: used.min(hold.amount),
             written_off: 0,
             unproved: 0,
-            runs: Vec::new(),
+            runs: loan.map(run).into_iter().collect(),
         });
         self.grants.borrow_mut().end_hold(hold, bill);
     }
 
+    /// Ends the hold of a loan whose borrower has ended without telling what it used. Nobody can tell
+    /// it any more, so the amount is frozen.
+    pub fn freeze_hold(&self, hold: &GrantHold, loan: &LoanId) {
+        let bill = BillRow {
+            request: Arc::clone(loan),
+            customer: Arc::clone(&hold.customer),
+            service: Arc::from(""),
+            epoch: hold.epoch,
+            keyed: false,
+            billed: 0,
+            written_off: 0,
+            unproved: hold.amount,
+            runs: Vec::new(),
+        };
+        self.grants.borrow_mut().end_hold(hold, Some(bill));
+    }
+
     fn log_short(&self, customer: &CustomerId, amount: Tokens) {
         let grants = self.grants.borrow();
         let account = grants.account(customer);
+        let balance = grants.cached_balance(customer);
         tracing::info!(
             event = "grant_short", %customer, amount,
             granted = account.map(|account| account.granted),
             held = account.map(|account| account.held),
             burn = account.map(|account| account.burn as Tokens),
             stated = account.map(|account| account.prepaid),
-            prepaid_unspent_unallocated = ?grants.cached_balance(customer),
+            prepaid = balance.map(|balance| balance.prepaid),
+            unspent = balance.map(|balance| balance.unspent),
+            unallocated = balance.map(|balance| balance.unallocated),
+            replaced = balance.map(|balance| balance.replaced),
+            replaced_holders = balance.map(|balance| balance.replaced_holders),
+            others = balance.map(|balance| balance.others),
+            other_holders = balance.map(|balance| balance.other_holders),
             store_age_ms = self.store.time_since_response().as_millis() as u64,
         );
     }
--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -75,6 +75,8 @@
     let api = Rc::new(RelayApi {
         grant_manager: Rc::clone(&gateway.grant_manager),
         loans: RefCell::default(),
+        borrowers: RefCell::default(),
+        tenure_watch: RefCell::default(),
         stopping: Cell::new(false),
         change_feed: ChangeFeed::new(Rc::clone(&gateway.store), Rc::clone(executor)),
         permits: PermitTable::new(gateway.now()).into(),
--- /dev/null
+++ b/toucanrail-gateway/src/lending.rs
@@ -0,0 +1,241 @@
+//! The loans of a lender: opening and ending them, and reclaiming the tenures of lenders that have died.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toucanrail::grants::GrantHold;
+use toucanrail::ids::EntryId;
+use toucanrail::loans::{
+    self, LoanEnd, LoanId, LoanReceipt, LoanReply, LoanReport, LoanRequest, LoanTenure,
+};
+use toucanrail::reclaims::{ReclaimCall, ReclaimMachine, ReclaimOutcome, ReclaimReply};
+use toucanrail_wire::time_limits;
+
+use crate::grant_manager::{self, HoldFailure};
+use crate::relay_api::RelayApi;
+
+/// Time given to a loan request; [`GrantManager::acquire_hold`](grant_manager::GrantManager::acquire_hold)
+/// waits for at most a quarter of it.
+const LOAN_TIME: Duration = Duration::from_millis(1_400);
+/// Interval at which a stopping lender checks whether its loans have ended.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without a report after which the tenures of a lender no longer name a borrower.
+const BORROWER_TIME: Duration = Duration::from_secs(60);
+/// Interval at which a lender looks for tenures to reclaim.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a reclaim that did not finish.
+const RECLAIM_PAUSE: Duration = Duration::from_secs(1);
+
+/// Opens a loan if the grants cover it. Repeating the call for an open loan has no further effect.
+pub async fn open_loan(api: &RelayApi, request: &LoanRequest) -> LoanReply {
+    if let Some(tenure) = find_tenure(api, &request.loan) {
+        return LoanReply::Held(tenure);
+    }
+    let borrower: EntryId = Arc::from(loans::borrower_of(&request.loan));
+    if api.stopping.get() || api.borrowers.borrow().is_replaced(&borrower) {
+        return LoanReply::Leaving;
+    }
+    record_borrower(api, &borrower);
+    let LoanRequest { customer, amount, rank, .. } = request;
+    let manager = &api.grant_manager;
+    manager.raise_prepaid(customer, request.stated);
+    let named = manager.grants.borrow().lends().then_some(&borrower);
+    match manager.acquire_hold(customer, *amount, *rank, LOAN_TIME, named).await {
+        Ok(hold) if api.stopping.get() => {
+            manager.grants.borrow_mut().end_hold(&hold, None);
+            LoanReply::Leaving
+        }
+        Ok(hold) if api.loans.borrow().can_open(&request.loan) => {
+            let tenure = LoanTenure { shard: Arc::clone(&hold.shard), epoch: hold.epoch };
+            if named.is_some() {
+                manager.grants.borrow_mut().mark_agent(&hold.shard, &borrower, true);
+            }
+            api.loans.borrow_mut().open(&request.loan, hold);
+            LoanReply::Held(tenure)
+        }
+        Ok(hold) => {
+            // The entry gave the loan up and ended it while this call waited.
+            manager.grants.borrow_mut().end_hold(&hold, None);
+            LoanReply::Short
+        }
+        Err(HoldFailure::Short) => LoanReply::Short,
+        Err(HoldFailure::Uncovered) => LoanReply::Uncovered,
+    }
+}
+
+fn find_tenure(api: &RelayApi, loan: &LoanId) -> Option<LoanTenure> {
+    let loans = api.loans.borrow();
+    let hold = loans.find(loan)?;
+    Some(LoanTenure { shard: Arc::clone(&hold.shard), epoch: hold.epoch })
+}
+
+/// Records that an entry borrows, and freezes what an earlier process of its VM has not returned.
+fn record_borrower(api: &RelayApi, entry: &EntryId) {
+    let now = api.change_feed.now();
+    let Some(replaced) = api.borrowers.borrow_mut().record(entry, now) else {
+        return;
+    };
+    let loans = api.loans.borrow().loans_of(&replaced);
+    let mut amount = 0_u64;
+    for loan in &loans {
+        if let Some(hold) = take_loan(api, loan) {
+            amount = amount.saturating_add(hold.amount);
+            api.grant_manager.freeze_hold(&hold, loan);
+        }
+    }
+    let mut grants = api.grant_manager.grants.borrow_mut();
+    grants.record_acked(&replaced, &BTreeSet::new(), true);
+    tracing::info!(
+        event = "borrower_replaced", entry = %replaced, by = %entry, loans = loans.len(), amount,
+    );
+}
+
+/// Ends a loan and returns its hold.
+fn take_loan(api: &RelayApi, loan: &LoanId) -> Option<GrantHold> {
+    let hold = api.loans.borrow_mut().end(loan)?;
+    let borrower: EntryId = Arc::from(loans::borrower_of(loan));
+    api.grant_manager.grants.borrow_mut().mark_agent(&hold.shard, &borrower, false);
+    Some(hold)
+}
+
+fn end_loans(api: &RelayApi, ends: Vec<LoanEnd>) {
+    for end in ends {
+        if let Some(hold) = take_loan(api, &end.loan) {
+            let LoanEnd { loan, request, service, used } = end;
+            let named = api.grant_manager.grants.borrow().lends().then_some(&loan);
+            api.grant_manager.end_hold(&hold, request, service, used, named);
+        }
+    }
+}
+
+/// Handles what an entry reports of its loans.
+pub fn handle_report(api: &RelayApi, report: LoanReport) -> LoanReceipt {
+    let LoanReport { entry, ends, dropped, fenced, failed } = report;
+    end_loans(api, ends);
+    if api.borrowers.borrow().is_replaced(&entry) {
+        return LoanReceipt::default();
+    }
+    record_borrower(api, &entry);
+    let now = api.change_feed.now();
+    let mut watch = api.tenure_watch.borrow_mut();
+    for vm in &failed {
+        watch.record_failure(vm, now);
+    }
+    for (tenure, reply) in fenced {
+        watch.record_reply(&tenure, &entry, reply);
+    }
+    let mut grants = api.grant_manager.grants.borrow_mut();
+    if !dropped.is_empty() {
+        grants.record_acked(&entry, &dropped.into_iter().collect(), false);
+    }
+    LoanReceipt {
+        settled: grants.pending_acks_of(&entry),
+        fences: watch.fences_for(&entry),
+        closed: watch.closed(),
+    }
+}
+
+/// Reclaims the tenures of dead lenders in the shards that this one lends from, until the process exits.
+pub async fn reclaim_tenures(api: Rc<RelayApi>) {
+    while !api.stopping.get() {
+        smol::Timer::after(WATCH_INTERVAL).await;
+        observe_tenures(&api);
+        let ready = {
+            let borrowers = api.borrowers.borrow();
+            api.tenure_watch.borrow().find_ready(|entry| borrowers.has_ended(entry))
+        };
+        if let Some((tenure, holder)) = ready
+            && !reclaim(&api, &tenure, &holder).await
+        {
+            smol::Timer::after(RECLAIM_PAUSE).await;
+        }
+    }
+}
+
+fn observe_tenures(api: &RelayApi) {
+    let now = api.change_feed.now();
+    let recent = api.borrowers.borrow().list_recent(BORROWER_TIME, now);
+    let mut grants = api.grant_manager.grants.borrow_mut();
+    grants.retain_wanted(&recent);
+    let own = Arc::clone(grants.holder());
+    let mut watch = api.tenure_watch.borrow_mut();
+    for shard in grants.shards() {
+        if let Some(content) = grants.cached_shard(&shard).filter(|_| grants.has_tenure(&shard)) {
+            watch.observe(&shard, content, &own, now);
+        }
+    }
+}
+
+/// Reclaims a tenure whose borrowers have all reported. Returns whether it is closed, by this lender or
+/// another one.
+async fn reclaim(api: &RelayApi, tenure: &LoanTenure, holder: &EntryId) -> bool {
+    let manager = &api.grant_manager;
+    let (shard, own) = (Arc::clone(&tenure.shard), Arc::clone(manager.grants.borrow().holder()));
+    let mut machine = ReclaimMachine::new(shard, Arc::clone(holder), own, true);
+    while let Some(call) = machine.next_call() {
+        let reply = match call {
+            ReclaimCall::Store(call) => ReclaimReply::Store(manager.store.call(&call).await),
+            ReclaimCall::Fence { agent, epoch, .. } if epoch == tenure.epoch => {
+                find_report(api, tenure, &agent)
+            }
+            ReclaimCall::Fence { .. } => ReclaimReply::Unreachable,
+        };
+        machine.handle_reply(reply);
+    }
+    manager.metrics.report_unreadable(machine.unreadable());
+    let outcome = machine.into_outcome();
+    let is_over = matches!(outcome, ReclaimOutcome::Closed { .. } | ReclaimOutcome::NotNeeded);
+    if let ReclaimOutcome::Closed { proved, bills, .. } = &outcome {
+        manager.metrics.count_event("tenures_reclaimed");
+        tracing::info!(
+            event = "tenure_reclaimed", %holder, shard = %tenure.shard, epoch = tenure.epoch, proved, bills,
+        );
+    } else {
+        tracing::info!(event = "reclaim_unfinished", %holder, shard = %tenure.shard, ?outcome);
+    }
+    if is_over {
+        api.tenure_watch.borrow_mut().record_closed(tenure.clone(), api.change_feed.now());
+        // The next sync reads the shard with the returned tokens.
+        manager.grants.borrow_mut().take_cached(&tenure.shard);
+    }
+    is_over
+}
+
+fn find_report(api: &RelayApi, tenure: &LoanTenure, entry: &EntryId) -> ReclaimReply {
+    match api.tenure_watch.borrow().final_reply(tenure, entry) {
+        Some(reply) => ReclaimReply::Fenced(reply.clone()),
+        None if api.borrowers.borrow().has_ended(entry) => ReclaimReply::Gone,
+        None => ReclaimReply::Unreachable,
+    }
+}
+
+/// Stops lending and waits until the open loans have ended, for at most `timeout`.
+///
+/// The budget of loans that are open when the process exits is lost to their customers, since
+/// nobody can tell any more how much of it was used.
+pub async fn drain(api: &RelayApi, timeout: Duration) {
+    api.stopping.set(true);
+    tracing::info!(event = "stop", role = "relay", loans = api.loans.borrow().len());
+    grant_manager::release_unused(&api.grant_manager).await;
+    let ending = async {
+        while !api.loans.borrow().is_empty() {
+            smol::Timer::after(DRAIN_CHECK_INTERVAL).await;
+        }
+    };
+    if time_limits::timeout(timeout, ending).await.is_none() {
+        tracing::warn!(
+            event = "loans_left", loans = api.loans.borrow().len(), borrowers = ?count_borrowers(api),
+        );
+    }
+}
+
+/// Returns the number of open loans by borrower.
+fn count_borrowers(api: &RelayApi) -> BTreeMap<EntryId, usize> {
+    let mut counts = BTreeMap::new();
+    for loan in api.loans.borrow().open_loans() {
+        *counts.entry(Arc::from(loans::borrower_of(loan))).or_default() += 1;
+    }
+    counts
+}
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod grant_manager;
 pub mod hosting;
 pub mod launching;
+pub mod lending;
 pub mod link_admission;
 pub mod link_load;
 pub mod listening;
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -5,7 +5,7 @@
 //! used.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,15 +13,19 @@
 use std::time::Duration;
 
 use smol::future::FutureExt;
+use toucanrail::borrowings::{BorrowedRow, BorrowingLedger};
 use toucanrail::endpoints::RelayName;
 use toucanrail::grants::GrantHold;
-use toucanrail::ids::{CustomerId, RequestId, ServiceName, Tokens};
+use toucanrail::ids::{CustomerId, EntryId, RequestId, ServiceName, ShardName, Tokens};
 use toucanrail::link_shares;
-use toucanrail::loans::{self, LenderVerdict, LoanEnd, LoanId, LoanReply, LoanRequest};
+use toucanrail::loans::{
+    self, LenderVerdict, LoanEnd, LoanId, LoanReceipt, LoanReply, LoanReport, LoanRequest,
+    LoanTenure,
+};
 use toucanrail_wire::time_limits;
 
 use crate::grant_manager::HoldFailure;
-use crate::relay_api::{LOAN_END_PATH, LOAN_PATH};
+use crate::relay_api::{LOAN_PATH, LOAN_REPORT_PATH};
 use crate::relay_client::{self, RelayBackoff};
 use crate::state::Gateway;
 
@@ -41,8 +45,13 @@
 /// Interval at which loan ends are sent; the ends queued for a lender within one interval share a
 /// message.
 const END_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout of a message with loan ends.
-const END_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval of reports to a lender that there is nothing else to tell: its replies say which loans
+/// are settled, and which tenures must be fenced.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after the last loan in a shard for which its lender gets reports all the same.
+const SHARD_TIME: Duration = Duration::from_secs(60);
 /// Time for which ends are queued for a lender that does not respond. After that the lender is
 /// considered gone, and the budget of its loans stays granted to it.
 const END_RETENTION: Duration = Duration::from_secs(60);
@@ -56,26 +65,69 @@
     Loan { lender: Arc<str>, loan: LoanId },
 }
 
-/// Loan ends that one lender has not acknowledged.
-#[derive(Debug, Clone)]
-struct EndQueue {
+/// What is to be reported to one lender, and was not acknowledged.
+#[derive(Debug, Clone, Default)]
+struct ReportQueue {
     ends: Vec<LoanEnd>,
-    /// When the oldest of them was queued.
+    /// When the oldest of the ends was queued.
     since: Duration,
+    dropped: Vec<LoanId>,
+    fenced: Vec<LoanTenure>,
+    /// When the last report was sent, and the last one with fenced tenures.
+    reported_at: Option<Duration>,
+    fenced_at: Option<Duration>,
+}
+
+impl ReportQueue {
+    /// Returns whether a report is due.
+    fn is_due(&self, now: Duration) -> bool {
+        !self.ends.is_empty() || !self.dropped.is_empty() || is_past(self.reported_at, now)
+    }
+
+    /// Returns the tenures to report on now. Their reports may be long.
+    fn due_fences(&self, now: Duration) -> Vec<LoanTenure> {
+        if is_past(self.fenced_at, now) { self.fenced.clone() } else { Vec::new() }
+    }
+
+    /// Removes what a report contained.
+    fn remove(&mut self, report: &ReportQueue) {
+        self.ends.drain(..report.ends.len());
+        self.dropped.drain(..report.dropped.len());
+    }
+}
+
+/// Returns whether the interval of reports has passed since a time.
+fn is_past(since: Option<Duration>, now: Duration) -> bool {
+    since.is_none_or(|since| now.saturating_sub(since) >= REPORT_INTERVAL)
 }
 
 /// State of an entry's loans: failed lenders, and loan ends still to be sent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoanClient {
     /// Number in the id of the next loan.
     next_number: Cell<u64>,
     /// Whether the lender that was last asked did not respond.
     pub lenders_unreachable: Cell<bool>,
     backoff: RelayBackoff,
-    ends: RefCell<BTreeMap<Arc<str>, EndQueue>>,
+    queues: RefCell<BTreeMap<RelayName, ReportQueue>>,
+    ledger: RefCell<BorrowingLedger>,
+    /// When a loan of each shard was last requested.
+    used_shards: RefCell<BTreeMap<ShardName, Duration>>,
 }
 
 impl LoanClient {
+    /// Creates the client of an entry's process.
+    pub fn new(entry: &EntryId) -> Self {
+        Self {
+            next_number: Cell::new(0),
+            lenders_unreachable: Cell::new(false),
+            backoff: RelayBackoff::default(),
+            queues: RefCell::default(),
+            ledger: BorrowingLedger::new(Arc::clone(entry)).into(),
+            used_shards: RefCell::default(),
+        }
+    }
+
     /// Returns whether a lender failed recently and is not asked now.
     pub fn avoids(&self, lender: &Arc<str>, now: Duration) -> bool {
         self.backoff.is_active(lender, now)
@@ -131,7 +183,7 @@
         gateway.grant_manager.raise_prepaid(need.customer, need.prepaid_total);
         let hold = gateway
             .grant_manager
-            .acquire_hold(need.customer, amount, need.rank, need.time_left)
+            .acquire_hold(need.customer, amount, need.rank, need.time_left, None)
             .await;
         BudgetSource::Own(hold?)
     };
@@ -175,7 +227,7 @@
             Ok(reply) => {
                 pending.settled = true;
                 gateway.loan_client.lenders_unreachable.set(false);
-                if let Some(source) = read_reply(reply, &lender, &loan) {
+                if let Some(source) = read_reply(gateway, need, reply, &lender, &loan) {
                     gateway.loan_client.backoff.reset(&lender);
                     return Some(source);
                 }
@@ -206,7 +258,14 @@
 fn pick_lender(gateway: &Gateway, customer: &CustomerId) -> Option<(RelayName, SocketAddr)> {
     let now = gateway.now();
     let shard = gateway.grant_manager.shard_of(customer);
-    let ranked = loans::rank_lenders(&gateway.working_lenders(), &shard);
+    let picked = pick_shard_lender(gateway, &shard);
+    gateway.loan_client.used_shards.borrow_mut().insert(shard, now);
+    picked
+}
+
+fn pick_shard_lender(gateway: &Gateway, shard: &str) -> Option<(RelayName, SocketAddr)> {
+    let now = gateway.now();
+    let ranked = loans::rank_lenders(&gateway.working_lenders(), shard);
     ranked.into_iter().find(|(name, _)| !gateway.loan_client.avoids(name, now))
 }
 
@@ -258,15 +317,28 @@
     requesting.or(watching).await
 }
 
-/// Converts a lender's reply. Returns `None` if the lender is stopping and another one is to be
-/// asked.
+/// Converts a lender's reply. Returns `None` if the lender is stopping, or its tenure is fenced, and
+/// another one is to be asked.
 fn read_reply(
+    gateway: &Gateway,
+    need: &BudgetNeed<'_>,
     reply: LoanReply,
-    lender: &Arc<str>,
+    lender: &RelayName,
     loan: &LoanId,
 ) -> Option<Result<BudgetSource, HoldFailure>> {
     match reply {
-        LoanReply::Held => {
+        LoanReply::Held(tenure) => {
+            let row = BorrowedRow {
+                tenure,
+                customer: Arc::clone(need.customer),
+                request: Arc::clone(need.request),
+                service: Arc::clone(need.service),
+                used: None,
+            };
+            if !gateway.loan_client.ledger.borrow_mut().begin(Arc::clone(loan), row) {
+                queue_end(gateway, lender, make_end(loan, need.request, need.service, 0));
+                return None;
+            }
             Some(Ok(BudgetSource::Loan { lender: Arc::clone(lender), loan: Arc::clone(loan) }))
         }
         LoanReply::Short => Some(Err(HoldFailure::Short)),
@@ -302,17 +374,20 @@
     }
 }
 
-fn queue_end(gateway: &Gateway, lender: &Arc<str>, end: LoanEnd) {
-    let mut queues = gateway.loan_client.ends.borrow_mut();
-    let empty = || EndQueue { ends: Vec::new(), since: gateway.now() };
-    queues.entry(Arc::clone(lender)).or_insert_with(empty).ends.push(end);
+fn queue_end(gateway: &Gateway, lender: &RelayName, end: LoanEnd) {
+    let mut queues = gateway.loan_client.queues.borrow_mut();
+    let queue = queues.entry(Arc::clone(lender)).or_default();
+    if queue.ends.is_empty() {
+        queue.since = gateway.now();
+    }
+    queue.ends.push(end);
 }
 
-/// Sends queued loan ends to their lenders at regular intervals.
-pub async fn send_loan_ends(gateway: Rc<Gateway>) {
+/// Reports to lenders at regular intervals.
+pub async fn send_reports(gateway: Rc<Gateway>) {
     loop {
         smol::Timer::after(END_INTERVAL).await;
-        flush_loan_ends(&gateway).await;
+        flush_reports(&gateway).await;
     }
 }
 
@@ -325,67 +400,126 @@
         }
     };
     if time_limits::timeout(timeout, waiting).await.is_none() {
-        let lenders = gateway.loan_client.ends.borrow();
-        let ends: usize = lenders.values().map(|queue| queue.ends.len()).sum();
-        tracing::warn!(event = "ends_left", lenders = lenders.len(), ends);
+        let queues = gateway.loan_client.queues.borrow();
+        let lenders = queues.values().filter(|queue| !queue.ends.is_empty()).count();
+        let ends: usize = queues.values().map(|queue| queue.ends.len()).sum();
+        tracing::warn!(event = "ends_left", lenders, ends);
     }
 }
 
 /// Returns whether a lender that is listed has not acknowledged all loan ends.
 fn has_unsent_ends(gateway: &Gateway) -> bool {
     let lenders = gateway.store.lenders();
-    let is_listed = |lender: &Arc<str>| lenders.iter().any(|(name, _)| name == lender);
-    gateway.loan_client.ends.borrow().keys().any(is_listed)
+    let is_listed = |lender: &RelayName| lenders.iter().any(|(name, _)| name == lender);
+    let queues = gateway.loan_client.queues.borrow();
+    queues.iter().any(|(lender, queue)| !queue.ends.is_empty() && is_listed(lender))
 }
 
-/// Sends the queued loan ends to all lenders concurrently.
-async fn flush_loan_ends(gateway: &Rc<Gateway>) {
-    let lenders: Vec<Arc<str>> = gateway.loan_client.ends.borrow().keys().map(Arc::clone).collect();
+/// Reports to all lenders that there is something to tell, or that have not got a report for a while.
+async fn flush_reports(gateway: &Rc<Gateway>) {
+    let lenders = list_lenders_to_tell(gateway);
     let sending = lenders
         .into_iter()
-        .map(|lender| gateway.executor.spawn(send_queue(Rc::clone(gateway), lender)));
+        .map(|lender| gateway.executor.spawn(send_report(Rc::clone(gateway), lender)));
     for task in sending.collect::<Vec<_>>() {
         task.await;
     }
 }
 
-/// Sends the ends that are queued for a lender. They stay queued until the lender has them.
-async fn send_queue(gateway: Rc<Gateway>, lender: Arc<str>) {
-    let queue = gateway.loan_client.ends.borrow().get(&lender).cloned();
-    let Some(EndQueue { ends, since }) = queue else {
-        return;
+fn list_lenders_to_tell(gateway: &Gateway) -> BTreeSet<RelayName> {
+    let now = gateway.now();
+    let LoanClient { queues, ledger, used_shards, .. } = &gateway.loan_client;
+    let mut shards = ledger.borrow().shards();
+    let mut used_shards = used_shards.borrow_mut();
+    used_shards.retain(|_, used_at| now.saturating_sub(*used_at) <= SHARD_TIME);
+    shards.extend(used_shards.keys().map(Arc::clone));
+    let current = shards.iter().filter_map(|shard| pick_shard_lender(gateway, shard));
+    let current: BTreeSet<RelayName> = current.map(|(lender, _)| lender).collect();
+    let mut queues = queues.borrow_mut();
+    queues.retain(|lender, queue| current.contains(lender) || !queue.ends.is_empty());
+    for lender in current {
+        queues.entry(lender).or_default();
+    }
+    let due = queues.iter().filter(|(_, queue)| queue.is_due(now));
+    due.map(|(lender, _)| Arc::clone(lender)).collect()
+}
+
+/// Reports to a lender what is queued for it. The ends stay queued until the lender has them.
+async fn send_report(gateway: Rc<Gateway>, lender: RelayName) {
+    let now = gateway.now();
+    let queue = {
+        let mut queues = gateway.loan_client.queues.borrow_mut();
+        let queue = queues.entry(Arc::clone(&lender)).or_default();
+        queue.reported_at = Some(now);
+        let fenced = queue.due_fences(now);
+        if !fenced.is_empty() {
+            queue.fenced_at = Some(now);
+        }
+        ReportQueue { fenced, ..queue.clone() }
     };
-    let started = gateway.now();
     let listed = gateway.store.lenders().into_iter().find(|(name, _)| *name == lender);
-    let sent = match listed {
+    let sent: io::Result<LoanReceipt> = match listed {
         Some((_, address)) => {
-            let (path, timeout) = (LOAN_END_PATH, END_TIMEOUT);
-            relay_client::call_relay::<_, bool>(&gateway, &lender, address, path, &ends, timeout)
-                .await
+            let report = make_report(&gateway, &queue);
+            let (path, timeout) = (LOAN_REPORT_PATH, REPORT_TIMEOUT);
+            relay_client::call_relay(&gateway, &lender, address, path, &report, timeout).await
         }
         None => Err(io::ErrorKind::NotFound.into()),
     };
-    if let Err(error) = sent {
-        if gateway.now().saturating_sub(since) <= END_RETENTION {
-            return;
+    match sent {
+        Ok(receipt) => {
+            remove_reported(&gateway, &lender, &queue, now);
+            handle_receipt(&gateway, &lender, receipt);
+        }
+        Err(error) if now.saturating_sub(queue.since) > END_RETENTION => {
+            if !queue.ends.is_empty() {
+                tracing::warn!(event = "ends_dropped", %lender, ends = queue.ends.len(), %error);
+            }
+            gateway.loan_client.queues.borrow_mut().remove(&lender);
         }
-        tracing::warn!(event = "ends_dropped", %lender, ends = ends.len(), %error);
+        Err(_) => {}
     }
-    remove_ends(&gateway, &lender, ends.len(), started);
 }
 
-/// Removes the first ends of a lender's queue. Those behind them were queued later than `since`.
-fn remove_ends(gateway: &Gateway, lender: &Arc<str>, count: usize, since: Duration) {
-    let mut queues = gateway.loan_client.ends.borrow_mut();
+fn make_report(gateway: &Gateway, queue: &ReportQueue) -> LoanReport {
+    let mut ledger = gateway.loan_client.ledger.borrow_mut();
+    let fenced = queue.fenced.iter().map(|tenure| (tenure.clone(), ledger.fence(tenure)));
+    LoanReport {
+        entry: Arc::clone(&gateway.id),
+        ends: queue.ends.clone(),
+        dropped: queue.dropped.clone(),
+        fenced: fenced.collect(),
+        failed: gateway.loan_client.backoff.list_active(gateway.now()),
+    }
+}
+
+/// Removes from a lender's queue what it has got. The ends behind that were queued later than `since`.
+fn remove_reported(gateway: &Gateway, lender: &RelayName, report: &ReportQueue, since: Duration) {
+    let mut queues = gateway.loan_client.queues.borrow_mut();
     if let Some(queue) = queues.get_mut(lender) {
-        queue.ends.drain(..count);
+        queue.remove(report);
         queue.since = since;
-        if queue.ends.is_empty() {
-            queues.remove(lender);
-        }
     }
 }
 
+/// Drops from the ledger what is settled, and fences tenures of dead lenders.
+fn handle_receipt(gateway: &Gateway, lender: &RelayName, receipt: LoanReceipt) {
+    let LoanReceipt { settled, fences, closed } = receipt;
+    let mut ledger = gateway.loan_client.ledger.borrow_mut();
+    ledger.drop_settled(&settled);
+    for tenure in &closed {
+        ledger.drop_tenure(tenure);
+    }
+    for tenure in &fences {
+        // No loan of it may be used from now on, whenever the report is sent.
+        ledger.fence(tenure);
+    }
+    let mut queues = gateway.loan_client.queues.borrow_mut();
+    let queue = queues.entry(Arc::clone(lender)).or_default();
+    queue.dropped.extend(settled);
+    queue.fenced = fences;
+}
+
 impl BudgetGuard {
     /// Sets whether a backend server may have run the request.
     pub fn set_may_have_run(&self, may_have_run: bool) {
@@ -411,9 +545,10 @@
         match &self.source {
             BudgetSource::Own(hold) => {
                 let (request, service) = (Arc::clone(&self.request), Arc::clone(&self.service));
-                self.gateway.grant_manager.end_hold(hold, request, service, used);
+                self.gateway.grant_manager.end_hold(hold, request, service, used, None);
             }
             BudgetSource::Loan { lender, loan } => {
+                self.gateway.loan_client.ledger.borrow_mut().end(loan, used);
                 let end = make_end(loan, &self.request, &self.service, used);
                 queue_end(&self.gateway, lender, end);
             }
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::call_log;
 use crate::change_feed::ChangeFeed;
 use crate::grant_manager::{self, GrantManager};
+use crate::lending;
 use crate::listening;
 use crate::origin_store::{self, OriginStore};
 use crate::relay_api::{self, RelayApi};
@@ -60,6 +61,7 @@
     executor.spawn(lending).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&api.grant_manager))).detach();
     executor.spawn(measure_burn(Rc::clone(&api))).detach();
+    executor.spawn(lending::reclaim_tenures(Rc::clone(&api))).detach();
     executor.spawn(relay_api::log_origins(Rc::clone(&api))).detach();
     executor.spawn(origin_store::write_origins(Rc::clone(&api))).detach();
     executor.spawn(call_log::log_calls()).detach();
@@ -70,7 +72,7 @@
         .detach();
     smol::block_on(executor.run(async {
         wait_for_stop().await;
-        relay_api::drain(&api, settings.shutdown_grace.saturating_sub(GRACE_MARGIN)).await;
+        lending::drain(&api, settings.shutdown_grace.saturating_sub(GRACE_MARGIN)).await;
         origin_store::flush(&api).await;
         grant_manager::settle_all(&api.grant_manager).await;
     }));
@@ -100,11 +102,14 @@
     let server = settings.backend;
     let report_client =
         server.map(|server| Rc::new(ReportClient::new(StoreClient::new(CONNECT_TIMEOUT), server)));
-    let (loans, stopping) = (RefCell::default(), Cell::new(false));
+    // A hosted relay shares its grants with the entry around it; this one uses none itself.
+    grant_manager.grants.borrow_mut().set_lends();
     Ok(RelayApi {
         grant_manager,
-        loans,
-        stopping,
+        loans: RefCell::default(),
+        borrowers: RefCell::default(),
+        tenure_watch: RefCell::default(),
+        stopping: Cell::new(false),
         change_feed,
         permits,
         report_client,
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -14,27 +14,31 @@
 use smol::{Async, LocalExecutor};
 use toucanrail::holds::{HoldQuery, HoldReply, SuspectReport, TrialRequest};
 use toucanrail::ids::RequestId;
-use toucanrail::loans::{LoanEnd, LoanReply, LoanRequest, LoanTable};
+use toucanrail::loans::{LoanReport, LoanRequest, LoanTable};
 use toucanrail::origin_keepers::ProcessNumber;
 use toucanrail::origins::{OriginReply, OriginTable};
 use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
 use toucanrail::rotations::{RotationCounts, RotationOrder, RotationReport, RotationTable};
 use toucanrail::suspects::SuspectTable;
+use toucanrail::tenure_watch::{BorrowerTable, TenureWatch};
 use toucanrail::version_history::{ListedVersions, StatementTable};
 use toucanrail_wire::connections::BufferedConnection;
 use toucanrail_wire::rpc;
 use toucanrail_wire::time_limits;
 
 use crate::change_feed::{CHANGES_PATH, ChangeFeed};
-use crate::grant_manager::{self, GrantManager, HoldFailure};
+use crate::grant_manager::GrantManager;
+use crate::lending;
 use crate::listening;
 use crate::origin_store::{self, OriginStore};
 use crate::report_client::ReportClient;
 
-/// Path of a call that takes a [`LoanRequest`] and returns a [`LoanReply`].
-pub const LOAN_PATH: &str = "/loans/draw";
-/// Path of a call that takes a list of [`LoanEnd`]s and returns `true`.
-pub const LOAN_END_PATH: &str = "/loans/end";
+/// Path of a call that takes a [`LoanRequest`] and returns a
+/// [`LoanReply`](toucanrail::loans::LoanReply).
+pub const LOAN_PATH: &str = "/loans/borrow";
+/// Path of a call that takes a [`LoanReport`] and returns a
+/// [`LoanReceipt`](toucanrail::loans::LoanReceipt).
+pub const LOAN_REPORT_PATH: &str = "/loans/report";
 
 /// Path of a call without arguments that returns the
 /// [`BackendReport`](toucanrail::paces::BackendReport) of the backend server beside the relay, if
@@ -68,14 +72,10 @@
 /// Path of a call without arguments that returns `true` immediately.
 pub const ALIVE_PATH: &str = "/alive";
 
-/// Time given to a loan request; [`GrantManager::acquire_hold`] waits for at most a quarter of it.
-const LOAN_TIME: Duration = Duration::from_millis(1_400);
 /// Interval between two lines in the log about the streams that the relay remembers.
 const ORIGIN_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Upper bound of the wait of a query for what is held back.
 const MAX_HOLD_WAIT: Duration = Duration::from_secs(10);
-/// Interval at which a stopping lender checks whether its loans have ended.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// State behind the calls of one relay.
 #[derive(Debug)]
@@ -84,6 +84,10 @@
     pub grant_manager: Rc<GrantManager>,
     /// The open loans.
     pub loans: RefCell<LoanTable>,
+    /// The entries that borrow.
+    pub borrowers: RefCell<BorrowerTable>,
+    /// The tenures of other lenders, some of which are to be reclaimed.
+    pub tenure_watch: RefCell<TenureWatch>,
     /// Whether the relay is stopping and lends no more.
     pub stopping: Cell<bool>,
     /// Changes of store objects, for entries that query them.
@@ -127,12 +131,12 @@
     while let Some((head, body)) = rpc::read_call(&mut connection).await? {
         match head.path() {
             LOAN_PATH => {
-                let request = rpc::decode(&body)?;
-                rpc::reply(&connection, &open_loan(api, &request).await).await?;
+                let request: LoanRequest = rpc::decode(&body)?;
+                rpc::reply(&connection, &lending::open_loan(api, &request).await).await?;
             }
-            LOAN_END_PATH => {
-                end_loans(api, rpc::decode(&body)?);
-                rpc::reply(&connection, &true).await?;
+            LOAN_REPORT_PATH => {
+                let report: LoanReport = rpc::decode(&body)?;
+                rpc::reply(&connection, &lending::handle_report(api, report)).await?;
             }
             CHANGES_PATH => {
                 let query = rpc::decode(&body)?;
@@ -183,35 +187,6 @@
     Ok(())
 }
 
-/// Opens a loan if the grants cover it. Repeating the call for an open loan has no further effect.
-async fn open_loan(api: &RelayApi, request: &LoanRequest) -> LoanReply {
-    if api.loans.borrow().is_open(&request.loan) {
-        return LoanReply::Held;
-    }
-    if api.stopping.get() {
-        return LoanReply::Leaving;
-    }
-    let LoanRequest { customer, amount, rank, .. } = request;
-    api.grant_manager.raise_prepaid(customer, request.stated);
-    match api.grant_manager.acquire_hold(customer, *amount, *rank, LOAN_TIME).await {
-        Ok(hold) if api.stopping.get() => {
-            api.grant_manager.grants.borrow_mut().end_hold(&hold, None);
-            LoanReply::Leaving
-        }
-        Ok(hold) if api.loans.borrow().can_open(&request.loan) => {
-            api.loans.borrow_mut().open(&request.loan, hold);
-            LoanReply::Held
-        }
-        Ok(hold) => {
-            // The entry gave the loan up and ended it while this call waited.
-            api.grant_manager.grants.borrow_mut().end_hold(&hold, None);
-            LoanReply::Short
-        }
-        Err(HoldFailure::Short) => LoanReply::Short,
-        Err(HoldFailure::Uncovered) => LoanReply::Uncovered,
-    }
-}
-
 fn grant_permit(api: &RelayApi, request: &PermitRequest) -> PermitReply {
     let reply = api.permits.borrow_mut().grant(request, api.change_feed.now());
     let PermitRequest { server, limit, stated } = request;
@@ -309,30 +284,3 @@
     time_limits::timeout(query.wait.min(MAX_HOLD_WAIT), waiting).await;
     list_holds(api)
 }
-
-fn end_loans(api: &RelayApi, ends: Vec<LoanEnd>) {
-    for end in ends {
-        let hold = api.loans.borrow_mut().end(&end.loan);
-        if let Some(hold) = hold {
-            api.grant_manager.end_hold(&hold, end.request, end.service, end.used);
-        }
-    }
-}
-
-/// Stops lending and waits until the open loans have ended, for at most `timeout`.
-///
-/// The budget of loans that are open when the process exits is lost to their customers, since
-/// nobody can tell any more how much of it was used.
-pub async fn drain(api: &RelayApi, timeout: Duration) {
-    api.stopping.set(true);
-    tracing::info!(event = "stop", role = "relay", loans = api.loans.borrow().len());
-    grant_manager::release_unused(&api.grant_manager).await;
-    let ending = async {
-        while !api.loans.borrow().is_empty() {
-            smol::Timer::after(DRAIN_CHECK_INTERVAL).await;
-        }
-    };
-    if time_limits::timeout(timeout, ending).await.is_none() {
-        tracing::warn!(event = "loans_left", loans = api.loans.borrow().len());
-    }
-}
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -82,7 +82,7 @@
     executor.spawn(link_load::measure(Rc::clone(&shared))).detach();
     executor.spawn(rotation::send_reports(Rc::clone(&shared))).detach();
     executor.spawn(grant_manager::run_syncs(Rc::clone(&shared.grant_manager))).detach();
-    executor.spawn(loan_client::send_loan_ends(Rc::clone(&shared))).detach();
+    executor.spawn(loan_client::send_reports(Rc::clone(&shared))).detach();
     executor.spawn(origin_notes::send_notes(Rc::clone(&shared))).detach();
     executor.spawn(recorded_versions::record_versions(Rc::clone(&shared))).detach();
     executor.spawn(origin_notes::log_notes(Rc::clone(&shared))).detach();
@@ -124,6 +124,7 @@
         origins: OriginTable::new(),
         holds: HoldTable::default(),
     };
+    let loan_client = LoanClient::new(&id);
     let link = LinkLoad::new(settings.link_capacity);
     let link_admission = LinkAdmission::new(settings.link_capacity, tuning.link_reserve);
     let memory = Rc::new(RefCell::new(MemoryBudget::new(settings.limits)));
@@ -132,7 +133,7 @@
         id,
         store,
         grant_manager: Rc::new(grant_manager),
-        loan_client: LoanClient::default(),
+        loan_client,
         relay_checker: RelayChecker::default(),
         failed_boards: RelayBackoff::default(),
         stale_boards: RelayBackoff::default(),
--- a/toucanrail-gateway/src/stopping.rs
+++ b/toucanrail-gateway/src/stopping.rs
@@ -8,8 +8,9 @@
 use toucanrail_platform::settings;
 
 use crate::grant_manager;
+use crate::lending;
 use crate::loan_client;
-use crate::relay_api::{self, RelayApi};
+use crate::relay_api::RelayApi;
 use crate::state::Gateway;
 
 /// Time after SIGTERM for which idle connections stay open. In this time the balancer learns that
@@ -87,7 +88,7 @@
 }
 
 async fn drain_loans(api: Rc<RelayApi>, timeout: Duration) {
-    relay_api::drain(&api, timeout).await;
+    lending::drain(&api, timeout).await;
 }
 
 /// Waits until no request is in flight, at most until `limit` after the stop signal.
--- /dev/null
+++ b/toucanrail-gateway/tests/dead_lenders.rs
@@ -0,0 +1,167 @@
+//! Lenders that are killed: what they had not settled is billed as their borrowers used it, and the rest
+//! of their grants returns to the accounts.
+
+mod platform;
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::Duration;
+
+use platform::{Action, Backend, Process, Store, request};
+
+/// Relays of a fleet.
+const RELAYS: usize = 3;
+/// Prompt tokens of a request, and what one event of a stream counts for.
+const PROMPT: u64 = 100;
+const EVENT: u64 = 6;
+/// Prepaid tokens; enough for all requests of a test.
+const PREPAID: u64 = 1_000_000;
+const PAUSE: Duration = Duration::from_millis(50);
+
+struct LentFleet {
+    store: Store,
+    server: Backend,
+    relays: BTreeMap<String, Process>,
+    entries: Vec<Process>,
+    calls: u64,
+}
+
+impl LentFleet {
+    /// Starts a fleet whose streams have `events` events, one in 30 ms.
+    fn start(events: usize) -> Self {
+        let store = Store::start();
+        let chunk = platform::chunk("data: x\n\n") + "PAUSE";
+        let stream = [platform::STREAM_HEAD, &chunk.repeat(events), "0\r\n\r\n"].concat();
+        let server = Backend::start("i-1", move |_, _| Action::Respond(stream.clone()));
+        platform::configure_prepaid(&store, 1, &[&server], PREPAID);
+        let names = (0..RELAYS).map(|number| format!("side-{number}"));
+        let relays: BTreeMap<String, Process> =
+            names.map(|name| (name.clone(), Process::start_relay(&store, &name))).collect();
+        platform::wait_until("the relays", || relays.keys().all(|name| store.has("relays", name)));
+        let entries = ["front-1", "front-2"].map(|vm| Process::start_gateway_on(&store, vm));
+        Self { store, server, relays, entries: entries.into(), calls: 0 }
+    }
+
+    /// Sends a request for a stream to an entry. Returns whether it was served.
+    fn call(&mut self, entry: usize) -> bool {
+        self.calls += 1;
+        let id = format!("r{}", self.calls);
+        let response = call_stream(&self.entries[entry], &id);
+        response.starts_with("HTTP/1.1 200") && response.ends_with("0\r\n\r\n")
+    }
+
+    /// Returns the process that lends: the only one with a grant.
+    fn lender(&self) -> String {
+        let granted = self.store.granted("acme");
+        let lenders: Vec<&String> =
+            granted.keys().filter(|holder| holder.starts_with("side-")).collect();
+        assert_eq!(lenders.len(), 1, "{granted:?}");
+        lenders[0].clone()
+    }
+
+    fn relay_of(&mut self, holder: &str) -> &mut Process {
+        let (vm, _) = holder.rsplit_once('.').expect("a process's id");
+        self.relays.get_mut(vm).expect("a relay")
+    }
+
+    /// Calls both entries until a dead holder has no grant any more.
+    fn wait_reclaimed(&mut self, holder: &str) -> u64 {
+        let mut served = 0;
+        let mut turn = 0;
+        platform::wait_until("the return of the grant", || {
+            turn += 1;
+            served += u64::from(self.call(turn % 2));
+            thread::sleep(PAUSE);
+            !self.store.granted("acme").contains_key(holder)
+        });
+        served
+    }
+
+    /// Waits until what is billed is what `served` streams with `events` events each used.
+    fn wait_billed(&self, served: u64, events: u64) {
+        let used = served * (PROMPT + EVENT * events);
+        platform::wait_until(&format!("{used} billed tokens"), || {
+            self.store.billed("acme") == used
+        });
+        thread::sleep(PAUSE);
+        assert_eq!((self.store.billed("acme"), self.store.frozen("acme")), (used, 0));
+    }
+}
+
+fn call_stream(entry: &Process, id: &str) -> String {
+    let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
+    platform::call_raw(entry.callers, &request("POST", "/stream/a", id, &headers, "p"))
+}
+
+/// Guards against grants that stay with a lender that was killed and started again, and against
+/// requests that nobody bills because the bills died with it.
+#[test]
+fn restarted_lender() {
+    let mut fleet = LentFleet::start(2);
+    let mut served = (0..10).map(|turn| u64::from(fleet.call(turn % 2))).sum::<u64>();
+    assert_eq!(served, 10);
+    let lender = fleet.lender();
+    fleet.relay_of(&lender).restart();
+    served += fleet.wait_reclaimed(&lender);
+    fleet.wait_billed(served, 2);
+}
+
+/// Guards against the same where the lender's VM does not come back.
+#[test]
+fn lost_lender() {
+    let mut fleet = LentFleet::start(2);
+    let mut served = (0..10).map(|turn| u64::from(fleet.call(turn % 2))).sum::<u64>();
+    let lender = fleet.lender();
+    fleet.relay_of(&lender).kill();
+    served += fleet.wait_reclaimed(&lender);
+    fleet.wait_billed(served, 2);
+}
+
+/// Guards against a grant that returns while requests that it was lent for still run, and against
+/// requests that are billed twice or not at all for it.
+#[test]
+fn running_loans() {
+    let mut fleet = LentFleet::start(10);
+    assert!(fleet.call(0) && fleet.call(1));
+    let lender = fleet.lender();
+    let received = fleet.server.seen().len();
+    let addresses: Vec<_> = fleet.entries.iter().map(|entry| entry.callers).collect();
+    let callers: Vec<_> = (0..8)
+        .map(|number: usize| {
+            let address = addresses[number % 2];
+            thread::spawn(move || {
+                let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
+                let id = format!("running-{number}");
+                platform::call_raw(address, &request("POST", "/stream/a", &id, &headers, "p"))
+            })
+        })
+        .collect();
+    platform::wait_until("the requests", || fleet.server.seen().len() == received + 8);
+    fleet.relay_of(&lender).restart();
+    let responses = callers.into_iter().map(|caller| caller.join().expect("a response"));
+    let running = responses.filter(|response| response.ends_with("0\r\n\r\n")).count() as u64;
+    assert_eq!(running, 8);
+    let served = 2 + running + fleet.wait_reclaimed(&lender);
+    fleet.wait_billed(served, 10);
+}
+
+/// Guards against overspend where a borrower died with its lender: nobody can tell what it used, so
+/// the rest of the grant must not return.
+#[test]
+fn dead_borrower() {
+    let mut fleet = LentFleet::start(2);
+    for turn in 0..10 {
+        assert!(fleet.call(turn % 2));
+    }
+    let lender = fleet.lender();
+    let granted = fleet.store.granted("acme")[&lender];
+    fleet.entries[0].restart();
+    fleet.relay_of(&lender).restart();
+    fleet.entries[0].wait_ready(true);
+    let served = fleet.wait_reclaimed(&lender);
+    assert!(fleet.store.frozen("acme") > 0);
+    // What the dead borrower used is at most what is frozen.
+    let known = (served + 5) * (PROMPT + 2 * EVENT);
+    platform::wait_until("the bills", || fleet.store.billed("acme") >= known);
+    assert!(fleet.store.billed("acme") + fleet.store.frozen("acme") >= known + granted / 2);
+}
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -274,6 +274,12 @@
         rows.filter(|(_, granted)| *granted > 0).collect()
     }
 
+    /// Returns the tokens of a customer's budget that are frozen.
+    pub fn frozen(&self, customer: &str) -> u64 {
+        let frozen = self.account(customer)["frozen"].as_object().cloned().unwrap_or_default();
+        frozen.values().map(|row| row.as_u64().unwrap_or(0)).sum()
+    }
+
     fn account(&self, customer: &str) -> Value {
         let state = self.state.lock().expect("the store");
         let shards = state.objects.iter().filter(|((kind, _), _)| kind == "budgets");
--- a/toucanrail/src/budgets.rs
+++ b/toucanrail/src/budgets.rs
@@ -80,6 +80,10 @@
     /// Agents that may have run something for this tenure; each is recorded before the first run is
     /// sent to it.
     pub agents: BTreeSet<AgentId>,
+    /// Whether all its tokens are used through loans of the processes in `agents`, whose ledgers tell
+    /// what was used.
+    #[serde(default)]
+    pub lends: bool,
 }
 
 /// Which entry may change a tenure.
@@ -167,6 +171,25 @@
     pub used: Tokens,
 }
 
+/// Who holds the tokens of an account.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AccountBalance {
+    /// Total prepaid.
+    pub prepaid: Tokens,
+    /// Tokens that are not billed, written off or frozen.
+    pub unspent: Tokens,
+    /// Tokens granted to nobody.
+    pub unallocated: Tokens,
+    /// Tokens granted to other holders that a newer process of their VM has replaced.
+    pub replaced: Tokens,
+    /// Number of these holders.
+    pub replaced_holders: usize,
+    /// Tokens granted to the other holders.
+    pub others: Tokens,
+    /// Number of these holders.
+    pub other_holders: usize,
+}
+
 /// The bills that one conditional update of the shard settles.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BillBatch {
@@ -322,8 +345,30 @@
         token_counts::sum(replaced.map(|(_, granted)| *granted))
     }
 
+    /// Returns who holds the tokens of an account, as seen by the holder `entry`.
+    pub fn balance(&self, account: &BudgetAccount, entry: &EntryId) -> AccountBalance {
+        let mut balance = AccountBalance {
+            prepaid: account.prepaid,
+            unspent: account.unspent(),
+            unallocated: account.unallocated(),
+            ..AccountBalance::default()
+        };
+        let others =
+            account.grants.iter().filter(|(holder, granted)| *holder != entry && **granted > 0);
+        for (holder, granted) in others {
+            let (sum, count) = if self.is_replaced(holder) {
+                (&mut balance.replaced, &mut balance.replaced_holders)
+            } else {
+                (&mut balance.others, &mut balance.other_holders)
+            };
+            *sum = sum.saturating_add(*granted);
+            *count = count.saturating_add(1);
+        }
+        balance
+    }
+
     /// Returns whether a later holder is a newer process of the same VM.
-    fn is_replaced(&self, holder: &EntryId) -> bool {
+    pub fn is_replaced(&self, holder: &EntryId) -> bool {
         let epoch = self.holders.get(holder).map_or(0, |row| row.epoch);
         let later = |(other, row): (&EntryId, &HolderRow)| {
             row.epoch > epoch && ids::vm_of(other) == ids::vm_of(holder)
@@ -343,6 +388,7 @@
             settled: 0,
             acked: 0,
             agents: BTreeSet::new(),
+            lends: false,
         };
         self.holders.insert(Arc::clone(entry), row);
         self.epochs
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -13,7 +13,7 @@
 
 use crate::accounts::GrantAccount;
 use crate::batches::BatchRoom;
-use crate::budgets::{BillRow, BudgetAccount, BudgetShard, RECENT_KEY_LIMIT};
+use crate::budgets::{AccountBalance, BillRow, BudgetAccount, BudgetShard, RECENT_KEY_LIMIT};
 use crate::ids::{AgentId, CustomerId, EntryId, Epoch, RunId, ShardName, Tokens, Version};
 use crate::policies::{GrantChange, GrantPolicy, GrantView};
 use crate::sync_plans::SyncPlan;
@@ -65,6 +65,8 @@
     accounts: BTreeMap<CustomerId, GrantAccount>,
     homes: BTreeMap<CustomerId, ShardName>,
     wanted_agents: BTreeSet<AgentId>,
+    /// Whether all tokens are lent to the agents, and none is used by this process itself.
+    lends: bool,
 }
 
 impl GrantTable {
@@ -77,6 +79,7 @@
             accounts: BTreeMap::new(),
             homes: BTreeMap::new(),
             wanted_agents: BTreeSet::new(),
+            lends: false,
         }
     }
 
@@ -99,11 +102,10 @@
         self.shards.get(shard)?.cached.as_ref().map(|(_, shard)| shard)
     }
 
-    /// Returns the prepaid, unspent and unallocated tokens of an account in the cached shard; for
-    /// logs.
-    pub fn cached_balance(&self, customer: &CustomerId) -> Option<(Tokens, Tokens, Tokens)> {
-        let known = self.cached_shard(self.homes.get(customer)?)?.accounts.get(customer)?;
-        Some((known.prepaid, known.unspent(), known.unallocated()))
+    /// Returns who holds an account's tokens according to the cached shard; for logs and metrics.
+    pub fn cached_balance(&self, customer: &CustomerId) -> Option<AccountBalance> {
+        let shard = self.cached_shard(self.homes.get(customer)?)?;
+        Some(shard.balance(shard.accounts.get(customer)?, &self.entry))
     }
 
     /// Returns whether a customer's balance, according to the cached shard, cannot cover an amount.
@@ -128,6 +130,31 @@
         self.wanted_agents = agents;
     }
 
+    /// Adds an agent to those that this entry wants to use.
+    pub fn want_agent(&mut self, agent: &AgentId) {
+        self.wanted_agents.insert(Arc::clone(agent));
+    }
+
+    /// Keeps those of the wanted agents that are in `agents`.
+    pub fn retain_wanted(&mut self, agents: &BTreeSet<AgentId>) {
+        self.wanted_agents.retain(|agent| agents.contains(agent));
+    }
+
+    /// States in all later tenures that their tokens are used through loans of the agents only.
+    pub fn set_lends(&mut self) {
+        self.lends = true;
+    }
+
+    /// Returns whether all tokens are used through loans of the agents.
+    pub fn lends(&self) -> bool {
+        self.lends
+    }
+
+    /// Returns this process.
+    pub fn holder(&self) -> &EntryId {
+        &self.entry
+    }
+
     /// Returns the shards of all known accounts.
     pub fn shards(&self) -> Vec<ShardName> {
         self.shards.keys().map(Arc::clone).collect()
@@ -419,6 +446,7 @@
             demands,
             acked: tenure.acked,
             agents,
+            lends: self.lends,
             // The end of a tenure returns its grants as unspent.
             leave: scope == SyncScope::Leave && !are_left,
         })
@@ -499,6 +527,13 @@
         pending
     }
 
+    /// Returns the settled runs that one agent may drop.
+    pub fn pending_acks_of(&self, agent: &AgentId) -> Vec<RunId> {
+        let batches = self.shards.values().flat_map(|tenure| tenure.unacked.values());
+        let runs = batches.filter_map(|batch| batch.get(agent)).flatten();
+        runs.map(Arc::clone).collect()
+    }
+
     /// Records that an agent dropped runs, or, if `gone`, that its process ended with all its
     /// state.
     pub fn record_acked(&mut self, agent: &AgentId, dropped: &BTreeSet<RunId>, gone: bool) {
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -16,8 +16,9 @@
 use xxhash_rust::xxh3;
 
 use crate::grants::GrantHold;
-use crate::ids::{CustomerId, RequestId, ServiceName, Tokens};
+use crate::ids::{CustomerId, EntryId, Epoch, RequestId, ServiceName, ShardName, Tokens, VmId};
 use crate::link_shares;
+use crate::messages::FenceReply;
 
 /// Number of recently ended loans that are remembered, so that a loan request that arrives after
 /// the end of its loan is not granted. Covers a few seconds of a data centre's load.
@@ -41,11 +42,20 @@
     pub rank: u8,
 }
 
+/// The tenure of a lender that a loan belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LoanTenure {
+    /// The shard of the customer's account.
+    pub shard: ShardName,
+    /// Number of the lender's tenure there.
+    pub epoch: Epoch,
+}
+
 /// The lender's reply to a [`LoanRequest`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoanReply {
-    /// The loan is open: the amount is held.
-    Held,
+    /// The loan is open: the amount is held in this tenure.
+    Held(LoanTenure),
     /// The amount is not available now, but may be later.
     Short,
     /// The customer's balance provably does not cover the amount.
@@ -118,6 +128,22 @@
         hold
     }
 
+    /// Returns the hold of an open loan.
+    pub fn find(&self, loan: &LoanId) -> Option<&GrantHold> {
+        self.holds.get(loan)
+    }
+
+    /// Returns all open loans.
+    pub fn open_loans(&self) -> impl Iterator<Item = &LoanId> {
+        self.holds.keys()
+    }
+
+    /// Returns the open loans of a borrower.
+    pub fn loans_of(&self, borrower: &str) -> Vec<LoanId> {
+        let loans = self.holds.keys().filter(|loan| borrower_of(loan) == borrower);
+        loans.map(Arc::clone).collect()
+    }
+
     /// Returns the number of open loans.
     pub fn len(&self) -> usize {
         self.holds.len()
@@ -129,6 +155,42 @@
     }
 }
 
+/// Returns the process that borrowed a loan.
+///
+/// # Examples
+/// ```
+/// assert_eq!(toucanrail::loans::borrower_of("front-1.261e3eed.7"), "front-1.261e3eed");
+/// ```
+pub fn borrower_of(loan: &str) -> &str {
+    loan.rsplit_once('.').map_or(loan, |(borrower, _)| borrower)
+}
+
+/// What an entry reports to a lender at intervals.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanReport {
+    /// The entry's process.
+    pub entry: EntryId,
+    /// Ends of loans of this lender.
+    pub ends: Vec<LoanEnd>,
+    /// Settled loans that the entry has dropped from its ledger.
+    pub dropped: Vec<LoanId>,
+    /// Tenures of dead lenders that the entry has fenced, and what was used of them.
+    pub fenced: Vec<(LoanTenure, FenceReply)>,
+    /// VMs of lenders that the entry has lately not reached.
+    pub failed: Vec<VmId>,
+}
+
+/// A lender's reply to a [`LoanReport`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanReceipt {
+    /// Loans of the entry that are settled.
+    pub settled: Vec<LoanId>,
+    /// Tenures of dead lenders that the entry must fence and report on.
+    pub fences: Vec<LoanTenure>,
+    /// Tenures that were closed lately.
+    pub closed: Vec<LoanTenure>,
+}
+
 /// Fraction of a request's remaining time that may be spent on its loan while the link is loaded.
 const TIME_LEFT_FRACTION: f64 = 0.5;
 
--- a/toucanrail/src/shard_changes.rs
+++ b/toucanrail/src/shard_changes.rs
@@ -73,6 +73,7 @@
         row.settled = plan.sequence;
         row.acked = row.acked.max(plan.acked);
         row.agents.clone_from(&plan.agents);
+        row.lends = plan.lends;
     }
     if plan.leave {
         shard.close_tenure(entry, true);
--- a/toucanrail/src/sync_plans.rs
+++ b/toucanrail/src/sync_plans.rs
@@ -43,6 +43,8 @@
     pub acked: Sequence,
     /// Agents that the entry wants to use or that may still store runs of this tenure.
     pub agents: BTreeSet<AgentId>,
+    /// Whether the tenure's tokens are used through loans only.
+    pub lends: bool,
     /// Whether to end the tenure.
     pub leave: bool,
 }
--- a/toucanrail/tests/unreadable_objects.rs
+++ b/toucanrail/tests/unreadable_objects.rs
@@ -109,6 +109,7 @@
 
 fn make_plan(rows: Vec<BillRow>) -> SyncPlan {
     SyncPlan {
+        lends: false,
         shard: shard_name(),
         entry: entry(),
         epoch: EPOCH,
