--- a/toucanrail-wire/src/keepalive.rs
+++ b/toucanrail-wire/src/keepalive.rs
@@ -13,6 +13,8 @@
 /// Subtracted from a stated idle timeout, so that no request is sent while the server closes the
 /// connection.
 const CLOSE_MARGIN: Duration = Duration::from_millis(600);
+/// Maximum idle time of a kept connection, whatever its server states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Maximum number of idle connections per server. Further ones are closed, to leave room for other
 /// clients within the server's connection limit.
 const MAX_IDLE_PER_SERVER: usize = 24;
@@ -69,6 +71,7 @@
     pub fn put(&self, id: &Arc<str>, connection: BufferedConnection, stated: Option<Duration>) {
         let idle =
             stated.map_or(DEFAULT_IDLE_TIMEOUT, |stated| stated.saturating_sub(CLOSE_MARGIN));
+        let idle = idle.min(MAX_IDLE_TIMEOUT);
         let now = Instant::now();
         let mut idle_connections = self.idle_connections.borrow_mut();
         let connections = idle_connections.entry(Arc::clone(id)).or_default();
--- a/toucanrail/src/backends.rs
+++ b/toucanrail/src/backends.rs
@@ -544,7 +544,7 @@
     /// Records that a server is or may be cold for some time.
     pub fn record_cold(&mut self, id: &str, time: Duration, now: Duration) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.cold_until = row.cold_until.max(now.max(row.down_until) + time);
+            row.cold_until = row.cold_until.max(now.max(row.down_until).saturating_add(time));
         }
     }
 
