--- a/toucanrail-gateway/tests/extreme_times.rs
+++ b/toucanrail-gateway/tests/extreme_times.rs
@@ -81,8 +81,7 @@
 #[test]
 fn caller_timeouts() {
     let store = Store::start();
-    let server =
-        Backend::start("i-1", |_, _| Action::Respond(platform::signed_response("fine")));
+    let server = Backend::start("i-1", |_, _| Action::Respond(platform::signed_response("fine")));
     platform::configure(&store, 1, &[&server]);
     let gateway = Process::start_gateway(&store);
     for seconds in MAX_SECONDS {
--- a/toucanrail-gateway/tests/foreign_entries.rs
+++ b/toucanrail-gateway/tests/foreign_entries.rs
@@ -52,13 +52,17 @@
             changed("born", json!(-4)),
             changed("cold_remaining_ms", json!("long")),
             changed("version", json!({})),
+            changed("seq", json!("second")),
+            changed("seq", json!(-1)),
             Value::Null,
             json!([]),
             json!("text"),
             json!(7),
             json!({}),
         ];
-        entries.extend(["state", "service", "address", "zone", "version"].map(without));
+        let fields = ["state", "service", "address", "zone", "version", "slots", "seq"];
+        entries.extend(fields.map(without));
+        entries.push(without("cold_remaining_ms"));
         let named = entries.into_iter().enumerate();
         named.map(|(number, entry)| (format!("i-1{number:02}"), entry)).collect()
     }
--- a/toucanrail-gateway/tests/platform/crashes.rs
+++ b/toucanrail-gateway/tests/platform/crashes.rs
@@ -107,7 +107,7 @@
         self.store.remove("servers", &old);
         let entry = json!({
             "service": "desk", "address": self.address.to_string(), "zone": "a", "version": "v1",
-            "slots": 8, "state": "ready", "seq": 1, "born": 1,
+            "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": 1,
         });
         self.store.put("servers", &self.id(), entry);
         listener
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -512,7 +512,8 @@
     fn entry(&self, service: &str) -> Value {
         json!({
             "service": service, "address": self.address.to_string(), "zone": "a",
-            "version": "v1", "slots": 8, "state": "ready", "seq": 1, "born": 1,
+            "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": 1,
+            "born": 1,
         })
     }
 }
