Servers of the crash tests continue streams after the caller's last event

crashing_requests ends_midway failed (4 servers ended, 3 allowed) since servers that repeat events are told apart: its servers sent event 1 again to callers that had it, which no server that resumes streams does. They now number events after the caller's last one; what the tests assert is unchanged.

--- a/toucanrail-gateway/tests/crash_soak.rs
+++ b/toucanrail-gateway/tests/crash_soak.rs
@@ -99,7 +99,7 @@
 /// Requests whose bodies begin with `crash` end their server, half of the streams after an event.
 fn run_or_crash(message: &Message) -> RunFate {
     let is_stream = message.target().starts_with("/resume/");
-    let event = platform::chunk("id: 1\ndata: x\n\n");
+    let event = platform::next_event(message);
     let has_part = message.field("x-prefix-hash").is_some_and(|parts| parts.contains("dead1"));
     if has_part || message.body.starts_with(b"crash") {
         let begins = is_stream && message.body.len().is_multiple_of(2);
--- a/toucanrail-gateway/tests/crashing_parts.rs
+++ b/toucanrail-gateway/tests/crashing_parts.rs
@@ -339,7 +339,7 @@
         CrashFleet::start(RELAY_COUNT, ENTRY_COUNT, SERVER_COUNT, DOWN_TIME, move |message| {
             match run_or_end(message) {
                 RunFate::End(..) if flag.load(Ordering::Relaxed) => {
-                    let event = platform::chunk("id: 1\ndata: x\n\n");
+                    let event = platform::next_event(message);
                     RunFate::Respond([platform::STREAM_HEAD, &event, "0\r\n\r\n"].concat())
                 }
                 fate => fate,
--- a/toucanrail-gateway/tests/crashing_requests.rs
+++ b/toucanrail-gateway/tests/crashing_requests.rs
@@ -25,7 +25,7 @@
 /// Ends the server under requests with the body `deadly`, before anything of the response.
 fn run_or_end(message: &Message) -> RunFate {
     let text = if message.target().starts_with("/resume/") {
-        let event = platform::chunk("id: 1\ndata: x\n\n");
+        let event = platform::next_event(message);
         [platform::STREAM_HEAD, &event, "PAUSE", "0\r\n\r\n"].concat()
     } else {
         platform::signed_response("done")
@@ -117,7 +117,7 @@
 #[test]
 fn ends_midway() {
     let fleet = CrashFleet::start(3, 4, SERVER_COUNT, DOWN_TIME, |message| {
-        let event = platform::chunk("id: 1\ndata: x\n\n");
+        let event = platform::next_event(message);
         let text = [platform::STREAM_HEAD, &event, "PAUSE"].concat();
         match run_or_end(message) {
             RunFate::End(_, after) => RunFate::End(text, after),
--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -539,6 +539,12 @@
     format!("{:x}\r\n{data}\r\n", data.len())
 }
 
+/// Encodes the event after the last one that a caller states, as a server continues a stream.
+pub fn next_event(message: &Message) -> String {
+    let last: u64 = message.field("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    chunk(&format!("id: {}\ndata: x\n\n", last + 1))
+}
+
 /// A process under test; killed when dropped.
 #[derive(Debug)]
 pub struct Process {
