Lenders are taken for dead by all of their borrowers, and name a borrower across syncs

Three faults of the reclaim of dead lenders, found by reading it again: - a loan could be opened while the sync under way removed its borrower from the tenure; a lender that died then would not have had it asked. borrowed_tenures borrower_being_removed shows it at the table; - one entry that did not reach a lender, which had nothing to settle, was enough to revoke its tenure, and that lender could not lend to the others until all of them had reported. Now all of its borrowers must fail to reach it, a newer process of its VM holds a tenure, or another lender has begun the reclaim (silent_lenders); - bills of a borrower that had died stayed unacknowledged, so that the rest of the grant would have been frozen when the lender died later (dead_lenders earlier_borrower).

--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -192,7 +192,7 @@
         let mut grants = self.grants.borrow_mut();
         if let Some(borrower) = borrower {
             grants.want_agent(borrower);
-            if !grants.usable_agents(customer).is_some_and(|agents| agents.contains(borrower)) {
+            if !grants.names_agent(customer, borrower) {
                 return None;
             }
         }
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -85,8 +85,6 @@
             api.grant_manager.freeze_hold(&hold, loan);
         }
     }
-    let mut grants = api.grant_manager.grants.borrow_mut();
-    grants.record_acked(&replaced, &BTreeSet::new(), true);
     tracing::info!(
         event = "borrower_replaced", entry = %replaced, by = %entry, loans = loans.len(), amount,
     );
@@ -121,7 +119,7 @@
     let now = api.change_feed.now();
     let mut watch = api.tenure_watch.borrow_mut();
     for vm in &failed {
-        watch.record_failure(vm, now);
+        watch.record_failure(&entry, vm, now);
     }
     for (tenure, reply) in fenced {
         watch.record_reply(&tenure, &entry, reply);
@@ -160,10 +158,15 @@
     let mut grants = api.grant_manager.grants.borrow_mut();
     grants.retain_wanted(&recent);
     let own = Arc::clone(grants.holder());
+    let borrowers = api.borrowers.borrow();
+    for replaced in borrowers.replaced() {
+        // Nobody is left to drop its loans, the bills of which are settled here.
+        grants.record_acked(replaced, &BTreeSet::new(), true);
+    }
     let mut watch = api.tenure_watch.borrow_mut();
     for shard in grants.shards() {
         if let Some(content) = grants.cached_shard(&shard).filter(|_| grants.has_tenure(&shard)) {
-            watch.observe(&shard, content, &own, now);
+            watch.observe(&shard, content, &own, now, |entry| borrowers.has_ended(entry));
         }
     }
 }
--- a/toucanrail-gateway/src/lib.rs
+++ b/toucanrail-gateway/src/lib.rs
@@ -11,10 +11,12 @@
 //! [`grant_manager`] uses the entry's own grants.
 //!
 //! A *relay* (program `toucanrail-relay`) runs beside a backend server: [`relay`] forwards
-//! connections to the store, [`relay_api`] lends entries budget from the same [`grant_manager`],
+//! connections to the store, [`relay_api`] serves entries, [`lending`] lends them budget from the same
+//! [`grant_manager`] and reclaims what lenders that died had not settled,
 //! [`change_feed`] tells them about changes in the store, and [`relay_registration`] reports how
 //! fast the server is. Relays also keep the origins of streams ([`origin_notes`]), so that a caller
-//! can take a stream up at any entry ([`origin_search`]), and the ends of servers
+//! can take a stream up at any entry ([`origin_search`]), record the versions of servers before
+//! streams begin there ([`recorded_versions`]), and remember the ends of servers
 //! ([`server_ends`]) with the requests that they ran ([`suspect_reports`]). A server that has just started or states a
 //! rate limit only receives requests that got a permit ([`permits`]). If no VM runs a relay, entries
 //! host relays themselves ([`hosting`]).
--- a/toucanrail-gateway/tests/dead_lenders.rs
+++ b/toucanrail-gateway/tests/dead_lenders.rs
@@ -165,3 +165,34 @@
     platform::wait_until("the bills", || fleet.store.billed("acme") >= known);
     assert!(fleet.store.billed("acme") + fleet.store.frozen("acme") >= known + granted / 2);
 }
+
+/// Guards against a rest of a grant that is frozen when its lender dies because a borrower had died some
+/// time before, although everything of that one was settled since.
+#[test]
+fn earlier_borrower() {
+    let mut fleet = LentFleet::start(2);
+    for turn in 0..10 {
+        assert!(fleet.call(turn % 2));
+    }
+    // The lender hears of the ends of the loans.
+    thread::sleep(10 * PAUSE);
+    fleet.entries[0].restart();
+    fleet.entries[0].wait_ready(true);
+    let mut served = 10;
+    platform::wait_until("the bills of the first calls", || {
+        thread::sleep(10 * PAUSE);
+        served += u64::from(fleet.call(0)) + u64::from(fleet.call(1));
+        fleet.store.billed("acme") > 14 * (PROMPT + 2 * EVENT)
+    });
+    // A settlement writes which borrowers are left, the next one follows within seconds.
+    let settled = fleet.store.billed("acme");
+    platform::wait_until("the next bills", || {
+        thread::sleep(10 * PAUSE);
+        served += u64::from(fleet.call(0)) + u64::from(fleet.call(1));
+        fleet.store.billed("acme") > settled
+    });
+    let lender = fleet.lender();
+    fleet.relay_of(&lender).restart();
+    served += fleet.wait_reclaimed(&lender);
+    fleet.wait_billed(served, 2);
+}
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -174,6 +174,16 @@
         self.shards.get(shard).map(|tenure| &tenure.agents)
     }
 
+    /// Returns whether the shard names an agent in the tenure that a customer's tokens are held in, now
+    /// and after the sync that is under way.
+    pub fn names_agent(&self, customer: &CustomerId, agent: &AgentId) -> bool {
+        let tenure = self.homes.get(customer).and_then(|shard| self.shards.get(shard));
+        tenure.is_some_and(|tenure| {
+            let planned = tenure.plan.as_ref().is_none_or(|plan| plan.agents.contains(agent));
+            planned && tenure.agents.contains(agent)
+        })
+    }
+
     /// Reserves tokens for the maximum usage of a request.
     ///
     /// # Examples
--- a/toucanrail/src/tenure_watch.rs
+++ b/toucanrail/src/tenure_watch.rs
@@ -1,24 +1,25 @@
 //! A lender's watch on the tenures of other lenders: which of them have ended without settling, and
 //! what their borrowers report of them.
 //!
-//! Reclaiming the tenure of a lender that lives is safe, since its borrowers fence it first, but costs
-//! calls. So a tenure is reclaimed once a newer process of the lender's VM has replaced it, or once
-//! borrowers do not reach the lender and it settles nothing.
+//! Reclaiming the tenure of a lender that lives is safe, since its borrowers fence it first, but until
+//! it is done that lender cannot lend. So a tenure is reclaimed once a newer process of the lender's VM
+//! has replaced it, or once none of its borrowers reaches the lender and it settles nothing.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::budgets::BudgetShard;
+use crate::budgets::{BudgetShard, HolderState};
 use crate::ids::{self, EntryId, Sequence, ShardName, VmId};
 use crate::loans::LoanTenure;
 use crate::messages::FenceReply;
 
-/// Time without a settlement after which a lender that a borrower does not reach counts as dead.
+/// Time without a settlement after which a lender that no borrower reaches counts as dead.
 /// Lenders in use settle every few seconds.
 const SILENCE_TIME: Duration = Duration::from_secs(4);
-/// Time for which a borrower's failure to reach a lender counts.
-const FAILURE_TIME: Duration = Duration::from_secs(5);
+/// Time for which a borrower's failure to reach a lender counts; longer than borrowers avoid a lender
+/// after a failure.
+const FAILURE_TIME: Duration = Duration::from_secs(15);
 /// Time for which borrowers are told that a tenure is closed.
 const CLOSED_TIME: Duration = Duration::from_secs(10);
 /// Maximum time for which a process whose VM has another one by now is remembered.
@@ -67,6 +68,11 @@
         self.replaced.contains_key(entry)
     }
 
+    /// Returns the processes that newer ones of their VMs have replaced.
+    pub fn replaced(&self) -> impl Iterator<Item = &EntryId> {
+        self.replaced.keys()
+    }
+
     /// Returns whether another process of the same VM borrows, so that this one has ended. If it has
     /// not, and only not been heard of, what it used is frozen for no reason, but not lost.
     pub fn has_ended(&self, entry: &str) -> bool {
@@ -96,25 +102,29 @@
 #[derive(Debug, Default)]
 pub struct TenureWatch {
     rows: BTreeMap<LoanTenure, WatchRow>,
-    /// VMs of lenders that borrowers did not reach, and when last.
-    failed: BTreeMap<VmId, Duration>,
+    /// VMs of lenders that were not reached, by borrower, and when last.
+    failed: BTreeMap<(EntryId, VmId), Duration>,
     closed: BTreeMap<LoanTenure, Duration>,
 }
 
 impl TenureWatch {
-    /// Records the holders of a shard; `own` is this lender.
-    pub fn observe(
+    /// Records the holders of a shard; `own` is this lender. `has_ended` says that a borrower has ended.
+    pub fn observe<HasEnded>(
         &mut self,
         shard: &ShardName,
         content: &BudgetShard,
         own: &EntryId,
         now: Duration,
-    ) {
+        has_ended: HasEnded,
+    ) where
+        HasEnded: Fn(&str) -> bool,
+    {
         self.rows.retain(|tenure, row| {
             let known = content.holders.get(&row.holder);
             tenure.shard != *shard || known.is_some_and(|known| known.epoch == tenure.epoch)
         });
         self.closed.retain(|_, at| now.saturating_sub(*at) <= CLOSED_TIME);
+        self.failed.retain(|_, at| now.saturating_sub(*at) <= FAILURE_TIME);
         for (holder, known) in content.holders.iter().filter(|(_, known)| known.lends) {
             if holder == own {
                 continue;
@@ -132,18 +142,23 @@
                 (row.settled, row.unchanged_since) = (known.settled, now);
             }
             row.borrowers.clone_from(&known.agents);
-            let vm = ids::vm_of(holder);
-            let is_unreached =
-                self.failed.get(vm).is_some_and(|at| now.saturating_sub(*at) <= FAILURE_TIME);
+            let vm = VmId::from(ids::vm_of(holder));
+            let reaches = |entry: &EntryId| {
+                !has_ended(entry)
+                    && !self.failed.contains_key(&(Arc::clone(entry), Arc::clone(&vm)))
+            };
             let is_silent = now.saturating_sub(row.unchanged_since) >= SILENCE_TIME;
-            let is_replaced = vm == ids::vm_of(own) || content.is_replaced(holder);
-            row.is_dead |= is_replaced || (is_unreached && is_silent);
+            let is_unreached = is_silent && !row.borrowers.iter().any(reaches);
+            let is_replaced = *vm == *ids::vm_of(own) || content.is_replaced(holder);
+            // Another lender may have begun to reclaim the tenure, and died.
+            let is_revoked = known.state != HolderState::Live;
+            row.is_dead |= is_replaced || is_unreached || is_revoked;
         }
     }
 
     /// Records that a borrower does not reach a lender.
-    pub fn record_failure(&mut self, vm: &VmId, now: Duration) {
-        self.failed.insert(Arc::clone(vm), now);
+    pub fn record_failure(&mut self, entry: &EntryId, vm: &VmId, now: Duration) {
+        self.failed.insert((Arc::clone(entry), Arc::clone(vm)), now);
     }
 
     /// Returns the tenures that a borrower must fence and report on: those of dead lenders whose loans
