Unrecorded versions are looked for once a listing; a loan's tenure is made in one place

Formatter and linter are clean; joined_versions, dead_lenders, foreign_entries, lent_budgets and borrowed_tenures pass.

--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -30,8 +30,8 @@
 
 /// Opens a loan if the grants cover it. Repeating the call for an open loan has no further effect.
 pub async fn open_loan(api: &RelayApi, request: &LoanRequest) -> LoanReply {
-    if let Some(tenure) = find_tenure(api, &request.loan) {
-        return LoanReply::Held(tenure);
+    if let Some(hold) = api.loans.borrow().find(&request.loan) {
+        return LoanReply::Held(LoanTenure::of_hold(hold));
     }
     let borrower: EntryId = Arc::from(loans::borrower_of(&request.loan));
     if api.stopping.get() || api.borrowers.borrow().is_replaced(&borrower) {
@@ -48,7 +48,7 @@
             LoanReply::Leaving
         }
         Ok(hold) if api.loans.borrow().can_open(&request.loan) => {
-            let tenure = LoanTenure { shard: Arc::clone(&hold.shard), epoch: hold.epoch };
+            let tenure = LoanTenure::of_hold(&hold);
             if named.is_some() {
                 manager.grants.borrow_mut().mark_agent(&hold.shard, &borrower, true);
             }
@@ -65,12 +65,6 @@
     }
 }
 
-fn find_tenure(api: &RelayApi, loan: &LoanId) -> Option<LoanTenure> {
-    let loans = api.loans.borrow();
-    let hold = loans.find(loan)?;
-    Some(LoanTenure { shard: Arc::clone(&hold.shard), epoch: hold.epoch })
-}
-
 /// Records that an entry borrows, and freezes what an earlier process of its VM has not returned.
 fn record_borrower(api: &RelayApi, entry: &EntryId) {
     let now = api.change_feed.now();
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -409,8 +409,6 @@
                 if !cold.is_zero() {
                     tables.backends.record_cold(&object.name, cold, now);
                 }
-                drop(tables);
-                recorded_versions::check_recorded(gateway);
                 true
             }
             Err(reason) => {
@@ -461,6 +459,7 @@
         if change.removed || !Self::apply(gateway, &change.object) {
             self.record_missing(gateway, &change.object.name);
         }
+        recorded_versions::check_recorded(gateway);
     }
 
     fn record_response(&mut self, gateway: &Gateway, silence: Duration, _: Duration) {
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -51,6 +51,13 @@
     pub epoch: Epoch,
 }
 
+impl LoanTenure {
+    /// Returns the tenure that a loan's hold belongs to.
+    pub fn of_hold(hold: &GrantHold) -> Self {
+        Self { shard: Arc::clone(&hold.shard), epoch: hold.epoch }
+    }
+}
+
 /// The lender's reply to a [`LoanRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoanReply {
@@ -98,11 +105,6 @@
         !self.holds.contains_key(loan) && !self.ended.contains(loan)
     }
 
-    /// Returns whether a loan is open; a repeated request for it is already granted.
-    pub fn is_open(&self, loan: &LoanId) -> bool {
-        self.holds.contains_key(loan)
-    }
-
     /// Opens a loan.
     pub fn open(&mut self, loan: &LoanId, hold: GrantHold) {
         self.holds.insert(Arc::clone(loan), hold);
