--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -104,7 +104,7 @@
 
 /// Handles what an entry reports of its loans.
 pub fn handle_report(api: &RelayApi, report: LoanReport) -> LoanReceipt {
-    let LoanReport { entry, ends, dropped, fenced, failed } = report;
+    let LoanReport { entry, ends, dropped, fenced, uses } = report;
     end_loans(api, ends);
     if api.borrowers.borrow().is_replaced(&entry) {
         return LoanReceipt::default();
@@ -112,9 +112,7 @@
     record_borrower(api, &entry);
     let now = api.change_feed.now();
     let mut watch = api.tenure_watch.borrow_mut();
-    for vm in &failed {
-        watch.record_failure(&entry, vm, now);
-    }
+    watch.record_uses(&entry, &uses, now);
     for (tenure, reply) in fenced {
         watch.record_reply(&tenure, &entry, reply);
     }
@@ -134,18 +132,20 @@
     while !api.stopping.get() {
         smol::Timer::after(WATCH_INTERVAL).await;
         observe_tenures(&api);
-        let ready = {
-            let borrowers = api.borrowers.borrow();
-            api.tenure_watch.borrow().find_ready(|entry| borrowers.has_ended(entry))
-        };
-        if let Some((tenure, holder)) = ready
-            && !reclaim(&api, &tenure, &holder).await
-        {
-            smol::Timer::after(RECLAIM_PAUSE).await;
+        while let Some((tenure, holder)) = find_ready(&api) {
+            if !reclaim(&api, &tenure, &holder).await {
+                smol::Timer::after(RECLAIM_PAUSE).await;
+                break;
+            }
         }
     }
 }
 
+fn find_ready(api: &RelayApi) -> Option<(LoanTenure, EntryId)> {
+    let borrowers = api.borrowers.borrow();
+    api.tenure_watch.borrow().find_ready(|entry| borrowers.has_ended(entry))
+}
+
 fn observe_tenures(api: &RelayApi) {
     let now = api.change_feed.now();
     let recent = api.borrowers.borrow().list_recent(BORROWER_TIME, now);
@@ -160,7 +160,11 @@
     let mut watch = api.tenure_watch.borrow_mut();
     for shard in grants.shards() {
         if let Some(content) = grants.cached_shard(&shard).filter(|_| grants.has_tenure(&shard)) {
-            watch.observe(&shard, content, &own, now, |entry| borrowers.has_ended(entry));
+            let found =
+                watch.observe(&shard, content, &own, now, |entry| borrowers.has_ended(entry));
+            for (holder, cause) in found {
+                tracing::info!(event = "lender_dead", %holder, %shard, ?cause);
+            }
         }
     }
 }
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use smol::future::FutureExt;
-use toucanrail::borrowings::{BorrowedRow, BorrowingLedger};
+use toucanrail::borrowings::{BorrowedRow, BorrowingLedger, TenureUses};
 use toucanrail::endpoints::RelayName;
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::{CustomerId, EntryId, RequestId, ServiceName, ShardName, Tokens};
@@ -111,6 +111,7 @@
     backoff: RelayBackoff,
     queues: RefCell<BTreeMap<RelayName, ReportQueue>>,
     ledger: RefCell<BorrowingLedger>,
+    uses: RefCell<TenureUses>,
     /// When a loan of each shard was last requested.
     used_shards: RefCell<BTreeMap<ShardName, Duration>>,
 }
@@ -124,6 +125,7 @@
             backoff: RelayBackoff::default(),
             queues: RefCell::default(),
             ledger: BorrowingLedger::new(Arc::clone(entry)).into(),
+            uses: RefCell::default(),
             used_shards: RefCell::default(),
         }
     }
@@ -132,6 +134,13 @@
     pub fn avoids(&self, lender: &Arc<str>, now: Duration) -> bool {
         self.backoff.is_active(lender, now)
     }
+
+    /// Records that a lender's process has ended if its VM refuses connections.
+    fn record_refusal(&self, lender: &RelayName, error: &io::Error) {
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            self.uses.borrow_mut().record_end(lender);
+        }
+    }
 }
 
 /// The budget reserved for one request. Dropping it bills the tokens that were used, however the
@@ -244,6 +253,7 @@
                 gateway.metrics.count_event("lenders_failed");
                 gateway.loan_client.lenders_unreachable.set(true);
                 gateway.loan_client.backoff.record_failure(&lender, gateway.now());
+                gateway.loan_client.record_refusal(&lender, &error);
                 if gateway.relay_checker.health().is_failed(address) {
                     let timeout = SEARCH_TIMEOUT.min(need.time_left.mul_f64(SEARCH_FRACTION));
                     gateway.relay_checker.await_search(timeout).await;
@@ -328,6 +338,9 @@
 ) -> Option<Result<BudgetSource, HoldFailure>> {
     match reply {
         LoanReply::Held(tenure) => {
+            let mut uses = gateway.loan_client.uses.borrow_mut();
+            uses.record_loan(&tenure, lender, gateway.now());
+            drop(uses);
             let row = BorrowedRow {
                 tenure,
                 customer: Arc::clone(need.customer),
@@ -471,13 +484,15 @@
             remove_reported(&gateway, &lender, &queue, now);
             handle_receipt(&gateway, &lender, receipt);
         }
-        Err(error) if now.saturating_sub(queue.since) > END_RETENTION => {
-            if !queue.ends.is_empty() {
-                tracing::warn!(event = "ends_dropped", %lender, ends = queue.ends.len(), %error);
+        Err(error) => {
+            gateway.loan_client.record_refusal(&lender, &error);
+            if now.saturating_sub(queue.since) > END_RETENTION {
+                if !queue.ends.is_empty() {
+                    tracing::warn!(event = "ends_dropped", %lender, ends = queue.ends.len(), %error);
+                }
+                gateway.loan_client.queues.borrow_mut().remove(&lender);
             }
-            gateway.loan_client.queues.borrow_mut().remove(&lender);
         }
-        Err(_) => {}
     }
 }
 
@@ -489,7 +504,7 @@
         ends: queue.ends.clone(),
         dropped: queue.dropped.clone(),
         fenced: fenced.collect(),
-        failed: gateway.loan_client.backoff.list_active(gateway.now()),
+        uses: gateway.loan_client.uses.borrow().list(gateway.now()),
     }
 }
 
@@ -509,6 +524,7 @@
     ledger.drop_settled(&settled);
     for tenure in &closed {
         ledger.drop_tenure(tenure);
+        gateway.loan_client.uses.borrow_mut().remove(tenure);
     }
     for tenure in &fences {
         // No loan of it may be used from now on, whenever the report is sent.
--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -44,13 +44,6 @@
         self.rows.borrow().get(relay).is_some_and(|row| now < row.until)
     }
 
-    /// Returns the relays in backoff.
-    pub fn list_active(&self, now: Duration) -> Vec<Arc<str>> {
-        let rows = self.rows.borrow();
-        let active = rows.iter().filter(|(_, row)| now < row.until);
-        active.map(|(relay, _)| Arc::clone(relay)).collect()
-    }
-
     /// Records a failure of a relay: starts its backoff, twice as long as after the failure before.
     pub fn record_failure(&self, relay: &Arc<str>, now: Duration) {
         let mut rows = self.rows.borrow_mut();
--- a/toucanrail-gateway/tests/dead_lenders.rs
+++ b/toucanrail-gateway/tests/dead_lenders.rs
@@ -50,12 +50,16 @@
         response.starts_with("HTTP/1.1 200") && response.ends_with("0\r\n\r\n")
     }
 
+    /// Returns the relays that have a grant.
+    fn lenders(&self) -> Vec<String> {
+        let granted = self.store.granted("acme");
+        granted.into_keys().filter(|holder| holder.starts_with("side-")).collect()
+    }
+
     /// Returns the process that lends: the only one with a grant.
     fn lender(&self) -> String {
-        let granted = self.store.granted("acme");
-        let lenders: Vec<&String> =
-            granted.keys().filter(|holder| holder.starts_with("side-")).collect();
-        assert_eq!(lenders.len(), 1, "{granted:?}");
+        let lenders = self.lenders();
+        assert_eq!(lenders.len(), 1, "{lenders:?}");
         lenders[0].clone()
     }
 
@@ -117,6 +121,27 @@
     fleet.wait_billed(served, 2);
 }
 
+/// Guards against grants that stay with a lender that was killed and started again, where its VM does not
+/// lend from the shard any more because the entries use another lender by then.
+#[test]
+fn superseded_lender() {
+    let mut fleet = LentFleet::start(2);
+    let mut served = (0..10).map(|turn| u64::from(fleet.call(turn % 2))).sum::<u64>();
+    let preferred = fleet.lender();
+    fleet.relay_of(&preferred).kill();
+    served += fleet.wait_reclaimed(&preferred);
+    let substitute = fleet.lender();
+    fleet.relay_of(&preferred).restart();
+    platform::wait_until("the preferred lender", || {
+        served += u64::from(fleet.call(0)) + u64::from(fleet.call(1));
+        thread::sleep(PAUSE);
+        fleet.lenders().len() == 2
+    });
+    fleet.relay_of(&substitute).restart();
+    served += fleet.wait_reclaimed(&substitute);
+    fleet.wait_billed(served, 2);
+}
+
 /// Guards against a grant that returns while requests that it was lent for still run, and against
 /// requests that are billed twice or not at all for it.
 #[test]
--- a/toucanrail/src/borrowings.rs
+++ b/toucanrail/src/borrowings.rs
@@ -6,14 +6,21 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
+use crate::endpoints::RelayName;
 use crate::ids::{CustomerId, EntryId, RequestId, ServiceName, Tokens};
-use crate::loans::{LoanId, LoanTenure};
+use crate::loans::{LoanId, LoanTenure, TenureUse};
 use crate::messages::{FenceReply, UsageRow};
 
 /// Maximum number of loans in a ledger; bounds its memory to about 5 MB.
 const MAX_ROWS: usize = 16_384;
 
+/// Time after the last loan of a tenure in which it counts as current.
+const CURRENT_TIME: Duration = Duration::from_secs(3);
+/// Time after the last loan of a tenure in which its lender's end is reported.
+const USE_TIME: Duration = Duration::from_secs(60);
+
 /// One loan, as its borrower records it.
 #[derive(Debug, Clone)]
 pub struct BorrowedRow {
@@ -135,6 +142,68 @@
     }
 }
 
+#[derive(Debug)]
+struct UseRow {
+    lender: RelayName,
+    lent_at: Duration,
+    has_ended: bool,
+}
+
+/// The tenures that an entry has lately borrowed from, and which of their lenders have ended.
+#[derive(Debug, Default)]
+pub struct TenureUses {
+    rows: BTreeMap<LoanTenure, UseRow>,
+}
+
+impl TenureUses {
+    /// Records that a lender has opened a loan. Earlier tenures of the same VM in the shard have ended.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanrail::borrowings::TenureUses;
+    /// use toucanrail::loans::{LoanTenure, TenureUse};
+    /// let tenure = |epoch| LoanTenure { shard: "acme".into(), epoch };
+    /// let (mut uses, now) = (TenureUses::default(), Duration::ZERO);
+    /// uses.record_loan(&tenure(1), &"side-1".into(), now);
+    /// assert_eq!(uses.list(now), [(tenure(1), TenureUse::Current)]);
+    /// uses.record_loan(&tenure(2), &"side-1".into(), now);
+    /// assert_eq!(uses.list(now)[0], (tenure(1), TenureUse::Ended));
+    /// ```
+    pub fn record_loan(&mut self, tenure: &LoanTenure, lender: &RelayName, now: Duration) {
+        self.rows.retain(|_, row| now.saturating_sub(row.lent_at) <= USE_TIME);
+        for (known, row) in &mut self.rows {
+            let is_earlier = known.shard == tenure.shard && known.epoch < tenure.epoch;
+            row.has_ended |= is_earlier && row.lender == *lender;
+        }
+        let row = UseRow { lender: Arc::clone(lender), lent_at: now, has_ended: false };
+        self.rows.insert(tenure.clone(), row);
+    }
+
+    /// Records that the process of a lender has ended: its VM refuses connections.
+    pub fn record_end(&mut self, lender: &str) {
+        for row in self.rows.values_mut().filter(|row| *row.lender == *lender) {
+            row.has_ended = true;
+        }
+    }
+
+    /// Forgets a tenure that is closed.
+    pub fn remove(&mut self, tenure: &LoanTenure) {
+        self.rows.remove(tenure);
+    }
+
+    /// Returns the tenures that are in use, and those whose lenders have ended.
+    pub fn list(&self, now: Duration) -> Vec<(LoanTenure, TenureUse)> {
+        let state = |row: &UseRow| match now.saturating_sub(row.lent_at) {
+            age if age > USE_TIME => None,
+            _ if row.has_ended => Some(TenureUse::Ended),
+            age => (age <= CURRENT_TIME).then_some(TenureUse::Current),
+        };
+        let rows = self.rows.iter();
+        rows.filter_map(|(tenure, row)| Some((tenure.clone(), state(row)?))).collect()
+    }
+}
+
 fn usage_row(loan: &LoanId, row: &BorrowedRow, used: Tokens) -> UsageRow {
     UsageRow {
         run: Arc::clone(loan),
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3;
 
 use crate::grants::GrantHold;
-use crate::ids::{CustomerId, EntryId, Epoch, RequestId, ServiceName, ShardName, Tokens, VmId};
+use crate::ids::{CustomerId, EntryId, Epoch, RequestId, ServiceName, ShardName, Tokens};
 use crate::link_shares;
 use crate::messages::FenceReply;
 
@@ -58,6 +58,15 @@
     }
 }
 
+/// What a borrower knows of the lender of a tenure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TenureUse {
+    /// It has lately lent from this tenure.
+    Current,
+    /// Its process has ended.
+    Ended,
+}
+
 /// The lender's reply to a [`LoanRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoanReply {
@@ -178,8 +187,8 @@
     pub dropped: Vec<LoanId>,
     /// Tenures of dead lenders that the entry has fenced, and what was used of them.
     pub fenced: Vec<(LoanTenure, FenceReply)>,
-    /// VMs of lenders that the entry has lately not reached.
-    pub failed: Vec<VmId>,
+    /// Tenures that the entry has lately borrowed from. All others are not in use by it.
+    pub uses: Vec<(LoanTenure, TenureUse)>,
 }
 
 /// A lender's reply to a [`LoanReport`].
--- a/toucanrail/src/tenure_watch.rs
+++ b/toucanrail/src/tenure_watch.rs
@@ -2,8 +2,8 @@
 //! what their borrowers report of them.
 //!
 //! Reclaiming the tenure of a lender that lives is safe, since its borrowers fence it first, but until
-//! it is done that lender cannot lend. So a tenure is reclaimed once a newer process of the lender's VM
-//! has replaced it, or once none of its borrowers reaches the lender and it settles nothing.
+//! it is done that lender cannot lend. So a tenure is reclaimed once its lender's process has ended, or
+//! once the lender settles nothing and none of the borrowers uses it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -11,15 +11,14 @@
 
 use crate::budgets::{BudgetShard, HolderState};
 use crate::ids::{self, EntryId, Sequence, ShardName, VmId};
-use crate::loans::LoanTenure;
+use crate::loans::{LoanTenure, TenureUse};
 use crate::messages::FenceReply;
 
-/// Time without a settlement after which a lender that no borrower reaches counts as dead.
+/// Time without a settlement after which a lender that no borrower uses counts as dead.
 /// Lenders in use settle every few seconds.
 const SILENCE_TIME: Duration = Duration::from_secs(4);
-/// Time for which a borrower's failure to reach a lender counts; longer than borrowers avoid a lender
-/// after a failure.
-const FAILURE_TIME: Duration = Duration::from_secs(15);
+/// Time for which a borrower's report of the tenures that it uses counts; several report intervals.
+const REPORT_TIME: Duration = Duration::from_secs(2);
 /// Time for which borrowers are told that a tenure is closed.
 const CLOSED_TIME: Duration = Duration::from_secs(10);
 /// Maximum time for which a process whose VM has another one by now is remembered.
@@ -88,27 +87,48 @@
     }
 }
 
+/// Why a tenure is taken for one that its lender will not settle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeathCause {
+    /// A newer process of the lender's VM holds a tenure.
+    Replaced,
+    /// A borrower found that the lender's process has ended.
+    Ended,
+    /// The lender settles nothing, and no borrower uses the tenure.
+    Unused,
+    /// Another lender has begun to reclaim the tenure.
+    Revoked,
+}
+
 #[derive(Debug)]
 struct WatchRow {
     holder: EntryId,
     borrowers: BTreeSet<EntryId>,
     settled: Sequence,
     unchanged_since: Duration,
-    is_dead: bool,
+    has_ended: bool,
+    death: Option<DeathCause>,
     replies: BTreeMap<EntryId, FenceReply>,
 }
 
+/// What a borrower last reported of the tenures that it uses.
+#[derive(Debug)]
+struct UseReport {
+    heard_at: Duration,
+    current: BTreeSet<LoanTenure>,
+}
+
 /// The tenures of other lenders in the shards that this one lends from.
 #[derive(Debug, Default)]
 pub struct TenureWatch {
     rows: BTreeMap<LoanTenure, WatchRow>,
-    /// VMs of lenders that were not reached, by borrower, and when last.
-    failed: BTreeMap<(EntryId, VmId), Duration>,
+    uses: BTreeMap<EntryId, UseReport>,
     closed: BTreeMap<LoanTenure, Duration>,
 }
 
 impl TenureWatch {
     /// Records the holders of a shard; `own` is this lender. `has_ended` says that a borrower has ended.
+    /// Returns the holders whose tenures have to be reclaimed from now on, and why.
     pub fn observe<HasEnded>(
         &mut self,
         shard: &ShardName,
@@ -116,7 +136,8 @@
         own: &EntryId,
         now: Duration,
         has_ended: HasEnded,
-    ) where
+    ) -> Vec<(EntryId, DeathCause)>
+    where
         HasEnded: Fn(&str) -> bool,
     {
         self.rows.retain(|tenure, row| {
@@ -124,51 +145,74 @@
             tenure.shard != *shard || known.is_some_and(|known| known.epoch == tenure.epoch)
         });
         self.closed.retain(|_, at| now.saturating_sub(*at) <= CLOSED_TIME);
-        self.failed.retain(|_, at| now.saturating_sub(*at) <= FAILURE_TIME);
+        self.uses.retain(|_, report| now.saturating_sub(report.heard_at) <= REPORT_TIME);
+        let mut found = Vec::new();
         for (holder, known) in content.holders.iter().filter(|(_, known)| known.lends) {
             if holder == own {
                 continue;
             }
             let tenure = LoanTenure { shard: Arc::clone(shard), epoch: known.epoch };
-            let row = self.rows.entry(tenure).or_insert_with(|| WatchRow {
+            let row = self.rows.entry(tenure.clone()).or_insert_with(|| WatchRow {
                 holder: Arc::clone(holder),
                 borrowers: BTreeSet::new(),
                 settled: known.settled,
                 unchanged_since: now,
-                is_dead: false,
+                has_ended: false,
+                death: None,
                 replies: BTreeMap::new(),
             });
             if row.settled != known.settled {
                 (row.settled, row.unchanged_since) = (known.settled, now);
             }
             row.borrowers.clone_from(&known.agents);
-            let vm = VmId::from(ids::vm_of(holder));
-            let reaches = |entry: &EntryId| {
-                !has_ended(entry)
-                    && !self.failed.contains_key(&(Arc::clone(entry), Arc::clone(&vm)))
+            if row.death.is_some() {
+                continue;
+            }
+            let is_free = |entry: &EntryId| {
+                let report = self.uses.get(entry);
+                has_ended(entry) || report.is_some_and(|report| !report.current.contains(&tenure))
             };
             let is_silent = now.saturating_sub(row.unchanged_since) >= SILENCE_TIME;
-            let is_unreached = is_silent && !row.borrowers.iter().any(reaches);
-            let is_replaced = *vm == *ids::vm_of(own) || content.is_replaced(holder);
-            // Another lender may have begun to reclaim the tenure, and died.
-            let is_revoked = known.state != HolderState::Live;
-            row.is_dead |= is_replaced || is_unreached || is_revoked;
+            row.death = if known.state != HolderState::Live {
+                Some(DeathCause::Revoked)
+            } else if *ids::vm_of(holder) == *ids::vm_of(own) || content.is_replaced(holder) {
+                Some(DeathCause::Replaced)
+            } else if row.has_ended {
+                Some(DeathCause::Ended)
+            } else {
+                let is_unused = is_silent && row.borrowers.iter().all(is_free);
+                is_unused.then_some(DeathCause::Unused)
+            };
+            found.extend(row.death.map(|cause| (Arc::clone(holder), cause)));
         }
+        found
     }
 
-    /// Records that a borrower does not reach a lender.
-    pub fn record_failure(&mut self, entry: &EntryId, vm: &VmId, now: Duration) {
-        self.failed.insert((Arc::clone(entry), Arc::clone(vm)), now);
+    /// Records what a borrower reports of the tenures that it uses.
+    pub fn record_uses(
+        &mut self,
+        entry: &EntryId,
+        uses: &[(LoanTenure, TenureUse)],
+        now: Duration,
+    ) {
+        let mut current = BTreeSet::new();
+        for (tenure, state) in uses {
+            match (state, self.rows.get_mut(tenure)) {
+                (TenureUse::Current, _) => drop(current.insert(tenure.clone())),
+                (TenureUse::Ended, Some(row)) => row.has_ended = true,
+                (TenureUse::Ended, None) => {}
+            }
+        }
+        self.uses.insert(Arc::clone(entry), UseReport { heard_at: now, current });
     }
 
     /// Returns the tenures that a borrower must fence and report on: those of dead lenders whose loans
     /// it may still use.
     pub fn fences_for(&self, entry: &str) -> Vec<LoanTenure> {
         let is_open = |row: &WatchRow| row.replies.get(entry).is_none_or(|reply| reply.running > 0);
-        let rows = self
-            .rows
-            .iter()
-            .filter(|(_, row)| row.is_dead && row.borrowers.contains(entry) && is_open(row));
+        let rows = self.rows.iter().filter(|(_, row)| {
+            row.death.is_some() && row.borrowers.contains(entry) && is_open(row)
+        });
         rows.map(|(tenure, _)| tenure.clone()).collect()
     }
 
@@ -195,7 +239,7 @@
             row.replies.get(entry).is_some_and(|reply| reply.running == 0) || has_ended(entry)
         };
         let mut ready = self.rows.iter().filter(|(_, row)| {
-            row.is_dead && row.borrowers.iter().all(|entry| is_done(row, entry))
+            row.death.is_some() && row.borrowers.iter().all(|entry| is_done(row, entry))
         });
         ready.next().map(|(tenure, row)| (tenure.clone(), Arc::clone(&row.holder)))
     }
--- a/toucanrail/tests/borrowed_tenures.rs
+++ b/toucanrail/tests/borrowed_tenures.rs
@@ -6,17 +6,18 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use toucanrail::borrowings::{BorrowedRow, BorrowingLedger};
+use toucanrail::borrowings::{BorrowedRow, BorrowingLedger, TenureUses};
 use toucanrail::budgets::BudgetShard;
+use toucanrail::endpoints::RelayName;
 use toucanrail::grants::GrantTable;
-use toucanrail::ids::{CustomerId, EntryId, ShardName};
-use toucanrail::loans::LoanTenure;
+use toucanrail::ids::{CustomerId, EntryId};
+use toucanrail::loans::{LoanTenure, TenureUse};
 use toucanrail::messages::FenceReply;
 use toucanrail::policies::GrantPolicy;
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
 use toucanrail::sync_plans::SyncPlan;
 use toucanrail::syncs::SyncMachine;
-use toucanrail::tenure_watch::TenureWatch;
+use toucanrail::tenure_watch::{DeathCause, TenureWatch};
 
 const POLICY: GrantPolicy = GrantPolicy::FixedAmount { headroom: 1_000 };
 
@@ -125,39 +126,91 @@
     assert!(lender.table.names_agent(&customer(), &borrower) && lender.named().contains(&borrower));
 }
 
+/// A lender's tenure in a shard, with two borrowers, and another lender's watch on it.
+struct WatchedTenure {
+    shard: BudgetShard,
+    watch: TenureWatch,
+    borrowers: [EntryId; 2],
+}
+
+impl WatchedTenure {
+    fn new() -> Self {
+        let (mut shard, borrowers) =
+            (BudgetShard::default(), ["front-1.a", "front-2.a"].map(entry));
+        for holder in ["side-1.a", "side-2.a"] {
+            shard.open_tenure(&entry(holder));
+        }
+        let holder = shard.holders.get_mut("side-1.a").expect("a holder");
+        holder.lends = true;
+        holder.agents.extend(borrowers.iter().map(Arc::clone));
+        Self { shard, watch: TenureWatch::default(), borrowers }
+    }
+
+    fn settle(&mut self) {
+        self.shard.holders.get_mut("side-1.a").expect("a holder").settled += 1;
+    }
+
+    /// Records a report of a borrower that has lately borrowed from these tenures.
+    fn report(&mut self, borrower: usize, seconds: u64, uses: &[(LoanTenure, TenureUse)]) {
+        let now = Duration::from_secs(seconds);
+        self.watch.record_uses(&self.borrowers[borrower], uses, now);
+    }
+
+    /// Looks at the shard, and returns why the tenure is taken for dead, if it has not been before.
+    fn observe(&mut self, seconds: u64) -> Option<DeathCause> {
+        let (now, own) = (Duration::from_secs(seconds), entry("side-2.a"));
+        let found = self.watch.observe(&customer(), &self.shard, &own, now, |_| false);
+        let (holder, cause) = found.into_iter().next()?;
+        assert_eq!(holder, entry("side-1.a"));
+        assert_eq!(self.watch.fences_for(&self.borrowers[0]), [tenure(1)]);
+        Some(cause)
+    }
+}
+
 /// Guards against a lender that works being taken for dead, and against one that died being left alone
-/// because its VM does not come back.
+/// because its VM does not come back, or came back and lends elsewhere.
 #[test]
 fn silent_lenders() {
-    let (mut shard, mut watch) = (BudgetShard::default(), TenureWatch::default());
-    let (dead, own, borrower) = (entry("side-1.a"), entry("side-2.a"), entry("front-1.a"));
-    for holder in [&dead, &own] {
-        shard.open_tenure(holder);
-    }
-    let holder = shard.holders.get_mut(&dead).expect("a holder");
-    holder.lends = true;
-    holder.agents.extend([&borrower, &entry("front-2.a")].map(Arc::clone));
-    let shard_name: ShardName = customer();
-    let observe = |watch: &mut TenureWatch, shard: &BudgetShard, seconds: u64| {
-        let has_ended = |_: &str| false;
-        watch.observe(&shard_name, shard, &own, Duration::from_secs(seconds), has_ended);
-        watch.fences_for(&borrower)
-    };
-    let fail = |watch: &mut TenureWatch, entry: &EntryId, seconds: u64| {
-        watch.record_failure(entry, &Arc::from("side-1"), Duration::from_secs(seconds));
-    };
-    let second = entry("front-2.a");
-    assert!(observe(&mut watch, &shard, 0).is_empty());
-    for entry in [&borrower, &second] {
-        fail(&mut watch, entry, 1);
-    }
-    shard.holders.get_mut(&dead).expect("a holder").settled = 1;
-    assert!(observe(&mut watch, &shard, 2).is_empty(), "it settles");
-    assert!(observe(&mut watch, &shard, 30).is_empty(), "it is reached");
-    fail(&mut watch, &borrower, 31);
-    assert!(observe(&mut watch, &shard, 31).is_empty(), "one borrower reaches it");
-    fail(&mut watch, &second, 32);
-    assert_eq!(observe(&mut watch, &shard, 32), [tenure(1)]);
+    let mut watched = WatchedTenure::new();
+    let current = [(tenure(1), TenureUse::Current)];
+    assert_eq!(watched.observe(0), None);
+    watched.settle();
+    watched.report(0, 4, &[]);
+    watched.report(1, 4, &[]);
+    assert_eq!(watched.observe(4), None, "it settles");
+    assert_eq!(watched.observe(30), None, "no borrower has told whether it uses the tenure");
+    watched.report(0, 31, &[]);
+    assert_eq!(watched.observe(31), None, "one borrower has not told it");
+    watched.report(1, 31, &current);
+    assert_eq!(watched.observe(31), None, "one borrower uses it");
+    watched.report(0, 40, &[(tenure(2), TenureUse::Current)]);
+    watched.report(1, 41, &[]);
+    assert_eq!(watched.observe(43), None, "one report is old");
+    watched.report(0, 43, &[]);
+    assert_eq!(watched.observe(43), Some(DeathCause::Unused));
+    assert_eq!(watched.observe(44), None);
+}
+
+/// Guards against waiting for the silence of a lender whose VM refuses connections.
+#[test]
+fn refusing_lender() {
+    let mut watched = WatchedTenure::new();
+    assert_eq!(watched.observe(0), None);
+    watched.report(1, 1, &[(tenure(9), TenureUse::Ended)]);
+    assert_eq!(watched.observe(1), None, "another tenure");
+    watched.report(1, 1, &[(tenure(1), TenureUse::Ended)]);
+    assert_eq!(watched.observe(1), Some(DeathCause::Ended));
+}
+
+/// Guards against a tenure that is reclaimed before each of its borrowers has fenced it and ended its
+/// loans.
+#[test]
+fn missing_replies() {
+    let mut watched = WatchedTenure::new();
+    watched.observe(0);
+    watched.report(0, 1, &[(tenure(1), TenureUse::Ended)]);
+    watched.observe(1);
+    let WatchedTenure { mut watch, borrowers: [first, second], .. } = watched;
     let ready = |watch: &TenureWatch| watch.find_ready(|_| false);
     let reply = |agent: &EntryId, running| FenceReply {
         agent: Arc::clone(agent),
@@ -166,10 +219,26 @@
     };
     watch.record_reply(&tenure(1), &second, reply(&second, 0));
     assert!(ready(&watch).is_none());
-    watch.record_reply(&tenure(1), &borrower, reply(&borrower, 1));
-    assert!(ready(&watch).is_none() && !watch.fences_for(&borrower).is_empty());
-    watch.record_reply(&tenure(1), &borrower, reply(&borrower, 0));
-    assert_eq!(ready(&watch), Some((tenure(1), dead)));
+    watch.record_reply(&tenure(1), &first, reply(&first, 1));
+    assert!(ready(&watch).is_none() && !watch.fences_for(&first).is_empty());
+    watch.record_reply(&tenure(1), &first, reply(&first, 0));
+    assert_eq!(ready(&watch), Some((tenure(1), entry("side-1.a"))));
+}
+
+/// Guards against a borrower that reports a lender's end by a failure of the one before, or of another
+/// VM.
+#[test]
+fn reported_ends() {
+    let (mut uses, seconds) = (TenureUses::default(), Duration::from_secs);
+    let (first, second): (RelayName, RelayName) = (Arc::from("side-1"), Arc::from("side-2"));
+    uses.record_loan(&tenure(1), &first, seconds(0));
+    uses.record_loan(&tenure(2), &second, seconds(0));
+    uses.record_end(&first);
+    uses.record_loan(&tenure(3), &first, seconds(5));
+    let listed = [(tenure(1), TenureUse::Ended), (tenure(3), TenureUse::Current)];
+    assert_eq!(uses.list(seconds(5)), listed);
+    uses.remove(&tenure(1));
+    assert!(uses.list(seconds(9)).is_empty());
 }
 
 /// Guards against the reclaim of a holder that uses tokens itself, such as an entry or a lender of
