Borrowers stay named in a tenure until what they used is settled

Found by reading, while looking for what a lender and a borrower that die together can take with them.

Cause: a sync that only tops up grants writes the agents in use without those whose bills are queued. A borrower that has been replaced or has not borrowed for a minute was removed from the tenure while its bills, or the frozen amounts of its loans, waited for the next settlement, up to three seconds. If the lender died then, the tenure was reclaimed by the reports of the others as if all usage were proved: what the removed borrower had used returned to the account, and could be spent again.

Change: agents in queued bills are in use. A frozen loan names its borrower in its bill.

unsettled_borrower failed before: the shard did not name the borrower after a top-up. budget_schedules, dead_lenders, lender_shutdown and departed_callers pass.

--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -252,11 +252,6 @@
         used: Tokens,
         loan: Option<&LoanId>,
     ) {
-        let run = |loan: &LoanId| BilledRun {
-            run: Arc::clone(loan),
-            agent: Arc::from(loans::borrower_of(loan)),
-            used,
-        };
         let bill = (used > 0).then(|| BillRow {
             request,
             customer: Arc::clone(&hold.customer),
@@ -266,7 +261,7 @@
             billed: used.min(hold.amount),
             written_off: 0,
             unproved: 0,
-            runs: loan.map(run).into_iter().collect(),
+            runs: loan.map(|loan| make_run(loan, used)).into_iter().collect(),
         });
         self.grants.borrow_mut().end_hold(hold, bill);
     }
@@ -283,7 +278,7 @@
             billed: 0,
             written_off: 0,
             unproved: hold.amount,
-            runs: Vec::new(),
+            runs: vec![make_run(loan, 0)],
         };
         self.grants.borrow_mut().end_hold(hold, Some(bill));
     }
@@ -377,6 +372,11 @@
     }
 }
 
+/// Returns what a borrower used of a loan, as part of a bill.
+fn make_run(loan: &LoanId, used: Tokens) -> BilledRun {
+    BilledRun { run: Arc::clone(loan), agent: Arc::from(loans::borrower_of(loan)), used }
+}
+
 /// Returns the event kind that an outcome is counted under.
 fn outcome_kind(outcome: &SyncOutcome) -> &'static str {
     match outcome {
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -322,9 +322,10 @@
         if let Some(plan) = &tenure.plan {
             return Some(plan.clone());
         }
-        let agents = tenure.agents_in_use(&self.wanted_agents);
-        let agents_recorded = agents == tenure.agents;
         let customers = self.customers_of(shard);
+        let mut agents = tenure.agents_in_use(&self.wanted_agents);
+        agents.extend(self.unsettled_agents(&customers));
+        let agents_recorded = agents == tenure.agents;
         let holds = self.has_holds(&customers);
         let leave = scope == SyncScope::Leave;
         let changed = if leave && holds {
@@ -363,6 +364,13 @@
         late || accounts.into_iter().any(|account| !account.unsettled.is_empty())
     }
 
+    /// Returns the agents whose usage is not settled yet. If this process dies, only they can tell it.
+    fn unsettled_agents(&self, customers: &[CustomerId]) -> BTreeSet<AgentId> {
+        let accounts = customers.iter().filter_map(|customer| self.accounts.get(customer));
+        let runs = accounts.flat_map(|account| &account.unsettled).flat_map(|row| &row.runs);
+        runs.map(|billed| Arc::clone(&billed.agent)).collect()
+    }
+
     fn has_holds(&self, customers: &[CustomerId]) -> bool {
         let mut accounts = customers.iter().filter_map(|customer| self.accounts.get(customer));
         accounts.any(|account| account.held > 0)
--- a/toucanrail/tests/borrowed_tenures.rs
+++ b/toucanrail/tests/borrowed_tenures.rs
@@ -7,11 +7,11 @@
 
 use proptest::prelude::*;
 use toucanrail::borrowings::{BorrowedRow, BorrowingLedger, TenureUses};
-use toucanrail::budgets::BudgetShard;
+use toucanrail::budgets::{BillRow, BilledRun, BudgetShard};
 use toucanrail::endpoints::RelayName;
-use toucanrail::grants::GrantTable;
+use toucanrail::grants::{GrantHold, GrantTable};
 use toucanrail::ids::{CustomerId, EntryId};
-use toucanrail::loans::{LoanTenure, TenureUse};
+use toucanrail::loans::{self, LoanId, LoanTenure, TenureUse};
 use toucanrail::messages::FenceReply;
 use toucanrail::policies::GrantPolicy;
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
@@ -43,6 +43,22 @@
     }
 }
 
+/// Returns the bill of a loan of which all was used.
+fn bill(hold: &GrantHold, loan: &LoanId) -> BillRow {
+    let agent = Arc::from(loans::borrower_of(loan));
+    BillRow {
+        request: Arc::from("r"),
+        customer: customer(),
+        service: Arc::from("llm"),
+        epoch: hold.epoch,
+        keyed: false,
+        billed: hold.amount,
+        written_off: 0,
+        unproved: 0,
+        runs: vec![BilledRun { run: Arc::clone(loan), agent, used: hold.amount }],
+    }
+}
+
 /// A lender and its shard in the store.
 struct Lender {
     table: GrantTable,
@@ -76,6 +92,9 @@
                     version: self.version,
                     value: storecalls::encode_value(&self.shard),
                 },
+                StoreCall::Put { path, .. } if path.starts_with("bills/") => {
+                    StoreReply::Written { version: 1 }
+                }
                 StoreCall::Put { value, .. } => {
                     self.version += 1;
                     self.shard = storecalls::decode_value(&value).expect("a shard");
@@ -126,6 +145,28 @@
     assert!(lender.table.names_agent(&customer(), &borrower) && lender.named().contains(&borrower));
 }
 
+/// Guards against tokens that return although a borrower used them: it is removed from the shard while
+/// its bill is not settled, and both it and the lender die.
+#[test]
+fn unsettled_borrower() {
+    let (mut lender, borrower) = (Lender::new(), entry("front-1.a"));
+    lender.table.want_agent(&borrower);
+    lender.sync();
+    let loan: LoanId = Arc::from("front-1.a.0");
+    let hold = lender.table.hold(&customer(), 10).expect("a hold");
+    lender.table.mark_agent(&customer(), &borrower, true);
+    lender.table.mark_agent(&customer(), &borrower, false);
+    lender.table.end_hold(&hold, Some(bill(&hold, &loan)));
+    lender.table.retain_wanted(&BTreeSet::new());
+    lender.sync();
+    assert!(lender.named().contains(&borrower));
+    let settling = lender.table.plan_sync(&customer(), false).expect("a plan");
+    lender.run(settling);
+    lender.table.record_acked(&borrower, &BTreeSet::from([loan]), false);
+    lender.sync();
+    assert!(!lender.named().contains(&borrower));
+}
+
 /// A lender's tenure in a shard, with two borrowers, and another lender's watch on it.
 struct WatchedTenure {
     shard: BudgetShard,
