Grants of dead lenders return as soon as their borrowers have fenced them

Callers saw 402 for seconds after relays had been killed, and for good where an entry was killed some seconds after them: all that the relay had not settled was frozen.

Cause: a tenure was reclaimed in one step, when the last loan of it had ended. Streams run for seconds; until then nothing returned, and the death of a borrower in this time froze the whole grant, most of which had not been lent. A lender that took over from one that was reclaiming began to ask the borrowers anew, and an entry that had no request of its own kept reporting to the dead lender for three seconds.

Change: borrowers report the amounts of their running loans. Once all have fenced the tenure, the reclaim lowers its grants to what ended and running loans need, with one more write. Entries that know of a lender's end fence its tenures and report on them without being asked, and put it into backoff if a report is refused. A report on a tenure that is closed is answered so, whoever closed it.

Logs: tenure_reduced; tenure_reclaimed has the tokens that were released and frozen.

--- a/toucanrail-daemons/src/reclaiming.rs
+++ b/toucanrail-daemons/src/reclaiming.rs
@@ -94,13 +94,15 @@
     let mut finished = true;
     for shard in shards {
         match reclaim(entry, &shard, dead).await {
-            ReclaimOutcome::Closed { proved, bills, runs } => {
+            ReclaimOutcome::Closed { proved, bills, runs, .. } => {
                 entry.metrics.count_event("tenures_reclaimed");
                 tracing::info!(%dead, %shard, proved, bills, "tenure reclaimed");
                 acknowledge_runs(entry, runs).await;
             }
             ReclaimOutcome::NotNeeded => {}
-            ReclaimOutcome::Waiting | ReclaimOutcome::Unavailable => finished = false,
+            ReclaimOutcome::Waiting
+            | ReclaimOutcome::Reduced { .. }
+            | ReclaimOutcome::Unavailable => finished = false,
         }
     }
     if finished {
@@ -116,7 +118,7 @@
     loop {
         smol::Timer::after(OWN_RECLAIM_INTERVAL).await;
         let outcome = reclaim(&entry, &shard, &entry.id).await;
-        if !matches!(outcome, ReclaimOutcome::Waiting | ReclaimOutcome::Unavailable) {
+        if matches!(outcome, ReclaimOutcome::Closed { .. } | ReclaimOutcome::NotNeeded) {
             return;
         }
     }
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -113,17 +113,23 @@
     let now = api.change_feed.now();
     let mut watch = api.tenure_watch.borrow_mut();
     watch.record_uses(&entry, &uses, now);
+    let mut grants = api.grant_manager.grants.borrow_mut();
+    let mut closed = watch.closed();
     for (tenure, reply) in fenced {
-        watch.record_reply(&tenure, &entry, reply);
+        let content = grants.cached_shard(&tenure.shard);
+        if content.is_some_and(|content| content.has_closed(tenure.epoch)) {
+            closed.push(tenure);
+        } else {
+            watch.record_reply(&tenure, &entry, reply);
+        }
     }
-    let mut grants = api.grant_manager.grants.borrow_mut();
     if !dropped.is_empty() {
         grants.record_acked(&entry, &dropped.into_iter().collect(), false);
     }
     LoanReceipt {
         settled: grants.pending_acks_of(&entry),
         fences: watch.fences_for(&entry),
-        closed: watch.closed(),
+        closed,
     }
 }
 
@@ -169,8 +175,8 @@
     }
 }
 
-/// Reclaims a tenure whose borrowers have all reported. Returns whether it is closed, by this lender or
-/// another one.
+/// Reclaims a tenure whose borrowers have all reported. Returns false if it failed and is to be tried
+/// again after a pause.
 async fn reclaim(api: &RelayApi, tenure: &LoanTenure, holder: &EntryId) -> bool {
     let manager = &api.grant_manager;
     let (shard, own) = (Arc::clone(&tenure.shard), Arc::clone(manager.grants.borrow().holder()));
@@ -187,29 +193,44 @@
     }
     manager.metrics.report_unreadable(machine.unreadable());
     let outcome = machine.into_outcome();
-    let is_over = matches!(outcome, ReclaimOutcome::Closed { .. } | ReclaimOutcome::NotNeeded);
-    if let ReclaimOutcome::Closed { proved, bills, .. } = &outcome {
-        manager.metrics.count_event("tenures_reclaimed");
-        tracing::info!(
-            event = "tenure_reclaimed", %holder, shard = %tenure.shard, epoch = tenure.epoch, proved, bills,
-        );
-    } else {
-        tracing::info!(event = "reclaim_unfinished", %holder, shard = %tenure.shard, ?outcome);
-    }
-    if is_over {
-        api.tenure_watch.borrow_mut().record_closed(tenure.clone(), api.change_feed.now());
-        // The next sync reads the shard with the returned tokens.
-        manager.grants.borrow_mut().take_cached(&tenure.shard);
+    let shard = &tenure.shard;
+    let mut watch = api.tenure_watch.borrow_mut();
+    match outcome {
+        ReclaimOutcome::Closed { proved, bills, released, frozen, .. } => {
+            manager.metrics.count_event("tenures_reclaimed");
+            tracing::info!(
+                event = "tenure_reclaimed", %holder, %shard, epoch = tenure.epoch, proved, bills,
+                released, frozen,
+            );
+            watch.record_closed(tenure.clone(), api.change_feed.now());
+        }
+        ReclaimOutcome::NotNeeded => watch.record_closed(tenure.clone(), api.change_feed.now()),
+        ReclaimOutcome::Reduced { released } => {
+            tracing::info!(event = "tenure_reduced", %holder, %shard, epoch = tenure.epoch, released);
+            watch.record_reduced(tenure);
+        }
+        ReclaimOutcome::Waiting | ReclaimOutcome::Unavailable => {
+            if outcome == ReclaimOutcome::Waiting {
+                // No part of the grants is known to be free.
+                watch.record_reduced(tenure);
+            }
+            tracing::info!(event = "reclaim_unfinished", %holder, %shard, epoch = tenure.epoch, ?outcome);
+            return false;
+        }
     }
-    is_over
+    // The next sync reads the shard with the returned tokens.
+    manager.grants.borrow_mut().take_cached(shard);
+    true
 }
 
 fn find_report(api: &RelayApi, tenure: &LoanTenure, entry: &EntryId) -> ReclaimReply {
-    match api.tenure_watch.borrow().final_reply(tenure, entry) {
-        Some(reply) => ReclaimReply::Fenced(reply.clone()),
-        None if api.borrowers.borrow().has_ended(entry) => ReclaimReply::Gone,
-        None => ReclaimReply::Unreachable,
+    let watch = api.tenure_watch.borrow();
+    let reply = watch.find_reply(tenure, entry);
+    let is_final = reply.is_some_and(|reply| reply.running == 0);
+    if !is_final && api.borrowers.borrow().has_ended(entry) {
+        return ReclaimReply::Gone;
     }
+    reply.map_or(ReclaimReply::Unreachable, |reply| ReclaimReply::Fenced(reply.clone()))
 }
 
 /// Stops lending and waits until the open loans have ended, for at most `timeout`.
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -84,9 +84,14 @@
         !self.ends.is_empty() || !self.dropped.is_empty() || is_past(self.reported_at, now)
     }
 
-    /// Returns the tenures to report on now. Their reports may be long.
-    fn due_fences(&self, now: Duration) -> Vec<LoanTenure> {
-        if is_past(self.fenced_at, now) { self.fenced.clone() } else { Vec::new() }
+    /// Returns the tenures to report on now: those that the lender has asked for, and `ended`. Their
+    /// reports may be long.
+    fn due_fences(&self, ended: BTreeSet<LoanTenure>, now: Duration) -> Vec<LoanTenure> {
+        if !is_past(self.fenced_at, now) {
+            return Vec::new();
+        }
+        let asked = self.fenced.iter().cloned();
+        ended.into_iter().chain(asked).collect::<BTreeSet<_>>().into_iter().collect()
     }
 
     /// Removes what a report contained.
@@ -135,10 +140,14 @@
         self.backoff.is_active(lender, now)
     }
 
-    /// Records that a lender's process has ended if its VM refuses connections.
-    fn record_refusal(&self, lender: &RelayName, error: &io::Error) {
+    /// Records that a lender's process has ended if its VM refuses connections. The next one by rank then
+    /// gets the reports too.
+    fn record_refusal(&self, lender: &RelayName, error: &io::Error, now: Duration) {
         if error.kind() == io::ErrorKind::ConnectionRefused {
             self.uses.borrow_mut().record_end(lender);
+            if !self.avoids(lender, now) {
+                self.backoff.record_failure(lender, now);
+            }
         }
     }
 }
@@ -253,7 +262,7 @@
                 gateway.metrics.count_event("lenders_failed");
                 gateway.loan_client.lenders_unreachable.set(true);
                 gateway.loan_client.backoff.record_failure(&lender, gateway.now());
-                gateway.loan_client.record_refusal(&lender, &error);
+                gateway.loan_client.record_refusal(&lender, &error, gateway.now());
                 if gateway.relay_checker.health().is_failed(address) {
                     let timeout = SEARCH_TIMEOUT.min(need.time_left.mul_f64(SEARCH_FRACTION));
                     gateway.relay_checker.await_search(timeout).await;
@@ -346,6 +355,7 @@
                 customer: Arc::clone(need.customer),
                 request: Arc::clone(need.request),
                 service: Arc::clone(need.service),
+                amount: need.max_usage,
                 used: None,
             };
             if !gateway.loan_client.ledger.borrow_mut().begin(Arc::clone(loan), row) {
@@ -457,14 +467,26 @@
     due.map(|(lender, _)| Arc::clone(lender)).collect()
 }
 
+/// Returns the tenures of lenders that have ended in the shards that another lender lends from now. It
+/// will reclaim them, and needs not ask.
+fn list_ended(gateway: &Gateway, lender: &RelayName) -> BTreeSet<LoanTenure> {
+    let uses = gateway.loan_client.uses.borrow();
+    let used_shards = gateway.loan_client.used_shards.borrow();
+    let is_picked = |shard: &&ShardName| {
+        pick_shard_lender(gateway, shard).is_some_and(|(picked, _)| picked == *lender)
+    };
+    used_shards.keys().filter(is_picked).flat_map(|shard| uses.list_ended(shard)).collect()
+}
+
 /// Reports to a lender what is queued for it. The ends stay queued until the lender has them.
 async fn send_report(gateway: Rc<Gateway>, lender: RelayName) {
     let now = gateway.now();
+    let ended = list_ended(&gateway, &lender);
     let queue = {
         let mut queues = gateway.loan_client.queues.borrow_mut();
         let queue = queues.entry(Arc::clone(&lender)).or_default();
         queue.reported_at = Some(now);
-        let fenced = queue.due_fences(now);
+        let fenced = queue.due_fences(ended, now);
         if !fenced.is_empty() {
             queue.fenced_at = Some(now);
         }
@@ -485,7 +507,7 @@
             handle_receipt(&gateway, &lender, receipt);
         }
         Err(error) => {
-            gateway.loan_client.record_refusal(&lender, &error);
+            gateway.loan_client.record_refusal(&lender, &error, gateway.now());
             if now.saturating_sub(queue.since) > END_RETENTION {
                 if !queue.ends.is_empty() {
                     tracing::warn!(event = "ends_dropped", %lender, ends = queue.ends.len(), %error);
--- a/toucanrail-gateway/tests/dead_lenders.rs
+++ b/toucanrail-gateway/tests/dead_lenders.rs
@@ -14,6 +14,8 @@
 /// Prompt tokens of a request, and what one event of a stream counts for.
 const PROMPT: u64 = 100;
 const EVENT: u64 = 6;
+/// Maximum output tokens of a request.
+const MAX_OUTPUT: u64 = 60;
 /// Prepaid tokens; enough for all requests of a test.
 const PREPAID: u64 = 1_000_000;
 const PAUSE: Duration = Duration::from_millis(50);
@@ -191,6 +193,40 @@
     assert!(fleet.store.billed("acme") + fleet.store.frozen("acme") >= known + granted / 2);
 }
 
+/// Guards against freezing all of a grant where a borrower dies some time after its lender, while it
+/// still runs a loan of it.
+#[test]
+fn later_borrower() {
+    let mut fleet = LentFleet::start(100);
+    assert!(fleet.call(0) && fleet.call(1));
+    let lender = fleet.lender();
+    let received = fleet.server.seen().len();
+    let calling = |fleet: &LentFleet, entry: usize| {
+        let address = fleet.entries[entry].callers;
+        thread::spawn(move || {
+            let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
+            let id = format!("running-{entry}");
+            platform::try_raw(address, &request("POST", "/stream/a", &id, &headers, "p"))
+        })
+    };
+    let running = calling(&fleet, 0);
+    platform::wait_until("the request", || fleet.server.seen().len() > received);
+    fleet.relay_of(&lender).kill();
+    let other = calling(&fleet, 1);
+    // Three loans at most: one of each borrower that has ended, and the running one.
+    let known = 3 * (PROMPT + MAX_OUTPUT);
+    platform::wait_until("the return of what is free", || {
+        fleet.store.granted("acme").get(&lender).is_some_and(|granted| *granted <= known)
+    });
+    fleet.entries[0].restart();
+    fleet.entries[0].wait_ready(true);
+    running.join().expect("a caller");
+    other.join().expect("a caller");
+    fleet.wait_reclaimed(&lender);
+    let frozen = fleet.store.frozen("acme");
+    assert!((PROMPT..=2 * (PROMPT + MAX_OUTPUT)).contains(&frozen), "{frozen}");
+}
+
 /// Guards against a rest of a grant that is frozen when its lender dies because a borrower had died some
 /// time before, although everything of that one was settled since.
 #[test]
--- a/toucanrail/src/borrowings.rs
+++ b/toucanrail/src/borrowings.rs
@@ -32,6 +32,8 @@
     pub request: RequestId,
     /// The service.
     pub service: ServiceName,
+    /// The maximum usage.
+    pub amount: Tokens,
     /// Tokens used; none while the request runs.
     pub used: Option<Tokens>,
 }
@@ -59,6 +61,7 @@
     ///     customer: "acme".into(),
     ///     request: "r1".into(),
     ///     service: "llm".into(),
+    ///     amount: 50,
     ///     used: None,
     /// };
     /// let mut ledger = BorrowingLedger::new("front-1.a".into());
@@ -121,14 +124,18 @@
         self.fences.insert(tenure.clone());
         let is_complete = !self.incomplete.contains(tenure);
         let agent = if is_complete { Arc::clone(&self.entry) } else { Arc::from("") };
-        let mut reply = FenceReply { agent, rows: Vec::new(), running: 0 };
+        let mut held: BTreeMap<CustomerId, Tokens> = BTreeMap::new();
+        let mut reply = FenceReply { agent, rows: Vec::new(), running: 0, held: None };
         for (loan, row) in self.rows.iter().filter(|(_, row)| row.tenure == *tenure) {
-            match row.used {
-                Some(used) => reply.rows.push(usage_row(loan, row, used)),
-                None => reply.running += 1,
+            if let Some(used) = row.used {
+                reply.rows.push(usage_row(loan, row, used));
+            } else {
+                reply.running += 1;
+                let sum = held.entry(Arc::clone(&row.customer)).or_default();
+                *sum = sum.saturating_add(row.amount);
             }
         }
-        reply
+        FenceReply { held: Some(held), ..reply }
     }
 
     /// Returns the number of loans that are not known to be settled.
@@ -192,6 +199,13 @@
         self.rows.remove(tenure);
     }
 
+    /// Returns the tenures of a shard whose lenders have ended.
+    pub fn list_ended(&self, shard: &str) -> Vec<LoanTenure> {
+        let rows = self.rows.iter();
+        let ended = rows.filter(|(tenure, row)| row.has_ended && *tenure.shard == *shard);
+        ended.map(|(tenure, _)| tenure.clone()).collect()
+    }
+
     /// Returns the tenures that are in use, and those whose lenders have ended.
     pub fn list(&self, now: Duration) -> Vec<(LoanTenure, TenureUse)> {
         let state = |row: &UseRow| match now.saturating_sub(row.lent_at) {
--- a/toucanrail/src/budgets.rs
+++ b/toucanrail/src/budgets.rs
@@ -445,18 +445,43 @@
         }
     }
 
-    /// Ends an entry's tenure. With `proved`, its grants are known to be unspent and return to the
-    /// accounts; otherwise they are frozen.
-    pub fn close_tenure(&mut self, entry: &EntryId, proved: bool) {
+    /// Lowers an entry's grants to `needed`, by customer, and returns the tokens taken from them.
+    pub fn reduce_grants(
+        &mut self,
+        entry: &EntryId,
+        needed: &BTreeMap<CustomerId, Tokens>,
+    ) -> Tokens {
+        let mut released: Tokens = 0;
+        for (customer, account) in &mut self.accounts {
+            let limit = needed.get(customer).copied().unwrap_or_default();
+            if let Some(granted) = account.grants.get_mut(entry) {
+                released = released.saturating_add(granted.saturating_sub(limit));
+                *granted = limit.min(*granted);
+            }
+        }
+        released
+    }
+
+    /// Ends an entry's tenure, and returns what was left of its grants. With `proved`, they are known to
+    /// be unspent and return to the accounts; otherwise they are frozen.
+    pub fn close_tenure(&mut self, entry: &EntryId, proved: bool) -> Tokens {
         let Some(row) = self.holders.remove(entry) else {
-            return;
+            return 0;
         };
+        let mut total: Tokens = 0;
         for account in self.accounts.values_mut() {
             let left = account.grants.remove(entry).unwrap_or_default();
+            total = total.saturating_add(left);
             if !proved {
                 account.freeze(row.epoch, left);
             }
         }
+        total
+    }
+
+    /// Returns whether the tenure with this epoch has ended.
+    pub fn has_closed(&self, epoch: Epoch) -> bool {
+        epoch <= self.epochs && self.holders.values().all(|row| row.epoch != epoch)
     }
 
     /// Returns whether a batch counts: its holder applied it, or it is the batch of the reclaim.
--- a/toucanrail/src/ledgers.rs
+++ b/toucanrail/src/ledgers.rs
@@ -213,7 +213,7 @@
                 }
             }
         }
-        FenceReply { agent: Arc::clone(&self.agent), rows, running }
+        FenceReply { agent: Arc::clone(&self.agent), rows, running, held: None }
     }
 
     /// Drops settled attempts; those that are still running are kept.
--- a/toucanrail/src/messages.rs
+++ b/toucanrail/src/messages.rs
@@ -179,6 +179,9 @@
     pub rows: Vec<UsageRow>,
     /// Number of attempts of the tenure that are still running.
     pub running: u64,
+    /// Tokens that these attempts may use at most, by customer; `None` if that is not known.
+    #[serde(default)]
+    pub held: Option<BTreeMap<CustomerId, Tokens>>,
 }
 
 /// Token usage of one attempt.
--- a/toucanrail/src/reclaims.rs
+++ b/toucanrail/src/reclaims.rs
@@ -12,7 +12,9 @@
 
 use crate::budgets::BilledRun;
 use crate::budgets::{BillBatch, BillRow, BudgetShard, ClosedTenure, HolderRow, HolderState};
-use crate::ids::{AgentId, EntryId, Epoch, RequestId, RunId, Sequence, ShardName, Version};
+use crate::ids::{
+    AgentId, CustomerId, EntryId, Epoch, RequestId, RunId, Sequence, ShardName, Tokens, Version,
+};
 use crate::messages::{FenceReply, UsageRow};
 use crate::paths;
 use crate::storecalls::{self, ObjectPath, StoreCall, StoreReply, WriteExpectation};
@@ -59,11 +61,20 @@
         proved: bool,
         /// Number of bills settled for the dead holder.
         bills: usize,
+        /// Tokens that returned to the accounts.
+        released: Tokens,
+        /// Tokens that were frozen, besides what the bills froze.
+        frozen: Tokens,
         /// The settled attempts that each agent may drop.
         runs: BTreeMap<AgentId, Vec<RunId>>,
     },
     /// An agent is unreachable or still runs attempts of the tenure; retry later.
     Waiting,
+    /// Like [`Self::Waiting`], but what no attempt can use any more has returned to the accounts.
+    Reduced {
+        /// Tokens that returned.
+        released: Tokens,
+    },
     /// There is nothing to reclaim, or another entry is reclaiming it.
     NotNeeded,
     /// The object API was unavailable or the shard was too contended; retry later.
@@ -75,6 +86,7 @@
     ReadShard,
     Revoke,
     Fence,
+    Reduce,
     ReadBills,
     ReadArchives,
     WriteBill,
@@ -104,6 +116,11 @@
     ledger_lost: bool,
     /// Whether an agent still runs attempts of the tenure.
     running: bool,
+    /// Tokens that attempts which still run may use, by customer; `None` if an agent does not know it.
+    held: Option<BTreeMap<CustomerId, Tokens>>,
+    /// Tokens that the pending write of the shard returns to the accounts or freezes.
+    released: Tokens,
+    frozen: Tokens,
     /// Settlement batches still to be read; the last one is next.
     sequences: Vec<Sequence>,
     batches: Vec<BillBatch>,
@@ -139,6 +156,9 @@
             reports: BTreeMap::new(),
             ledger_lost: false,
             running: false,
+            held: Some(BTreeMap::new()),
+            released: 0,
+            frozen: 0,
             sequences: Vec::new(),
             batches: Vec::new(),
             archives: Vec::new(),
@@ -176,11 +196,13 @@
                 });
             }
             ReclaimStage::ReadShard => StoreCall::Get { path: shard_path },
-            ReclaimStage::Revoke | ReclaimStage::WriteShard => StoreCall::Put {
-                path: shard_path,
-                expect: WriteExpectation::At(self.version),
-                value: storecalls::encode_value(&self.new_shard),
-            },
+            ReclaimStage::Revoke | ReclaimStage::Reduce | ReclaimStage::WriteShard => {
+                StoreCall::Put {
+                    path: shard_path,
+                    expect: WriteExpectation::At(self.version),
+                    value: storecalls::encode_value(&self.new_shard),
+                }
+            }
             ReclaimStage::ReadBills => StoreCall::Get {
                 path: paths::bill_path(&self.shard_name, epoch, *self.sequences.last()?),
             },
@@ -208,6 +230,7 @@
             (ReclaimStage::ReadShard, ReclaimReply::Store(reply)) => self.handle_shard(reply),
             (ReclaimStage::Revoke, ReclaimReply::Store(reply)) => self.handle_revoke_write(&reply),
             (ReclaimStage::Fence, reply) => self.handle_fence(reply),
+            (ReclaimStage::Reduce, ReclaimReply::Store(reply)) => self.handle_reduce_write(&reply),
             (ReclaimStage::ReadBills, ReclaimReply::Store(reply)) => self.handle_batch(reply),
             (ReclaimStage::ReadArchives, ReclaimReply::Store(reply)) => self.handle_archive(reply),
             (ReclaimStage::WriteBill, ReclaimReply::Store(reply)) => self.handle_bill_write(&reply),
@@ -289,6 +312,7 @@
         self.reports.clear();
         self.ledger_lost = false;
         self.running = false;
+        self.held = Some(BTreeMap::new());
         self.stage = ReclaimStage::Fence;
         if self.agents.is_empty() {
             self.start_reading_bills();
@@ -302,6 +326,7 @@
         match reply {
             ReclaimReply::Fenced(reply) if reply.agent == agent => {
                 self.running |= reply.running > 0;
+                self.held = add_held(self.held.take(), reply.held);
                 self.reports.insert(agent, reply.rows);
             }
             // Another incarnation replied, so the one that served the holder has ended.
@@ -312,12 +337,39 @@
             return;
         }
         if self.running {
-            self.end(ReclaimOutcome::Waiting);
+            self.start_reducing();
         } else {
             self.start_reading_bills();
         }
     }
 
+    /// Returns the part of the grants that no attempt can use any more to the accounts, while some
+    /// attempts of the fenced tenure still run. If one of its agents ends before them, less is frozen.
+    fn start_reducing(&mut self) {
+        let Some(mut needed) = self.held.take().filter(|_| !self.ledger_lost) else {
+            return self.end(ReclaimOutcome::Waiting);
+        };
+        for row in self.reports.values().flatten() {
+            let sum = needed.entry(Arc::clone(&row.customer)).or_default();
+            *sum = token_counts::sum([*sum, row.used, row.unproved]);
+        }
+        let mut shard = self.shard.clone();
+        self.released = shard.reduce_grants(&self.dead, &needed);
+        if self.released == 0 {
+            return self.end(ReclaimOutcome::Waiting);
+        }
+        self.new_shard = shard;
+        self.stage = ReclaimStage::Reduce;
+    }
+
+    fn handle_reduce_write(&mut self, reply: &StoreReply) {
+        if matches!(reply, StoreReply::Written { .. }) {
+            self.end(ReclaimOutcome::Reduced { released: self.released });
+        } else {
+            self.handle_conflict();
+        }
+    }
+
     /// Reads the batches that the holder applied but agents may still list, and the one after them,
     /// which the holder may have written without applying it to the shard.
     fn start_reading_bills(&mut self) {
@@ -406,7 +458,8 @@
         self.shard.write_off_duplicates(&mut self.bills, &self.archived);
         let mut shard = self.shard.clone();
         shard.settle_rows(&self.dead, row.epoch, &self.bills);
-        shard.close_tenure(&self.dead, !self.ledger_lost);
+        let left = shard.close_tenure(&self.dead, !self.ledger_lost);
+        (self.released, self.frozen) = if self.ledger_lost { (0, left) } else { (left, 0) };
         let closed = ClosedTenure { settled: row.settled, by: Arc::clone(&self.reclaimer) };
         shard.closed.insert(row.epoch, closed);
         self.new_shard = shard;
@@ -451,12 +504,27 @@
         let outcome = ReclaimOutcome::Closed {
             proved: !self.ledger_lost,
             bills: self.bills.len(),
+            released: self.released,
+            frozen: self.frozen,
             runs: runs.collect(),
         };
         self.end(outcome);
     }
 }
 
+/// Adds what an agent's attempts may still use; the sum is not known if one part is not.
+fn add_held(
+    sum: Option<BTreeMap<CustomerId, Tokens>>,
+    held: Option<BTreeMap<CustomerId, Tokens>>,
+) -> Option<BTreeMap<CustomerId, Tokens>> {
+    let (mut sum, held) = (sum?, held?);
+    for (customer, amount) in held {
+        let total = sum.entry(customer).or_default();
+        *total = total.saturating_add(amount);
+    }
+    Some(sum)
+}
+
 /// Builds the bill of one request from its attempts.
 ///
 /// A resumed attempt continues output that the caller already has, so all attempts of such a
--- a/toucanrail/src/tenure_watch.rs
+++ b/toucanrail/src/tenure_watch.rs
@@ -108,6 +108,8 @@
     unchanged_since: Duration,
     has_ended: bool,
     death: Option<DeathCause>,
+    /// Whether what no running loan can use has been returned.
+    is_reduced: bool,
     replies: BTreeMap<EntryId, FenceReply>,
 }
 
@@ -159,6 +161,7 @@
                 unchanged_since: now,
                 has_ended: false,
                 death: None,
+                is_reduced: false,
                 replies: BTreeMap::new(),
             });
             if row.settled != known.settled {
@@ -223,20 +226,21 @@
         }
     }
 
-    /// Returns the final report of a borrower on a tenure, or `None` if there is none yet.
-    pub fn final_reply(&self, tenure: &LoanTenure, entry: &str) -> Option<&FenceReply> {
-        let reply = self.rows.get(tenure)?.replies.get(entry)?;
-        (reply.running == 0).then_some(reply)
+    /// Returns the last report of a borrower on a tenure, or `None` if there is none yet.
+    pub fn find_reply(&self, tenure: &LoanTenure, entry: &str) -> Option<&FenceReply> {
+        self.rows.get(tenure)?.replies.get(entry)
     }
 
     /// Returns a tenure that can be reclaimed, and its holder: of each borrower there is a final report,
-    /// or `has_ended` says that it has ended.
+    /// or `has_ended` says that it has ended. A tenure that has not been reduced is returned as soon as
+    /// each borrower has fenced it.
     pub fn find_ready<HasEnded>(&self, has_ended: HasEnded) -> Option<(LoanTenure, EntryId)>
     where
         HasEnded: Fn(&str) -> bool,
     {
         let is_done = |row: &WatchRow, entry: &EntryId| {
-            row.replies.get(entry).is_some_and(|reply| reply.running == 0) || has_ended(entry)
+            let reply = row.replies.get(entry);
+            reply.is_some_and(|reply| reply.running == 0 || !row.is_reduced) || has_ended(entry)
         };
         let mut ready = self.rows.iter().filter(|(_, row)| {
             row.death.is_some() && row.borrowers.iter().all(|entry| is_done(row, entry))
@@ -244,6 +248,13 @@
         ready.next().map(|(tenure, row)| (tenure.clone(), Arc::clone(&row.holder)))
     }
 
+    /// Records that what running loans cannot use of a tenure has been returned, as far as it is known.
+    pub fn record_reduced(&mut self, tenure: &LoanTenure) {
+        if let Some(row) = self.rows.get_mut(tenure) {
+            row.is_reduced = true;
+        }
+    }
+
     /// Records that a tenure is closed.
     pub fn record_closed(&mut self, tenure: LoanTenure, now: Duration) {
         self.rows.remove(&tenure);
--- a/toucanrail/tests/borrowed_tenures.rs
+++ b/toucanrail/tests/borrowed_tenures.rs
@@ -39,6 +39,7 @@
         customer: customer(),
         request: Arc::from("r"),
         service: Arc::from("llm"),
+        amount: 50,
         used: None,
     }
 }
@@ -243,8 +244,8 @@
     assert_eq!(watched.observe(1), Some(DeathCause::Ended));
 }
 
-/// Guards against a tenure that is reclaimed before each of its borrowers has fenced it and ended its
-/// loans.
+/// Guards against a tenure that is reduced before each of its borrowers has fenced it, and one that is
+/// reclaimed before they have ended its loans.
 #[test]
 fn missing_replies() {
     let mut watched = WatchedTenure::new();
@@ -257,10 +258,13 @@
         agent: Arc::clone(agent),
         rows: Vec::new(),
         running,
+        held: None,
     };
     watch.record_reply(&tenure(1), &second, reply(&second, 0));
     assert!(ready(&watch).is_none());
     watch.record_reply(&tenure(1), &first, reply(&first, 1));
+    assert_eq!(ready(&watch), Some((tenure(1), entry("side-1.a"))));
+    watch.record_reduced(&tenure(1));
     assert!(ready(&watch).is_none() && !watch.fences_for(&first).is_empty());
     watch.record_reply(&tenure(1), &first, reply(&first, 0));
     assert_eq!(ready(&watch), Some((tenure(1), entry("side-1.a"))));
--- a/toucanrail/tests/reclaimed_bills.rs
+++ b/toucanrail/tests/reclaimed_bills.rs
@@ -45,7 +45,7 @@
         machine.handle_reply(match call {
             ReclaimCall::Fence { agent, .. } => {
                 let rows = vec![reports[&agent].clone()];
-                ReclaimReply::Fenced(FenceReply { agent, rows, running: 0 })
+                ReclaimReply::Fenced(FenceReply { agent, rows, running: 0, held: None })
             }
             ReclaimCall::Store(StoreCall::Get { path }) if path.starts_with("budgets/") => {
                 let value = storecalls::encode_value(&shard);
