Chunked messages are read to their end when the last line arrives in two parts

What callers of the project's own interface, and processes that call the store, engines or agents, would see: a whole chunked answer fails by its timeout if its last byte arrives in a segment of its own, and a cut there is noticed ten seconds late.

Cause: within the last line, the decoder of async-h1 returns Pending without having asked the connection for bytes. Nothing wakes the reader; it is polled again by the timer of the call only. Shown by a trace of the polls: Pending, then UnexpectedEof ten seconds later.

Change: read_decoded polls again if the decoder is pending although the connection was not asked. Clients and listeners read through it.

cut_messages failed before: split_responses (split at 66 of 67 bytes), cut_responses, cut_streams and cut_requests (a bound of one second; cut at 66, 66 and 71). No cut gave a whole answer, before or after.

--- a/toucanrail-wire/src/clients.rs
+++ b/toucanrail-wire/src/clients.rs
@@ -184,8 +184,8 @@
     /// end of a complete body, and `UnexpectedEof` if the body is truncated.
     pub async fn read_chunk(&mut self, idle_timeout: Duration) -> io::Result<Vec<u8>> {
         self.buffer.resize(READ_SIZE, 0);
-        let count =
-            time_limits::io_timeout(idle_timeout, self.response.read(&mut self.buffer)).await?;
+        let reading = self.message.read_decoded(&mut self.response, &mut self.buffer);
+        let count = time_limits::io_timeout(idle_timeout, reading).await?;
         if count == 0 && !self.message.is_complete() {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/toucanrail-wire/src/listeners.rs
+++ b/toucanrail-wire/src/listeners.rs
@@ -239,12 +239,17 @@
         return Err(codetable::BAD_REQUEST);
     };
     let mut body = Vec::new();
-    let mut reader = request.take_body().take(limits.max_body as u64 + 1);
-    if reader.read_to_end(&mut body).await.is_err() {
-        return Err(codetable::CUT_REQUEST);
-    }
-    if body.len() > limits.max_body {
-        return Err(codetable::BODY_TOO_LARGE);
+    let mut reader = request.take_body();
+    let mut chunk = vec![0; READ_SIZE];
+    loop {
+        match message.read_decoded(&mut reader, &mut chunk).await {
+            Ok(0) => break,
+            Ok(count) => body.extend_from_slice(&chunk[..count]),
+            Err(_) => return Err(codetable::CUT_REQUEST),
+        }
+        if body.len() > limits.max_body {
+            return Err(codetable::BODY_TOO_LARGE);
+        }
     }
     if message.is_complete() {
         Ok(ReceivedRequest { request, body })
--- a/toucanrail-wire/src/message_streams.rs
+++ b/toucanrail-wire/src/message_streams.rs
@@ -35,6 +35,8 @@
     allowed: u64,
     /// Bytes read since the reader last yielded.
     read_unyielded: u64,
+    /// Whether the last read waits for bytes of the connection.
+    is_waiting: bool,
 }
 
 #[derive(Debug)]
@@ -86,8 +88,15 @@
             BodyLength::Exact(count) => BodyState::Exact(count),
             BodyLength::Chunked => BodyState::Chunked(ChunkScanner::new()),
         };
-        let (position, allowed, read_unyielded) = (0, max_body, 0);
-        let state = MessageState { prefix, position, head_length, body, allowed, read_unyielded };
+        let state = MessageState {
+            prefix,
+            position: 0,
+            head_length,
+            body,
+            allowed: max_body,
+            read_unyielded: 0,
+            is_waiting: false,
+        };
         Self { state: Arc::new(Mutex::new(state)), stream }
     }
 
@@ -96,6 +105,29 @@
         self.lock().body.is_done()
     }
 
+    /// Reads bytes that a decoder of this message's body has decoded.
+    ///
+    /// The decoder of chunked bodies returns `Pending` within the last line without having asked for more
+    /// bytes. Nothing would wake it, so it is polled again.
+    pub async fn read_decoded<Reader>(
+        &self,
+        reader: &mut Reader,
+        buffer: &mut [u8],
+    ) -> io::Result<usize>
+    where
+        Reader: AsyncRead + Unpin,
+    {
+        smol::future::poll_fn(|context| {
+            self.lock().is_waiting = false;
+            let polled = Pin::new(&mut *reader).poll_read(context, buffer);
+            if polled.is_pending() && !self.lock().is_waiting {
+                context.waker().wake_by_ref();
+            }
+            polled
+        })
+        .await
+    }
+
     /// Returns the bytes received after the message.
     pub fn take_leftover(&self) -> Vec<u8> {
         let mut state = self.lock();
@@ -175,7 +207,10 @@
                 state.prefix.extend_from_slice(&buffer[consumed..count]);
                 Poll::Ready(Ok(consumed))
             }
-            other => other,
+            other => {
+                state.is_waiting = other.is_pending();
+                other
+            }
         }
     }
 }
