--- a/toucanrail-gateway/tests/cut_heads.rs
+++ b/toucanrail-gateway/tests/cut_heads.rs
@@ -197,6 +197,6 @@
         }
         assert!(server.seen().is_empty());
     }
-    let served = platform::call(gateway.callers, &length).expect("a response");
-    assert_eq!((served.status(), server.seen().len()), (200, 1));
+    let response = platform::call(gateway.callers, &length).expect("a response");
+    assert_eq!((response.status(), server.seen().len()), (200, 1));
 }
