Loan reports stay readable for relays of earlier versions; the watch in smaller parts

A report without the field failed could not be decoded by a relay of the version before, and one without uses not by a new one: while a fleet is updated, ends of loans would not have reached their lenders. failed is sent empty, uses may be missing. An entry looks for lenders by rank only for tenures whose lender has ended. No other change of behaviour.

--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -104,7 +104,7 @@
 
 /// Handles what an entry reports of its loans.
 pub fn handle_report(api: &RelayApi, report: LoanReport) -> LoanReceipt {
-    let LoanReport { entry, ends, dropped, fenced, uses } = report;
+    let LoanReport { entry, ends, dropped, fenced, uses, .. } = report;
     end_loans(api, ends);
     if api.borrowers.borrow().is_replaced(&entry) {
         return LoanReceipt::default();
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -470,12 +470,12 @@
 /// Returns the tenures of lenders that have ended in the shards that another lender lends from now. It
 /// will reclaim them, and needs not ask.
 fn list_ended(gateway: &Gateway, lender: &RelayName) -> BTreeSet<LoanTenure> {
-    let uses = gateway.loan_client.uses.borrow();
-    let used_shards = gateway.loan_client.used_shards.borrow();
-    let is_picked = |shard: &&ShardName| {
-        pick_shard_lender(gateway, shard).is_some_and(|(picked, _)| picked == *lender)
-    };
-    used_shards.keys().filter(is_picked).flat_map(|shard| uses.list_ended(shard)).collect()
+    let mut ended = gateway.loan_client.uses.borrow().list_ended();
+    ended.retain(|tenure| {
+        let picked = pick_shard_lender(gateway, &tenure.shard);
+        picked.is_some_and(|(picked, _)| picked == *lender)
+    });
+    ended
 }
 
 /// Reports to a lender what is queued for it. The ends stay queued until the lender has them.
@@ -526,6 +526,7 @@
         ends: queue.ends.clone(),
         dropped: queue.dropped.clone(),
         fenced: fenced.collect(),
+        failed: Vec::new(),
         uses: gateway.loan_client.uses.borrow().list(gateway.now()),
     }
 }
--- a/toucanrail/src/borrowings.rs
+++ b/toucanrail/src/borrowings.rs
@@ -199,10 +199,9 @@
         self.rows.remove(tenure);
     }
 
-    /// Returns the tenures of a shard whose lenders have ended.
-    pub fn list_ended(&self, shard: &str) -> Vec<LoanTenure> {
-        let rows = self.rows.iter();
-        let ended = rows.filter(|(tenure, row)| row.has_ended && *tenure.shard == *shard);
+    /// Returns the tenures whose lenders have ended.
+    pub fn list_ended(&self) -> BTreeSet<LoanTenure> {
+        let ended = self.rows.iter().filter(|(_, row)| row.has_ended);
         ended.map(|(tenure, _)| tenure.clone()).collect()
     }
 
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3;
 
 use crate::grants::GrantHold;
-use crate::ids::{CustomerId, EntryId, Epoch, RequestId, ServiceName, ShardName, Tokens};
+use crate::ids::{CustomerId, EntryId, Epoch, RequestId, ServiceName, ShardName, Tokens, VmId};
 use crate::link_shares;
 use crate::messages::FenceReply;
 
@@ -187,7 +187,11 @@
     pub dropped: Vec<LoanId>,
     /// Tenures of dead lenders that the entry has fenced, and what was used of them.
     pub fenced: Vec<(LoanTenure, FenceReply)>,
+    /// Always empty; relays of earlier versions require it.
+    #[serde(default)]
+    pub failed: Vec<VmId>,
     /// Tenures that the entry has lately borrowed from. All others are not in use by it.
+    #[serde(default)]
     pub uses: Vec<(LoanTenure, TenureUse)>,
 }
 
--- a/toucanrail/src/tenure_watch.rs
+++ b/toucanrail/src/tenure_watch.rs
@@ -113,6 +113,21 @@
     replies: BTreeMap<EntryId, FenceReply>,
 }
 
+impl WatchRow {
+    fn new(holder: &EntryId, settled: Sequence, now: Duration) -> Self {
+        Self {
+            holder: Arc::clone(holder),
+            borrowers: BTreeSet::new(),
+            settled,
+            unchanged_since: now,
+            has_ended: false,
+            death: None,
+            is_reduced: false,
+            replies: BTreeMap::new(),
+        }
+    }
+}
+
 /// What a borrower last reported of the tenures that it uses.
 #[derive(Debug)]
 struct UseReport {
@@ -154,16 +169,8 @@
                 continue;
             }
             let tenure = LoanTenure { shard: Arc::clone(shard), epoch: known.epoch };
-            let row = self.rows.entry(tenure.clone()).or_insert_with(|| WatchRow {
-                holder: Arc::clone(holder),
-                borrowers: BTreeSet::new(),
-                settled: known.settled,
-                unchanged_since: now,
-                has_ended: false,
-                death: None,
-                is_reduced: false,
-                replies: BTreeMap::new(),
-            });
+            let row = self.rows.entry(tenure.clone());
+            let row = row.or_insert_with(|| WatchRow::new(holder, known.settled, now));
             if row.settled != known.settled {
                 (row.settled, row.unchanged_since) = (known.settled, now);
             }
@@ -176,16 +183,14 @@
                 has_ended(entry) || report.is_some_and(|report| !report.current.contains(&tenure))
             };
             let is_silent = now.saturating_sub(row.unchanged_since) >= SILENCE_TIME;
-            row.death = if known.state != HolderState::Live {
-                Some(DeathCause::Revoked)
-            } else if *ids::vm_of(holder) == *ids::vm_of(own) || content.is_replaced(holder) {
-                Some(DeathCause::Replaced)
-            } else if row.has_ended {
-                Some(DeathCause::Ended)
-            } else {
-                let is_unused = is_silent && row.borrowers.iter().all(is_free);
-                is_unused.then_some(DeathCause::Unused)
-            };
+            let is_same_vm = *ids::vm_of(holder) == *ids::vm_of(own);
+            let causes = [
+                (known.state != HolderState::Live, DeathCause::Revoked),
+                (is_same_vm || content.is_replaced(holder), DeathCause::Replaced),
+                (row.has_ended, DeathCause::Ended),
+                (is_silent && row.borrowers.iter().all(is_free), DeathCause::Unused),
+            ];
+            row.death = causes.into_iter().find_map(|(applies, cause)| applies.then_some(cause));
             found.extend(row.death.map(|cause| (Arc::clone(holder), cause)));
         }
         found
@@ -200,10 +205,10 @@
     ) {
         let mut current = BTreeSet::new();
         for (tenure, state) in uses {
-            match (state, self.rows.get_mut(tenure)) {
-                (TenureUse::Current, _) => drop(current.insert(tenure.clone())),
-                (TenureUse::Ended, Some(row)) => row.has_ended = true,
-                (TenureUse::Ended, None) => {}
+            if *state == TenureUse::Current {
+                current.insert(tenure.clone());
+            } else if let Some(row) = self.rows.get_mut(tenure) {
+                row.has_ended = true;
             }
         }
         self.uses.insert(Arc::clone(entry), UseReport { heard_at: now, current });
