--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -112,7 +112,9 @@
     record_borrower(api, &entry);
     let now = api.change_feed.now();
     let mut watch = api.tenure_watch.borrow_mut();
-    watch.record_uses(&entry, &uses, now);
+    if let Some(uses) = &uses {
+        watch.record_uses(&entry, uses, now);
+    }
     let mut grants = api.grant_manager.grants.borrow_mut();
     let mut closed = watch.closed();
     for (tenure, reply) in fenced {
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -527,7 +527,7 @@
         dropped: queue.dropped.clone(),
         fenced: fenced.collect(),
         failed: Vec::new(),
-        uses: gateway.loan_client.uses.borrow().list(gateway.now()),
+        uses: Some(gateway.loan_client.uses.borrow().list(gateway.now())),
     }
 }
 
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -190,9 +190,10 @@
     /// Always empty; relays of earlier versions require it.
     #[serde(default)]
     pub failed: Vec<VmId>,
-    /// Tenures that the entry has lately borrowed from. All others are not in use by it.
+    /// Tenures that the entry has lately borrowed from; all others are not in use by it. `None` if it is
+    /// of an earlier version, which does not tell.
     #[serde(default)]
-    pub uses: Vec<(LoanTenure, TenureUse)>,
+    pub uses: Option<Vec<(LoanTenure, TenureUse)>>,
 }
 
 /// A lender's reply to a [`LoanReport`].
--- a/toucanrail/tests/borrowed_tenures.rs
+++ b/toucanrail/tests/borrowed_tenures.rs
@@ -11,7 +11,7 @@
 use toucanrail::endpoints::RelayName;
 use toucanrail::grants::{GrantHold, GrantTable};
 use toucanrail::ids::{CustomerId, EntryId};
-use toucanrail::loans::{self, LoanId, LoanTenure, TenureUse};
+use toucanrail::loans::{self, LoanId, LoanReport, LoanTenure, TenureUse};
 use toucanrail::messages::FenceReply;
 use toucanrail::policies::GrantPolicy;
 use toucanrail::storecalls::{self, StoreCall, StoreReply};
@@ -233,6 +233,28 @@
     assert_eq!(watched.observe(44), None);
 }
 
+/// Guards against reports that relays of the version before cannot read, and against taking silence of
+/// entries of that version for a tenure that is not in use.
+#[test]
+fn earlier_reports() {
+    let report = LoanReport {
+        entry: entry("front-1.a"),
+        ends: Vec::new(),
+        dropped: Vec::new(),
+        fenced: Vec::new(),
+        failed: Vec::new(),
+        uses: Some(Vec::new()),
+    };
+    let fields = rmp_serde::to_vec_named(&report).expect("a report");
+    let mut fields: BTreeMap<String, serde_json::Value> =
+        rmp_serde::from_slice(&fields).expect("fields");
+    assert_eq!(fields["failed"], serde_json::json!([]));
+    fields.remove("uses");
+    let earlier = rmp_serde::to_vec_named(&fields).expect("a report");
+    let earlier: LoanReport = rmp_serde::from_slice(&earlier).expect("a report");
+    assert_eq!(earlier, LoanReport { uses: None, ..report });
+}
+
 /// Guards against waiting for the silence of a lender whose VM refuses connections.
 #[test]
 fn refusing_lender() {
