Tenures name only the borrowers of their own shard

Cause: a lender named each entry that borrowed anything from it in all of its tenures. An entry that uses no customer of a shard does not report to the lender of this shard, so that the reclaim of the dead lender's tenure waited for its report for ever. If such an entry dies with the lender, the whole rest is frozen although it had borrowed nothing.

Ruled out by the log: a lender that fails to reclaim (the reclaimer held no report of one entry, and made no attempt), a loan that runs on (the last one ended within seconds).

Change: a tenure names who has requested a loan of its shard in the last 20 s, and whoever has unsettled loans. Entries report on a shard for 60 s after their last request, so that each one that is named still reports. Before, both times were 60 s.

dead_lenders uninvolved_entry failed before (no return of the grant in 20 s), passes now.

--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -191,7 +191,7 @@
     ) -> Option<GrantHold> {
         let mut grants = self.grants.borrow_mut();
         if let Some(borrower) = borrower {
-            grants.want_agent(borrower);
+            grants.want_borrower(customer, borrower, self.store.now());
             if !grants.names_agent(customer, borrower) {
                 return None;
             }
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -21,8 +21,9 @@
 const LOAN_TIME: Duration = Duration::from_millis(1_400);
 /// Interval at which a stopping lender checks whether its loans have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without a report after which the tenures of a lender no longer name a borrower.
-const BORROWER_TIME: Duration = Duration::from_secs(60);
+/// Time without a loan request after which a tenure no longer names a borrower. Much shorter than the
+/// time for which entries report on a shard, so that each one named still reports.
+const BORROWER_TIME: Duration = Duration::from_secs(20);
 /// Interval at which a lender looks for tenures to reclaim.
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a reclaim that did not finish.
@@ -156,11 +157,12 @@
 
 fn observe_tenures(api: &RelayApi) {
     let now = api.change_feed.now();
-    let recent = api.borrowers.borrow().list_recent(BORROWER_TIME, now);
+    let borrowers = api.borrowers.borrow();
     let mut grants = api.grant_manager.grants.borrow_mut();
-    grants.retain_wanted(&recent);
+    grants.retain_borrowers(|borrower, requested_at| {
+        now.saturating_sub(requested_at) <= BORROWER_TIME && !borrowers.has_ended(borrower)
+    });
     let own = Arc::clone(grants.holder());
-    let borrowers = api.borrowers.borrow();
     for replaced in borrowers.replaced() {
         // Nobody is left to drop its loans, the bills of which are settled here.
         grants.record_acked(replaced, &BTreeSet::new(), true);
--- a/toucanrail-gateway/tests/dead_lenders.rs
+++ b/toucanrail-gateway/tests/dead_lenders.rs
@@ -4,10 +4,14 @@
 mod platform;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use platform::{Action, Backend, Process, Store, request};
+use serde_json::json;
+use toucanrail::{loans, paths};
 
 /// Relays of a fleet.
 const RELAYS: usize = 3;
@@ -16,6 +20,8 @@
 const EVENT: u64 = 6;
 /// Maximum output tokens of a request.
 const MAX_OUTPUT: u64 = 60;
+/// Number of objects that accounts are distributed over, by default.
+const SHARDS: u64 = 4;
 /// Prepaid tokens; enough for all requests of a test.
 const PREPAID: u64 = 1_000_000;
 const PAUSE: Duration = Duration::from_millis(50);
@@ -31,14 +37,20 @@
 impl LentFleet {
     /// Starts a fleet whose streams have `events` events, one in 30 ms.
     fn start(events: usize) -> Self {
+        Self::start_on(["side-0", "side-1", "side-2"].map(String::from), events)
+    }
+
+    /// Starts a fleet with relays on these VMs.
+    fn start_on(names: [String; RELAYS], events: usize) -> Self {
         let store = Store::start();
         let chunk = platform::chunk("data: x\n\n") + "PAUSE";
         let stream = [platform::STREAM_HEAD, &chunk.repeat(events), "0\r\n\r\n"].concat();
         let server = Backend::start("i-1", move |_, _| Action::Respond(stream.clone()));
         platform::configure_prepaid(&store, 1, &[&server], PREPAID);
-        let names = (0..RELAYS).map(|number| format!("side-{number}"));
-        let relays: BTreeMap<String, Process> =
-            names.map(|name| (name.clone(), Process::start_relay(&store, &name))).collect();
+        let relays: BTreeMap<String, Process> = names
+            .into_iter()
+            .map(|name| (name.clone(), Process::start_relay(&store, &name)))
+            .collect();
         platform::wait_until("the relays", || relays.keys().all(|name| store.has("relays", name)));
         let entries = ["front-1", "front-2"].map(|vm| Process::start_gateway_on(&store, vm));
         Self { store, server, relays, entries: entries.into(), calls: 0 }
@@ -144,6 +156,69 @@
     fleet.wait_billed(served, 2);
 }
 
+/// Returns a customer, and names of relays such that the first lender of its shard is the first one of
+/// the shard of `acme` too, but the second ones differ.
+fn neighbouring_customer() -> (String, [String; RELAYS]) {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let rank = |names: &[String; RELAYS], customer: &str| {
+        let lenders: Vec<_> =
+            names.iter().map(|name| (Arc::from(name.as_str()), address)).collect();
+        let ranked = loans::rank_lenders(&lenders, &paths::shard_of(&Arc::from(customer), SHARDS));
+        ranked.into_iter().map(|(name, _)| name).collect::<Vec<_>>()
+    };
+    let fleets = (0..100).map(|fleet| [0, 1, 2].map(|number| format!("side-{fleet}-{number}")));
+    let customers = ["beta", "gamma", "delta", "zeta", "eta", "theta", "kappa", "lambda"];
+    let mut pairs = fleets.flat_map(|names| customers.map(|customer| (customer, names.clone())));
+    let (customer, names) = pairs
+        .find(|(customer, names)| {
+            let (own, others) = (rank(names, "acme"), rank(names, customer));
+            own[0] == others[0] && own[1] != others[1]
+        })
+        .expect("a fleet");
+    (customer.to_owned(), names)
+}
+
+/// Guards against a grant that stays with a dead lender because it waits for an entry that borrowed from
+/// another shard of this lender, and does not report on this one.
+#[test]
+fn uninvolved_entry() {
+    let (neighbour, names) = neighbouring_customer();
+    let mut fleet = LentFleet::start_on(names, 2);
+    let mut config = platform::current_config(&fleet.store);
+    config["version"] = json!(2);
+    let row = json!({"name": neighbour, "api_keys": ["other-key"], "prepaid": PREPAID});
+    config["tenants"].as_array_mut().expect("a table").push(row);
+    fleet.store.put("config", "main", config);
+    let addresses: Vec<SocketAddr> = fleet.entries.iter().map(|entry| entry.callers).collect();
+    let call_neighbour = |turn: u64| {
+        let id = format!("other-{turn}");
+        let headers = format!("{}Connection: close\r\n", platform::PROMPT_HEADERS);
+        let text = request("POST", "/stream/a", &id, &headers, "p");
+        platform::call_raw(addresses[1], &text.replace(platform::KEY, "other-key"))
+            .starts_with("HTTP/1.1 200")
+    };
+    platform::wait_until("the second customer", || call_neighbour(0));
+    let mut served = (0..10).map(|_| u64::from(fleet.call(0))).sum::<u64>();
+    let lender = fleet.lender();
+    assert!(fleet.store.granted(&neighbour).contains_key(&lender));
+    // A settlement of both shards, in which the lender names who borrows.
+    platform::wait_until("the bills", || {
+        thread::sleep(PAUSE);
+        served += u64::from(fleet.call(0));
+        call_neighbour(served)
+            && fleet.store.billed("acme") > 0
+            && fleet.store.billed(&neighbour) > 0
+    });
+    fleet.relay_of(&lender).kill();
+    platform::wait_until("the return of the grant", || {
+        thread::sleep(PAUSE);
+        served += u64::from(fleet.call(0));
+        call_neighbour(served);
+        !fleet.store.granted("acme").contains_key(&lender)
+    });
+    fleet.wait_billed(served, 2);
+}
+
 /// Guards against a grant that returns while requests that it was lent for still run, and against
 /// requests that are billed twice or not at all for it.
 #[test]
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -130,14 +130,24 @@
         self.wanted_agents = agents;
     }
 
-    /// Adds an agent to those that this entry wants to use.
-    pub fn want_agent(&mut self, agent: &AgentId) {
-        self.wanted_agents.insert(Arc::clone(agent));
+    /// Records that a process requests a loan of a customer's tokens. Only the tenure in the shard of
+    /// this customer will name it: a reclaim waits for all processes that the tenure names.
+    pub fn want_borrower(&mut self, customer: &CustomerId, borrower: &AgentId, now: Duration) {
+        let tenure = self.homes.get(customer).and_then(|shard| self.shards.get_mut(shard));
+        if let Some(tenure) = tenure {
+            tenure.want_borrower(borrower, now);
+        }
     }
 
-    /// Keeps those of the wanted agents that are in `agents`.
-    pub fn retain_wanted(&mut self, agents: &BTreeSet<AgentId>) {
-        self.wanted_agents.retain(|agent| agents.contains(agent));
+    /// Keeps the borrowers of each tenure for which `is_kept` returns true, given when they last
+    /// requested a loan of it.
+    pub fn retain_borrowers<IsKept>(&mut self, is_kept: IsKept)
+    where
+        IsKept: Fn(&AgentId, Duration) -> bool,
+    {
+        for tenure in self.shards.values_mut() {
+            tenure.retain_borrowers(&is_kept);
+        }
     }
 
     /// States in all later tenures that their tokens are used through loans of the agents only.
--- a/toucanrail/src/tenure_watch.rs
+++ b/toucanrail/src/tenure_watch.rs
@@ -27,8 +27,8 @@
 /// The borrowers of one lender, by VM.
 #[derive(Debug, Default)]
 pub struct BorrowerTable {
-    /// The process of each VM that borrows, and when it was last heard of.
-    current: BTreeMap<VmId, (EntryId, Duration)>,
+    /// The process of each VM that borrows.
+    current: BTreeMap<VmId, EntryId>,
     /// Processes that a newer one of their VM has replaced, and since when.
     replaced: BTreeMap<EntryId, Duration>,
 }
@@ -54,7 +54,7 @@
         }
         self.replaced.retain(|_, at| now.saturating_sub(*at) <= REPLACED_TIME);
         let vm = VmId::from(ids::vm_of(entry));
-        let (before, _) = self.current.insert(vm, (Arc::clone(entry), now))?;
+        let before = self.current.insert(vm, Arc::clone(entry))?;
         if before == *entry {
             return None;
         }
@@ -76,14 +76,7 @@
     /// not, and only not been heard of, what it used is frozen for no reason, but not lost.
     pub fn has_ended(&self, entry: &str) -> bool {
         let current = self.current.get(ids::vm_of(entry));
-        self.is_replaced(entry) || current.is_some_and(|(current, _)| **current != *entry)
-    }
-
-    /// Returns the processes that have borrowed in the last `time`.
-    pub fn list_recent(&self, time: Duration, now: Duration) -> BTreeSet<EntryId> {
-        let rows = self.current.values();
-        let recent = rows.filter(|(_, heard_at)| now.saturating_sub(*heard_at) <= time);
-        recent.map(|(entry, _)| Arc::clone(entry)).collect()
+        self.is_replaced(entry) || current.is_some_and(|current| **current != *entry)
     }
 }
 
--- a/toucanrail/src/tenures.rs
+++ b/toucanrail/src/tenures.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Serialize;
 
@@ -38,6 +39,9 @@
     pub late: Vec<BillRow>,
     /// Number of runs in flight by agent; an agent in use stays recorded in the shard.
     busy_agents: BTreeMap<AgentId, u64>,
+    /// Processes that want loans of this tenure, and when each of them last requested one.
+    #[serde(skip)]
+    borrowers: BTreeMap<AgentId, Duration>,
 }
 
 impl ShardTenure {
@@ -90,12 +94,26 @@
         }
     }
 
+    /// Records that a process requests a loan.
+    pub fn want_borrower(&mut self, borrower: &AgentId, now: Duration) {
+        self.borrowers.insert(Arc::clone(borrower), now);
+    }
+
+    /// Keeps the borrowers for which `is_kept` returns true, given when they last requested a loan.
+    pub fn retain_borrowers<IsKept>(&mut self, is_kept: IsKept)
+    where
+        IsKept: Fn(&AgentId, Duration) -> bool,
+    {
+        self.borrowers.retain(|borrower, requested_at| is_kept(borrower, *requested_at));
+    }
+
     /// Returns the agents that the shard must record: those with runs of this tenure, and those
     /// wanted.
     pub fn agents_in_use(&self, wanted: &BTreeSet<AgentId>) -> BTreeSet<AgentId> {
         let unacked = self.unacked.values().flat_map(BTreeMap::keys);
         let mut agents: BTreeSet<AgentId> = unacked.map(Arc::clone).collect();
         agents.extend(self.busy_agents.keys().map(Arc::clone));
+        agents.extend(self.borrowers.keys().map(Arc::clone));
         agents.extend(wanted.iter().map(Arc::clone));
         agents
     }
--- a/toucanrail/tests/borrowed_tenures.rs
+++ b/toucanrail/tests/borrowed_tenures.rs
@@ -76,6 +76,10 @@
         Self { table, shard: BudgetShard::default(), version: 0 }
     }
 
+    fn want(&mut self, borrower: &EntryId) {
+        self.table.want_borrower(&customer(), borrower, Duration::ZERO);
+    }
+
     fn plan(&mut self) -> Option<SyncPlan> {
         self.table.begin_wait(&customer(), 10);
         let plan = self.table.plan_top_up(&customer());
@@ -122,7 +126,7 @@
 #[test]
 fn unnamed_borrower() {
     let (mut lender, first, second) = (Lender::new(), entry("front-1.a"), entry("front-2.a"));
-    lender.table.want_agent(&first);
+    lender.want(&first);
     assert!(!lender.table.names_agent(&customer(), &first));
     lender.sync();
     assert!(lender.table.names_agent(&customer(), &first) && lender.named().contains(&first));
@@ -134,11 +138,11 @@
 #[test]
 fn borrower_being_removed() {
     let (mut lender, borrower) = (Lender::new(), entry("front-1.a"));
-    lender.table.want_agent(&borrower);
+    lender.want(&borrower);
     lender.sync();
-    lender.table.retain_wanted(&BTreeSet::new());
+    lender.table.retain_borrowers(|_, _| false);
     let removing = lender.plan().expect("a plan");
-    lender.table.want_agent(&borrower);
+    lender.want(&borrower);
     assert!(!lender.table.names_agent(&customer(), &borrower));
     lender.run(removing);
     assert!(!lender.named().contains(&borrower));
@@ -151,14 +155,14 @@
 #[test]
 fn unsettled_borrower() {
     let (mut lender, borrower) = (Lender::new(), entry("front-1.a"));
-    lender.table.want_agent(&borrower);
+    lender.want(&borrower);
     lender.sync();
     let loan: LoanId = Arc::from("front-1.a.0");
     let hold = lender.table.hold(&customer(), 10).expect("a hold");
     lender.table.mark_agent(&customer(), &borrower, true);
     lender.table.mark_agent(&customer(), &borrower, false);
     lender.table.end_hold(&hold, Some(bill(&hold, &loan)));
-    lender.table.retain_wanted(&BTreeSet::new());
+    lender.table.retain_borrowers(|_, _| false);
     lender.sync();
     assert!(lender.named().contains(&borrower));
     let settling = lender.table.plan_sync(&customer(), false).expect("a plan");
