A lender settles at once when one of its borrowers has died

Cause: the shard names a borrower until a settlement after the one with its bills, at intervals of 3 s. If the lender dies before, the reclaim finds a borrower that nobody can ask, and freezes all of the rest.

Ruled out: bills that could not be written (the store had responded 0.9 s before), and borrowers that had not come back (borrower_replaced is in the log).

Change: while a shard names a process that has ended, its next settlement is due at once. At most two writes a shard for each entry that dies.

--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -84,6 +84,8 @@
     syncing: RefCell<BTreeSet<ShardName>>,
     /// When the last settlement of each shard began.
     settled_at: RefCell<BTreeMap<ShardName, Duration>>,
+    /// Shards whose next settlement does not wait for the interval.
+    hastened: RefCell<BTreeSet<ShardName>>,
     /// Whether the process is giving its grants back and accepts no new holds that need a sync.
     closed: Cell<bool>,
     /// Notified when a request begins to wait for a grant.
@@ -110,6 +112,7 @@
             refusals: RefCell::default(),
             syncing: RefCell::default(),
             settled_at: RefCell::default(),
+            hastened: RefCell::default(),
             closed: Cell::new(false),
             sync_requested: Event::new(),
             synced: Event::new(),
@@ -312,8 +315,17 @@
         self.needs_settlement(shard) || self.grants.borrow().needs_early_sync(shard)
     }
 
+    /// Lets the next settlement of a shard begin at once.
+    pub fn hasten_settlement(&self, shard: &ShardName) {
+        self.hastened.borrow_mut().insert(Arc::clone(shard));
+        self.sync_requested.notify(usize::MAX);
+    }
+
     /// Returns whether a settlement of the shard is due.
     fn needs_settlement(&self, shard: &ShardName) -> bool {
+        if self.hastened.borrow().contains(shard) {
+            return true;
+        }
         let mut times = self.settled_at.borrow_mut();
         let settled = times.entry(Arc::clone(shard)).or_insert_with(|| self.store.now());
         self.store.now().saturating_sub(*settled) > self.tuning.flush
@@ -325,6 +337,7 @@
         let settles = leave || self.needs_settlement(shard);
         if settles {
             self.settled_at.borrow_mut().insert(Arc::clone(shard), self.store.now());
+            self.hastened.borrow_mut().remove(shard);
         }
         let started = {
             let mut grants = self.grants.borrow_mut();
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -169,6 +169,9 @@
     }
     let mut watch = api.tenure_watch.borrow_mut();
     for shard in grants.shards() {
+        if grants.names_ended(&shard, |agent| borrowers.has_ended(agent)) {
+            api.grant_manager.hasten_settlement(&shard);
+        }
         if let Some(content) = grants.cached_shard(&shard).filter(|_| grants.has_tenure(&shard)) {
             let found =
                 watch.observe(&shard, content, &own, now, |entry| borrowers.has_ended(entry));
--- a/toucanrail-gateway/tests/dead_lenders.rs
+++ b/toucanrail-gateway/tests/dead_lenders.rs
@@ -332,3 +332,21 @@
     served += fleet.wait_reclaimed(&lender);
     fleet.wait_billed(served, 2);
 }
+
+/// Guards against a rest of a grant that is frozen because its lender dies soon after it has learnt that a
+/// borrower had died, before its next settlement is due.
+#[test]
+fn replaced_borrower() {
+    let mut fleet = LentFleet::start(2);
+    let mut served = (0..10).map(|turn| u64::from(fleet.call(turn % 2))).sum::<u64>();
+    // The lender hears of the ends of the loans.
+    thread::sleep(10 * PAUSE);
+    fleet.entries[0].restart();
+    fleet.entries[0].wait_ready(true);
+    served += u64::from(fleet.call(0));
+    thread::sleep(30 * PAUSE);
+    let lender = fleet.lender();
+    fleet.relay_of(&lender).restart();
+    served += fleet.wait_reclaimed(&lender);
+    fleet.wait_billed(served, 2);
+}
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -194,6 +194,16 @@
         })
     }
 
+    /// Returns whether the shard names an agent for which `has_ended` returns true. What such an agent
+    /// used is not known, so that a reclaim of the tenure would release nothing.
+    pub fn names_ended<HasEnded>(&self, shard: &ShardName, has_ended: HasEnded) -> bool
+    where
+        HasEnded: Fn(&str) -> bool,
+    {
+        let tenure = self.shards.get(shard);
+        tenure.is_some_and(|tenure| tenure.agents.iter().any(|agent| has_ended(agent)))
+    }
+
     /// Reserves tokens for the maximum usage of a request.
     ///
     /// # Examples
