Failures of simultaneous calls to a relay start one backoff

Cause: each failed call doubled the backoff, also calls that were under way when it began. Three requests that a killed lender refuses within a millisecond made 3 s into 12 s.

Ruled out: a lender that does not respond again (others had borrowed from it since 23 s), and the health checks (they pass a restarted relay over for 3 s at most).

Change: a failure during a backoff does not count. The table is now a part of the library; boards, reports of suspects and of the rotation use the same one, so that a board that fails three kinds of queries at once is not avoided for 12 s either.

relay_backoffs simultaneous_failures fails with the condition taken out.

--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -22,11 +22,12 @@
     self, LenderVerdict, LoanEnd, LoanId, LoanReceipt, LoanReply, LoanReport, LoanRequest,
     LoanTenure,
 };
+use toucanrail::relay_backoffs::BackoffTable;
 use toucanrail_wire::time_limits;
 
 use crate::grant_manager::HoldFailure;
 use crate::relay_api::{LOAN_PATH, LOAN_REPORT_PATH};
-use crate::relay_client::{self, RelayBackoff};
+use crate::relay_client;
 use crate::state::Gateway;
 
 /// Timeout of a loan request. A lender that has to ask the store first responds within about half
@@ -113,7 +114,7 @@
     next_number: Cell<u64>,
     /// Whether the lender that was last asked did not respond.
     pub lenders_unreachable: Cell<bool>,
-    backoff: RelayBackoff,
+    backoff: RefCell<BackoffTable>,
     queues: RefCell<BTreeMap<RelayName, ReportQueue>>,
     ledger: RefCell<BorrowingLedger>,
     uses: RefCell<TenureUses>,
@@ -127,7 +128,7 @@
         Self {
             next_number: Cell::new(0),
             lenders_unreachable: Cell::new(false),
-            backoff: RelayBackoff::default(),
+            backoff: RefCell::default(),
             queues: RefCell::default(),
             ledger: BorrowingLedger::new(Arc::clone(entry)).into(),
             uses: RefCell::default(),
@@ -137,7 +138,11 @@
 
     /// Returns whether a lender failed recently and is not asked now.
     pub fn avoids(&self, lender: &Arc<str>, now: Duration) -> bool {
-        self.backoff.is_active(lender, now)
+        self.backoff.borrow().is_active(lender, now)
+    }
+
+    fn record_failure(&self, lender: &RelayName, now: Duration) {
+        self.backoff.borrow_mut().record_failure(lender, now);
     }
 
     /// Records that a lender's process has ended if its VM refuses connections. The next one by rank then
@@ -145,9 +150,7 @@
     fn record_refusal(&self, lender: &RelayName, error: &io::Error, now: Duration) {
         if error.kind() == io::ErrorKind::ConnectionRefused {
             self.uses.borrow_mut().record_end(lender);
-            if !self.avoids(lender, now) {
-                self.backoff.record_failure(lender, now);
-            }
+            self.record_failure(lender, now);
         }
     }
 }
@@ -246,11 +249,11 @@
                 pending.settled = true;
                 gateway.loan_client.lenders_unreachable.set(false);
                 if let Some(source) = read_reply(gateway, need, reply, &lender, &loan) {
-                    gateway.loan_client.backoff.reset(&lender);
+                    gateway.loan_client.backoff.borrow_mut().reset(&lender);
                     return Some(source);
                 }
                 tracing::info!(event = "lender_leaving", %lender);
-                gateway.loan_client.backoff.record_failure(&lender, gateway.now());
+                gateway.loan_client.record_failure(&lender, gateway.now());
             }
             Err(error) if is_inconclusive(gateway, &error, link_load) => {
                 tracing::info!(event = "lender_delayed", %lender, customer = %need.customer);
@@ -261,7 +264,7 @@
                 tracing::info!(event = "lender_failed", %lender, %error, customer = %need.customer);
                 gateway.metrics.count_event("lenders_failed");
                 gateway.loan_client.lenders_unreachable.set(true);
-                gateway.loan_client.backoff.record_failure(&lender, gateway.now());
+                gateway.loan_client.record_failure(&lender, gateway.now());
                 gateway.loan_client.record_refusal(&lender, &error, gateway.now());
                 if gateway.relay_checker.health().is_failed(address) {
                     let timeout = SEARCH_TIMEOUT.min(need.time_left.mul_f64(SEARCH_FRACTION));
--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -1,7 +1,5 @@
-//! An entry's calls to relays, and the backoff of relays that failed.
+//! An entry's calls to relays.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,49 +19,6 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Maximum idle time of a pooled connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Backoff of a relay that did not respond or is stopping. It doubles with each consecutive
-/// failure, up to the maximum, since a relay whose VM was removed never responds again.
-const INITIAL_BACKOFF: Duration = Duration::from_secs(3);
-const MAX_BACKOFF: Duration = Duration::from_secs(12);
-
-#[derive(Debug, Clone, Copy)]
-struct BackoffRow {
-    until: Duration,
-    length: Duration,
-}
-
-/// Relays in backoff after failures.
-#[derive(Debug, Default)]
-pub struct RelayBackoff {
-    rows: RefCell<BTreeMap<Arc<str>, BackoffRow>>,
-}
-
-impl RelayBackoff {
-    /// Returns whether a relay is in backoff and must not be called now.
-    pub fn is_active(&self, relay: &Arc<str>, now: Duration) -> bool {
-        self.rows.borrow().get(relay).is_some_and(|row| now < row.until)
-    }
-
-    /// Records a failure of a relay: starts its backoff, twice as long as after the failure before.
-    pub fn record_failure(&self, relay: &Arc<str>, now: Duration) {
-        let mut rows = self.rows.borrow_mut();
-        let length = rows.get(relay).map_or(INITIAL_BACKOFF, |row| row.length * 2).min(MAX_BACKOFF);
-        rows.insert(Arc::clone(relay), BackoffRow { until: now + length, length });
-    }
-
-    /// Starts a backoff of a given length.
-    pub fn back_off_for(&self, relay: &Arc<str>, now: Duration, length: Duration) {
-        self.rows
-            .borrow_mut()
-            .insert(Arc::clone(relay), BackoffRow { until: now + length, length });
-    }
-
-    /// Ends a relay's backoff after a successful call.
-    pub fn reset(&self, relay: &Arc<str>) {
-        self.rows.borrow_mut().remove(relay);
-    }
-}
-
 /// Probes a relay on a new connection, independent of the state of the pooled ones.
 pub async fn is_alive(address: SocketAddr, timeout: Duration) -> bool {
     let probing = async {
--- a/toucanrail-gateway/src/rotation.rs
+++ b/toucanrail-gateway/src/rotation.rs
@@ -8,11 +8,12 @@
 
 use toucanrail::endpoints::LocatedRelay;
 use toucanrail::link_shares;
+use toucanrail::relay_backoffs::BackoffTable;
 use toucanrail::relay_ranks;
 use toucanrail::rotations::{RotationOrder, RotationReport};
 
 use crate::relay_api::ROTATION_PATH;
-use crate::relay_client::{self, RelayBackoff};
+use crate::relay_client;
 use crate::state::Gateway;
 
 /// Purpose by which the relays are ranked.
@@ -36,12 +37,12 @@
     let Some(capacity) = gateway.settings.link_capacity else {
         return;
     };
-    let (process, failed) = (fastrand::u64(..), RelayBackoff::default());
+    let (process, mut failed) = (fastrand::u64(..), BackoffTable::default());
     loop {
         await_report(&gateway).await;
         for relay in list_relays(&gateway, &failed) {
             let report = make_report(&gateway, capacity, process);
-            if send_report(&gateway, &relay, &report, &failed).await {
+            if send_report(&gateway, &relay, &report, &mut failed).await {
                 break;
             }
         }
@@ -60,7 +61,7 @@
 }
 
 /// Returns the relays of this data centre that get the report, in the order of their ranks.
-fn list_relays(gateway: &Gateway, failed: &RelayBackoff) -> Vec<LocatedRelay> {
+fn list_relays(gateway: &Gateway, failed: &BackoffTable) -> Vec<LocatedRelay> {
     let (relays, now) = (gateway.store.located_relays(), gateway.now());
     let seed = relay_ranks::rank_seed(RANK_PURPOSE);
     let ranked = relay_ranks::rank_centres(&relays, seed).into_iter().flatten();
@@ -88,7 +89,7 @@
     gateway: &Gateway,
     relay: &LocatedRelay,
     report: &RotationReport,
-    failed: &RelayBackoff,
+    failed: &mut BackoffTable,
 ) -> bool {
     let LocatedRelay { name, address, .. } = relay;
     let (path, sent_at) = (ROTATION_PATH, gateway.now());
--- a/toucanrail-gateway/src/starting.rs
+++ b/toucanrail-gateway/src/starting.rs
@@ -36,7 +36,6 @@
 use crate::origin_store::OriginReader;
 use crate::recorded_versions::{self, VersionRecorder};
 use crate::relay_checks::{self, RelayChecker};
-use crate::relay_client::RelayBackoff;
 use crate::relay_listing;
 use crate::rotation;
 use crate::server_cache::ServerCache;
@@ -135,8 +134,8 @@
         grant_manager: Rc::new(grant_manager),
         loan_client,
         relay_checker: RelayChecker::default(),
-        failed_boards: RelayBackoff::default(),
-        stale_boards: RelayBackoff::default(),
+        failed_boards: RefCell::default(),
+        stale_boards: RefCell::default(),
         hosted_relay: RefCell::new(None),
         load_reports: ServerCache::default(),
         server_probes: ServerCache::default(),
--- a/toucanrail-gateway/src/state.rs
+++ b/toucanrail-gateway/src/state.rs
@@ -18,6 +18,7 @@
 use toucanrail::origins::OriginTable;
 use toucanrail::permit_relays::RelayFailures;
 use toucanrail::probes::{ProbeRow, SlotGauge};
+use toucanrail::relay_backoffs::BackoffTable;
 use toucanrail::remote_placement::{CostComparison, OffloadShare, RemoteCosts, RemoteTerms};
 use toucanrail::response_sizes::ResponseSizes;
 use toucanrail::retries::{RetryBudget, RetryLimits};
@@ -40,7 +41,6 @@
 use crate::recorded_versions::VersionRecorder;
 use crate::relay_api::RelayApi;
 use crate::relay_checks::{self, RelayChecker};
-use crate::relay_client::RelayBackoff;
 use crate::server_cache::ServerCache;
 use crate::server_ends::ProbeResult;
 use crate::store_access::StoreAccess;
@@ -126,9 +126,9 @@
     /// Which relays respond.
     pub relay_checker: RelayChecker,
     /// Relays whose boards failed recently; not queried until their backoff ends.
-    pub failed_boards: RelayBackoff,
+    pub failed_boards: RefCell<BackoffTable>,
     /// Boards that recently had no fresh data of a kind from the store, by relay and kind.
-    pub stale_boards: RelayBackoff,
+    pub stale_boards: RefCell<BackoffTable>,
     /// Relay hosted by this entry, if any.
     pub hosted_relay: RefCell<Option<Rc<RelayApi>>>,
     /// Recent load reports of servers.
--- a/toucanrail-gateway/src/store_watch.rs
+++ b/toucanrail-gateway/src/store_watch.rs
@@ -257,15 +257,16 @@
     after: Option<Version>,
 ) -> BoardOutcome {
     let boards = list_boards(gateway);
-    let available =
-        boards.iter().filter(|(name, _)| !gateway.failed_boards.is_active(name, gateway.now()));
+    let available = boards
+        .iter()
+        .filter(|(name, _)| !gateway.failed_boards.borrow().is_active(name, gateway.now()));
     let query = ChangesQuery { kind: Arc::from(kind), after, wait };
     let mut stale = false;
     let mut paused = false;
     for (board, address) in available.take(MAX_BOARDS_QUERIED) {
         // A board watches each kind by itself, and may be stale in one of them only.
         let stale_key: RelayName = Arc::from(format!("{board} {kind}"));
-        if gateway.stale_boards.is_active(&stale_key, gateway.now()) {
+        if gateway.stale_boards.borrow().is_active(&stale_key, gateway.now()) {
             stale = true;
             continue;
         }
@@ -284,18 +285,22 @@
             }
             Ok(ChangesReply::Stale) => {
                 tracing::info!(event = "board_stale", %board, kind);
-                gateway.stale_boards.back_off_for(&stale_key, gateway.now(), STALE_BACKOFF);
+                gateway.stale_boards.borrow_mut().back_off_for(
+                    &stale_key,
+                    gateway.now(),
+                    STALE_BACKOFF,
+                );
                 stale = true;
                 continue;
             }
             Ok(reply) => {
-                gateway.failed_boards.reset(board);
+                gateway.failed_boards.borrow_mut().reset(board);
                 return BoardOutcome::Updated(reply);
             }
             Err(error) => error.to_string(),
         };
         tracing::info!(event = "board_failed", %board, kind, reason);
-        gateway.failed_boards.record_failure(board, gateway.now());
+        gateway.failed_boards.borrow_mut().record_failure(board, gateway.now());
         if gateway.now().saturating_sub(asked_at) > QUICK_FAILURE {
             return BoardOutcome::Unavailable;
         }
--- a/toucanrail-gateway/src/suspect_reports.rs
+++ b/toucanrail-gateway/src/suspect_reports.rs
@@ -10,11 +10,12 @@
 use event_listener::Event;
 use toucanrail::endpoints::LocatedRelay;
 use toucanrail::holds::{HoldQuery, HoldReply, HoldTable, SuspectReport, TrialRequest};
+use toucanrail::relay_backoffs::BackoffTable;
 use toucanrail::relay_ranks;
 use toucanrail::suspects::{EndNote, SuspectKey};
 
 use crate::relay_api::{HOLD_PATH, SUSPECT_PATH, TRIAL_PATH};
-use crate::relay_client::{self, RelayBackoff};
+use crate::relay_client;
 use crate::request_context::RequestPlan;
 use crate::state::Gateway;
 
@@ -58,7 +59,7 @@
     added: Event,
     flushed: Event,
     /// Relays that did not respond.
-    failed: RelayBackoff,
+    failed: RefCell<BackoffTable>,
     counts: Cell<MessageCounts>,
     /// When this entry last asked for a trial.
     trial_asked_at: Cell<Duration>,
@@ -204,8 +205,9 @@
     let now = gateway.now();
     let health = gateway.relay_checker.health();
     let relays = health.working(gateway.store.located_relays(), |relay| relay.address, now);
-    let responds =
-        |relay: &&LocatedRelay| !gateway.suspect_reporter.failed.is_active(&relay.name, now);
+    let responds = |relay: &&LocatedRelay| {
+        !gateway.suspect_reporter.failed.borrow().is_active(&relay.name, now)
+    };
     let working: Vec<LocatedRelay> = relays.iter().filter(responds).cloned().collect();
     let relays = if working.is_empty() { &relays } else { &working };
     relay_ranks::pick_relays(relays, relay_ranks::rank_seed(RANK_PURPOSE), count)
@@ -224,7 +226,7 @@
         Ok(reply) => apply_reply(gateway, relay, reply),
         Err(error) => {
             tracing::info!(event = "suspects_unsent", relay = %name, %error);
-            gateway.suspect_reporter.failed.record_failure(name, gateway.now());
+            gateway.suspect_reporter.failed.borrow_mut().record_failure(name, gateway.now());
         }
     }
     sent.is_ok()
@@ -235,7 +237,7 @@
 fn apply_reply(gateway: &Gateway, relay: &LocatedRelay, reply: &HoldReply) {
     let now = gateway.now();
     let reporter = &gateway.suspect_reporter;
-    reporter.failed.reset(&relay.name);
+    reporter.failed.borrow_mut().reset(&relay.name);
     let mut tables = gateway.tables.borrow_mut();
     let is_new = tables.holds.known(&relay.name).is_none_or(|(known, _)| known != reply.process);
     let succeeded = tables.holds.apply_reply(&relay.name, reply, now);
@@ -283,7 +285,7 @@
         };
         if let Err(error) = query_holds(&gateway, &relay).await {
             tracing::info!(event = "holds_unknown", relay = %relay.name, %error);
-            gateway.suspect_reporter.failed.record_failure(&relay.name, gateway.now());
+            gateway.suspect_reporter.failed.borrow_mut().record_failure(&relay.name, gateway.now());
             let checker = &gateway.relay_checker;
             if checker.health().is_passed_over(relay.address, gateway.now()) {
                 checker.await_search(RETRY_PAUSE).await;
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -89,6 +89,7 @@
 pub mod rate_limits;
 pub mod reclaims;
 pub mod records;
+pub mod relay_backoffs;
 pub mod relay_health;
 pub mod relay_ranks;
 pub mod remote_placement;
