Budgets cover the streams that run before new requests

Cause: a stream that is taken up needs its worst case once more, as the first one stays held or frozen.

Ruled out: frozen tokens alone.

--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -125,6 +125,18 @@
         known.prepaid.max(account.prepaid) < token_counts::sum([unavailable, own, amount])
     }
 
+    /// Returns whether a customer's tokens that this process has or can be granted cover an amount, but
+    /// not what is reserved besides.
+    pub fn is_reserved(&self, customer: &CustomerId, amount: Tokens, reserved: Tokens) -> bool {
+        let Some(account) = self.accounts.get(customer) else {
+            return false;
+        };
+        account.unallocated.is_some_and(|unallocated| {
+            let free = account.available().saturating_add(unallocated);
+            free >= amount && free < amount.saturating_add(reserved)
+        })
+    }
+
     /// Sets the agents that this entry wants to use.
     pub fn set_wanted_agents(&mut self, agents: BTreeSet<AgentId>) {
         self.wanted_agents = agents;
@@ -502,6 +514,7 @@
                 tenure.confirmed_syncs = tenure.confirmed_syncs.saturating_add(1);
                 tenure.plan = None;
                 tenure.cached = Some((version, content));
+                self.record_unallocated(shard);
             }
             SyncOutcome::Revoked { applied } => self.drop_tenure(shard, applied),
             SyncOutcome::Applied { shard: content, version, epoch } => {
@@ -517,6 +530,17 @@
                 if let Some(tenure) = self.shards.get_mut(shard) {
                     tenure.cached = Some((version, content));
                 }
+                self.record_unallocated(shard);
+            }
+        }
+    }
+
+    /// Records what is granted to nobody, for the time of a sync, in which there is no cached copy.
+    fn record_unallocated(&mut self, shard: &ShardName) {
+        for customer in self.customers_of(shard) {
+            let unallocated = self.unallocated(&customer);
+            if let Some(account) = self.accounts.get_mut(&customer) {
+                account.unallocated = unallocated;
             }
         }
     }
