Entries of the configuration tests know one another before a fault

configuration outage_restart (KNOWN-RED) failed in 1 of 10 and 4 of 12 copies of its file that ran at the same time. States of the processes of a failed run, printed by a scratch version of the test: none of the three entries knew a peer, the frozen one had catalogue version 5, the others 12.

Cause: the test went on as soon as each entry knew the agent. Under load it froze an entry and stopped the platform before they had listed each other's registrations. An entry that knows no other one has nobody to ask while the platform is down; the test is about one that does. Ruled out: a peer that does not respond, and a version that is not requested again.

--- a/toucanrail-daemons/tests/configuration.rs
+++ b/toucanrail-daemons/tests/configuration.rs
@@ -25,6 +25,13 @@
         (0..3).map(|number| fleet.start_entry(&format!("entry-{number}"), &[])).collect();
     for entry in &entries {
         fleet.wait_servers(entry, 1).await;
+        // Without the platform, an entry can only ask those that it knows.
+        fleet
+            .wait("the other entries", async || {
+                let state = fleet.state(entry).await;
+                state["members"]["peers"].as_object().is_some_and(|peers| peers.len() == 2)
+            })
+            .await;
     }
     (agent, entries)
 }
