At most a hundredth of a budget is reserved for streams taken up

Cause: all that the running streams may need was reserved, whatever it is compared with the budget.

Change: at most a hundredth of the prepaid total is reserved.

--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -21,6 +21,10 @@
 use crate::tenures::ShardTenure;
 use crate::token_counts;
 
+/// At most one part in this many of a prepaid total is reserved for streams that may be taken up. With
+/// long prompts more than that may be in flight, and new requests would be refused for as long.
+const MAX_RESERVE_DIVISOR: Tokens = 100;
+
 /// What a sync includes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SyncScope {
@@ -132,6 +136,7 @@
             return false;
         };
         account.unallocated.is_some_and(|unallocated| {
+            let reserved = reserved.min(account.prepaid / MAX_RESERVE_DIVISOR);
             let free = account.available().saturating_add(unallocated);
             free >= amount && free < amount.saturating_add(reserved)
         })
