--- a/toucanrail-gateway/src/admitting.rs
+++ b/toucanrail-gateway/src/admitting.rs
@@ -11,8 +11,7 @@
 use toucanrail::contents::{self, ContentKey};
 use toucanrail::holds::HoldScope;
 use toucanrail::ids::ServiceName;
-use toucanrail::loans::StreamUse;
-use toucanrail::matching::{CustomerProfile, RouteKind, RouteRule};
+use toucanrail::matching::{CustomerProfile, RouteRule};
 use toucanrail::origins::StreamOrigin;
 use toucanrail::retry_delays::{self, RefusalCause};
 use toucanrail::suspects::SuspectKey;
@@ -288,15 +287,6 @@
     Ok((Arc::clone(route), Some(Arc::clone(customer))))
 }
 
-/// Returns whether a request's caller can take its stream up if it breaks off.
-fn stream_use(plan: &RequestPlan<'_>) -> StreamUse {
-    match plan.route.kind {
-        RouteKind::Stream { resumable: true } if plan.info.takes_up_stream => StreamUse::Resumed,
-        RouteKind::Stream { resumable: true } => StreamUse::Resumable,
-        _ => StreamUse::Final,
-    }
-}
-
 /// Reserves the maximum possible cost of an LLM request in its customer's budget.
 async fn reserve_budget(
     gateway: &Rc<Gateway>,
@@ -316,7 +306,6 @@
         prompt_tokens: prompt.prompt_tokens,
         max_usage: prompt.max_usage(),
         rank: plan.urgency,
-        stream: stream_use(plan),
         time_left: plan.time_left(),
     };
     let reserved = loan_client::reserve_budget(gateway, &need).await;
--- a/toucanrail-gateway/src/grant_manager.rs
+++ b/toucanrail-gateway/src/grant_manager.rs
@@ -59,23 +59,6 @@
     Uncovered,
 }
 
-/// The hold that a request needs.
-#[derive(Debug, Clone, Copy)]
-pub struct HoldNeed<'request> {
-    /// The customer who pays.
-    pub customer: &'request CustomerId,
-    /// The maximum usage.
-    pub amount: Tokens,
-    /// Rank of the request; 0 is served first.
-    pub rank: u8,
-    /// Time left until the request's deadline.
-    pub time_left: Duration,
-    /// The borrower, if the hold is for a loan.
-    pub borrower: Option<&'request EntryId>,
-    /// Tokens that must be left for streams that may be taken up.
-    pub reserved: Tokens,
-}
-
 /// A recent refusal; requests of at least this amount are refused alike until it expires.
 #[derive(Debug, Clone, Copy)]
 struct CachedRefusal {
@@ -161,9 +144,15 @@
 
     /// Acquires a hold on the customer's grant, waiting for a sync if the grant does not cover the
     /// amount, or if the tenure does not yet name the borrower of a loan.
-    pub async fn acquire_hold(&self, need: HoldNeed<'_>) -> Result<GrantHold, HoldFailure> {
-        let HoldNeed { customer, amount, rank, time_left, borrower, .. } = need;
-        if !self.may_spend(customer, amount, rank) || self.is_reserved(need) {
+    pub async fn acquire_hold(
+        &self,
+        customer: &CustomerId,
+        amount: Tokens,
+        rank: u8,
+        time_left: Duration,
+        borrower: Option<&EntryId>,
+    ) -> Result<GrantHold, HoldFailure> {
+        if !self.may_spend(customer, amount, rank) {
             self.log_short(customer, amount);
             return Err(HoldFailure::Short);
         }
@@ -189,7 +178,7 @@
         // Runs also if the caller leaves, which drops this future.
         let pending =
             scopeguard::guard((), |()| self.grants.borrow_mut().end_wait(customer, amount));
-        let waiting = self.wait_hold(need);
+        let waiting = self.wait_hold(customer, amount, borrower);
         let waited = time_limits::timeout(GRANT_WAIT.min(time_left / 4), waiting).await;
         drop(pending);
         let acquired = waited.unwrap_or(Err(HoldFailure::Short));
@@ -225,14 +214,12 @@
             || policies::may_spend_in_outage(available, amount, rank)
     }
 
-    /// Returns whether the tokens that cover a request are kept for streams that may be taken up.
-    fn is_reserved(&self, need: HoldNeed<'_>) -> bool {
-        let HoldNeed { customer, amount, reserved, .. } = need;
-        self.grants.borrow().is_reserved(customer, amount, reserved)
-    }
-
-    async fn wait_hold(&self, need: HoldNeed<'_>) -> Result<GrantHold, HoldFailure> {
-        let HoldNeed { customer, amount, borrower, .. } = need;
+    async fn wait_hold(
+        &self,
+        customer: &CustomerId,
+        amount: Tokens,
+        borrower: Option<&EntryId>,
+    ) -> Result<GrantHold, HoldFailure> {
         // Only a shard that was read after the request arrived may refuse it. A sync that is
         // already in progress may have read the shard earlier.
         let shard = self.shard_of(customer);
@@ -243,9 +230,6 @@
             self.grants.borrow_mut().request_sync(customer);
             self.sync_requested.notify(usize::MAX);
             synced.await;
-            if self.is_reserved(need) {
-                return Err(HoldFailure::Short);
-            }
             if let Some(hold) = self.try_hold(customer, amount, borrower) {
                 return Ok(hold);
             }
--- a/toucanrail-gateway/src/hosting.rs
+++ b/toucanrail-gateway/src/hosting.rs
@@ -75,7 +75,6 @@
     let api = Rc::new(RelayApi {
         grant_manager: Rc::clone(&gateway.grant_manager),
         loans: RefCell::default(),
-        reserves: RefCell::default(),
         borrowers: RefCell::default(),
         tenure_watch: RefCell::default(),
         stopping: Cell::new(false),
--- a/toucanrail-gateway/src/lending.rs
+++ b/toucanrail-gateway/src/lending.rs
@@ -8,12 +8,12 @@
 use toucanrail::grants::GrantHold;
 use toucanrail::ids::EntryId;
 use toucanrail::loans::{
-    self, LoanEnd, LoanId, LoanReceipt, LoanReply, LoanReport, LoanRequest, LoanTenure, StreamUse,
+    self, LoanEnd, LoanId, LoanReceipt, LoanReply, LoanReport, LoanRequest, LoanTenure,
 };
 use toucanrail::reclaims::{ReclaimCall, ReclaimMachine, ReclaimOutcome, ReclaimReply};
 use toucanrail_wire::time_limits;
 
-use crate::grant_manager::{self, HoldFailure, HoldNeed};
+use crate::grant_manager::{self, HoldFailure};
 use crate::relay_api::RelayApi;
 
 /// Time given to a loan request; [`GrantManager::acquire_hold`](grant_manager::GrantManager::acquire_hold)
@@ -42,10 +42,11 @@
         return LoanReply::Leaving;
     }
     record_borrower(api, &borrower);
+    let LoanRequest { customer, amount, rank, .. } = request;
     let manager = &api.grant_manager;
-    manager.raise_prepaid(&request.customer, request.stated);
+    manager.raise_prepaid(customer, request.stated);
     let named = manager.grants.borrow().lends().then_some(&borrower);
-    match manager.acquire_hold(make_need(api, request, named)).await {
+    match manager.acquire_hold(customer, *amount, *rank, LOAN_TIME, named).await {
         Ok(hold) if api.stopping.get() => {
             manager.grants.borrow_mut().end_hold(&hold, None);
             LoanReply::Leaving
@@ -55,7 +56,6 @@
             if named.is_some() {
                 manager.grants.borrow_mut().mark_agent(&hold.shard, &borrower, true);
             }
-            record_stream(api, request);
             api.loans.borrow_mut().open(&request.loan, hold);
             LoanReply::Held(tenure)
         }
@@ -69,31 +69,6 @@
     }
 }
 
-fn make_need<'request>(
-    api: &RelayApi,
-    request: &'request LoanRequest,
-    borrower: Option<&'request EntryId>,
-) -> HoldNeed<'request> {
-    let LoanRequest { customer, amount, rank, stream, .. } = request;
-    let reserved = match stream {
-        StreamUse::Resumed => 0,
-        _ => api.reserves.borrow_mut().reserved(customer, api.change_feed.now()),
-    };
-    HoldNeed { customer, amount: *amount, rank: *rank, time_left: LOAN_TIME, borrower, reserved }
-}
-
-/// Records that the loan of a request is opened whose caller can take its stream up.
-fn record_stream(api: &RelayApi, request: &LoanRequest) {
-    let LoanRequest { loan, customer, amount, stream, .. } = request;
-    let mut reserves = api.reserves.borrow_mut();
-    if *stream == StreamUse::Resumed {
-        reserves.take_up(customer, *amount, api.change_feed.now());
-    }
-    if *stream != StreamUse::Final {
-        reserves.begin(loan, customer, *amount);
-    }
-}
-
 /// Records that an entry borrows, and freezes what an earlier process of its VM has not returned.
 fn record_borrower(api: &RelayApi, entry: &EntryId) {
     let now = api.change_feed.now();
@@ -103,7 +78,6 @@
     let loans = api.loans.borrow().loans_of(&replaced);
     let mut amount = 0_u64;
     for loan in &loans {
-        api.reserves.borrow_mut().break_off(loan, now);
         if let Some(hold) = take_loan(api, loan) {
             amount = amount.saturating_add(hold.amount);
             api.grant_manager.freeze_hold(&hold, loan);
@@ -116,7 +90,6 @@
 
 /// Ends a loan and returns its hold.
 fn take_loan(api: &RelayApi, loan: &LoanId) -> Option<GrantHold> {
-    api.reserves.borrow_mut().end(loan);
     let hold = api.loans.borrow_mut().end(loan)?;
     let borrower: EntryId = Arc::from(loans::borrower_of(loan));
     api.grant_manager.grants.borrow_mut().mark_agent(&hold.shard, &borrower, false);
--- a/toucanrail-gateway/src/loan_client.rs
+++ b/toucanrail-gateway/src/loan_client.rs
@@ -20,12 +20,12 @@
 use toucanrail::link_shares;
 use toucanrail::loans::{
     self, LenderVerdict, LoanEnd, LoanId, LoanReceipt, LoanReply, LoanReport, LoanRequest,
-    LoanTenure, StreamUse,
+    LoanTenure,
 };
 use toucanrail::relay_backoffs::BackoffTable;
 use toucanrail_wire::time_limits;
 
-use crate::grant_manager::{HoldFailure, HoldNeed};
+use crate::grant_manager::HoldFailure;
 use crate::relay_api::{LOAN_PATH, LOAN_REPORT_PATH};
 use crate::relay_client;
 use crate::state::Gateway;
@@ -187,8 +187,6 @@
     pub max_usage: Tokens,
     /// Urgency rank; 0 is the most urgent.
     pub rank: u8,
-    /// Whether the caller can take a stream up.
-    pub stream: StreamUse,
     /// Time left until the request's deadline.
     pub time_left: Duration,
 }
@@ -206,14 +204,7 @@
         gateway.grant_manager.raise_prepaid(need.customer, need.prepaid_total);
         let hold = gateway
             .grant_manager
-            .acquire_hold(HoldNeed {
-                customer: need.customer,
-                amount,
-                rank: need.rank,
-                time_left: need.time_left,
-                borrower: None,
-                reserved: 0,
-            })
+            .acquire_hold(need.customer, amount, need.rank, need.time_left, None)
             .await;
         BudgetSource::Own(hold?)
     };
@@ -247,7 +238,6 @@
             stated: need.prepaid_total,
             amount,
             rank: need.rank,
-            stream: need.stream,
         };
         // If this call is cancelled or fails, the loan is ended all the same: the lender may have
         // granted it, and nobody else would return it.
--- a/toucanrail-gateway/src/relay.rs
+++ b/toucanrail-gateway/src/relay.rs
@@ -107,7 +107,6 @@
     Ok(RelayApi {
         grant_manager,
         loans: RefCell::default(),
-        reserves: RefCell::default(),
         borrowers: RefCell::default(),
         tenure_watch: RefCell::default(),
         stopping: Cell::new(false),
--- a/toucanrail-gateway/src/relay_api.rs
+++ b/toucanrail-gateway/src/relay_api.rs
@@ -18,7 +18,6 @@
 use toucanrail::origin_keepers::ProcessNumber;
 use toucanrail::origins::{OriginReply, OriginTable};
 use toucanrail::permits::{PermitReply, PermitRequest, PermitTable};
-use toucanrail::resume_reserves::ReserveTable;
 use toucanrail::rotations::{RotationCounts, RotationOrder, RotationReport, RotationTable};
 use toucanrail::suspects::SuspectTable;
 use toucanrail::tenure_watch::{BorrowerTable, TenureWatch};
@@ -85,8 +84,6 @@
     pub grant_manager: Rc<GrantManager>,
     /// The open loans.
     pub loans: RefCell<LoanTable>,
-    /// What is kept for the callers of streams that break off.
-    pub reserves: RefCell<ReserveTable>,
     /// The entries that borrow.
     pub borrowers: RefCell<BorrowerTable>,
     /// The tenures of other lenders, some of which are to be reclaimed.
--- a/toucanrail/src/accounts.rs
+++ b/toucanrail/src/accounts.rs
@@ -35,8 +35,6 @@
     pub burn: f64,
     /// Prepaid total from the configuration; 0 if only operators set it, in the shard.
     pub prepaid: Tokens,
-    /// Tokens granted to nobody, as the last sync saw it; `None` before the first one.
-    pub unallocated: Option<Tokens>,
     /// Tokens held since the last update of the burn rate, less the unused part of ended holds.
     used: f64,
     /// Sum of the weights in `burn_sum`; dividing by it corrects the bias of the initial value 0.
--- a/toucanrail/src/grants.rs
+++ b/toucanrail/src/grants.rs
@@ -21,10 +21,6 @@
 use crate::tenures::ShardTenure;
 use crate::token_counts;
 
-/// At most one part in this many of a prepaid total is reserved for streams that may be taken up. With
-/// long prompts more than that may be in flight, and new requests would be refused for as long.
-const MAX_RESERVE_DIVISOR: Tokens = 100;
-
 /// What a sync includes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SyncScope {
@@ -129,19 +125,6 @@
         known.prepaid.max(account.prepaid) < token_counts::sum([unavailable, own, amount])
     }
 
-    /// Returns whether a customer's tokens that this process has or can be granted cover an amount, but
-    /// not what is reserved besides.
-    pub fn is_reserved(&self, customer: &CustomerId, amount: Tokens, reserved: Tokens) -> bool {
-        let Some(account) = self.accounts.get(customer) else {
-            return false;
-        };
-        account.unallocated.is_some_and(|unallocated| {
-            let reserved = reserved.min(account.prepaid / MAX_RESERVE_DIVISOR);
-            let free = account.available().saturating_add(unallocated);
-            free >= amount && free < amount.saturating_add(reserved)
-        })
-    }
-
     /// Sets the agents that this entry wants to use.
     pub fn set_wanted_agents(&mut self, agents: BTreeSet<AgentId>) {
         self.wanted_agents = agents;
@@ -519,7 +502,6 @@
                 tenure.confirmed_syncs = tenure.confirmed_syncs.saturating_add(1);
                 tenure.plan = None;
                 tenure.cached = Some((version, content));
-                self.record_unallocated(shard);
             }
             SyncOutcome::Revoked { applied } => self.drop_tenure(shard, applied),
             SyncOutcome::Applied { shard: content, version, epoch } => {
@@ -535,17 +517,6 @@
                 if let Some(tenure) = self.shards.get_mut(shard) {
                     tenure.cached = Some((version, content));
                 }
-                self.record_unallocated(shard);
-            }
-        }
-    }
-
-    /// Records what is granted to nobody, for the time of a sync, in which there is no cached copy.
-    fn record_unallocated(&mut self, shard: &ShardName) {
-        for customer in self.customers_of(shard) {
-            let unallocated = self.unallocated(&customer);
-            if let Some(account) = self.accounts.get_mut(&customer) {
-                account.unallocated = unallocated;
             }
         }
     }
--- a/toucanrail/src/lib.rs
+++ b/toucanrail/src/lib.rs
@@ -96,7 +96,6 @@
 pub mod replays;
 pub mod reported_loads;
 pub mod response_sizes;
-pub mod resume_reserves;
 pub mod retries;
 pub mod retry_delays;
 pub mod rotations;
--- a/toucanrail/src/loans.rs
+++ b/toucanrail/src/loans.rs
@@ -27,18 +27,6 @@
 /// Id of a loan: the id of the entry's process and the number of the loan; unique in the fleet.
 pub type LoanId = Arc<str>;
 
-/// Whether the caller of a loan's request can take its stream up if it breaks off.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum StreamUse {
-    /// It cannot, or there is no stream.
-    #[default]
-    Final,
-    /// It can.
-    Resumable,
-    /// The request takes up such a stream.
-    Resumed,
-}
-
 /// An entry's request to a lender for the budget of one caller's request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoanRequest {
@@ -52,9 +40,6 @@
     pub amount: Tokens,
     /// Rank of the caller's request; 0 is served first.
     pub rank: u8,
-    /// Whether the caller can take a stream up; not stated by entries of earlier versions.
-    #[serde(default)]
-    pub stream: StreamUse,
 }
 
 /// The tenure of a lender that a loan belongs to.
