--- a/toucanrail-gateway/src/relay_client.rs
+++ b/toucanrail-gateway/src/relay_client.rs
@@ -19,6 +19,7 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Maximum idle time of a pooled connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Probes a relay on a new connection, independent of the state of the pooled ones.
 pub async fn is_alive(address: SocketAddr, timeout: Duration) -> bool {
     let probing = async {
