Report a server's unproved refusal as a failure, not as "not run"

Callers saw: a server ran a submission and failed with 503 without stating that it did not run it.

Cause: whether a request may have run was decided from the field that proves it, and what the caller is told from the status alone. `final_step` forwarded any failure of a server, `forward_buffered` any status below 500, so 408 and 429 as well. Ruled out by the log of the case: the entry takes the 503 for a proved refusal (`declined` is not logged), or sends the request twice (`sent` is 1, run `unknown`).

Change: a response whose status implies "not run" without proof is an attempt of its own kind, `Unproved`: it may have run; a repeatable request goes to another server; the caller gets 502 of the entry's own at the end, without the server's signature or Retry-After. `codes::implies_not_run` names the statuses once, also for the entry's own refusals.

`attempt_steps` covers the outcome.

--- a/toucanrail-daemons/tests/at_most_once.rs
+++ b/toucanrail-daemons/tests/at_most_once.rs
@@ -68,6 +68,25 @@
     });
 }
 
+/// A return is filed and its server responds with 503. The caller is told that it ran, a retry gets the
+/// same response, and it is filed once.
+#[test]
+fn failed_return() {
+    smol::block_on(async {
+        let fleet = Fleet::start(10_000).await;
+        let (plain, _agent, first, second) = start(&fleet).await;
+        for status in ["408", "429", "503"] {
+            let call = || file_return(status).field("plain-status", status);
+            for entry in [&first, &second] {
+                let response = fleet.fetch(entry, call()).await.unwrap();
+                assert_eq!(response.status.to_string(), status);
+                assert_eq!(response.field("toucanrail-run"), Some("ran"));
+            }
+            assert_eq!(plain.runs()[status], 1);
+        }
+    });
+}
+
 /// Both entries receive the same return at the same time. One runs it; the other refuses it as in
 /// flight or gives the same response.
 #[test]
--- a/toucanrail-gateway/src/dispatching.rs
+++ b/toucanrail-gateway/src/dispatching.rs
@@ -295,6 +295,7 @@
             AttemptOutcome::NotSent => tables.backends.record_connect_failure(&target.id, now),
             AttemptOutcome::Declined | AttemptOutcome::Withheld => {}
             AttemptOutcome::Failed
+            | AttemptOutcome::Unproved
             | AttemptOutcome::Lost
             | AttemptOutcome::Malformed
             | AttemptOutcome::Broken
--- a/toucanrail-gateway/src/forwarding.rs
+++ b/toucanrail-gateway/src/forwarding.rs
@@ -7,6 +7,7 @@
 use smol::future::FutureExt;
 use toucanrail::attempts::AttemptOutcome;
 use toucanrail::body_formats::BodyFormat;
+use toucanrail::codes;
 use toucanrail::framing::{BodyEnd, ConnectionEnd};
 use toucanrail::ids::Tokens;
 use toucanrail::silences::{PartProgress, SilenceDetector};
@@ -126,6 +127,10 @@
     stream.received_bytes += body.len() as u64;
     let head = exchange.head.clone();
     exchange.release_connection(context.gateway, &context.target.id);
+    // Responses that prove it were handled as declined.
+    if codes::implies_not_run(head.status) {
+        return AttemptResult::Incomplete(AttemptOutcome::Unproved);
+    }
     let Some(head_writer) = writer.head_writer().filter(|_| head.status < 500) else {
         return AttemptResult::Failed(FailedResponse { head, body });
     };
--- a/toucanrail-gateway/src/responding.rs
+++ b/toucanrail-gateway/src/responding.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::time::Duration;
 
-use toucanrail::codes::{ResultCode, RunState};
+use toucanrail::codes::{self, ResultCode, RunState};
 use toucanrail::scanners::BodyLength;
 use toucanrail_wire::heads::ResponseHead;
 use toucanrail_wire::responses::{self, ErrorDetails};
@@ -14,6 +14,8 @@
 
 /// Maximum time for which a caller may take nothing of what there is for it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(20);
+/// Status of a refusal whose own status would imply that the request did not run, if it may have.
+const UNPROVED_STATUS: u16 = 502;
 /// The method whose responses have no body, whatever length their heads state.
 pub const HEAD_METHOD: &str = "HEAD";
 
@@ -190,11 +192,8 @@
 /// Encodes a refusal as the head and the body of an HTTP response.
 pub fn encode_refusal(details: &ErrorDetails, close: bool) -> (Vec<u8>, Vec<u8>) {
     let row = details.code.row();
-    // Statuses that imply that the request did not run are replaced if it ran or may have run.
-    let status = match (row.status, details.run) {
-        (429 | 503 | 408 | 421, RunState::Ran | RunState::Unknown) => 502,
-        (status, _) => status,
-    };
+    let is_false = codes::implies_not_run(row.status) && details.run != RunState::NotRun;
+    let status = if is_false { UNPROVED_STATUS } else { row.status };
     let body = responses::error_body(details);
     let mut text = format!("HTTP/1.1 {status} {}\r\n", row.name);
     let _ = write!(text, "{}: {}\r\n", responses::RESULT_HEADER, row.number);
--- a/toucanrail/src/attempts.rs
+++ b/toucanrail/src/attempts.rs
@@ -25,6 +25,9 @@
     Declined,
     /// The server responded with a failure of its own.
     Failed,
+    /// The server responded with a status that implies "not run" without stating that it did not run
+    /// the request. The status must not reach the caller, who would send the request again.
+    Unproved,
     /// The request was sent, but no complete response arrived; nothing was forwarded to the caller.
     Lost,
     /// The request was sent, and bytes arrived that are no response or do not make one in time; nothing
@@ -76,6 +79,7 @@
             AttemptOutcome::NotSent | AttemptOutcome::Withheld => {}
             AttemptOutcome::Declined => self.sent += 1,
             AttemptOutcome::Failed
+            | AttemptOutcome::Unproved
             | AttemptOutcome::Lost
             | AttemptOutcome::Malformed
             | AttemptOutcome::Broken
--- a/toucanrail/src/codes.rs
+++ b/toucanrail/src/codes.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// Returns whether an HTTP status tells a caller that its request did not run and never will.
+///
+/// # Examples
+/// ```
+/// use toucanrail::codes;
+/// assert!(codes::implies_not_run(503));
+/// assert!(!codes::implies_not_run(502));
+/// ```
+pub const fn implies_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// A numbered result; the number is stable across releases.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(into = "u16", try_from = "u16")]
--- a/toucanrail/tests/attempt_steps.rs
+++ b/toucanrail/tests/attempt_steps.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use toucanrail::attempts::{AttemptHistory, AttemptOutcome, NextStep};
-use toucanrail::codes::RunState;
+use toucanrail::codes::{self, RunState};
 use toucanrail::matching::RouteKind;
 use toucanrail::retries::{RetryBudget, RetryLimits};
 
@@ -16,6 +16,7 @@
         AttemptOutcome::NotSent,
         AttemptOutcome::Declined,
         AttemptOutcome::Failed,
+        AttemptOutcome::Unproved,
         AttemptOutcome::Lost,
         AttemptOutcome::Malformed,
         AttemptOutcome::TimedOut,
@@ -49,9 +50,10 @@
             history.record(outcome);
             match history.next_step(outcome, LEFT) {
                 NextStep::Retry => continue,
-                NextStep::Fail(code) if matches!(code.row().status, 429 | 503) => {
+                NextStep::Fail(code) if codes::implies_not_run(code.row().status) => {
                     prop_assert_eq!(history.run_state(), RunState::NotRun);
                 }
+                NextStep::Forward => prop_assert_ne!(outcome, AttemptOutcome::Unproved),
                 _ => {}
             }
             break;
