--- a/toucanrail-gateway/tests/platform/mod.rs
+++ b/toucanrail-gateway/tests/platform/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod crashes;
 pub mod endless;
+pub mod odd_values;
 mod ports;
 pub mod proxies;
 pub mod services;
@@ -167,7 +168,7 @@
                         listings.fetch_add(1, Ordering::Relaxed);
                     }
                     let (status, body) = handle_store_request(&state, &message);
-                    let body = body.to_string();
+                    let body = odd_values::expand(&body.to_string());
                     let head =
                         format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n", body.len());
                     if stream.write_all((head + &body).as_bytes()).is_err() {
@@ -728,6 +729,11 @@
         self.last_address
     }
 
+    /// Returns whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+
     /// Kills the process. It may have exited already, as after SIGTERM.
     pub fn kill(&mut self) {
         self.child.kill().ok();
