Decode responses whose fields are not ASCII without a panic

A relay whose server's load report had a header field like `X-Note: café` ended at each start; any process that read such a response of the store or of another process would have.

Cause: `async-h1` decodes heads that `httparse` has accepted, and `http-types` panics on a field that is not ASCII. Ruled out: odd statuses, of which 12 forms give an error before and after.

Change: the client masks such bytes of a response's head; listeners of the project's own interface refuse such a call with 400, where the task panicked.

Evidence: `load_report`, `response_fields` and `request_fields` failed before, and pass; `odd_statuses` passes on both.

--- a/toucanrail-wire/src/clients.rs
+++ b/toucanrail-wire/src/clients.rs
@@ -314,7 +314,8 @@
     ) -> io::Result<StreamingResponse> {
         let head_only = request.method == Method::Head;
         send_request(&stream, address, request).await?;
-        let (bytes, end, info) = read_response_head(&stream, self.limits.max_head).await?;
+        let (mut bytes, end, info) = read_response_head(&stream, self.limits.max_head).await?;
+        mask_non_ascii(&mut bytes[..end]);
         let has_no_body = head_only || is_status_without_body(&bytes);
         if info.length == BodyLength::Absent && !has_no_body {
             return Err(invalid("response has neither Content-Length nor chunked encoding"));
@@ -363,6 +364,13 @@
     peeked.or(async { None }).await.is_none()
 }
 
+/// Replaces the bytes of a head that are not ASCII: the decoder panics on fields that have any.
+fn mask_non_ascii(head: &mut [u8]) {
+    for byte in head.iter_mut().filter(|byte| !byte.is_ascii()) {
+        *byte = b'?';
+    }
+}
+
 fn is_status_without_body(head: &[u8]) -> bool {
     let status = head.split(|byte| *byte == b' ').nth(1);
     let status = status.and_then(|word| std::str::from_utf8(word).ok());
--- a/toucanrail-wire/src/listeners.rs
+++ b/toucanrail-wire/src/listeners.rs
@@ -217,6 +217,10 @@
     if head.len() > limits.max_head {
         return Err(codetable::HEAD_TOO_LARGE);
     }
+    // The decoder panics on fields that are not ASCII.
+    if !head.is_ascii() {
+        return Err(codetable::BAD_REQUEST);
+    }
     let info = scanners::scan_head(head)?;
     if !info.has_host {
         return Err(codetable::MISSING_HOST);
