--- a/toucanrail-gateway/tests/fault_soak.rs
+++ b/toucanrail-gateway/tests/fault_soak.rs
@@ -36,6 +36,8 @@
 /// Part of the streams that have neither a length nor chunks, in percent.
 const UNFRAMED_PERCENT: u32 = 20;
 const CALLER_COUNT: u64 = 4;
+/// Statuses that imply that a request did not run.
+const UNPROVED_STATUSES: [u16; 3] = [408, 429, 503];
 const ROUTES: [&str; 4] = ["once", "safe", "stream", "resume"];
 /// Links of the entries, in megabits a second: 125,000 bytes a second, and one that is never loaded.
 const SMALL_LINK: u32 = 1;
@@ -93,11 +95,19 @@
             14..17 => Action::Respond(
                 text.clone() + &platform::signed_response("late").replace("ID", "other"),
             ),
+            17..20 => Action::Respond(make_failure(UNPROVED_STATUSES[roll as usize - 17])),
             _ => Action::Respond(text),
         }
     })
 }
 
+/// Returns a failure of a server that has run the request, with a status that implies that it has not.
+fn make_failure(status: u16) -> String {
+    format!(
+        "HTTP/1.1 {status} Failed\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: s\r\nContent-Length: 4\r\n\r\nsick"
+    )
+}
+
 fn make_response(message: &Message, attempt: &str) -> String {
     if message.field("x-token-usage").is_none() {
         return platform::signed_response(attempt);
