--- a/toucanrail-gateway/src/tuning.rs
+++ b/toucanrail-gateway/src/tuning.rs
@@ -24,7 +24,7 @@
     },
     SettingRow {
         name: "grant-part",
-        default: Some("0.025"),
+        default: Some("0.0275"),
         help: "Maximum fraction of a prepaid budget that is granted in advance.",
     },
     SettingRow {
