--- a/toucanrail-gateway/tests/odd_entries.rs
+++ b/toucanrail-gateway/tests/odd_entries.rs
@@ -65,7 +65,8 @@
         assert!(self.relay.is_running() && self.gateway.is_running());
     }
 
-    /// Returns a sound object of each kind, in which fields are replaced.
+    /// Returns an object of each kind, in which fields are replaced. Those of kinds other than relays are
+    /// registrations of servers.
     fn sound_objects(&self) -> Vec<(&'static str, Value)> {
         let relay = json!({
             "address": "127.0.0.1:1", "lending": "127.0.0.1:1", "data_centre": "c", "region": "elsewhere",
